--- /dev/null
+++ b/siskinroad/accounts.py
@@ -0,0 +1,187 @@
+"""Who used, lent and borrowed capacity, and who carries its idle cost.
+
+All amounts are whole numbers: thousandths of a processor, MiB or accelerators,
+times milliseconds. Parts are rounded by largest remainder, so that for every
+settled span the sums equal the capacity exactly.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from siskinroad.cell import Owner
+from siskinroad.resources import NOTHING, Resources
+
+__all__ = ["Accounts", "Amounts", "OwnerSpan", "apportion"]
+
+DIMENSIONS = 3
+HOUR_MS = 3_600_000
+SETTLE_MS = 60_000
+KEPT_HOURS = 48
+
+
+def apportion(amount: int, weights: list[float]) -> list[int]:
+    """Split a whole amount by weights; the parts sum to it exactly.
+
+    With no positive weight the first part takes all.
+    """
+    total = sum(weights)
+    if not weights:
+        return []
+    if total <= 0:
+        return [amount] + [0] * (len(weights) - 1)
+    exact = [amount * weight / total for weight in weights]
+    parts = [int(x) for x in exact]
+    left = amount - sum(parts)
+    order = sorted(range(len(parts)), key=lambda i: (parts[i] - exact[i], i))
+    step = 1 if left >= 0 else -1
+    for k in range(abs(left)):
+        parts[order[k % len(order)]] += step
+    return parts
+
+
+@dataclass(slots=True)
+class Amounts:
+    """Integrals over time: processors, memory and accelerators."""
+
+    values: list[int] = field(default_factory=lambda: [0] * DIMENSIONS)
+
+    def add(self, other: Amounts) -> None:
+        """Add another amount."""
+        for i in range(DIMENSIONS):
+            self.values[i] += other.values[i]
+
+
+@dataclass(slots=True)
+class OwnerSpan:
+    """One owner's part of a span of time.
+
+    ``used`` includes ``borrowed``; ``lent`` was used by others; ``idle`` is the
+    unused capacity whose cost the owner carries.
+    """
+
+    used: Amounts = field(default_factory=Amounts)
+    borrowed: Amounts = field(default_factory=Amounts)
+    lent: Amounts = field(default_factory=Amounts)
+    idle: Amounts = field(default_factory=Amounts)
+
+    def add(self, other: OwnerSpan) -> None:
+        """Add another span."""
+        self.used.add(other.used)
+        self.borrowed.add(other.borrowed)
+        self.lent.add(other.lent)
+        self.idle.add(other.idle)
+
+
+@dataclass(slots=True)
+class _Meter:
+    held: Resources = NOTHING
+    since: int = 0
+    total: list[int] = field(default_factory=lambda: [0] * DIMENSIONS)
+
+    def settle(self, now: int) -> None:
+        passed = now - self.since
+        if passed > 0:
+            self.total[0] += self.held.cpu_milli * passed
+            self.total[1] += self.held.memory_mib * passed
+            self.total[2] += self.held.accelerators * passed
+            self.since = now
+
+    def take(self, now: int) -> list[int]:
+        self.settle(now)
+        total, self.total = self.total, [0] * DIMENSIONS
+        return total
+
+
+class Accounts:
+    """The ledger of one shard, by owner and hour since the start.
+
+    Times are whole milliseconds of the loop's clock.
+    """
+
+    def __init__(self, owners: dict[str, Owner], now: int) -> None:
+        self.owners = dict(owners)
+        self._capacity = _Meter(since=now)
+        self._meters: dict[str, _Meter] = {}
+        self._settled = now
+        self.hours: dict[int, dict[str, OwnerSpan]] = {}
+        self.capacity: dict[int, Amounts] = {}
+
+    def set_owners(self, owners: dict[str, Owner], now: int) -> None:
+        """Put a configuration's owners in force from now on."""
+        self.settle(now)
+        self.owners = dict(owners)
+
+    def set_capacity(self, total: Resources, now: int) -> None:
+        """Note the capacity from now on."""
+        self._capacity.settle(now)
+        self._capacity.held = total
+
+    def change(self, owner: str, held: Resources, sign: int, now: int) -> None:
+        """Note that an owner holds more (1) or less (-1)."""
+        meter = self._meters.get(owner)
+        if meter is None:
+            meter = self._meters[owner] = _Meter(since=now)
+        meter.settle(now)
+        meter.held = meter.held + held if sign > 0 else meter.held - held
+
+    def tick(self, now: int) -> None:
+        """Settle whole spans that have passed."""
+        if now - self._settled >= SETTLE_MS:
+            self.settle(now)
+
+    def settle(self, now: int) -> None:
+        """Divide all capacity since the last call among the owners."""
+        capacity = self._capacity.take(now)
+        used = {name: meter.take(now) for name, meter in self._meters.items()}
+        hour = self._settled // HOUR_MS
+        self._settled = now
+        spans = self.hours.setdefault(hour, {})
+        names = sorted(self.owners.keys() | used.keys())
+        for name in names:
+            spans.setdefault(name, OwnerSpan())
+        for dim in range(DIMENSIONS):
+            amounts = [used[name][dim] if name in used else 0 for name in names]
+            self._divide(dim, capacity[dim], names, amounts, spans)
+        self.capacity.setdefault(hour, Amounts()).add(Amounts(capacity))
+        for old in [h for h in self.hours if h < hour - KEPT_HOURS]:
+            del self.hours[old]
+            del self.capacity[old]
+
+    def _divide(
+        self,
+        dim: int,
+        capacity: int,
+        names: list[str],
+        used: list[int],
+        spans: dict[str, OwnerSpan],
+    ) -> None:
+        weights = [self._weight(name) for name in names]
+        idle_weights = [self._idle_weight(name) for name in names]
+        entitled = apportion(capacity, weights)
+        idle = apportion(capacity - sum(used), idle_weights)
+        borrowed = [max(0, u - e) for u, e in zip(used, entitled, strict=True)]
+        unused = [float(max(0, e - u)) for u, e in zip(used, entitled, strict=True)]
+        lent = apportion(sum(borrowed), unused)
+        for i, name in enumerate(names):
+            span = spans[name]
+            span.used.values[dim] += used[i]
+            span.borrowed.values[dim] += borrowed[i]
+            span.lent.values[dim] += lent[i]
+            span.idle.values[dim] += idle[i]
+
+    def _weight(self, name: str) -> float:
+        owner = self.owners.get(name)
+        return owner.weight if owner else 0.0
+
+    def _idle_weight(self, name: str) -> float:
+        owner = self.owners.get(name)
+        return owner.idle_weight if owner else 0.0
+
+    def totals(self) -> dict[str, OwnerSpan]:
+        """Return each owner's sum over the hours that are kept."""
+        totals: dict[str, OwnerSpan] = {}
+        for spans in self.hours.values():
+            for name, span in spans.items():
+                totals.setdefault(name, OwnerSpan()).add(span)
+        return totals
--- /dev/null
+++ b/siskinroad/attempts.py
@@ -0,0 +1,300 @@
+"""Attempts in progress: their start, their end and what follows."""
+
+from __future__ import annotations
+
+from siskinroad.cell import Urgency
+from siskinroad.charts import load_chart
+from siskinroad.effects import ControlTask, Effect, End, Finished, Refused, StartTask
+from siskinroad.errors import Outcome, Reason, Refusal
+from siskinroad.health import Verdict
+from siskinroad.placement import HostView
+from siskinroad.queues import Item
+from siskinroad.resources import Resources
+from siskinroad.retries import Failure, Retry, decide
+from siskinroad.shard import PoolState, Running, Shard, task_name
+from siskinroad.upstreams import Control, Usage
+
+__all__ = ["Attempts"]
+
+FIRST_BACKOFF = 0.1
+LONGEST_BACKOFF = 30.0
+MAX_NOT_SENT = 10
+
+SEVERITY = {end: rank for rank, end in enumerate(End)}
+FAILURES = {
+    End.NOT_SENT: Failure.NOT_SENT,
+    End.REJECTED: Failure.REJECTED,
+    End.LOST: Failure.UNKNOWN,
+    End.FAILED: Failure.FAILED,
+    End.UNKNOWN: Failure.UNKNOWN,
+}
+JUDGED = (End.DONE, End.FAILED, End.UNKNOWN)
+
+
+class Attempts:
+    """Begins and ends attempts on the hosts of a shard."""
+
+    def __init__(self, shard: Shard) -> None:
+        self.shard = shard
+        self.chart = load_chart("attempt")
+        self.verdicts: list[Verdict] = []
+        self.held_back: list[Item] = []
+
+    def begin(
+        self, item: Item, places: list[HostView], held: Resources, now: float
+    ) -> StartTask:
+        """Give each member its host and return the effect that starts them."""
+        item.tries += 1
+        item.state = self.chart.next(item.state, "start")
+        item.started = now
+        attempt = f"{item.key}#{item.tries}"
+        ends = now + self.shard.estimates.run_time(item.workload)
+        run = Running(item, attempt, {}, held, now, ends)
+        self._enter(run, now)
+        for member, view in enumerate(places):
+            self._place(run, member, view, held, now)
+        return StartTask(item, attempt, [view.name for view in places])
+
+    def _enter(self, run: Running, now: float) -> None:
+        item = run.item
+        state = self.shard.pools[item.workload.pool]
+        self.shard.running[item.key] = run
+        urgency = item.workload.urgency
+        if urgency is Urgency.URGENT:
+            state.urgent_running += 1
+            self.shard.note_urgent(state, now)
+        elif urgency is Urgency.BACKGROUND and item.workload.checkpoint:
+            state.evictable[item.key] = run
+
+    def _place(
+        self, run: Running, member: int, view: HostView, held: Resources, now: float
+    ) -> None:
+        workload = run.item.workload
+        run.hosts[member] = view.name
+        run.seen.add(member)
+        index = self.shard.pools[workload.pool].index
+        index.take(view, task_name(run.item.key, member), held, workload.name)
+        self.shard.hold(workload, run.held, 1, now)
+
+    def adopt(
+        self, item: Item, attempt: str, member: int, host: str, now: float
+    ) -> bool:
+        """Take over a task that already runs; return whether it is known now."""
+        view = self.shard.view(host)
+        run = self.shard.running.get(item.key)
+        if view is None or (run is not None and run.attempt != attempt):
+            return False
+        if run is None:
+            held = self.shard.estimates.reserve(item.workload, view.capacity)
+            ends = now + self.shard.estimates.run_time(item.workload)
+            run = Running(item, attempt, {}, held, now, ends)
+            item.state = "running"
+            item.tries = max(item.tries, _try_of(attempt))
+            item.started = now
+            self.shard.items[item.key] = item
+            self._enter(run, now)
+        if member not in run.seen:
+            room = Resources(view.cpu, view.memory, view.accelerators, view.slots)
+            self._place(run, member, view, run.held.clip(room), now)
+        return run.hosts.get(member) == host
+
+    def fail_partial(self, run: Running) -> list[Effect]:
+        """Let a gang that was found without some of its members start anew."""
+        if len(run.seen) >= run.item.workload.size:
+            return []
+        run.worst = max(run.worst, End.LOST, key=lambda end: SEVERITY[end])
+        return self._stop_others(run, End.LOST)
+
+    def withdraw(self, item: Item) -> None:
+        """Forget an item that waits, since its task was found running."""
+        held_back = item.hold_until > 0
+        item.state = "cancelled"
+        del self.shard.items[item.key]
+        if held_back:
+            self.drop_held_back(item)
+        else:
+            self.shard.waiting.drop(item)
+
+    def started(self, key: str) -> None:
+        """Note that the host has confirmed the start."""
+        item = self.shard.items.get(key)
+        if item is not None and self.chart.allows(item.state, "started"):
+            item.state = self.chart.next(item.state, "started")
+
+    def ended(
+        self, key: str, member: int, end: End, now: float, run_time: float = 0.0
+    ) -> tuple[HostView | None, list[Effect]]:
+        """Note the end of one member's task.
+
+        Returns
+        -------
+        HostView or None
+            The host that has more room now.
+        list of Effect
+            What follows for the item.
+        """
+        run = self.shard.running.get(key)
+        if run is None or member not in run.hosts:
+            return None, []
+        view = self._release(run, member, now)
+        self._learn(run, view, member, end, now, run_time)
+        effects: list[Effect] = []
+        if SEVERITY[end] > SEVERITY[run.worst]:
+            run.worst = end
+            effects += self._stop_others(run, end)
+            if end in (End.FAILED, End.UNKNOWN, End.REJECTED):
+                run.item.avoid.add(view.name)
+        if not run.hosts:
+            effects += self._conclude(run, now)
+        return view, effects
+
+    def _stop_others(self, run: Running, end: End) -> list[Effect]:
+        if end is End.CHECKPOINTED or run.stopping or not run.hosts:
+            return []
+        run.stopping = True
+        return self.control(run, Control.STOP)
+
+    def control(self, run: Running, do: Control) -> list[Effect]:
+        """Return the effects that ask something of each member."""
+        return [
+            ControlTask(run.item.key, run.attempt, host, member, do)
+            for member, host in run.hosts.items()
+        ]
+
+    def _release(self, run: Running, member: int, now: float) -> HostView:
+        view = self.shard.view(run.hosts.pop(member))
+        assert view is not None
+        workload = run.item.workload
+        index = self.shard.pools[self.shard.pool_of[view.name]].index
+        index.give_back(view, task_name(run.item.key, member), workload.name)
+        self.shard.hold(workload, run.held, -1, now)
+        return view
+
+    def _learn(
+        self,
+        run: Running,
+        view: HostView,
+        member: int,
+        end: End,
+        now: float,
+        run_time: float,
+    ) -> None:
+        workload = run.item.workload
+        seconds = run_time or now - run.started
+        usage = run.peak.get(member, Usage())
+        if end is End.DONE and (usage.memory_mib or workload.kind == "service"):
+            cpu, memory = usage.cpu_milli, usage.memory_mib
+            self.shard.estimates.observe(workload, seconds, cpu, memory)
+        if workload.kind == "service":
+            self._adapt(view, end, seconds, now)
+        if end not in JUDGED:
+            return
+        hosts = len(self.shard.pool_state(view.name).index.hosts)
+        good = end is End.DONE
+        verdict = self.shard.health.observe(view.name, workload.name, good, now, hosts)
+        if verdict is not None:
+            self.verdicts.append(verdict)
+
+    def _adapt(self, view: HostView, end: End, seconds: float, now: float) -> None:
+        limit = self.shard.limits[view.name]
+        if end is End.DONE:
+            limit.success(seconds, now)
+        elif end in (End.UNKNOWN, End.REJECTED, End.NOT_SENT):
+            limit.failure(now)
+        view.limit = 1 if view.state == "probation" else limit.whole
+
+    def _conclude(self, run: Running, now: float) -> list[Effect]:
+        item = run.item
+        state = self.shard.pools[item.workload.pool]
+        self._leave(run, state, now)
+        if item.state == "stopping":
+            done = run.worst is End.DONE
+            return self._finish(item, End.DONE if done else End.STOPPED)
+        match run.worst:
+            case End.DONE:
+                return self._finish(item, End.DONE)
+            case End.CHECKPOINTED | End.STOPPED:
+                return self.again(item, front=True)
+            case End.LOST if item.workload.kind != "service":
+                return self.again(item, front=True)
+        if item.workload.kind == "service":
+            return self._retry_request(item, FAILURES[run.worst], now)
+        return self._retry_task(item, run.worst, now)
+
+    def _leave(self, run: Running, state: PoolState, now: float) -> None:
+        del self.shard.running[run.item.key]
+        state.evictable.pop(run.item.key, None)
+        if run.evicting:
+            state.evicting -= 1
+        if run.item.workload.urgency is Urgency.URGENT:
+            state.urgent_running -= 1
+            self.shard.note_urgent(state, now)
+
+    def _finish(self, item: Item, end: End) -> list[Effect]:
+        states = {End.DONE: "succeeded", End.STOPPED: "cancelled", End.FAILED: "lost"}
+        item.state = states[end]
+        del self.shard.items[item.key]
+        return [Finished(item, end)]
+
+    def again(self, item: Item, *, front: bool) -> list[Effect]:
+        """Let an item wait again, at once."""
+        item.state = "waiting"
+        item.hold_until = 0.0
+        hosts = self.shard.pools[item.workload.pool].index.hosts
+        if len(item.avoid) >= len(hosts):
+            item.avoid.clear()
+        lane = self.shard.waiting.push(item, front=front)
+        lane.blocked = False
+        return []
+
+    def _later(self, item: Item, until: float) -> list[Effect]:
+        item.state = "waiting"
+        item.hold_until = until
+        self.held_back.append(item)
+        return []
+
+    def _retry_task(self, item: Item, worst: End, now: float) -> list[Effect]:
+        if worst is End.FAILED and item.tries > item.workload.retries:
+            return self._finish(item, End.FAILED)
+        exponent = min(item.tries, MAX_NOT_SENT)
+        delay = min(FIRST_BACKOFF * 2**exponent, LONGEST_BACKOFF)
+        return self._later(item, now + delay)
+
+    def _retry_request(self, item: Item, failure: Failure, now: float) -> list[Effect]:
+        budget = self.shard.budget(item.workload.owner)
+        if failure is Failure.NOT_SENT and item.unsent < MAX_NOT_SENT:
+            item.unsent += 1
+        tries = item.tries - item.unsent
+        verdict = decide(item.workload, failure, tries, budget, self.shard.rng)
+        if isinstance(verdict, Retry):
+            if now + verdict.delay <= item.deadline:
+                return self._later(item, now + verdict.delay)
+            sent = failure in (Failure.UNKNOWN, Failure.FAILED)
+            outcome = Outcome.UNKNOWN if sent else Outcome.NOT_RUN
+            verdict = Refusal(Reason.DEADLINE, step="retry", outcome=outcome)
+        item.state = "lost"
+        del self.shard.items[item.key]
+        return [Refused(item, verdict)]
+
+    def release_held_back(self, now: float) -> None:
+        """Let the items wait whose pause after a failure is over."""
+        due = [item for item in self.held_back if item.hold_until <= now]
+        if not due:
+            return
+        self.held_back = [item for item in self.held_back if item.hold_until > now]
+        for item in due:
+            front = item.workload.kind == "service"
+            self.again(item, front=front)
+
+    def next_release(self) -> float:
+        """Return the earliest end of a pause, infinite if there is none."""
+        return min((item.hold_until for item in self.held_back), default=float("inf"))
+
+    def drop_held_back(self, item: Item) -> None:
+        """Forget an item that was cancelled during its pause."""
+        self.held_back = [x for x in self.held_back if x is not item]
+
+
+def _try_of(attempt: str) -> int:
+    number = attempt.rpartition("#")[2]
+    return int(number) if number.isdecimal() else 1
--- /dev/null
+++ b/siskinroad/callers.py
@@ -0,0 +1,137 @@
+"""The callers' listener: requests, and jobs submitted, watched, cancelled."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from siskinroad.cell import Workload
+from siskinroad.errors import Outcome, Reason, Refusal
+from siskinroad.front import Request
+from siskinroad.httpd import HttpRequest, HttpResponse
+from siskinroad.replies import json_response, refusal_response
+
+if TYPE_CHECKING:
+    from siskinroad.entry import Daemon
+
+__all__ = ["Callers"]
+
+KEY_HEADER = "idempotency-key"
+TIMEOUT_HEADER = "siskinroad-timeout"
+MAX_KEY = 128
+
+log = logging.getLogger("siskinroad.callers")
+
+
+class Callers:
+    """Answers callers.
+
+    ``/v1/services/NAME[/PATH]`` takes a request to a service,
+    ``POST /v1/jobs/WORKLOAD?count=N`` submits a job, ``GET /v1/jobs/JOB?wait=S``
+    watches it and ``DELETE /v1/jobs/JOB`` cancels it.
+    """
+
+    def __init__(self, daemon: Daemon) -> None:
+        self.daemon = daemon
+
+    async def handle(self, req: HttpRequest) -> HttpResponse:
+        """Return the response to one request; every failure is a refusal."""
+        try:
+            return await self._route(req)
+        except Refusal as exc:
+            self.daemon.metrics.refusals.labels(exc.reason.value, exc.step).inc()
+            return refusal_response(exc)
+        except Exception as exc:
+            log.exception("callers: a request failed")
+            refusal = Refusal(
+                Reason.INTERNAL,
+                step="callers",
+                outcome=Outcome.UNKNOWN,
+                message=type(exc).__name__,
+            )
+            self.daemon.metrics.refusals.labels("internal", "callers").inc()
+            return refusal_response(refusal)
+
+    async def _route(self, req: HttpRequest) -> HttpResponse:
+        parts = req.path.split("/", 4)
+        match (req.method, parts):
+            case (_, ["", "v1", "services", name, *_]):
+                return await self._service(req, name)
+            case ("POST", ["", "v1", "jobs", name]):
+                return await self._submit(req, name)
+            case ("GET", ["", "v1", "jobs", job]):
+                wait = _number(req.query.get("wait", "0"), "wait")
+                return json_response(200, await self.daemon.jobs.watch(job, wait))
+            case ("DELETE", ["", "v1", "jobs", job]):
+                return json_response(200, await self.daemon.jobs.cancel(job))
+        text = f"no {req.method} at {req.path[:80]}"
+        raise Refusal(Reason.UNKNOWN_SERVICE, step="callers", message=text)
+
+    def _workload(self, name: str) -> Workload:
+        workload = self.daemon.cell().workloads.get(name)
+        if workload is None:
+            text = f"the cell has no workload {name[:80]}"
+            raise Refusal(Reason.UNKNOWN_SERVICE, step="callers", message=text)
+        return workload
+
+    async def _service(self, req: HttpRequest, name: str) -> HttpResponse:
+        workload = self._workload(name)
+        if workload.kind != "service":
+            text = f"{name} takes jobs, not requests"
+            raise Refusal(Reason.BAD_REQUEST, step="callers", message=text)
+        if len(req.body) > workload.max_body:
+            text = f"body is larger than {workload.max_body} bytes"
+            raise Refusal(Reason.BAD_REQUEST, step="callers", message=text)
+        request = self._request(req, workload)
+        if not self.daemon.bytes.take(len(req.body), workload.urgency):
+            raise Refusal(Reason.SHED, step="callers", retry_after=1.0)
+        try:
+            answer = await self.daemon.front.serve(request, self.daemon.cell())
+        finally:
+            self.daemon.bytes.give_back(len(req.body))
+        self.daemon.metrics.answers.labels(name).inc()
+        return HttpResponse(answer.status, answer.body, answer.content_type)
+
+    def _request(self, req: HttpRequest, workload: Workload) -> Request:
+        key = _key(req)
+        if workload.key_required and not key:
+            text = f"{workload.name} needs the header {KEY_HEADER}"
+            raise Refusal(Reason.KEY_REQUIRED, step="callers", message=text)
+        start = workload.start_within or workload.timeout
+        limit = start + workload.timeout
+        if TIMEOUT_HEADER in req.headers:
+            limit = min(limit, _number(req.headers[TIMEOUT_HEADER], TIMEOUT_HEADER))
+        path = "/" + req.path.split("/", 3)[3]
+        now = asyncio.get_running_loop().time()
+        return Request(workload, path, req.body, key, now + limit)
+
+    async def _submit(self, req: HttpRequest, name: str) -> HttpResponse:
+        if not self.daemon.ready:
+            self.daemon.cell()
+            raise Refusal(Reason.DRAINING, step="callers", retry_after=1.0)
+        workload = self._workload(name)
+        count = int(_number(req.query.get("count", "1"), "count"))
+        view = await self.daemon.jobs.submit(
+            self.daemon.cell(), workload, count, req.body, _key(req)
+        )
+        return json_response(202, view)
+
+
+def _key(req: HttpRequest) -> str:
+    key = req.headers.get(KEY_HEADER, "")
+    if len(key) > MAX_KEY or not key.isprintable():
+        text = f"{KEY_HEADER} must be at most {MAX_KEY} printable characters"
+        raise Refusal(Reason.BAD_REQUEST, step="callers", message=text)
+    return key
+
+
+def _number(text: str, name: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        value = float("nan")
+    if not 0 <= value <= 1e6:
+        message = f"{name} must be a number from 0 to 1000000"
+        raise Refusal(Reason.BAD_REQUEST, step="callers", message=message)
+    return value
--- /dev/null
+++ b/siskinroad/cell.py
@@ -0,0 +1,483 @@
+"""The cell file: owners, hosts and workloads, checked as a whole."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import IntEnum
+from typing import Any
+
+from siskinroad.checks import Field, Reader, Table, parse_toml
+from siskinroad.errors import ConfigError
+from siskinroad.resources import Resources
+
+__all__ = [
+    "CELL_TABLE",
+    "Cell",
+    "Host",
+    "Locality",
+    "Owner",
+    "Pool",
+    "Urgency",
+    "Workload",
+    "diff",
+    "digest",
+    "moved_hosts",
+    "parse_cell",
+    "shard_name",
+]
+
+MIB_PER_GIB = 1024
+MAX_SHARDS = 64
+
+
+class Urgency(IntEnum):
+    """Classes of work, the most urgent first."""
+
+    URGENT = 0
+    STANDARD = 1
+    BACKGROUND = 2
+
+
+class Locality(IntEnum):
+    """How far from its caller a request may run."""
+
+    DATA_CENTRE = 0
+    REGION = 1
+    ANYWHERE = 2
+
+
+URGENCY_NAMES = ("urgent", "standard", "background")
+LOCALITY_NAMES = ("data_centre", "region", "anywhere")
+
+QUOTA = Table(
+    "The most that an owner may hold at one time in a data centre.",
+    {
+        "cpu": Field("number", 0.0, low=0, high=1e6, doc="Processors; 0: no limit."),
+        "memory_gib": Field("number", 0.0, low=0, high=1e7, doc="GiB; 0: no limit."),
+        "accelerators": Field("int", 0, low=0, high=100000, doc="0: no limit."),
+    },
+)
+
+DEMAND = Table(
+    "What one task or request takes of a host.",
+    {
+        "cpu": Field("number", 1.0, low=0.001, high=1024, doc="Processors."),
+        "memory_gib": Field("number", 1.0, low=0.001, high=65536, doc="GiB."),
+        "accelerators": Field("int", 0, low=0, high=64, doc="Whole accelerators."),
+    },
+)
+
+OWNER = Table(
+    "Who pays for a workload.",
+    {
+        "name": Field("name", doc="Unique name."),
+        "weight": Field("number", 1.0, low=0.001, high=1e6, doc="Share of the cell."),
+        "idle_weight": Field(
+            "number", 1.0, low=0, high=1e6, doc="Part of the idle cost it carries."
+        ),
+        "quota": Field("table", {}, table=QUOTA, doc="Limit on what it holds."),
+    },
+)
+
+REGION = Table(
+    "A region and its data centres.",
+    {
+        "name": Field("name", doc="Unique name."),
+        "data_centres": Field("names", low=1, high=100, doc="Unique in the cell."),
+    },
+)
+
+HOST = Table(
+    "One host of an upstream.",
+    {
+        "name": Field("name", doc="Unique name."),
+        "address": Field("address", doc="Where its executor listens."),
+        "rack": Field("name", doc="Rack, unique in its data centre."),
+        "data_centre": Field("name", doc="A data centre of the cell."),
+    },
+)
+
+UPSTREAM = Table(
+    "Hosts of one kind that serve the same workloads.",
+    {
+        "name": Field("name", doc="Unique name."),
+        "cpu": Field("number", low=0.1, high=1024, doc="Processors of a host."),
+        "memory_gib": Field("number", low=0.1, high=65536, doc="GiB of a host."),
+        "accelerators": Field("int", 0, low=0, high=64, doc="Accelerators of a host."),
+        "slots": Field("int", 8, low=1, high=4096, doc="Concurrent tasks of a host."),
+        "connections": Field(
+            "int", 64, low=1, high=65536, doc="Open connections to a host."
+        ),
+        "shards": Field(
+            "int", 1, low=1, high=MAX_SHARDS, doc="Parts in each data centre."
+        ),
+        "fencing": Field("bool", False, doc="Hosts refuse lower epochs."),
+        "hosts": Field("tables", table=HOST, low=1, high=10000, doc="The hosts."),
+    },
+)
+
+_COMMON = {
+    "name": Field("name", doc="Unique among all workloads."),
+    "owner": Field("name", doc="The owner that pays."),
+    "upstream": Field("name", doc="The upstream it runs on."),
+    "urgency": Field("choice", "standard", choices=URGENCY_NAMES, doc="Class."),
+    "demand": Field("table", {}, table=DEMAND, doc="Of one task or request."),
+    "start_within_s": Field(
+        "number", 0.0, low=0, high=1e6, doc="Refuse what cannot start in time; 0: wait."
+    ),
+    "queue_limit": Field(
+        "int", 10000, low=1, high=1000000, doc="Most waiting in one data centre."
+    ),
+    "retries": Field("int", 2, low=0, high=20, doc="Further tries after a failure."),
+}
+
+SERVICE = Table(
+    "Requests that a caller waits for.",
+    {
+        **_COMMON,
+        "timeout_s": Field("number", 30.0, low=0.05, high=3600, doc="Of one try."),
+        "idempotent": Field("bool", False, doc="A second run does no harm."),
+        "key_required": Field("bool", False, doc="Each request carries a key."),
+        "locality": Field(
+            "choice", "anywhere", choices=LOCALITY_NAMES, doc="How far it may go."
+        ),
+        "byte_cost_s": Field(
+            "number", 0.5, low=0, high=3600, doc="Waiting worth a region's crossing."
+        ),
+        "max_body": Field("int", 1048576, low=0, high=16777216, doc="Bytes."),
+    },
+)
+
+BATCH = Table(
+    "Tasks that run once accepted, each on its own.",
+    {
+        **_COMMON,
+        "run_time_s": Field("number", 60.0, low=0.01, high=1e7, doc="Declared."),
+        "checkpoint": Field("bool", False, doc="Can be checkpointed and resumed."),
+        "long_running": Field("bool", False, doc="Runs until it is cancelled."),
+    },
+)
+
+GANG = Table(
+    "Tasks of which all run together or none.",
+    {
+        **_COMMON,
+        "size": Field("int", low=1, high=4096, doc="Tasks in the gang."),
+        "run_time_s": Field("number", 60.0, low=0.01, high=1e7, doc="Declared."),
+        "checkpoint": Field("bool", False, doc="Can be checkpointed and resumed."),
+    },
+)
+
+CELL_TABLE = Table(
+    "A whole cell.",
+    {
+        "name": Field("name", doc="Name of the cell."),
+        "owners": Field("tables", table=OWNER, low=1, high=1000, doc="Owners."),
+        "regions": Field("tables", table=REGION, low=1, high=100, doc="Regions."),
+        "upstreams": Field("tables", table=UPSTREAM, low=1, high=100, doc="Pools."),
+        "services": Field("tables", [], table=SERVICE, low=0, high=1000, doc=""),
+        "batch": Field("tables", [], table=BATCH, low=0, high=1000, doc=""),
+        "gangs": Field("tables", [], table=GANG, low=0, high=1000, doc=""),
+    },
+)
+
+
+@dataclass(slots=True, frozen=True)
+class Owner:
+    """An owner; a quota dimension of 0 is no limit."""
+
+    name: str
+    weight: float
+    idle_weight: float
+    quota: Resources
+
+
+@dataclass(slots=True, frozen=True)
+class Host:
+    """One host of an upstream; its shard is the part that one daemon owns."""
+
+    name: str
+    address: str
+    rack: str
+    data_centre: str
+    pool: str
+    shard: str
+
+
+@dataclass(slots=True, frozen=True)
+class Pool:
+    """An upstream: hosts of one kind."""
+
+    name: str
+    capacity: Resources
+    connections: int
+    shards: int
+    fencing: bool
+    hosts: tuple[Host, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Workload:
+    """A service, batch kind or gang kind; ``size`` is 1 but for gangs.
+
+    Times are in seconds. ``demand`` is that of one member.
+    """
+
+    name: str
+    kind: str
+    owner: str
+    pool: str
+    urgency: Urgency
+    demand: Resources
+    start_within: float
+    queue_limit: int
+    retries: int
+    size: int = 1
+    run_time: float = 60.0
+    timeout: float = 30.0
+    idempotent: bool = False
+    key_required: bool = False
+    checkpoint: bool = False
+    long_running: bool = False
+    locality: Locality = Locality.ANYWHERE
+    byte_cost: float = 0.5
+    max_body: int = 1 << 20
+
+
+@dataclass(slots=True, frozen=True)
+class Cell:
+    """A checked cell file."""
+
+    name: str
+    owners: dict[str, Owner]
+    regions: dict[str, str]
+    pools: dict[str, Pool]
+    workloads: dict[str, Workload]
+    text: str = field(repr=False, default="")
+
+    def region_of(self, data_centre: str) -> str:
+        """Return the region of a data centre, empty if it is not in the cell."""
+        return self.regions.get(data_centre, "")
+
+    def shards(self, data_centre: str) -> dict[str, list[Host]]:
+        """Return the hosts of a data centre by shard."""
+        shards: dict[str, list[Host]] = {}
+        for host in self.hosts():
+            if host.data_centre == data_centre:
+                shards.setdefault(host.shard, []).append(host)
+        return shards
+
+    def hosts(self) -> Iterator[Host]:
+        """Yield every host."""
+        for pool in self.pools.values():
+            yield from pool.hosts
+
+
+def digest(text: str) -> str:
+    """Return the name of a cell file's content."""
+    return hashlib.sha256(text.encode()).hexdigest()[:16]
+
+
+def parse_cell(text: str, source: str = "cell") -> Cell:
+    """Check a whole cell file.
+
+    Parameters
+    ----------
+    text : str
+        The file's content, TOML.
+    source : str
+        Name of the file for the error.
+
+    Raises
+    ------
+    ConfigError
+        With every problem found; nothing is changed.
+    """
+    reader = Reader()
+    data = reader.table(parse_toml(text, source), CELL_TABLE, "")
+    if reader.problems:
+        raise ConfigError(source, reader.problems)
+    _check_names(data, reader)
+    _check_references(data, reader)
+    if reader.problems:
+        raise ConfigError(source, reader.problems)
+    return _build(data, text)
+
+
+def _unique(reader: Reader, places: Iterator[tuple[str, str]]) -> None:
+    seen: dict[str, str] = {}
+    for place, name in places:
+        if name in seen:
+            reader.fault(place, name, f"a name other than that of {seen[name]}")
+        seen.setdefault(name, place)
+
+
+def _named(data: dict[str, Any], *keys: str) -> Iterator[tuple[str, str]]:
+    for key in keys:
+        for i, entry in enumerate(data[key]):
+            yield f"{key}[{i}].name", entry["name"]
+
+
+def _host_fields(data: dict[str, Any], key: str) -> Iterator[tuple[str, str]]:
+    for i, pool in enumerate(data["upstreams"]):
+        for j, host in enumerate(pool["hosts"]):
+            yield f"upstreams[{i}].hosts[{j}].{key}", host[key]
+
+
+def _centres(data: dict[str, Any]) -> Iterator[tuple[str, str]]:
+    for i, region in enumerate(data["regions"]):
+        for name in region["data_centres"]:
+            yield f"regions[{i}].data_centres", name
+
+
+def _check_names(data: dict[str, Any], reader: Reader) -> None:
+    for key in ("owners", "regions", "upstreams"):
+        _unique(reader, _named(data, key))
+    _unique(reader, _named(data, "services", "batch", "gangs"))
+    _unique(reader, _host_fields(data, "name"))
+    _unique(reader, _host_fields(data, "address"))
+    _unique(reader, _centres(data))
+
+
+def _check_references(data: dict[str, Any], reader: Reader) -> None:
+    owners = {entry["name"] for entry in data["owners"]}
+    pools = {entry["name"] for entry in data["upstreams"]}
+    centres = {name for _, name in _centres(data)}
+    for place, name in _host_fields(data, "data_centre"):
+        if name not in centres:
+            reader.fault(place, name, "a data centre under regions")
+    for key in ("services", "batch", "gangs"):
+        for i, entry in enumerate(data[key]):
+            if entry["owner"] not in owners:
+                reader.fault(f"{key}[{i}].owner", entry["owner"], "a name of owners")
+            if entry["upstream"] not in pools:
+                allowed = "a name of upstreams"
+                reader.fault(f"{key}[{i}].upstream", entry["upstream"], allowed)
+
+
+def _resources(data: dict[str, Any], slots: int) -> Resources:
+    return Resources(
+        round(data["cpu"] * 1000),
+        round(data["memory_gib"] * MIB_PER_GIB),
+        data["accelerators"],
+        slots,
+    )
+
+
+def _build(data: dict[str, Any], text: str) -> Cell:
+    workloads = {}
+    for kind, key in (("service", "services"), ("batch", "batch"), ("gang", "gangs")):
+        for entry in data[key]:
+            workloads[entry["name"]] = _workload(kind, entry)
+    return Cell(
+        data["name"],
+        {entry["name"]: _owner(entry) for entry in data["owners"]},
+        {name: r["name"] for r in data["regions"] for name in r["data_centres"]},
+        {entry["name"]: _pool(entry) for entry in data["upstreams"]},
+        workloads,
+        text,
+    )
+
+
+def _owner(entry: dict[str, Any]) -> Owner:
+    quota = _resources(entry["quota"], 0)
+    return Owner(entry["name"], entry["weight"], entry["idle_weight"], quota)
+
+
+def _pool(entry: dict[str, Any]) -> Pool:
+    name = entry["name"]
+    hosts = tuple(
+        Host(
+            h["name"],
+            h["address"],
+            h["rack"],
+            h["data_centre"],
+            name,
+            shard_name(name, h["data_centre"], h["rack"], entry["shards"]),
+        )
+        for h in entry["hosts"]
+    )
+    return Pool(
+        name,
+        _resources(entry, entry["slots"]),
+        entry["connections"],
+        entry["shards"],
+        entry["fencing"],
+        hosts,
+    )
+
+
+def _workload(kind: str, entry: dict[str, Any]) -> Workload:
+    return Workload(
+        name=entry["name"],
+        kind=kind,
+        owner=entry["owner"],
+        pool=entry["upstream"],
+        urgency=Urgency(URGENCY_NAMES.index(entry["urgency"])),
+        demand=_resources(entry["demand"], 1),
+        start_within=entry["start_within_s"],
+        queue_limit=entry["queue_limit"],
+        retries=entry["retries"],
+        size=entry.get("size", 1),
+        run_time=entry.get("run_time_s", entry.get("timeout_s", 60.0)),
+        timeout=entry.get("timeout_s", 30.0),
+        idempotent=entry.get("idempotent", True),
+        key_required=entry.get("key_required", False),
+        checkpoint=entry.get("checkpoint", False),
+        long_running=entry.get("long_running", False),
+        locality=Locality(LOCALITY_NAMES.index(entry.get("locality", "anywhere"))),
+        byte_cost=entry.get("byte_cost_s", 0.5),
+        max_body=entry.get("max_body", 1 << 20),
+    )
+
+
+def shard_name(pool: str, data_centre: str, rack: str, shards: int) -> str:
+    """Return the shard to which a rack belongs.
+
+    It depends on nothing else in the file, so that adding or removing hosts
+    moves no other host to another shard.
+    """
+    digest_ = hashlib.blake2b(rack.encode(), digest_size=8).digest()
+    return f"{pool}/{data_centre}/{int.from_bytes(digest_) % shards}"
+
+
+def moved_hosts(old: Cell, new: Cell) -> list[str]:
+    """Return the hosts that would change their shard, which is not allowed.
+
+    While daemons still differ in their revision, two of them would own such a
+    host. It is removed in one revision and added under another name in a later
+    one.
+    """
+    shards = {host.name: host.shard for host in old.hosts()}
+    addresses = {host.address: host.shard for host in old.hosts()}
+    return [
+        host.name
+        for host in new.hosts()
+        if shards.get(host.name, host.shard) != host.shard
+        or addresses.get(host.address, host.shard) != host.shard
+    ]
+
+
+def _flat(cell: Cell) -> dict[str, object]:
+    flat: dict[str, object] = {"name": cell.name}
+    flat.update({f"owners.{k}": v for k, v in cell.owners.items()})
+    flat.update({f"data_centres.{k}": v for k, v in cell.regions.items()})
+    flat.update({f"workloads.{k}": v for k, v in cell.workloads.items()})
+    flat.update({f"hosts.{h.name}": h for h in cell.hosts()})
+    for name, pool in cell.pools.items():
+        shape = (pool.capacity, pool.connections, pool.shards, pool.fencing)
+        flat[f"upstreams.{name}"] = shape
+    return flat
+
+
+def diff(old: Cell | None, new: Cell) -> list[str]:
+    """Return one line for each thing added (+), removed (-) or changed (~)."""
+    before = _flat(old) if old else {}
+    after = _flat(new)
+    lines = [f"- {key}" for key in sorted(before.keys() - after.keys())]
+    lines += [f"+ {key}" for key in sorted(after.keys() - before.keys())]
+    both = sorted(before.keys() & after.keys())
+    lines += [f"~ {key}" for key in both if before[key] != after[key]]
+    return lines
--- /dev/null
+++ b/siskinroad/estimates.py
@@ -0,0 +1,155 @@
+"""Sizes and run times learned for each workload from lagging reports."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from siskinroad.cell import Workload
+from siskinroad.resources import Resources
+
+__all__ = ["Estimates", "Histogram"]
+
+STEPS_PER_DOUBLING = 4
+DECAY = 0.995
+MIN_SAMPLES = 5.0
+UNKNOWN_FACTOR = 4.0
+PEAK_QUANTILE = 0.95
+PEAK_MARGIN = 1.1
+MAX_RATIO = 16.0
+RUN_TIME_QUANTILE = 0.9
+
+
+@dataclass(slots=True)
+class Histogram:
+    """A decaying histogram with buckets of equal ratio.
+
+    The quantile is at most one bucket (a factor of 2 to the power of a
+    quarter) above the true one.
+    """
+
+    counts: dict[int, float] = field(default_factory=dict)
+    total: float = 0.0
+    scale: float = 1.0
+
+    def add(self, value: float) -> None:
+        """Add one positive sample; older ones lose a little weight."""
+        index = math.ceil(STEPS_PER_DOUBLING * math.log2(max(value, 1e-9)))
+        self.scale /= DECAY
+        self.counts[index] = self.counts.get(index, 0.0) + self.scale
+        self.total += self.scale
+        if self.scale > 1e12:
+            self._rescale()
+
+    def quantile(self, q: float) -> float:
+        """Return the upper edge of the bucket that holds quantile ``q``."""
+        left = q * self.total
+        for index in sorted(self.counts):
+            left -= self.counts[index]
+            if left <= 1e-9 * self.total:
+                return 2.0 ** (index / STEPS_PER_DOUBLING)
+        return 0.0
+
+    @property
+    def weight(self) -> float:
+        """The number of recent samples."""
+        return self.total / self.scale if self.scale else 0.0
+
+    def _rescale(self) -> None:
+        scale = self.scale
+        kept = {i: c / scale for i, c in self.counts.items() if c / scale > 1e-6}
+        self.counts = kept
+        self.total = sum(kept.values())
+        self.scale = 1.0
+
+
+@dataclass(slots=True)
+class _Learned:
+    cpu: Histogram = field(default_factory=Histogram)
+    memory: Histogram = field(default_factory=Histogram)
+    run_time: Histogram = field(default_factory=Histogram)
+    reserve: Resources | None = None
+    seconds: float | None = None
+
+
+class Estimates:
+    """What each workload's tasks are likely to take.
+
+    Accelerators and slots are granted whole and never estimated.
+    """
+
+    def __init__(self) -> None:
+        self._learned: dict[str, _Learned] = {}
+
+    def observe(
+        self, workload: Workload, run_time: float, cpu_milli: int, memory_mib: int
+    ) -> None:
+        """Learn from one ended task: its run time in seconds and its peaks."""
+        learned = self._learned.setdefault(workload.name, _Learned())
+        learned.run_time.add(run_time)
+        learned.cpu.add(max(cpu_milli, 1))
+        learned.memory.add(max(memory_mib, 1))
+        learned.reserve = None
+        learned.seconds = None
+
+    def known(self, workload: Workload) -> bool:
+        """Return whether enough tasks have ended to trust their sizes."""
+        learned = self._learned.get(workload.name)
+        return learned is not None and learned.memory.weight >= MIN_SAMPLES
+
+    def reserve(self, workload: Workload, capacity: Resources) -> Resources:
+        """Return what to set aside for one task on a host of ``capacity``.
+
+        Requests hold no memory of their own beyond what they declare. A task of
+        a workload not yet known gets several times what it declares.
+        """
+        if workload.kind == "service":
+            return workload.demand
+        learned = self._learned.get(workload.name)
+        if learned is None or learned.memory.weight < MIN_SAMPLES:
+            return _scaled(workload.demand, UNKNOWN_FACTOR, capacity)
+        if learned.reserve is None:
+            learned.reserve = _peak(workload.demand, learned, capacity)
+        return learned.reserve
+
+    def run_time(self, workload: Workload) -> float:
+        """Return the seconds that nine of ten tasks take at most."""
+        if workload.long_running:
+            return math.inf
+        learned = self._learned.get(workload.name)
+        if learned is None or learned.run_time.weight < MIN_SAMPLES:
+            return workload.run_time
+        if learned.seconds is None:
+            learned.seconds = learned.run_time.quantile(RUN_TIME_QUANTILE)
+        return learned.seconds
+
+
+def _scaled(demand: Resources, factor: float, capacity: Resources) -> Resources:
+    return Resources(
+        min(
+            round(demand.cpu_milli * factor), max(capacity.cpu_milli, demand.cpu_milli)
+        ),
+        min(
+            round(demand.memory_mib * factor),
+            max(capacity.memory_mib, demand.memory_mib),
+        ),
+        demand.accelerators,
+        demand.slots,
+    )
+
+
+def _peak(demand: Resources, learned: _Learned, capacity: Resources) -> Resources:
+    cpu = learned.cpu.quantile(PEAK_QUANTILE) * PEAK_MARGIN
+    memory = learned.memory.quantile(PEAK_QUANTILE) * PEAK_MARGIN
+    return Resources(
+        min(_bounded(cpu, demand.cpu_milli), capacity.cpu_milli),
+        min(_bounded(memory, demand.memory_mib), capacity.memory_mib),
+        demand.accelerators,
+        demand.slots,
+    )
+
+
+def _bounded(value: float, declared: int) -> int:
+    low = declared / MAX_RATIO
+    high = declared * MAX_RATIO
+    return max(1, math.ceil(min(max(value, low), high)))
--- /dev/null
+++ b/siskinroad/gangs.py
@@ -0,0 +1,131 @@
+"""Reservations for gangs, and backfill that does not delay them.
+
+When a gang is the next in order and does not fit, hosts are chosen whose
+running tasks are expected to end soonest. Other work may use these hosts only
+if it is expected to end before the gang's start. There is one reservation for
+each pool, so two gangs never hold parts of what the other needs.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from siskinroad.placement import HostView
+from siskinroad.resources import Resources
+
+__all__ = ["Reservation", "plan_reservation"]
+
+MAX_CANDIDATES = 128
+
+
+@dataclass(slots=True)
+class Reservation:
+    """Hosts held for one gang.
+
+    Attributes
+    ----------
+    key : str
+        The gang.
+    hosts : set of str
+        Hosts that other work may use only until ``start``.
+    start : float
+        Loop time at which all members are expected to fit.
+    made : float
+        Loop time at which this was worked out.
+    """
+
+    key: str
+    hosts: set[str]
+    start: float
+    made: float
+
+    def admits(self, ends: float) -> bool:
+        """Return whether work expected to end at ``ends`` may use the hosts."""
+        return ends <= self.start
+
+
+@dataclass(slots=True)
+class _Room:
+    cpu: int
+    memory: int
+    accelerators: int
+    slots: int
+
+    def add(self, held: Resources) -> None:
+        self.cpu += held.cpu_milli
+        self.memory += held.memory_mib
+        self.accelerators += held.accelerators
+        self.slots += held.slots
+
+    def count(self, need: Resources) -> int:
+        best = self.slots // max(need.slots, 1)
+        if need.cpu_milli:
+            best = min(best, self.cpu // need.cpu_milli)
+        if need.memory_mib:
+            best = min(best, self.memory // need.memory_mib)
+        if need.accelerators:
+            best = min(best, self.accelerators // need.accelerators)
+        return best
+
+
+def plan_reservation(
+    key: str,
+    need: Resources,
+    size: int,
+    hosts: list[HostView],
+    ends: Callable[[str], float],
+    now: float,
+) -> Reservation | None:
+    """Choose hosts for a gang that does not fit yet.
+
+    Parameters
+    ----------
+    need : Resources
+        What one member takes.
+    hosts : list of HostView
+        Candidates; at most ``MAX_CANDIDATES`` are looked at.
+    ends : callable
+        Returns the loop time at which a task is expected to end.
+
+    Returns
+    -------
+    Reservation or None
+        None if the candidates could not hold the gang even when empty.
+    """
+    events: list[tuple[float, int, HostView, Resources]] = []
+    rooms: dict[str, _Room] = {}
+    counts: dict[str, int] = {}
+    for host in hosts[:MAX_CANDIDATES]:
+        room = _Room(host.cpu, host.memory, host.accelerators, host.slots)
+        rooms[host.name] = room
+        counts[host.name] = room.count(need)
+        for task, held in host.tasks.items():
+            events.append((max(ends(task), now), len(events), host, held))
+    events.sort(key=lambda event: event[:2])
+    total = sum(counts.values())
+    start = now
+    for time, _, host, held in events:
+        if total >= size:
+            break
+        if time == math.inf:
+            return None
+        rooms[host.name].add(held)
+        count = rooms[host.name].count(need)
+        total += count - counts[host.name]
+        counts[host.name] = count
+        start = time
+    if total < size:
+        return None
+    return Reservation(key, _fewest(counts, size), start, now)
+
+
+def _fewest(counts: dict[str, int], size: int) -> set[str]:
+    chosen = set()
+    for name in sorted(counts, key=lambda name: (-counts[name], name)):
+        if size <= 0:
+            break
+        chosen.add(name)
+        size -= counts[name]
+    return chosen
--- /dev/null
+++ b/siskinroad/listeners.py
@@ -0,0 +1,122 @@
+"""The daemon's listeners and its life as a process."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import signal
+
+from siskinroad.callers import Callers
+from siskinroad.entry import Daemon
+from siskinroad.httpd import HttpLimits, HttpServer
+from siskinroad.operators import Operators
+from siskinroad.peers_zmq import ZmqPeers
+from siskinroad.platform_http import HttpPlatform
+from siskinroad.settings import Settings
+from siskinroad.upstreams_http import HttpUpstreams
+
+__all__ = ["EXIT_DRAINED", "EXIT_KILLED", "EXIT_TIMEOUT", "Node", "run_node"]
+
+EXIT_DRAINED = 0
+EXIT_TIMEOUT = 6
+EXIT_KILLED = 7
+MAX_OPERATOR_BODY = 8 << 20
+MAX_CALLER_BODY = 16 << 20
+READY_PAUSE = 1.0
+
+log = logging.getLogger("siskinroad.node")
+
+
+class Node:
+    """A daemon with its listeners open.
+
+    Attributes
+    ----------
+    callers, operators, peers : str
+        The addresses listened on.
+    """
+
+    def __init__(self, cfg: Settings, incarnation: int, rng: random.Random) -> None:
+        self.cfg = cfg
+        self.links = ZmqPeers(cfg)
+        self.daemon = Daemon(
+            cfg,
+            incarnation,
+            HttpPlatform(cfg.platform),
+            HttpUpstreams(),
+            self.links,
+            rng,
+        )
+        count = self.daemon.metrics.http.labels
+        limits = HttpLimits(connections=cfg.max_connections, body_bytes=MAX_CALLER_BODY)
+        self.caller_http = HttpServer(
+            Callers(self.daemon).handle, limits, lambda reason: count(reason).inc()
+        )
+        self.operator_http = HttpServer(
+            Operators(self.daemon).handle,
+            HttpLimits(connections=64, body_bytes=MAX_OPERATOR_BODY),
+            lambda reason: count(reason).inc(),
+        )
+        self.callers = ""
+        self.operators = ""
+        self.peers = ""
+
+    async def open(self) -> None:
+        """Open every listener and start the daemon."""
+        self.peers = self.links.open()
+        self.operators = await self.operator_http.listen(self.cfg.operators)
+        self.callers = await self.caller_http.listen(self.cfg.callers)
+        self.daemon.start()
+        log.info(
+            "node: callers %s, operators %s, peers %s",
+            self.callers,
+            self.operators,
+            self.peers,
+        )
+
+    async def drain(self) -> bool:
+        """Stop as planned; return False if the time for it ran out."""
+        draining = asyncio.create_task(self.daemon.drain())
+        await asyncio.sleep(READY_PAUSE)
+        await self.caller_http.drain()
+        done = await draining
+        await self.operator_http.close()
+        return done
+
+    async def close(self) -> None:
+        """Close everything at once."""
+        await self.caller_http.close()
+        await self.operator_http.close()
+        await self.daemon.close()
+        await self.daemon.platform.close()
+        await self.daemon.upstreams.close()
+
+
+async def run_node(node: Node) -> int:
+    """Run until a signal ends it; return the exit code.
+
+    The first SIGTERM or SIGINT begins a planned stop. A second one ends the
+    process at once, as a crash would.
+    """
+    loop = asyncio.get_running_loop()
+    first = asyncio.Event()
+    second = asyncio.Event()
+
+    def on_signal() -> None:
+        (second if first.is_set() else first).set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, on_signal)
+    await node.open()
+    await first.wait()
+    drain = asyncio.create_task(node.drain())
+    killed = asyncio.create_task(second.wait())
+    await asyncio.wait({drain, killed}, return_when=asyncio.FIRST_COMPLETED)
+    code = EXIT_KILLED
+    if drain.done():
+        code = EXIT_DRAINED if drain.result() else EXIT_TIMEOUT
+    for task in (drain, killed):
+        task.cancel()
+    await node.close()
+    return code
--- /dev/null
+++ b/siskinroad/messages.py
@@ -0,0 +1,239 @@
+"""Messages between daemons; msgspec encodes them."""
+
+from __future__ import annotations
+
+import msgspec
+
+from siskinroad.configuration import RevisionText
+from siskinroad.errors import ProtocolError
+from siskinroad.platform import ListedHost
+
+__all__ = [
+    "Digest",
+    "Echo",
+    "Forward",
+    "ForwardAck",
+    "ForwardCancel",
+    "Heartbeat",
+    "JobReply",
+    "JobRequest",
+    "ListNews",
+    "LogFetch",
+    "LogRecords",
+    "LogTail",
+    "Message",
+    "Reply",
+    "RevisionOffer",
+    "RevisionWanted",
+    "ShardNews",
+    "decode",
+    "encode",
+]
+
+
+class ShardNews(msgspec.Struct, frozen=True, array_like=True):
+    """What an owner says of one shard; ``waits`` in seconds by workload."""
+
+    shard: str
+    epoch: int
+    free: int
+    waits: dict[str, float]
+
+
+class Echo(msgspec.Struct, frozen=True, array_like=True):
+    """Returns a peer's latest stamp, with the shards claimed against it."""
+
+    stamp: float
+    contests: list[str]
+
+
+class Heartbeat(msgspec.Struct, tag="hb", frozen=True):
+    """Sent to each daemon of the data centre.
+
+    Attributes
+    ----------
+    stamp : float
+        The sender's loop time, which the receiver echoes.
+    admits : list of str
+        Daemons without whose echo the sender counts no peer confirmation.
+    """
+
+    name: str
+    incarnation: int
+    stamp: float
+    echo: Echo | None
+    revision: int
+    draining: bool
+    joined: bool
+    admits: list[str]
+    shards: list[ShardNews]
+
+
+class Digest(msgspec.Struct, tag="digest", frozen=True):
+    """News of a whole data centre for another one.
+
+    ``owners`` has the daemon and its incarnation by shard, ``stamp`` orders the
+    digests of one sender, ``relay`` asks the receiver to pass it on within its
+    data centre.
+    """
+
+    data_centre: str
+    region: str
+    revision: int
+    stamp: int
+    owners: dict[str, tuple[str, int]]
+    shards: list[ShardNews]
+    relay: bool
+
+
+class LogTail(msgspec.Struct, tag="tail", frozen=True):
+    """The reader has read the stream to ``next``.
+
+    ``stamp`` is the receiver's own, got before that read began.
+    """
+
+    stream: str
+    next: int
+    stamp: float
+
+
+class LogRecords(msgspec.Struct, tag="records", frozen=True):
+    """Consecutive appends of a stream."""
+
+    stream: str
+    start: int
+    records: list[bytes]
+
+
+class LogFetch(msgspec.Struct, tag="fetch", frozen=True):
+    """Asks the reader for records from ``start`` on."""
+
+    name: str
+    stream: str
+    start: int
+
+
+class RevisionOffer(msgspec.Struct, tag="offer", frozen=True):
+    """A whole revision of the cell file for a daemon that has none."""
+
+    whole: RevisionText
+
+
+class RevisionWanted(msgspec.Struct, tag="want", frozen=True):
+    """Asks for the revision in force if it is newer than ``known``."""
+
+    name: str
+    known: int
+
+
+class ListNews(msgspec.Struct, tag="list", frozen=True):
+    """The platform's list of the data centre's hosts."""
+
+    version: str
+    hosts: list[ListedHost]
+
+
+class Forward(msgspec.Struct, tag="fwd", frozen=True):
+    """A caller's request for a shard that the receiver owns.
+
+    Sent again until it is answered; the receiver runs each ``id`` once. It says
+    that the outcome is unknown if its own incarnation is not the one named, as
+    an earlier one may have run the request.
+    """
+
+    name: str
+    id: str
+    incarnation: int
+    shard: str
+    service: str
+    left: float
+    key: str
+    path: str
+    body: bytes
+
+
+class ForwardAck(msgspec.Struct, tag="ack", frozen=True):
+    """The forwarded request has arrived."""
+
+    id: str
+
+
+class ForwardCancel(msgspec.Struct, tag="fcancel", frozen=True):
+    """The caller no longer waits."""
+
+    id: str
+
+
+class Reply(msgspec.Struct, tag="reply", frozen=True):
+    """The whole answer, or the refusal, of a forwarded request."""
+
+    id: str
+    status: int = 0
+    body: bytes = b""
+    content_type: str = ""
+    reason: str = ""
+    step: str = ""
+    outcome: str = ""
+    retry_after: float = 0.0
+    message: str = ""
+
+
+class JobRequest(msgspec.Struct, tag="job", frozen=True):
+    """Submit, watch or cancel a job at another daemon."""
+
+    name: str
+    id: str
+    op: str
+    job: str
+    shard: str
+    workload: str
+    count: int
+    payload: bytes
+
+
+class JobReply(msgspec.Struct, tag="jobreply", frozen=True):
+    """Status and JSON body of a ``JobRequest``."""
+
+    id: str
+    status: int
+    body: bytes
+
+
+Message = (
+    Heartbeat
+    | Digest
+    | LogTail
+    | LogRecords
+    | LogFetch
+    | ListNews
+    | RevisionOffer
+    | RevisionWanted
+    | Forward
+    | ForwardAck
+    | ForwardCancel
+    | Reply
+    | JobRequest
+    | JobReply
+)
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Message)
+
+
+def encode(msg: Message) -> bytes:
+    """Return a message's bytes."""
+    return _ENCODER.encode(msg)
+
+
+def decode(data: bytes, peer: str = "") -> Message:
+    """Return the message.
+
+    Raises
+    ------
+    ProtocolError
+        If the bytes are not one.
+    """
+    try:
+        return _DECODER.decode(data)
+    except (msgspec.MsgspecError, RecursionError) as exc:
+        raise ProtocolError(str(exc), step="peers.decode", peer=peer) from exc
--- /dev/null
+++ b/siskinroad/metrics.py
@@ -0,0 +1,67 @@
+"""Counters, histograms and gauges of one daemon."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+__all__ = ["Metrics"]
+
+WAIT_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.8, 5.0, 30.0, 300.0)
+
+
+class Metrics:
+    """The metrics of one daemon, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry(auto_describe=False)
+        self.refusals = self._counter(
+            "siskinroad_refusals", "Requests and jobs refused.", "reason", "step"
+        )
+        self.retries = self._counter(
+            "siskinroad_retries", "Tries repeated or given up.", "reason"
+        )
+        self.controls = self._counter(
+            "siskinroad_controls", "Tasks stopped, checkpointed, throttled.", "action"
+        )
+        self.hosts = self._counter(
+            "siskinroad_host_events", "Changes in a host's standing.", "event"
+        )
+        self.http = self._counter(
+            "siskinroad_http_refusals", "Requests refused below HTTP.", "reason"
+        )
+        self.answers = self._counter(
+            "siskinroad_answers", "Whole answers delivered.", "service"
+        )
+        self.claims = self._counter(
+            "siskinroad_claims", "Changes of ownership.", "event"
+        )
+        self.waited = Histogram(
+            "siskinroad_wait_seconds",
+            "Waiting time before work starts.",
+            ("urgency", "owner"),
+            buckets=WAIT_BUCKETS,
+            registry=self.registry,
+        )
+        self.packing = Gauge(
+            "siskinroad_packing_ratio",
+            "Part of the open hosts' capacity that is given away.",
+            ("dimension",),
+            registry=self.registry,
+        )
+        self.peer_bytes = Gauge(
+            "siskinroad_peer_sent_bytes",
+            "Bytes sent to other daemons.",
+            ("kind", "distance"),
+            registry=self.registry,
+        )
+        self.revision = Gauge(
+            "siskinroad_revision", "Cell revision in force.", registry=self.registry
+        )
+
+    def _counter(self, name: str, text: str, *labels: str) -> Counter:
+        return Counter(name, text, labels, registry=self.registry)
+
+    def render(self) -> bytes:
+        """Return the metrics in the text format."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/siskinroad/operators.py
@@ -0,0 +1,120 @@
+"""The operators' listener: whole files in, read-only views out, metrics."""
+
+from __future__ import annotations
+
+import hmac
+import logging
+from typing import TYPE_CHECKING
+
+from siskinroad.cell import diff, parse_cell
+from siskinroad.errors import ConfigError, ConflictError, PlatformError
+from siskinroad.httpd import HttpRequest, HttpResponse
+from siskinroad.replies import json_response
+from siskinroad.settings import hash_token
+from siskinroad.status import explain, queue_of, report_of, status_of
+
+if TYPE_CHECKING:
+    from siskinroad.entry import Daemon
+
+__all__ = ["Operators"]
+
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+OPEN_PATHS = ("/healthz", "/readyz", "/metrics")
+
+log = logging.getLogger("siskinroad.operators")
+
+
+class Operators:
+    """Answers operators; all but health and metrics needs their token."""
+
+    def __init__(self, daemon: Daemon) -> None:
+        self.daemon = daemon
+
+    async def handle(self, req: HttpRequest) -> HttpResponse:
+        """Return the response to one request."""
+        if req.path not in OPEN_PATHS and not self._authorized(req):
+            self.daemon.metrics.refusals.labels("unauthorized", "operators").inc()
+            return json_response(401, {"error": "token is missing or wrong"})
+        try:
+            return await self._route(req)
+        except ConfigError as exc:
+            problems = [str(problem) for problem in exc.problems]
+            return json_response(422, {"error": "not valid", "problems": problems})
+        except ConflictError as exc:
+            revision = self.daemon.configuration.revision
+            body = {"error": exc.message, "revision": revision}
+            return json_response(409, body)
+        except PlatformError as exc:
+            text = f"not known whether it is in force: {exc}; apply it again"
+            return json_response(504, {"error": text})
+
+    def _authorized(self, req: HttpRequest) -> bool:
+        wanted = self.daemon.cfg.operator_token_sha256
+        if not wanted:
+            return True
+        scheme, _, token = req.headers.get("authorization", "").partition(" ")
+        return scheme.lower() == "bearer" and hmac.compare_digest(
+            hash_token(token), wanted
+        )
+
+    async def _route(self, req: HttpRequest) -> HttpResponse:
+        daemon = self.daemon
+        match (req.method, req.path):
+            case ("GET", "/healthz"):
+                return json_response(200, {"state": daemon.state})
+            case ("GET", "/readyz"):
+                return json_response(200 if daemon.ready else 503, daemon.state)
+            case ("GET", "/metrics"):
+                self._gauges()
+                return HttpResponse(200, daemon.metrics.render(), METRICS_TYPE)
+            case ("GET", "/v1/status"):
+                return json_response(200, status_of(daemon))
+            case ("GET", "/v1/queue"):
+                return json_response(200, queue_of(daemon))
+            case ("GET", "/v1/report"):
+                return json_response(200, report_of(daemon))
+            case ("GET", path) if path.startswith("/v1/explain/"):
+                key = path.removeprefix("/v1/explain/")
+                return json_response(200, {"text": explain(daemon, key)})
+            case (method, "/v1/cell"):
+                return await self._cell(method, req)
+        return json_response(404, {"error": f"no {req.method} at {req.path[:80]}"})
+
+    async def _cell(self, method: str, req: HttpRequest) -> HttpResponse:
+        config = self.daemon.configuration
+        text = req.body.decode("utf-8", "replace")
+        match method:
+            case "GET":
+                body = {"revision": config.revision, "text": config.text}
+                return json_response(200, body)
+            case "POST":
+                cell = parse_cell(text)
+                config.check_moves(cell)
+                lines = diff(config.cell, cell)
+                return json_response(200, {"revision": config.revision, "diff": lines})
+            case "PUT":
+                expect = req.query.get("expect")
+                if expect is not None and not expect.isdecimal():
+                    return json_response(400, {"error": "expect must be a revision"})
+                number = int(expect) if expect is not None else None
+                applied = await self.daemon.publisher.apply(text, number)
+                log.info("operators: revision %d applied", applied.revision)
+                return json_response(200, applied)
+        return json_response(405, {"error": "use GET, POST or PUT"})
+
+    def _gauges(self) -> None:
+        daemon = self.daemon
+        metrics = daemon.metrics
+        used = [0, 0, 0]
+        total = [0, 0, 0]
+        for owner in daemon.shards.owners.values():
+            part, whole = owner.used()
+            for i, name in enumerate(("cpu_milli", "memory_mib", "accelerators")):
+                used[i] += getattr(part, name)
+                total[i] += getattr(whole, name)
+        for i, name in enumerate(("processors", "memory", "accelerators")):
+            ratio = used[i] / total[i] if total[i] else 0.0
+            metrics.packing.labels(name).set(ratio)
+        for kind, size in daemon.peers.traffic.sent.items():
+            distance = "far" if kind == "Digest" else "near"
+            metrics.peer_bytes.labels(kind, distance).set(size)
--- /dev/null
+++ b/siskinroad/peers.py
@@ -0,0 +1,141 @@
+"""Links between daemons: the base class and an in-memory network."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from siskinroad.messages import Message, decode, encode
+
+__all__ = ["MemoryNetwork", "MemoryPeers", "NetworkFaults", "PeerTraffic", "Peers"]
+
+Receiver = Callable[[str, Message], None]
+
+
+@dataclass(slots=True)
+class PeerTraffic:
+    """Bytes and messages sent, by kind of message."""
+
+    messages: dict[str, int] = field(default_factory=dict)
+    sent: dict[str, int] = field(default_factory=dict)
+    received: int = 0
+
+    def count(self, msg: Message, size: int) -> None:
+        """Count one message sent."""
+        kind = type(msg).__name__
+        self.messages[kind] = self.messages.get(kind, 0) + 1
+        self.sent[kind] = self.sent.get(kind, 0) + size
+
+
+class Peers(ABC):
+    """Sends messages to daemons by name; delivery is not certain.
+
+    Attributes
+    ----------
+    receiver : callable
+        Called with the sender's name and each message that arrives.
+    """
+
+    def __init__(self) -> None:
+        self.receiver: Receiver = lambda name, msg: None
+        self.traffic = PeerTraffic()
+
+    @abstractmethod
+    def send(self, name: str, msg: Message) -> None:
+        """Send a message if the peer is known; never wait."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Release all connections."""
+
+
+@dataclass(slots=True)
+class NetworkFaults:
+    """Faults of an in-memory network.
+
+    Attributes
+    ----------
+    cut : set of tuple
+        Ordered pairs (from, to) between which nothing passes.
+    loss : float
+        Probability that a message is lost.
+    duplicate : float
+        Probability that a message arrives twice.
+    jitter : float
+        Most seconds by which a message is delayed; messages may overtake.
+    """
+
+    cut: set[tuple[str, str]] = field(default_factory=set)
+    loss: float = 0.0
+    duplicate: float = 0.0
+    jitter: float = 0.0
+
+
+class MemoryNetwork:
+    """Delivers messages between daemons of one process on the loop's clock."""
+
+    def __init__(self, rng: random.Random, delay: float = 0.0005) -> None:
+        self.rng = rng
+        self.delay = delay
+        self.faults = NetworkFaults()
+        self.nodes: dict[str, MemoryPeers] = {}
+        self.paused: dict[str, list[tuple[str, bytes]]] = {}
+
+    def join(self, name: str) -> MemoryPeers:
+        """Return the link of one daemon."""
+        self.nodes[name] = MemoryPeers(self, name)
+        return self.nodes[name]
+
+    def post(self, sender: str, name: str, data: bytes) -> None:
+        """Deliver bytes later, unless a fault says otherwise."""
+        faults = self.faults
+        if (sender, name) in faults.cut or self.rng.random() < faults.loss:
+            return
+        copies = 2 if self.rng.random() < faults.duplicate else 1
+        loop = asyncio.get_running_loop()
+        for _ in range(copies):
+            delay = self.delay + self.rng.random() * faults.jitter
+            loop.call_later(delay, self._deliver, sender, name, data)
+
+    def _deliver(self, sender: str, name: str, data: bytes) -> None:
+        if name in self.paused:
+            self.paused[name].append((sender, data))
+            return
+        node = self.nodes.get(name)
+        if node is not None and not node.closed:
+            node.traffic.received += len(data)
+            node.receiver(sender, decode(data, sender))
+
+    def pause(self, name: str) -> None:
+        """Hold what arrives for a daemon, as while its process is stopped."""
+        self.paused.setdefault(name, [])
+
+    def resume(self, name: str) -> None:
+        """Deliver what was held."""
+        for sender, data in self.paused.pop(name, []):
+            self._deliver(sender, name, data)
+
+
+class MemoryPeers(Peers):
+    """One daemon's link to a ``MemoryNetwork``."""
+
+    def __init__(self, network: MemoryNetwork, name: str) -> None:
+        super().__init__()
+        self.network = network
+        self.name = name
+        self.closed = False
+
+    def send(self, name: str, msg: Message) -> None:
+        """Send a message; see the base class."""
+        if self.closed:
+            return
+        data = encode(msg)
+        self.traffic.count(msg, len(data))
+        self.network.post(self.name, name, data)
+
+    async def close(self) -> None:
+        """Send and receive nothing any more."""
+        self.closed = True
--- /dev/null
+++ b/siskinroad/peers_zmq.py
@@ -0,0 +1,163 @@
+"""Links between daemons over pyzmq, with CURVE keys where they are set."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import Any
+
+import zmq
+import zmq.asyncio
+from zmq.utils import z85
+
+from siskinroad.errors import ProtocolError
+from siskinroad.messages import Message, decode, encode
+from siskinroad.peers import Peers
+from siskinroad.settings import Peer, Settings
+
+__all__ = ["ZmqPeers", "new_keys"]
+
+ZAP_ENDPOINT = "inproc://zeromq.zap.01"
+ZAP_VERSION = b"1.0"
+PING_MS = 1000
+PING_TIMEOUT_MS = 3000
+RECONNECT_MS = 100
+RECONNECT_MAX_MS = 2000
+SEND_QUEUE = 2000
+MAX_MESSAGE_BYTES = 32 << 20
+
+log = logging.getLogger("siskinroad.peers")
+
+
+def new_keys() -> tuple[str, str]:
+    """Return a new public and secret key, in Z85."""
+    public, secret = zmq.curve_keypair()
+    return public.decode(), secret.decode()
+
+
+class ZmqPeers(Peers):
+    """A ROUTER socket for what arrives, a DEALER socket for each peer.
+
+    The library's own pings find connections that went silent and open new
+    ones; a message lost with one is sent again by whoever waits for its answer.
+
+    Parameters
+    ----------
+    cfg : Settings
+        Own address, keys, and the peers known at the start.
+    """
+
+    def __init__(self, cfg: Settings) -> None:
+        super().__init__()
+        self.cfg = cfg
+        self.address = ""
+        self.undecodable = 0
+        self.unsent = 0
+        self._ctx = zmq.asyncio.Context(io_threads=1)
+        self._router = self._ctx.socket(zmq.ROUTER)
+        self._dealers: dict[str, zmq.asyncio.Socket] = {}
+        self._allowed = {peer.public_key.encode() for peer in cfg.peers}
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def open(self) -> str:
+        """Listen and connect; return the address listened on."""
+        if self.cfg.secret_key:
+            self._open_zap()
+            self._router.curve_server = True
+            self._set_keys(self._router)
+        self._router.setsockopt(zmq.LINGER, 0)
+        self._router.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        self._router.bind(f"tcp://{self.cfg.peer_address}")
+        endpoint = self._router.getsockopt_string(zmq.LAST_ENDPOINT)
+        self.address = endpoint.removeprefix("tcp://")
+        for peer in self.cfg.peers:
+            self.connect(peer)
+        self._tasks.append(asyncio.create_task(self._receive()))
+        return self.address
+
+    def connect(self, peer: Peer) -> None:
+        """Connect to a peer; the library connects again whenever it is lost."""
+        sock = self._ctx.socket(zmq.DEALER)
+        sock.setsockopt(zmq.LINGER, 0)
+        sock.setsockopt(zmq.SNDHWM, SEND_QUEUE)
+        sock.setsockopt(zmq.HEARTBEAT_IVL, PING_MS)
+        sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, PING_TIMEOUT_MS)
+        sock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        sock.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        sock.setsockopt(zmq.CONNECT_TIMEOUT, PING_TIMEOUT_MS)
+        sock.setsockopt_string(zmq.IDENTITY, self.cfg.name)
+        if self.cfg.secret_key:
+            self._set_keys(sock)
+            sock.curve_serverkey = peer.public_key.encode()
+        sock.connect(f"tcp://{peer.address}")
+        self._dealers[peer.name] = sock
+
+    def send(self, name: str, msg: Message) -> None:
+        """Send a message; see the base class."""
+        sock = self._dealers.get(name)
+        if sock is None:
+            self.unsent += 1
+            return
+        data = encode(msg)
+        fut = asyncio.ensure_future(sock.send(data, zmq.NOBLOCK))
+        if fut.done() and fut.exception() is not None:
+            self.unsent += 1
+            return
+        fut.add_done_callback(self._sent)
+        self.traffic.count(msg, len(data))
+
+    def _sent(self, fut: asyncio.Future[Any]) -> None:
+        if not fut.cancelled() and fut.exception() is not None:
+            self.unsent += 1
+
+    async def close(self) -> None:
+        """Close every socket."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for sock in self._dealers.values():
+            sock.close()
+        self._router.close()
+        self._ctx.destroy(linger=0)
+
+    async def _receive(self) -> None:
+        while True:
+            frames = await self._router.recv_multipart()
+            peer = frames[0].decode("latin-1")
+            data = frames[-1]
+            self.traffic.received += len(data)
+            try:
+                msg = decode(data, peer)
+            except ProtocolError as exc:
+                self.undecodable += 1
+                log.warning("peers: message dropped: %s", exc)
+                continue
+            self._dispatch(peer, msg)
+
+    def _dispatch(self, peer: str, msg: Message) -> None:
+        try:
+            self.receiver(peer, msg)
+        except Exception:
+            log.exception("peers: message from %s failed", peer)
+
+    def _set_keys(self, sock: zmq.asyncio.Socket) -> None:
+        sock.curve_publickey = self.cfg.public_key.encode()
+        sock.curve_secretkey = self.cfg.secret_key.encode()
+
+    def _open_zap(self) -> None:
+        zap = self._ctx.socket(zmq.REP)
+        zap.bind(ZAP_ENDPOINT)
+        self._tasks.append(asyncio.create_task(self._authenticate(zap)))
+
+    async def _authenticate(self, zap: zmq.asyncio.Socket) -> None:
+        """Answer the library's questions which keys may connect (ZMQ RFC 27)."""
+        try:
+            while True:
+                frames = await zap.recv_multipart()
+                request, mechanism = frames[1], frames[5]
+                key = z85.encode(frames[6]) if len(frames) > 6 else b""
+                good = mechanism == b"CURVE" and key in self._allowed
+                status = (b"200", b"OK") if good else (b"400", b"unknown key")
+                await zap.send_multipart([ZAP_VERSION, request, *status, b"", b""])
+        finally:
+            zap.close()
--- /dev/null
+++ b/siskinroad/platform_memory.py
@@ -0,0 +1,153 @@
+"""An in-memory stand-in of the platform, with faults on request."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass, field
+
+from siskinroad.errors import LogTrimmedError, PlatformError
+from siskinroad.platform import HostList, HostState, ListedHost, LogPage, Platform
+
+__all__ = ["MemoryLog", "MemoryPlatform", "PlatformFaults"]
+
+MAX_RECORD = 1 << 20
+
+
+@dataclass(slots=True)
+class PlatformFaults:
+    """Faults in force.
+
+    Attributes
+    ----------
+    down : bool
+        Nothing is answered; appends have no effect.
+    lose_answers : int
+        So many of the next appends take effect but are not answered.
+    delay : float
+        Seconds before each answer.
+    cut : set of str
+        Clients that cannot reach the platform.
+    """
+
+    down: bool = False
+    lose_answers: int = 0
+    delay: float = 0.0
+    cut: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class _Stream:
+    first: int = 1
+    records: deque[bytes] = field(default_factory=deque)
+
+    @property
+    def tail(self) -> int:
+        return self.first + len(self.records)
+
+
+@dataclass(slots=True)
+class MemoryLog:
+    """The state that all clients of one platform share.
+
+    Attributes
+    ----------
+    retention : int
+        Records kept in each stream.
+    appends : int
+        Appends since the start.
+    """
+
+    retention: int = 100_000
+    faults: PlatformFaults = field(default_factory=PlatformFaults)
+    listed: dict[str, dict[str, HostState]] = field(default_factory=dict)
+    list_version: int = 1
+    appends: int = 0
+    reads: int = 0
+    bytes_in: int = 0
+    bytes_out: int = 0
+    streams: dict[str, _Stream] = field(default_factory=dict)
+
+    def append(self, stream: str, data: bytes) -> int:
+        """Append at once, without faults."""
+        log = self.streams.setdefault(stream, _Stream())
+        offset = log.tail
+        log.records.append(data)
+        self.appends += 1
+        self.bytes_in += len(data)
+        if len(log.records) > self.retention:
+            log.records.popleft()
+            log.first += 1
+        return offset
+
+    def read(self, stream: str, start: int, limit: int) -> LogPage:
+        """Read at once, without faults."""
+        log = self.streams.setdefault(stream, _Stream())
+        if start < log.first:
+            raise LogTrimmedError(log.first)
+        low = min(start, log.tail) - log.first
+        high = min(low + limit, len(log.records))
+        records = [log.records[i] for i in range(low, high)]
+        self.reads += 1
+        self.bytes_out += sum(map(len, records))
+        return LogPage(log.first, log.first + low, records, log.tail)
+
+    def set_listed(self, data_centre: str, name: str, state: HostState) -> None:
+        """Show a host in the list of its data centre."""
+        self.listed.setdefault(data_centre, {})[name] = state
+        self.list_version += 1
+
+    def trim(self, stream: str, first: int) -> None:
+        """Drop the records before ``first``."""
+        log = self.streams.setdefault(stream, _Stream())
+        while log.records and log.first < first:
+            log.records.popleft()
+            log.first += 1
+
+
+class MemoryPlatform(Platform):
+    """One client's view of a ``MemoryLog``.
+
+    Parameters
+    ----------
+    log : MemoryLog
+        The shared state.
+    client : str
+        Name by which faults cut this client off.
+    """
+
+    def __init__(self, log: MemoryLog, client: str = "") -> None:
+        self.log = log
+        self.client = client
+
+    async def append(self, stream: str, data: bytes) -> int:
+        """Append one record; see the base class."""
+        await self._reach("platform.append")
+        if len(data) > MAX_RECORD:
+            raise PlatformError("record too large", step="platform.append")
+        offset = self.log.append(stream, data)
+        if self.log.faults.lose_answers > 0:
+            self.log.faults.lose_answers -= 1
+            raise PlatformError("answer lost", step="platform.append")
+        return offset
+
+    async def read(self, stream: str, start: int, limit: int) -> LogPage:
+        """Read records; see the base class."""
+        await self._reach("platform.read")
+        return self.log.read(stream, start, limit)
+
+    async def hosts(self, data_centre: str, known: str) -> HostList:
+        """Return the list; see the base class."""
+        await self._reach("platform.hosts")
+        version = str(self.log.list_version)
+        if version == known:
+            return HostList(version, None)
+        listed = self.log.listed.get(data_centre, {})
+        return HostList(version, [ListedHost(n, state) for n, state in listed.items()])
+
+    async def _reach(self, step: str) -> None:
+        faults = self.log.faults
+        if faults.delay:
+            await asyncio.sleep(faults.delay)
+        if faults.down or self.client in faults.cut:
+            raise PlatformError("platform unreachable", step=step)
--- /dev/null
+++ b/siskinroad/pressure.py
@@ -0,0 +1,197 @@
+"""Room made in running work: for urgent work, for shares, for full hosts."""
+
+from __future__ import annotations
+
+from siskinroad.attempts import Attempts
+from siskinroad.cell import Urgency
+from siskinroad.effects import Effect
+from siskinroad.placement import HostView
+from siskinroad.resources import Resources
+from siskinroad.shard import PoolState, Running, Shard, task_name
+from siskinroad.upstreams import Control, Usage
+
+__all__ = ["Pressure", "UsageReport"]
+
+CLOSE_AT = 0.90
+CHECKPOINT_AT = 0.94
+STOP_AT = 0.98
+GROWTH_MARGIN = 1.1
+MAX_EVICTIONS = 8
+MAX_SEARCH = 32
+RETURN_TIME = 30.0
+SHARE_TOLERANCE = 0.02
+
+UsageReport = tuple[str, int, Usage]
+
+
+class Pressure:
+    """Checkpoints, throttles or stops running work when there is need."""
+
+    def __init__(self, shard: Shard, attempts: Attempts) -> None:
+        self.shard = shard
+        self.attempts = attempts
+        self._pressed: set[str] = set()
+
+    def usage(self, host: str, reports: list[UsageReport]) -> list[Effect]:
+        """Take a host's lagging usage report and react in steps.
+
+        Parameters
+        ----------
+        reports : list of tuple
+            Key, member and usage of each task on the host.
+        """
+        view = self.shard.view(host)
+        if view is None:
+            return []
+        memory = 0
+        cpu = 0
+        for key, member, usage in reports:
+            run = self.shard.running.get(key)
+            if run is None or run.hosts.get(member) != host:
+                continue
+            memory += usage.memory_mib
+            cpu += usage.cpu_milli
+            self._grow(run, member, view, usage)
+        return self._react(view, memory, cpu)
+
+    def _grow(self, run: Running, member: int, view: HostView, usage: Usage) -> None:
+        peak = run.peak.get(member, Usage())
+        run.peak[member] = Usage(
+            max(peak.cpu_milli, usage.cpu_milli),
+            max(peak.memory_mib, usage.memory_mib),
+        )
+        task = task_name(run.item.key, member)
+        held = view.tasks[task]
+        wanted = round(usage.memory_mib * GROWTH_MARGIN)
+        if run.item.workload.kind == "service" or wanted <= held.memory_mib:
+            return
+        need = Resources(held.cpu_milli, wanted, held.accelerators, held.slots)
+        self.shard.pool_state(view.name).index.resize(view, task, need)
+
+    def _react(self, view: HostView, memory: int, cpu: int) -> list[Effect]:
+        full = memory / view.capacity.memory_mib
+        self._press(view, full >= CLOSE_AT)
+        effects = self._throttle(view, cpu / view.capacity.cpu_milli >= CLOSE_AT)
+        if full >= STOP_AT:
+            effects += self._relieve(view, Control.STOP)
+        elif full >= CHECKPOINT_AT:
+            effects += self._relieve(view, Control.CHECKPOINT)
+        return effects
+
+    def _press(self, view: HostView, pressed: bool) -> None:
+        if pressed:
+            self._pressed.add(view.name)
+            view.limit = 0
+        elif view.name in self._pressed:
+            self._pressed.discard(view.name)
+            limit = self.shard.limits[view.name].whole
+            view.limit = 1 if view.state == "probation" else limit
+
+    def _runs_on(self, view: HostView) -> list[Running]:
+        keys = {task.rpartition("~")[0] for task in view.tasks}
+        runs = [self.shard.running[key] for key in keys if key in self.shard.running]
+        return sorted(runs, key=lambda run: (-run.item.workload.urgency, -run.started))
+
+    def _throttle(self, view: HostView, pressed: bool) -> list[Effect]:
+        effects: list[Effect] = []
+        for run in self._runs_on(view):
+            background = run.item.workload.urgency is Urgency.BACKGROUND
+            if run.item.workload.kind == "service" or run.throttled == pressed:
+                continue
+            if pressed and not background:
+                continue
+            run.throttled = pressed
+            do = Control.THROTTLE if pressed else Control.RESUME
+            effects += self.attempts.control(run, do)
+        return effects
+
+    def _relieve(self, view: HostView, do: Control) -> list[Effect]:
+        for run in self._runs_on(view):
+            workload = run.item.workload
+            if workload.kind == "service":
+                continue
+            if run.evicting or run.stopping:
+                return []
+            if do is Control.CHECKPOINT and not workload.checkpoint:
+                continue
+            return self._evict(run, Control.CHECKPOINT if workload.checkpoint else do)
+        return []
+
+    def _evict(self, run: Running, do: Control) -> list[Effect]:
+        run.evicting = True
+        self.shard.pools[run.item.workload.pool].evicting += 1
+        return self.attempts.control(run, do)
+
+    def for_urgent(self, state: PoolState) -> list[Effect]:
+        """Checkpoint background work where urgent work finds no host."""
+        waiting = sum(lane.live for lane in self.shard.urgent_lanes(state.pool.name))
+        wanted = min(waiting, MAX_EVICTIONS) - state.evicting
+        effects: list[Effect] = []
+        need = state.urgent_need
+        for run in list(reversed(state.evictable.values()))[:MAX_SEARCH]:
+            if wanted <= 0:
+                break
+            if not run.evicting and self._frees(run, need):
+                effects += self._evict(run, Control.CHECKPOINT)
+                wanted -= 1
+        return effects
+
+    def _frees(self, run: Running, need: Resources) -> bool:
+        for member, host in run.hosts.items():
+            view = self.shard.view(host)
+            if view is None or not view.open:
+                continue
+            held = view.tasks[task_name(run.item.key, member)]
+            room = Resources(view.cpu, view.memory, view.accelerators, view.slots)
+            if need.fits(room + held):
+                return True
+        return False
+
+    def reclaim(self, now: float) -> list[Effect]:
+        """Return lent shares to owners that have waited long enough for them."""
+        effects: list[Effect] = []
+        for state in self.shard.pools.values():
+            effects += self._reclaim_pool(state, now)
+        return effects
+
+    def _reclaim_pool(self, state: PoolState, now: float) -> list[Effect]:
+        hungry = self._hungry(state)
+        for owner in list(state.hungry_since):
+            if owner not in hungry:
+                del state.hungry_since[owner]
+        for owner in hungry:
+            state.hungry_since.setdefault(owner, now)
+        due = [
+            o for o, since in state.hungry_since.items() if now - since > RETURN_TIME
+        ]
+        if not due or state.evicting >= MAX_EVICTIONS:
+            return []
+        victim = self._greediest(state, set(due))
+        return self._evict(victim, Control.CHECKPOINT) if victim else []
+
+    def _hungry(self, state: PoolState) -> set[str]:
+        waiting = {
+            lane.workload.owner
+            for lanes in self.shard.waiting.active.values()
+            for lane in lanes.values()
+            if lane.blocked and lane.workload.pool == state.pool.name
+        }
+        shares = self.shard.shares
+        return {
+            owner
+            for owner in waiting
+            if shares.share(owner) + SHARE_TOLERANCE < shares.fair_part(owner, waiting)
+        }
+
+    def _greediest(self, state: PoolState, due: set[str]) -> Running | None:
+        shares = self.shard.shares
+        best: Running | None = None
+        best_excess = SHARE_TOLERANCE
+        for run in list(reversed(state.evictable.values()))[:MAX_SEARCH]:
+            owner = run.item.workload.owner
+            if run.evicting or owner in due:
+                continue
+            excess = shares.share(owner) - shares.fair_part(owner, due)
+            if excess > best_excess:
+                best, best_excess = run, excess
+        return best
--- /dev/null
+++ b/siskinroad/queues.py
@@ -0,0 +1,201 @@
+"""Waiting work: one lane for each workload, never one line for all.
+
+All items of a lane ask for the same resources, so a lane whose head does not
+fit is blocked as a whole until capacity returns. Cancelling marks an item; a
+lane drops marked items when they reach its head, so a wave of cancellations
+costs constant time for each.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from siskinroad.cell import Urgency, Workload
+
+__all__ = ["AGING_TIME", "Item", "Lane", "WaitingWork"]
+
+AGING_TIME = 300.0
+RATE_HALF_LIFE = 10.0
+
+
+@dataclass(slots=True, eq=False)
+class Item:
+    """One request, batch task or gang.
+
+    Attributes
+    ----------
+    key : str
+        Unique name; an attempt's name adds the number of the try.
+    enqueued : float
+        Loop time at which it began to wait.
+    deadline : float
+        Loop time by which it must have started; infinite if it may wait.
+    tries : int
+        Attempts started so far.
+    unsent : int
+        Those of them that never reached their host.
+    state : str
+        State of the ``attempt`` chart.
+    avoid : set of str
+        Hosts on which it failed.
+    payload : bytes
+        Passed to the worker.
+    """
+
+    key: str
+    workload: Workload
+    enqueued: float
+    deadline: float = math.inf
+    tries: int = 0
+    unsent: int = 0
+    state: str = "waiting"
+    avoid: set[str] = field(default_factory=set)
+    payload: bytes = b""
+    started: float = 0.0
+    hold_until: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Lane:
+    """Items of one workload in their order of arrival.
+
+    Attributes
+    ----------
+    live : int
+        Items that still wait.
+    blocked : bool
+        The head did not fit when last tried.
+    """
+
+    workload: Workload
+    items: deque[Item] = field(default_factory=deque)
+    live: int = 0
+    blocked: bool = False
+    rate: float = 0.0
+    rate_at: float = 0.0
+
+    def head(self) -> Item | None:
+        """Return the first item that still waits."""
+        items = self.items
+        while items and items[0].state != "waiting":
+            items.popleft()
+        return items[0] if items else None
+
+    def count_start(self, now: float) -> None:
+        """Update the rate of starts, in starts a second."""
+        decay = 0.5 ** ((now - self.rate_at) / RATE_HALF_LIFE)
+        self.rate = self.rate * decay + math.log(2) / RATE_HALF_LIFE
+        self.rate_at = now
+
+    def expected_wait(self, now: float) -> float:
+        """Return the seconds that a new item would wait; 0 if unknown."""
+        if not self.live or not self.blocked:
+            return 0.0
+        decay = 0.5 ** ((now - self.rate_at) / RATE_HALF_LIFE)
+        rate = self.rate * decay
+        return self.live / rate if rate > 0 else 0.0
+
+
+class WaitingWork:
+    """All lanes of one shard."""
+
+    def __init__(self) -> None:
+        self.lanes: dict[str, Lane] = {}
+        self.active: dict[Urgency, dict[str, Lane]] = {u: {} for u in Urgency}
+        self._deadlines: list[tuple[float, int, Item]] = []
+        self._sequence = 0
+
+    def __len__(self) -> int:
+        return sum(lane.live for lane in self.lanes.values())
+
+    def lane(self, workload: Workload) -> Lane:
+        """Return the lane of a workload."""
+        lane = self.lanes.get(workload.name)
+        if lane is None:
+            lane = self.lanes[workload.name] = Lane(workload)
+        return lane
+
+    def push(self, item: Item, *, front: bool = False) -> Lane:
+        """Add an item; ``front`` puts a checkpointed or unsent one first."""
+        lane = self.lane(item.workload)
+        if front:
+            lane.items.appendleft(item)
+        else:
+            lane.items.append(item)
+        lane.live += 1
+        self.active[item.workload.urgency][item.workload.name] = lane
+        if item.deadline < math.inf:
+            self._sequence += 1
+            heapq.heappush(self._deadlines, (item.deadline, self._sequence, item))
+        return lane
+
+    def take(self, lane: Lane) -> Item:
+        """Remove and return the head of a lane that has one."""
+        item = lane.head()
+        assert item is not None
+        lane.items.popleft()
+        self._shrink(lane)
+        return item
+
+    def drop(self, item: Item) -> None:
+        """Forget an item whose state says that it waits no longer."""
+        self._shrink(self.lanes[item.workload.name])
+
+    def _shrink(self, lane: Lane) -> None:
+        lane.live -= 1
+        if lane.live == 0:
+            lane.items.clear()
+            lane.blocked = False
+            self.active[lane.workload.urgency].pop(lane.workload.name, None)
+
+    def expired(self, now: float) -> Iterator[Item]:
+        """Yield the waiting items whose deadline has passed, removing them."""
+        heap = self._deadlines
+        while heap and heap[0][0] <= now:
+            item = heapq.heappop(heap)[2]
+            if item.state == "waiting" and item.deadline <= now:
+                yield item
+
+    def next_deadline(self) -> float:
+        """Return the earliest deadline, infinite if there is none."""
+        return self._deadlines[0][0] if self._deadlines else math.inf
+
+    def replace_workload(self, workload: Workload) -> None:
+        """Put a changed workload in force for the items that wait."""
+        lane = self.lanes.get(workload.name)
+        if lane is None:
+            return
+        self.active[lane.workload.urgency].pop(workload.name, None)
+        lane.workload = workload
+        lane.blocked = False
+        for item in lane.items:
+            item.workload = workload
+        if lane.live:
+            self.active[workload.urgency][workload.name] = lane
+
+    def in_order(self, now: float) -> Iterator[list[Lane]]:
+        """Yield the unblocked lanes of each class, the most urgent class first.
+
+        A background lane whose head has waited longer than ``AGING_TIME``
+        stands with the standard lanes, so that it is never starved.
+        """
+        aged = [
+            lane
+            for lane in self.active[Urgency.BACKGROUND].values()
+            if not lane.blocked and _waited(lane, now) > AGING_TIME
+        ]
+        for urgency in Urgency:
+            lanes = [x for x in self.active[urgency].values() if not x.blocked]
+            if urgency is Urgency.STANDARD:
+                lanes += aged
+            if lanes:
+                yield lanes
+
+
+def _waited(lane: Lane, now: float) -> float:
+    head = lane.head()
+    return now - head.enqueued if head else 0.0
--- /dev/null
+++ b/siskinroad/resources.py
@@ -0,0 +1,92 @@
+"""Amounts of processors, memory, accelerators and slots."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["DIMENSIONS", "NOTHING", "Resources"]
+
+DIMENSIONS = ("cpu_milli", "memory_mib", "accelerators", "slots")
+
+
+@dataclass(slots=True, frozen=True)
+class Resources:
+    """A vector of resources.
+
+    Attributes
+    ----------
+    cpu_milli : int
+        Thousandths of a processor.
+    memory_mib : int
+        Memory in MiB.
+    accelerators : int
+        Whole accelerators.
+    slots : int
+        Concurrent tasks or requests that a host accepts.
+    """
+
+    cpu_milli: int = 0
+    memory_mib: int = 0
+    accelerators: int = 0
+    slots: int = 0
+
+    def __add__(self, other: Resources) -> Resources:
+        return Resources(
+            self.cpu_milli + other.cpu_milli,
+            self.memory_mib + other.memory_mib,
+            self.accelerators + other.accelerators,
+            self.slots + other.slots,
+        )
+
+    def __sub__(self, other: Resources) -> Resources:
+        return Resources(
+            self.cpu_milli - other.cpu_milli,
+            self.memory_mib - other.memory_mib,
+            self.accelerators - other.accelerators,
+            self.slots - other.slots,
+        )
+
+    def times(self, count: int) -> Resources:
+        """Return this vector ``count`` times over."""
+        return Resources(
+            self.cpu_milli * count,
+            self.memory_mib * count,
+            self.accelerators * count,
+            self.slots * count,
+        )
+
+    def clip(self, room: Resources) -> Resources:
+        """Return this vector, no dimension larger than that of ``room``."""
+        return Resources(
+            min(self.cpu_milli, room.cpu_milli),
+            min(self.memory_mib, room.memory_mib),
+            min(self.accelerators, room.accelerators),
+            min(self.slots, room.slots),
+        )
+
+    def fits(self, room: Resources) -> bool:
+        """Return whether no dimension exceeds ``room``."""
+        return (
+            self.cpu_milli <= room.cpu_milli
+            and self.memory_mib <= room.memory_mib
+            and self.accelerators <= room.accelerators
+            and self.slots <= room.slots
+        )
+
+    def dominant(self, total: Resources) -> float:
+        """Return the largest share of ``total`` over the dimensions that cost.
+
+        Slots are a limit of the host's software and are not paid for.
+        """
+        return max(
+            _share(self.cpu_milli, total.cpu_milli),
+            _share(self.memory_mib, total.memory_mib),
+            _share(self.accelerators, total.accelerators),
+        )
+
+
+def _share(part: int, whole: int) -> float:
+    return part / whole if whole else 0.0
+
+
+NOTHING = Resources()
--- /dev/null
+++ b/siskinroad/scheduler.py
@@ -0,0 +1,288 @@
+"""The decisions of a shard's owner: what starts where, and when.
+
+The scheduler does no I/O. Each method takes what happened and the time, and
+returns the effects to be carried out, in order.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+
+from siskinroad.attempts import Attempts
+from siskinroad.cell import Cell, Host, Urgency, Workload
+from siskinroad.charts import load_chart
+from siskinroad.dispatch import Dispatcher
+from siskinroad.effects import Effect, End, Refused
+from siskinroad.errors import Reason, Refusal
+from siskinroad.health import Verdict
+from siskinroad.placement import HostView
+from siskinroad.pressure import Pressure, UsageReport
+from siskinroad.queues import Item, Lane
+from siskinroad.shard import Shard, milliseconds
+from siskinroad.upstreams import Control
+
+__all__ = ["TICK_TIME", "Scheduler"]
+
+TICK_TIME = 0.25
+
+
+class Scheduler:
+    """The owner's decisions over the hosts and the waiting work of a shard.
+
+    Parameters
+    ----------
+    cell : Cell
+        The configuration in force.
+    rng : random.Random
+        Seeded source of jitter.
+    now : float
+        Loop time in seconds.
+
+    Attributes
+    ----------
+    paused : bool
+        Nothing starts while this is set; all else goes on.
+    """
+
+    def __init__(self, cell: Cell, rng: random.Random, now: float) -> None:
+        self.shard = Shard(cell, rng, now)
+        self.attempts = Attempts(self.shard)
+        self.dispatcher = Dispatcher(self.shard, self.attempts)
+        self.pressure = Pressure(self.shard, self.attempts)
+        self.paused = False
+        self._chart = load_chart("attempt")
+        self._host_chart = load_chart("upstream")
+
+    # Configuration and hosts
+
+    def configure(self, cell: Cell, now: float) -> list[Effect]:
+        """Put another configuration in force; waiting work keeps its place."""
+        self.shard.configure(cell, now)
+        effects: list[Effect] = []
+        for lane in list(self.shard.waiting.lanes.values()):
+            if lane.live and lane.workload.name not in cell.workloads:
+                effects += self._refuse_lane(lane)
+        self.dispatcher.unblock_all()
+        return effects + self._dispatch(now)
+
+    def _refuse_lane(self, lane: Lane) -> list[Effect]:
+        effects: list[Effect] = []
+        for item in [x for x in lane.items if x.state == "waiting"]:
+            refusal = Refusal(Reason.UNKNOWN_SERVICE, step="configure")
+            effects.append(self._refuse_waiting(item, refusal))
+        return effects
+
+    def add_host(self, host: Host, now: float) -> None:
+        """Add a host of the shard; it takes work once it is opened."""
+        self.shard.add_host(host, now)
+
+    def host_event(self, name: str, event: str, now: float) -> list[Effect]:
+        """Apply an event of the ``upstream`` chart to a host."""
+        view = self.shard.view(name)
+        if view is None or not self._host_chart.allows(view.state, event):
+            return []
+        before = view.state
+        view.state = self._host_chart.next(before, event)
+        if view.state == before:
+            return []
+        view.open = view.state in ("live", "probation")
+        limit = self.shard.limits[name].whole
+        view.limit = 1 if view.state == "probation" else limit
+        self.shard.pool_state(name).index.refresh(view)
+        self.shard.recount(now)
+        effects = self.lose_tasks(name, now) if view.state == "gone" else []
+        return effects + self._room(view, now)
+
+    def lose_tasks(self, name: str, now: float) -> list[Effect]:
+        """Take every task of a host as ended: it is gone or its leases lapsed."""
+        view = self.shard.view(name)
+        effects: list[Effect] = []
+        for task in list(view.tasks) if view else []:
+            key, _, member = task.rpartition("~")
+            effects += self.ended(key, int(member), End.LOST, now)
+        return effects
+
+    def remove_host(self, name: str, now: float) -> list[Effect]:
+        """Forget a host that the configuration no longer has."""
+        if self.shard.view(name) is None:
+            return []
+        effects = self.lose_tasks(name, now)
+        self.shard.remove_host(name, now)
+        return effects
+
+    def view(self, name: str) -> HostView | None:
+        """Return a host of the shard."""
+        return self.shard.view(name)
+
+    # Waiting work
+
+    def submit(self, item: Item, now: float) -> list[Effect]:
+        """Accept an item into its queue, or refuse it at once."""
+        refusal = self._door(item, now)
+        if refusal is not None:
+            item.state = self._chart.next(item.state, "refuse")
+            return [Refused(item, refusal)]
+        if item.workload.kind == "service":
+            self.shard.budget(item.workload.owner).earn()
+        return self.requeue(item, now)
+
+    def requeue(self, item: Item, now: float) -> list[Effect]:
+        """Let accepted work wait, past the door."""
+        self.shard.items[item.key] = item
+        lane = self.shard.waiting.push(item)
+        effects = [] if lane.blocked else self._dispatch(now)
+        if item.workload.urgency is not Urgency.URGENT:
+            return effects
+        state = self.shard.pools.get(item.workload.pool)
+        if state is None:
+            return effects
+        self.shard.note_urgent(state, now)
+        if item.state == "waiting" and not self.paused:
+            effects += self.pressure.for_urgent(state)
+        return effects
+
+    def _door(self, item: Item, now: float) -> Refusal | None:
+        workload = item.workload
+        if item.key in self.shard.items:
+            return Refusal(Reason.KEY_IN_PROGRESS, step="submit")
+        why = self.why_never(workload)
+        if why:
+            return Refusal(Reason.CAN_NEVER_RUN, step="submit", message=why)
+        lane = self.shard.waiting.lane(workload)
+        if lane.live >= workload.queue_limit:
+            return Refusal(Reason.QUEUE_FULL, step="submit", retry_after=1.0)
+        if not self.shard.door.admits(len(self.shard.items), workload.urgency):
+            return Refusal(Reason.SHED, step="submit", retry_after=5.0)
+        wait = lane.expected_wait(now)
+        if now + wait > item.deadline:
+            return Refusal(Reason.DEADLINE, step="submit", retry_after=wait)
+        return None
+
+    def why_never(self, workload: Workload) -> str:
+        """Return why a workload can never run here, or an empty string."""
+        state = self.shard.pools.get(workload.pool)
+        if state is None:
+            return f"no host of {workload.pool} belongs to this shard"
+        if not workload.demand.fits(state.pool.capacity):
+            return f"one task is larger than a host of {workload.pool}"
+        each = HostView("", "", state.pool.capacity).count(workload.demand)
+        most = each * len(state.index.hosts)
+        if workload.size > most:
+            return f"{workload.size} members, room for {most} at most"
+        whole = workload.demand.times(workload.size)
+        quota = self.shard.cell.owners[workload.owner].quota
+        for part in ("cpu_milli", "memory_mib", "accelerators"):
+            if 0 < getattr(quota, part) < getattr(whole, part):
+                return f"more than the quota of {workload.owner}"
+        return ""
+
+    def cancel(self, key: str, now: float) -> list[Effect]:
+        """Cancel an item; what waits never starts, what runs is stopped."""
+        item = self.shard.items.get(key)
+        if item is None:
+            return []
+        if item.state == "waiting":
+            refusal = Refusal(Reason.CANCELLED, step="cancel")
+            return [self._refuse_waiting(item, refusal, event="cancel")]
+        if not self._chart.allows(item.state, "cancel"):
+            return []
+        item.state = self._chart.next(item.state, "cancel")
+        run = self.shard.running[key]
+        run.stopping = True
+        return self.attempts.control(run, Control.STOP)
+
+    def _refuse_waiting(
+        self, item: Item, refusal: Refusal, event: str = "refuse"
+    ) -> Refused:
+        held_back = item.hold_until > 0
+        item.state = self._chart.next(item.state, event)
+        del self.shard.items[item.key]
+        if held_back:
+            self.attempts.drop_held_back(item)
+        else:
+            self.shard.waiting.drop(item)
+        return Refused(item, refusal)
+
+    # Attempts
+
+    def adopt(
+        self, item: Item, attempt: str, member: int, host: str, now: float
+    ) -> bool:
+        """Take over a task that already runs on a host of the shard."""
+        return self.attempts.adopt(item, attempt, member, host, now)
+
+    def started(self, key: str) -> None:
+        """Note that the host has confirmed the start."""
+        self.attempts.started(key)
+
+    def ended(
+        self, key: str, member: int, end: End, now: float, run_time: float = 0.0
+    ) -> list[Effect]:
+        """Note that one member's task has ended on its host."""
+        view, effects = self.attempts.ended(key, member, end, now, run_time)
+        effects += self._judge(now)
+        if view is None:
+            return effects
+        return effects + self._room(view, now)
+
+    def _judge(self, now: float) -> list[Effect]:
+        verdicts, self.attempts.verdicts = self.attempts.verdicts, []
+        return self._apply(verdicts, now)
+
+    def _apply(self, verdicts: list[Verdict], now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for verdict in verdicts:
+            effects += self.host_event(verdict.host, verdict.event, now)
+        return effects
+
+    def usage(self, host: str, reports: list[UsageReport], now: float) -> list[Effect]:
+        """Take a host's lagging usage report."""
+        effects = self.pressure.usage(host, reports)
+        view = self.shard.view(host)
+        return effects + (self._room(view, now) if view else [])
+
+    # Time
+
+    def tick(self, now: float) -> list[Effect]:
+        """Do what time alone brings; call this every ``TICK_TIME`` seconds."""
+        effects: list[Effect] = []
+        for item in self.shard.waiting.expired(now):
+            refusal = Refusal(Reason.DEADLINE, step="queue", retry_after=1.0)
+            effects.append(self._refuse_waiting(item, refusal))
+        self.attempts.release_held_back(now)
+        effects += self._apply(self.shard.health.tick(now), now)
+        self.shard.accounts.tick(milliseconds(now))
+        self.dispatcher.unblock_all()
+        effects += self._dispatch(now)
+        if not self.paused:
+            effects += self._make_room(now)
+        return effects
+
+    def _make_room(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for state in self.shard.pools.values():
+            self.shard.note_urgent(state, now)
+            effects += self.pressure.for_urgent(state)
+        return effects + self.pressure.reclaim(now)
+
+    def next_time(self) -> float:
+        """Return the loop time of the next deadline or end of a pause."""
+        deadline = self.shard.waiting.next_deadline()
+        return min(deadline, self.attempts.next_release(), math.inf)
+
+    def resume(self, now: float) -> list[Effect]:
+        """Let work start again after a pause."""
+        self.paused = False
+        self.dispatcher.unblock_all()
+        return self._dispatch(now)
+
+    def _room(self, view: HostView, now: float) -> list[Effect]:
+        if self.paused:
+            return []
+        if view.open:
+            self.dispatcher.unblock(view)
+        return self._dispatch(now)
+
+    def _dispatch(self, now: float) -> list[Effect]:
+        return [] if self.paused else list(self.dispatcher.dispatch(now))
--- /dev/null
+++ b/siskinroad/shard.py
@@ -0,0 +1,213 @@
+"""State of one shard: its hosts, its waiting work and what runs."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from siskinroad.accounts import Accounts
+from siskinroad.cell import Cell, Host, Pool, Urgency, Workload
+from siskinroad.effects import End
+from siskinroad.estimates import Estimates
+from siskinroad.gangs import Reservation
+from siskinroad.health import Health
+from siskinroad.limits import ConcurrencyLimit, Door, Headroom
+from siskinroad.placement import HostIndex, HostView
+from siskinroad.queues import Item, Lane, WaitingWork
+from siskinroad.resources import NOTHING, Resources
+from siskinroad.retries import Budget
+from siskinroad.shares import Shares
+from siskinroad.upstreams import Usage
+
+__all__ = ["PoolState", "Running", "Shard", "milliseconds", "task_name"]
+
+
+@dataclass(slots=True, eq=False)
+class Running:
+    """One attempt in progress.
+
+    Attributes
+    ----------
+    hosts : dict of int to str
+        Host of each member that has not ended.
+    held : Resources
+        What each member was given at the start.
+    seen : set of int
+        Members that were started or found.
+    peak : dict of int to Usage
+        Highest usage reported for each member.
+    worst : End
+        The gravest end of a member so far.
+    """
+
+    item: Item
+    attempt: str
+    hosts: dict[int, str]
+    held: Resources
+    started: float
+    ends: float
+    peak: dict[int, Usage] = field(default_factory=dict)
+    seen: set[int] = field(default_factory=set)
+    worst: End = End.DONE
+    throttled: bool = False
+    evicting: bool = False
+    stopping: bool = False
+
+
+@dataclass(slots=True)
+class PoolState:
+    """One upstream's hosts within the shard.
+
+    Attributes
+    ----------
+    urgent_need : Resources
+        The largest demand of an urgent workload in each dimension.
+    evictable : dict of str to Running
+        Background attempts that can be checkpointed.
+    """
+
+    pool: Pool
+    index: HostIndex
+    headroom: Headroom = field(default_factory=Headroom)
+    reservation: Reservation | None = None
+    planned: float = -1e9
+    urgent_running: int = 0
+    urgent_need: Resources = NOTHING
+    evictable: dict[str, Running] = field(default_factory=dict)
+    evicting: int = 0
+    hungry_since: dict[str, float] = field(default_factory=dict)
+    size_asked: dict[str, int] = field(default_factory=dict)
+
+
+class Shard:
+    """What the parts of a scheduler share.
+
+    Parameters
+    ----------
+    cell : Cell
+        The configuration in force.
+    rng : random.Random
+        Seeded source of jitter.
+    now : float
+        Loop time in seconds.
+    """
+
+    def __init__(self, cell: Cell, rng: random.Random, now: float) -> None:
+        self.cell = cell
+        self.rng = rng
+        self.waiting = WaitingWork()
+        self.estimates = Estimates()
+        self.health = Health()
+        self.shares = Shares()
+        self.accounts = Accounts(cell.owners, milliseconds(now))
+        self.door = Door()
+        self.items: dict[str, Item] = {}
+        self.running: dict[str, Running] = {}
+        self.limits: dict[str, ConcurrencyLimit] = {}
+        self.budgets: dict[str, Budget] = {}
+        self.pools: dict[str, PoolState] = {}
+        self.pool_of: dict[str, str] = {}
+        self.shares.set_owners(cell.owners)
+
+    def configure(self, cell: Cell, now: float) -> None:
+        """Put another configuration in force."""
+        self.cell = cell
+        self.shares.set_owners(cell.owners)
+        self.accounts.set_owners(cell.owners, milliseconds(now))
+        for workload in cell.workloads.values():
+            self.waiting.replace_workload(workload)
+        for name, state in self.pools.items():
+            if name in cell.pools:
+                state.pool = cell.pools[name]
+            state.urgent_need = _urgent_need(cell, name)
+
+    def add_host(self, host: Host, now: float) -> None:
+        """Add a host; it takes work once an event has opened it."""
+        pool = self.cell.pools[host.pool]
+        state = self.pools.get(host.pool)
+        if state is None:
+            state = PoolState(pool, HostIndex(pool.capacity))
+            state.urgent_need = _urgent_need(self.cell, host.pool)
+            self.pools[host.pool] = state
+        state.index.add(HostView(host.name, host.rack, pool.capacity))
+        self.pool_of[host.name] = host.pool
+        self.limits[host.name] = ConcurrencyLimit(pool.capacity.slots)
+        self.recount(now)
+
+    def remove_host(self, name: str, now: float) -> None:
+        """Forget a host that holds no task."""
+        self.pools[self.pool_of.pop(name)].index.remove(name)
+        self.health.forget(name)
+        del self.limits[name]
+        self.recount(now)
+
+    def view(self, name: str) -> HostView | None:
+        """Return a host of the shard."""
+        pool = self.pool_of.get(name)
+        return self.pools[pool].index.hosts.get(name) if pool else None
+
+    def views(self) -> Iterator[HostView]:
+        """Yield every host of the shard."""
+        for state in self.pools.values():
+            yield from state.index.hosts.values()
+
+    def pool_state(self, host: str) -> PoolState:
+        """Return the pool of a host."""
+        return self.pools[self.pool_of[host]]
+
+    def recount(self, now: float) -> None:
+        """Set the capacity of which shares are taken."""
+        total = NOTHING
+        for view in self.views():
+            if view.state != "gone":
+                total = total + view.capacity
+        self.shares.set_total(total, now)
+        self.accounts.set_capacity(total, milliseconds(now))
+
+    def hold(self, workload: Workload, held: Resources, sign: int, now: float) -> None:
+        """Charge the owner of a workload with more (1) or less (-1)."""
+        self.shares.change(workload.owner, held, sign, now)
+        self.accounts.change(workload.owner, held, sign, milliseconds(now))
+
+    def note_urgent(self, state: PoolState, now: float) -> None:
+        """Tell the pool's headroom of the urgent work that runs and waits."""
+        waiting = sum(lane.live for lane in self.urgent_lanes(state.pool.name))
+        state.headroom.note(state.urgent_running, waiting, now)
+
+    def urgent_lanes(self, pool: str) -> Iterator[Lane]:
+        """Yield the lanes with urgent work that waits for a pool."""
+        for lane in self.waiting.active[Urgency.URGENT].values():
+            if lane.workload.pool == pool:
+                yield lane
+
+    def budget(self, owner: str) -> Budget:
+        """Return an owner's retry budget."""
+        budget = self.budgets.get(owner)
+        if budget is None:
+            budget = self.budgets[owner] = Budget()
+        return budget
+
+
+def _urgent_need(cell: Cell, pool: str) -> Resources:
+    needs = [
+        workload.demand
+        for workload in cell.workloads.values()
+        if workload.pool == pool and workload.urgency is Urgency.URGENT
+    ]
+    return Resources(
+        max((need.cpu_milli for need in needs), default=0),
+        max((need.memory_mib for need in needs), default=0),
+        max((need.accelerators for need in needs), default=0),
+        max((need.slots for need in needs), default=0),
+    )
+
+
+def milliseconds(now: float) -> int:
+    """Return a loop time in whole milliseconds."""
+    return round(now * 1000)
+
+
+def task_name(key: str, member: int) -> str:
+    """Return the name of one member's task."""
+    return f"{key}~{member}"
--- /dev/null
+++ b/siskinroad/shards.py
@@ -0,0 +1,317 @@
+"""The shards that this daemon owns, from take-over to release."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Coroutine
+from typing import Any
+
+from siskinroad.appender import Appender
+from siskinroad.cell import Cell, Host, Workload
+from siskinroad.errors import Reason, Refusal
+from siskinroad.front import Request
+from siskinroad.keys import KeyGuard
+from siskinroad.ledger import Ledger
+from siskinroad.messages import ShardNews
+from siskinroad.metrics import Metrics
+from siskinroad.owner import OwnerPorts, ShardOwner
+from siskinroad.ownership import (
+    Append,
+    DropShard,
+    Ownership,
+    OwnershipEffect,
+    ReleaseShard,
+    ResumeShard,
+    SuspendShard,
+    TakeShard,
+)
+from siskinroad.platform import HostState
+from siskinroad.records import (
+    ClaimReleased,
+    JobAccepted,
+    JobCancelled,
+    Record,
+    TasksEnded,
+)
+from siskinroad.routing import Place, ShardLoad
+from siskinroad.upstreams import Answer, Upstreams
+
+__all__ = ["ShardSet"]
+
+CLAIM_TIME = 2.0
+FOREVER = float("inf")
+
+log = logging.getLogger("siskinroad.shards")
+
+
+class ShardSet:
+    """Carries out what ``Ownership`` decides.
+
+    Parameters
+    ----------
+    appender : Appender
+        Of the data centre's stream.
+    guard : KeyGuard
+        Runs keyed requests.
+    """
+
+    def __init__(
+        self,
+        place: Place,
+        ownership: Ownership,
+        ledger: Ledger,
+        appender: Appender,
+        guard: KeyGuard,
+        upstreams: Upstreams,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self.place = place
+        self.ownership = ownership
+        self.ledger = ledger
+        self.appender = appender
+        self.guard = guard
+        self.upstreams = upstreams
+        self.metrics = metrics
+        self.rng = rng
+        self.cell: Cell | None = None
+        self.owners: dict[str, ShardOwner] = {}
+        self.retiring: set[ShardOwner] = set()
+        self.listed: dict[str, HostState] = {}
+        self._hosts: dict[str, list[Host]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._sequence = 0
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _spawn(self, coro: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._reap)
+
+    def _reap(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("shards: a step failed", exc_info=task.exception())
+
+    # Configuration, list and records
+
+    def configure(self, cell: Cell) -> None:
+        """Put a configuration in force."""
+        self.cell = cell
+        self._hosts = cell.shards(self.place.data_centre)
+        fencing = {
+            shard: cell.pools[hosts[0].pool].fencing
+            for shard, hosts in self._hosts.items()
+        }
+        self.ownership.set_shards(fencing)
+        for shard, owner in self.owners.items():
+            if shard in self._hosts:
+                owner.configure(cell, self._hosts[shard])
+                self._apply_list(owner)
+
+    def set_listed(self, listed: dict[str, HostState]) -> None:
+        """Take the platform's list of the data centre's hosts."""
+        self.listed = listed
+        gone = {name for name, state in listed.items() if state is HostState.GONE}
+        self.ownership.set_gone(gone)
+        for owner in self.owners.values():
+            self._apply_list(owner)
+
+    def _apply_list(self, owner: ShardOwner) -> None:
+        for name in owner.watches:
+            match self.listed.get(name):
+                case HostState.LEAVING:
+                    owner.host_event(name, "leave")
+                case HostState.GONE:
+                    owner.host_event(name, "gone")
+                case HostState.LIVE:
+                    owner.host_event(name, "rejoin")
+
+    def hear_records(self, records: list[Record]) -> None:
+        """Act on records that the ledger has just applied."""
+        for record in records:
+            match record:
+                case JobAccepted() if record.shard in self.owners:
+                    owner = self.owners[record.shard]
+                    owner.accept(self.ledger.jobs[record.job])
+                case JobCancelled() if record.job in self.ledger.jobs:
+                    shard = self.ledger.jobs[record.job].accepted.shard
+                    if shard in self.owners:
+                        self.owners[shard].cancel_job(record.job)
+
+    # Ownership
+
+    def tick(self) -> None:
+        """Carry out what ownership asks for now."""
+        for effect in self.ownership.tick(self._now()):
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: OwnershipEffect) -> None:
+        match effect:
+            case Append(record=record):
+                self.appender.put(record, CLAIM_TIME)
+            case TakeShard():
+                self._spawn(self._take(effect))
+            case SuspendShard(shard=shard):
+                self._count("suspend")
+                if shard in self.owners:
+                    self.owners[shard].suspend()
+            case ResumeShard(shard=shard):
+                self._count("resume")
+                if shard in self.owners and not self.owners[shard].stale:
+                    self.owners[shard].resume()
+            case ReleaseShard():
+                self._spawn(self._release(effect))
+            case DropShard(shard=shard):
+                self._count("lose")
+                self._drop(shard)
+
+    def _count(self, event: str) -> None:
+        self.metrics.claims.labels(event).inc()
+
+    async def _take(self, effect: TakeShard) -> None:
+        shard = effect.shard
+        hosts = self._hosts.get(shard)
+        if self.cell is None or hosts is None:
+            return
+        self._drop(shard)
+        ports = self._ports(shard)
+        owner = ShardOwner(shard, effect.epoch, self.cell, hosts, ports)
+        self.owners[shard] = owner
+        self._apply_list(owner)
+        homed = self.ledger.jobs.values()
+        owner.restore([state for state in homed if state.accepted.shard == shard])
+        await owner.take()
+        if self.owners.get(shard) is not owner:
+            return
+        if not self.ownership.taken(shard, effect.epoch):
+            self._drop(shard)
+            return
+        owner.resume()
+        self._count("take")
+        log.info("shards: took %s at epoch %d", shard, effect.epoch)
+
+    def _ports(self, shard: str) -> OwnerPorts:
+        return OwnerPorts(
+            self.upstreams,
+            lambda: self.ownership.may_place(shard, self._now()),
+            self._record_end,
+            self._count_owner,
+            self._note_wait,
+            self.rng,
+        )
+
+    def _record_end(self, job: str, index: int, outcome: str) -> asyncio.Future[int]:
+        return self.appender.put(TasksEnded(job, [index], outcome), FOREVER)
+
+    def _count_owner(self, name: str, label: str) -> None:
+        match name:
+            case "retry":
+                self.metrics.retries.labels(label).inc()
+            case "control":
+                self.metrics.controls.labels(label).inc()
+            case _:
+                self.metrics.hosts.labels(label).inc()
+
+    def _note_wait(self, workload: Workload, seconds: float) -> None:
+        urgency = workload.urgency.name.lower()
+        self.metrics.waited.labels(urgency, workload.owner).observe(seconds)
+
+    async def _release(self, effect: ReleaseShard) -> None:
+        owner = self.owners.get(effect.shard)
+        if owner is not None:
+            await owner.release()
+        self._drop(effect.shard)
+        self._count("release")
+        self.appender.put(ClaimReleased(effect.shard, effect.epoch), FOREVER)
+        log.info("shards: released %s", effect.shard)
+
+    def _drop(self, shard: str) -> None:
+        owner = self.owners.pop(shard, None)
+        if owner is None:
+            return
+        owner.close()
+        self.retiring.add(owner)
+        self._spawn(self._retire(owner))
+
+    async def _retire(self, owner: ShardOwner) -> None:
+        await owner.idle()
+        self.retiring.discard(owner)
+
+    # Requests
+
+    async def run(self, shard: str, req: Request) -> Answer:
+        """Run a request on an owned shard.
+
+        Raises
+        ------
+        Refusal
+            ``NO_OWNER`` or ``OWNERSHIP_IN_DOUBT`` if it cannot run here.
+        """
+        owner = self.owners.get(shard)
+        if owner is None:
+            raise Refusal(Reason.NO_OWNER, step="owner", retry_after=0.5)
+        if not self.ownership.may_place(shard, self._now()):
+            raise Refusal(Reason.OWNERSHIP_IN_DOUBT, step="owner", retry_after=2.0)
+        if req.key:
+            name = req.workload.name
+            return await self.guard.run(
+                req.key, name, req.body, lambda: self._queue(owner, req)
+            )
+        return await self._queue(owner, req)
+
+    async def _queue(self, owner: ShardOwner, req: Request) -> Answer:
+        key = f"r{self.appender.writer}-{self._next()}"
+        fut = owner.submit(key, req.workload, req.path, req.body, req.deadline)
+        try:
+            return await fut
+        except asyncio.CancelledError:
+            owner.cancel_request(key)
+            raise
+
+    def _next(self) -> int:
+        self._sequence += 1
+        return self._sequence
+
+    # News
+
+    def news(self) -> list[ShardNews]:
+        """Return what peers should know of the owned shards."""
+        return [
+            ShardNews(shard, owner.epoch, owner.free_slots(), owner.waits())
+            for shard, owner in self.owners.items()
+            if not owner.scheduler.paused
+        ]
+
+    def loads(self) -> list[ShardLoad]:
+        """Return the owned shards as routing sees them."""
+        now = self._now()
+        return [
+            ShardLoad(
+                news.shard,
+                news.shard.partition("/")[0],
+                self.ownership.name,
+                self.place,
+                news.free,
+                news.waits,
+                now,
+            )
+            for news in self.news()
+        ]
+
+    @property
+    def busy(self) -> int:
+        """Requests in the hands of all owners, retiring ones included."""
+        owners = [*self.owners.values(), *self.retiring]
+        return sum(owner.requests for owner in owners)
+
+    def close(self) -> None:
+        """Stop everything at once."""
+        for shard in list(self.owners):
+            self._drop(shard)
+        for task in list(self._tasks):
+            task.cancel()
--- /dev/null
+++ b/siskinroad/snapshotter.py
@@ -0,0 +1,73 @@
+"""Re-appends the state of the streams well inside the retention time."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from siskinroad.appender import Appender
+from siskinroad.errors import PlatformError
+from siskinroad.snapshots import split
+
+if TYPE_CHECKING:
+    from siskinroad.entry import Daemon
+
+__all__ = ["SNAPSHOT_RECORDS", "SNAPSHOT_TIME", "Snapshotter"]
+
+CHECK_TIME = 5.0
+SNAPSHOT_TIME = 600.0
+SNAPSHOT_RECORDS = 2000
+APPEND_TIME = 30.0
+
+log = logging.getLogger("siskinroad.snapshots")
+
+
+class Snapshotter:
+    """Writes snapshots while this daemon reads the log for its data centre.
+
+    The cell's stream is written by every data centre's reader in turn: whoever
+    finds the last snapshot too old. Two at once do no harm.
+    """
+
+    def __init__(self, daemon: Daemon) -> None:
+        self.daemon = daemon
+        self.written = 0
+        self._ledger_at = (1, 0.0)
+        self._cell_at = (1, 0.0)
+
+    async def run(self) -> None:
+        """Write snapshots until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(CHECK_TIME)
+            if self.daemon.members.reader(loop.time()) == self.daemon.cfg.name:
+                await self._check(loop.time())
+
+    async def _check(self, now: float) -> None:
+        daemon = self.daemon
+        ledger, config = daemon.ledger, daemon.configuration
+        if ledger.whole and _due(ledger.next_offset, self._ledger_at, now):
+            self._ledger_at = (ledger.next_offset, now)
+            await self._write(daemon.appender, ledger.next_offset, ledger.encode())
+        if config.revision and _due(config.next_offset, self._cell_at, now):
+            self._cell_at = (config.next_offset, now)
+            await self._write(daemon.cell_appender, config.next_offset, config.encode())
+
+    async def _write(self, appender: Appender, as_of: int, data: bytes) -> None:
+        daemon = self.daemon
+        self.written += 1
+        name = f"{daemon.cfg.name}-{daemon.incarnation}-{self.written}"
+        try:
+            for part in split(name, as_of, data):
+                await appender.put(part, APPEND_TIME)
+        except PlatformError as exc:
+            log.warning("snapshots: not written: %s", exc)
+
+
+def _due(offset: int, last: tuple[int, float], now: float) -> bool:
+    """Return whether enough records or time have passed since the last one."""
+    records = offset - last[0]
+    return records >= SNAPSHOT_RECORDS or (
+        records > 0 and now - last[1] > SNAPSHOT_TIME
+    )
--- /dev/null
+++ b/siskinroad/stand_ins.py
@@ -0,0 +1,103 @@
+"""HTTP servers around the in-memory platform and workers, for tests and demos."""
+
+from __future__ import annotations
+
+import msgspec
+
+from siskinroad.cell import Host
+from siskinroad.errors import (
+    LogTrimmedError,
+    PlatformError,
+    SiskinroadError,
+    StaleEpochError,
+)
+from siskinroad.httpd import HttpRequest, HttpResponse, HttpServer
+from siskinroad.platform_memory import MemoryLog, MemoryPlatform
+from siskinroad.upstreams import Control, TaskStart
+from siskinroad.upstreams_http import ATTEMPT_HEADER, EPOCH_HEADER, InventoryQuery
+from siskinroad.upstreams_memory import MemoryUpstreams, MemoryWorker
+
+__all__ = ["PlatformServer", "WorkerServer"]
+
+LIMIT = 3600.0
+
+
+class PlatformServer:
+    """The platform's HTTP service over a ``MemoryLog``."""
+
+    def __init__(self, log: MemoryLog) -> None:
+        self.log = log
+        self.platform = MemoryPlatform(log)
+        self.http = HttpServer(self.handle)
+
+    async def handle(self, req: HttpRequest) -> HttpResponse:
+        """Answer one request."""
+        try:
+            return await self._route(req)
+        except LogTrimmedError as exc:
+            return HttpResponse(410, msgspec.json.encode({"first": exc.first}))
+        except PlatformError as exc:
+            return HttpResponse(503, str(exc).encode(), "text/plain")
+
+    async def _route(self, req: HttpRequest) -> HttpResponse:
+        kind, _, name = req.path.removeprefix("/").partition("/")
+        match (req.method, kind):
+            case ("POST", "log"):
+                offset = await self.platform.append(name, req.body)
+                return HttpResponse(200, msgspec.json.encode({"offset": offset}))
+            case ("GET", "log"):
+                start = int(req.query.get("from", "1"))
+                limit = int(req.query.get("limit", "100"))
+                page = await self.platform.read(name, start, limit)
+                return HttpResponse(200, msgspec.json.encode(page))
+            case ("GET", "hosts"):
+                hosts = await self.platform.hosts(name, req.query.get("known", ""))
+                return HttpResponse(200, msgspec.json.encode(hosts))
+        return HttpResponse(404)
+
+
+class WorkerServer:
+    """One worker's HTTP service over a ``MemoryWorker``."""
+
+    def __init__(self, worker: MemoryWorker, host: Host) -> None:
+        self.worker = worker
+        self.host = host
+        self.memory = MemoryUpstreams({host.name: worker}, delay=0.0)
+        self.http = HttpServer(self.handle)
+
+    async def handle(self, req: HttpRequest) -> HttpResponse:
+        """Answer one request."""
+        epoch = int(req.headers.get(EPOCH_HEADER, "0"))
+        try:
+            return await self._route(req, epoch)
+        except StaleEpochError:
+            header = ((EPOCH_HEADER, str(self.worker.epoch)),)
+            return HttpResponse(412, headers=header)
+        except SiskinroadError as exc:
+            return HttpResponse(503, str(exc).encode(), "text/plain", close=True)
+
+    async def _route(self, req: HttpRequest, epoch: int) -> HttpResponse:
+        match (req.method, req.path):
+            case ("POST", "/inventory"):
+                query = msgspec.json.decode(req.body, type=InventoryQuery)
+                found = await self.memory.inventory(
+                    self.host, epoch, query.acked, query.wait, query.renew
+                )
+                return HttpResponse(200, msgspec.json.encode(found))
+            case ("PUT", "/tasks"):
+                start = msgspec.json.decode(req.body, type=TaskStart)
+                await self.memory.start(self.host, epoch, start)
+                return HttpResponse(200)
+            case ("POST", path) if path.startswith("/control/"):
+                do = Control(path.rpartition("/")[2])
+                await self.memory.control(self.host, epoch, req.body.decode(), do)
+                return HttpResponse(200)
+        return await self._request(req, epoch)
+
+    async def _request(self, req: HttpRequest, epoch: int) -> HttpResponse:
+        attempt = req.headers.get(ATTEMPT_HEADER, "")
+        answer = await self.memory.request(
+            self.host, attempt, epoch, req.path, req.body, LIMIT
+        )
+        header = ((ATTEMPT_HEADER, attempt),)
+        return HttpResponse(answer.status, answer.body, answer.content_type, header)
--- /dev/null
+++ b/siskinroad/tables.py
@@ -0,0 +1,24 @@
+"""Plain text tables."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+__all__ = ["table"]
+
+
+def table(columns: Sequence[str], rows: Sequence[Mapping[str, Any]]) -> str:
+    """Return rows as aligned text under their column names."""
+    cells = [[str(row.get(column, "")) for column in columns] for row in rows]
+    widths = [
+        max([len(column), *(len(line[i]) for line in cells)])
+        for i, column in enumerate(columns)
+    ]
+    lines = [list(columns), *cells]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in lines
+    )
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,198 @@
+"""Several daemons in one process, with in-memory stand-ins around them."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from siskinroad.cell import Cell, parse_cell
+from siskinroad.entry import Daemon
+from siskinroad.front import Request
+from siskinroad.peers import MemoryNetwork
+from siskinroad.platform import CELL_STREAM
+from siskinroad.platform_memory import MemoryLog, MemoryPlatform
+from siskinroad.settings import Peer, Settings
+from siskinroad.upstreams import Answer
+from siskinroad.upstreams_memory import MemoryUpstreams, MemoryWorker
+
+CELL = """
+name = "test"
+
+[[owners]]
+name = "desk"
+weight = 3
+
+[[owners]]
+name = "records"
+
+[[regions]]
+name = "east"
+data_centres = ["east-1"]
+
+[[regions]]
+name = "west"
+data_centres = ["west-1"]
+"""
+
+SERVICES = """
+[[services]]
+name = "quote"
+owner = "desk"
+upstream = "booking"
+urgency = "urgent"
+idempotent = true
+start_within_s = 30
+timeout_s = 5
+
+[[services]]
+name = "dispatch"
+owner = "desk"
+upstream = "booking"
+urgency = "urgent"
+key_required = true
+timeout_s = 5
+
+[[batch]]
+name = "recount"
+owner = "records"
+upstream = "booking"
+urgency = "background"
+run_time_s = 3
+checkpoint = true
+
+[[gangs]]
+name = "render"
+owner = "records"
+upstream = "booking"
+size = 4
+run_time_s = 5
+"""
+
+
+def pool(name: str, hosts: list[tuple[str, str, str]], **keys: object) -> str:
+    """Return an upstream's table; hosts are (name, rack, data centre)."""
+    values = {"cpu": 32, "memory_gib": 128, "fencing": False, **keys}
+    lines = ["[[upstreams]]", f'name = "{name}"']
+    lines += [f"{k} = {str(v).lower()}" for k, v in values.items()]
+    for i, (host, rack, centre) in enumerate(hosts):
+        lines += ["[[upstreams.hosts]]", f'name = "{host}"']
+        lines += [f'address = "127.0.0.1:{7000 + i}"', f'rack = "{rack}"']
+        lines += [f'data_centre = "{centre}"']
+    return "\n".join(lines) + "\n"
+
+
+def small_cell(east: int = 3, west: int = 2, **keys: object) -> str:
+    hosts = [(f"e{i}", f"r{i // 2}", "east-1") for i in range(east)]
+    hosts += [(f"w{i}", f"r{i // 2}", "west-1") for i in range(west)]
+    return CELL + pool("booking", hosts, **keys) + SERVICES
+
+
+@dataclass
+class World:
+    """The daemons and everything outside them.
+
+    Daemons are named by data centre: ``east-1a``, ``east-1b``, ``west-1a``.
+    """
+
+    text: str
+    names: list[str]
+    seed: int = 1
+    settings: dict[str, object] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+        self.cell: Cell = parse_cell(self.text)
+        self.log = MemoryLog()
+        self.network = MemoryNetwork(random.Random(self.seed + 1))
+        self.workers = {
+            host.name: MemoryWorker(
+                host.name,
+                self.cell.pools[host.pool].capacity,
+                random.Random(f"{self.seed}{host.name}"),
+                fencing=self.cell.pools[host.pool].fencing,
+                duration=self.duration,
+            )
+            for host in self.cell.hosts()
+        }
+        self.cut: set[tuple[str, str]] = set()
+        self.daemons: dict[str, Daemon] = {}
+        self.incarnation = 0
+        self.seconds = {"quote": 0.1, "dispatch": 0.1, "recount": 3.0, "render": 5.0}
+
+    def duration(self, workload: str, rng: random.Random) -> float:
+        return self.seconds.get(workload, 1.0) * rng.uniform(0.8, 1.2)
+
+    def cfg(self, name: str) -> Settings:
+        peers = tuple(
+            Peer(x, "127.0.0.1:1", x[:-1], x.partition("-")[0])
+            for x in self.names
+            if x != name
+        )
+        region = name.partition("-")[0]
+        return Settings(name, name[:-1], region, peers=peers, **self.settings)
+
+    def start(self, name: str) -> Daemon:
+        """Start a daemon, or start it again under the same address."""
+        self.incarnation += 1
+        daemon = Daemon(
+            self.cfg(name),
+            self.incarnation,
+            MemoryPlatform(self.log, name),
+            MemoryUpstreams(self.workers, name, self.cut),
+            self.network.join(name),
+            random.Random(f"{self.seed}{name}{self.incarnation}"),
+        )
+        self.daemons[name] = daemon
+        daemon.start()
+        return daemon
+
+    async def kill(self, name: str) -> None:
+        """Stop a daemon as a crash would."""
+        await self.daemons.pop(name).close()
+
+    async def start_all(self) -> None:
+        for name in self.names:
+            self.start(name)
+
+    async def publish(self, text: str | None = None) -> None:
+        """Put the first revision in force through a daemon."""
+        daemon = next(iter(self.daemons.values()))
+        await daemon.publisher.apply(text or self.text, None)
+
+    async def settle(self, seconds: float = 6.0) -> None:
+        await asyncio.sleep(seconds)
+
+    async def ready(self) -> None:
+        await self.start_all()
+        await asyncio.sleep(1.0)
+        await self.publish()
+        await self.settle()
+
+    def owners(self) -> dict[str, list[str]]:
+        """Return the daemons that may place work, by shard."""
+        found: dict[str, list[str]] = {}
+        for name, daemon in self.daemons.items():
+            for shard in daemon.shards.owners:
+                found.setdefault(shard, []).append(name)
+        return found
+
+    async def ask(
+        self, name: str, service: str, body: bytes = b"x", key: str = "", limit=20.0
+    ) -> Answer:
+        daemon = self.daemons[name]
+        cell = daemon.cell()
+        now = asyncio.get_running_loop().time()
+        workload = cell.workloads[service]
+        req = Request(workload, f"/{service}", body, key, now + limit)
+        return await daemon.front.serve(req, cell)
+
+    @property
+    def events(self):
+        return sorted(
+            (event for worker in self.workers.values() for event in worker.events),
+            key=lambda event: event.time,
+        )
+
+
+__all__ = ["CELL_STREAM", "World", "pool", "small_cell"]
