--- a/tests/world.py
+++ b/bench/world.py
@@ -112,6 +112,7 @@
                 random.Random(f"{self.seed}{host.name}"),
                 fencing=self.cell.pools[host.pool].fencing,
                 duration=self.duration,
+                demand=self.demand,
             )
             for host in self.cell.hosts()
         }
@@ -123,6 +124,9 @@
     def duration(self, workload: str, rng: random.Random) -> float:
         return self.seconds.get(workload, 1.0) * rng.uniform(0.8, 1.2)
 
+    def demand(self, workload: str):
+        return self.cell.workloads[workload].demand
+
     def cfg(self, name: str) -> Settings:
         peers = tuple(
             Peer(x, "127.0.0.1:1", x[:-1], x.partition("-")[0])
--- a/siskinroad/beats.py
+++ b/siskinroad/beats.py
@@ -24,8 +24,10 @@
 __all__ = ["Beats"]
 
 LIST_TIME = 1.0
-DIGEST_TIME = 2.0
+DIGEST_TIME = 4.0
+DIGEST_CHECK = 0.2
 WANT_TIME = 1.0
+STAMPS = 1 << 20
 
 log = logging.getLogger("siskinroad.beats")
 
@@ -159,22 +161,32 @@
     # Digests
 
     async def run_digests(self) -> None:
-        """Tell the other data centres of this one while reading the log for it."""
+        """Tell the other data centres of this one while reading the log for it.
+
+        A change of an owner or of the revision is told at once.
+        """
         loop = asyncio.get_running_loop()
+        last: tuple[int, dict[str, tuple[str, int]]] = (0, {})
+        sent = float("-inf")
         while True:
-            await asyncio.sleep(DIGEST_TIME)
-            if self.daemon.members.reader(loop.time()) == self.daemon.cfg.name:
-                self._send_digests(loop.time())
-
-    def _send_digests(self, now: float) -> None:
+            await asyncio.sleep(DIGEST_CHECK)
+            now = loop.time()
+            if self.daemon.members.reader(now) != self.daemon.cfg.name:
+                continue
+            msg = self._digest(now)
+            if (msg.revision, msg.owners) == last and now - sent < DIGEST_TIME:
+                continue
+            last, sent = (msg.revision, msg.owners), now
+            self._send_digest(msg)
+
+    def _send_digest(self, msg: Digest) -> None:
         daemon = self.daemon
-        self._turn += 1
-        msg = self._digest(now)
         for names in self._centres.values():
             daemon.peers.send(names[self._turn % len(names)], msg)
 
     def _digest(self, now: float) -> Digest:
         daemon = self.daemon
+        self._turn += 1
         members = daemon.members.alive(now)
         owners = {
             news.shard: (member.name, member.incarnation)
@@ -187,10 +199,11 @@
             shards[news.shard] = news
         revisions = [m.revision for m in members]
         return Digest(
+            daemon.cfg.name,
             daemon.cfg.data_centre,
             daemon.cfg.region,
             min([daemon.configuration.revision, *revisions]),
-            daemon.incarnation * 1000 + self._turn,
+            daemon.incarnation * STAMPS + self._turn,
             owners,
             list(shards.values()),
             True,
@@ -202,6 +215,7 @@
         if not daemon.load_table.hear_digest(msg, now) or not msg.relay:
             return
         passed = Digest(
+            msg.name,
             msg.data_centre,
             msg.region,
             msg.revision,
--- a/siskinroad/callers.py
+++ b/siskinroad/callers.py
@@ -102,7 +102,7 @@
         limit = start + workload.timeout
         if TIMEOUT_HEADER in req.headers:
             limit = min(limit, _number(req.headers[TIMEOUT_HEADER], TIMEOUT_HEADER))
-        path = "/" + req.path.split("/", 3)[3]
+        path = req.path.removeprefix("/v1/services")
         now = asyncio.get_running_loop().time()
         return Request(workload, path, req.body, key, now + limit)
 
--- a/siskinroad/entry.py
+++ b/siskinroad/entry.py
@@ -56,6 +56,7 @@
 OWNERSHIP_TICK = 0.1
 APPLIED_TIME = 3.0
 DRAIN_POLL = 0.05
+LINGER_TIME = 1.2
 
 log = logging.getLogger("siskinroad.entry")
 
@@ -224,6 +225,7 @@
         until = loop.time() + self.cfg.drain_s
         self.state = load_chart("daemon").next(self.state, "stop")
         self.ownership.draining = True
+        self.members.draining = True
         self.beats.send_now()
         log.info("entry: draining")
         while loop.time() < until:
@@ -235,6 +237,9 @@
         done = loop.time() < until
         if done:
             await self._flush()
+            # Peers that have not heard yet still send work here; it is refused
+            # as not run, so that they turn to the next owner.
+            await asyncio.sleep(LINGER_TIME)
         self.state = load_chart("daemon").next(
             self.state, "idle" if done else "timeout"
         )
--- a/siskinroad/loads.py
+++ b/siskinroad/loads.py
@@ -24,9 +24,9 @@
         """Take another data centre's news; return False if it is old."""
         if msg.data_centre == self.place.data_centre:
             return False
-        if msg.stamp <= self._stamps.get(msg.data_centre, -1):
+        if msg.stamp <= self._stamps.get(msg.name, -1):
             return False
-        self._stamps[msg.data_centre] = msg.stamp
+        self._stamps[msg.name] = msg.stamp
         self.revisions[msg.data_centre] = msg.revision
         place = Place(msg.data_centre, msg.region)
         for name in [n for n, x in self.abroad.items() if x.place == place]:
--- a/siskinroad/membership.py
+++ b/siskinroad/membership.py
@@ -51,6 +51,7 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.members: dict[str, Member] = {}
+        self.draining = False
 
     def hear(self, msg: Heartbeat, now: float) -> bool:
         """Take a heartbeat; return whether the member is new or restarted.
@@ -109,4 +110,6 @@
     def reader(self, now: float) -> str:
         """Return who reads the log for the data centre: the lowest name alive."""
         names = [m.name for m in self.alive(now) if not m.draining]
+        if self.draining and names:
+            return min(names)
         return min([*names, self.name])
--- a/siskinroad/messages.py
+++ b/siskinroad/messages.py
@@ -77,6 +77,7 @@
     data centre.
     """
 
+    name: str
     data_centre: str
     region: str
     revision: int
--- a/siskinroad/owner.py
+++ b/siskinroad/owner.py
@@ -385,7 +385,6 @@
             item.payload,
             TASK_LEASE,
         )
-        watch.starting.add(start.attempt)
         try:
             if not self.ports.may_place():
                 raise NotSentError("claim is not certain", step="owner")
@@ -428,7 +427,10 @@
         if item.workload.kind == "service":
             self._sending.add(self._spawn(self._send_request(effect)))
             return
-        for member in range(len(effect.hosts)):
+        for member, host in enumerate(effect.hosts):
+            # Noted before the first step of the coroutine, since the inventory
+            # being taken in just now may be older than this decision.
+            self.watches[host].starting.add(f"{effect.attempt}~{member}")
             self._sending.add(self._spawn(self._start_task(effect, member)))
 
     async def _control(self, effect: ControlTask) -> None:
--- a/siskinroad/snapshotter.py
+++ b/siskinroad/snapshotter.py
@@ -46,13 +46,30 @@
 
     async def _check(self, now: float) -> None:
         daemon = self.daemon
-        ledger, config = daemon.ledger, daemon.configuration
-        if ledger.whole and _due(ledger.next_offset, self._ledger_at, now):
+        if _due(daemon.ledger.next_offset, self._ledger_at, now):
+            await self._write_ledger(now)
+        if _due(daemon.configuration.next_offset, self._cell_at, now):
+            await self._write_cell(now)
+
+    async def write_all(self) -> None:
+        """Write a snapshot of each stream now."""
+        now = asyncio.get_running_loop().time()
+        await self._write_ledger(now)
+        await self._write_cell(now)
+
+    async def _write_ledger(self, now: float) -> None:
+        ledger = self.daemon.ledger
+        if ledger.whole:
             self._ledger_at = (ledger.next_offset, now)
-            await self._write(daemon.appender, ledger.next_offset, ledger.encode())
-        if config.revision and _due(config.next_offset, self._cell_at, now):
+            data = ledger.encode()
+            await self._write(self.daemon.appender, ledger.next_offset, data)
+
+    async def _write_cell(self, now: float) -> None:
+        config = self.daemon.configuration
+        if config.revision:
             self._cell_at = (config.next_offset, now)
-            await self._write(daemon.cell_appender, config.next_offset, config.encode())
+            data = config.encode()
+            await self._write(self.daemon.cell_appender, config.next_offset, data)
 
     async def _write(self, appender: Appender, as_of: int, data: bytes) -> None:
         daemon = self.daemon
--- a/siskinroad/upstreams_memory.py
+++ b/siskinroad/upstreams_memory.py
@@ -50,7 +50,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Event:
-    """One thing that a worker did: ``start`` or ``end`` of a task or request."""
+    """One thing that a worker did: ``start`` or ``end`` of a task or request.
+
+    ``body`` is a request's, and empty for a task.
+    """
 
     time: float
     host: str
@@ -58,6 +61,7 @@
     task: str
     attempt: str
     used: Resources
+    body: bytes = b""
 
 
 @dataclass(slots=True)
@@ -72,6 +76,7 @@
 
 
 Duration = Callable[[str, random.Random], float]
+Demand = Callable[[str], Resources]
 
 
 @dataclass(slots=True)
@@ -91,6 +96,7 @@
     rng: random.Random
     fencing: bool = True
     duration: Duration = lambda workload, rng: 1.0
+    demand: Demand = lambda workload: Resources(0, 0, 0, 1)
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     events: list[Event] = field(default_factory=list)
     epoch: int = 0
@@ -106,10 +112,16 @@
         self.epoch = max(self.epoch, epoch)
 
     def note(
-        self, kind: str, task: str, attempt: str, used: Resources, now: float
+        self,
+        kind: str,
+        task: str,
+        attempt: str,
+        used: Resources,
+        now: float,
+        body: bytes = b"",
     ) -> None:
         """Note one event."""
-        self.events.append(Event(now, self.name, kind, task, attempt, used))
+        self.events.append(Event(now, self.name, kind, task, attempt, used, body))
 
     def begin(self, start: TaskStart, now: float) -> None:
         """Start a task; the same attempt again changes nothing."""
@@ -173,6 +185,11 @@
     ----------
     client : str
         Name of the daemon; ``cut`` names pairs (daemon, host) without a path.
+
+    Attributes
+    ----------
+    held : asyncio.Event or None
+        While it is set here and not done, calls are held on their way.
     """
 
     def __init__(
@@ -182,6 +199,7 @@
         cut: set[tuple[str, str]] | None = None,
         delay: float = 0.0005,
     ) -> None:
+        self.held: asyncio.Event | None = None
         self.workers = workers
         self.client = client
         self.cut = cut if cut is not None else set()
@@ -194,19 +212,19 @@
         async with _unknown_after(limit, host):
             worker = await self._reach(host)
             worker.check(epoch)
-            used = Resources(0, 0, 0, 1)
+            workload = path.split("/")[1]
+            used = worker.demand(workload)
             loop = asyncio.get_running_loop()
+            task = attempt.partition("#")[0]
             worker.requests += 1
-            worker.note("start", attempt.partition("#")[0], attempt, used, loop.time())
+            worker.note("start", task, attempt, used, loop.time(), body)
             failing = worker.faults.failing
-            workload = path.rpartition("/")[2]
             try:
                 if not failing:
                     await asyncio.sleep(worker.duration(workload, worker.rng))
             finally:
                 worker.requests -= 1
-                task = attempt.partition("#")[0]
-                worker.note("end:done", task, attempt, used, loop.time())
+                worker.note("end:done", task, attempt, used, loop.time(), body)
             await self._answer(worker, host)
             return Answer(500, b"failed") if failing else Answer(200, body)
 
@@ -270,6 +288,8 @@
     async def _reach(self, host: Host) -> MemoryWorker:
         worker = self.workers.get(host.name)
         await asyncio.sleep(self.delay)
+        if self.held is not None:
+            await asyncio.shield(self.held.wait())
         if worker is None or worker.faults.down:
             raise NotSentError("connection refused", step="worker", peer=host.name)
         if worker.faults.silent or (self.client, host.name) in self.cut:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -4,9 +4,9 @@
 
 import pytest
 
+from bench.clock import run
+from bench.world import World, small_cell
 from siskinroad.errors import Refusal
-from tests.clock import run
-from tests.world import World, small_cell
 
 NAMES = ["east-1a", "east-1b", "west-1a"]
 
