Explore ownership exhaustively; hold every promise in pairs and threes

Cause: pairs of faults lost accepted jobs, and the safety of ownership was an argument without an exploration of the core itself.

Change: a claim that was given up as lost but got into the log late left a shard without an owner for good; its daemon now takes it up.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -4,13 +4,17 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, TypeVar
 
 from bench.clock import run
 from bench.invariants import Asked, Seen, check
 from bench.world import World, small_cell
+from siskinroad.entry import Daemon
 from siskinroad.errors import ConflictError, PlatformError, Refusal, SiskinroadError
-from siskinroad.platform import HostState
+from siskinroad.platform import CELL_STREAM, HostState, dc_stream
+
+T = TypeVar("T")
 
 NAMES = ["east-1a", "east-1b", "east-1c", "west-1a", "west-1b"]
 RATE = 12.0
@@ -18,6 +22,7 @@
 LOAD_TIME = 22.0
 HEAL_TIME = 75.0
 JOB_TASKS = 6
+MAX_TIME = 400.0
 
 Fault = Callable[["Session"], Awaitable[None]]
 
@@ -40,6 +45,7 @@
         self.seen = Seen()
         self.number = 0
         self.latest = 0
+        self.asking: dict[str, set[asyncio.Task[None]]] = {}
 
     def now(self) -> float:
         return asyncio.get_running_loop().time()
@@ -67,14 +73,31 @@
             while self.now() < until:
                 await asyncio.sleep(self.rng.expovariate(RATE))
                 if self.world.daemons:
-                    group.create_task(self._ask())
-
-    async def _ask(self) -> None:
+                    name = self.rng.choice(sorted(self.world.daemons))
+                    task = group.create_task(self._ask(name))
+                    self.asking.setdefault(name, set()).add(task)
+                    task.add_done_callback(self.asking[name].discard)
+
+    async def on(self, daemon: Daemon, call: Coroutine[Any, Any, T]) -> T | None:
+        """Return what a daemon answers; None if it is killed meanwhile."""
+        name = daemon.cfg.name
+        task = asyncio.create_task(call)
+        self.asking.setdefault(name, set()).add(task)
+        await asyncio.wait({task})
+        self.asking.get(name, set()).discard(task)
+        return None if task.cancelled() else task.result()
+
+    async def kill(self, name: str) -> None:
+        """Kill a daemon; its callers' connections break."""
+        for task in self.asking.pop(name, set()):
+            task.cancel()
+        await self.world.kill(name)
+
+    async def _ask(self, name: str) -> None:
         self.number += 1
         service = self.rng.choice(["quote", "quote", "dispatch"])
         body = f"{service}-{self.number}".encode()
         asked = Asked(body, service, service == "quote", self.now())
-        name = self.rng.choice(sorted(self.world.daemons))
         key = body.decode() if service == "dispatch" else ""
         try:
             answer = await self.world.ask(name, service, body, key)
@@ -113,11 +136,12 @@
         daemon = self.world.daemons[self.rng.choice(sorted(self.world.daemons))]
         try:
             cell = daemon.cell()
-            view = await daemon.jobs.submit(
-                cell, cell.workloads[workload], count, b"", key
-            )
+            call = daemon.jobs.submit(cell, cell.workloads[workload], count, b"", key)
+            view = await self.on(daemon, call)
         except Refusal:
             return ""
+        if view is None:
+            return ""
         self.seen.accepted[view.job] = count
         return view.job
 
@@ -191,7 +215,7 @@
     name = s.pick()
     if not name:
         return
-    await s.world.kill(name)
+    await s.kill(name)
     await s.pause()
     if name not in s.world.daemons:
         s.world.start(name)
@@ -199,7 +223,7 @@
 
 async def restart_all(s: Session) -> None:
     for name in list(s.world.daemons):
-        await s.world.kill(name)
+        await s.kill(name)
     await asyncio.sleep(0.5)
     for name in NAMES:
         if name not in s.world.daemons:
@@ -225,14 +249,15 @@
     if not name or not s.world.cell.pools["booking"].fencing:
         return
     upstreams = s.world.daemons[name].upstreams
-    upstreams.held = asyncio.Event()
+    held = upstreams.held = asyncio.Event()
     s.world.network.pause(name)
     s.world.log.faults.cut.add(name)
     await s.pause()
     s.world.network.resume(name)
     s.world.log.faults.cut.discard(name)
-    upstreams.held.set()
-    upstreams.held = None
+    held.set()
+    if upstreams.held is held:
+        upstreams.held = None
 
 
 async def host_fails(s: Session) -> None:
@@ -282,11 +307,16 @@
 
 
 async def log_trimmed(s: Session) -> None:
+    written: set[str] = set()
     for daemon in list(s.world.daemons.values()):
-        snapshotter = daemon.snapshotter
-        await snapshotter.write_all()
+        stream = dc_stream(daemon.cfg.data_centre)
+        if daemon.ledger.next_offset >= s.world.log.streams[stream].tail:
+            await s.on(daemon, daemon.snapshotter.write_all())
+            written.add(stream)
+            written.add(CELL_STREAM)
     for stream, log in s.world.log.streams.items():
-        s.world.log.trim(stream, max(log.first, log.tail - 20))
+        if stream in written:
+            s.world.log.trim(stream, max(log.first, log.tail - 20))
 
 
 async def _cut(s: Session, left: list[str], right: list[str]) -> None:
@@ -349,10 +379,12 @@
     if not name:
         return
     try:
-        await s.world.daemons[name].jobs.cancel(job)
+        daemon = s.world.daemons[name]
+        view = await s.on(daemon, daemon.jobs.cancel(job))
     except Refusal:
         return
-    s.seen.cancelled[job] = s.now()
+    if view is not None:
+        s.seen.cancelled[job] = s.now()
 
 
 async def operators_race(s: Session) -> None:
@@ -369,7 +401,8 @@
     if daemon is None:
         return 0
     try:
-        return (await daemon.publisher.apply(text, None)).revision
+        done = await s.on(daemon, daemon.publisher.apply(text, None))
+        return done.revision if done is not None else 0
     except (ConflictError, PlatformError, SiskinroadError):
         return 0
 
@@ -431,6 +464,12 @@
     """Return the promises broken in one run."""
 
     async def main() -> list[str]:
-        return await Session(seed, faults, fencing).run()
+        session = Session(seed, faults, fencing)
+        try:
+            async with asyncio.timeout(MAX_TIME):
+                return await session.run()
+        except TimeoutError:
+            waiting = [task for tasks in session.asking.values() for task in tasks]
+            return [f"{len(waiting)} callers have no answer after {MAX_TIME} s"]
 
     return run(main())
--- /dev/null
+++ b/bench/model.py
@@ -0,0 +1,233 @@
+"""Exhaustive exploration of small cases of the ownership core itself.
+
+Three daemons and two shards, time in steps of half a second. Every sequence of
+disturbances up to a depth is tried; at each step at most one daemon may place
+work on a shard, judged by each daemon's own core at the true time.
+"""
+
+from __future__ import annotations
+
+import itertools
+import pickle
+from dataclasses import dataclass, field
+
+from siskinroad.ledger import Ledger
+from siskinroad.membership import Membership
+from siskinroad.messages import Echo, Heartbeat
+from siskinroad.ownership import Append, Ownership, ReleaseShard, TakeShard
+from siskinroad.records import ClaimReleased, Record
+
+NAMES = ("a", "b", "c")
+SHARDS = ("p/d/0", "p/d/1")
+STEP = 0.5
+STEPS_BETWEEN = 2
+STEPS_AFTER = 12
+PAUSE_STEPS = 7
+
+
+@dataclass
+class Node:
+    name: str
+    incarnation: int = 1
+    up: bool = True
+    paused: int = 0
+    ledger: Ledger = field(default_factory=Ledger)
+    members: Membership = field(init=False)
+    own: Ownership = field(init=False)
+    inbox: list[Heartbeat] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.members = Membership(self.name)
+        self.own = Ownership(self.name, self.incarnation, self.ledger, self.members)
+        self.own.set_shards(dict.fromkeys(SHARDS, False))
+
+
+@dataclass
+class Model:
+    nodes: dict[str, Node] = field(default_factory=dict)
+    log: list[list[Record]] = field(default_factory=list)
+    now: float = 100.0
+    cut: set[frozenset[str]] = field(default_factory=set)
+    one_way: set[tuple[str, str]] = field(default_factory=set)
+    no_log: set[str] = field(default_factory=set)
+    lost_answers: int = 0
+    late: list[list[Record]] = field(default_factory=list)
+    delay_appends: bool = False
+
+    def step(self) -> None:
+        """Pass half a second: messages, the log, then every core's tick."""
+        self.now += STEP
+        for node in self.nodes.values():
+            if node.up and not node.paused:
+                self._read(node)
+                self._beat(node)
+        for node in self.nodes.values():
+            if node.paused:
+                node.paused -= 1
+            if not node.up or node.paused:
+                continue
+            for msg in node.inbox:
+                node.members.hear(msg, self.now)
+            node.inbox.clear()
+            self._tick(node)
+
+    def _read(self, node: Node) -> None:
+        if node.name in self.no_log:
+            return
+        while node.ledger.next_offset <= len(self.log):
+            offset = node.ledger.next_offset
+            node.ledger.apply(offset, self.log[offset - 1])
+        node.own.log_confirmed(self.now)
+
+    def _beat(self, node: Node) -> None:
+        for other in self.nodes.values():
+            pair = frozenset((node.name, other.name))
+            if other is node or pair in self.cut or not other.up:
+                continue
+            if (node.name, other.name) in self.one_way:
+                continue
+            member = node.members.members.get(other.name)
+            echo = Echo(member.stamp, node.own.contests()) if member else None
+            other.inbox.append(
+                Heartbeat(
+                    node.name,
+                    node.incarnation,
+                    self.now,
+                    echo,
+                    1,
+                    False,
+                    node.own.joined(),
+                    node.own.admits(),
+                    [],
+                )
+            )
+
+    def _tick(self, node: Node) -> None:
+        for effect in node.own.tick(self.now):
+            match effect:
+                case Append(record=record):
+                    self._append(node, record)
+                case ReleaseShard():
+                    self._append(node, ClaimReleased(effect.shard, effect.epoch))
+                case TakeShard():
+                    node.own.taken(effect.shard, effect.epoch)
+
+    def _append(self, node: Node, record: Record) -> None:
+        if node.name in self.no_log:
+            return
+        if self.delay_appends:
+            self.late.append([record])
+        else:
+            self.log.append([record])
+
+    def broken(self) -> str:
+        """Return which shard two daemons may place work on, if any."""
+        for shard in SHARDS:
+            holders = [
+                node.name
+                for node in self.nodes.values()
+                if node.up and node.own.may_place(shard, self.now)
+            ]
+            if len(holders) > 1:
+                return f"{shard} at {self.now}: {holders}"
+        return ""
+
+    # Disturbances
+
+    def crash(self, name: str) -> None:
+        self.nodes[name].up = False
+
+    def restart(self, name: str) -> None:
+        node = self.nodes[name]
+        self.nodes[name] = Node(name, node.incarnation + 1)
+
+    def pause(self, name: str) -> None:
+        self.nodes[name].paused = PAUSE_STEPS
+
+    def isolate(self, name: str) -> None:
+        self.cut |= {frozenset((name, other)) for other in NAMES if other != name}
+
+    def deafen(self, name: str) -> None:
+        self.one_way |= {(other, name) for other in NAMES if other != name}
+
+    def lose_log(self, name: str) -> None:
+        self.no_log.add(name)
+
+    def lose_log_all(self) -> None:
+        self.no_log |= set(NAMES)
+
+    def hold_appends(self) -> None:
+        self.delay_appends = True
+
+    def heal(self) -> None:
+        self.cut.clear()
+        self.one_way.clear()
+        self.no_log.clear()
+        self.delay_appends = False
+        self.log += self.late
+        self.late = []
+
+
+ACTIONS = [
+    *[("crash", name) for name in NAMES],
+    *[("restart", name) for name in NAMES[:2]],
+    *[("pause", name) for name in NAMES],
+    *[("isolate", name) for name in NAMES[:2]],
+    ("deafen", NAMES[0]),
+    *[("lose_log", name) for name in NAMES[:2]],
+    ("lose_log_all",),
+    ("hold_appends",),
+    ("heal",),
+]
+
+
+def steady() -> bytes:
+    """Return a state in which each shard has an owner."""
+    model = Model({name: Node(name) for name in NAMES})
+    for _ in range(16):
+        model.step()
+    placed = [
+        sum(node.own.may_place(shard, model.now) for node in model.nodes.values())
+        for shard in SHARDS
+    ]
+    assert placed == [1, 1], placed
+    return pickle.dumps(model)
+
+
+def explore(depth: int, actions: list[tuple[str, ...]] | None = None) -> int:
+    """Try every sequence; return their number.
+
+    Raises
+    ------
+    AssertionError
+        With the sequence that lets two daemons place work on one shard.
+    """
+    start = steady()
+    tried = 0
+    for sequence in itertools.product(actions or ACTIONS, repeat=depth):
+        tried += 1
+        fault = follow(start, sequence)
+        assert not fault, f"{sequence}: {fault}"
+    return tried
+
+
+def follow(start: bytes, sequence: tuple[tuple[str, ...], ...]) -> str:
+    """Carry out one sequence; return what broke, or an empty string."""
+    model: Model = pickle.loads(start)
+    for name, *args in sequence:
+        getattr(model, name)(*args)
+        for _ in range(STEPS_BETWEEN):
+            fault = model.broken()
+            if fault:
+                return fault
+            model.step()
+    for _ in range(STEPS_AFTER):
+        fault = model.broken()
+        if fault:
+            return fault
+        model.step()
+    return model.broken()
+
+
+if __name__ == "__main__":
+    print(explore(3))
--- a/siskinroad/entry.py
+++ b/siskinroad/entry.py
@@ -27,6 +27,7 @@
     Digest,
     Forward,
     ForwardAck,
+    ForwardAsk,
     Heartbeat,
     JobReply,
     JobRequest,
@@ -358,6 +359,8 @@
                 self.feed.hear_fetch(msg)
             case Forward():
                 self.receiver.hear(msg)
+            case ForwardAsk():
+                self.receiver.hear_ask(msg)
             case ForwardAck():
                 self.forwarder.hear_ack(msg)
             case Reply():
--- a/siskinroad/forwarding.py
+++ b/siskinroad/forwarding.py
@@ -1,7 +1,8 @@
 """Requests handed to the daemon that owns their shard, and its answers.
 
-A request is sent again until it is answered, so that a connection that has
-gone silent loses nothing; the receiver runs each one once.
+A request is sent again until it is acknowledged and asked after until it is
+answered, so that a connection that has gone silent loses nothing; the receiver
+runs each one once. A peer that is silent for ``LOST_TIME`` seconds is lost.
 """
 
 from __future__ import annotations
@@ -12,14 +13,13 @@
 from dataclasses import dataclass
 
 from siskinroad.errors import Outcome, Reason, Refusal
-from siskinroad.messages import Forward, ForwardAck, Message, Reply
+from siskinroad.messages import Forward, ForwardAck, ForwardAsk, Message, Reply
 from siskinroad.upstreams import Answer
 
 __all__ = ["Forwarder", "Receiver"]
 
 RESEND_TIME = 0.4
-ASK_AGAIN_TIME = 2.0
-ACK_TIME = 1.6
+LOST_TIME = 1.4
 REPLY_MARGIN = 1.0
 KEPT_REPLIES = 512
 KEPT_BODY_BYTES = 65536
@@ -31,7 +31,8 @@
 @dataclass(slots=True)
 class _Out:
     fut: asyncio.Future[Reply]
-    acked: asyncio.Event
+    heard: float
+    acked: bool = False
 
 
 class Forwarder:
@@ -58,7 +59,7 @@
             The owner's own, or ``PEER_LOST`` with the outcome unknown.
         """
         loop = asyncio.get_running_loop()
-        out = _Out(loop.create_future(), asyncio.Event())
+        out = _Out(loop.create_future(), loop.time())
         self._out[msg.id] = out
         try:
             async with asyncio.timeout(msg.left + REPLY_MARGIN):
@@ -71,21 +72,19 @@
 
     async def _exchange(self, peer: str, msg: Forward, out: _Out) -> Reply:
         loop = asyncio.get_running_loop()
-        began = loop.time()
         while not out.fut.done():
-            acked = out.acked.is_set()
-            if not acked and loop.time() - began >= ACK_TIME:
+            if loop.time() - out.heard >= LOST_TIME:
                 raise _lost(peer)
-            self.send(peer, msg)
-            pause = ASK_AGAIN_TIME if acked else RESEND_TIME
-            await asyncio.wait({out.fut}, timeout=pause)
+            self.send(peer, ForwardAsk(self.name, msg.id) if out.acked else msg)
+            await asyncio.wait({out.fut}, timeout=RESEND_TIME)
         return out.fut.result()
 
     def hear_ack(self, msg: ForwardAck) -> None:
         """Note that a request has arrived."""
         out = self._out.get(msg.id)
         if out is not None:
-            out.acked.set()
+            out.acked = True
+            out.heard = asyncio.get_running_loop().time()
 
     def hear_reply(self, msg: Reply) -> bool:
         """Take an answer; return False if nobody waits for it any more."""
@@ -153,6 +152,16 @@
         else:
             self._begin(msg)
 
+    def hear_ask(self, msg: ForwardAsk) -> None:
+        """Answer a peer that asks after its request."""
+        reply = self._replies.get(msg.id)
+        if reply is not None:
+            self.send(msg.name, reply)
+        elif msg.id in self.active:
+            self.send(msg.name, ForwardAck(msg.id))
+        else:
+            self.send(msg.name, _reply_of(msg.id, _lost("")))
+
     def _begin(self, msg: Forward) -> None:
         self._seen[msg.id] = None
         if len(self._seen) > KEPT_IDS:
--- a/siskinroad/messages.py
+++ b/siskinroad/messages.py
@@ -13,7 +13,7 @@
     "Echo",
     "Forward",
     "ForwardAck",
-    "ForwardCancel",
+    "ForwardAsk",
     "Heartbeat",
     "JobReply",
     "JobRequest",
@@ -159,9 +159,10 @@
     id: str
 
 
-class ForwardCancel(msgspec.Struct, tag="fcancel", frozen=True):
-    """The caller no longer waits."""
+class ForwardAsk(msgspec.Struct, tag="fask", frozen=True):
+    """Asks after a request that was acknowledged."""
 
+    name: str
     id: str
 
 
@@ -211,7 +212,7 @@
     | RevisionWanted
     | Forward
     | ForwardAck
-    | ForwardCancel
+    | ForwardAsk
     | Reply
     | JobRequest
     | JobReply
--- a/siskinroad/ownership.py
+++ b/siskinroad/ownership.py
@@ -22,7 +22,7 @@
 from siskinroad.charts import load_chart
 from siskinroad.ledger import Claim, Ledger
 from siskinroad.membership import Membership
-from siskinroad.records import ClaimMade, DaemonJoined, Record
+from siskinroad.records import ClaimMade, ClaimReleased, DaemonJoined, Record
 
 __all__ = [
     "LEASE_MARGIN",
@@ -255,6 +255,8 @@
 
     def _idle(self, shard: str, holding: Holding, now: float) -> list[OwnershipEffect]:
         claim = self.ledger.claims.get(shard)
+        if claim is not None and self._is_late(claim, holding):
+            return self._take_late(shard, holding, claim, now)
         if now < holding.retry or self.draining or not self.joined():
             return []
         if self._wanted_owner(shard, claim, now) != self.name:
@@ -267,6 +269,20 @@
         record = ClaimMade(shard, self.name, self.incarnation, replaces)
         return [Append(record)]
 
+    def _is_late(self, claim: Claim, holding: Holding) -> bool:
+        """Return whether a claim that was given up has got into the log after all."""
+        newer = claim.epoch > holding.epoch
+        return self._is_mine(claim) and newer and not claim.released
+
+    def _take_late(
+        self, shard: str, holding: Holding, claim: Claim, now: float
+    ) -> list[OwnershipEffect]:
+        if self.draining:
+            holding.epoch = claim.epoch
+            return [Append(ClaimReleased(shard, claim.epoch))]
+        self._move(holding, "claim")
+        return self._claiming(shard, holding, now)
+
     def _wanted_owner(self, shard: str, claim: Claim | None, now: float) -> str:
         alive = self.members.alive(now)
         held = claim is not None and not claim.released
