Measure the decisions against two baselines; learn headroom from arrivals

Cause: under a flood on top of 90% load, 5.3% of urgent requests waited longer than 1.8 s and no flood item finished in 400 s.

Change: only failures lower a host's limit. Headroom is what may arrive in 50 ms beyond what ends by itself, with a margin by class. An ended task brings its usage along. A restarted daemon is told of the other data centres at once, and the checker orders events by their sequence.

--- /dev/null
+++ b/bench/decisions.py
@@ -0,0 +1,468 @@
+"""The decisions measured against their targets and against two baselines.
+
+``python -m bench.decisions [--quick] [--json FILE] [--plot FILE]``
+"""
+
+from __future__ import annotations
+
+import json
+import math
+import random
+import sys
+import time
+from collections.abc import Iterator
+from typing import Any
+
+from bench.baselines import FirstCome, StrictPriority
+from bench.driver import Arrival, Driver, Result, bursts, poisson
+from siskinroad.cell import Cell, parse_cell
+from siskinroad.effects import End, StartTask
+from siskinroad.load import percentile
+from siskinroad.queues import Item
+from siskinroad.scheduler import Scheduler
+from siskinroad.tables import table
+
+SEED = 3
+POLICIES = ("siskinroad", "first come", "strict priority")
+
+# Stated targets
+URGENT_WITHIN = 1.8
+URGENT_PART = 0.999
+URGENT_MEDIAN = 0.050
+FLOOD_RATIO = 1.2
+THROUGHPUT = 0.95
+PACKING = 0.92
+SHARE_ERROR = 0.02
+DECISION_P99 = 0.005
+DECISIONS_A_SECOND = 2000
+GROWTH = 2.0
+
+
+def policy_of(name: str, cell: Cell) -> Any:
+    match name:
+        case "siskinroad":
+            return Scheduler(cell, random.Random(SEED), 0.0)
+        case "first come":
+            return FirstCome(cell)
+        case _:
+            return StrictPriority(cell)
+
+
+def _hosts(count: int, rack: int) -> str:
+    return "".join(
+        f'[[upstreams.hosts]]\nname = "h{i}"\n'
+        f'address = "127.0.{i // 200}.{i % 200 + 1}:7000"\n'
+        f'rack = "r{i // rack}"\ndata_centre = "d"\n'
+        for i in range(count)
+    )
+
+
+def _cell(pool: str, hosts: str, owners: dict[str, float], work: str) -> Cell:
+    text = 'name = "bench"\n[[regions]]\nname = "r"\ndata_centres = ["d"]\n'
+    for name, weight in owners.items():
+        text += f'[[owners]]\nname = "{name}"\nweight = {weight}\n'
+    return parse_cell(text + f'[[upstreams]]\nname = "p"\n{pool}\n{hosts}{work}')
+
+
+def _work(kind: str, name: str, owner: str, urgency: str, **keys: object) -> str:
+    lines = [f"[[{kind}]]", f'name = "{name}"', f'owner = "{owner}"', 'upstream = "p"']
+    lines.append(f'urgency = "{urgency}"')
+    lines += [f"{k} = {str(v).lower()}" for k, v in keys.items()]
+    return "\n".join(lines) + "\n"
+
+
+def _usage(item: Item) -> tuple[int, int]:
+    need = item.workload.demand
+    return need.cpu_milli, need.memory_mib
+
+
+# Urgent work under a flood
+
+DEPLOYMENTS = {
+    "stanova booking": (6, "cpu = 32\nmemory_gib = 128"),
+    "al rahma family": (6, "cpu = 64\nmemory_gib = 256"),
+}
+
+
+def urgent_cell(deployment: str) -> Cell:
+    count, pool = DEPLOYMENTS[deployment]
+    demand = "{ cpu = 2, memory_gib = 4 }"
+    work = _work("services", "quote", "desk", "urgent", demand=demand)
+    work += _work("services", "roster", "desk", "standard", demand=demand)
+    paper = {"demand": demand, "checkpoint": True, "run_time_s": 2}
+    work += _work("batch", "paper", "records", "background", **paper)
+    work += _work("batch", "flood", "records", "background", **paper)
+    return _cell(pool, _hosts(count, 5), {"desk": 3, "records": 1}, work)
+
+
+URGENT_LOAD = 0.45
+STANDARD_LOAD = 0.15
+PAPER_LOAD = 0.30
+QUOTE_TIME = 0.3
+PAPER_TIME = 2.0
+FLOOD_ITEMS = 20_000
+FLOOD_TIME = 0.2
+FLOOD_AT = 60.0
+
+
+def _tail(rng: random.Random, mean: float, sigma: float = 1.0) -> float:
+    """Return a log-normal time with the given mean."""
+    return rng.lognormvariate(math.log(mean) - sigma * sigma / 2, sigma)
+
+
+def urgent_arrivals(cell: Cell, flood: int, until: float) -> Iterator[Arrival]:
+    rng = random.Random(SEED)
+    slots = 8 * sum(1 for _ in cell.hosts())
+    quote = bursts(rng, URGENT_LOAD * slots / QUOTE_TIME, until, 60.0, 1.5)
+    roster = poisson(rng, STANDARD_LOAD * slots / QUOTE_TIME, until)
+    paper = poisson(rng, PAPER_LOAD * slots / PAPER_TIME, until)
+    # Each stream is drawn by itself, so that a flood changes no other one.
+    merged = [(at, "quote") for at in quote]
+    merged += [(at, "roster") for at in roster]
+    merged += [(at, "paper") for at in paper]
+    merged += [(FLOOD_AT, "flood")] * flood
+    merged.sort()
+    for number, (at, name) in enumerate(merged):
+        yield at, Item(f"{name}/{number}", cell.workloads[name], at)
+
+
+def run_urgent(deployment: str, policy: str, flood: int, until: float) -> Result:
+    cell = urgent_cell(deployment)
+    means = {
+        "quote": QUOTE_TIME,
+        "roster": QUOTE_TIME,
+        "paper": PAPER_TIME,
+        "flood": FLOOD_TIME,
+    }
+
+    def seconds(item: Item) -> float:
+        name = item.workload.name
+        sigma = 0.5 if name == "flood" else 1.0
+        return _tail(random.Random(f"{SEED}{item.key}"), means[name], sigma)
+
+    driver = Driver(policy_of(policy, cell), cell, seconds, _usage, warm=30.0)
+    return driver.run(urgent_arrivals(cell, flood, until), until)
+
+
+def urgent_rows(flood: int, until: float) -> list[dict[str, Any]]:
+    rows = []
+    for deployment in DEPLOYMENTS:
+        for policy in POLICIES:
+            calm = run_urgent(deployment, policy, 0, until)
+            full = run_urgent(deployment, policy, flood, until)
+            rows.append(_urgent_row(deployment, policy, calm, full, flood))
+        first = next(
+            r
+            for r in rows
+            if r["policy"] == "first come" and r["deployment"] == deployment
+        )
+        for row in rows:
+            if row["deployment"] == deployment:
+                row["throughput"] = round(row["paper done"] / first["paper done"], 3)
+    return rows
+
+
+def _urgent_row(
+    deployment: str, policy: str, calm: Result, full: Result, flood: int
+) -> dict[str, Any]:
+    waits = full.waits["quote"]
+    late = sum(1 for wait in waits if wait > URGENT_WITHIN)
+    quiet = percentile(calm.waits["quote"], 0.99)
+    loud = percentile(waits, 0.99)
+    done = full.finished.get("flood", 0)
+    return {
+        "deployment": deployment,
+        "policy": policy,
+        "urgent": len(waits),
+        "within 1.8 s": round(1 - late / len(waits), 5),
+        "median ms": round(percentile(waits, 0.5) * 1000, 1),
+        "p99 calm ms": round(quiet * 1000, 1),
+        "p99 flood ms": round(loud * 1000, 1),
+        "ratio": round(loud / quiet, 2) if quiet else (1.0 if not loud else math.inf),
+        "paper done": done + full.finished.get("paper", 0),
+        "flood done": f"{done}/{flood}",
+        "flood ended s": round(full.last_finish.get("flood", 0.0) - FLOOD_AT, 1)
+        if done == flood
+        else 0.0,
+    }
+
+
+# Packing of accelerator hosts
+
+
+def packing_cell(hosts: int) -> Cell:
+    pool = "cpu = 128\nmemory_gib = 512\naccelerators = 8"
+    work = ""
+    for size in (1, 2, 4):
+        demand = (
+            f"{{ cpu = {3 * size}, memory_gib = {12 * size}, accelerators = {size} }}"
+        )
+        keys = {"demand": demand, "run_time_s": 60, "checkpoint": size == 1}
+        work += _work("batch", f"single{size}", "layouts", "standard", **keys)
+    demand = "{ cpu = 3, memory_gib = 12, accelerators = 1 }"
+    for size in (4, 8, 16):
+        keys = {"demand": demand, "run_time_s": 90, "size": size}
+        work += _work("gangs", f"gang{size}", "layouts", "standard", **keys)
+    return _cell(pool, _hosts(hosts, 3), {"layouts": 1}, work)
+
+
+MIX = {
+    "single1": 0.45,
+    "single2": 0.2,
+    "single4": 0.1,
+    "gang4": 0.12,
+    "gang8": 0.09,
+    "gang16": 0.04,
+}
+
+
+def packing_arrivals(cell: Cell, until: float) -> Iterator[Arrival]:
+    """Yield enough work to keep a backlog all the time."""
+    rng = random.Random(SEED)
+    hosts = sum(1 for _ in cell.hosts())
+    mean = sum(
+        part * cell.workloads[n].size * cell.workloads[n].demand.accelerators * 60
+        for n, part in MIX.items()
+    )
+    rate = hosts * 8 / mean
+    backlog = [0.0] * (hosts * 30)
+    names, parts = list(MIX), list(MIX.values())
+    times = [*backlog, *poisson(rng, rate * 1.3, until)]
+    for number, at in enumerate(times):
+        name = rng.choices(names, parts)[0]
+        yield at, Item(f"{name}/{number}", cell.workloads[name], at)
+
+
+def run_packing(policy: str, hosts: int, until: float) -> Result:
+    cell = packing_cell(hosts)
+    rng = random.Random(SEED)
+    off = {name: 4 ** rng.uniform(-1, 1) for name in MIX}
+    off["single1"], off["gang8"] = 4.0, 0.25
+    slow = {name: 4 ** rng.uniform(-1, 1) for name in MIX}
+
+    def seconds(item: Item) -> float:
+        own = random.Random(f"{SEED}{item.key}")
+        return _tail(own, item.workload.run_time * slow[item.workload.name], 0.6)
+
+    def usage(item: Item) -> tuple[int, int]:
+        own = random.Random(f"{SEED}{item.key}u")
+        factor = off[item.workload.name] * own.uniform(0.85, 1.0)
+        need = item.workload.demand
+        return round(need.cpu_milli * factor), round(need.memory_mib * factor)
+
+    driver = Driver(policy_of(policy, cell), cell, seconds, usage, warm=600.0)
+    return driver.run(packing_arrivals(cell, until), until)
+
+
+def packing_rows(until: float, sizes: tuple[int, ...]) -> list[dict[str, Any]]:
+    rows = []
+    for hosts in sizes:
+        for policy in POLICIES:
+            result = run_packing(policy, hosts, until)
+            bound = hosts * 8 * (until - 600.0)
+            gangs = [w for n in ("gang8", "gang16") for w in result.waits.get(n, [])]
+            rows.append(
+                {
+                    "hosts": hosts,
+                    "policy": policy,
+                    "packing": round(result.accelerator_seconds / bound, 3),
+                    "overfilled": result.overfilled,
+                    "large gangs started": len(gangs),
+                    "finished": sum(result.finished.values()),
+                    "stopped": result.stopped,
+                }
+            )
+    return rows
+
+
+# Shares
+
+WEIGHTS = {"a": 1.0, "b": 2.0, "c": 3.0, "d": 4.0}
+
+
+def share_cell() -> Cell:
+    pool = "cpu = 128\nmemory_gib = 512\naccelerators = 8"
+    work = ""
+    for owner in WEIGHTS:
+        demand = "{ cpu = 3, memory_gib = 12, accelerators = 1 }"
+        keys = {"demand": demand, "run_time_s": 20, "queue_limit": 100000}
+        work += _work("batch", f"work-{owner}", owner, "standard", **keys)
+    return _cell(pool, _hosts(12, 3), WEIGHTS, work)
+
+
+def share_rows(until: float) -> list[dict[str, Any]]:
+    rows = []
+    for policy in POLICIES:
+        cell = share_cell()
+        rng = random.Random(SEED)
+        items = [
+            (0.0, Item(f"work-{o}/{i}", cell.workloads[f"work-{o}"], 0.0))
+            for i in range(int(until / 20 * 96))
+            for o in WEIGHTS
+        ]
+        rng.shuffle(items)
+
+        def seconds(item: Item) -> float:
+            return _tail(random.Random(f"{SEED}{item.key}"), 20.0)
+
+        driver = Driver(policy_of(policy, cell), cell, seconds, _usage)
+        result = driver.run(iter(items), until, sample=1.0)
+        rows.append({"policy": policy, "worst error": _share_error(result, 600.0)})
+    return rows
+
+
+def _share_error(result: Result, window: float) -> float:
+    """Return the largest distance from the fair share over any window."""
+    total = sum(WEIGHTS.values())
+    count = int(window)
+    worst = 0.0
+    for owner, weight in WEIGHTS.items():
+        held = [line.get(owner, 0.0) / 96 for _, line in result.shares]
+        for start in range(0, len(held) - count + 1, 60):
+            mean = sum(held[start : start + count]) / count
+            worst = max(worst, abs(mean - weight / total))
+    return round(worst, 4)
+
+
+# Time of a decision
+
+
+def decision_rows(scales: tuple[int, ...] = (1, 10)) -> list[dict[str, Any]]:
+    return [_decision_row(scale) for scale in scales]
+
+
+def _decision_row(scale: int) -> dict[str, Any]:
+    hosts, running, waiting = 450 * scale, 1600 * scale, 10_000 * scale
+    owners = {f"o{i}": 1.0 + i % 4 for i in range(58)}
+    demand = "{ cpu = 8, memory_gib = 32 }"
+    work = "".join(
+        _work(
+            "batch",
+            f"w{i}",
+            f"o{i % 58}",
+            ("urgent", "standard", "background")[i % 3],
+            demand=demand,
+            queue_limit=1000000,
+        )
+        for i in range(116)
+    )
+    cell = _cell("cpu = 32\nmemory_gib = 128", _hosts(hosts, 5), owners, work)
+    policy = Scheduler(cell, random.Random(SEED), 0.0)
+    policy.shard.door.limit = 1_000_000
+    for host in cell.hosts():
+        policy.add_host(host, 0.0)
+        policy.host_event(host.name, "inventory", 0.0)
+    rng = random.Random(SEED)
+    loads = list(cell.workloads.values())
+    active: list[str] = []
+    for i in range(running + waiting):
+        item = Item(f"i{i}", rng.choice(loads), 0.0)
+        for effect in policy.submit(item, 0.0):
+            if isinstance(effect, StartTask):
+                active.append(effect.item.key)
+    times = _time_decisions(policy, active, loads, rng)
+    return {
+        "hosts": hosts,
+        "running": len(active),
+        "waiting": len(policy.shard.waiting),
+        "p50 us": round(percentile(times, 0.5) * 1e6),
+        "p99 us": round(percentile(times, 0.99) * 1e6),
+        "a second": round(len(times) / sum(times)),
+    }
+
+
+def _time_decisions(
+    policy: Scheduler, active: list[str], loads: list[Any], rng: random.Random
+) -> list[float]:
+    """Time one submission and one end in turn."""
+    times = []
+    now = 1.0
+    for i in range(4000):
+        now += 0.0005
+        item = Item(f"n{i}", rng.choice(loads), now)
+        key = active.pop(rng.randrange(len(active)))
+        began = time.perf_counter()
+        effects = policy.submit(item, now)
+        middle = time.perf_counter()
+        effects += policy.ended(key, 0, End.DONE, now)
+        times += [middle - began, time.perf_counter() - middle]
+        active += [e.item.key for e in effects if isinstance(e, StartTask)]
+    return times
+
+
+# All of it
+
+
+def verdicts(found: dict[str, list[dict[str, Any]]]) -> list[dict[str, Any]]:
+    """Return each target, what was measured for the product, and whether it holds."""
+    rows: list[dict[str, Any]] = []
+
+    def add(name: str, value: float, good: bool) -> None:
+        rows.append({"target": name, "measured": value, "met": "yes" if good else "NO"})
+
+    for row in found["urgent"]:
+        if row["policy"] != "siskinroad":
+            continue
+        where = row["deployment"]
+        part, median = row["within 1.8 s"], row["median ms"]
+        add(f"{where}: urgent within 1.8 s >= 0.999", part, part >= URGENT_PART)
+        add(f"{where}: median <= 50 ms", median, median <= URGENT_MEDIAN * 1000)
+        ratio, rate = row["ratio"], row["throughput"]
+        add(f"{where}: flood/calm p99 <= 1.2", ratio, ratio <= FLOOD_RATIO)
+        add(f"{where}: paper throughput >= 0.95", rate, rate >= THROUGHPUT)
+    for row in found["packing"]:
+        if row["policy"] == "siskinroad":
+            packed = row["packing"]
+            add(f"{row['hosts']} hosts: packing >= 0.92", packed, packed >= PACKING)
+            over = row["overfilled"]
+            add(f"{row['hosts']} hosts: overfilled = 0", over, over == 0)
+    error = found["shares"][0]["worst error"]
+    add("share error <= 0.02", error, error <= SHARE_ERROR)
+    if "decisions" in found:
+        _add_decisions(found["decisions"], add)
+    return rows
+
+
+def _add_decisions(rows: list[dict[str, Any]], add: Any) -> None:
+    small = rows[0]
+    add("decision p99 <= 5 ms", small["p99 us"] / 1000, small["p99 us"] <= 5000)
+    rate = small["a second"]
+    add("decisions a second >= 2000", rate, rate >= DECISIONS_A_SECOND)
+    if len(rows) > 1:
+        ratio = round(small["a second"] / rows[-1]["a second"], 2)
+        add("cost at 10 times the size <= 2", ratio, ratio <= GROWTH)
+
+
+def measure(quick: bool = False) -> dict[str, list[dict[str, Any]]]:
+    """Run everything; ``quick`` takes a smaller flood and shorter runs."""
+    flood, until = (4000, 400.0) if quick else (FLOOD_ITEMS, 1500.0)
+    found = {
+        "urgent": urgent_rows(flood, until),
+        "packing": packing_rows(
+            2400.0 if quick else 7200.0, (7,) if quick else (7, 78)
+        ),
+        "shares": share_rows(1200.0 if quick else 2400.0),
+    }
+    if not quick:
+        found["decisions"] = decision_rows()
+    found["targets"] = verdicts(found)
+    return found
+
+
+def main(words: list[str]) -> int:
+    found = measure("--quick" in words)
+    for name, rows in found.items():
+        print(f"\n{name}\n{table(list(rows[0]), rows)}")
+    if "--json" in words:
+        with open(words[words.index("--json") + 1], "w", encoding="utf-8") as file:
+            json.dump(found, file, indent=1)
+            file.write("\n")
+    if "--plot" in words:
+        from bench.plots import plot_waits
+
+        plot_waits(words[words.index("--plot") + 1])
+    return 0 if all(row["met"] == "yes" for row in found["targets"]) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/bench/invariants.py
+++ b/bench/invariants.py
@@ -61,8 +61,8 @@
     return faults
 
 
-def _order(event: Event) -> tuple[float, bool]:
-    return event.time, event.kind == "start"
+def _order(event: Event) -> int:
+    return event.number
 
 
 def _overfill(events: list[Event], workers: dict[str, MemoryWorker]) -> list[str]:
--- a/bench/world.py
+++ b/bench/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 from dataclasses import dataclass, field
 
@@ -105,6 +106,7 @@
         self.cell: Cell = parse_cell(self.text)
         self.log = MemoryLog()
         self.network = MemoryNetwork(random.Random(self.seed + 1))
+        sequence = itertools.count()
         self.workers = {
             host.name: MemoryWorker(
                 host.name,
@@ -113,6 +115,7 @@
                 fencing=self.cell.pools[host.pool].fencing,
                 duration=self.duration,
                 demand=self.demand,
+                sequence=sequence,
             )
             for host in self.cell.hosts()
         }
@@ -195,7 +198,7 @@
     def events(self):
         return sorted(
             (event for worker in self.workers.values() for event in worker.events),
-            key=lambda event: event.time,
+            key=lambda event: event.number,
         )
 
 
--- a/siskinroad/attempts.py
+++ b/siskinroad/attempts.py
@@ -50,20 +50,17 @@
         attempt = f"{item.key}#{item.tries}"
         ends = now + self.shard.estimates.run_time(item.workload)
         run = Running(item, attempt, {}, held, now, ends)
-        self._enter(run, now)
+        self._enter(run)
         for member, view in enumerate(places):
             self._place(run, member, view, held, now)
         return StartTask(item, attempt, [view.name for view in places])
 
-    def _enter(self, run: Running, now: float) -> None:
+    def _enter(self, run: Running) -> None:
         item = run.item
         state = self.shard.pools[item.workload.pool]
         self.shard.running[item.key] = run
-        urgency = item.workload.urgency
-        if urgency is Urgency.URGENT:
-            state.urgent_running += 1
-            self.shard.note_urgent(state, now)
-        elif urgency is Urgency.BACKGROUND and item.workload.checkpoint:
+        background = item.workload.urgency is Urgency.BACKGROUND
+        if background and item.workload.checkpoint:
             state.evictable[item.key] = run
 
     def _place(
@@ -92,7 +89,7 @@
             item.tries = max(item.tries, _try_of(attempt))
             item.started = now
             self.shard.items[item.key] = item
-            self._enter(run, now)
+            self._enter(run)
         if member not in run.seen:
             room = Resources(view.cpu, view.memory, view.accelerators, view.slots)
             self._place(run, member, view, run.held.clip(room), now)
@@ -122,9 +119,15 @@
             item.state = self.chart.next(item.state, "started")
 
     def ended(
-        self, key: str, member: int, end: End, now: float, run_time: float = 0.0
+        self,
+        key: str,
+        member: int,
+        end: End,
+        now: float,
+        run_time: float = 0.0,
+        usage: Usage | None = None,
     ) -> tuple[HostView | None, list[Effect]]:
-        """Note the end of one member's task.
+        """Note the end of one member's task, with its last usage if known.
 
         Returns
         -------
@@ -136,6 +139,8 @@
         run = self.shard.running.get(key)
         if run is None or member not in run.hosts:
             return None, []
+        if usage is not None:
+            run.note_usage(member, usage)
         view = self._release(run, member, now)
         self._learn(run, view, member, end, now, run_time)
         effects: list[Effect] = []
@@ -186,7 +191,7 @@
             cpu, memory = usage.cpu_milli, usage.memory_mib
             self.shard.estimates.observe(workload, seconds, cpu, memory)
         if workload.kind == "service":
-            self._adapt(view, end, seconds, now)
+            self._adapt(view, end, now)
         if end not in JUDGED:
             return
         hosts = len(self.shard.pool_state(view.name).index.hosts)
@@ -195,10 +200,10 @@
         if verdict is not None:
             self.verdicts.append(verdict)
 
-    def _adapt(self, view: HostView, end: End, seconds: float, now: float) -> None:
+    def _adapt(self, view: HostView, end: End, now: float) -> None:
         limit = self.shard.limits[view.name]
         if end is End.DONE:
-            limit.success(seconds, now)
+            limit.success()
         elif end in (End.UNKNOWN, End.REJECTED, End.NOT_SENT):
             limit.failure(now)
         view.limit = 1 if view.state == "probation" else limit.whole
@@ -224,11 +229,9 @@
     def _leave(self, run: Running, state: PoolState, now: float) -> None:
         del self.shard.running[run.item.key]
         state.evictable.pop(run.item.key, None)
+        state.headroom.ended(now)
         if run.evicting:
             state.evicting -= 1
-        if run.item.workload.urgency is Urgency.URGENT:
-            state.urgent_running -= 1
-            self.shard.note_urgent(state, now)
 
     def _finish(self, item: Item, end: End) -> list[Effect]:
         states = {End.DONE: "succeeded", End.STOPPED: "cancelled", End.FAILED: "lost"}
--- a/siskinroad/beats.py
+++ b/siskinroad/beats.py
@@ -46,6 +46,7 @@
         self._turn = 0
         self._list = ListNews("", [])
         self._list_sent: dict[str, tuple[int, str]] = {}
+        self._digests: dict[str, Digest] = {}
         self._asked = float("-inf")
 
     # Heartbeats
@@ -91,10 +92,20 @@
         fresh = daemon.members.hear(msg, now)
         if fresh:
             log.info("beats: %s is up, incarnation %d", msg.name, msg.incarnation)
+            self._brief(msg.name, now)
         behind = msg.revision > daemon.configuration.revision
         if behind and not daemon.feed.reachable(now):
             self.want_revision(msg.name)
 
+    def _brief(self, name: str, now: float) -> None:
+        """Pass on what other data centres have said, to a daemon just started."""
+        daemon = self.daemon
+        others = [m.name for m in daemon.members.alive(now) if m.name != name]
+        if daemon.cfg.name != min([*others, daemon.cfg.name]):
+            return
+        for digest in self._digests.values():
+            daemon.peers.send(name, digest)
+
     # The configuration from peers
 
     def want_revision(self, name: str = "") -> None:
@@ -212,7 +223,7 @@
     def hear_digest(self, msg: Digest, now: float) -> None:
         """Take another data centre's news and pass it on."""
         daemon = self.daemon
-        if not daemon.load_table.hear_digest(msg, now) or not msg.relay:
+        if not daemon.load_table.hear_digest(msg, now):
             return
         passed = Digest(
             msg.name,
@@ -224,5 +235,8 @@
             msg.shards,
             False,
         )
+        self._digests[msg.data_centre] = passed
+        if not msg.relay:
+            return
         for member in daemon.members.alive(now):
             daemon.peers.send(member.name, passed)
--- a/siskinroad/dispatch.py
+++ b/siskinroad/dispatch.py
@@ -69,7 +69,7 @@
         whole = need.times(workload.size)
         if not self.shard.shares.within_quota(workload.owner, whole):
             return None
-        if not self._leaves_headroom(state, workload, whole):
+        if not self._leaves_headroom(state, workload, whole, now):
             return None
         places = self._places(state, item, need, now)
         if places is None:
@@ -82,11 +82,9 @@
         return self.attempts.begin(item, places, need, now)
 
     def _leaves_headroom(
-        self, state: PoolState, workload: Workload, need: Resources
+        self, state: PoolState, workload: Workload, need: Resources, now: float
     ) -> bool:
-        if workload.urgency is Urgency.URGENT:
-            return True
-        keep = state.headroom.keep()
+        keep = state.headroom.keep(workload.urgency, now)
         if not keep:
             return True
         slots = state.pool.capacity.slots * len(state.index.hosts)
--- a/siskinroad/hostwatch.py
+++ b/siskinroad/hostwatch.py
@@ -194,7 +194,10 @@
     if run is not None and run.attempt == name and int(member) in run.hosts:
         now = asyncio.get_running_loop().time()
         end = ENDS[report.state]
-        owner.run(owner.scheduler.ended(key, int(member), end, now, report.run_time))
+        effects = owner.scheduler.ended(
+            key, int(member), end, now, report.run_time, report.usage
+        )
+        owner.run(effects)
     owner.acknowledge(key, watch, report.attempt)
 
 
--- a/siskinroad/limits.py
+++ b/siskinroad/limits.py
@@ -2,21 +2,23 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, field
 
 from siskinroad.cell import Urgency
 
-__all__ = ["ByteLimit", "ConcurrencyLimit", "Door", "Headroom"]
+__all__ = ["ByteLimit", "ConcurrencyLimit", "Door", "Headroom", "Rate"]
 
 INCREASE = 0.25
 DECREASE = 0.7
 MIN_LIMIT = 1.0
 DECREASE_PAUSE = 1.0
-SLOW_FACTOR = 4.0
-BASELINE_RISE = 0.02
 
-HEADROOM_HALF_LIFE = 300.0
-HEADROOM_FACTOR = 1.1
+ARRIVAL_HALF_LIFE = 5.0
+PEAK_HALF_LIFE = 300.0
+HEADROOM_TIME = 0.05
+HEADROOM_MARGIN = {Urgency.STANDARD: 0.5, Urgency.BACKGROUND: 2.0}
+NEGLIGIBLE = 1e-3
 
 SHED_AT = {Urgency.URGENT: 1.0, Urgency.STANDARD: 0.9, Urgency.BACKGROUND: 0.7}
 
@@ -25,26 +27,21 @@
 class ConcurrencyLimit:
     """Additive increase, multiplicative decrease within a host's slots.
 
-    A failure or an answer far slower than usual lowers the limit; at most once
-    in ``DECREASE_PAUSE`` seconds, since one event fails many requests at once.
+    A failure of the host lowers the limit, at most once in ``DECREASE_PAUSE``
+    seconds, since one event fails many requests at once. Slow answers do not:
+    run times have heavy tails, and taking a long answer for an overload starved
+    healthy hosts.
     """
 
     slots: int
     limit: float = 0.0
-    usual: float = 0.0
     lowered_at: float = -1e9
 
     def __post_init__(self) -> None:
         self.limit = float(self.slots)
 
-    def success(self, seconds: float, now: float) -> int:
-        """Note an answer after ``seconds``; return the limit now."""
-        if self.usual == 0.0 or seconds < self.usual:
-            self.usual = seconds
-        else:
-            self.usual += (seconds - self.usual) * BASELINE_RISE
-        if seconds > self.usual * SLOW_FACTOR and seconds > 1.0:
-            return self.failure(now)
+    def success(self) -> int:
+        """Note an answer; return the limit now."""
         self.limit = min(self.limit + INCREASE / self.limit, float(self.slots))
         return self.whole
 
@@ -61,34 +58,58 @@
         return max(int(self.limit + 1e-9), 1)
 
 
+@dataclass(slots=True)
+class Rate:
+    """Events a second, decaying with a half-life in seconds."""
+
+    half_life: float
+    value: float = 0.0
+    at: float = 0.0
+
+    def count(self, now: float) -> None:
+        """Note one event."""
+        self.value = self.present(now) + math.log(2) / self.half_life
+        self.at = now
+
+    def present(self, now: float) -> float:
+        """Return the rate."""
+        return self.value * 0.5 ** ((now - self.at) / self.half_life)
+
+
 @dataclass(slots=True)
 class Headroom:
     """Room kept for urgent work, learned from its own arrivals.
 
-    The peak of urgent work in progress decays with a half-life; what lies
-    between the present and a margin over the peak is kept free.
+    What is kept is the urgent work that may arrive in ``HEADROOM_TIME`` beyond
+    what ends in that time by itself, with a margin for chance. Hosts whose tasks
+    end often need little; hosts full of long tasks need more.
     """
 
-    running: int = 0
-    waiting: int = 0
+    arrivals: Rate = field(default_factory=lambda: Rate(ARRIVAL_HALF_LIFE))
     peak: float = 0.0
-    at: float = 0.0
-
-    def note(self, running: int, waiting: int, now: float) -> None:
-        """Note the urgent tasks that run and wait."""
-        decay = 0.5 ** ((now - self.at) / HEADROOM_HALF_LIFE)
-        present = float(running + waiting)
-        self.peak = max(present, present + (self.peak - present) * decay)
-        self.running = running
-        self.waiting = waiting
-        self.at = now
-
-    def keep(self) -> int:
-        """Return how many urgent tasks there must be room for."""
-        if self.peak == 0.0:
+    peak_at: float = 0.0
+    ends: Rate = field(default_factory=lambda: Rate(ARRIVAL_HALF_LIFE))
+
+    def arrived(self, now: float) -> None:
+        """Note one urgent arrival."""
+        self.arrivals.count(now)
+        decay = 0.5 ** ((now - self.peak_at) / PEAK_HALF_LIFE)
+        self.peak = max(self.arrivals.value, self.peak * decay)
+        self.peak_at = now
+
+    def ended(self, now: float) -> None:
+        """Note the end of any task."""
+        self.ends.count(now)
+
+    def keep(self, urgency: Urgency, now: float) -> int:
+        """Return how many urgent tasks a class must leave room for."""
+        decay = 0.5 ** ((now - self.peak_at) / PEAK_HALF_LIFE)
+        expected = self.peak * decay * HEADROOM_TIME
+        if expected < NEGLIGIBLE or urgency is Urgency.URGENT:
             return 0
-        wanted = self.peak * HEADROOM_FACTOR + self.peak**0.5
-        return max(0, int(wanted + 0.999) - self.running)
+        freed = self.ends.present(now) * HEADROOM_TIME
+        margin = HEADROOM_MARGIN[urgency] * expected**0.5
+        return math.ceil(max(0.0, expected - freed) + margin)
 
 
 @dataclass(slots=True)
--- a/siskinroad/pressure.py
+++ b/siskinroad/pressure.py
@@ -55,11 +55,7 @@
         return self._react(view, memory, cpu)
 
     def _grow(self, run: Running, member: int, view: HostView, usage: Usage) -> None:
-        peak = run.peak.get(member, Usage())
-        run.peak[member] = Usage(
-            max(peak.cpu_milli, usage.cpu_milli),
-            max(peak.memory_mib, usage.memory_mib),
-        )
+        run.note_usage(member, usage)
         task = task_name(run.item.key, member)
         held = view.tasks[task]
         wanted = round(usage.memory_mib * GROWTH_MARGIN)
--- a/siskinroad/scheduler.py
+++ b/siskinroad/scheduler.py
@@ -20,7 +20,7 @@
 from siskinroad.pressure import Pressure, UsageReport
 from siskinroad.queues import Item, Lane
 from siskinroad.shard import Shard, milliseconds
-from siskinroad.upstreams import Control
+from siskinroad.upstreams import Control, Usage
 
 __all__ = ["TICK_TIME", "Scheduler"]
 
@@ -137,7 +137,7 @@
         state = self.shard.pools.get(item.workload.pool)
         if state is None:
             return effects
-        self.shard.note_urgent(state, now)
+        state.headroom.arrived(now)
         if item.state == "waiting" and not self.paused:
             effects += self.pressure.for_urgent(state)
         return effects
@@ -217,10 +217,16 @@
         self.attempts.started(key)
 
     def ended(
-        self, key: str, member: int, end: End, now: float, run_time: float = 0.0
+        self,
+        key: str,
+        member: int,
+        end: End,
+        now: float,
+        run_time: float = 0.0,
+        usage: Usage | None = None,
     ) -> list[Effect]:
         """Note that one member's task has ended on its host."""
-        view, effects = self.attempts.ended(key, member, end, now, run_time)
+        view, effects = self.attempts.ended(key, member, end, now, run_time, usage)
         effects += self._judge(now)
         if view is None:
             return effects
@@ -262,7 +268,6 @@
     def _make_room(self, now: float) -> list[Effect]:
         effects: list[Effect] = []
         for state in self.shard.pools.values():
-            self.shard.note_urgent(state, now)
             effects += self.pressure.for_urgent(state)
         return effects + self.pressure.reclaim(now)
 
--- a/siskinroad/shard.py
+++ b/siskinroad/shard.py
@@ -54,6 +54,14 @@
     evicting: bool = False
     stopping: bool = False
 
+    def note_usage(self, member: int, usage: Usage) -> None:
+        """Raise a member's peak to a reported usage."""
+        peak = self.peak.get(member, Usage())
+        self.peak[member] = Usage(
+            max(peak.cpu_milli, usage.cpu_milli),
+            max(peak.memory_mib, usage.memory_mib),
+        )
+
 
 @dataclass(slots=True)
 class PoolState:
@@ -72,7 +80,6 @@
     headroom: Headroom = field(default_factory=Headroom)
     reservation: Reservation | None = None
     planned: float = -1e9
-    urgent_running: int = 0
     urgent_need: Resources = NOTHING
     evictable: dict[str, Running] = field(default_factory=dict)
     evicting: int = 0
@@ -170,11 +177,6 @@
         self.shares.change(workload.owner, held, sign, now)
         self.accounts.change(workload.owner, held, sign, milliseconds(now))
 
-    def note_urgent(self, state: PoolState, now: float) -> None:
-        """Tell the pool's headroom of the urgent work that runs and waits."""
-        waiting = sum(lane.live for lane in self.urgent_lanes(state.pool.name))
-        state.headroom.note(state.urgent_running, waiting, now)
-
     def urgent_lanes(self, pool: str) -> Iterator[Lane]:
         """Yield the lanes with urgent work that waits for a pool."""
         for lane in self.waiting.active[Urgency.URGENT].values():
--- a/siskinroad/upstreams_memory.py
+++ b/siskinroad/upstreams_memory.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from siskinroad.cell import Host
@@ -52,7 +53,8 @@
 class Event:
     """One thing that a worker did: ``start`` or ``end`` of a task or request.
 
-    ``body`` is a request's, and empty for a task.
+    ``body`` is a request's, and empty for a task; ``number`` orders the events
+    of workers that share a sequence.
     """
 
     time: float
@@ -62,6 +64,7 @@
     attempt: str
     used: Resources
     body: bytes = b""
+    number: int = 0
 
 
 @dataclass(slots=True)
@@ -99,6 +102,7 @@
     demand: Demand = lambda workload: Resources(0, 0, 0, 1)
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     events: list[Event] = field(default_factory=list)
+    sequence: Iterator[int] = field(default_factory=itertools.count)
     epoch: int = 0
     requests: int = 0
     leaving: bool = False
@@ -121,7 +125,10 @@
         body: bytes = b"",
     ) -> None:
         """Note one event."""
-        self.events.append(Event(now, self.name, kind, task, attempt, used, body))
+        number = next(self.sequence)
+        self.events.append(
+            Event(now, self.name, kind, task, attempt, used, body, number)
+        )
 
     def begin(self, start: TaskStart, now: float) -> None:
         """Start a task; the same attempt again changes nothing."""
