--- a/siskinroad/beats.py
+++ b/siskinroad/beats.py
@@ -15,6 +15,7 @@
     ListNews,
     RevisionOffer,
     RevisionWanted,
+    SnapshotWanted,
 )
 from siskinroad.platform import ListedHost
 
@@ -121,6 +122,11 @@
         known = daemon.configuration.revision
         daemon.peers.send(peer, RevisionWanted(daemon.cfg.name, known))
 
+    def want_snapshot(self) -> None:
+        """Ask the data centre's daemons for a snapshot of its stream."""
+        for name in self._near:
+            self.daemon.peers.send(name, SnapshotWanted(self.daemon.cfg.name))
+
     def hear_wanted(self, msg: RevisionWanted) -> None:
         """Send the revision in force to a peer that has an older one."""
         config = self.daemon.configuration
--- a/siskinroad/dispatch.py
+++ b/siskinroad/dispatch.py
@@ -14,8 +14,11 @@
 __all__ = ["Dispatcher", "blocked_reason"]
 
 RESERVATION_TIME = 5.0
+PLAN_PAUSE = 1.0
+MAX_HELD_PART = 0.5
+AGED_WAIT = 120.0
+RETRIED_LANES = 8
 HEADROOM_PART = 0.5
-MAX_UNKNOWN = 1
 
 
 class Dispatcher:
@@ -32,6 +35,7 @@
     def __init__(self, shard: Shard, attempts: Attempts) -> None:
         self.shard = shard
         self.attempts = attempts
+        self._turn = 0
 
     def dispatch(self, now: float) -> list[StartTask]:
         """Start everything that may start now, in order."""
@@ -47,18 +51,57 @@
                 started.append(effect)
 
     def _next_lane(self, now: float) -> Lane | None:
-        for lanes in self.shard.waiting.in_order(now):
-            if len(lanes) == 1:
-                return lanes[0]
-            return min(lanes, key=lambda lane: self._rank(lane, now))
-        return None
+        lanes = self.shard.waiting.first_unblocked(now)
+        if len(lanes) <= 1:
+            return lanes[0] if lanes else None
+        return min(lanes, key=lambda lane: self._rank(lane, now))
 
     def _rank(self, lane: Lane, now: float) -> tuple[float, float]:
         head = lane.head()
         enqueued = head.enqueued if head else now
         return self.shard.shares.rank(lane.workload.owner, now), enqueued
 
-    def _try_lane(self, lane: Lane, now: float) -> StartTask | None:
+    def fill(self, view: HostView, now: float) -> list[StartTask]:
+        """Start what may start on one host that has got room.
+
+        Lanes are ranked once for each start, and only this host is looked at, so
+        that the cost does not grow with the hosts or with what waits.
+        """
+        started: list[StartTask] = []
+        while view.open and view.slots > 0:
+            effect = self._fill_once(view, now)
+            if effect is None:
+                break
+            started.append(effect)
+        return started
+
+    def _fill_once(self, view: HostView, now: float) -> StartTask | None:
+        takers = self._takers(view, now)
+        for urgency in Urgency:
+            lanes = takers[urgency]
+            if len(lanes) > 1:
+                lanes.sort(key=lambda lane: self._rank(lane, now))
+            for lane in lanes:
+                effect = self._try_lane(lane, now, view)
+                if effect is not None:
+                    return effect
+        return None
+
+    def _takers(self, view: HostView, now: float) -> dict[Urgency, list[Lane]]:
+        """Return the lanes whose head the host could take, by their class now."""
+        pool = self.shard.pool_of[view.name]
+        state = self.shard.pools[pool]
+        takers: dict[Urgency, list[Lane]] = {urgency: [] for urgency in Urgency}
+        for urgency, lanes in self.shard.waiting.active.items():
+            background = urgency is Urgency.BACKGROUND
+            for lane in lanes.values():
+                if lane.workload.pool == pool and self._could_take(state, lane, view):
+                    takers[lane.urgency(now) if background else urgency].append(lane)
+        return takers
+
+    def _try_lane(
+        self, lane: Lane, now: float, only: HostView | None = None
+    ) -> StartTask | None:
         item = lane.head()
         assert item is not None
         workload = item.workload
@@ -71,14 +114,14 @@
             return None
         if not self._leaves_headroom(state, workload, whole, now):
             return None
-        places = self._places(state, item, need, now)
+        places = self._places(state, item, need, now, only)
         if places is None:
-            self._reserve(state, item, need, now)
+            if only is None:
+                self._reserve(state, item, need, now)
             return None
         self.shard.waiting.take(lane)
         lane.count_start(now)
-        if state.reservation is not None and state.reservation.key == item.key:
-            state.reservation = None
+        state.reservations.pop(item.key, None)
         return self.attempts.begin(item, places, need, now)
 
     def _leaves_headroom(
@@ -100,10 +143,18 @@
         )
 
     def _places(
-        self, state: PoolState, item: Item, need: Resources, now: float
+        self,
+        state: PoolState,
+        item: Item,
+        need: Resources,
+        now: float,
+        only: HostView | None,
     ) -> list[HostView] | None:
         closed = self._closed(state, item, now)
         workload = item.workload
+        if only is not None and workload.size == 1:
+            barred = only.name in closed or only.name in item.avoid
+            return None if barred else [only]
         if workload.size > 1:
             parts = state.index.whole(need, workload.size, item.avoid, closed)
             if parts is None:
@@ -118,51 +169,62 @@
         return None if view is None else [view]
 
     def _closed(self, state: PoolState, item: Item, now: float) -> set[str]:
-        held = state.reservation
-        if held is None or held.key == item.key:
-            return set()
-        if item.workload.urgency is Urgency.URGENT:
+        """Return the hosts held for others that the item would delay."""
+        if not state.reservations or item.workload.urgency is Urgency.URGENT:
             return set()
         ends = now + self.shard.estimates.run_time(item.workload)
-        return set() if held.admits(ends) else held.hosts
+        closed: set[str] = set()
+        for key, held in state.reservations.items():
+            if key != item.key and not held.admits(ends):
+                closed |= held.hosts
+        return closed
 
     def _reserve(
         self, state: PoolState, item: Item, need: Resources, now: float
     ) -> None:
+        """Hold hosts for an item that does not fit, if its turn for that has come."""
         if item.workload.kind == "service" or not self._may_reserve(state, item, now):
             return
         state.planned = now
+        state.reservations.pop(item.key, None)
+        held = self._held_hosts(state)
         hosts = [
             view
             for view in state.index.hosts.values()
-            if view.open and view.name not in item.avoid
+            if view.open and view.name not in item.avoid and view.name not in held
         ]
-        state.reservation = plan_reservation(
-            item.key, need, item.workload.size, hosts, self._ends, now
-        )
+        size = item.workload.size
+        plan = plan_reservation(item.key, need, size, hosts, self._ends, now)
+        aged = now - item.enqueued > AGED_WAIT
+        count = len(held) + len(plan.hosts) if plan is not None else 0
+        if plan is not None and (aged or self._leaves_unheld(state, count)):
+            state.reservations[item.key] = plan
 
-    def _may_reserve(self, state: PoolState, item: Item, now: float) -> bool:
-        held = state.reservation
-        if held is None:
-            return now - state.planned >= 1.0
-        holder = self.shard.items.get(held.key)
-        if holder is None or holder.state != "waiting":
+    def _held_hosts(self, state: PoolState) -> set[str]:
+        names: set[str] = set()
+        for held in state.reservations.values():
+            names |= held.hosts
+        return names
+
+    def _leaves_unheld(self, state: PoolState, held: int) -> bool:
+        if not state.reservations:
             return True
-        return held.key == item.key and now - held.made >= RESERVATION_TIME
+        return held <= len(state.index.hosts) * MAX_HELD_PART
+
+    def _may_reserve(self, state: PoolState, item: Item, now: float) -> bool:
+        for key in list(state.reservations):
+            holder = self.shard.items.get(key)
+            if holder is None or holder.state != "waiting":
+                del state.reservations[key]
+        held = state.reservations.get(item.key)
+        if held is not None:
+            return now - held.made >= RESERVATION_TIME
+        return now - state.planned >= PLAN_PAUSE
 
     def _ends(self, task: str) -> float:
         run = self.shard.running.get(task.rpartition("~")[0])
         return run.ends if run is not None else 0.0
 
-    def unblock(self, view: HostView) -> None:
-        """Let the lanes be tried again whose head the host could take."""
-        pool = self.shard.pool_of[view.name]
-        state = self.shard.pools[pool]
-        for lanes in self.shard.waiting.active.values():
-            for lane in lanes.values():
-                if lane.blocked and lane.workload.pool == pool:
-                    lane.blocked = not self._could_take(state, lane, view)
-
     def _could_take(self, state: PoolState, lane: Lane, view: HostView) -> bool:
         workload = lane.workload
         need = self.shard.estimates.reserve(workload, state.pool.capacity)
@@ -170,11 +232,10 @@
             return False
         if workload.size == 1:
             return True
-        held = state.reservation
+        head = lane.head()
+        held = state.reservations.get(head.key) if head is not None else None
         if held is not None and view.name in held.hosts:
-            head = lane.head()
-            if head is not None and head.key == held.key:
-                return self._reservation_fits(state, held, need, workload.size)
+            return self._reservation_fits(state, held, need, workload.size)
         return view.count(need) >= workload.size
 
     def _reservation_fits(
@@ -190,6 +251,22 @@
             for lane in lanes.values():
                 lane.blocked = False
 
+    def unblock_some(self) -> None:
+        """Let a few lanes be tried again, all of them in turn.
+
+        This finds the room that no end of a task shows: headroom or quotas that
+        have changed, reservations that are over.
+        """
+        blocked = [
+            lane
+            for lanes in self.shard.waiting.active.values()
+            for lane in lanes.values()
+            if lane.blocked
+        ]
+        for step in range(min(RETRIED_LANES, len(blocked))):
+            blocked[(self._turn + step) % len(blocked)].blocked = False
+        self._turn += RETRIED_LANES
+
 
 def blocked_reason(shard: Shard, item: Item) -> str:
     """Return in a clause why an item waits."""
@@ -207,9 +284,9 @@
     room = sum(view.count(need) for view in opened)
     if room < workload.size:
         return f"room for {room} of {workload.size} on {len(opened)} hosts"
-    held = state.reservation
-    if held is not None and held.key != item.key:
-        return f"hosts are held for {held.key}"
+    others = [key for key in state.reservations if key != item.key]
+    if others:
+        return f"hosts are held for {', '.join(others)}"
     if workload.urgency is not Urgency.URGENT:
         return "others come first, or room is kept for urgent work"
     return "it is next"
--- a/siskinroad/entry.py
+++ b/siskinroad/entry.py
@@ -39,6 +39,7 @@
     Reply,
     RevisionOffer,
     RevisionWanted,
+    SnapshotWanted,
 )
 from siskinroad.metrics import Metrics
 from siskinroad.ownership import Ownership
@@ -50,6 +51,7 @@
 from siskinroad.settings import Settings
 from siskinroad.shards import ShardSet
 from siskinroad.snapshotter import Snapshotter
+from siskinroad.status import explain
 from siskinroad.upstreams import Answer, Upstreams
 
 __all__ = ["Daemon"]
@@ -176,6 +178,7 @@
             self._ledger_applied,
             self.loads,
             send,
+            lambda key: explain(self, key),
             rng,
         )
         self.publisher = Publisher(
@@ -373,6 +376,8 @@
                 self.beats.hear_digest(msg, now)
             case ListNews():
                 self.beats.hear_list(msg)
+            case SnapshotWanted():
+                self.snapshotter.wanted()
             case RevisionWanted():
                 self.beats.hear_wanted(msg)
             case RevisionOffer():
--- a/siskinroad/estimates.py
+++ b/siskinroad/estimates.py
@@ -68,6 +68,7 @@
     cpu: Histogram = field(default_factory=Histogram)
     memory: Histogram = field(default_factory=Histogram)
     run_time: Histogram = field(default_factory=Histogram)
+    declared: Resources | None = None
     reserve: Resources | None = None
     seconds: float | None = None
 
@@ -106,10 +107,11 @@
         if workload.kind == "service":
             return workload.demand
         learned = self._learned.get(workload.name)
-        if learned is None or learned.memory.weight < MIN_SAMPLES:
-            return _scaled(workload.demand, UNKNOWN_FACTOR, capacity)
-        if learned.reserve is None:
-            learned.reserve = _peak(workload.demand, learned, capacity)
+        if learned is None:
+            learned = self._learned[workload.name] = _Learned()
+        if learned.reserve is None or learned.declared is not workload.demand:
+            learned.declared = workload.demand
+            learned.reserve = _reserve(workload.demand, learned, capacity)
         return learned.reserve
 
     def run_time(self, workload: Workload) -> float:
@@ -124,6 +126,12 @@
         return learned.seconds
 
 
+def _reserve(demand: Resources, learned: _Learned, capacity: Resources) -> Resources:
+    if learned.memory.weight < MIN_SAMPLES:
+        return _scaled(demand, UNKNOWN_FACTOR, capacity)
+    return _peak(demand, learned, capacity)
+
+
 def _scaled(demand: Resources, factor: float, capacity: Resources) -> Resources:
     return Resources(
         min(
--- a/siskinroad/gangs.py
+++ b/siskinroad/gangs.py
@@ -2,8 +2,8 @@
 
 When a gang is the next in order and does not fit, hosts are chosen whose
 running tasks are expected to end soonest. Other work may use these hosts only
-if it is expected to end before the gang's start. There is one reservation for
-each pool, so two gangs never hold parts of what the other needs.
+if it is expected to end before the gang's start. Reservations never share a
+host, so two gangs never hold parts of what the other needs.
 """
 
 from __future__ import annotations
--- a/siskinroad/hostwatch.py
+++ b/siskinroad/hostwatch.py
@@ -25,6 +25,7 @@
 LEASE_MARGIN = 1.0
 MIN_PAUSE = 0.02
 PHANTOM = "requests-of-others~0"
+STRANGER = "stranger"
 
 ENDS = {
     TaskState.DONE: End.DONE,
@@ -148,12 +149,14 @@
     if view is None:
         return
     usage: list[tuple[str, int, Usage]] = []
-    listed: set[str] = set()
-    for report in inventory.tasks:
-        listed.add(report.attempt)
-        if report.state is TaskState.RUNNING:
-            _take_running(owner, watch, report, usage)
-        else:
+    listed = {report.attempt for report in inventory.tasks}
+    inventory_tasks = [x for x in inventory.tasks if _is_ours(x.attempt)]
+    running = [x for x in inventory_tasks if x.state is TaskState.RUNNING]
+    _release_strangers(owner, view)
+    strangers = [x for x in running if not _take_running(owner, watch, x, usage)]
+    _hold_strangers(owner, watch, view, strangers)
+    for report in inventory_tasks:
+        if report.state is not TaskState.RUNNING:
             _take_ended(owner, watch, report)
     _lose_unlisted(owner, watch, view, listed, began)
     _hold_phantoms(owner, watch, view, inventory.requests)
@@ -163,12 +166,20 @@
     owner.run(list(again))
 
 
+def _is_ours(attempt: str) -> bool:
+    """Return whether a name is of the form ``JOB/INDEX#TRY~MEMBER``."""
+    name, _, member = attempt.rpartition("~")
+    key, _, number = name.rpartition("#")
+    return member.isdecimal() and number.isdecimal() and "/" in key
+
+
 def _take_running(
     owner: ShardOwner,
     watch: HostWatch,
     report: TaskReport,
     usage: list[tuple[str, int, Usage]],
-) -> None:
+) -> bool:
+    """Take in a running task; return False if no accepted job knows it."""
     name, _, member = report.attempt.rpartition("~")
     key = name.rpartition("#")[0]
     run = owner.scheduler.shard.running.get(key)
@@ -176,9 +187,31 @@
     if not known and not owner.adopt(report.attempt, watch.host.name):
         stop = ControlTask(key, name, watch.host.name, int(member), Control.STOP)
         owner.run([stop])
-        return
+        return False
     owner.scheduler.started(key)
     usage.append((key, int(member), report.usage))
+    return True
+
+
+def _release_strangers(owner: ShardOwner, view: HostView) -> None:
+    index = owner.scheduler.shard.pool_state(view.name).index
+    for task in [task for task in view.tasks if task.startswith(STRANGER)]:
+        index.give_back(view, task, STRANGER)
+
+
+def _hold_strangers(
+    owner: ShardOwner, watch: HostWatch, view: HostView, reports: list[TaskReport]
+) -> None:
+    """Hold room for tasks that run though they should not, until they stop."""
+    shard = owner.scheduler.shard
+    index = shard.pool_state(view.name).index
+    for report in reports:
+        workload = shard.cell.workloads.get(report.workload)
+        used = Resources(report.usage.cpu_milli, report.usage.memory_mib, 0, 1)
+        need = workload.demand if workload is not None else used
+        room = Resources(view.cpu, view.memory, view.accelerators, view.slots)
+        task = f"{STRANGER} {report.attempt}~0"
+        index.take(view, task, need.clip(room), STRANGER)
 
 
 def _take_ended(owner: ShardOwner, watch: HostWatch, report: TaskReport) -> None:
--- a/siskinroad/jobs.py
+++ b/siskinroad/jobs.py
@@ -68,9 +68,11 @@
         applied: Callable[[int], Awaitable[None]],
         loads: Callable[[], list[ShardLoad]],
         send: Callable[[str, Message], None],
+        explain_here: Callable[[str], str],
         rng: random.Random,
     ) -> None:
         self.name = name
+        self.explain_here = explain_here
         self.place = place
         self.shards = shards
         self.ledger = ledger
@@ -139,6 +141,15 @@
         """Cancel a job: when this returns, no task of it starts any more."""
         return await self._call(self._owner_of(job), "cancel", job)
 
+    async def explain(self, key: str) -> str:
+        """Return in a sentence why a task waits, or where it runs or ran."""
+        job = key.rpartition("/")[0] or key
+        owner = self._owner_of(job)
+        if owner == self.name:
+            return self.explain_here(key)
+        reply = await self._exchange(owner, self._message("explain", key))
+        return reply.body.decode()
+
     def _owner_of(self, job: str) -> str:
         if data_centre_of(job) != self.place.data_centre:
             return self._abroad(job)
@@ -171,9 +182,7 @@
         count: int = 0,
         payload: bytes = b"",
     ) -> JobView:
-        self._sequence += 1
-        key = f"{self._prefix}-{self._sequence}"
-        msg = JobRequest(self.name, key, op, job, shard, workload, count, payload)
+        msg = self._message(op, job, shard, workload, count, payload)
         if owner == self.name:
             return await self._serve(msg)
         reply = await self._exchange(owner, msg)
@@ -181,6 +190,19 @@
             return msgspec.json.decode(reply.body, type=JobView)
         raise _refusal_of(reply)
 
+    def _message(
+        self,
+        op: str,
+        job: str,
+        shard: str = "",
+        workload: str = "",
+        count: int = 0,
+        payload: bytes = b"",
+    ) -> JobRequest:
+        self._sequence += 1
+        key = f"{self._prefix}-{self._sequence}"
+        return JobRequest(self.name, key, op, job, shard, workload, count, payload)
+
     async def _exchange(self, owner: str, msg: JobRequest) -> JobReply:
         loop = asyncio.get_running_loop()
         out = _Out(loop.create_future())
@@ -220,6 +242,10 @@
 
     async def _reply(self, msg: JobRequest) -> None:
         try:
+            if msg.op == "explain":
+                text = self.explain_here(msg.job)
+                self.send(msg.name, JobReply(msg.id, 0, text.encode()))
+                return
             view = await self._serve(msg)
             reply = JobReply(msg.id, 0, msgspec.json.encode(view))
         except Refusal as exc:
--- a/siskinroad/keys.py
+++ b/siskinroad/keys.py
@@ -18,6 +18,8 @@
 __all__ = ["KeyGuard"]
 
 INTENT_TIME = 2.0
+OUTCOME_TIME = 1.0
+OUTCOME_POLL = 0.05
 MAX_KEPT_BODY = 4096
 NOT_RUN = "not run"
 DONE = "done"
@@ -68,7 +70,7 @@
         if name in self._mine:
             raise _in_progress()
         if known is not None and not _withdrawn(known):
-            return _repeat(known, mark)
+            return _repeat(await self._awaited(name, known), mark)
         if not self.ledger.whole:
             raise _log_down(Outcome.UNKNOWN)
         self._mine.add(name)
@@ -78,6 +80,15 @@
         finally:
             self._mine.discard(name)
 
+    async def _awaited(self, name: str, known: KeyState) -> KeyState:
+        """Give an outcome that is on its way into the log time to arrive."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + OUTCOME_TIME
+        while known.outcome is None and loop.time() < until:
+            await asyncio.sleep(OUTCOME_POLL)
+            known = self.ledger.keys.get(name, known)
+        return known
+
     async def _record(self, name: str, service: str, mark: str) -> None:
         intent = IntentRecorded(name, service, mark, self.name)
         try:
--- a/siskinroad/messages.py
+++ b/siskinroad/messages.py
@@ -26,6 +26,7 @@
     "RevisionOffer",
     "RevisionWanted",
     "ShardNews",
+    "SnapshotWanted",
     "decode",
     "encode",
 ]
@@ -114,6 +115,12 @@
     start: int
 
 
+class SnapshotWanted(msgspec.Struct, tag="snapwant", frozen=True):
+    """The sender lacks records that the log no longer has."""
+
+    name: str
+
+
 class RevisionOffer(msgspec.Struct, tag="offer", frozen=True):
     """A whole revision of the cell file for a daemon that has none."""
 
@@ -208,6 +215,7 @@
     | LogRecords
     | LogFetch
     | ListNews
+    | SnapshotWanted
     | RevisionOffer
     | RevisionWanted
     | Forward
--- a/siskinroad/operators.py
+++ b/siskinroad/operators.py
@@ -7,11 +7,11 @@
 from typing import TYPE_CHECKING
 
 from siskinroad.cell import diff, parse_cell
-from siskinroad.errors import ConfigError, ConflictError, PlatformError
+from siskinroad.errors import ConfigError, ConflictError, PlatformError, Refusal
 from siskinroad.httpd import HttpRequest, HttpResponse
 from siskinroad.replies import json_response
 from siskinroad.settings import hash_token
-from siskinroad.status import explain, queue_of, report_of, status_of
+from siskinroad.status import queue_of, report_of, status_of
 
 if TYPE_CHECKING:
     from siskinroad.entry import Daemon
@@ -75,11 +75,17 @@
                 return json_response(200, report_of(daemon))
             case ("GET", path) if path.startswith("/v1/explain/"):
                 key = path.removeprefix("/v1/explain/")
-                return json_response(200, {"text": explain(daemon, key)})
+                return json_response(200, {"text": await self._explain(key)})
             case (method, "/v1/cell"):
                 return await self._cell(method, req)
         return json_response(404, {"error": f"no {req.method} at {req.path[:80]}"})
 
+    async def _explain(self, key: str) -> str:
+        try:
+            return await self.daemon.jobs.explain(key)
+        except Refusal as exc:
+            return f"{key}: {exc}."
+
     async def _cell(self, method: str, req: HttpRequest) -> HttpResponse:
         config = self.daemon.configuration
         text = req.body.decode("utf-8", "replace")
--- a/siskinroad/placement.py
+++ b/siskinroad/placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 from siskinroad.resources import Resources
@@ -12,6 +12,7 @@
 LEVELS = 16
 MAX_PROBES = 64
 CHOICES = 6
+MAX_SLOT_LEVELS = 64
 
 
 @dataclass(slots=True, eq=False)
@@ -44,7 +45,7 @@
     state: str = "unseen"
     tasks: dict[str, Resources] = field(default_factory=dict)
     members: dict[str, int] = field(default_factory=dict)
-    level: int = -1
+    levels: list[int] = field(default_factory=list)
     counted: bool = False
 
     def __post_init__(self) -> None:
@@ -90,9 +91,9 @@
 class HostIndex:
     """The hosts of one pool, in levels by what they have left.
 
-    Accelerator hosts are levelled by free accelerators, others by their
-    scarcest free dimension. A search looks at hosts level by level and stops
-    after ``MAX_PROBES`` of them.
+    There is a row of levels for each dimension. A search takes the row of the
+    dimension of which the task needs the largest part, begins at the level that
+    the task needs, and stops after ``MAX_PROBES`` hosts.
     """
 
     def __init__(self, capacity: Resources) -> None:
@@ -102,9 +103,15 @@
         self.free_memory = 0
         self.free_accelerators = 0
         self.free_slots = 0
-        self._levels: list[dict[str, HostView]] = []
-        count = capacity.accelerators + 1 if capacity.accelerators else LEVELS + 1
-        self._levels = [{} for _ in range(count)]
+        self._steps = (
+            LEVELS,
+            LEVELS,
+            capacity.accelerators or 1,
+            min(capacity.slots, MAX_SLOT_LEVELS),
+        )
+        self._rows: list[list[dict[str, HostView]]] = [
+            [{} for _ in range(steps + 1)] for steps in self._steps
+        ]
 
     def add(self, host: HostView) -> None:
         """Add a host, open or not."""
@@ -120,18 +127,18 @@
         return host
 
     def refresh(self, host: HostView) -> None:
-        """Put a host in its level after ``open`` or its room has changed."""
+        """Put a host in its levels after ``open`` or its room has changed."""
         if host.counted != host.open:
             host.counted = host.open
             self._count(host, 1 if host.open else -1)
-        level = self._level(host) if host.open and host.slots > 0 else -1
-        if level == host.level:
+        levels = self._levels_of(host) if host.open and host.slots > 0 else []
+        if levels == host.levels:
             return
-        if host.level >= 0:
-            del self._levels[host.level][host.name]
-        host.level = level
-        if level >= 0:
-            self._levels[level][host.name] = host
+        for row, level in zip(self._rows, host.levels, strict=False):
+            del row[level][host.name]
+        for row, level in zip(self._rows, levels, strict=False):
+            row[level][host.name] = host
+        host.levels = levels
 
     def _count(self, host: HostView, sign: int) -> None:
         self.free_cpu += sign * host.cpu
@@ -139,16 +146,29 @@
         self.free_accelerators += sign * host.accelerators
         self.free_slots += sign * host.slots
 
-    def _level(self, host: HostView) -> int:
+    def _levels_of(self, host: HostView) -> list[int]:
+        cap = self.capacity
+        steps = self._steps
+        return [
+            host.cpu * steps[0] // cap.cpu_milli,
+            host.memory * steps[1] // cap.memory_mib,
+            host.accelerators,
+            host.slots * steps[3] // cap.slots,
+        ]
+
+    def _row_for(self, need: Resources) -> tuple[list[dict[str, HostView]], int]:
+        """Return the row to search and the level at which fitting hosts begin."""
         cap = self.capacity
-        if cap.accelerators:
-            return host.accelerators
-        share = min(
-            host.slots / cap.slots,
-            host.cpu / cap.cpu_milli,
-            host.memory / cap.memory_mib,
+        if need.accelerators:
+            return self._rows[2], need.accelerators
+        parts = (
+            need.cpu_milli / cap.cpu_milli,
+            need.memory_mib / cap.memory_mib,
+            0.0,
+            need.slots / cap.slots,
         )
-        return int(share * LEVELS)
+        best = max(range(len(parts)), key=parts.__getitem__)
+        return self._rows[best], int(parts[best] * self._steps[best])
 
     def take(self, host: HostView, task: str, need: Resources, workload: str) -> None:
         """Give ``need`` of a host to a task."""
@@ -170,12 +190,8 @@
     def resize(self, host: HostView, task: str, need: Resources) -> None:
         """Change what a task holds, up to what the host has left."""
         self._change(host, host.tasks[task], 1)
-        need = Resources(
-            min(need.cpu_milli, host.cpu),
-            min(need.memory_mib, host.memory),
-            need.accelerators,
-            need.slots,
-        )
+        room = Resources(host.cpu, host.memory, need.accelerators, need.slots)
+        need = need.clip(room)
         host.tasks[task] = need
         self._change(host, need, -1)
 
@@ -194,7 +210,7 @@
     def tightest(
         self, need: Resources, avoid: set[str], closed: set[str]
     ) -> HostView | None:
-        """Return the fitting host that has least left.
+        """Return the fitting host that has least left, accelerators first.
 
         Parameters
         ----------
@@ -205,85 +221,79 @@
         closed : set of str
             Hosts held for a gang.
         """
-        best: HostView | None = None
-        best_left = 0
-        probes = 0
-        start = need.accelerators if self.capacity.accelerators else 0
-        for level in range(start, len(self._levels)):
-            for host in self._levels[level].values():
-                probes += 1
-                name = host.name
-                if host.fits(need) and name not in avoid and name not in closed:
-                    left = host.memory - need.memory_mib
-                    if best is None or left < best_left:
-                        best, best_left = host, left
-                if probes >= MAX_PROBES or (best and probes >= CHOICES):
-                    break
-            if best or probes >= MAX_PROBES:
-                break
-        return best
+        row, start = self._row_for(need)
+        return self._search(
+            row[start:],
+            need,
+            avoid | closed,
+            lambda host: (host.accelerators, host.memory),
+        )
 
     def widest(
         self, need: Resources, avoid: set[str], closed: set[str], workload: str
     ) -> HostView | None:
         """Return a fitting host with most left, fewest of the same workload."""
-        best: HostView | None = None
-        best_key = (0, 0)
+        row, start = self._row_for(need)
+        return self._search(
+            row[start:][::-1],
+            need,
+            avoid | closed,
+            lambda host: (host.members.get(workload, 0), -host.slots),
+        )
+
+    def _search(
+        self,
+        levels: Sequence[dict[str, HostView]],
+        need: Resources,
+        barred: set[str],
+        key: Callable[[HostView], tuple[int, int]],
+    ) -> HostView | None:
+        """Return the best of a few fitting hosts of the first level with any."""
+        found: list[HostView] = []
         probes = 0
-        for level in range(len(self._levels) - 1, -1, -1):
-            for host in self._levels[level].values():
+        for level in levels:
+            for host in level.values():
                 probes += 1
-                name = host.name
-                if host.fits(need) and name not in avoid and name not in closed:
-                    key = (host.members.get(workload, 0), -host.slots)
-                    if best is None or key < best_key:
-                        best, best_key = host, key
-                if probes >= MAX_PROBES or (best and probes >= CHOICES):
+                if host.fits(need) and host.name not in barred:
+                    found.append(host)
+                if len(found) >= CHOICES or probes >= MAX_PROBES:
                     break
-            if best or probes >= MAX_PROBES:
+            if found or probes >= MAX_PROBES:
                 break
-        return best
+        return min(found, key=key) if found else None
 
     def whole(
         self, need: Resources, size: int, avoid: set[str], closed: set[str]
     ) -> list[tuple[HostView, int]] | None:
         """Return hosts and counts that take ``size`` tasks together, or none.
 
-        The fullest hosts that can hold the rest at once are taken last, so that
-        a gang leaves few hosts partly free.
+        Hosts with most left are taken first; the rest of the gang goes to the
+        tightest host that holds it, so that few hosts are left partly free.
         """
+        barred = avoid | closed
         chosen: list[tuple[HostView, int]] = []
         left = size
-        for host in self._descending():
-            if host.name in avoid or host.name in closed:
+        for host in self._descending(need):
+            if host.name in barred:
                 continue
             room = host.count(need)
             if room <= 0:
                 continue
             if room >= left:
-                host = self._snuggest(need, left, avoid | closed, chosen) or host
-                chosen.append((host, left))
+                taken = barred | {view.name for view, _ in chosen}
+                snug = self.tightest(need.times(left), taken, set())
+                chosen.append((snug or host, left))
                 return chosen
             chosen.append((host, room))
             left -= room
         return None
 
-    def _descending(self) -> Iterator[HostView]:
-        for level in range(len(self._levels) - 1, -1, -1):
-            yield from self._levels[level].values()
-
-    def _snuggest(
-        self,
-        need: Resources,
-        size: int,
-        avoid: set[str],
-        chosen: list[tuple[HostView, int]],
-    ) -> HostView | None:
-        taken = {host.name for host, _ in chosen} | avoid
-        whole = need.times(size)
-        return self.tightest(whole, taken, set())
+    def _descending(self, need: Resources) -> Iterator[HostView]:
+        row, start = self._row_for(need)
+        for level in reversed(row[start:]):
+            yield from list(level.values())
 
     def open_hosts(self) -> Iterator[HostView]:
         """Yield the hosts that may take new work and have a slot left."""
-        for level in self._levels:
+        for level in self._rows[3]:
             yield from level.values()
--- a/siskinroad/queues.py
+++ b/siskinroad/queues.py
@@ -85,6 +85,19 @@
             items.popleft()
         return items[0] if items else None
 
+    def urgency(self, now: float) -> Urgency:
+        """Return the class in which the lane stands just now.
+
+        A background lane whose head has waited longer than ``AGING_TIME`` stands
+        with the standard lanes, so that it is never starved.
+        """
+        own = self.workload.urgency
+        if own is not Urgency.BACKGROUND:
+            return own
+        head = self.head()
+        aged = head is not None and now - head.enqueued > AGING_TIME
+        return Urgency.STANDARD if aged else own
+
     def count_start(self, now: float) -> None:
         """Update the rate of starts, in starts a second."""
         decay = 0.5 ** ((now - self.rate_at) / RATE_HALF_LIFE)
@@ -177,25 +190,17 @@
         if lane.live:
             self.active[workload.urgency][workload.name] = lane
 
-    def in_order(self, now: float) -> Iterator[list[Lane]]:
-        """Yield the unblocked lanes of each class, the most urgent class first.
-
-        A background lane whose head has waited longer than ``AGING_TIME``
-        stands with the standard lanes, so that it is never starved.
-        """
+    def first_unblocked(self, now: float) -> list[Lane]:
+        """Return the unblocked lanes of the most urgent class that has any."""
         aged = [
             lane
             for lane in self.active[Urgency.BACKGROUND].values()
-            if not lane.blocked and _waited(lane, now) > AGING_TIME
+            if not lane.blocked and lane.urgency(now) is Urgency.STANDARD
         ]
         for urgency in Urgency:
             lanes = [x for x in self.active[urgency].values() if not x.blocked]
             if urgency is Urgency.STANDARD:
                 lanes += aged
             if lanes:
-                yield lanes
-
-
-def _waited(lane: Lane, now: float) -> float:
-    head = lane.head()
-    return now - head.enqueued if head else 0.0
+                return lanes
+        return []
--- a/siskinroad/scheduler.py
+++ b/siskinroad/scheduler.py
@@ -259,7 +259,7 @@
         self.attempts.release_held_back(now)
         effects += self._apply(self.shard.health.tick(now), now)
         self.shard.accounts.tick(milliseconds(now))
-        self.dispatcher.unblock_all()
+        self.dispatcher.unblock_some()
         effects += self._dispatch(now)
         if not self.paused:
             effects += self._make_room(now)
@@ -285,9 +285,8 @@
     def _room(self, view: HostView, now: float) -> list[Effect]:
         if self.paused:
             return []
-        if view.open:
-            self.dispatcher.unblock(view)
-        return self._dispatch(now)
+        filled = list(self.dispatcher.fill(view, now)) if view.open else []
+        return filled + self._dispatch(now)
 
     def _dispatch(self, now: float) -> list[Effect]:
         return [] if self.paused else list(self.dispatcher.dispatch(now))
--- a/siskinroad/shard.py
+++ b/siskinroad/shard.py
@@ -78,7 +78,7 @@
     pool: Pool
     index: HostIndex
     headroom: Headroom = field(default_factory=Headroom)
-    reservation: Reservation | None = None
+    reservations: dict[str, Reservation] = field(default_factory=dict)
     planned: float = -1e9
     urgent_need: Resources = NOTHING
     evictable: dict[str, Running] = field(default_factory=dict)
--- a/siskinroad/snapshotter.py
+++ b/siskinroad/snapshotter.py
@@ -19,6 +19,7 @@
 SNAPSHOT_TIME = 600.0
 SNAPSHOT_RECORDS = 2000
 APPEND_TIME = 30.0
+WANTED_PAUSE = 10.0
 
 log = logging.getLogger("siskinroad.snapshots")
 
@@ -33,6 +34,8 @@
     def __init__(self, daemon: Daemon) -> None:
         self.daemon = daemon
         self.written = 0
+        self._wanted_at = float("-inf")
+        self._tasks: set[asyncio.Task[None]] = set()
         self._ledger_at = (1, 0.0)
         self._cell_at = (1, 0.0)
 
@@ -41,6 +44,8 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(CHECK_TIME)
+            if not self.daemon.ledger.whole:
+                self.daemon.beats.want_snapshot()
             if self.daemon.members.reader(loop.time()) == self.daemon.cfg.name:
                 await self._check(loop.time())
 
@@ -51,6 +56,15 @@
         if _due(daemon.configuration.next_offset, self._cell_at, now):
             await self._write_cell(now)
 
+    def wanted(self) -> None:
+        """Write a snapshot for a peer whose records were trimmed."""
+        now = asyncio.get_running_loop().time()
+        if self.daemon.ledger.whole and now - self._wanted_at >= WANTED_PAUSE:
+            self._wanted_at = now
+            task = asyncio.get_running_loop().create_task(self._write_ledger(now))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
     async def write_all(self) -> None:
         """Write a snapshot of each stream now."""
         now = asyncio.get_running_loop().time()
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,70 @@
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bench.world import small_cell
+from siskinroad.configuration import Configuration
+from siskinroad.deltas import apply_delta, make_delta
+from siskinroad.errors import ConfigError, ProtocolError
+from siskinroad.records import decode_batch, encode_batch
+from siskinroad.snapshots import split
+
+LINES = st.lists(st.sampled_from(["a\n", "b\n", "c", ""]), max_size=8).map("".join)
+
+
+@settings(derandomize=True, deadline=None)
+@given(LINES, LINES)
+def test_a_delta_gives_the_new_text(old, new):
+    assert apply_delta(old, make_delta(old, new)) == new
+
+
+def _text(number):
+    return small_cell() + f"# {number}\n"
+
+
+def test_the_first_valid_successor_wins():
+    one, two = Configuration(), Configuration()
+    first = one.successor(_text(1), "k1")
+    second = two.successor(_text(2), "k2")
+    for config in (one, two):
+        assert config.apply(1, [first])
+        assert not config.apply(2, [second])
+        assert (config.revision, config.key) == (1, "k1")
+        assert config.was_applied("k1")
+        assert not config.was_applied("k2")
+
+
+def test_a_difference_is_small():
+    config = Configuration()
+    config.apply(1, [config.successor(_text(1), "k1")])
+    record = config.successor(_text(2), "k2")
+    assert len(encode_batch("a", [record])) < 150
+
+
+def test_a_snapshot_or_a_peer_never_brings_it_back():
+    old, new = Configuration(), Configuration()
+    for config in (old, new):
+        config.apply(1, [config.successor(_text(1), "k1")])
+    new.apply(2, [new.successor(_text(2), "k2")])
+    assert not new.adopt(old.whole())
+    assert not new.apply(3, list(split("s", 2, old.encode())))
+    assert new.revision == 2
+    assert old.adopt(new.whole())
+    assert old.text == _text(2)
+
+
+def test_an_invalid_file_in_the_log_changes_nothing():
+    config = Configuration()
+    config.apply(1, [config.successor(_text(1), "k1")])
+    assert not config.apply(2, [config.successor("name = 3", "k2")])
+    moved = small_cell().replace('data_centre = "west-1"', 'data_centre = "east-1"')
+    assert not config.apply(3, [config.successor(moved, "k3")])
+    with pytest.raises(ConfigError):
+        config.adopt(config.whole().__class__(9, "name = 3", "k", 9))
+    assert config.revision == 1
+
+
+def test_a_newer_format_stops_the_reader():
+    data = encode_batch("a", []).replace(b"\xa7version\x01", b"\xa7version\x02")
+    with pytest.raises(ProtocolError, match="version 2"):
+        decode_batch(data)
