Find daemons again after a pause; start tasks only under a certain claim

Cause: true processes showed what the in-memory links could not: a daemon stopped for 4 s and resumed never heard its peer again. The socket kept the peer's old connection under its name and dropped the new one for good. Reading the fencing rule again, hosts that fence cannot know of a task that another owner starts on another host, yet a claim in doubt let tasks start.

Change: a connection under a known name replaces the old one. While a claim is in doubt, fenced hosts get requests only; tasks need a certain claim.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -91,6 +91,7 @@
     work = _work("services", "quote", "desk", "urgent", demand=demand)
     work += _work("services", "roster", "desk", "standard", demand=demand)
     paper = {"demand": demand, "checkpoint": True, "run_time_s": 2}
+    paper["queue_limit"] = 50_000
     work += _work("batch", "paper", "records", "background", **paper)
     work += _work("batch", "flood", "records", "background", **paper)
     return _cell(pool, _hosts(count, 5), {"desk": 3, "records": 1}, work)
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -342,7 +342,12 @@
     others = [x for x in NAMES if x.startswith("east") and x != name]
     faults = s.world.log.faults
     cut_log = s.rng.random() < 0.5
-    hosts = {(name, host) for host in ("e0", "e1") if s.rng.random() < 0.5}
+    hosts = {
+        (rng_name, host)
+        for host in ("e0", "e1", "e2")
+        for rng_name in (name, *others)
+        if s.rng.random() < 0.25
+    }
     if cut_log:
         faults.cut.add(name)
     s.world.cut |= hosts
--- a/siskinroad/dispatch.py
+++ b/siskinroad/dispatch.py
@@ -17,6 +17,7 @@
 PLAN_PAUSE = 1.0
 MAX_HELD_PART = 0.5
 AGED_WAIT = 120.0
+OVERDUE_PART = 0.6
 RETRIED_LANES = 8
 HEADROOM_PART = 0.5
 
@@ -35,6 +36,7 @@
     def __init__(self, shard: Shard, attempts: Attempts) -> None:
         self.shard = shard
         self.attempts = attempts
+        self.requests_only = False
         self._turn = 0
 
     def dispatch(self, now: float) -> list[StartTask]:
@@ -106,7 +108,7 @@
         assert item is not None
         workload = item.workload
         state = self.shard.pools.get(workload.pool)
-        if state is None:
+        if state is None or (self.requests_only and workload.kind != "service"):
             return None
         need = self.shard.estimates.reserve(workload, state.pool.capacity)
         whole = need.times(workload.size)
@@ -194,7 +196,9 @@
             if view.open and view.name not in item.avoid and view.name not in held
         ]
         size = item.workload.size
-        plan = plan_reservation(item.key, need, size, hosts, self._ends, now)
+        plan = plan_reservation(
+            item.key, need, size, hosts, lambda task: self._ends(task, now), now
+        )
         aged = now - item.enqueued > AGED_WAIT
         count = len(held) + len(plan.hosts) if plan is not None else 0
         if plan is not None and (aged or self._leaves_unheld(state, count)):
@@ -221,9 +225,12 @@
             return now - held.made >= RESERVATION_TIME
         return now - state.planned >= PLAN_PAUSE
 
-    def _ends(self, task: str) -> float:
+    def _ends(self, task: str, now: float) -> float:
+        """Return when a task is expected to end; an overdue one has a long tail."""
         run = self.shard.running.get(task.rpartition("~")[0])
-        return run.ends if run is not None else 0.0
+        if run is None:
+            return now
+        return max(run.ends, now + (now - run.started) * OVERDUE_PART)
 
     def _could_take(self, state: PoolState, lane: Lane, view: HostView) -> bool:
         workload = lane.workload
--- a/siskinroad/owner.py
+++ b/siskinroad/owner.py
@@ -41,7 +41,9 @@
     Attributes
     ----------
     may_place : callable
-        Returns whether work may be placed on the shard just now.
+        Returns whether requests may be sent to the shard's hosts just now.
+    is_certain : callable
+        Returns whether tasks may be started there just now.
     ended : callable
         Takes job, index and outcome of a task that has ended for good and
         returns a future that is done once this is on record.
@@ -53,6 +55,7 @@
 
     upstreams: Upstreams
     may_place: Callable[[], bool]
+    is_certain: Callable[[], bool]
     ended: Callable[[str, int, str], asyncio.Future[int]]
     count: Callable[[str, str], None]
     waited: Callable[[Workload, float], None]
@@ -137,9 +140,10 @@
         if not self._closed:
             self.run(self.scheduler.resume(self._now()))
 
-    def suspend(self) -> None:
-        """Start nothing until resumed."""
-        self.scheduler.paused = True
+    def suspend(self, *, requests: bool = False) -> None:
+        """Start nothing until resumed, or requests only."""
+        self.scheduler.paused = not requests
+        self.scheduler.requests_only = requests
 
     async def release(self) -> None:
         """Start nothing more and wait until no start of a task is under way.
@@ -386,7 +390,7 @@
             TASK_LEASE,
         )
         try:
-            if not self.ports.may_place():
+            if not self.ports.is_certain():
                 raise NotSentError("claim is not certain", step="owner")
             await self.ports.upstreams.start(watch.host, self.epoch, start)
             self.scheduler.started(item.key)
--- a/siskinroad/ownership.py
+++ b/siskinroad/ownership.py
@@ -192,17 +192,27 @@
         return max(self.confirmed, self._peers_confirmed(shard)) + LEASE_TIME
 
     def may_place(self, shard: str, now: float) -> bool:
-        """Return whether work may be placed on the shard's hosts at ``now``.
+        """Return whether requests may be sent to the shard's hosts at ``now``.
 
-        Hosts that refuse lower epochs make certain themselves, so that there
-        only a claim known to be lost forbids it.
+        Hosts that refuse lower epochs are never overfilled by two owners, so that
+        there only a claim known to be lost forbids it.
         """
+        fenced = self.shards.get(shard, False)
+        return self._holds(shard) and (fenced or now < self.lease_until(shard))
+
+    def is_certain(self, shard: str, now: float) -> bool:
+        """Return whether tasks may be started at ``now``.
+
+        Hosts cannot know of a task that another owner starts elsewhere, so this
+        takes a claim that is certain.
+        """
+        return self._holds(shard) and now < self.lease_until(shard)
+
+    def _holds(self, shard: str) -> bool:
         holding = self.holdings.get(shard)
         if holding is None or holding.state not in ("owning", "suspended"):
             return False
-        if self._lost(shard, holding):
-            return False
-        return self.shards.get(shard, False) or now < self.lease_until(shard)
+        return not self._lost(shard, holding)
 
     def _peers_confirmed(self, shard: str) -> float:
         names = self.admits()
@@ -351,7 +361,7 @@
             return self._lose(shard, holding, now)
         if self._should_release(shard, now):
             return self._release(shard, holding)
-        sure = self.shards.get(shard, False) or now < self.lease_until(shard)
+        sure = now < self.lease_until(shard)
         if not sure and holding.state == "owning":
             self._move(holding, "doubt")
             return [SuspendShard(shard)]
--- a/siskinroad/peers_zmq.py
+++ b/siskinroad/peers_zmq.py
@@ -66,6 +66,9 @@
             self._router.curve_server = True
             self._set_keys(self._router)
         self._router.setsockopt(zmq.LINGER, 0)
+        # A peer that connects again under its name replaces its old connection,
+        # which may be lost without either end having been told.
+        self._router.setsockopt(zmq.ROUTER_HANDOVER, 1)
         self._router.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
         self._router.bind(f"tcp://{self.cfg.peer_address}")
         endpoint = self._router.getsockopt_string(zmq.LAST_ENDPOINT)
--- a/siskinroad/scheduler.py
+++ b/siskinroad/scheduler.py
@@ -43,6 +43,8 @@
     ----------
     paused : bool
         Nothing starts while this is set; all else goes on.
+    requests_only : bool
+        Only requests start while this is set.
     """
 
     def __init__(self, cell: Cell, rng: random.Random, now: float) -> None:
@@ -279,9 +281,19 @@
     def resume(self, now: float) -> list[Effect]:
         """Let work start again after a pause."""
         self.paused = False
+        self.requests_only = False
         self.dispatcher.unblock_all()
         return self._dispatch(now)
 
+    @property
+    def requests_only(self) -> bool:
+        """Whether only requests start."""
+        return self.dispatcher.requests_only
+
+    @requests_only.setter
+    def requests_only(self, value: bool) -> None:
+        self.dispatcher.requests_only = value
+
     def _room(self, view: HostView, now: float) -> list[Effect]:
         if self.paused:
             return []
--- a/siskinroad/shards.py
+++ b/siskinroad/shards.py
@@ -159,7 +159,8 @@
             case SuspendShard(shard=shard):
                 self._count("suspend")
                 if shard in self.owners:
-                    self.owners[shard].suspend()
+                    fenced = self.ownership.shards.get(shard, False)
+                    self.owners[shard].suspend(requests=fenced)
             case ResumeShard(shard=shard):
                 self._count("resume")
                 if shard in self.owners and not self.owners[shard].stale:
@@ -199,6 +200,7 @@
         return OwnerPorts(
             self.upstreams,
             lambda: self.ownership.may_place(shard, self._now()),
+            lambda: self.ownership.is_certain(shard, self._now()),
             self._record_end,
             self._count_owner,
             self._note_wait,
--- a/siskinroad/status.py
+++ b/siskinroad/status.py
@@ -50,6 +50,7 @@
     log: str
     reader: str
     members: list[str]
+    admits: list[str]
     other_data_centres: list[str]
     shards: list[ShardStatus]
 
@@ -103,6 +104,7 @@
         "; ".join(stopped) or log,
         daemon.members.reader(now),
         sorted(m.name for m in daemon.members.alive(now)),
+        daemon.ownership.admits(),
         sorted(daemon.load_table.revisions),
         shards,
     )
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -14,7 +14,7 @@
 from siskinroad.errors import Outcome, Refusal
 from siskinroad.forwarding import Forwarder
 from siskinroad.keys import KeyGuard
-from siskinroad.placement import HostView
+from siskinroad.placement import HostIndex
 from siskinroad.shards import ShardSet
 
 ALONE = {"host_leaves", "rolling_replacement"}
@@ -64,8 +64,7 @@
 
 
 def test_the_checker_sees_overfilled_hosts(monkeypatch):
-    monkeypatch.setattr(HostView, "fits", lambda self, need: True)
-    monkeypatch.setattr(HostView, "count", lambda self, need: 99)
+    monkeypatch.setattr(HostIndex, "_change", lambda self, host, need, sign: None)
     assert "overfilled" in _faults(["cancel_wave"])
 
 
--- /dev/null
+++ b/tests/test_http_client.py
@@ -0,0 +1,84 @@
+"""The client tells "not sent" from "unknown", and drops lost connections."""
+
+import asyncio
+
+import pytest
+
+from bench.clock import run
+from siskinroad.cluster import free_addresses
+from siskinroad.errors import NotSentError, OutcomeUnknownError
+from siskinroad.http_client import HttpPool
+
+
+async def serve(answer):
+    async def accept(reader, writer):
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            reply = answer(head)
+            if reply is None:
+                await asyncio.sleep(1e6)
+            writer.write(reply)
+            if reply.endswith(b"!"):
+                writer.close()
+                return
+
+    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+
+
+def test_a_connection_is_kept_and_a_refused_one_was_not_sent():
+    async def main():
+        address = await serve(lambda head: OK)
+        pool = HttpPool()
+        for _ in range(3):
+            answer = await pool.request(address, "GET", "/")
+            assert answer.body == b"ok"
+        assert pool.opened == 1
+        with pytest.raises(NotSentError):
+            await pool.request(free_addresses(1)[0], "GET", "/")
+
+    run(main())
+
+
+def test_a_truncated_answer_never_counts_as_whole():
+    async def main():
+        cut = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\ncut!"
+        address = await serve(lambda head: cut)
+        with pytest.raises(OutcomeUnknownError):
+            await HttpPool().request(address, "GET", "/")
+
+    run(main())
+
+
+def test_a_silent_connection_condemns_the_older_ones():
+    async def main():
+        silent = {"now": False}
+        address = await serve(lambda head: None if silent["now"] else OK)
+        pool = HttpPool()
+        await asyncio.gather(*(pool.request(address, "GET", "/") for _ in range(3)))
+        assert pool.opened == 3
+        silent["now"] = True
+        with pytest.raises(OutcomeUnknownError):
+            await pool.request(address, "GET", "/", limit=2.0)
+        silent["now"] = False
+        assert (await pool.request(address, "GET", "/")).status == 200
+        assert (pool.opened, pool.silent) == (4, 1)
+
+    run(main())
+
+
+def test_connections_to_a_peer_are_limited():
+    async def main():
+        address = await serve(lambda head: None)
+        pool = HttpPool(connections=1)
+        first = asyncio.create_task(pool.request(address, "GET", "/", limit=3.0))
+        await asyncio.sleep(1)
+        with pytest.raises(NotSentError, match="too many"):
+            await pool.request(address, "GET", "/")
+        with pytest.raises(OutcomeUnknownError):
+            await first
+
+    run(main())
--- /dev/null
+++ b/tests/test_messages.py
@@ -0,0 +1,37 @@
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from siskinroad.errors import ProtocolError
+from siskinroad.messages import Forward, Heartbeat, decode, encode
+from siskinroad.records import decode_batch
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(st.binary(max_size=200))
+def test_noise_is_a_protocol_error(data):
+    for read in (decode, decode_batch):
+        try:
+            read(data)
+        except ProtocolError:
+            pass
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(st.data())
+def test_a_damaged_message_is_an_error_or_a_message(data):
+    msg = Heartbeat("a", 1, 2.0, None, 3, False, True, ["b"], [])
+    raw = bytearray(encode(msg))
+    for _ in range(data.draw(st.integers(1, 3))):
+        raw[data.draw(st.integers(0, len(raw) - 1))] = data.draw(st.integers(0, 255))
+    try:
+        decode(bytes(raw), "a")
+    except ProtocolError as exc:
+        assert exc.peer == "a"
+
+
+def test_a_message_comes_back_whole():
+    msg = Forward("a", "id", 1, "s", "quote", 2.5, "k", "/p", b"\x00\xff")
+    assert decode(encode(msg)) == msg
+    with pytest.raises(ProtocolError):
+        decode(encode(msg)[:-1])
