--- a/siskinroad/beats.py
+++ b/siskinroad/beats.py
@@ -16,6 +16,7 @@
     RevisionOffer,
     RevisionWanted,
     SnapshotWanted,
+    encode,
 )
 from siskinroad.platform import ListedHost
 
@@ -48,6 +49,7 @@
         self._list = ListNews("", [])
         self._list_sent: dict[str, tuple[int, str]] = {}
         self._digests: dict[str, Digest] = {}
+        self.sent_abroad = 0
         self._asked = float("-inf")
 
     # Heartbeats
@@ -198,8 +200,10 @@
 
     def _send_digest(self, msg: Digest) -> None:
         daemon = self.daemon
+        size = len(encode(msg))
         for names in self._centres.values():
             daemon.peers.send(names[self._turn % len(names)], msg)
+            self.sent_abroad += size
 
     def _digest(self, now: float) -> Digest:
         daemon = self.daemon
