--- a/siskinroad/entry.py
+++ b/siskinroad/entry.py
@@ -56,7 +56,7 @@
 
 __all__ = ["Daemon"]
 
-OWNERSHIP_TICK = 0.1
+OWNERSHIP_TICK = 0.2
 APPLIED_TIME = 3.0
 DRAIN_POLL = 0.05
 LINGER_TIME = 1.2
--- a/siskinroad/logfeed.py
+++ b/siskinroad/logfeed.py
@@ -17,8 +17,8 @@
 
 __all__ = ["LogFeed", "Stream"]
 
-POLL_TIME = 0.5
-TAIL_SILENCE = 1.5
+POLL_TIME = 1.0
+TAIL_SILENCE = 2.5
 PAGE_RECORDS = 500
 KEPT_RECORDS = 1000
 FETCH_PAUSE = 0.3
--- /dev/null
+++ b/tests/test_slim.py
@@ -0,0 +1,25 @@
+import subprocess
+import sys
+
+CODE = """
+import sys
+from siskinroad.slim import slim_imports
+slim_imports()
+import siskinroad.listeners
+import hashlib
+from siskinroad.metrics import Metrics
+assert hashlib.sha256(b"x").hexdigest().startswith("2d711642")
+metrics = Metrics()
+metrics.refusals.labels("shed", "door").inc()
+assert b'siskinroad_refusals_total{reason="shed",step="door"} 1.0' in metrics.render()
+print(sorted({"ssl", "http.server", "wsgiref.simple_server"} & set(sys.modules)))
+import ssl
+assert ssl.SSLContext
+"""
+
+
+def test_a_daemon_works_without_what_it_does_not_use():
+    done = subprocess.run(
+        [sys.executable, "-c", CODE], capture_output=True, text=True, check=False
+    )
+    assert (done.stdout.strip(), done.stderr) == ("[]", "")
