--- a/siskinroad/charts.py
+++ b/siskinroad/charts.py
@@ -7,10 +7,10 @@
 
 from __future__ import annotations
 
+import pkgutil
 import tomllib
 from dataclasses import dataclass
 from functools import cache
-from importlib import resources
 
 from siskinroad.errors import ProtocolError
 
@@ -85,8 +85,9 @@
     ProtocolError
         If a move leads to a state that the chart does not have.
     """
-    path = resources.files("siskinroad").joinpath("charts", f"{name}.toml")
-    data = tomllib.loads(path.read_text())
+    raw = pkgutil.get_data("siskinroad", f"charts/{name}.toml")
+    assert raw is not None
+    data = tomllib.loads(raw.decode())
     chart = Chart(name, data["initial"], data["states"])
     for state, moves in chart.moves.items():
         for event, after in moves.items():
--- a/siskinroad/hostwatch.py
+++ b/siskinroad/hostwatch.py
@@ -184,7 +184,7 @@
     key = name.rpartition("#")[0]
     run = owner.scheduler.shard.running.get(key)
     known = run is not None and run.attempt == name and int(member) in run.hosts
-    if not known and not owner.adopt(report.attempt, watch.host.name):
+    if not known and not owner.tasks.adopt(report.attempt, watch.host.name):
         stop = ControlTask(key, name, watch.host.name, int(member), Control.STOP)
         owner.run([stop])
         return False
@@ -221,7 +221,7 @@
     key = name.rpartition("#")[0]
     run = owner.scheduler.shard.running.get(key)
     if run is None or run.attempt != name:
-        owner.adopt(report.attempt, watch.host.name)
+        owner.tasks.adopt(report.attempt, watch.host.name)
         run = owner.scheduler.shard.running.get(key)
     watch.recording.add(report.attempt)
     if run is not None and run.attempt == name and int(member) in run.hosts:
@@ -231,7 +231,7 @@
             key, int(member), end, now, report.run_time, report.usage
         )
         owner.run(effects)
-    owner.acknowledge(key, watch, report.attempt)
+    owner.tasks.acknowledge(key, watch, report.attempt)
 
 
 def _lose_unlisted(
--- a/siskinroad/jobs.py
+++ b/siskinroad/jobs.py
@@ -326,7 +326,9 @@
 
     def _view(self, state: JobState) -> JobView:
         accepted = state.accepted
-        outcomes = list(state.ended.values())
+        owner = self.shards.owners.get(accepted.shard)
+        known = owner.tasks.outcomes(accepted.job) if owner is not None else {}
+        outcomes = list({**known, **state.ended}.values())
         done = outcomes.count("done")
         cancelled = outcomes.count("cancelled")
         running = self._running(accepted)
--- a/siskinroad/peers_zmq.py
+++ b/siskinroad/peers_zmq.py
@@ -55,12 +55,13 @@
         self.unsent = 0
         self._ctx = zmq.asyncio.Context(io_threads=1)
         self._router = self._ctx.socket(zmq.ROUTER)
+        self._known = {peer.name: peer for peer in cfg.peers}
         self._dealers: dict[str, zmq.asyncio.Socket] = {}
         self._allowed = {peer.public_key.encode() for peer in cfg.peers}
         self._tasks: list[asyncio.Task[None]] = []
 
     def open(self) -> str:
-        """Listen and connect; return the address listened on."""
+        """Listen; return the address listened on."""
         if self.cfg.secret_key:
             self._open_zap()
             self._router.curve_server = True
@@ -73,13 +74,15 @@
         self._router.bind(f"tcp://{self.cfg.peer_address}")
         endpoint = self._router.getsockopt_string(zmq.LAST_ENDPOINT)
         self.address = endpoint.removeprefix("tcp://")
-        for peer in self.cfg.peers:
-            self.connect(peer)
         self._tasks.append(asyncio.create_task(self._receive()))
         return self.address
 
-    def connect(self, peer: Peer) -> None:
-        """Connect to a peer; the library connects again whenever it is lost."""
+    def _connect(self, peer: Peer) -> zmq.asyncio.Socket:
+        """Connect to a peer; the library connects again whenever it is lost.
+
+        This is done at the first message, since most daemons of other data
+        centres are never sent any, and an idle connection costs memory and pings.
+        """
         sock = self._ctx.socket(zmq.DEALER)
         sock.setsockopt(zmq.LINGER, 0)
         sock.setsockopt(zmq.SNDHWM, SEND_QUEUE)
@@ -94,13 +97,17 @@
             sock.curve_serverkey = peer.public_key.encode()
         sock.connect(f"tcp://{peer.address}")
         self._dealers[peer.name] = sock
+        return sock
 
     def send(self, name: str, msg: Message) -> None:
         """Send a message; see the base class."""
         sock = self._dealers.get(name)
         if sock is None:
-            self.unsent += 1
-            return
+            peer = self._known.get(name)
+            if peer is None:
+                self.unsent += 1
+                return
+            sock = self._connect(peer)
         data = encode(msg)
         fut = asyncio.ensure_future(sock.send(data, zmq.NOBLOCK))
         if fut.done() and fut.exception() is not None:
--- a/siskinroad/pressure.py
+++ b/siskinroad/pressure.py
@@ -84,7 +84,7 @@
             view.limit = 1 if view.state == "probation" else limit
 
     def _runs_on(self, view: HostView) -> list[Running]:
-        keys = {task.rpartition("~")[0] for task in view.tasks}
+        keys = dict.fromkeys(task.rpartition("~")[0] for task in view.tasks)
         runs = [self.shard.running[key] for key in keys if key in self.shard.running]
         return sorted(runs, key=lambda run: (-run.item.workload.urgency, -run.started))
 
@@ -102,12 +102,11 @@
         return effects
 
     def _relieve(self, view: HostView, do: Control) -> list[Effect]:
-        for run in self._runs_on(view):
+        runs = [r for r in self._runs_on(view) if r.item.workload.kind != "service"]
+        if any(run.evicting or run.stopping for run in runs):
+            return []
+        for run in runs:
             workload = run.item.workload
-            if workload.kind == "service":
-                continue
-            if run.evicting or run.stopping:
-                return []
             if do is Control.CHECKPOINT and not workload.checkpoint:
                 continue
             return self._evict(run, Control.CHECKPOINT if workload.checkpoint else do)
@@ -155,7 +154,7 @@
         for owner in list(state.hungry_since):
             if owner not in hungry:
                 del state.hungry_since[owner]
-        for owner in hungry:
+        for owner in sorted(hungry):
             state.hungry_since.setdefault(owner, now)
         due = [
             o for o, since in state.hungry_since.items() if now - since > RETURN_TIME
--- a/siskinroad/shards.py
+++ b/siskinroad/shards.py
@@ -137,11 +137,11 @@
             match record:
                 case JobAccepted() if record.shard in self.owners:
                     owner = self.owners[record.shard]
-                    owner.accept(self.ledger.jobs[record.job])
+                    owner.tasks.accept(self.ledger.jobs[record.job])
                 case JobCancelled() if record.job in self.ledger.jobs:
                     shard = self.ledger.jobs[record.job].accepted.shard
                     if shard in self.owners:
-                        self.owners[shard].cancel_job(record.job)
+                        self.owners[shard].tasks.cancel(record.job)
 
     # Ownership
 
@@ -185,7 +185,7 @@
         self.owners[shard] = owner
         self._apply_list(owner)
         homed = self.ledger.jobs.values()
-        owner.restore([state for state in homed if state.accepted.shard == shard])
+        owner.tasks.restore([state for state in homed if state.accepted.shard == shard])
         await owner.take()
         if self.owners.get(shard) is not owner:
             return
@@ -268,11 +268,11 @@
 
     async def _queue(self, owner: ShardOwner, req: Request) -> Answer:
         key = f"r{self.appender.writer}-{self._next()}"
-        fut = owner.submit(key, req.workload, req.path, req.body, req.deadline)
+        fut = owner.requests.submit(key, req.workload, req.path, req.body, req.deadline)
         try:
             return await fut
         except asyncio.CancelledError:
-            owner.cancel_request(key)
+            owner.requests.cancel(key)
             raise
 
     def _next(self) -> int:
@@ -309,7 +309,7 @@
     def busy(self) -> int:
         """Requests in the hands of all owners, retiring ones included."""
         owners = [*self.owners.values(), *self.retiring]
-        return sum(owner.requests for owner in owners)
+        return sum(len(owner.requests) for owner in owners)
 
     def close(self) -> None:
         """Stop everything at once."""
