Give a keyed job one home; wait for an owner when submitting

Cause: a job submitted during a take-over was refused at once, and a keyed job submitted again in another data centre became a second job there: renders that come back twice.

Change: a keyed job's data centre is chosen by its key, as a keyed request's. A submission waits up to 6 s for an owner. Tests for keys on real sockets, take-over, restart under the same name, appends, a data centre cut from the platform, and retries after an outage.

Measured on the paused clock: in-flight and new urgent requests of a killed owner start elsewhere within 1.8 s, its hosts are taken over within 5 s, 600 requests into failing hosts cause at most 680 starts, and appends stay under 50 a second under jobs, keyed requests and a restart.

Conclusion: the stated times hold on the paused clock.

--- a/siskinroad/jobs.py
+++ b/siskinroad/jobs.py
@@ -13,6 +13,7 @@
 
 from siskinroad.cell import Cell, Workload
 from siskinroad.errors import Outcome, PlatformError, Reason, Refusal
+from siskinroad.front import home_of
 from siskinroad.ledger import JobState, Ledger
 from siskinroad.messages import JobReply, JobRequest, Message
 from siskinroad.records import JobAccepted, JobCancelled, Record
@@ -28,6 +29,9 @@
 MAX_PAYLOAD = 65536
 MAX_WATCH = 60.0
 WATCH_STEP = 0.1
+NO_OWNER_PATIENCE = 6.0
+NO_OWNER_PAUSE = 0.1
+WAITED_FOR = (Reason.NO_OWNER, Reason.HOME_UNREACHABLE)
 
 
 class JobView(msgspec.Struct, frozen=True):
@@ -103,12 +107,20 @@
         Refusal
         """
         _check(workload, count, payload)
-        load = self._home(workload)
         token = self._token(workload, key)
-        job = f"{load.place.data_centre}.{token}"
-        return await self._call(
-            load.owner, "submit", job, load.shard, workload.name, count, payload
-        )
+        loop = asyncio.get_running_loop()
+        until = loop.time() + NO_OWNER_PATIENCE
+        while True:
+            try:
+                load = self._home(cell, workload, key)
+                job = f"{load.place.data_centre}.{token}"
+                return await self._call(
+                    load.owner, "submit", job, load.shard, workload.name, count, payload
+                )
+            except Refusal as exc:
+                if exc.reason not in WAITED_FOR or loop.time() >= until:
+                    raise
+            await asyncio.sleep(NO_OWNER_PAUSE)
 
     def _token(self, workload: Workload, key: str) -> str:
         if key:
@@ -117,14 +129,20 @@
         self._sequence += 1
         return f"{self._prefix}-{self._sequence}"
 
-    def _home(self, workload: Workload) -> ShardLoad:
+    def _home(self, cell: Cell, workload: Workload, key: str) -> ShardLoad:
+        """Return the shard for a job; with a key always in the same data centre."""
         now = asyncio.get_running_loop().time()
-        here = [x for x in self.loads() if x.place == self.place]
-        load = choose(workload, here, self.place, set(), now, self.rng)
+        loads = self.loads()
+        if key:
+            home = home_of(cell, workload, key, self.place)
+            loads = [load for load in loads if load.place.data_centre == home]
+        near = [load for load in loads if load.place == self.place]
+        load = choose(workload, near, self.place, set(), now, self.rng)
         if load is None:
-            load = choose(workload, self.loads(), self.place, set(), now, self.rng)
+            load = choose(workload, loads, self.place, set(), now, self.rng)
         if load is None:
-            raise Refusal(Reason.NO_OWNER, step="submit", retry_after=1.0)
+            reason = Reason.HOME_UNREACHABLE if key else Reason.NO_OWNER
+            raise Refusal(reason, step="submit", retry_after=1.0)
         return load
 
     async def watch(self, job: str, wait: float) -> JobView:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -52,3 +52,128 @@
         assert info.value.reason == "no_configuration"
 
     run(main())
+
+
+def _owner_of(world, shard):
+    return world.owners()[shard][0]
+
+
+def test_urgent_work_for_a_dead_owner_restarts_elsewhere_within_the_target():
+    async def main():
+        world = World(small_cell(), NAMES)
+        await world.ready()
+        loop = asyncio.get_running_loop()
+        world.seconds["quote"] = 0.5
+        dead = _owner_of(world, "booking/east-1/0")
+        other = next(n for n in NAMES[:2] if n != dead)
+        waiting = asyncio.create_task(world.ask(other, "quote", b"in flight"))
+        await asyncio.sleep(0.1)
+        killed = loop.time()
+        await world.kill(dead)
+        late = [asyncio.create_task(world.ask(other, "quote", b"late"))]
+        await asyncio.gather(waiting, *late)
+        began = [e.time for e in world.events if e.host[0] == "w" and e.kind == "start"]
+        assert len(began) == 2
+        assert max(began) - killed <= 1.8
+
+    run(main())
+
+
+def test_a_dead_daemons_hosts_are_taken_over_within_five_seconds():
+    async def main():
+        world = World(small_cell(), NAMES)
+        await world.ready()
+        dead = _owner_of(world, "booking/east-1/0")
+        await world.kill(dead)
+        await asyncio.sleep(5.0)
+        assert _owner_of(world, "booking/east-1/0") != dead
+
+    run(main())
+
+
+def test_a_restart_under_the_same_name_waits_for_no_lease():
+    async def main():
+        world = World(small_cell(), ["east-1a"])
+        await world.ready()
+        await world.kill("east-1a")
+        world.start("east-1a")
+        await asyncio.sleep(2.0)
+        assert (await world.ask("east-1a", "quote", b"again")).body == b"again"
+
+    run(main())
+
+
+def test_records_stay_within_the_append_budget_under_load_and_a_restart():
+    async def main():
+        world = World(small_cell(), NAMES)
+        await world.ready()
+        before, began = world.log.appends, asyncio.get_running_loop().time()
+        await world.kill("east-1a")
+        world.start("east-1a")
+        for number in range(30):
+            cell = world.daemons["east-1b"].cell()
+            desk = world.daemons["east-1b"].jobs
+            await desk.submit(cell, cell.workloads["recount"], 5, b"", f"j{number}")
+            await world.ask("west-1a", "dispatch", b"x", f"key{number}")
+        await asyncio.sleep(30.0)
+        spent = asyncio.get_running_loop().time() - began
+        assert (world.log.appends - before) / spent <= 50
+
+    run(main())
+
+
+def test_a_data_centre_cut_from_the_platform_serves_requests_and_refuses_keys():
+    async def main():
+        world = World(small_cell(), NAMES)
+        await world.ready()
+        world.log.faults.cut |= {"east-1a", "east-1b"}
+        await asyncio.sleep(30.0)
+        assert (await world.ask("east-1a", "quote", b"served")).body == b"served"
+        refused = 0
+        for number in range(12):
+            try:
+                await world.ask("east-1a", "dispatch", b"x", f"k{number}")
+            except Refusal as exc:
+                assert (exc.reason, exc.outcome) == ("log_unavailable", "not run")
+                refused += 1
+        assert 0 < refused < 12
+
+    run(main())
+
+
+def test_no_retry_storm_after_an_outage_of_all_hosts():
+    async def main():
+        world = World(small_cell(), NAMES)
+        await world.ready()
+        for worker in world.workers.values():
+            worker.faults.failing = True
+        asking = []
+        for number in range(600):
+            body = b"q%d" % number
+            asking.append(asyncio.create_task(world.ask("east-1a", "quote", body)))
+            await asyncio.sleep(0.02)
+        for worker in world.workers.values():
+            worker.faults.failing = False
+        answers = await asyncio.gather(*asking, return_exceptions=True)
+        starts = [e for e in world.events if e.kind == "start"]
+        assert len(answers) == 600
+        # A tenth more, and the floor of each shard's budget.
+        assert len(starts) <= 600 * 1.1 + 2 * 10
+
+    run(main())
+
+
+def test_a_keyed_job_has_one_home_wherever_it_is_submitted():
+    async def main():
+        world = World(small_cell(), NAMES)
+        await world.ready()
+        for key in ("spring", "summer", "autumn"):
+            names = set()
+            for daemon in world.daemons.values():
+                cell = daemon.cell()
+                recount = cell.workloads["recount"]
+                view = await daemon.jobs.submit(cell, recount, 1, b"", key)
+                names.add(view.job)
+            assert len(names) == 1
+
+    run(main())
--- /dev/null
+++ b/tests/test_peers_zmq.py
@@ -0,0 +1,83 @@
+"""Peers over real sockets: messages arrive, unknown keys do not."""
+
+import asyncio
+
+from siskinroad.cluster import free_addresses
+from siskinroad.messages import ForwardAck
+from siskinroad.peers_zmq import ZmqPeers, new_keys
+from siskinroad.settings import Peer, Settings
+
+TRIES = 60
+
+
+def link(name, address, peers, keys=("", "")):
+    cfg = Settings(
+        name,
+        "d",
+        "r",
+        peer_address=address,
+        peers=peers,
+        public_key=keys[0],
+        secret_key=keys[1],
+    )
+    got = []
+    peers_ = ZmqPeers(cfg)
+    peers_.receiver = lambda peer, msg: got.append((peer, msg.id))
+    peers_.open()
+    return peers_, got
+
+
+async def until(got, sender, name):
+    for number in range(TRIES):
+        sender.send(name, ForwardAck(str(number)))
+        await asyncio.sleep(0.05)
+        if got:
+            return True
+    return False
+
+
+def test_messages_arrive_with_and_without_keys():
+    async def main(keyed):
+        one, two = free_addresses(2)
+        keys = [new_keys() if keyed else ("", "") for _ in range(2)]
+        a, got_a = link("a", one, (Peer("b", two, "d", "r", keys[1][0]),), keys[0])
+        b, got_b = link("b", two, (Peer("a", one, "d", "r", keys[0][0]),), keys[1])
+        assert await until(got_b, a, "b")
+        assert await until(got_a, b, "a")
+        assert got_b[0][0] == "a"
+        a.send("nobody", ForwardAck("x"))
+        assert a.unsent == 1
+        await a.close()
+        await b.close()
+
+    asyncio.run(main(False))
+    asyncio.run(main(True))
+
+
+def test_a_peer_with_an_unknown_key_is_not_heard():
+    async def main():
+        one, two = free_addresses(2)
+        good, own, stranger = new_keys(), new_keys(), new_keys()
+        b, got_b = link("b", two, (Peer("a", one, "d", "r", good[0]),), own)
+        a, _ = link("a", one, (Peer("b", two, "d", "r", own[0]),), stranger)
+        assert not await until(got_b, a, "b")
+        await a.close()
+        await b.close()
+
+    asyncio.run(main())
+
+
+def test_noise_on_the_socket_is_counted_and_dropped():
+    async def main():
+        one, two = free_addresses(2)
+        a, _ = link("a", one, (Peer("b", two, "d", "r"),))
+        b, got_b = link("b", two, ())
+        assert await until(got_b, a, "b")
+        await a._dealers["b"].send(b"\xff\x00noise")
+        got_b.clear()
+        assert await until(got_b, a, "b")
+        assert b.undecodable == 1
+        await a.close()
+        await b.close()
+
+    asyncio.run(main())
