Never take records heard during a read for a shorter log

Cause: among 70 true daemons one stopped reading for good with "log ends at 6, before what was read". While it waited for its own read, the reader's records had moved it past the end that the older answer showed.

Change: the end is compared with where the read began. Kept answers and kept appends are bounded in bytes, 1 MiB and 512 KiB: 512 answers of 64 KB each would have been all of a daemon's memory.

--- a/siskinroad/forwarding.py
+++ b/siskinroad/forwarding.py
@@ -21,9 +21,9 @@
 RESEND_TIME = 0.4
 LOST_TIME = 1.4
 REPLY_MARGIN = 1.0
-KEPT_REPLIES = 512
-KEPT_BODY_BYTES = 65536
-KEPT_IDS = 20_000
+KEPT_BYTES = 1 << 20
+REPLY_OVERHEAD = 400
+KEPT_IDS = 5000
 
 Send = Callable[[str, Message], None]
 
@@ -138,6 +138,7 @@
         self.run = run
         self.active: dict[str, asyncio.Task[None]] = {}
         self._replies: OrderedDict[str, Reply] = OrderedDict()
+        self._kept_bytes = 0
         self._seen: OrderedDict[str, None] = OrderedDict()
 
     def hear(self, msg: Forward) -> None:
@@ -187,12 +188,17 @@
             reply = _reply_of(msg.id, refusal)
         finally:
             del self.active[msg.id]
-        if len(reply.body) <= KEPT_BODY_BYTES:
-            self._replies[msg.id] = reply
-        if len(self._replies) > KEPT_REPLIES:
-            self._replies.popitem(last=False)
+        self._keep(reply)
         self.send(msg.name, reply)
 
+    def _keep(self, reply: Reply) -> None:
+        """Keep an answer for a peer that asks again, within a bound on bytes."""
+        self._replies[reply.id] = reply
+        self._kept_bytes += len(reply.body) + REPLY_OVERHEAD
+        while self._kept_bytes > KEPT_BYTES and len(self._replies) > 1:
+            _, old = self._replies.popitem(last=False)
+            self._kept_bytes -= len(old.body) + REPLY_OVERHEAD
+
 
 def _reply_of(key: str, exc: Refusal) -> Reply:
     return Reply(
--- a/siskinroad/health.py
+++ b/siskinroad/health.py
@@ -144,10 +144,3 @@
         """Forget a host that was replaced."""
         self._hosts.pop(host, None)
         self._resting.discard(host)
-
-    def fails_everywhere(self, workload: str) -> bool:
-        """Return whether a workload has failed on every host that tried it."""
-        score = self._workloads.get(workload)
-        if score is None or len(score.pairs) < 3:
-            return False
-        return all(pair.ok < 0.1 for pair in score.pairs.values())
--- a/siskinroad/logfeed.py
+++ b/siskinroad/logfeed.py
@@ -21,6 +21,7 @@
 TAIL_SILENCE = 2.5
 PAGE_RECORDS = 500
 KEPT_RECORDS = 1000
+KEPT_BYTES = 1 << 19
 FETCH_PAUSE = 0.3
 FIRST_PAUSE = 0.2
 LONGEST_PAUSE = 2.0
@@ -52,7 +53,14 @@
     stopped: str = ""
     tail_heard: float = float("-inf")
     asked: float = float("-inf")
-    gap: bool = False
+    recent_bytes: int = 0
+
+    def keep(self, offset: int, data: bytes) -> None:
+        """Keep an append for peers that lag, within a bound on bytes."""
+        self.recent.append((offset, data))
+        self.recent_bytes += len(data)
+        while self.recent_bytes > KEPT_BYTES or len(self.recent) > KEPT_RECORDS:
+            self.recent_bytes -= len(self.recent.popleft()[1])
 
 
 class LogFeed:
@@ -155,7 +163,7 @@
             except PlatformError:
                 return False
             self.reads += 1
-            if page.tail < stream.next():
+            if page.tail < start:
                 stream.stopped = f"log ends at {page.tail}, before what was read"
                 log.error("log: %s stops: %s", stream.name, stream.stopped)
                 return False
@@ -177,9 +185,7 @@
                 stream.stopped = str(exc)
                 log.error("log: %s stops at %d: %s", stream.name, offset, exc)
                 return
-            stream.recent.append((offset, data))
-            if len(stream.recent) > KEPT_RECORDS:
-                stream.recent.popleft()
+            stream.keep(offset, data)
 
     def _fan_out(self, stream: Stream, start: int, records: list[bytes]) -> None:
         now = asyncio.get_running_loop().time()
--- a/siskinroad/membership.py
+++ b/siskinroad/membership.py
@@ -91,11 +91,6 @@
         """Return the members heard of lately."""
         return [m for m in self.members.values() if now - m.heard <= DEAD_AFTER]
 
-    def is_alive(self, name: str, now: float) -> bool:
-        """Return whether a member was heard of lately."""
-        member = self.members.get(name)
-        return member is not None and now - member.heard <= DEAD_AFTER
-
     def stable(self, name: str, now: float) -> bool:
         """Return whether a member has been alive long enough to hand over to."""
         member = self.members.get(name)
--- a/siskinroad/owner.py
+++ b/siskinroad/owner.py
@@ -22,6 +22,7 @@
 __all__ = ["OwnerPorts", "ShardOwner"]
 
 RELEASE_POLL = 0.02
+MIN_TICK_TIME = 0.01
 
 log = logging.getLogger("siskinroad.owner")
 
@@ -161,7 +162,8 @@
 
     async def _tick(self) -> None:
         while True:
-            await asyncio.sleep(TICK_TIME)
+            pause = self.scheduler.next_time() - self.now()
+            await asyncio.sleep(min(max(pause, MIN_TICK_TIME), TICK_TIME))
             self.run(self.scheduler.tick(self.now()))
 
     def configure(self, cell: Cell, hosts: list[Host]) -> None:
--- a/siskinroad/placement.py
+++ b/siskinroad/placement.py
@@ -292,8 +292,3 @@
         row, start = self._row_for(need)
         for level in reversed(row[start:]):
             yield from list(level.values())
-
-    def open_hosts(self) -> Iterator[HostView]:
-        """Yield the hosts that may take new work and have a slot left."""
-        for level in self._rows[3]:
-            yield from level.values()
