--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -151,6 +151,9 @@
     beat = Heartbeat(
         "east-1a", 1764801000000, stamp, Echo(stamp, []), 1200, False, True, names, []
     )
+    short = Heartbeat(
+        "east-1a", 1764801000000, stamp, Echo(stamp, []), 1200, False, True, None, []
+    )
     loud = Heartbeat(
         "east-1a", 1764801000000, stamp, Echo(stamp, []), 1200, False, True, names, news
     )
@@ -174,7 +177,8 @@
     claim = ClaimMade("booking/east-1/0", "east-1a", 1764801000000, 123456789)
     job = JobAccepted("east-1.a-1-1", "recount", "desk", "booking/east-1/0", 1, b"", 9)
     return {
-        "heartbeat": len(encode(beat)),
+        "heartbeat": len(encode(short)),
+        "heartbeat that names the admitted": len(encode(beat)),
         "heartbeat, a shard more": len(encode(loud)) - len(encode(beat)),
         "tail": len(encode(LogTail("dc.east-1", 123456, stamp))),
         "digest": len(encode(digest)),
--- a/siskinroad/beats.py
+++ b/siskinroad/beats.py
@@ -26,7 +26,8 @@
 __all__ = ["Beats"]
 
 LIST_TIME = 1.5
-DIGEST_TIME = 4.0
+ADMITS_BEATS = 4
+DIGEST_TIME = 8.0
 DIGEST_CHECK = 0.5
 WANT_TIME = 1.0
 STAMPS = 1 << 20
@@ -50,6 +51,8 @@
         self._list_sent: dict[str, tuple[int, str]] = {}
         self._digests: dict[str, Digest] = {}
         self.sent_abroad = 0
+        self._beats = 0
+        self._admits: list[str] = []
         self._asked = float("-inf")
 
     # Heartbeats
@@ -68,12 +71,23 @@
         daemon = self.daemon
         now = asyncio.get_running_loop().time()
         contests = daemon.ownership.contests()
+        admits = self._admits_if_due()
         for name in self._near:
             member = daemon.members.members.get(name)
             echo = Echo(member.stamp, contests) if member is not None else None
-            daemon.peers.send(name, self._heartbeat(now, echo))
-
-    def _heartbeat(self, now: float, echo: Echo | None) -> Heartbeat:
+            daemon.peers.send(name, self._heartbeat(now, echo, admits))
+
+    def _admits_if_due(self) -> list[str] | None:
+        """Return the admitted daemons when they have changed or were long unsaid."""
+        admits = self.daemon.ownership.admits()
+        self._beats += 1
+        due = self._beats % ADMITS_BEATS == 0 or admits != self._admits
+        self._admits = admits
+        return admits if due else None
+
+    def _heartbeat(
+        self, now: float, echo: Echo | None, admits: list[str] | None
+    ) -> Heartbeat:
         daemon = self.daemon
         return Heartbeat(
             daemon.cfg.name,
@@ -83,7 +97,7 @@
             daemon.configuration.revision,
             daemon.ownership.draining,
             daemon.ownership.joined(),
-            daemon.ownership.admits(),
+            admits,
             daemon.shards.news(),
         )
 
--- a/siskinroad/ledger.py
+++ b/siskinroad/ledger.py
@@ -32,7 +32,7 @@
 __all__ = ["Claim", "JobState", "KeyState", "Ledger"]
 
 MAX_ENDED_JOBS = 1000
-MAX_SETTLED_KEYS = 10_000
+MAX_SETTLED_KEYS = 5000
 MAX_CHAIN = 16
 
 
--- a/siskinroad/membership.py
+++ b/siskinroad/membership.py
@@ -81,7 +81,8 @@
         member.draining = msg.draining
         member.joined = msg.joined
         member.revision = msg.revision
-        member.admits = frozenset(msg.admits)
+        if msg.admits is not None:
+            member.admits = frozenset(msg.admits)
         member.shards = msg.shards
         if msg.echo is not None and msg.echo.stamp >= member.echoed:
             member.echoed = msg.echo.stamp
--- a/siskinroad/messages.py
+++ b/siskinroad/messages.py
@@ -55,8 +55,9 @@
     ----------
     stamp : float
         The sender's loop time, which the receiver echoes.
-    admits : list of str
-        Daemons without whose echo the sender counts no peer confirmation.
+    admits : list of str or None
+        Daemons without whose echo the sender counts no peer confirmation; None
+        if they are those of an earlier heartbeat of this incarnation.
     """
 
     name: str
@@ -66,7 +67,7 @@
     revision: int
     draining: bool
     joined: bool
-    admits: list[str]
+    admits: list[str] | None
     shards: list[ShardNews]
 
 
