Name attempts in one place; stop asking hosts that have nothing new

Cause: the forms KEY~MEMBER and KEY#TRY~MEMBER were built and taken apart in nine places. While the log is down, ended tasks cannot be acknowledged, so a host answered each inventory at once: 50 a second for each host.

Change: names.py builds and parses them all. An owner whose host shows the same inventory again waits longer each time, up to 1 s.

--- a/siskinroad/attempts.py
+++ b/siskinroad/attempts.py
@@ -7,11 +7,12 @@
 from siskinroad.effects import ControlTask, Effect, End, Finished, Refused, StartTask
 from siskinroad.errors import Outcome, Reason, Refusal
 from siskinroad.health import Verdict
+from siskinroad.names import AttemptName, run_name, task_name
 from siskinroad.placement import HostView
 from siskinroad.queues import Item
 from siskinroad.resources import Resources
 from siskinroad.retries import Failure, Retry, decide
-from siskinroad.shard import PoolState, Running, Shard, task_name
+from siskinroad.shard import PoolState, Running, Shard
 from siskinroad.upstreams import Control, Usage
 
 __all__ = ["Attempts"]
@@ -47,7 +48,7 @@
         item.tries += 1
         item.state = self.chart.next(item.state, "start")
         item.started = now
-        attempt = f"{item.key}#{item.tries}"
+        attempt = run_name(item.key, item.tries)
         ends = now + self.shard.estimates.run_time(item.workload)
         run = Running(item, attempt, {}, held, now, ends)
         self._enter(run)
@@ -73,27 +74,25 @@
         index.take(view, task_name(run.item.key, member), held, workload.name)
         self.shard.hold(workload, run.held, 1, now)
 
-    def adopt(
-        self, item: Item, attempt: str, member: int, host: str, now: float
-    ) -> bool:
+    def adopt(self, item: Item, name: AttemptName, host: str, now: float) -> bool:
         """Take over a task that already runs; return whether it is known now."""
         view = self.shard.view(host)
         run = self.shard.running.get(item.key)
-        if view is None or (run is not None and run.attempt != attempt):
+        if view is None or (run is not None and run.attempt != name.run):
             return False
         if run is None:
             held = self.shard.estimates.reserve(item.workload, view.capacity)
             ends = now + self.shard.estimates.run_time(item.workload)
-            run = Running(item, attempt, {}, held, now, ends)
+            run = Running(item, name.run, {}, held, now, ends)
             item.state = "running"
-            item.tries = max(item.tries, _try_of(attempt))
+            item.tries = max(item.tries, name.number)
             item.started = now
             self.shard.items[item.key] = item
             self._enter(run)
-        if member not in run.seen:
+        if name.member not in run.seen:
             room = Resources(view.cpu, view.memory, view.accelerators, view.slots)
-            self._place(run, member, view, run.held.clip(room), now)
-        return run.hosts.get(member) == host
+            self._place(run, name.member, view, run.held.clip(room), now)
+        return run.hosts.get(name.member) == host
 
     def fail_partial(self, run: Running) -> list[Effect]:
         """Let a gang that was found without some of its members start anew."""
@@ -296,8 +295,3 @@
     def drop_held_back(self, item: Item) -> None:
         """Forget an item that was cancelled during its pause."""
         self.held_back = [x for x in self.held_back if x is not item]
-
-
-def _try_of(attempt: str) -> int:
-    number = attempt.rpartition("#")[2]
-    return int(number) if number.isdecimal() else 1
--- a/siskinroad/dispatch.py
+++ b/siskinroad/dispatch.py
@@ -6,6 +6,7 @@
 from siskinroad.cell import Urgency, Workload
 from siskinroad.effects import StartTask
 from siskinroad.gangs import Reservation, plan_reservation
+from siskinroad.names import split_task
 from siskinroad.placement import HostView
 from siskinroad.queues import Item, Lane
 from siskinroad.resources import Resources
@@ -227,7 +228,7 @@
 
     def _ends(self, task: str, now: float) -> float:
         """Return when a task is expected to end; an overdue one has a long tail."""
-        run = self.shard.running.get(task.rpartition("~")[0])
+        run = self.shard.running.get(split_task(task)[0])
         if run is None:
             return now
         return max(run.ends, now + (now - run.started) * OVERDUE_PART)
--- a/siskinroad/hostwatch.py
+++ b/siskinroad/hostwatch.py
@@ -9,6 +9,7 @@
 from siskinroad.cell import Host
 from siskinroad.effects import ControlTask, End
 from siskinroad.errors import NotSentError, OutcomeUnknownError, StaleEpochError
+from siskinroad.names import AttemptName, attempt_name, parse_attempt, split_task
 from siskinroad.placement import HostView
 from siskinroad.resources import Resources
 from siskinroad.upstreams import Control, Inventory, TaskReport, TaskState, Usage
@@ -24,6 +25,7 @@
 SILENT_PAUSE = 1.0
 LEASE_MARGIN = 1.0
 MIN_PAUSE = 0.02
+STILL_PAUSE = 1.0
 PHANTOM = "requests-of-others~0"
 STRANGER = "stranger"
 
@@ -55,6 +57,11 @@
         Requests to a task that did not get through.
     recording : set of str
         Ended attempts whose end is not on record yet.
+    seen : list of tuple
+        Attempts and states of the last inventory.
+    still : bool
+        The last inventory showed what the one before it did, such as ended tasks
+        that cannot be acknowledged while the log is down.
     phantoms : int
         Requests of earlier owners in progress there; -1 before the first answer.
     """
@@ -71,6 +78,8 @@
     again: list[ControlTask] = field(default_factory=list)
     recording: set[str] = field(default_factory=set)
     phantoms: int = -1
+    seen: list[tuple[str, TaskState]] = field(default_factory=list)
+    still: bool = False
 
     @property
     def cleared(self) -> bool:
@@ -97,6 +106,8 @@
         if renew:
             self.renewed = loop.time()
         self._speak(owner)
+        seen = [(report.attempt, report.state) for report in inventory.tasks]
+        self.still, self.seen = seen == self.seen, seen
         _take(owner, self, inventory, began)
         return True
 
@@ -129,6 +140,7 @@
     While the host is silent no lease is renewed, so that they end for certain.
     """
     loop = asyncio.get_running_loop()
+    pause = MIN_PAUSE
     while not watch.removed:
         if watch.silent:
             await asyncio.sleep(SILENT_PAUSE)
@@ -136,7 +148,9 @@
             watch.check_lapse(owner, TASK_LEASE, loop.time())
             continue
         if await watch.ask(owner, wait=INVENTORY_WAIT, renew=True):
-            await asyncio.sleep(MIN_PAUSE)
+            longer = min(pause * 2, STILL_PAUSE)
+            pause = longer if watch.still else MIN_PAUSE
+            await asyncio.sleep(pause)
 
 
 def _take(
@@ -149,15 +163,20 @@
     if view is None:
         return
     usage: list[tuple[str, int, Usage]] = []
-    listed = {report.attempt for report in inventory.tasks}
-    inventory_tasks = [x for x in inventory.tasks if _is_ours(x.attempt)]
-    running = [x for x in inventory_tasks if x.state is TaskState.RUNNING]
+    strangers: list[TaskReport] = []
     _release_strangers(owner, view)
-    strangers = [x for x in running if not _take_running(owner, watch, x, usage)]
-    _hold_strangers(owner, watch, view, strangers)
-    for report in inventory_tasks:
-        if report.state is not TaskState.RUNNING:
-            _take_ended(owner, watch, report)
+    for report in inventory.tasks:
+        name = parse_attempt(report.attempt)
+        if name is None or report.state is not TaskState.RUNNING:
+            continue
+        if not _take_running(owner, watch, name, report, usage):
+            strangers.append(report)
+    _hold_strangers(owner, view, strangers)
+    for report in inventory.tasks:
+        name = parse_attempt(report.attempt)
+        if name is not None and report.state is not TaskState.RUNNING:
+            _take_ended(owner, watch, name, report)
+    listed = {report.attempt for report in inventory.tasks}
     _lose_unlisted(owner, watch, view, listed, began)
     _hold_phantoms(owner, watch, view, inventory.requests)
     now = asyncio.get_running_loop().time()
@@ -166,30 +185,23 @@
     owner.run(list(again))
 
 
-def _is_ours(attempt: str) -> bool:
-    """Return whether a name is of the form ``JOB/INDEX#TRY~MEMBER``."""
-    name, _, member = attempt.rpartition("~")
-    key, _, number = name.rpartition("#")
-    return member.isdecimal() and number.isdecimal() and "/" in key
-
-
 def _take_running(
     owner: ShardOwner,
     watch: HostWatch,
+    name: AttemptName,
     report: TaskReport,
     usage: list[tuple[str, int, Usage]],
 ) -> bool:
     """Take in a running task; return False if no accepted job knows it."""
-    name, _, member = report.attempt.rpartition("~")
-    key = name.rpartition("#")[0]
-    run = owner.scheduler.shard.running.get(key)
-    known = run is not None and run.attempt == name and int(member) in run.hosts
-    if not known and not owner.tasks.adopt(report.attempt, watch.host.name):
-        stop = ControlTask(key, name, watch.host.name, int(member), Control.STOP)
+    host = watch.host.name
+    run = owner.scheduler.shard.running.get(name.key)
+    known = run is not None and run.attempt == name.run and name.member in run.hosts
+    if not known and not owner.tasks.adopt(name, host):
+        stop = ControlTask(name.key, name.run, host, name.member, Control.STOP)
         owner.run([stop])
         return False
-    owner.scheduler.started(key)
-    usage.append((key, int(member), report.usage))
+    owner.scheduler.started(name.key)
+    usage.append((name.key, name.member, report.usage))
     return True
 
 
@@ -200,7 +212,7 @@
 
 
 def _hold_strangers(
-    owner: ShardOwner, watch: HostWatch, view: HostView, reports: list[TaskReport]
+    owner: ShardOwner, view: HostView, reports: list[TaskReport]
 ) -> None:
     """Hold room for tasks that run though they should not, until they stop."""
     shard = owner.scheduler.shard
@@ -214,24 +226,25 @@
         index.take(view, task, need.clip(room), STRANGER)
 
 
-def _take_ended(owner: ShardOwner, watch: HostWatch, report: TaskReport) -> None:
+def _take_ended(
+    owner: ShardOwner, watch: HostWatch, name: AttemptName, report: TaskReport
+) -> None:
     if report.attempt in watch.recording:
         return
-    name, _, member = report.attempt.rpartition("~")
-    key = name.rpartition("#")[0]
-    run = owner.scheduler.shard.running.get(key)
-    if run is None or run.attempt != name:
-        owner.tasks.adopt(report.attempt, watch.host.name)
-        run = owner.scheduler.shard.running.get(key)
+    running = owner.scheduler.shard.running
+    run = running.get(name.key)
+    if run is None or run.attempt != name.run:
+        owner.tasks.adopt(name, watch.host.name)
+        run = running.get(name.key)
     watch.recording.add(report.attempt)
-    if run is not None and run.attempt == name and int(member) in run.hosts:
+    if run is not None and run.attempt == name.run and name.member in run.hosts:
         now = asyncio.get_running_loop().time()
         end = ENDS[report.state]
         effects = owner.scheduler.ended(
-            key, int(member), end, now, report.run_time, report.usage
+            name.key, name.member, end, now, report.run_time, report.usage
         )
         owner.run(effects)
-    owner.tasks.acknowledge(key, watch, report.attempt)
+    owner.tasks.acknowledge(name.key, watch, report.attempt)
 
 
 def _lose_unlisted(
@@ -246,13 +259,13 @@
         return
     now = asyncio.get_running_loop().time()
     for task in list(view.tasks):
-        key, _, member = task.rpartition("~")
+        key, member = split_task(task)
         run = owner.scheduler.shard.running.get(key)
         if run is None or run.item.workload.kind == "service":
             continue
-        attempt = f"{run.attempt}~{member}"
+        attempt = attempt_name(run.attempt, member)
         if attempt not in listed and attempt not in watch.starting:
-            owner.run(owner.scheduler.ended(key, int(member), End.LOST, now))
+            owner.run(owner.scheduler.ended(key, member, End.LOST, now))
 
 
 def _hold_phantoms(
@@ -274,7 +287,7 @@
 
 def _own_requests(owner: ShardOwner, view: HostView) -> int:
     running = owner.scheduler.shard.running
-    keys = (task.rpartition("~")[0] for task in view.tasks)
+    keys = (split_task(task)[0] for task in view.tasks)
     runs = (running.get(key) for key in keys)
     return sum(1 for run in runs if run and run.item.workload.kind == "service")
 
--- a/siskinroad/owner.py
+++ b/siskinroad/owner.py
@@ -13,6 +13,7 @@
 from siskinroad.effects import ControlTask, Effect, Finished, Refused, StartTask
 from siskinroad.errors import NotSentError, OutcomeUnknownError, StaleEpochError
 from siskinroad.hostwatch import HostWatch, watch_host
+from siskinroad.names import attempt_name
 from siskinroad.requests import Requests
 from siskinroad.resources import Resources
 from siskinroad.scheduler import TICK_TIME, Scheduler
@@ -223,14 +224,14 @@
         for member, host in enumerate(effect.hosts):
             # Noted before the first step of the coroutine, since the inventory
             # being taken in just now may be older than this decision.
-            self.watches[host].starting.add(f"{effect.attempt}~{member}")
+            self.watches[host].starting.add(attempt_name(effect.attempt, member))
             self._sending.add(self.spawn(self.tasks.start(effect, member)))
 
     async def _control(self, effect: ControlTask) -> None:
         watch = self.watches.get(effect.host)
         if watch is None or effect.key in self.requests:
             return
-        attempt = f"{effect.attempt}~{effect.member}"
+        attempt = attempt_name(effect.attempt, effect.member)
         self.ports.count("control", effect.do.value)
         try:
             await self.ports.upstreams.control(
--- a/siskinroad/pressure.py
+++ b/siskinroad/pressure.py
@@ -5,9 +5,10 @@
 from siskinroad.attempts import Attempts
 from siskinroad.cell import Urgency
 from siskinroad.effects import Effect
+from siskinroad.names import split_task, task_name
 from siskinroad.placement import HostView
 from siskinroad.resources import Resources
-from siskinroad.shard import PoolState, Running, Shard, task_name
+from siskinroad.shard import PoolState, Running, Shard
 from siskinroad.upstreams import Control, Usage
 
 __all__ = ["Pressure", "UsageReport"]
@@ -84,7 +85,7 @@
             view.limit = 1 if view.state == "probation" else limit
 
     def _runs_on(self, view: HostView) -> list[Running]:
-        keys = dict.fromkeys(task.rpartition("~")[0] for task in view.tasks)
+        keys = dict.fromkeys(split_task(task)[0] for task in view.tasks)
         runs = [self.shard.running[key] for key in keys if key in self.shard.running]
         return sorted(runs, key=lambda run: (-run.item.workload.urgency, -run.started))
 
--- a/siskinroad/scheduler.py
+++ b/siskinroad/scheduler.py
@@ -16,6 +16,7 @@
 from siskinroad.effects import Effect, End, Refused
 from siskinroad.errors import Reason, Refusal
 from siskinroad.health import Verdict
+from siskinroad.names import AttemptName, split_task
 from siskinroad.placement import HostView
 from siskinroad.pressure import Pressure, UsageReport
 from siskinroad.queues import Item, Lane
@@ -101,8 +102,8 @@
         view = self.shard.view(name)
         effects: list[Effect] = []
         for task in list(view.tasks) if view else []:
-            key, _, member = task.rpartition("~")
-            effects += self.ended(key, int(member), End.LOST, now)
+            key, member = split_task(task)
+            effects += self.ended(key, member, End.LOST, now)
         return effects
 
     def remove_host(self, name: str, now: float) -> list[Effect]:
@@ -208,11 +209,9 @@
 
     # Attempts
 
-    def adopt(
-        self, item: Item, attempt: str, member: int, host: str, now: float
-    ) -> bool:
+    def adopt(self, item: Item, name: AttemptName, host: str, now: float) -> bool:
         """Take over a task that already runs on a host of the shard."""
-        return self.attempts.adopt(item, attempt, member, host, now)
+        return self.attempts.adopt(item, name, host, now)
 
     def started(self, key: str) -> None:
         """Note that the host has confirmed the start."""
--- a/siskinroad/shard.py
+++ b/siskinroad/shard.py
@@ -20,7 +20,7 @@
 from siskinroad.shares import Shares
 from siskinroad.upstreams import Usage
 
-__all__ = ["PoolState", "Running", "Shard", "milliseconds", "task_name"]
+__all__ = ["PoolState", "Running", "Shard", "milliseconds"]
 
 
 @dataclass(slots=True, eq=False)
@@ -208,8 +208,3 @@
 def milliseconds(now: float) -> int:
     """Return a loop time in whole milliseconds."""
     return round(now * 1000)
-
-
-def task_name(key: str, member: int) -> str:
-    """Return the name of one member's task."""
-    return f"{key}~{member}"
--- a/siskinroad/tasks.py
+++ b/siskinroad/tasks.py
@@ -11,6 +11,7 @@
 from siskinroad.errors import NotSentError, OutcomeUnknownError, StaleEpochError
 from siskinroad.hostwatch import TASK_LEASE, HostWatch
 from siskinroad.ledger import JobState
+from siskinroad.names import AttemptName, attempt_name, job_of, task_name
 from siskinroad.queues import Item
 from siskinroad.records import JobAccepted
 from siskinroad.scheduler import TICK_TIME
@@ -19,7 +20,7 @@
 if TYPE_CHECKING:
     from siskinroad.owner import ShardOwner
 
-__all__ = ["Tasks", "job_of"]
+__all__ = ["Tasks"]
 
 SILENT_MARGIN = 1.0
 OUTCOMES = {End.DONE: "done", End.STOPPED: "cancelled"}
@@ -27,12 +28,6 @@
 log = logging.getLogger("siskinroad.tasks")
 
 
-def job_of(key: str) -> tuple[str, int]:
-    """Return the job and index of a batch task's or gang's key."""
-    job, _, index = key.rpartition("/")
-    return job, int(index) if index.isdecimal() else -1
-
-
 @dataclass(slots=True)
 class _Job:
     """A job that has not settled; ``ended`` runs ahead of the record.
@@ -129,23 +124,21 @@
         for index in range(job.accepted.count):
             self.owner.run(scheduler.cancel(f"{name}/{index}", self.owner.now()))
 
-    def adopt(self, attempt: str, host: str) -> bool:
+    def adopt(self, name: AttemptName, host: str) -> bool:
         """Take over a task that a host runs; return whether it is known now."""
-        name, _, member = attempt.rpartition("~")
-        key = name.rpartition("#")[0]
-        job_name, index = job_of(key)
+        job_name, index = job_of(name.key)
         job = self.jobs.get(job_name)
         if job is None or index in job.ended or job.cancelled:
             return False
         scheduler = self.owner.scheduler
-        item = scheduler.shard.items.get(key)
+        item = scheduler.shard.items.get(name.key)
         if item is not None and item.state == "waiting":
             scheduler.attempts.withdraw(item)
             item = None
         item = item or self._item(job, index)
         if item is None:
             return False
-        return scheduler.adopt(item, name, int(member), host, self.owner.now())
+        return scheduler.adopt(item, name, host, self.owner.now())
 
     # Attempts
 
@@ -227,8 +220,8 @@
     item = effect.item
     need = item.workload.demand
     return TaskStart(
-        f"{item.key}~{member}",
-        f"{effect.attempt}~{member}",
+        task_name(item.key, member),
+        attempt_name(effect.attempt, member),
         item.workload.name,
         need.cpu_milli,
         need.memory_mib,
