--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,6 +1,7 @@
 """True daemons as processes on loopback: kill, stop and resume, a planned stop."""
 
 import asyncio
+import json
 import os
 import random
 import signal
@@ -197,3 +198,56 @@
             assert starts(site, body) <= 1
 
     session(tmp_path, scenario)
+
+
+async def cli(site, *words):
+    """Run one command; return its exit code, what it printed and its errors."""
+    root = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+    proc = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "siskinroad",
+        *words,
+        cwd=site.folder,
+        env={**os.environ, "PYTHONPATH": root},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
+    out, err = await proc.communicate()
+    return proc.returncode, out.decode(), err.decode()
+
+
+def test_the_commands_against_true_daemons(tmp_path):
+    async def scenario(site):
+        first = await owner(site)
+        callers, operators, _ = site.addresses[first]
+        at, to = f"--at={operators}", f"--to={callers}"
+        cell = site.folder / "cell.toml"
+        cell.write_text(site.text.replace("weight = 3", "weight = 4"))
+        assert await cli(site, "diff", "cell.toml", at) == (0, "~ owners.desk\n", "")
+        code, _, err = await cli(site, "apply", "cell.toml", at, "--expect=9")
+        assert (code, "revision 1 is in force" in err) == (3, True)
+        code, out, _ = await cli(site, "apply", "cell.toml", at, "--expect=1")
+        assert (code, out) == (0, "revision 2 is in force at a, b\n")
+        code, out, _ = await cli(site, "apply", "cell.toml", at, "--json")
+        assert json.loads(out)["changed"] is False
+        code, out, _ = await cli(site, "submit", "recount", to, "--count=3", "--key=k")
+        job = json.loads(out)["job"]
+        code, out, _ = await cli(site, "watch", job, to, "--wait=20")
+        assert (code, json.loads(out)["done"]) == (0, 3)
+        code, out, _ = await cli(site, "explain", f"{job}/0", at)
+        assert out.strip() == f"{job}/0 has ended: done."
+        code, out, _ = await cli(site, "cancel", job, to)
+        assert (code, json.loads(out)["settled"]) == (0, True)
+        code, out, _ = await cli(site, "status", at)
+        assert f"{first} in east-1: ready, revision 2, log up" in out
+        code, out, _ = await cli(site, "report", at, "--picture=r.svg")
+        assert (code, "capacity" in out) == (0, True)
+        assert (site.folder / "r.svg").read_text().startswith("<svg")
+        assert (await cli(site, "queue", at, "--json"))[:2] == (0, "[]\n")
+        code, _, err = await cli(site, "submit", "nothing", to)
+        assert (code, "not run: the cell has no workload" in err) == (1, True)
+        code, out, _ = await cli(site, "load", "quote", to, "--rate=20", "--seconds=1")
+        assert (code, "median_ms" in out) == (0, True)
+
+    session(tmp_path, scenario)
