Test a lost rack of daemons and a change in force by peers alone

Cause: two stated times had no test: a rack's take-over and a boot from peers. Change: two of three daemons die together; a daemon starts while the log is down. Measured: served again within 10 s, revision 2 from peers within 10 s.

--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -177,3 +177,40 @@
             assert len(names) == 1
 
     run(main())
+
+
+def test_a_rack_of_daemons_is_replaced_within_ten_seconds():
+    async def main():
+        names = ["east-1a", "east-1b", "east-1c", "west-1a"]
+        world = World(small_cell(), names)
+        await world.ready()
+        dead = _owner_of(world, "booking/east-1/0")
+        other = next(n for n in names if n.startswith("east") and n != dead)
+        await world.kill(dead)
+        await world.kill(other)
+        await asyncio.sleep(10.0)
+        left = next(n for n in world.daemons if n.startswith("east"))
+        assert _owner_of(world, "booking/east-1/0") == left
+        world.seconds["quote"] = 0.1
+        assert (await world.ask(left, "quote", b"served")).body == b"served"
+
+    run(main())
+
+
+def test_a_change_is_in_force_everywhere_within_the_target_and_by_peers_alone():
+    async def main():
+        world = World(small_cell(), NAMES)
+        await world.ready()
+        daemon = world.daemons["west-1a"]
+        done = await daemon.publisher.apply(world.text + "# two\n", 1)
+        assert (done.revision, done.not_yet) == (2, [])
+        await asyncio.sleep(10.0)
+        assert {d.configuration.revision for d in world.daemons.values()} == {2}
+        world.log.faults.down = True
+        await world.kill("east-1a")
+        fresh = world.start("east-1a")
+        await asyncio.sleep(10.0)
+        assert fresh.configuration.revision == 2
+        assert fresh.ready
+
+    run(main())
