Refuse early only on a forecast that has seen enough

Cause: one of 433 slot checks in the demo was refused 13 ms after its arrival with "deadline, try again in 7.2 s": one request waited, and the rate of starts had been seen for moments only, so that it looked like 0.14 a second.

Change: a forecast takes at least 8 waiting items, and starts seen for a short time are scaled up to a whole window.

--- a/siskinroad/queues.py
+++ b/siskinroad/queues.py
@@ -20,6 +20,8 @@
 
 AGING_TIME = 300.0
 RATE_HALF_LIFE = 10.0
+MIN_FORECAST = 8
+MIN_SEEN = 0.05
 
 
 @dataclass(slots=True, eq=False)
@@ -77,6 +79,7 @@
     blocked: bool = False
     rate: float = 0.0
     rate_at: float = 0.0
+    rate_since: float = 0.0
 
     def head(self) -> Item | None:
         """Return the first item that still waits."""
@@ -100,16 +103,23 @@
 
     def count_start(self, now: float) -> None:
         """Update the rate of starts, in starts a second."""
+        if self.rate == 0.0:
+            self.rate_since = now
         decay = 0.5 ** ((now - self.rate_at) / RATE_HALF_LIFE)
         self.rate = self.rate * decay + math.log(2) / RATE_HALF_LIFE
         self.rate_at = now
 
     def expected_wait(self, now: float) -> float:
-        """Return the seconds that a new item would wait; 0 if unknown."""
-        if not self.live or not self.blocked:
+        """Return the seconds that a new item would wait; 0 if unknown.
+
+        Fewer than ``MIN_FORECAST`` waiting items say too little, and so do starts
+        seen for a short time only; these are scaled up to a whole window.
+        """
+        if self.live < MIN_FORECAST or not self.blocked:
             return 0.0
         decay = 0.5 ** ((now - self.rate_at) / RATE_HALF_LIFE)
-        rate = self.rate * decay
+        seen = 1.0 - 0.5 ** ((now - self.rate_since) / RATE_HALF_LIFE)
+        rate = self.rate * decay / max(seen, MIN_SEEN)
         return self.live / rate if rate > 0 else 0.0
 
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -261,3 +261,35 @@
     effects = scheduler.ended(key, 0, End.DONE, 1.0)
     assert len(starts(effects)) == 1
     assert any(isinstance(effect, Finished) for effect in effects)
+
+
+def test_a_short_queue_just_begun_is_no_reason_to_refuse():
+    scheduler = make(1, accelerators=0, cpu=32, memory_gib=128)
+    begun = starts(submit(scheduler, "quote", 8))
+    assert len(begun) == 8
+    effects = []
+    for i in range(8, 16):
+        effects += scheduler.submit(item(scheduler, "quote", f"quote/{i}", 0.1), 0.1)
+    assert not [effect for effect in effects if isinstance(effect, Refused)]
+
+
+def test_a_long_queue_that_cannot_be_served_in_time_is_refused_early():
+    scheduler = make(1, accelerators=0, cpu=32, memory_gib=128)
+    submit(scheduler, "quote", 8)
+    now, refused, number = 0.0, [], 100
+    for step in range(400):
+        now = step * 0.05
+        if step % 10 == 0:
+            key = next(iter(scheduler.shard.running))
+            scheduler.ended(key, 0, End.DONE, now)
+        for _ in range(4):
+            number += 1
+            effects = scheduler.submit(
+                item(scheduler, "quote", f"q/{number}", now), now
+            )
+            refused += [e for e in effects if isinstance(e, Refused)]
+        scheduler.tick(now)
+    early = [e for e in refused if e.refusal.step == "submit"]
+    assert early
+    assert all(e.refusal.outcome == "not run" for e in early)
+    assert all(e.refusal.retry_after > 1.0 for e in early)
