--- a/bench/faults.py
+++ b/bench/faults.py
@@ -311,6 +311,8 @@
     for daemon in list(s.world.daemons.values()):
         stream = dc_stream(daemon.cfg.data_centre)
         as_of = daemon.ledger.next_offset
+        if s.world.daemons.get(daemon.cfg.name) is not daemon:
+            continue
         if not daemon.ledger.whole or daemon.configuration.revision == 0:
             continue
         before = s.world.log.streams[CELL_STREAM].tail
--- a/siskinroad/dispatch.py
+++ b/siskinroad/dispatch.py
@@ -173,6 +173,7 @@
 
     def _closed(self, state: PoolState, item: Item, now: float) -> set[str]:
         """Return the hosts held for others that the item would delay."""
+        self._drop_stale(state)
         if not state.reservations or item.workload.urgency is Urgency.URGENT:
             return set()
         ends = now + self.shard.estimates.run_time(item.workload)
@@ -205,6 +206,18 @@
         if plan is not None and (aged or self._leaves_unheld(state, count)):
             state.reservations[item.key] = plan
 
+    def _drop_stale(self, state: PoolState) -> None:
+        """Forget reservations of items that are no longer first in their lane.
+
+        An item that failed and waits behind others again is not tried, so what
+        was held for it would be held from everybody for good.
+        """
+        for key in list(state.reservations):
+            holder = self.shard.items.get(key)
+            lane = self.shard.waiting.lane(holder.workload) if holder else None
+            if lane is None or lane.head() is not holder:
+                del state.reservations[key]
+
     def _held_hosts(self, state: PoolState) -> set[str]:
         names: set[str] = set()
         for held in state.reservations.values():
@@ -217,10 +230,6 @@
         return held <= len(state.index.hosts) * MAX_HELD_PART
 
     def _may_reserve(self, state: PoolState, item: Item, now: float) -> bool:
-        for key in list(state.reservations):
-            holder = self.shard.items.get(key)
-            if holder is None or holder.state != "waiting":
-                del state.reservations[key]
         held = state.reservations.get(item.key)
         if held is not None:
             return now - held.made >= RESERVATION_TIME
--- a/siskinroad/entry.py
+++ b/siskinroad/entry.py
@@ -278,7 +278,10 @@
         self.beats.want_revision()
 
     def _apply_ledger(self, offset: int, records: list[Record]) -> None:
+        was_whole = self.ledger.whole
         self.ledger.apply(offset, records)
+        if self.ledger.whole and not was_whole:
+            self.shards.hear_snapshot()
         self.shards.hear_records(records)
         self._note_applied()
 
--- a/siskinroad/shards.py
+++ b/siskinroad/shards.py
@@ -143,6 +143,16 @@
                     if shard in self.owners:
                         self.owners[shard].tasks.cancel(record.job)
 
+    def hear_snapshot(self) -> None:
+        """Take up the jobs that a snapshot has brought to the ledger."""
+        for state in list(self.ledger.jobs.values()):
+            owner = self.owners.get(state.accepted.shard)
+            if owner is None:
+                continue
+            owner.tasks.accept(state)
+            if state.cancelled:
+                owner.tasks.cancel(state.accepted.job)
+
     # Ownership
 
     def tick(self) -> None:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -7,6 +7,7 @@
 from bench.clock import run
 from bench.world import World, small_cell
 from siskinroad.errors import Refusal
+from siskinroad.records import JobAccepted
 
 NAMES = ["east-1a", "east-1b", "west-1a"]
 
@@ -214,3 +215,28 @@
         assert fresh.ready
 
     run(main())
+
+
+def test_jobs_that_a_snapshot_brings_are_run():
+    async def main():
+        world = World(small_cell(), ["east-1a", "east-1b"])
+        await world.ready()
+        first = _owner_of(world, "booking/east-1/0")
+        owner = world.daemons[first]
+        other = world.daemons[next(n for n in world.daemons if n != first)]
+        world.network.pause(first)
+        world.log.faults.cut.add(first)
+        record = JobAccepted(
+            "east-1.x", "recount", "records", "booking/east-1/0", 2, b""
+        )
+        await other.appender.put(record, 5.0)
+        await asyncio.sleep(0.5)
+        as_of = other.ledger.next_offset
+        await other.snapshotter.write_all()
+        world.log.trim("dc.east-1", as_of)
+        world.network.resume(first)
+        world.log.faults.cut.discard(first)
+        await asyncio.sleep(30.0)
+        assert owner.ledger.jobs["east-1.x"].settled
+
+    run(main())
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -293,3 +293,19 @@
     assert early
     assert all(e.refusal.outcome == "not run" for e in early)
     assert all(e.refusal.retry_after > 1.0 for e in early)
+
+
+def test_hosts_are_not_held_for_an_item_that_has_gone_to_the_back():
+    scheduler = make(1)
+    submit(scheduler, "plain", 8)
+    submit(scheduler, "paper", 3, 1.0)
+    scheduler.tick(3.0)
+    [state] = scheduler.shard.pools.values()
+    assert "paper/0" in state.reservations
+    head = scheduler.shard.items["paper/0"]
+    scheduler.shard.waiting.take(scheduler.shard.waiting.lane(head.workload))
+    scheduler.shard.waiting.push(head)
+    for key in list(scheduler.shard.running):
+        scheduler.ended(key, 0, End.DONE, 4.0, 4.0, Usage(2000, 8192))
+    scheduler.tick(5.0)
+    assert len(scheduler.shard.running) == 3
