--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -153,7 +153,7 @@
 def verdict_rows(
     slopes: dict[str, Any], processes: list[dict[str, Any]]
 ) -> list[dict[str, Any]]:
-    """Return the letter's bounds beside what follows for one daemon."""
+    """Return the allowed amounts beside what follows for one daemon."""
     memory = memory_rows(slopes)[-1]["MB"]
     sent = byte_rows(slopes)[-1]
     seven = next(row for row in processes if row["daemons"] == DAEMONS)
