Show by whom a daemon is admitted; wait for that in the tests

Cause: one run of the suite hung: the owner was stopped before its peer had heard that it was admitted, so the peer rightly did not take over. The test waited for the owner's side only; a heartbeat names the admitted at a change and each fourth time, so the other side can be 2 s behind.

Conclusion: the window is part of the safety argument and stays.

--- a/siskinroad/status.py
+++ b/siskinroad/status.py
@@ -51,6 +51,7 @@
     reader: str
     members: list[str]
     admits: list[str]
+    admitted_by: list[str]
     other_data_centres: list[str]
     shards: list[ShardStatus]
 
@@ -105,6 +106,9 @@
         daemon.members.reader(now),
         sorted(m.name for m in daemon.members.alive(now)),
         daemon.ownership.admits(),
+        sorted(
+            m.name for m in daemon.members.alive(now) if daemon.cfg.name in m.admits
+        ),
         sorted(daemon.load_table.revisions),
         shards,
     )
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -129,7 +129,7 @@
 
 async def admits(site, name, other):
     answer = await site.ask(name, "GET", "/v1/status", which=1)
-    return f'"admits":["{other}"]'.encode() in answer.body
+    return f'"admitted_by":["{other}"]'.encode() in answer.body
 
 
 async def hears(site, name, other):
