--- a/siskinroad/charts.py
+++ b/siskinroad/charts.py
@@ -16,7 +16,7 @@
 
 __all__ = ["CHART_NAMES", "Chart", "load_chart"]
 
-CHART_NAMES = ("attempt", "claim", "daemon", "request", "upstream")
+CHART_NAMES = ("attempt", "claim", "daemon", "request", "run", "task", "upstream")
 
 
 @dataclass(slots=True, frozen=True)
--- a/siskinroad/health.py
+++ b/siskinroad/health.py
@@ -144,3 +144,7 @@
         """Forget a host that was replaced."""
         self._hosts.pop(host, None)
         self._resting.discard(host)
+
+    def forget_workload(self, workload: str) -> None:
+        """Forget a workload that has ended."""
+        self._workloads.pop(workload, None)
--- a/siskinroad/peers.py
+++ b/siskinroad/peers.py
@@ -7,12 +7,35 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
-from siskinroad.messages import Message, decode, encode
+from siskinroad import messages
 
-__all__ = ["MemoryNetwork", "MemoryPeers", "NetworkFaults", "PeerTraffic", "Peers"]
+__all__ = [
+    "CELL_CODEC",
+    "Codec",
+    "MemoryNetwork",
+    "MemoryPeers",
+    "NetworkFaults",
+    "PeerTraffic",
+    "Peers",
+]
 
-Receiver = Callable[[str, Message], None]
+Receiver = Callable[[str, Any], None]
+
+
+@dataclass(slots=True, frozen=True)
+class Codec:
+    """How the messages of one protocol become bytes and back.
+
+    ``decode`` takes the bytes and the sender, and raises ``ProtocolError``.
+    """
+
+    encode: Callable[[Any], bytes]
+    decode: Callable[[bytes, str], Any]
+
+
+CELL_CODEC = Codec(messages.encode, messages.decode)
 
 
 @dataclass(slots=True)
@@ -23,7 +46,7 @@
     sent: dict[str, int] = field(default_factory=dict)
     received: int = 0
 
-    def count(self, msg: Message, size: int) -> None:
+    def count(self, msg: object, size: int) -> None:
         """Count one message sent."""
         kind = type(msg).__name__
         self.messages[kind] = self.messages.get(kind, 0) + 1
@@ -39,12 +62,13 @@
         Called with the sender's name and each message that arrives.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, codec: Codec = CELL_CODEC) -> None:
+        self.codec = codec
         self.receiver: Receiver = lambda name, msg: None
         self.traffic = PeerTraffic()
 
     @abstractmethod
-    def send(self, name: str, msg: Message) -> None:
+    def send(self, name: str, msg: Any) -> None:
         """Send a message if the peer is known; never wait."""
 
     @abstractmethod
@@ -84,9 +108,9 @@
         self.nodes: dict[str, MemoryPeers] = {}
         self.paused: dict[str, list[tuple[str, bytes]]] = {}
 
-    def join(self, name: str) -> MemoryPeers:
+    def join(self, name: str, codec: Codec = CELL_CODEC) -> MemoryPeers:
         """Return the link of one daemon."""
-        self.nodes[name] = MemoryPeers(self, name)
+        self.nodes[name] = MemoryPeers(self, name, codec)
         return self.nodes[name]
 
     def post(self, sender: str, name: str, data: bytes) -> None:
@@ -107,7 +131,7 @@
         node = self.nodes.get(name)
         if node is not None and not node.closed:
             node.traffic.received += len(data)
-            node.receiver(sender, decode(data, sender))
+            node.receiver(sender, node.codec.decode(data, sender))
 
     def pause(self, name: str) -> None:
         """Hold what arrives for a daemon, as while its process is stopped."""
@@ -122,17 +146,19 @@
 class MemoryPeers(Peers):
     """One daemon's link to a ``MemoryNetwork``."""
 
-    def __init__(self, network: MemoryNetwork, name: str) -> None:
-        super().__init__()
+    def __init__(
+        self, network: MemoryNetwork, name: str, codec: Codec = CELL_CODEC
+    ) -> None:
+        super().__init__(codec)
         self.network = network
         self.name = name
         self.closed = False
 
-    def send(self, name: str, msg: Message) -> None:
+    def send(self, name: str, msg: Any) -> None:
         """Send a message; see the base class."""
         if self.closed:
             return
-        data = encode(msg)
+        data = self.codec.encode(msg)
         self.traffic.count(msg, len(data))
         self.network.post(self.name, name, data)
 
--- a/siskinroad/peers_zmq.py
+++ b/siskinroad/peers_zmq.py
@@ -4,18 +4,17 @@
 
 import asyncio
 import logging
-from typing import Any
+from typing import Any, Protocol
 
 import zmq
 import zmq.asyncio
 from zmq.utils import z85
 
 from siskinroad.errors import ProtocolError
-from siskinroad.messages import Message, decode, encode
-from siskinroad.peers import Peers
-from siskinroad.settings import Peer, Settings
+from siskinroad.peers import CELL_CODEC, Codec, Peers
+from siskinroad.settings import Peer
 
-__all__ = ["ZmqPeers", "new_keys"]
+__all__ = ["LinkSettings", "ZmqPeers", "new_keys"]
 
 ZAP_ENDPOINT = "inproc://zeromq.zap.01"
 ZAP_VERSION = b"1.0"
@@ -29,6 +28,30 @@
 log = logging.getLogger("siskinroad.peers")
 
 
+class LinkSettings(Protocol):
+    """Own name, address and keys, and the peers known at the start."""
+
+    @property
+    def name(self) -> str:
+        """Own name."""
+
+    @property
+    def peer_address(self) -> str:
+        """Address to listen on."""
+
+    @property
+    def peers(self) -> tuple[Peer, ...]:
+        """Peers known at the start."""
+
+    @property
+    def public_key(self) -> str:
+        """Own public key, or empty."""
+
+    @property
+    def secret_key(self) -> str:
+        """Own secret key, or empty."""
+
+
 def new_keys() -> tuple[str, str]:
     """Return a new public and secret key, in Z85."""
     public, secret = zmq.curve_keypair()
@@ -43,12 +66,14 @@
 
     Parameters
     ----------
-    cfg : Settings
+    cfg : LinkSettings
         Own address, keys, and the peers known at the start.
+    codec : Codec
+        The protocol spoken.
     """
 
-    def __init__(self, cfg: Settings) -> None:
-        super().__init__()
+    def __init__(self, cfg: LinkSettings, codec: Codec = CELL_CODEC) -> None:
+        super().__init__(codec)
         self.cfg = cfg
         self.address = ""
         self.undecodable = 0
@@ -99,7 +124,16 @@
         self._dealers[peer.name] = sock
         return sock
 
-    def send(self, name: str, msg: Message) -> None:
+    def learn(self, peer: Peer) -> None:
+        """Take in a peer, or the new address of a known one."""
+        known = self._known.get(peer.name)
+        self._known[peer.name] = peer
+        if known is not None and known.address != peer.address:
+            sock = self._dealers.pop(peer.name, None)
+            if sock is not None:
+                sock.close()
+
+    def send(self, name: str, msg: Any) -> None:
         """Send a message; see the base class."""
         sock = self._dealers.get(name)
         if sock is None:
@@ -108,7 +142,7 @@
                 self.unsent += 1
                 return
             sock = self._connect(peer)
-        data = encode(msg)
+        data = self.codec.encode(msg)
         fut = asyncio.ensure_future(sock.send(data, zmq.NOBLOCK))
         if fut.done() and fut.exception() is not None:
             self.unsent += 1
@@ -137,14 +171,14 @@
             data = frames[-1]
             self.traffic.received += len(data)
             try:
-                msg = decode(data, peer)
+                msg = self.codec.decode(data, peer)
             except ProtocolError as exc:
                 self.undecodable += 1
                 log.warning("peers: message dropped: %s", exc)
                 continue
             self._dispatch(peer, msg)
 
-    def _dispatch(self, peer: str, msg: Message) -> None:
+    def _dispatch(self, peer: str, msg: Any) -> None:
         try:
             self.receiver(peer, msg)
         except Exception:
--- /dev/null
+++ b/siskinroad/work/daemon.py
@@ -0,0 +1,369 @@
+"""One daemon on the platform's store, every part wired together."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from siskinroad.errors import SiskinroadError
+from siskinroad.peers import Peers
+from siskinroad.resources import Resources
+from siskinroad.suspend import SuspendWatch
+from siskinroad.work.calls import Calls
+from siskinroad.work.claim import claim_pool
+from siskinroad.work.desk import Desk
+from siskinroad.work.follow import Follower
+from siskinroad.work.lines import AdviceLines
+from siskinroad.work.members import BEAT_TIME, Members
+from siskinroad.work.messages import (
+    AdviceReply,
+    AdviceRequest,
+    Beat,
+    JobAnswer,
+    JobQuestion,
+    RelayReply,
+    RelayRequest,
+)
+from siskinroad.work.model import HostEntry, Setup, Timing
+from siskinroad.work.outside import Outside
+from siskinroad.work.owner import Deposed, OwnerParts, PoolOwner
+from siskinroad.work.records import (
+    MEMBERS_TOPIC,
+    Member,
+    OwnerRecord,
+    record_of,
+    unpack,
+)
+from siskinroad.work.relay import RelayStore
+from siskinroad.work.store import Newest
+from siskinroad.work.workmetrics import WorkMetrics
+
+__all__ = ["WorkDaemon"]
+
+# Seconds between two looks at pools without an owner.
+CLAIM_TICK = 0.2
+# Seconds after the start before a pool without an owner is claimed: all daemons
+# start within a third of a second and have to hear each other first.
+FIRST_CLAIM = 1.2
+# Seconds for which a pool must be seen without an owner.
+CLAIM_PATIENCE = 0.3
+JOIN_RETRY = 0.3
+# Seconds between two reads of the live list: leaving hosts must be known within
+# the platform's bound of a few seconds.
+LIST_SPACING = 0.5
+MEMBERS_WAIT = 5.0
+
+log = logging.getLogger("siskinroad.daemon")
+
+
+class WorkDaemon:
+    """A daemon without its listeners.
+
+    Parameters
+    ----------
+    member : Member
+        This daemon, its life and its address for others.
+    peers : Peers
+        Links to the other daemons.
+    learn : callable
+        Tells the links of a member's address.
+    wall : callable
+        Returns Unix time in seconds.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        outside: Outside,
+        peers: Peers,
+        learn: Callable[[Member], None],
+        timing: Timing,
+        wall: Callable[[], float],
+    ) -> None:
+        self.member = member
+        self.outside = outside
+        self.peers = peers
+        self.wall = wall
+        self.metrics = WorkMetrics()
+        self.members = Members(member.node, member.incarnation)
+        self.owners: dict[str, PoolOwner] = {}
+        self.hosts: dict[str, HostEntry] = {}
+        self.leaving = False
+        self._learn = learn
+        self._runs: dict[str, asyncio.Task[None]] = {}
+        self._vacant: dict[str, float] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self._suspend = SuspendWatch()
+        self._started_at = 0.0
+        self._answers: set[asyncio.Task[None]] = set()
+        now = asyncio.get_running_loop().time
+        self.calls = Calls(peers, member.incarnation << 20)
+        self.store = RelayStore(
+            outside.store, self.calls, lambda: self.members.reaches_store(now())
+        )
+        self.lines = AdviceLines(
+            member.node, outside.advisor, self.calls, lambda: self.members.alive(now())
+        )
+        self.parts = OwnerParts(
+            member.node,
+            member.incarnation,
+            self.store,
+            outside.link,
+            self.lines,
+            timing,
+            self.metrics,
+            wall,
+            self.members.is_later_life,
+        )
+        self.desk = Desk(
+            member.node,
+            self.store,
+            self.calls,
+            self.owners,
+            lambda pool: self.members.owner(pool, now()),
+            self._capacities,
+            self.metrics,
+            wall,
+        )
+        peers.receiver = self._receive
+        decoder = outside.decoder
+        self.setups = Follower(self.store, decoder.setup_topic, self._take_setup)
+        self.list = Follower(
+            self.store, decoder.hosts_topic, self._take_hosts, spacing=LIST_SPACING
+        )
+        self.roll = Follower(
+            self.store, MEMBERS_TOPIC, self._take_members, wait=MEMBERS_WAIT
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers should be sent here."""
+        return self.desk.setup is not None and not self.leaving
+
+    def start(self) -> None:
+        """Start every loop of the daemon."""
+        self._started_at = asyncio.get_running_loop().time()
+        for coro in (
+            self._run_join(),
+            self.setups.run(),
+            self.roll.run(),
+            self.list.run(),
+            self._run_beats(),
+            self._run_claims(),
+        ):
+            task = asyncio.get_running_loop().create_task(_guarded(coro))
+            self._tasks.append(task)
+
+    async def drain(self) -> None:
+        """Hand every pool over; accepted work goes on under other owners."""
+        self.leaving = True
+        self._beat()
+        pools = list(self._runs)
+        for pool in pools:
+            await self._end_term(pool)
+        self._beat()
+        log.info("daemon: pools are given up", extra={"pools": pools})
+
+    async def close(self) -> None:
+        """Stop every loop at once."""
+        tasks = [*self._tasks, *self._runs.values(), *self._answers]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.peers.close()
+        await self.store.close()
+
+    # Members and beats
+
+    async def _run_join(self) -> None:
+        """Put this daemon on record until the store has it."""
+        while True:
+            try:
+                await self.store.append(MEMBERS_TOPIC, [record_of(self.member)])
+            except SiskinroadError as exc:
+                log.warning("daemon: not on record yet", extra={"error": str(exc)})
+                await asyncio.sleep(JOIN_RETRY)
+                continue
+            return
+
+    def _take_members(self, items: tuple[Newest, ...], whole: bool) -> None:
+        if whole:
+            self.members.forget_all_but({item.key for item in items})
+        for item in items:
+            if item.value:
+                self._take_member(item)
+
+    def _take_member(self, item: Newest) -> None:
+        try:
+            member = unpack(item.value)
+        except SiskinroadError as exc:
+            log.error("daemon: member is not readable", extra={"error": str(exc)})
+            return
+        if isinstance(member, Member) and self.members.learn(member):
+            if member.node == self.member.node:
+                return
+            self._learn(member)
+            log.info(
+                "daemon: member",
+                extra={"peer": member.node, "incarnation": member.incarnation},
+            )
+            self.peers.send(member.node, self._make_beat())
+
+    async def _run_beats(self) -> None:
+        while True:
+            if self._suspend.suspended():
+                log.warning("daemon: was suspended")
+                for owner in self.owners.values():
+                    owner.lose_right()
+            self._beat()
+            await asyncio.sleep(BEAT_TIME)
+
+    def _make_beat(self) -> Beat:
+        now = asyncio.get_running_loop().time()
+        owned = tuple((pool, owner.term) for pool, owner in self.owners.items())
+        age = round(now - self.store.answered_at, 1)
+        return Beat(self.member.node, self.member.incarnation, owned, age, self.leaving)
+
+    def _beat(self) -> None:
+        beat = self._make_beat()
+        for node in self.members.others():
+            self.peers.send(node, beat)
+
+    # Claims
+
+    async def _run_claims(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(CLAIM_TICK)
+            if self.leaving or loop.time() - self._started_at < FIRST_CLAIM:
+                continue
+            for pool in self._pools():
+                if pool not in self._runs and self._is_vacant(pool, loop.time()):
+                    self._runs[pool] = loop.create_task(self._own(pool))
+
+    def _pools(self) -> tuple[str, ...]:
+        return self.desk.setup.pools if self.desk.setup else ()
+
+    def _is_vacant(self, pool: str, now: float) -> bool:
+        """Return whether this daemon is to claim the pool now."""
+        if self.members.owner(pool, now) is not None:
+            self._vacant.pop(pool, None)
+            return False
+        since = self._vacant.setdefault(pool, now)
+        if now - since < CLAIM_PATIENCE:
+            return False
+        age = now - self.store.answered_at
+        return self.members.should_claim(pool, now, len(self._runs), age)
+
+    async def _own(self, pool: str) -> None:
+        """Claim a pool and own it until another daemon takes it."""
+        owner: PoolOwner | None = None
+        event = "failed"
+        try:
+            record = OwnerRecord(self.member.node, self.member.incarnation)
+            found = await claim_pool(self.store, pool, record)
+            event = "lost"
+            if found is not None and self.desk.setup is not None:
+                event = "won"
+                self.metrics.claims.labels(event).inc()
+                owner = PoolOwner(pool, self.parts, found, self.desk.setup)
+                self.owners[pool] = owner
+                self._beat()
+                asyncio.get_running_loop().call_soon(owner.hosts_listed, self.hosts)
+                await owner.run()
+        except Deposed as exc:
+            event = "deposed"
+            log.warning("daemon: pool is lost", extra={"pool": pool, "why": str(exc)})
+        except SiskinroadError as exc:
+            log.warning(
+                "daemon: pool is not claimed", extra={"pool": pool, "why": str(exc)}
+            )
+        except Exception:
+            log.exception("daemon: owner has failed", extra={"pool": pool})
+        finally:
+            self.metrics.claims.labels(event).inc()
+            self.owners.pop(pool, None)
+            self._runs.pop(pool, None)
+            self._vacant.pop(pool, None)
+
+    async def _end_term(self, pool: str) -> None:
+        owner = self.owners.get(pool)
+        task = self._runs.get(pool)
+        if task is None:
+            return
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        if owner is not None:
+            await owner.release()
+
+    # Configuration and hosts
+
+    def _take_setup(self, items: tuple[Newest, ...], whole: bool) -> None:
+        for item in items:
+            setup = self.outside.decoder.setup(item.key, item.value)
+            if setup is not None:
+                self._put_in_force(setup)
+
+    def _put_in_force(self, setup: Setup) -> None:
+        known = self.desk.setup
+        if known is not None and setup.version <= known.version:
+            return
+        self.desk.setup = setup
+        log.info(
+            "daemon: configuration is in force",
+            extra={"version": setup.version, "queues": len(setup.queues)},
+        )
+        for owner in self.owners.values():
+            owner.configure(setup)
+
+    def _take_hosts(self, items: tuple[Newest, ...], whole: bool) -> None:
+        if whole:
+            self.hosts.clear()
+        for item in items:
+            entry = self.outside.decoder.host(item.key, item.value)
+            if entry is None:
+                self.hosts.pop(item.key, None)
+            else:
+                self.hosts[item.key] = entry
+        for owner in self.owners.values():
+            owner.hosts_listed(self.hosts)
+
+    def _capacities(self, pool: str) -> list[Resources]:
+        return [e.capacity for e in self.hosts.values() if e.pool == pool]
+
+    # Messages
+
+    def _receive(self, peer: str, msg: Any) -> None:
+        now = asyncio.get_running_loop().time()
+        match msg:
+            case Beat():
+                self.members.hear(msg, now)
+            case JobAnswer(id=number) | AdviceReply(id=number) | RelayReply(id=number):
+                self.calls.answered(number, msg)
+            case JobQuestion():
+                self._reply(peer, self.desk.answer(msg))
+            case AdviceRequest():
+                self._reply(peer, self.lines.answer(msg))
+            case RelayRequest():
+                self._reply(peer, self.store.serve(msg))
+
+    def _reply(self, peer: str, coro: Coroutine[Any, Any, Any]) -> None:
+        async def send() -> None:
+            self.peers.send(peer, await coro)
+
+        task = asyncio.get_running_loop().create_task(_guarded(send()))
+        self._answers.add(task)
+        task.add_done_callback(self._answers.discard)
+
+
+async def _guarded(coro: Coroutine[Any, Any, None]) -> None:
+    """Log what ends a loop that should not end."""
+    try:
+        await coro
+    except asyncio.CancelledError:
+        raise
+    except Exception:
+        log.exception("daemon: a loop has failed")
+        raise
--- /dev/null
+++ b/siskinroad/work/follow.py
@@ -0,0 +1,128 @@
+"""Follows a topic: the newest of each key, then every record behind them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from siskinroad.errors import SiskinroadError
+from siskinroad.work.store import Newest, Store, Tail, TrimmedError, newest_of_all
+
+__all__ = ["Follower"]
+
+# Seconds that an answer may take beyond the wait that was asked for.
+ANSWER_TIME = 1.2
+FIRST_PAUSE = 0.1
+LONGEST_PAUSE = 1.0
+
+log = logging.getLogger("siskinroad.follow")
+
+Apply = Callable[[tuple[Newest, ...], bool], None]
+
+
+class Follower:
+    """Reads one topic for as long as it runs; offsets never go back.
+
+    Parameters
+    ----------
+    apply : callable
+        Called with records in the order of their offsets, and whether they are
+        the newest of every key, so that keys not among them are gone.
+    wait : float
+        Seconds for which the store may wait for a record.
+    spacing : float
+        Least seconds between two reads.
+
+    Attributes
+    ----------
+    confirmed_at : float
+        Loop time at which the last answered read was sent: all that was
+        appended before it has been applied.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        topic: str,
+        apply: Apply,
+        *,
+        wait: float = 1.0,
+        spacing: float = 0.0,
+    ) -> None:
+        self.store = store
+        self.topic = topic
+        self.next = -1
+        self.confirmed_at = -1e9
+        self.reachable = True
+        self._apply = apply
+        self._wait = wait
+        self._spacing = spacing
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        pause = FIRST_PAUSE
+        while True:
+            try:
+                await self._step()
+            except SiskinroadError as exc:
+                self._note(False, exc)
+                await asyncio.sleep(pause)
+                pause = min(2 * pause, LONGEST_PAUSE)
+                continue
+            self._note(True, None)
+            pause = FIRST_PAUSE
+            if self._spacing:
+                await asyncio.sleep(self._spacing)
+
+    async def _step(self) -> None:
+        if self.next < 0:
+            await self._load()
+            return
+        try:
+            await self._read()
+        except TrimmedError as exc:
+            log.warning(
+                "follow: history is gone, reading the newest records",
+                extra={"topic": self.topic, "from": self.next, "first": exc.first},
+            )
+            await self._load()
+
+    async def _load(self) -> None:
+        sent_at = asyncio.get_running_loop().time()
+        page = await newest_of_all(self.store, self.topic, ANSWER_TIME)
+        if page.end < self.next:
+            return
+        items = sorted(page.items, key=lambda item: item.offset)
+        self._apply(tuple(items), True)
+        self.next = page.end
+        self.confirmed_at = sent_at
+
+    async def _read(self) -> None:
+        sent_at = asyncio.get_running_loop().time()
+        tail = await self.store.read(
+            self.topic, self.next, wait=self._wait, timeout=self._wait + ANSWER_TIME
+        )
+        if tail.next < self.next:
+            return
+        if tail.records:
+            self._apply(_numbered(tail), False)
+        self.next = tail.next
+        if self.next >= tail.end:
+            self.confirmed_at = sent_at
+
+    def _note(self, reachable: bool, exc: SiskinroadError | None) -> None:
+        if reachable == self.reachable:
+            return
+        self.reachable = reachable
+        text = "follow: topic is read again" if reachable else "follow: topic not read"
+        log.warning(
+            text, extra={"topic": self.topic, "next": self.next, "error": str(exc)}
+        )
+
+
+def _numbered(tail: Tail) -> tuple[Newest, ...]:
+    return tuple(
+        Newest(record.key, record.value, tail.start + i)
+        for i, record in enumerate(tail.records)
+    )
--- /dev/null
+++ b/siskinroad/work/job.py
@@ -0,0 +1,212 @@
+"""A job's tasks and how far they are."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from siskinroad.charts import load_chart
+from siskinroad.work.model import JobSpec, Step, TaskId
+from siskinroad.work.records import Accepted, Progress, TaskNote
+
+__all__ = ["Job", "JobState", "StepRun", "Task", "make_job"]
+
+_TASK = load_chart("task")
+
+
+class JobState:
+    """States that a caller is shown."""
+
+    QUEUED = "queued"
+    ACTIVE = "active"
+    COMPLETE = "complete"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """One task over all its runs.
+
+    Attributes
+    ----------
+    state : str
+        State of the ``task`` chart.
+    run : int
+        Highest run number that was used.
+    host : str
+        Where the newest run is.
+    failed : int
+        Runs that failed through the task's own fault.
+    avoid : set of str
+        Hosts on which a run failed.
+    """
+
+    id: TaskId
+    state: str = _TASK.initial
+    run: int = 0
+    host: str = ""
+    failed: int = 0
+    checkpoint: str = ""
+    avoid: set[str] = field(default_factory=set)
+
+    def move(self, event: str) -> None:
+        """Apply an event of the ``task`` chart."""
+        self.state = _TASK.next(self.state, event)
+
+    def allows(self, event: str) -> bool:
+        """Return whether the chart has ``event`` in this state."""
+        return _TASK.allows(self.state, event)
+
+    def note(self) -> TaskNote:
+        """Return what must last of the task."""
+        key = self.id
+        return TaskNote(
+            key.occurrence,
+            key.step,
+            key.index,
+            self.state == "done",
+            self.run,
+            self.failed,
+            self.checkpoint,
+        )
+
+
+@dataclass(slots=True, eq=False)
+class StepRun:
+    """One step of one occurrence.
+
+    Attributes
+    ----------
+    by_host : dict of str to int
+        Tasks of the step that hold room on each host.
+    asked : set of str
+        Hosts that the advisor was asked about.
+    tickets : dict of str to tuple
+        Ticket of each allowed host, and the loop time until which it can be used.
+    asking : bool
+        A question to the advisor is on its way.
+    ready_at : float
+        Loop time at which the step could first start.
+    """
+
+    job: Job
+    occurrence: int
+    number: int
+    spec: Step
+    tasks: list[Task]
+    by_host: dict[str, int] = field(default_factory=dict)
+    asked: set[str] = field(default_factory=set)
+    tickets: dict[str, tuple[str, float]] = field(default_factory=dict)
+    asking: bool = False
+    ready_at: float = 0.0
+
+    @property
+    def key(self) -> tuple[str, int, int]:
+        """Job, occurrence and step."""
+        return (self.job.id, self.occurrence, self.number)
+
+    def waiting(self) -> list[Task]:
+        """Return the tasks that can be placed."""
+        return [task for task in self.tasks if task.state == "waiting"]
+
+    def is_done(self) -> bool:
+        """Return whether every task has ended well."""
+        return all(task.state == "done" for task in self.tasks)
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A job as its owner sees it.
+
+    Attributes
+    ----------
+    outcome : str
+        Empty, or a final state of ``JobState``.
+    recorded : str
+        The outcome that the store has.
+    objective : float
+        Unix time in seconds by which the job is worth most.
+    started : bool
+        Whether a task has begun.
+    """
+
+    id: str
+    queue: str
+    pool: str
+    spec: JobSpec
+    accepted_at: float
+    objective: float = 0.0
+    steps: dict[tuple[int, int], StepRun] = field(default_factory=dict)
+    opened: int = 0
+    outcome: str = ""
+    outcome_at: float = 0.0
+    recorded: str = ""
+    started: bool = False
+
+    @property
+    def closed(self) -> bool:
+        """Whether nothing of the job may start any more."""
+        return self.outcome != ""
+
+    def shown(self) -> str:
+        """Return the state that a caller is shown: nothing that is not recorded."""
+        if self.recorded:
+            return self.recorded
+        return JobState.ACTIVE if self.started else JobState.QUEUED
+
+    def open_occurrence(self, state: str) -> list[StepRun]:
+        """Add the steps of the next occurrence, their tasks in ``state``."""
+        number = self.opened
+        self.opened += 1
+        added = []
+        for i, spec in enumerate(self.spec.steps):
+            ids = [TaskId(self.id, number, i, n) for n in range(spec.count)]
+            tasks = [Task(key, state) for key in ids]
+            step = StepRun(self, number, i, spec, tasks)
+            self.steps[number, i] = step
+            added.append(step)
+        return added
+
+    def task(self, key: TaskId) -> Task | None:
+        """Return a task, or None if there is none of that name."""
+        step = self.steps.get((key.occurrence, key.step))
+        if step is None or not 0 <= key.index < len(step.tasks):
+            return None
+        return step.tasks[key.index]
+
+    def is_ready(self, step: StepRun) -> bool:
+        """Return whether the steps before ``step`` have ended well."""
+        before = step.spec.after
+        return all(self.steps[step.occurrence, i].is_done() for i in before)
+
+    def progress(self) -> Progress:
+        """Return the record of the job as it stands."""
+        notes = tuple(
+            task.note()
+            for step in self.steps.values()
+            for task in step.tasks
+            if task.run and not self.outcome
+        )
+        return Progress(self.id, self.outcome, self.outcome_at, notes)
+
+    def restore(self, progress: Progress) -> None:
+        """Take over what the store has of the job."""
+        self.outcome = self.recorded = progress.state
+        self.outcome_at = progress.at
+        for note in progress.notes:
+            while self.opened <= note.occurrence < self.spec.occurrences:
+                self.open_occurrence("unsettled")
+            task = self.task(TaskId(self.id, note.occurrence, note.step, note.index))
+            if task is None:
+                continue
+            task.run = note.run
+            task.failed = note.failed
+            task.checkpoint = note.checkpoint
+            self.started = True
+            if note.done:
+                task.move("done")
+
+
+def make_job(accepted: Accepted) -> Job:
+    """Return a job that has not begun."""
+    return Job(accepted.job, accepted.queue, accepted.pool, accepted.spec, accepted.at)
--- /dev/null
+++ b/siskinroad/work/lines.py
@@ -0,0 +1,125 @@
+"""Questions to the advisor, dealt over the lines of all living daemons.
+
+The advisor answers one call at a time for each calling daemon. Load that this
+answers: short questions of urgent steps beside long ones of gangs. The daemons
+are split in two by name, and each half takes one kind, so that a short question
+never waits behind a long one while both halves live.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from siskinroad.errors import OutcomeUnknownError, SiskinroadError
+from siskinroad.work.advice import Advised, Advisor
+from siskinroad.work.calls import Calls
+from siskinroad.work.messages import AdviceReply, AdviceRequest
+
+__all__ = ["AdviceLines"]
+
+# Expected seconds from which a question counts as long.
+LONG_CALL = 0.08
+# Times its expected duration, and seconds besides, that an answer may take.
+PATIENCE_FACTOR = 2.0
+PATIENCE = 0.6
+
+log = logging.getLogger("siskinroad.lines")
+
+
+class AdviceLines:
+    """Deals questions over the daemons' lines.
+
+    Parameters
+    ----------
+    node : str
+        This daemon's name.
+    alive : callable
+        Returns the other living daemons.
+    """
+
+    def __init__(
+        self, node: str, advisor: Advisor, calls: Calls, alive: Callable[[], list[str]]
+    ) -> None:
+        self._node = node
+        self._advisor = advisor
+        self._calls = calls
+        self._alive = alive
+        self._free_at: dict[str, float] = {}
+
+    async def ask(
+        self, step: tuple[str, int, int], hosts: tuple[str, ...], duration: float
+    ) -> Advised:
+        """Ask on the line that should answer first.
+
+        Raises
+        ------
+        SiskinroadError
+            No answer; asking again is safe.
+        """
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        line = self._choose(duration, now)
+        start = max(now, self._free_at.get(line, 0.0))
+        self._free_at[line] = start + duration
+        timeout = start - now + duration * PATIENCE_FACTOR + PATIENCE
+        try:
+            advised = await self._ask_on(line, step, hosts, timeout)
+        except SiskinroadError as exc:
+            # Others take the next question while this line recovers.
+            self._free_at[line] = loop.time() + timeout
+            log.warning(
+                "lines: no advice",
+                extra={"request": step[0], "line": line, "error": str(exc)},
+            )
+            raise
+        log.info(
+            "lines: advised",
+            extra={
+                "request": step[0],
+                "line": line,
+                "asked": len(hosts),
+                "allowed": len(advised.tickets),
+                "took_s": round(loop.time() - now, 3),
+                "expected_s": round(duration, 3),
+            },
+        )
+        return advised
+
+    def _choose(self, duration: float, now: float) -> str:
+        names = sorted([self._node, *self._alive()])
+        half = names[::2] if duration >= LONG_CALL else names[1::2]
+        return min(half or names, key=lambda n: max(now, self._free_at.get(n, 0.0)))
+
+    async def _ask_on(
+        self, line: str, step: tuple[str, int, int], hosts: tuple[str, ...], time: float
+    ) -> Advised:
+        job, occurrence, number = step
+        if line == self._node:
+            return await self._advisor.advise(
+                job, occurrence, number, list(hosts), time
+            )
+        reply = await self._calls.ask(
+            line,
+            lambda n: AdviceRequest(n, job, occurrence, number, hosts, time),
+            AdviceReply,
+            time,
+        )
+        if not reply.valid:
+            raise OutcomeUnknownError("no advice there", step="lines", peer=line)
+        return Advised(reply.tickets, reply.valid)
+
+    async def answer(self, msg: AdviceRequest) -> AdviceReply:
+        """Ask on this daemon's own line for another daemon."""
+        try:
+            advised = await self._advisor.advise(
+                msg.job, msg.occurrence, msg.step, list(msg.hosts), msg.timeout
+            )
+        except SiskinroadError as exc:
+            log.warning(
+                "lines: no advice for a peer",
+                extra={"request": msg.job, "error": str(exc)},
+            )
+            return AdviceReply(msg.id, {}, 0.0)
+        return AdviceReply(msg.id, advised.tickets, advised.valid)
--- /dev/null
+++ b/siskinroad/work/members.py
@@ -0,0 +1,120 @@
+"""Which daemons there are, which of them live, and who should own a pool."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass, field
+
+from siskinroad.work.messages import Beat
+from siskinroad.work.records import Member
+
+__all__ = ["ALIVE_TIME", "BEAT_TIME", "Members"]
+
+# Seconds between two beats, and without one until a daemon is taken as dead:
+# three lost beats, well within the lease of what a dead owner runs.
+BEAT_TIME = 0.5
+ALIVE_TIME = 1.6
+# Seconds without an answer of the store after which others should own.
+STORE_AGE = 2.5
+
+
+@dataclass(slots=True)
+class _Heard:
+    beat: Beat
+    at: float
+
+
+@dataclass(slots=True)
+class Members:
+    """The daemons on record and the newest beat of each.
+
+    Attributes
+    ----------
+    node : str
+        This daemon's name.
+    incarnation : int
+        This daemon's life; a later life has a higher one.
+    """
+
+    node: str
+    incarnation: int
+    known: dict[str, Member] = field(default_factory=dict)
+    heard: dict[str, _Heard] = field(default_factory=dict)
+
+    def learn(self, member: Member) -> bool:
+        """Take in a member on record; return whether it is news."""
+        old = self.known.get(member.node)
+        if old is not None and old.incarnation >= member.incarnation:
+            return False
+        self.known[member.node] = member
+        return True
+
+    def forget_all_but(self, nodes: set[str]) -> None:
+        """Drop members that are no longer on record."""
+        for node in [n for n in self.known if n not in nodes]:
+            del self.known[node]
+
+    def hear(self, beat: Beat, now: float) -> None:
+        """Take in a beat, but never one of an earlier life."""
+        old = self.heard.get(beat.node)
+        if old is None or old.beat.incarnation <= beat.incarnation:
+            self.heard[beat.node] = _Heard(beat, now)
+
+    def others(self) -> list[str]:
+        """Return every other member on record."""
+        return [node for node in self.known if node != self.node]
+
+    def alive(self, now: float) -> list[str]:
+        """Return the other daemons heard of late that do not leave, by name."""
+        return sorted(
+            node
+            for node, heard in self.heard.items()
+            if now - heard.at <= ALIVE_TIME
+            and not heard.beat.leaving
+            and node != self.node
+        )
+
+    def is_later_life(self, node: str, incarnation: int) -> bool:
+        """Return whether a later life of a daemon has been heard."""
+        if node == self.node:
+            return incarnation < self.incarnation
+        heard = self.heard.get(node)
+        return heard is not None and heard.beat.incarnation > incarnation
+
+    def owner(self, pool: str, now: float) -> str | None:
+        """Return the living daemon that owns a pool under the highest term."""
+        best: tuple[int, str] | None = None
+        for node, heard in self.heard.items():
+            if now - heard.at > ALIVE_TIME:
+                continue
+            for name, term in heard.beat.owned:
+                if name == pool and (best is None or (term, node) > best):
+                    best = (term, node)
+        return best[1] if best else None
+
+    def reaches_store(self, now: float) -> list[str]:
+        """Return the living daemons that the store answered of late."""
+        return [
+            node
+            for node in self.alive(now)
+            if self.heard[node].beat.store_age <= STORE_AGE
+        ]
+
+    def should_claim(self, pool: str, now: float, owned: int, store_age: float) -> bool:
+        """Return whether this daemon is the one to claim a pool without an owner.
+
+        The daemon that owns least comes first, and of equal ones that with the
+        lowest hash for the pool, so that all of them agree on one.
+        """
+        if store_age > STORE_AGE:
+            return False
+        own = (owned, _rank(pool, self.node))
+        for node in self.reaches_store(now):
+            beat = self.heard[node].beat
+            if (len(beat.owned), _rank(pool, node)) < own:
+                return False
+        return True
+
+
+def _rank(pool: str, node: str) -> bytes:
+    return hashlib.blake2b(f"{pool}\0{node}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/siskinroad/work/messages.py
@@ -0,0 +1,140 @@
+"""Messages between daemons that work on the platform's store."""
+
+from __future__ import annotations
+
+import msgspec
+
+from siskinroad.errors import ProtocolError
+
+__all__ = [
+    "AdviceReply",
+    "AdviceRequest",
+    "Beat",
+    "JobAnswer",
+    "JobQuestion",
+    "Message",
+    "RelayReply",
+    "RelayRequest",
+    "decode",
+    "encode",
+]
+
+
+class Beat(msgspec.Struct, tag="beat", frozen=True, array_like=True):
+    """Sent by every daemon to every other one.
+
+    Attributes
+    ----------
+    owned : tuple of tuple
+        Pools that the sender owns, each with its term.
+    store_age : float
+        Seconds since the store last answered the sender.
+    leaving : bool
+        The sender is about to stop.
+    """
+
+    node: str
+    incarnation: int
+    owned: tuple[tuple[str, int], ...]
+    store_age: float
+    leaving: bool
+
+
+class JobQuestion(msgspec.Struct, tag="job?", frozen=True, array_like=True):
+    """Asks a pool's owner for a job's state, its cancelling, or a queue's count.
+
+    ``verb`` is ``show``, ``cancel`` or ``pending``; ``subject`` names a job or,
+    for ``pending``, a queue.
+    """
+
+    id: int
+    pool: str
+    verb: str
+    subject: str
+
+
+class JobAnswer(msgspec.Struct, tag="job!", frozen=True, array_like=True):
+    """Answers a ``JobQuestion``.
+
+    ``state`` is empty if there is no such job, and ``unsure`` says that the
+    answerer does not know.
+    """
+
+    id: int
+    unsure: str
+    state: str
+    pending: int
+
+
+class AdviceRequest(msgspec.Struct, tag="advice?", frozen=True, array_like=True):
+    """Asks the receiver to call the advisor on its own line."""
+
+    id: int
+    job: str
+    occurrence: int
+    step: int
+    hosts: tuple[str, ...]
+    timeout: float
+
+
+class AdviceReply(msgspec.Struct, tag="advice!", frozen=True, array_like=True):
+    """The advisor's answer; ``valid`` is 0 if there was none."""
+
+    id: int
+    tickets: dict[str, str]
+    valid: float
+
+
+class RelayRequest(msgspec.Struct, tag="relay?", frozen=True, array_like=True):
+    """A call to the store for a sender that does not reach it.
+
+    ``call`` is the encoded call, in the store client's own form.
+    """
+
+    id: int
+    call: bytes
+    timeout: float
+
+
+class RelayReply(msgspec.Struct, tag="relay!", frozen=True, array_like=True):
+    """Answers a ``RelayRequest``.
+
+    ``outcome`` is ``answered``, ``not done`` or ``unknown``.
+    """
+
+    id: int
+    outcome: str
+    answer: bytes
+
+
+Message = (
+    Beat
+    | JobQuestion
+    | JobAnswer
+    | AdviceRequest
+    | AdviceReply
+    | RelayRequest
+    | RelayReply
+)
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Message)
+
+
+def encode(msg: Message) -> bytes:
+    """Return a message's bytes."""
+    return _ENCODER.encode(msg)
+
+
+def decode(data: bytes, peer: str = "") -> Message:
+    """Return the message.
+
+    Raises
+    ------
+    ProtocolError
+        If the bytes are not one.
+    """
+    try:
+        return _DECODER.decode(data)
+    except (msgspec.MsgspecError, RecursionError) as exc:
+        raise ProtocolError(str(exc), step="peers.decode", peer=peer) from exc
--- /dev/null
+++ b/siskinroad/work/planner.py
@@ -0,0 +1,304 @@
+"""Which waiting tasks start where, and which hosts the advisor is asked about.
+
+Loads that this answers: short urgent steps beside long wide ones (order by
+priority, then by objective); gangs beside single tasks that would fill every gap
+(a blocked gang closes the hosts that will fit it first); steps whose tickets
+expire while they wait (room is reserved before the advisor is asked again).
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from siskinroad.resources import Resources
+from siskinroad.work.book import Book
+from siskinroad.work.effects import AskAdvice, Effect, StartRun
+from siskinroad.work.host import Host, Run
+from siskinroad.work.job import StepRun, Task
+from siskinroad.work.model import Queue
+
+__all__ = ["Planner"]
+
+# Seconds before its expiry at which a ticket is not used any more: the way of a
+# start between two regions and its wait behind another order.
+TICKET_MARGIN = 0.2
+# Hosts that the advisor answers for in one call, by the platform's page.
+MAX_ASKED = 100
+# Hosts asked about beyond the tasks that wait, when a ticket has expired.
+SPARE_HOSTS = 2
+# Seconds for which room is reserved beyond the advisor's expected answer.
+RESERVE_SLACK = 0.3
+# Part of a pool's hosts that blocked gangs may close to later work.
+MAX_CLOSED_PART = 0.5
+
+log = logging.getLogger("siskinroad.planner")
+
+
+@dataclass(slots=True)
+class _Plan:
+    """Room left while one plan is made."""
+
+    book: Book
+    now: float
+    hosts: list[Host]
+    closed: set[str] = field(default_factory=set)
+    effects: list[Effect] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class _Trial:
+    """Hosts chosen for tasks of one step, before anything is given."""
+
+    chosen: list[tuple[Task, Host]] = field(default_factory=list)
+    taken: dict[str, Resources] = field(default_factory=dict)
+    counts: dict[str, int] = field(default_factory=dict)
+
+
+class Planner:
+    """Places the waiting tasks of a book.
+
+    Parameters
+    ----------
+    book : Book
+        What is known of the pool.
+    """
+
+    def __init__(self, book: Book) -> None:
+        self.book = book
+
+    def plan(self, now: float, wall: float) -> list[Effect]:
+        """Start what fits, in order of urgency, and ask for advice."""
+        hosts = [host for host in self.book.hosts.values() if host.open(now)]
+        plan = _Plan(self.book, now, hosts)
+        steps = [s for s in self.book.ready.values() if not s.job.closed]
+        steps.sort(key=lambda s: self._urgency(s, wall))
+        for step in steps:
+            self._plan_step(plan, step)
+        return plan.effects
+
+    def _urgency(self, step: StepRun, wall: float) -> tuple[int, bool, float]:
+        queue = self.book.queues.get(step.job.queue)
+        late = step.job.objective < wall
+        return (queue.priority if queue else 9, late, step.job.objective)
+
+    def _plan_step(self, plan: _Plan, step: StepRun) -> None:
+        waiting = step.waiting()
+        queue = self.book.queues.get(step.job.queue)
+        if not waiting or queue is None:
+            return
+        if step.spec.gang and len(waiting) < len(step.tasks):
+            return
+        if queue.advice is not None and not self._advised(plan, step, queue):
+            return
+        trial = self._place(plan, step, waiting, queue)
+        if trial is None:
+            self._close_for_gang(plan, step, queue)
+            return
+        self._carry_out(plan, step, trial, queue)
+
+    # Advice
+
+    def _advised(self, plan: _Plan, step: StepRun, queue: Queue) -> bool:
+        """Return whether the allowed hosts are known; ask if they are not."""
+        if step.asking:
+            return bool(step.tickets)
+        unknown = [h for h in plan.hosts if h.name not in step.asked]
+        able = [h.name for h in unknown if _can_hold(h, step)]
+        if not able:
+            return bool(step.tickets)
+        if step.asked and any(h.name in step.tickets for h in plan.hosts):
+            return True
+        self._ask(plan, step, queue, able[:MAX_ASKED])
+        return False
+
+    def _ask(
+        self, plan: _Plan, step: StepRun, queue: Queue, names: Iterable[str]
+    ) -> None:
+        assert queue.advice is not None
+        hosts = tuple(names)
+        step.asking = True
+        duration = queue.advice.duration(len(hosts))
+        plan.effects.append(AskAdvice(step.key, hosts, duration))
+
+    # Placement
+
+    def _place(
+        self, plan: _Plan, step: StepRun, waiting: list[Task], queue: Queue
+    ) -> _Trial | None:
+        """Choose a host for each task, or for as many as fit.
+
+        Returns
+        -------
+        _Trial or None
+            None if nothing fits, or not the whole gang.
+        """
+        hosts = plan.hosts
+        if queue.advice is not None:
+            hosts = [h for h in hosts if h.name in step.tickets]
+        hosts = [h for h in hosts if h.name not in plan.closed]
+        trial = _Trial()
+        rooms = {h.name: h.free(step.key, plan.now) for h in hosts}
+        for task in waiting:
+            host = self._choose(step, task, hosts, rooms, trial)
+            if host is None:
+                if step.spec.gang:
+                    return None
+                continue
+            rooms[host.name] = rooms[host.name] - step.spec.need
+            trial.counts[host.name] = trial.counts.get(host.name, 0) + 1
+            trial.chosen.append((task, host))
+        return trial if trial.chosen else None
+
+    def _choose(
+        self,
+        step: StepRun,
+        task: Task,
+        hosts: list[Host],
+        rooms: dict[str, Resources],
+        trial: _Trial,
+    ) -> Host | None:
+        need = step.spec.need
+        best: Host | None = None
+        best_cost: tuple[float, ...] = ()
+        for host in hosts:
+            room = rooms[host.name]
+            if not need.fits(room) or host.name in task.avoid:
+                continue
+            if not _allows(step, host, trial):
+                continue
+            cost = _cost(step, host, room, trial)
+            if best is None or cost < best_cost:
+                best, best_cost = host, cost
+        if best is None and task.avoid and len(task.avoid) >= len(hosts):
+            task.avoid.clear()
+        return best
+
+    def _close_for_gang(self, plan: _Plan, step: StepRun, queue: Queue) -> None:
+        """Keep later work off the hosts that will fit a blocked gang first."""
+        if not step.spec.gang:
+            return
+        able = [h for h in plan.hosts if _can_hold(h, step)]
+        if queue.advice is not None:
+            able = [h for h in able if h.name in step.tickets]
+        able = [h for h in able if h.name not in plan.closed]
+        able.sort(key=lambda h: _missing(h.free(step.key, plan.now), step))
+        most = int(len(plan.hosts) * MAX_CLOSED_PART)
+        for host in able[: len(step.tasks)]:
+            if len(plan.closed) < most:
+                plan.closed.add(host.name)
+
+    # Effects
+
+    def _carry_out(
+        self, plan: _Plan, step: StepRun, trial: _Trial, queue: Queue
+    ) -> None:
+        missing = []
+        if queue.advice is not None:
+            missing = [h for _, h in trial.chosen if not _has_ticket(step, h, plan.now)]
+        if missing and step.spec.gang:
+            self._renew(plan, step, trial, queue, [h for _, h in trial.chosen])
+            return
+        if missing:
+            self._renew(plan, step, trial, queue, missing)
+        barred = {host.name for host in missing}
+        chosen = [(t, h) for t, h in trial.chosen if h.name not in barred]
+        number = max(task.run for task in step.tasks) + 1 if step.spec.gang else 0
+        for task, host in chosen:
+            self._start(plan, step, task, host, number or task.run + 1)
+
+    def _renew(
+        self,
+        plan: _Plan,
+        step: StepRun,
+        trial: _Trial,
+        queue: Queue,
+        hosts: list[Host],
+    ) -> None:
+        """Reserve the chosen room and ask for new tickets of these hosts."""
+        assert queue.advice is not None
+        names = {host.name for host in hosts}
+        spare = [n for n in step.tickets if n not in names and n in self.book.hosts]
+        asked = [*names, *spare[:SPARE_HOSTS]]
+        until = plan.now + queue.advice.duration(len(asked)) + RESERVE_SLACK
+        for host in hosts:
+            room = step.spec.need.times(trial.counts[host.name])
+            host.reserved[step.key] = (room, until)
+        if not step.asking:
+            self._ask(plan, step, queue, asked)
+
+    def _start(
+        self, plan: _Plan, step: StepRun, task: Task, host: Host, number: int
+    ) -> None:
+        spec = step.spec
+        run = Run((task.id, number), spec.need, host.token, plan.now, step.key)
+        run.filler = spec.filler
+        run.tail_limit = spec.tail_limit
+        task.run = number
+        task.host = host.name
+        task.move("order")
+        host.reserved.pop(step.key, None)
+        host.add(run)
+        step.by_host[host.name] = step.by_host.get(host.name, 0) + 1
+        ticket = step.tickets.get(host.name, ("", 0.0))[0]
+        payload = step.job.spec.payload
+        plan.effects.append(StartRun(host.name, run, payload, task.checkpoint, ticket))
+
+
+def _has_ticket(step: StepRun, host: Host, now: float) -> bool:
+    return step.tickets[host.name][1] - TICKET_MARGIN > now
+
+
+def _can_hold(host: Host, step: StepRun) -> bool:
+    """Return whether the empty host could hold a task of the step."""
+    spec = step.spec
+    if spec.label and spec.label not in host.entry.labels:
+        return False
+    return spec.need.fits(host.entry.capacity)
+
+
+def _allows(step: StepRun, host: Host, trial: _Trial) -> bool:
+    spec = step.spec
+    if spec.label and spec.label not in host.entry.labels:
+        return False
+    if not spec.spread:
+        return True
+    count = step.by_host.get(host.name, 0) + trial.counts.get(host.name, 0)
+    return count < spec.spread
+
+
+def _missing(room: Resources, step: StepRun) -> float:
+    """Return how far a host's room is from holding one task of the step."""
+    need = step.spec.need
+    return (
+        max(0, need.accelerators - room.accelerators) * 1000
+        + max(0, need.cpu_milli - room.cpu_milli) / 1000
+        + max(0, need.memory_mib - room.memory_mib) / 10000
+    )
+
+
+def _cost(
+    step: StepRun, host: Host, room: Resources, trial: _Trial
+) -> tuple[float, ...]:
+    """Return what a host costs as a place for a task; the least is taken.
+
+    Work that its users feel when it is disturbed keeps away from fillers, and
+    fillers from it. A gang that is slow across racks stays where it began.
+    """
+    spec = step.spec
+    far = 1.0 if spec.data_rack and host.entry.rack != spec.data_rack else 0.0
+    if spec.one_rack and trial.chosen:
+        far += host.entry.rack != trial.chosen[0][1].entry.rack
+    if spec.filler:
+        serving = sum(1 for run in host.runs.values() if run.tail_limit)
+        fillers = sum(1 for run in host.runs.values() if run.filler)
+        fillers += trial.counts.get(host.name, 0)
+        return (far, serving, fillers, -room.cpu_milli)
+    if spec.tail_limit or spec.long_running:
+        fillers = sum(1 for run in host.runs.values() if run.filler)
+        same = step.by_host.get(host.name, 0) + trial.counts.get(host.name, 0)
+        return (far, fillers, same, -room.cpu_milli)
+    # Gaps are filled from the tightest: whole hosts stay free for large work.
+    left = room.cpu_milli - spec.need.cpu_milli
+    return (far, room.accelerators - spec.accelerators, left)
--- /dev/null
+++ b/siskinroad/work/relay.py
@@ -0,0 +1,292 @@
+"""Store calls by way of another daemon, for one that does not reach the store.
+
+The store may turn some daemons away, or be cut off from them, while it serves
+the others. A call that did nothing here is tried once more through a daemon that
+the store has answered of late. A call that may have been carried out is repeated
+only where that is harmless: reads, and appends that carry a fence or a condition.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import msgspec
+
+from siskinroad.errors import SiskinroadError
+from siskinroad.work.calls import Calls
+from siskinroad.work.messages import RelayReply, RelayRequest
+from siskinroad.work.store import (
+    Fence,
+    FencedError,
+    Newest,
+    NewestPage,
+    Record,
+    Store,
+    StoreUnavailableError,
+    StoreUnknownError,
+    Tail,
+    TailMovedError,
+    TrimmedError,
+)
+
+__all__ = ["RelayStore"]
+
+# Seconds for which a daemon that was refused goes by way of others at once.
+BYPASS_TIME = 2.0
+# Seconds that the way to the other daemon and back may add.
+RELAY_TIME = 0.3
+
+log = logging.getLogger("siskinroad.relay")
+T = TypeVar("T")
+
+
+class _Append(msgspec.Struct, tag="append", frozen=True):
+    topic: str
+    records: list[Record]
+    at: int | None
+    fence: tuple[str, int, int] | None
+
+
+class _Read(msgspec.Struct, tag="read", frozen=True):
+    topic: str
+    start: int
+    wait: float
+
+
+class _Newest(msgspec.Struct, tag="newest", frozen=True):
+    topic: str
+    after: str
+
+
+class _Offset(msgspec.Struct, tag="offset", frozen=True):
+    offset: int
+
+
+class _Records(msgspec.Struct, tag="records", frozen=True):
+    start: int
+    records: tuple[Record, ...]
+    end: int
+
+
+class _Page(msgspec.Struct, tag="page", frozen=True):
+    items: tuple[Newest, ...]
+    more: bool
+    end: int
+
+
+class _Moved(msgspec.Struct, tag="moved", frozen=True):
+    end: int
+
+
+class _Fenced(msgspec.Struct, tag="fenced", frozen=True):
+    pass
+
+
+class _Trimmed(msgspec.Struct, tag="trimmed", frozen=True):
+    first: int
+
+
+_Call = _Append | _Read | _Newest
+_Answer = _Offset | _Records | _Page | _Moved | _Fenced | _Trimmed
+
+_ENCODE = msgspec.msgpack.Encoder().encode
+_CALL = msgspec.msgpack.Decoder(_Call)
+_ANSWER = msgspec.msgpack.Decoder(_Answer)
+
+
+class RelayStore(Store):
+    """The store, directly or by way of another daemon.
+
+    Parameters
+    ----------
+    direct : Store
+        The store as this daemon reaches it.
+    helpers : callable
+        Returns the living daemons that the store answered of late.
+
+    Attributes
+    ----------
+    answered_at : float
+        Loop time of the store's last direct answer.
+    relayed : int
+        Calls that went by way of another daemon.
+    """
+
+    def __init__(
+        self, direct: Store, calls: Calls, helpers: Callable[[], list[str]]
+    ) -> None:
+        self.direct = direct
+        self._calls = calls
+        self._helpers = helpers
+        self._bypass_until = -1.0
+        self._turn = 0
+        self.answered_at = -1e9
+        self.relayed = 0
+
+    async def append(
+        self,
+        topic: str,
+        records: list[Record],
+        *,
+        at: int | None = None,
+        fence: Fence | None = None,
+        timeout: float = 1.0,
+    ) -> int:
+        """Append records; see the base class."""
+        parts = (fence.producer, fence.epoch, fence.sequence) if fence else None
+        call = _Append(topic, records, at, parts)
+        answer = await self._call(
+            call,
+            timeout,
+            lambda: self.direct.append(
+                topic, records, at=at, fence=fence, timeout=timeout
+            ),
+            _Offset,
+            repeatable=fence is not None,
+        )
+        return answer if isinstance(answer, int) else answer.offset
+
+    async def read(
+        self, topic: str, start: int, *, wait: float, timeout: float = 1.0
+    ) -> Tail:
+        """Read records; see the base class."""
+        answer = await self._call(
+            _Read(topic, start, wait),
+            timeout,
+            lambda: self.direct.read(topic, start, wait=wait, timeout=timeout),
+            _Records,
+            repeatable=True,
+        )
+        if isinstance(answer, Tail):
+            return answer
+        return Tail(answer.start, answer.records, answer.end)
+
+    async def newest(
+        self, topic: str, after: str = "", *, timeout: float = 1.0
+    ) -> NewestPage:
+        """Return the newest records; see the base class."""
+        answer = await self._call(
+            _Newest(topic, after),
+            timeout,
+            lambda: self.direct.newest(topic, after, timeout=timeout),
+            _Page,
+            repeatable=True,
+        )
+        if isinstance(answer, NewestPage):
+            return answer
+        return NewestPage(answer.items, answer.more, answer.end)
+
+    async def close(self) -> None:
+        """Release connections."""
+        await self.direct.close()
+
+    async def _call(
+        self,
+        call: _Call,
+        timeout: float,
+        direct: Callable[[], Awaitable[T]],
+        kind: type[msgspec.Struct],
+        *,
+        repeatable: bool,
+    ) -> T | msgspec.Struct:
+        loop = asyncio.get_running_loop()
+        helpers = self._helpers()
+        unknown: SiskinroadError | None = None
+        if loop.time() >= self._bypass_until or not helpers:
+            try:
+                answer = await direct()
+            except StoreUnavailableError:
+                if not helpers:
+                    raise
+            except StoreUnknownError as exc:
+                if not helpers or not repeatable:
+                    raise
+                unknown = exc
+            except (TailMovedError, FencedError, TrimmedError):
+                self.answered_at = loop.time()
+                raise
+            else:
+                self.answered_at = loop.time()
+                return answer
+            self._bypass_until = loop.time() + BYPASS_TIME
+        return await self._relay(call, timeout, kind, helpers, unknown)
+
+    async def _relay(
+        self,
+        call: _Call,
+        timeout: float,
+        kind: type[msgspec.Struct],
+        helpers: list[str],
+        unknown: SiskinroadError | None,
+    ) -> msgspec.Struct:
+        self._turn += 1
+        self.relayed += 1
+        helper = helpers[self._turn % len(helpers)]
+        data = _ENCODE(call)
+        log.info(
+            "relay: store call goes by way of a peer",
+            extra={"peer": helper, "call": type(call).__name__.strip("_").lower()},
+        )
+        try:
+            reply = await self._calls.ask(
+                helper,
+                lambda n: RelayRequest(n, data, timeout),
+                RelayReply,
+                timeout + RELAY_TIME,
+            )
+        except SiskinroadError as exc:
+            raise StoreUnknownError(str(exc), step="relay", peer=helper) from exc
+        if reply.outcome == "not done" and unknown is None:
+            raise StoreUnavailableError("not done", step="relay", peer=helper)
+        if reply.outcome != "answered":
+            raise StoreUnknownError(reply.outcome, step="relay", peer=helper)
+        answer = _ANSWER.decode(reply.answer)
+        match answer:
+            case _Moved(end=end):
+                raise TailMovedError(end)
+            case _Fenced():
+                raise FencedError("lower epoch", step="store.append")
+            case _Trimmed(first=first):
+                raise TrimmedError(first)
+        if not isinstance(answer, kind):
+            raise StoreUnknownError("other answer", step="relay", peer=helper)
+        return answer
+
+    async def serve(self, msg: RelayRequest) -> RelayReply:
+        """Make a call for another daemon, directly and only so."""
+        try:
+            call = _CALL.decode(msg.call)
+            answer = await self._make(call, msg.timeout)
+        except (StoreUnavailableError, msgspec.MsgspecError):
+            return RelayReply(msg.id, "not done", b"")
+        except StoreUnknownError:
+            return RelayReply(msg.id, "unknown", b"")
+        self.answered_at = asyncio.get_running_loop().time()
+        return RelayReply(msg.id, "answered", _ENCODE(answer))
+
+    async def _make(self, call: _Call, timeout: float) -> _Answer:
+        try:
+            match call:
+                case _Append(topic=topic, records=records, at=at, fence=parts):
+                    fence = Fence(*parts) if parts else None
+                    offset = await self.direct.append(
+                        topic, records, at=at, fence=fence, timeout=timeout
+                    )
+                    return _Offset(offset)
+                case _Read(topic=topic, start=start, wait=wait):
+                    tail = await self.direct.read(
+                        topic, start, wait=wait, timeout=timeout
+                    )
+                    return _Records(tail.start, tail.records, tail.end)
+                case _Newest(topic=topic, after=after):
+                    page = await self.direct.newest(topic, after, timeout=timeout)
+                    return _Page(page.items, page.more, page.end)
+        except TailMovedError as exc:
+            return _Moved(exc.end)
+        except FencedError:
+            return _Fenced()
+        except TrimmedError as exc:
+            return _Trimmed(exc.first)
--- /dev/null
+++ b/siskinroad/work/steward.py
@@ -0,0 +1,111 @@
+"""Looks after what runs: tasks that stand still, and fillers beside servers.
+
+Loads that this answers: hosts on which work stops moving while their calls are
+answered well; fillers that raise the tail of the tasks that serve beside them.
+"""
+
+from __future__ import annotations
+
+import logging
+
+from siskinroad.work.book import Book
+from siskinroad.work.effects import Effect, PaceRun
+from siskinroad.work.host import Host, Run
+from siskinroad.work.model import Timing
+
+__all__ = ["Steward"]
+
+# Seconds without progress after which a run counts as standing still, and the
+# least percent that a run of the declared length moves in that time.
+STALL_TIME = 2.5
+# Runs that stand still on a host at the same time until it gets no new work.
+STALLED_RUNS = 2
+# Seconds for which a host that fails or stalls its work rests.
+REST_TIME = 6.0
+# Parts of a tail's bound above which fillers are slowed, and below which they
+# may work faster again.
+SLOW_ABOVE = 0.75
+FASTER_BELOW = 0.5
+SLOWER_FACTOR = 0.5
+FASTER_STEP = 10
+# Seconds that a change of pace needs to show in the tail: the hosts' figure is
+# that of the last half second.
+PACE_SETTLE = 0.6
+
+log = logging.getLogger("siskinroad.steward")
+
+
+class Steward:
+    """Watches the runs of a book."""
+
+    def __init__(self, book: Book, timing: Timing) -> None:
+        self.book = book
+        self.timing = timing
+        self._paced_at: dict[str, float] = {}
+        self._rest_until: dict[str, float] = {}
+
+    def look(self, now: float, wall: float) -> list[Effect]:
+        """Return what is to be done about runs that stall or disturb."""
+        effects: list[Effect] = []
+        for host in list(self.book.hosts.values()):
+            effects += self._stalled(host, now)
+            effects += self._pace(host, now)
+            self._wake(host, now)
+        return effects
+
+    def _stalled(self, host: Host, now: float) -> list[Effect]:
+        """Stop what stands still, so that it can go on elsewhere."""
+        if now - host.heard_at > STALL_TIME:
+            return []
+        still = [run for run in host.runs.values() if self._stands_still(run, now)]
+        effects: list[Effect] = []
+        for run in still:
+            task = self.book.task(run.key[0])
+            if task is not None:
+                task.avoid.add(host.name)
+            effects += self.book.stop(host, run, "stands still")
+        if len(still) >= STALLED_RUNS:
+            self._rest(host, now)
+        return effects
+
+    def _stands_still(self, run: Run, now: float) -> bool:
+        if run.state != "running" or run.progress >= 100 or run.filler:
+            return False
+        return bool(run.moved_at) and now - run.moved_at > STALL_TIME
+
+    def _rest(self, host: Host, now: float) -> None:
+        host.resting = True
+        self._rest_until[host.name] = now + REST_TIME
+        log.warning("steward: host stalls its work", extra={"host": host.name})
+
+    def _wake(self, host: Host, now: float) -> None:
+        if not host.resting:
+            return
+        until = self._rest_until.setdefault(host.name, now + REST_TIME)
+        if now >= until:
+            host.resting = False
+            del self._rest_until[host.name]
+            self.book.health.forget(host.name)
+            log.info("steward: host is tried again", extra={"host": host.name})
+
+    def _pace(self, host: Host, now: float) -> list[Effect]:
+        """Slow fillers before a tail beside them reaches its bound."""
+        fillers = [r for r in host.runs.values() if r.filler and r.state == "running"]
+        if not fillers or now - self._paced_at.get(host.name, -1e9) < PACE_SETTLE:
+            return []
+        serving = [r for r in host.runs.values() if r.tail_limit]
+        worst = max((run.usage / 1000 / run.tail_limit for run in serving), default=0.0)
+        if worst > SLOW_ABOVE:
+            wanted = [int(max(run.pace, 0) * SLOWER_FACTOR) for run in fillers]
+        elif worst < FASTER_BELOW:
+            wanted = [min(100, max(run.pace, 0) + FASTER_STEP) for run in fillers]
+        else:
+            return []
+        effects: list[Effect] = []
+        for run, percent in zip(fillers, wanted, strict=True):
+            if percent != run.pace:
+                run.pace = percent
+                effects.append(PaceRun(host.name, run, percent))
+        if effects:
+            self._paced_at[host.name] = now
+        return effects
--- /dev/null
+++ b/siskinroad/work/workmetrics.py
@@ -0,0 +1,47 @@
+"""Counters and histograms of the work on the platform's hosts."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+__all__ = ["WorkMetrics"]
+
+BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+
+
+class WorkMetrics:
+    """The metrics of one daemon, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry(auto_describe=False)
+        reg = self.registry
+        self.answers = Counter(
+            "siskinroad_caller_answers", "Answers.", ("verb", "status"), registry=reg
+        )
+        self.refusals = Counter(
+            "siskinroad_caller_refusals", "Refusals.", ("verb", "reason"), registry=reg
+        )
+        self.retries = Counter(
+            "siskinroad_work_retries", "Calls tried again.", ("reason",), registry=reg
+        )
+        self.starts = Counter(
+            "siskinroad_starts", "Starts sent.", ("outcome",), registry=reg
+        )
+        self.claims = Counter(
+            "siskinroad_pool_claims", "Claims of pools.", ("event",), registry=reg
+        )
+        self.lines = Gauge(
+            "siskinroad_log_lines_dropped", "Log lines left out.", registry=reg
+        )
+        self.latency = Histogram(
+            "siskinroad_caller_seconds",
+            "Time to answer.",
+            ("verb",),
+            buckets=BUCKETS,
+            registry=reg,
+        )
+
+    def render(self) -> bytes:
+        """Return the metrics in the text format."""
+        return generate_latest(self.registry)
