--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,64 @@
+import os
+import subprocess
+import sys
+
+import pytest
+from siskinroad_platform.settings import parse_platform_settings
+
+from siskinroad.errors import ConfigError
+
+SETTINGS = """
+node_name = "edge-1"
+zone = "z1"
+region = "r1"
+ip = "127.0.0.1"
+port_range = [7380, 7395]
+advisor = "10.200.1.9:8142"
+new_field = 1
+[listen]
+frontend = "127.0.0.1:8149"
+ready = "127.0.0.1:8141"
+[bounds]
+grace_s = 6
+hold_max_ms = 10000
+[platform]
+address = "10.200.1.7:8142"
+"""
+
+
+def test_settings_are_read_in_seconds_and_unknown_fields_left_alone():
+    cfg = parse_platform_settings(SETTINGS, "s")
+    assert cfg.node == "edge-1" and cfg.peer_address == "127.0.0.1:7380"
+    assert cfg.timing.max_lease == 10.0 and cfg.grace == 6.0
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "place"),
+    [
+        ('node_name = "edge-1"', "", "node_name"),
+        ('ip = "127.0.0.1"', "ip = 5", "ip"),
+        ("[7380, 7395]", '"7380"', "port_range"),
+        ('ready = "127.0.0.1:8141"', 'ready = "here"', "listen.ready"),
+        ("grace_s = 6", 'grace_s = "6"', "bounds.grace_s"),
+        ('address = "10.200.1.7:8142"', "", "platform.address"),
+    ],
+)
+def test_a_wrong_field_is_named(old, new, place):
+    with pytest.raises(ConfigError) as caught:
+        parse_platform_settings(SETTINGS.replace(old, new), "s")
+    assert place in [problem.place for problem in caught.value.problems]
+
+
+@pytest.mark.processes
+def test_a_wrong_file_ends_the_program_with_one_line_and_code_two(tmp_path):
+    path = tmp_path / "local.toml"
+    path.write_text(SETTINGS.replace('zone = "z1"', "zone = 1"))
+    done = subprocess.run(
+        [sys.executable, "-m", "siskinroad_platform"],
+        env=os.environ | {"SISKINROAD_BOOT": str(path)},
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    assert done.returncode == 2
+    assert done.stderr.count("\n") == 1 and "zone" in done.stderr
--- /dev/null
+++ b/tests/platform/test_wire.py
@@ -0,0 +1,141 @@
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from siskinroad_platform.store import decode_records, encode_records
+from siskinroad_platform.wire import (
+    PlatformDecoder,
+    decode_job,
+    decode_report,
+    task_from_name,
+    task_name,
+)
+
+from siskinroad.errors import ProtocolError
+from siskinroad.work.hosts import EndKind
+from siskinroad.work.model import Advice, TaskId
+from siskinroad.work.store import Record
+from tests.platform.standin import CONFIG, server_entry
+
+JOB = {
+    "spec": "text",
+    "phases": [
+        {"count": 4, "cpu": 500, "mem_mb": 256, "estimated_ms": 900},
+        {
+            "count": 2,
+            "cpu": 2000,
+            "gpu": 1,
+            "estimated_ms": 7000,
+            "depends_on": [0],
+            "saves_progress": True,
+            "gang": True,
+            "rack_local": True,
+            "data_rack": "r1-3",
+            "anti_affinity": 2,
+            "fills": True,
+            "long_running": True,
+            "max_unavailable": 1,
+            "image": "i",
+            "target_ms": 250,
+        },
+    ],
+}
+
+
+def test_a_job_s_steps_are_decoded_with_the_product_s_units():
+    spec = decode_job(msgspec.json.encode(JOB))
+    first, second = spec.steps
+    assert (first.count, first.cpu_milli, first.estimate) == (4, 500, 0.9)
+    assert second.after == (0,) and second.gang and second.one_rack
+    assert second.filler and second.need.cpu_milli == 0
+    assert second.tail_limit == 0.25 and second.max_away == 1
+    assert spec.occurrences == 1 and spec.first == 0.0
+
+
+def test_a_job_that_repeats_has_its_times_in_seconds():
+    body = JOB | {"repeat_count": 3, "start_at_ms": 5000, "interval_ms": 250}
+    spec = decode_job(msgspec.json.encode(body))
+    assert (spec.occurrences, spec.first, spec.interval) == (3, 5.0, 0.25)
+    assert spec.due(2) == 5.5
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"[]",
+        b'{"spec":"x"}',
+        b'{"spec":"x","phases":[]}',
+        b'{"spec":"x","phases":[{"count":0}]}',
+        b'{"spec":"x","phases":[{"count":1,"depends_on":[0]}]}',
+        b'{"spec":"x","phases":[{"count":1,"cpu":-1}]}',
+        b'{"spec":"x","phases":[{"count":9999999}]}',
+    ],
+)
+def test_a_job_that_makes_no_sense_is_refused(body):
+    with pytest.raises(ProtocolError):
+        decode_job(body)
+
+
+@settings(derandomize=True, max_examples=200)
+@given(st.binary(max_size=200))
+def test_garbage_never_ends_the_decoding_otherwise(data):
+    decoder = PlatformDecoder()
+    assert decoder.host("i", data) is None
+    assert decoder.setup("config", data) is None
+    with pytest.raises(ProtocolError):
+        decode_job(data)
+    with pytest.raises(ProtocolError):
+        decode_report(data, "i")
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"state": "resting"}, {"service": 5}, {"address": None}, {"capacity": []}],
+)
+def test_an_entry_of_another_writer_names_no_host(change):
+    value = msgspec.json.encode(server_entry("10.0.0.1:80") | change)
+    assert PlatformDecoder().host("i-1", value) is None
+
+
+def test_an_entry_is_decoded_and_unknown_fields_are_left_alone():
+    value = msgspec.json.encode(server_entry("10.0.0.1:80", "draining") | {"new": 1})
+    host = PlatformDecoder().host("i-1", value)
+    assert host.draining and host.rack == "r1-3" and host.capacity.cpu_milli == 16000
+
+
+def test_a_configuration_is_decoded():
+    setup = PlatformDecoder().setup("config", msgspec.json.encode(CONFIG))
+    queue = setup.find("ficu95.example", "/pule252/5c0e7a21d94b36f8")
+    assert queue.pool == "wuno96b" and queue.target == 0.4
+    assert queue.advice == Advice(0.01, 0.001, 2.0)
+    assert setup.find("ficu95.example", "/other/") is None
+    assert setup.find("other.example", "/pule252/5c0e7a21d94b36f8") is None
+
+
+def test_a_report_is_decoded():
+    name = "5c0e7a21d94b36f8.0.1.17"
+    body = {
+        "clock_ms": 482113,
+        "born": 9,
+        "running": [[name, 2, "0bb8", 41, 120]],
+        "finished": [[58, name, 1, "lapsed", ""]],
+    }
+    report = decode_report(msgspec.json.encode(body), "i-1")
+    assert report.running[0].task == TaskId("5c0e7a21d94b36f8", 0, 1, 17)
+    assert report.running[0].usage == 120
+    assert report.ended[0].how is EndKind.LAPSED
+
+
+def test_a_task_s_name_is_read_back():
+    task = TaskId("5c0e7a21d94b36f8", 3, 1, 17)
+    assert task_from_name(task_name(task)) == task
+    with pytest.raises(ProtocolError):
+        task_from_name("5c0e.1.2")
+
+
+@settings(derandomize=True)
+@given(st.lists(st.tuples(st.text(min_size=1, max_size=40), st.binary(max_size=50))))
+def test_records_are_read_back(pairs):
+    records = [Record(key, value) for key, value in pairs]
+    assert list(decode_records(encode_records(records))) == records
