Count a failed run once, also when its end is listed to a successor

Ruled out: two failing members of a gang (the job had one task). Change: the record of a task names the newest run it counts.

--- a/siskinroad/work/book.py
+++ b/siskinroad/work/book.py
@@ -479,17 +479,24 @@
             return []
         if task.allows("free"):
             task.move("free")
-        if end.how is EndKind.FAILED:
-            return self._failed(host, step, task, now, wall)
+        if end.how is EndKind.FAILED and end.run > task.counted:
+            return self._failed(host, step, task, end.run, now, wall)
         return []
 
     def _failed(
-        self, host: Host, step: StepRun, task: Task, now: float, wall: float
+        self,
+        host: Host,
+        step: StepRun,
+        task: Task,
+        run: int,
+        now: float,
+        wall: float,
     ) -> list[Effect]:
         job = step.job
         tasks = step.tasks if step.spec.gang else [task]
         for each in tasks:
             each.failed += 1
+            each.counted = run
         task.avoid.add(host.name)
         self.dirty.add(job.id)
         verdict = self.health.observe(host.name, job.id, False, now, len(self.hosts))
--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -37,6 +37,8 @@
         Where the newest run is.
     failed : int
         Runs that failed through the task's own fault.
+    counted : int
+        Newest run that ``failed`` counts.
     avoid : set of str
         Hosts on which a run failed.
     """
@@ -46,6 +48,7 @@
     run: int = 0
     host: str = ""
     failed: int = 0
+    counted: int = 0
     checkpoint: str = ""
     avoid: set[str] = field(default_factory=set)
 
@@ -68,6 +71,7 @@
             self.run,
             self.failed,
             self.checkpoint,
+            self.counted,
         )
 
 
@@ -201,6 +205,7 @@
                 continue
             task.run = note.run
             task.failed = note.failed
+            task.counted = note.counted
             task.checkpoint = note.checkpoint
             self.started = True
             if note.done:
--- a/siskinroad/work/records.py
+++ b/siskinroad/work/records.py
@@ -77,7 +77,11 @@
 
 
 class TaskNote(msgspec.Struct, frozen=True, array_like=True):
-    """What must last of a task; only of tasks that have been started."""
+    """What must last of a task; only of tasks that have been started.
+
+    ``counted`` is the newest run that ``failed`` counts, so that an end which is
+    listed again to another owner is not counted twice.
+    """
 
     occurrence: int
     step: int
@@ -86,6 +90,7 @@
     run: int
     failed: int
     checkpoint: str
+    counted: int = 0
 
 
 class Progress(msgspec.Struct, tag="progress", frozen=True, omit_defaults=True):
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -38,7 +38,7 @@
 
 
 def test_the_product_does_not_import_the_folder():
-    for path, text in modules():
+    for _, text in modules():
         assert not any(name.startswith("siskinroad_platform") for name in imports(text))
 
 
