Do not lapse what a successor has just adopted

Ruled out: an absent row (the run was listed). Change: the first report counts as a grant of a former owner. Test first in tests/work/test_book.py.

--- a/siskinroad/work/book.py
+++ b/siskinroad/work/book.py
@@ -376,6 +376,8 @@
         host.heard_at = now
         if not host.settled:
             host.settled = True
+            # A former owner may have extended the lease just before.
+            host.granted(now)
             log.info(
                 "book: host answers under this term",
                 extra={
--- a/tests/work/test_book.py
+++ b/tests/work/test_book.py
@@ -168,3 +168,11 @@
     assert book.task(T).state == "placed"
     book.lapse_silent(host.lapse_at + 0.01)
     assert book.task(T).state == "waiting"
+
+
+def test_what_a_successor_has_just_adopted_does_not_lapse_at_once():
+    book = make_book(job(), ("i-0",), settled=False)
+    answer(book, "i-0", 5.0, running=[Running(T, 1, "", 50, 0)])
+    book.lapse_silent(5.01)
+    assert book.task(T).state == "placed"
+    assert book.hosts["i-0"].lapse_at > 9.0
