Let daemons that have just started hold no claim up; beat faster as an owner

Change: a beat says whether its sender may claim; owners beat each 0.3 s and count as dead after 1.0 (was 1.6); questions to an owner end once it is dead. Tests: tests/work/test_members.py.

--- a/siskinroad/work/calls.py
+++ b/siskinroad/work/calls.py
@@ -13,6 +13,9 @@
 
 __all__ = ["Calls"]
 
+# Seconds between two looks at whether the asked daemon is still alive.
+ALIVE_CHECK = 0.2
+
 T = TypeVar("T")
 
 
@@ -34,10 +37,20 @@
         self._waiting: dict[int, asyncio.Future[Message]] = {}
 
     async def ask(
-        self, peer: str, make: Callable[[int], Message], kind: type[T], timeout: float
+        self,
+        peer: str,
+        make: Callable[[int], Message],
+        kind: type[T],
+        timeout: float,
+        alive: Callable[[], bool] = lambda: True,
     ) -> T:
         """Send the question that ``make`` returns and wait for its answer.
 
+        Parameters
+        ----------
+        alive : callable
+            Returns whether waiting on makes sense; asked now and then.
+
         Raises
         ------
         OutcomeUnknownError
@@ -48,16 +61,25 @@
         self._waiting[number] = fut
         self._peers.send(peer, make(number))
         try:
-            async with asyncio.timeout(timeout):
-                answer = await fut
-        except TimeoutError:
-            raise OutcomeUnknownError("no answer", step="peers", peer=peer) from None
+            await self._wait(fut, timeout, alive)
         finally:
             del self._waiting[number]
+        if not fut.done():
+            raise OutcomeUnknownError("no answer", step="peers", peer=peer)
+        answer = fut.result()
         if not isinstance(answer, kind):
             raise OutcomeUnknownError("other answer", step="peers", peer=peer)
         return answer
 
+    async def _wait(
+        self, fut: asyncio.Future[Message], timeout: float, alive: Callable[[], bool]
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + timeout
+        while not fut.done() and loop.time() < until and alive():
+            left = until - loop.time()
+            await asyncio.wait([fut], timeout=min(left, ALIVE_CHECK))
+
     def answered(self, number: int, answer: Message) -> None:
         """Take in an answer; one that nobody waits for any more is dropped."""
         fut = self._waiting.get(number)
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -16,7 +16,7 @@
 from siskinroad.work.desk import Desk
 from siskinroad.work.follow import Follower
 from siskinroad.work.lines import AdviceLines
-from siskinroad.work.members import BEAT_TIME, Members
+from siskinroad.work.members import BEAT_TIME, OWNER_BEAT_TIME, Members
 from siskinroad.work.messages import (
     AdviceReply,
     AdviceRequest,
@@ -48,7 +48,7 @@
 CLAIM_TICK = 0.2
 # Seconds after the start before a pool without an owner is claimed: all daemons
 # start within a third of a second and have to hear each other first.
-FIRST_CLAIM = 1.2
+FIRST_CLAIM = 1.0
 # Seconds for which a pool must be seen without an owner.
 CLAIM_PATIENCE = 0.3
 JOIN_RETRY = 0.3
@@ -222,13 +222,20 @@
                 for owner in self.owners.values():
                     owner.lose_right()
             self._beat()
-            await asyncio.sleep(BEAT_TIME)
+            await asyncio.sleep(OWNER_BEAT_TIME if self.owners else BEAT_TIME)
 
     def _make_beat(self) -> Beat:
         now = asyncio.get_running_loop().time()
         owned = tuple((pool, owner.term) for pool, owner in self.owners.items())
         age = round(now - self.store.answered_at, 1)
-        return Beat(self.member.node, self.member.incarnation, owned, age, self.leaving)
+        return Beat(
+            self.member.node,
+            self.member.incarnation,
+            owned,
+            age,
+            self.leaving,
+            self._able(),
+        )
 
     def _beat(self) -> None:
         beat = self._make_beat()
@@ -246,12 +253,17 @@
             except TimeoutError:
                 pass
             self._claim_wanted.clear()
-            if self.leaving or loop.time() - self._started_at < FIRST_CLAIM:
+            if not self._able():
                 continue
             for pool in self._pools():
                 if pool not in self._runs and self._is_vacant(pool, loop.time()):
                     self._runs[pool] = loop.create_task(self._own(pool))
 
+    def _able(self) -> bool:
+        """Return whether this daemon has heard enough to claim a pool."""
+        up = asyncio.get_running_loop().time() - self._started_at
+        return up >= FIRST_CLAIM and self.desk.setup is not None and not self.leaving
+
     def _pools(self) -> tuple[str, ...]:
         return self.desk.setup.pools if self.desk.setup else ()
 
--- a/siskinroad/work/desk.py
+++ b/siskinroad/work/desk.py
@@ -193,6 +193,7 @@
                 lambda n: msgspec.structs.replace(msg, id=n),
                 SubmitReply,
                 min(left, SUBMIT_TIME),
+                lambda: self._find_owner(pool) == node,
             )
         except SiskinroadError:
             self._metrics.retries.labels("owner").inc()
--- a/siskinroad/work/members.py
+++ b/siskinroad/work/members.py
@@ -8,12 +8,15 @@
 from siskinroad.work.messages import Beat
 from siskinroad.work.records import Member
 
-__all__ = ["ALIVE_TIME", "BEAT_TIME", "Members"]
-
-# Seconds between two beats, and without one until a daemon is taken as dead:
-# three lost beats, well within the lease of what a dead owner runs.
-BEAT_TIME = 0.5
-ALIVE_TIME = 1.6
+__all__ = ["ALIVE_TIME", "BEAT_TIME", "OWNER_ALIVE_TIME", "OWNER_BEAT_TIME", "Members"]
+
+# Seconds between two beats, and without one until a daemon is taken as dead.
+# Owners beat faster: what a dead one runs has to be held within its lease, and
+# new work waits for its successor.
+BEAT_TIME = 0.6
+ALIVE_TIME = 2.0
+OWNER_BEAT_TIME = 0.3
+OWNER_ALIVE_TIME = 1.0
 # Seconds without an answer of the store after which others should own.
 STORE_AGE = 2.5
 
@@ -93,7 +96,7 @@
         """Return the living daemon that owns a pool under the highest term."""
         best: tuple[int, str] | None = None
         for node, heard in self.heard.items():
-            if now - heard.at > ALIVE_TIME:
+            if now - heard.at > OWNER_ALIVE_TIME:
                 continue
             for name, term in heard.beat.owned:
                 if name == pool and (best is None or (term, node) > best):
@@ -123,6 +126,9 @@
         own = (owned, _rank(pool, self.node))
         for node in self.reaches_store(now):
             beat = self.heard[node].beat
+            # One that has just started defers to others, and they to nobody.
+            if not beat.able:
+                continue
             if (len(beat.owned), _rank(pool, node)) < own:
                 return False
         return True
--- a/siskinroad/work/messages.py
+++ b/siskinroad/work/messages.py
@@ -33,6 +33,8 @@
         Seconds since the store last answered the sender.
     leaving : bool
         The sender is about to stop.
+    able : bool
+        The sender has been up for long enough to claim a pool.
     """
 
     node: str
@@ -40,6 +42,7 @@
     owned: tuple[tuple[str, int], ...]
     store_age: float
     leaving: bool
+    able: bool
 
 
 class JobQuestion(msgspec.Struct, tag="job?", frozen=True, array_like=True):
--- /dev/null
+++ b/tests/work/test_members.py
@@ -0,0 +1,82 @@
+from siskinroad.work.members import Members
+from siskinroad.work.messages import Beat
+from siskinroad.work.records import Member
+
+
+def beat(node, owned=(), incarnation=1, age=0.1, leaving=False, able=True):
+    return Beat(node, incarnation, tuple(owned), age, leaving, able)
+
+
+def make(*beats, node="a", now=10.0):
+    members = Members(node, 1)
+    for each in beats:
+        members.hear(each, now)
+    return members
+
+
+def claimants(pool, *beats, now=10.0, age=0.1):
+    """Return the daemons of which each would claim the pool by itself."""
+    names = [each.node for each in beats]
+    found = []
+    for each in beats:
+        if not each.able:
+            continue
+        members = make(*[b for b in beats if b.node != each.node], node=each.node)
+        if members.should_claim(pool, now, len(each.owned), age):
+            found.append(each.node)
+    assert set(found) <= set(names)
+    return found
+
+
+def test_all_daemons_agree_on_one_claimant():
+    assert len(claimants("p", beat("a"), beat("b"), beat("c"))) == 1
+
+
+def test_a_daemon_that_has_just_started_holds_nobody_up():
+    # Load: daemons that restart one after another, each with the best rank.
+    for young in "abc":
+        beats = [beat(n, able=n != young) for n in "abc"]
+        assert len(claimants("p", *beats)) == 1
+
+
+def test_who_owns_a_pool_already_comes_last():
+    beats = [beat("a", [("q", 3)]), beat("b", [("r", 4)]), beat("c")]
+    assert claimants("p", *beats) == ["c"]
+
+
+def test_a_daemon_without_the_store_does_not_claim():
+    assert not make(beat("b")).should_claim("p", 10.0, 0, 9.0)
+    members = make(beat("b", age=9.0), beat("c", age=9.0))
+    assert members.should_claim("p", 10.0, 0, 0.1)
+
+
+def test_the_owner_of_the_highest_term_is_the_owner_while_it_beats():
+    members = make(beat("b", [("p", 4)]), beat("c", [("p", 9)]))
+    assert members.owner("p", 10.5) == "c"
+    assert members.owner("p", 11.5) is None
+
+
+def test_a_later_life_ends_the_owning_of_an_earlier_one():
+    members = make(beat("b", [("p", 4)]))
+    members.hear(beat("b", incarnation=2), 10.1)
+    assert members.owner("p", 10.1) is None
+    assert members.is_later_life("b", 1)
+    members.hear(beat("b", [("p", 4)]), 10.2)
+    assert members.owner("p", 10.2) is None
+
+
+def test_a_pool_that_a_leaving_owner_gave_up_is_known():
+    members = make(beat("b", [("p", 4)]))
+    members.hear(beat("b", [("p", 4)], leaving=True), 10.1)
+    assert not members.has_given_up("p", 10.1)
+    members.hear(beat("b", leaving=True), 10.2)
+    assert members.has_given_up("p", 10.2)
+    assert members.alive(10.2) == []
+
+
+def test_only_news_of_members_is_taken_in():
+    members = Members("a", 1)
+    assert members.learn(Member("b", 2, "x", "d", "r"))
+    assert not members.learn(Member("b", 1, "y", "d", "r"))
+    members.forget_all_but(set())
+    assert members.others() == []
