Place what can still be in time first, and leave scarce hosts to who needs them

Cause: gangs and renders whose advice allows one host of seven waited 10 to 37 s while steps with several allowed hosts took it; and work that was late anyway went before younger work. Ruled out: advice (0.3 to 1 s), reservations. Change: order by priority, then whether the job can still end in time, then its objective; a step avoids hosts that other waiting steps want more. Tests: tests/work/test_planner.py.

--- a/siskinroad/work/book.py
+++ b/siskinroad/work/book.py
@@ -148,11 +148,7 @@
         queue = self.queues.get(job.queue)
         if queue is None:
             return job.accepted_at
-        ends: list[float] = []
-        for step in job.spec.steps:
-            before = max((ends[i] for i in step.after if i < len(ends)), default=0.0)
-            ends.append(before + step.estimate)
-        return job.accepted_at + queue.slack * max(ends) + queue.target
+        return job.accepted_at + queue.slack * max(job.tails) + queue.target
 
     def _find_ready(self, job: Job, now: float) -> None:
         if job.closed:
--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -130,6 +130,8 @@
         The outcome that the store has.
     objective : float
         Unix time in seconds by which the job is worth most.
+    tails : list of float
+        Declared seconds from the start of each step to the end of the job.
     started : bool
         Whether a task has begun.
     """
@@ -140,6 +142,7 @@
     spec: JobSpec
     accepted_at: float
     objective: float = 0.0
+    tails: list[float] = field(default_factory=list)
     steps: dict[tuple[int, int], StepRun] = field(default_factory=dict)
     opened: int = 0
     outcome: str = ""
@@ -214,4 +217,14 @@
 
 def make_job(accepted: Accepted) -> Job:
     """Return a job that has not begun."""
-    return Job(accepted.job, accepted.queue, accepted.pool, accepted.spec, accepted.at)
+    job = Job(accepted.job, accepted.queue, accepted.pool, accepted.spec, accepted.at)
+    job.tails = _tails(accepted.spec.steps)
+    return job
+
+
+def _tails(steps: tuple[Step, ...]) -> list[float]:
+    tails = [step.estimate for step in steps]
+    for i in reversed(range(len(steps))):
+        after = [tails[j] for j in range(i + 1, len(steps)) if i in steps[j].after]
+        tails[i] += max(after, default=0.0)
+    return tails
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -30,6 +30,13 @@
 SPARE_HOSTS = 2
 # Seconds for which room is reserved beyond the advisor's expected answer.
 RESERVE_SLACK = 0.3
+# Part of its declared time in which a step may end: declarations are rough.
+EARLIEST_PART = 0.8
+# Times its objective after which a job is worth nothing more to its users.
+LATE_FACTOR = 3.0
+# Part of a host's room, in demand of others, that makes a difference of one in
+# the choice between hosts.
+DEMAND_STEP = 0.5
 # Part of a pool's hosts that blocked gangs may close to later work.
 MAX_CLOSED_PART = 0.5
 
@@ -43,6 +50,7 @@
     book: Book
     now: float
     hosts: list[Host]
+    demand: dict[str, float]
     closed: set[str] = field(default_factory=set)
     effects: list[Effect] = field(default_factory=list)
 
@@ -71,17 +79,27 @@
     def plan(self, now: float, wall: float) -> list[Effect]:
         """Start what fits, in order of urgency, and ask for advice."""
         hosts = [host for host in self.book.hosts.values() if host.open(now)]
-        plan = _Plan(self.book, now, hosts)
         steps = [s for s in self.book.ready.values() if not s.job.closed]
+        plan = _Plan(self.book, now, hosts, _demand(steps, hosts))
         steps.sort(key=lambda s: self._urgency(s, wall))
         for step in steps:
             self._plan_step(plan, step)
         return plan.effects
 
-    def _urgency(self, step: StepRun, wall: float) -> tuple[int, bool, float]:
-        queue = self.book.queues.get(step.job.queue)
-        late = step.job.objective < wall
-        return (queue.priority if queue else 9, late, step.job.objective)
+    def _urgency(self, step: StepRun, wall: float) -> tuple[int, int, float]:
+        """Return the order of a step: what can still be in time comes first.
+
+        Under overload, earliest objective first would spend the room on work
+        that is late anyway, and so make the next one late too.
+        """
+        job = step.job
+        queue = self.book.queues.get(job.queue)
+        ends = wall + EARLIEST_PART * job.tails[step.number]
+        allowed = job.objective - job.accepted_at
+        late = 0
+        if ends > job.objective:
+            late = 1 if ends < job.accepted_at + LATE_FACTOR * allowed else 2
+        return (queue.priority if queue else 9, late, job.objective)
 
     def _plan_step(self, plan: _Plan, step: StepRun) -> None:
         waiting = step.waiting()
@@ -141,7 +159,7 @@
         trial = _Trial()
         rooms = {h.name: h.free(step.key, plan.now) for h in hosts}
         for task in waiting:
-            host = self._choose(step, task, hosts, rooms, trial)
+            host = self._choose(plan, step, task, hosts, rooms, trial)
             if host is None:
                 if step.spec.gang:
                     return None
@@ -153,6 +171,7 @@
 
     def _choose(
         self,
+        plan: _Plan,
         step: StepRun,
         task: Task,
         hosts: list[Host],
@@ -168,7 +187,7 @@
                 continue
             if not _allows(step, host, trial):
                 continue
-            cost = _cost(step, host, room, trial)
+            cost = _cost(plan, step, host, room, trial)
             if best is None or cost < best_cost:
                 best, best_cost = host, cost
         if best is None and task.avoid and len(task.avoid) >= len(hosts):
@@ -278,8 +297,36 @@
     )
 
 
+def _demand(steps: list[StepRun], hosts: list[Host]) -> dict[str, float]:
+    """Return how much of each host the waiting steps want.
+
+    A step spreads its demand over the hosts that it may use, so that one with a
+    single allowed host weighs most there.
+    """
+    demand = {host.name: 0.0 for host in hosts}
+    rooms = {host.name: host.entry.capacity for host in hosts}
+    for step in steps:
+        names = [name for name in step.tickets if name in demand]
+        if not names:
+            continue
+        count = len(step.waiting()) / len(names)
+        for name in names:
+            demand[name] += count * step.spec.need.dominant(rooms[name])
+    return demand
+
+
+def _others_demand(plan: _Plan, step: StepRun, host: Host) -> int:
+    """Return the demand of other steps for a host, in whole steps."""
+    names = [name for name in step.tickets if name in plan.demand]
+    own = 0.0
+    if host.name in names:
+        share = step.spec.need.dominant(host.entry.capacity)
+        own = len(step.waiting()) / len(names) * share
+    return int((plan.demand.get(host.name, 0.0) - own) / DEMAND_STEP)
+
+
 def _cost(
-    step: StepRun, host: Host, room: Resources, trial: _Trial
+    plan: _Plan, step: StepRun, host: Host, room: Resources, trial: _Trial
 ) -> tuple[float, ...]:
     """Return what a host costs as a place for a task; the least is taken.
 
@@ -299,6 +346,8 @@
         fillers = sum(1 for run in host.runs.values() if run.filler)
         same = step.by_host.get(host.name, 0) + trial.counts.get(host.name, 0)
         return (far, fillers, same, -room.cpu_milli)
-    # Gaps are filled from the tightest: whole hosts stay free for large work.
+    # Hosts that others need more are left to them. Gaps are filled from the
+    # tightest, so that whole hosts stay free for large work.
+    wanted = _others_demand(plan, step, host)
     left = room.cpu_milli - spec.need.cpu_milli
-    return (far, room.accelerators - spec.accelerators, left)
+    return (far, wanted, room.accelerators - spec.accelerators, left)
