Leave hosts that have become slow, and move what ends sooner elsewhere

Ruled out: health (it counts failures, and these hosts end their work well). Tests: tests/work/test_steward.py replays the load.

--- a/siskinroad/work/book.py
+++ b/siskinroad/work/book.py
@@ -28,6 +28,7 @@
 from siskinroad.work.job import Job, JobState, StepRun, Task, make_job
 from siskinroad.work.model import HostEntry, Queue, Setup, TaskId
 from siskinroad.work.records import Accepted, Progress
+from siskinroad.work.speed import Speeds
 
 __all__ = ["Book"]
 
@@ -61,6 +62,7 @@
         self.timed: set[str] = set()
         self.dirty: set[str] = set()
         self.health = Health()
+        self.speeds = Speeds()
         self.settled = False
         self.waiting_for_hosts: set[str] = set()
         self.former_lapse_at = 0.0
@@ -330,7 +332,7 @@
             return []
         run.move("reject")
         if rejection is Rejection.TICKET:
-            step = self._step(run.key[0])
+            step = self.step(run.key[0])
             if step is not None:
                 step.tickets.pop(host.name, None)
         return self._over(host, run, rejection.value, now)
@@ -418,7 +420,9 @@
         if run is not None:
             run.move("end")
             self._release(host, run)
-        step = self._step(end.task)
+            if end.how is EndKind.DONE and run.begun_at and not run.progress_at_begin:
+                self.speeds.ended(run.queue, run.declared, now - run.begun_at)
+        step = self.step(end.task)
         task = step.job.task(end.task) if step else None
         if step is None or task is None:
             return []
@@ -531,12 +535,18 @@
 
     def _adopt(self, host: Host, row: Running, now: float) -> tuple[Run, list[Effect]]:
         """Take in a run that this owner has not ordered."""
-        step = self._step(row.task)
+        step = self.step(row.task)
         task = step.job.task(row.task) if step else None
-        key = (row.task.job, row.task.occurrence, row.task.step)
-        # What an unknown run takes is not known: it may be all that the host has.
-        need = step.spec.need if step else host.entry.capacity
-        run = Run((row.task, row.run), need, host.token, now, key, "running")
+        if step is not None and task is not None:
+            run = step.make_run(task, row.run, host.token, now)
+        else:
+            # What an unknown run takes is not known: it may be all of the host.
+            key = (row.task.job, row.task.occurrence, row.task.step)
+            whole = host.entry.capacity
+            run = Run((row.task, row.run), whole, host.token, now, key)
+        run.move("list")
+        run.progress = run.progress_at_begin = row.progress
+        run.moved_at = now
         run.begun_at = now
         host.add(run)
         wanted = (
@@ -551,8 +561,6 @@
         if not wanted or step is None or task is None:
             run.foreign = True
             return run, self.stop(host, run, "not wanted")
-        run.filler = step.spec.filler
-        run.tail_limit = step.spec.tail_limit
         task.run = row.run
         task.host = host.name
         task.move("adopt")
@@ -585,7 +593,7 @@
 
     def _release(self, host: Host, run: Run) -> None:
         host.drop(run)
-        step = self._step(run.key[0])
+        step = self.step(run.key[0])
         if step is not None and step.by_host.get(host.name):
             step.by_host[host.name] -= 1
 
@@ -611,7 +619,7 @@
 
     def _break_gang(self, task: Task, run: Run) -> list[Effect]:
         """Stop the members of a gang that has lost one."""
-        step = self._step(task.id)
+        step = self.step(task.id)
         if step is None or not step.spec.gang:
             return []
         effects: list[Effect] = []
@@ -628,7 +636,8 @@
         job = self.jobs.get(key.job)
         return job.task(key) if job else None
 
-    def _step(self, key: TaskId) -> StepRun | None:
+    def step(self, key: TaskId) -> StepRun | None:
+        """Return the step of a task, or None if it is not known."""
         job = self.jobs.get(key.job)
         return job.steps.get((key.occurrence, key.step)) if job else None
 
--- a/siskinroad/work/desk.py
+++ b/siskinroad/work/desk.py
@@ -52,6 +52,9 @@
 DEADLINE_SLACK = 0.15
 # Seconds after which a caller should come back: a take-over needs about so long.
 RETRY_AFTER = 1.0
+# Part of an outage's age, and most seconds, to send callers away for.
+RETRY_PART = 0.5
+LONGEST_RETRY = 4.0
 
 log = logging.getLogger("siskinroad.desk")
 
@@ -90,8 +93,10 @@
     retry_after: float = 0.0
 
 
-def _not_now(reason: str) -> Reply:
-    return Reply(ReplyKind.NOT_NOW, reason=reason, retry_after=RETRY_AFTER)
+def _not_now(reason: str, outage: float = 0.0) -> Reply:
+    """Refuse for now; what has lasted a while is likely to last as long again."""
+    wait = min(LONGEST_RETRY, max(RETRY_AFTER, outage * RETRY_PART))
+    return Reply(ReplyKind.NOT_NOW, reason=reason, retry_after=wait)
 
 
 class Desk:
@@ -151,7 +156,8 @@
         if never:
             return self._told(job, "submit", Reply(ReplyKind.NEVER, reason=never))
         if self._store_age() > STORE_DOWN_AGE:
-            return self._told(job, "submit", _not_now("store_silent"), queue)
+            reply = _not_now("store_silent", self._store_age())
+            return self._told(job, "submit", reply, queue)
         accepted = Accepted(job, queue.name, queue.pool, self._wall(), spec)
         reply = await self._store_job(queue, record_of(accepted), deadline)
         return self._told(job, "submit", reply, queue)
--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -40,6 +40,14 @@
         Loop time of the newest order or of its answer.
     foreign : bool
         Found on the host though the owner did not want it.
+    queue, declared, long_running
+        Its queue, declared run time in seconds, and whether it lasts.
+    progress_at_begin : int
+        Percent that its checkpoint had already.
+    moved_at : float
+        Loop time at which its progress last changed.
+    pace : int
+        Percent of its speed that it was last allowed.
     """
 
     key: RunKey
@@ -56,6 +64,10 @@
     pace: int = 100
     filler: bool = False
     tail_limit: float = 0.0
+    queue: str = ""
+    declared: float = 0.0
+    long_running: bool = False
+    progress_at_begin: int = 0
 
     def move(self, event: str) -> None:
         """Apply an event of the ``run`` chart."""
--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from siskinroad.charts import load_chart
+from siskinroad.work.host import Run
 from siskinroad.work.model import JobSpec, Step, TaskId
 from siskinroad.work.records import Accepted, Progress, TaskNote
 
@@ -109,6 +110,22 @@
         """Job, occurrence and step."""
         return (self.job.id, self.occurrence, self.number)
 
+    def make_run(self, task: Task, number: int, token: int, now: float) -> Run:
+        """Return a run of one of the step's tasks that is about to be ordered."""
+        spec = self.spec
+        return Run(
+            (task.id, number),
+            spec.need,
+            token,
+            now,
+            self.key,
+            filler=spec.filler,
+            tail_limit=spec.tail_limit,
+            queue=self.job.queue,
+            declared=spec.estimate,
+            long_running=spec.long_running,
+        )
+
     def waiting(self) -> list[Task]:
         """Return the tasks that can be placed."""
         return [task for task in self.tasks if task.state == "waiting"]
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -15,7 +15,7 @@
 from siskinroad.resources import Resources
 from siskinroad.work.book import Book
 from siskinroad.work.effects import AskAdvice, Effect, StartRun
-from siskinroad.work.host import Host, Run
+from siskinroad.work.host import Host
 from siskinroad.work.job import StepRun, Task
 from siskinroad.work.model import Queue
 
@@ -250,10 +250,7 @@
     def _start(
         self, plan: _Plan, step: StepRun, task: Task, host: Host, number: int
     ) -> None:
-        spec = step.spec
-        run = Run((task.id, number), spec.need, host.token, plan.now, step.key)
-        run.filler = spec.filler
-        run.tail_limit = spec.tail_limit
+        run = step.make_run(task, number, host.token, plan.now)
         task.run = number
         task.host = host.name
         task.move("order")
--- a/siskinroad/work/steward.py
+++ b/siskinroad/work/steward.py
@@ -22,6 +22,15 @@
 STALLED_RUNS = 2
 # Seconds for which a host that fails or stalls its work rests.
 REST_TIME = 6.0
+# Seconds for which a slow host gets no work after it was last seen to be slow.
+SLOW_REST = 2.0
+# Part of the hosts that may rest: beyond it the load is to blame, not the hosts.
+MAX_RESTING_PART = 0.4
+# A task is moved only where that ends it clearly sooner, and only so often;
+# advice and the start elsewhere take a while.
+MOVE_FACTOR = 1.3
+MOVE_TIME = 0.3
+MOST_MOVES = 3
 # Parts of a tail's bound above which fillers are slowed, and below which they
 # may work faster again.
 SLOW_ABOVE = 0.75
@@ -49,6 +58,7 @@
         effects: list[Effect] = []
         for host in list(self.book.hosts.values()):
             effects += self._stalled(host, now)
+            effects += self._slow(host, now)
             effects += self._pace(host, now)
             self._wake(host, now)
         return effects
@@ -65,7 +75,7 @@
                 task.avoid.add(host.name)
             effects += self.book.stop(host, run, "stands still")
         if len(still) >= STALLED_RUNS:
-            self._rest(host, now)
+            self._rest(host, now, REST_TIME, "stalls")
         return effects
 
     def _stands_still(self, run: Run, now: float) -> bool:
@@ -73,10 +83,42 @@
             return False
         return bool(run.moved_at) and now - run.moved_at > STALL_TIME
 
-    def _rest(self, host: Host, now: float) -> None:
+    def _rest(self, host: Host, now: float, seconds: float, why: str) -> None:
+        resting = sum(1 for h in self.book.hosts.values() if h.resting)
+        most = len(self.book.hosts) * MAX_RESTING_PART
+        if not host.resting and resting + 1 > most:
+            return
+        if not host.resting:
+            log.warning("steward: host rests", extra={"host": host.name, "why": why})
         host.resting = True
-        self._rest_until[host.name] = now + REST_TIME
-        log.warning("steward: host stalls its work", extra={"host": host.name})
+        self._rest_until[host.name] = now + seconds
+
+    def _slow(self, host: Host, now: float) -> list[Effect]:
+        """Keep work off a slow host, and move what would end sooner elsewhere."""
+        if now - host.heard_at > STALL_TIME or not self.book.speeds.is_slow(host, now):
+            return []
+        self._rest(host, now, SLOW_REST, "slow")
+        effects: list[Effect] = []
+        for run in list(host.runs.values()):
+            if self._sooner_elsewhere(run, now):
+                effects += self.book.stop(host, run, "sooner elsewhere")
+        return effects
+
+    def _sooner_elsewhere(self, run: Run, now: float) -> bool:
+        """Return whether a task would end sooner if it began anew elsewhere."""
+        step = self.book.step(run.key[0])
+        if run.state != "running" or step is None or step.spec.gang:
+            return False
+        if step.spec.filler or step.spec.long_running or run.key[1] > MOST_MOVES:
+            return False
+        remaining = self.book.speeds.remaining(run, now)
+        expected = self.book.speeds.expected(run.queue, run.declared)
+        if remaining is None or expected is None:
+            return False
+        anew = (
+            expected * (100 - run.progress) / 100 if step.spec.checkpoints else expected
+        )
+        return remaining > MOVE_FACTOR * (anew + self.timing.stop_grace + MOVE_TIME)
 
     def _wake(self, host: Host, now: float) -> None:
         if not host.resting:
--- /dev/null
+++ b/tests/work/test_steward.py
@@ -0,0 +1,107 @@
+"""Hosts that work slowly or not at all, and fillers beside servers."""
+
+from siskinroad.work.effects import PaceRun, StartRun, StopRun
+from siskinroad.work.hosts import Ended, EndKind, HostReport, Running
+from siskinroad.work.model import Timing
+from siskinroad.work.planner import Planner
+from siskinroad.work.steward import Steward
+from tests.work.cell import job, step
+from tests.work.test_planner import add, make
+
+GRACE = Timing(stop_grace=0.2)
+
+
+def tell(book, host, now, running=(), ended=()):
+    found = book.hosts[host]
+    report = HostReport(int(now * 1000), 1, tuple(running), tuple(ended))
+    return book.report(found, report, found.token, now - 0.001, now, now)
+
+
+def start(book, now):
+    """Start what can be started, answered at once; return the starts."""
+    starts = [e for e in Planner(book).plan(now, now) if isinstance(e, StartRun)]
+    for effect in starts:
+        book.start_answered(book.hosts[effect.host], effect.run, None, now)
+    return starts
+
+
+def teach(book, now=0.1, seconds=0.9):
+    """Let ten tasks that declared a second end after ``seconds``."""
+    add(book, "taught", job(step(10, cpu_milli=100, estimate=1.0)), "fast")
+    ends = {}
+    for i, effect in enumerate(start(book, now)):
+        end = Ended(i + 1, *effect.run.key, EndKind.DONE, "")
+        ends.setdefault(effect.host, []).append(end)
+    for host, ended in ends.items():
+        tell(book, host, now + seconds, ended=ended)
+
+
+def row(effect, progress, usage=0):
+    return Running(*effect.run.key, "", progress, usage)
+
+
+def test_a_slow_host_rests_and_its_tasks_move_while_that_ends_them_sooner():
+    # Load: a host that has become six times slower.
+    book = make(["i-0", "i-1", "i-2"])
+    teach(book)
+    add(book, "j", job(step(1, estimate=1.0)), "fast")
+    (begun,) = start(book, 1.1)
+    for name in book.hosts:
+        rows = [row(begun, 12)] if name == begun.host else []
+        tell(book, name, 1.9, rows)
+    effects = Steward(book, GRACE).look(1.9, 1.9)
+    assert [e.run for e in effects if isinstance(e, StopRun)] == [begun.run]
+    assert book.hosts[begun.host].resting
+
+
+def test_hosts_of_usual_speed_are_left_alone():
+    book = make(["i-0", "i-1", "i-2"])
+    teach(book)
+    add(book, "j", job(step(1, estimate=1.0)), "fast")
+    (begun,) = start(book, 1.1)
+    for name in book.hosts:
+        rows = [row(begun, 55)] if name == begun.host else []
+        tell(book, name, 1.9, rows)
+    assert Steward(book, GRACE).look(1.9, 1.9) == []
+    assert not any(host.resting for host in book.hosts.values())
+
+
+def test_declarations_that_are_far_off_make_no_host_slow():
+    book = make(["i-0", "i-1", "i-2"])
+    teach(book, seconds=4.9)
+    add(book, "j", job(step(1, estimate=1.0)), "fast")
+    (begun,) = start(book, 5.1)
+    for name in book.hosts:
+        rows = [row(begun, 16)] if name == begun.host else []
+        tell(book, name, 5.9, rows)
+    assert Steward(book, GRACE).look(5.9, 5.9) == []
+
+
+def test_what_stands_still_is_stopped_and_goes_elsewhere():
+    book = make(["i-0", "i-1", "i-2"])
+    add(book, "j", job(step(1)), "slow")
+    (begun,) = start(book, 0.1)
+    for now in (0.5, 1.5, 2.5, 3.5):
+        for name in book.hosts:
+            tell(book, name, now, [row(begun, 5)] if name == begun.host else [])
+    (stop,) = Steward(book, GRACE).look(3.5, 3.5)
+    end = Ended(1, *begun.run.key, EndKind.STOPPED, "ck")
+    tell(book, begun.host, 3.6, ended=[end])
+    (again,) = start(book, 3.7)
+    assert stop.run is begun.run and again.host != begun.host
+    assert again.checkpoint == "ck"
+
+
+def test_fillers_are_slowed_before_the_tail_beside_them_is_over_its_bound():
+    book = make(["i-0"])
+    add(book, "s", job(step(1, long_running=True, tail_limit=0.1)), "fast")
+    (serving,) = start(book, 0.1)
+    add(book, "f", job(step(1, filler=True)), "slow")
+    (filler,) = start(book, 0.2)
+    steward = Steward(book, GRACE)
+    tell(book, "i-0", 1.0, [row(serving, 100, 80), row(filler, 10, 4000)])
+    (slower,) = steward.look(1.0, 1.0)
+    assert isinstance(slower, PaceRun) and slower.percent < 100
+    tell(book, "i-0", 2.0, [row(serving, 100, 30), row(filler, 12, 400)])
+    (faster,) = steward.look(2.0, 2.0)
+    assert faster.percent > slower.percent
