Split the owner by job: term, orders, holds, progress

Change: what the parts share is the Term; orders go out, holds read hosts, progress records; owner wires them.

--- a/siskinroad/work/claim.py
+++ b/siskinroad/work/claim.py
@@ -57,6 +57,8 @@
         Its term.
     released_term : int
         The newest term whose owner has stopped by itself.
+    claimed_at : float
+        Loop time at which the claim was sent.
     next : int
         Offset from which the topic of accepted jobs is to be read on.
     """
@@ -65,6 +67,7 @@
     former: OwnerRecord | None = None
     former_term: int = 0
     released_term: int = 0
+    claimed_at: float = 0.0
     next: int = 0
     accepted: dict[str, Accepted] = field(default_factory=dict)
     cancelled: dict[str, Cancelled] = field(default_factory=dict)
@@ -121,6 +124,7 @@
     page = await newest_of_all(store, topic, CALL_TIME)
     found = Inheritance()
     take_all(found, page.items, topic)
+    found.claimed_at = asyncio.get_running_loop().time()
     offset = await store.append(topic, [record_of(owner)], timeout=CALL_TIME)
     found.term = found.next = offset + 1
     # From here on the store rejects progress of every lower term.
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -30,7 +30,7 @@
 )
 from siskinroad.work.model import HostEntry, Setup, Timing
 from siskinroad.work.outside import Outside
-from siskinroad.work.owner import Deposed, OwnerParts, PoolOwner
+from siskinroad.work.owner import Deposed, PoolOwner
 from siskinroad.work.records import (
     MEMBERS_TOPIC,
     Member,
@@ -40,6 +40,7 @@
 )
 from siskinroad.work.relay import RelayStore
 from siskinroad.work.store import Newest
+from siskinroad.work.term import OwnerParts
 from siskinroad.work.workmetrics import WorkMetrics
 
 __all__ = ["WorkDaemon"]
@@ -226,7 +227,7 @@
 
     def _make_beat(self) -> Beat:
         now = asyncio.get_running_loop().time()
-        owned = tuple((pool, owner.term) for pool, owner in self.owners.items())
+        owned = tuple((pool, owner.term.number) for pool, owner in self.owners.items())
         age = round(now - self.store.answered_at, 1)
         return Beat(
             self.member.node,
--- /dev/null
+++ b/siskinroad/work/orders.py
@@ -0,0 +1,206 @@
+"""Sends an owner's orders to hosts, and its questions to the advisor."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from siskinroad.errors import NotSentError, OutcomeUnknownError, SiskinroadError
+from siskinroad.work.effects import AskAdvice, Effect, PaceRun, StartRun, StopRun
+from siskinroad.work.host import Host, Run
+from siskinroad.work.hosts import Order, Rejection, StartOrder
+from siskinroad.work.term import Term
+
+__all__ = ["Orders", "doubt_claim"]
+
+# Seconds for one order: a way between regions, and a host under load.
+ORDER_TIME = 0.7
+# Orders on their way to one host; more would open more connections.
+ORDERS_PER_HOST = 3
+STOP_RETRY = 0.25
+# Seconds before the advisor is asked again after it gave no answer.
+ADVICE_RETRY = 0.05
+
+log = logging.getLogger("siskinroad.orders")
+
+
+def doubt_claim(term: Term, host: Host) -> None:
+    """Note that a host has seen a higher token than this owner ever gave it."""
+    log.warning(
+        "orders: host follows another owner",
+        extra={"host": host.name, "pool": term.pool, "token": host.token},
+    )
+    host.heard_at = -1e9
+
+
+class Orders:
+    """Carries single effects out and tells the book of the answers."""
+
+    def __init__(self, term: Term) -> None:
+        self.term = term
+        self._slots: dict[str, asyncio.Semaphore] = {}
+
+    def _slot(self, host: str) -> asyncio.Semaphore:
+        slot = self._slots.get(host)
+        if slot is None:
+            slot = self._slots[host] = asyncio.Semaphore(ORDERS_PER_HOST)
+        return slot
+
+    async def start(self, effect: StartRun) -> None:
+        """Send a start, under the token that the host has by then."""
+        host = self.term.book.hosts.get(effect.host)
+        if host is None:
+            return
+        loop = asyncio.get_running_loop()
+        async with self._slot(host.name):
+            now = loop.time()
+            until = host.lease_until(now)
+            if until is None or not self.term.may_act():
+                self.term.carry_out(
+                    self.term.book.start_not_sent(host, effect.run, now)
+                )
+                return
+            # A token raised meanwhile voids this start; the new one applies.
+            effect.run.token = host.token
+            host.granted(now)
+            task, number = effect.run.key
+            order = StartOrder(
+                host.name,
+                host.entry.address,
+                host.token,
+                task,
+                number,
+                effect.payload,
+                until,
+                effect.checkpoint,
+                effect.ticket,
+            )
+            effects = await self._send_start(host, effect.run, order)
+        self.term.carry_out(effects)
+        self.term.plan_wanted.set()
+
+    async def _send_start(
+        self, host: Host, run: Run, order: StartOrder
+    ) -> list[Effect]:
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        outcome = "started"
+        try:
+            async with asyncio.timeout(ORDER_TIME):
+                answer = await self.term.parts.link.start(order)
+        except NotSentError as exc:
+            outcome = f"not sent: {exc}"
+            effects = self.term.book.start_not_sent(host, run, loop.time())
+            host.heard_at = -1e9
+        except (OutcomeUnknownError, TimeoutError) as exc:
+            outcome = f"unknown: {exc}"
+            effects = self.term.book.start_unanswered(host, run, loop.time())
+            host.heard_at = -1e9
+        else:
+            effects = self._started(host, run, order, answer.rejection)
+            if answer.rejection is not None:
+                outcome = answer.rejection.value
+        self.term.parts.metrics.starts.labels(outcome.partition(":")[0]).inc()
+        log.info(
+            "orders: start",
+            extra={
+                "request": order.task.job,
+                "task": f"{order.task.occurrence}.{order.task.step}.{order.task.index}",
+                "run": order.run,
+                "host": host.name,
+                "token": order.token,
+                "list_age_s": round(sent_at - host.clock_at, 2),
+                "took_s": round(loop.time() - sent_at, 3),
+                "outcome": outcome,
+            },
+        )
+        return effects
+
+    def _started(
+        self, host: Host, run: Run, order: StartOrder, rejection: Rejection | None
+    ) -> list[Effect]:
+        now = asyncio.get_running_loop().time()
+        if rejection is Rejection.FENCED and order.token >= host.token:
+            doubt_claim(self.term, host)
+        if rejection is Rejection.UNWELL:
+            host.heard_at = -1e9
+        if rejection is Rejection.OTHER_LIFE:
+            self.term.book.host_unlisted(host.name, now)
+            host.heard_at = -1e9
+        return self.term.book.start_answered(host, run, rejection, now)
+
+    async def stop(self, effect: StopRun) -> None:
+        """Send a stop until it is answered or the run is over."""
+        host = self.term.book.hosts.get(effect.host)
+        task, number = effect.run.key
+        while host is not None and effect.run.state != "over":
+            order = Order(host.name, host.entry.address, host.token, task, number)
+            outcome = "sent"
+            try:
+                async with self._slot(host.name):
+                    async with asyncio.timeout(ORDER_TIME):
+                        answer = await self.term.parts.link.stop(order)
+                if answer.rejection is not None:
+                    outcome = answer.rejection.value
+            except (NotSentError, OutcomeUnknownError, TimeoutError) as exc:
+                outcome = f"unknown: {exc}"
+            log.info(
+                "orders: stop",
+                extra={
+                    "request": task.job,
+                    "task": f"{task.occurrence}.{task.step}.{task.index}",
+                    "run": number,
+                    "host": host.name,
+                    "why": effect.reason,
+                    "outcome": outcome,
+                },
+            )
+            if not outcome.startswith("unknown"):
+                return
+            await asyncio.sleep(STOP_RETRY)
+            host = self.term.book.hosts.get(effect.host)
+
+    async def pace(self, effect: PaceRun) -> None:
+        """Send a change of pace; one without an answer is decided anew later."""
+        host = self.term.book.hosts.get(effect.host)
+        if host is None:
+            return
+        task, number = effect.run.key
+        order = Order(host.name, host.entry.address, host.token, task, number)
+        outcome = "sent"
+        try:
+            async with self._slot(host.name), asyncio.timeout(ORDER_TIME):
+                await self.term.parts.link.pace(order, effect.percent)
+        except (NotSentError, OutcomeUnknownError, TimeoutError) as exc:
+            outcome = f"unknown: {exc}"
+            effect.run.pace = -1
+        log.info(
+            "orders: pace",
+            extra={
+                "request": task.job,
+                "host": host.name,
+                "percent": effect.percent,
+                "outcome": outcome,
+            },
+        )
+
+    async def ask(self, effect: AskAdvice) -> None:
+        """Ask for advice and note the tickets for the step."""
+        loop = asyncio.get_running_loop()
+        step = self.term.book.ready.get(effect.step)
+        if step is None:
+            return
+        try:
+            advised = await self.term.parts.lines.ask(
+                effect.step, effect.hosts, effect.duration
+            )
+        except SiskinroadError:
+            self.term.parts.metrics.retries.labels("advice").inc()
+            await asyncio.sleep(ADVICE_RETRY)
+        else:
+            until = loop.time() + advised.valid
+            step.asked.update(effect.hosts)
+            for host, ticket in advised.tickets.items():
+                step.tickets[host] = (ticket, until)
+        step.asking = False
+        self.term.plan_wanted.set()
