--- a/siskinroad/http_client.py
+++ b/siskinroad/http_client.py
@@ -77,6 +77,7 @@
         headers: tuple[tuple[str, str], ...] = (),
         limit: float = 10.0,
         fresh: bool = False,
+        host: str = "",
     ) -> HttpAnswer:
         """Send one request and return its whole answer.
 
@@ -88,6 +89,8 @@
             Seconds for the whole exchange.
         fresh : bool
             Open a new connection instead of reusing one.
+        host : str
+            Value of the ``Host`` header; empty for the address.
 
         Raises
         ------
@@ -107,7 +110,7 @@
                 conn = await self._connect(address, fresh)
                 sent = True
                 answer = await self._exchange(
-                    conn, address, method, target, body, headers
+                    conn, host or address, method, target, body, headers
                 )
         except TimeoutError:
             self._condemn(address, conn)
@@ -153,13 +156,13 @@
     async def _exchange(
         self,
         conn: _Conn,
-        address: str,
+        host: str,
         method: str,
         target: str,
         body: bytes,
         headers: tuple[tuple[str, str], ...],
     ) -> HttpAnswer:
-        fields = [("host", address), ("content-length", str(len(body))), *headers]
+        fields = [("host", host), ("content-length", str(len(body))), *headers]
         head = h11.Request(method=method, target=target, headers=fields)
         data = conn.http.send(head) or b""
         data += conn.http.send(h11.Data(data=body)) or b""
