Let a task go back to a host where it failed when there is no other

Ruled out: room (most of it was free). Change: a host is barred for 1.5 s after a failure, then only less liked. Tests: tests/work/test_planner.py, the first fails before.

--- a/siskinroad/work/book.py
+++ b/siskinroad/work/book.py
@@ -499,7 +499,7 @@
         for each in tasks:
             each.failed += 1
             each.counted = run
-        task.avoid.add(host.name)
+        task.avoid[host.name] = now
         self.dirty.add(job.id)
         verdict = self.health.observe(host.name, job.id, False, now, len(self.hosts))
         if verdict is not None and verdict.event == "eject":
--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -40,8 +40,8 @@
         Runs that failed through the task's own fault.
     counted : int
         Newest run that ``failed`` counts.
-    avoid : set of str
-        Hosts on which a run failed.
+    avoid : dict of str to float
+        Hosts on which a run failed or stood still, with the loop time of that.
     """
 
     id: TaskId
@@ -51,7 +51,7 @@
     failed: int = 0
     counted: int = 0
     checkpoint: str = ""
-    avoid: set[str] = field(default_factory=set)
+    avoid: dict[str, float] = field(default_factory=dict)
 
     def move(self, event: str) -> None:
         """Apply an event of the ``task`` chart."""
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -37,6 +37,8 @@
 # Part of a host's room, in demand of others, that makes a difference of one in
 # the choice between hosts.
 DEMAND_STEP = 0.5
+# Seconds for which a task keeps off a host where it failed.
+AVOID_TIME = 1.5
 # Part of a pool's hosts that blocked gangs may close to later work.
 MAX_CLOSED_PART = 0.5
 
@@ -183,15 +185,14 @@
         best_cost: tuple[float, ...] = ()
         for host in hosts:
             room = rooms[host.name]
-            if not need.fits(room) or host.name in task.avoid:
+            if not need.fits(room) or _avoids(task, host, plan.now):
                 continue
             if not _allows(step, host, trial):
                 continue
-            cost = _cost(plan, step, host, room, trial)
+            again = host.name in task.avoid
+            cost = (again, *_cost(plan, step, host, room, trial))
             if best is None or cost < best_cost:
                 best, best_cost = host, cost
-        if best is None and task.avoid and len(task.avoid) >= len(hosts):
-            task.avoid.clear()
         return best
 
     def _close_for_gang(self, plan: _Plan, step: StepRun, queue: Queue) -> None:
@@ -266,6 +267,15 @@
     return step.tickets[host.name][1] - TICKET_MARGIN > now
 
 
+def _avoids(task: Task, host: Host, now: float) -> bool:
+    """Return whether a task failed there a moment ago; later it may go back.
+
+    The host may be the only one that is allowed, or that has room.
+    """
+    failed_at = task.avoid.get(host.name)
+    return failed_at is not None and now - failed_at < AVOID_TIME
+
+
 def _can_hold(host: Host, step: StepRun) -> bool:
     """Return whether the empty host could hold a task of the step."""
     spec = step.spec
--- a/siskinroad/work/steward.py
+++ b/siskinroad/work/steward.py
@@ -72,7 +72,7 @@
         for run in still:
             task = self.book.task(run.key[0])
             if task is not None:
-                task.avoid.add(host.name)
+                task.avoid[host.name] = now
             effects += self.book.stop(host, run, "stands still")
         if len(still) >= STALLED_RUNS:
             self._rest(host, now, REST_TIME, "stalls")
--- a/tests/work/test_planner.py
+++ b/tests/work/test_planner.py
@@ -117,3 +117,20 @@
     book = make(["i-0"])
     add(book, "a", job())
     assert started(plan(book, now=5.0)) == []
+
+
+def test_a_gang_goes_back_to_a_host_where_it_failed_rather_than_never_run():
+    # Load: a gang that advice allows on as many hosts as it has members.
+    book = make(["i-0", "i-1"])
+    gang = add(book, "g", job(step(2, cpu_milli=30000, gang=True)))
+    for task in gang.steps[0, 0].tasks:
+        task.avoid["i-0"] = 0.0
+    assert started(plan(book, now=0.1)) == []
+    assert len(started(plan(book, now=1.6))) == 2
+
+
+def test_a_task_goes_elsewhere_after_a_failure_while_there_is_an_elsewhere():
+    book = make(["i-0", "i-1"])
+    one = add(book, "g", job(step(1)))
+    one.steps[0, 0].tasks[0].avoid["i-0"] = -9.0
+    assert started(plan(book)) == [("g", "i-1")]
