Judge a host's speed by reports, and by more than one job

Ruled out: the order of steps. Change: a run's pace is what its newest report shows, it must have had half its time, two jobs must agree, and a move is weighed against the run's own pace.

--- a/siskinroad/work/book.py
+++ b/siskinroad/work/book.py
@@ -527,6 +527,7 @@
             if run.progress != row.progress or not run.moved_at:
                 run.progress = row.progress
                 run.moved_at = now
+            run.reported_at = now
             run.usage = row.usage
             task = self.task(row.task)
             if task is not None and row.checkpoint and row.run == task.run:
--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -44,8 +44,8 @@
         Its queue, declared run time in seconds, and whether it lasts.
     progress_at_begin : int
         Percent that its checkpoint had already.
-    moved_at : float
-        Loop time at which its progress last changed.
+    moved_at, reported_at : float
+        Loop time at which its progress last changed, and was last listed.
     pace : int
         Percent of its speed that it was last allowed.
     """
@@ -60,6 +60,7 @@
     begun_at: float = 0.0
     progress: int = 0
     moved_at: float = 0.0
+    reported_at: float = 0.0
     usage: int = 0
     pace: int = 100
     filler: bool = False
--- a/siskinroad/work/speed.py
+++ b/siskinroad/work/speed.py
@@ -11,7 +11,7 @@
 
 from siskinroad.work.host import Host, Run
 
-__all__ = ["Speeds"]
+__all__ = ["Speeds", "seeming_time"]
 
 # Weight of a new sample in the mean of its queue.
 SAMPLE_WEIGHT = 0.1
@@ -19,9 +19,10 @@
 MIN_SAMPLES = 8
 # Seconds of work before a run's progress tells anything.
 MIN_ELAPSED = 0.35
-# Times its expected time that a task takes on a host that counts as slow: more
-# than hosts differ by kind, less than a degraded one is slowed.
-SLOW_RATIO = 2.5
+# Part of its expected time that a run must have worked before it is judged.
+MIN_PART = 0.5
+# Jobs whose runs must agree that a host is slow.
+MIN_JOBS = 2
 
 
 @dataclass(slots=True)
@@ -53,31 +54,39 @@
             return None
         return declared * known.ratio
 
-    def ratio(self, run: Run, now: float) -> float | None:
-        """Return how many times its expected time a run seems to take."""
-        elapsed = now - run.begun_at
-        if not run.begun_at or elapsed < MIN_ELAPSED or not run.declared:
-            return None
+    def ratio(self, run: Run) -> float | None:
+        """Return how many times its expected time a run seems to take.
+
+        None while it is too young for that, judged by its newest report.
+        """
         expected = self.expected(run.queue, run.declared)
-        if expected is None or run.long_running:
+        total = seeming_time(run)
+        if expected is None or total is None or run.long_running:
             return None
-        part = max(run.progress - run.progress_at_begin, 1) / 100
-        known_elapsed = max(run.moved_at - run.begun_at, MIN_ELAPSED)
-        return max(known_elapsed / part, elapsed) / expected
-
-    def is_slow(self, host: Host, now: float) -> bool:
-        """Return whether most of what runs on a host is far behind."""
-        ratios = [
-            ratio
-            for run in host.runs.values()
-            if run.state == "running" and (ratio := self.ratio(run, now)) is not None
-        ]
-        return bool(ratios) and statistics.median(ratios) >= SLOW_RATIO
-
-    def remaining(self, run: Run, now: float) -> float | None:
-        """Return the seconds that a run seems to need yet."""
-        ratio = self.ratio(run, now)
-        expected = self.expected(run.queue, run.declared)
-        if ratio is None or expected is None:
+        if run.reported_at - run.begun_at < MIN_PART * expected:
             return None
-        return max(0.0, ratio * expected - (now - run.begun_at))
+        return total / expected
+
+    def slowness(self, host: Host) -> float:
+        """Return how many times slower than others a host is; 1 if not known.
+
+        One job alone proves nothing: its declared time may be far off.
+        """
+        ratios: list[float] = []
+        jobs: set[str] = set()
+        for run in host.runs.values():
+            ratio = self.ratio(run) if run.state == "running" else None
+            if ratio is not None:
+                ratios.append(ratio)
+                jobs.add(run.key[0].job)
+        if len(jobs) < MIN_JOBS:
+            return 1.0
+        return statistics.median(ratios)
+
+
+def seeming_time(run: Run) -> float | None:
+    """Return the seconds that a run takes in all at its pace so far."""
+    worked = run.reported_at - run.begun_at
+    if not run.begun_at or worked < MIN_ELAPSED:
+        return None
+    return worked * 100 / max(run.progress - run.progress_at_begin, 1)
--- a/siskinroad/work/steward.py
+++ b/siskinroad/work/steward.py
@@ -12,6 +12,7 @@
 from siskinroad.work.effects import Effect, PaceRun
 from siskinroad.work.host import Host, Run
 from siskinroad.work.model import Timing
+from siskinroad.work.speed import seeming_time
 
 __all__ = ["Steward"]
 
@@ -22,6 +23,9 @@
 STALLED_RUNS = 2
 # Seconds for which a host that fails or stalls its work rests.
 REST_TIME = 6.0
+# Times slower than others that a host is when it counts as slow: more than hosts
+# differ by kind, less than a degraded one is slowed.
+SLOW_RATIO = 2.5
 # Seconds for which a slow host gets no work after it was last seen to be slow.
 SLOW_REST = 2.0
 # Part of the hosts that may rest: beyond it the load is to blame, not the hosts.
@@ -95,30 +99,28 @@
 
     def _slow(self, host: Host, now: float) -> list[Effect]:
         """Keep work off a slow host, and move what would end sooner elsewhere."""
-        if now - host.heard_at > STALL_TIME or not self.book.speeds.is_slow(host, now):
+        slowness = self.book.speeds.slowness(host)
+        if slowness < SLOW_RATIO or now - host.heard_at > STALL_TIME:
             return []
-        self._rest(host, now, SLOW_REST, "slow")
+        self._rest(host, now, SLOW_REST, f"slower {slowness:.1f} times")
         effects: list[Effect] = []
         for run in list(host.runs.values()):
-            if self._sooner_elsewhere(run, now):
+            if self._sooner_elsewhere(run, slowness, now):
                 effects += self.book.stop(host, run, "sooner elsewhere")
         return effects
 
-    def _sooner_elsewhere(self, run: Run, now: float) -> bool:
+    def _sooner_elsewhere(self, run: Run, slowness: float, now: float) -> bool:
         """Return whether a task would end sooner if it began anew elsewhere."""
         step = self.book.step(run.key[0])
         if run.state != "running" or step is None or step.spec.gang:
             return False
         if step.spec.filler or step.spec.long_running or run.key[1] > MOST_MOVES:
             return False
-        remaining = self.book.speeds.remaining(run, now)
-        expected = self.book.speeds.expected(run.queue, run.declared)
-        if remaining is None or expected is None:
+        total = seeming_time(run)
+        if total is None:
             return False
-        anew = (
-            expected * (100 - run.progress) / 100 if step.spec.checkpoints else expected
-        )
-        return remaining > MOVE_FACTOR * (anew + self.timing.stop_grace + MOVE_TIME)
+        anew = total / slowness + self.timing.stop_grace + MOVE_TIME
+        return total - (now - run.begun_at) > MOVE_FACTOR * anew
 
     def _wake(self, host: Host, now: float) -> None:
         if not host.resting:
