Spread advice over idle lines, and stop within the grace

Ruled out: the advisor itself (expected times in the log hold). Change: owners take idle lines in orders of their own, beats carry each line's backlog, patience is three times the expected time; a release may take 1 s. Silent hosts are noticed after 0.5 s, not 0.8.

--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -53,6 +53,8 @@
 # Seconds for which a pool must be seen without an owner.
 CLAIM_PATIENCE = 0.3
 JOIN_RETRY = 0.3
+# Seconds for a leaving owner's last records; a stop must end within its grace.
+RELEASE_TIME = 1.0
 # Seconds between two reads of the live list: leaving hosts must be known within
 # the platform's bound of a few seconds.
 LIST_SPACING = 0.5
@@ -236,6 +238,7 @@
             age,
             self.leaving,
             self._able(),
+            round(self.lines.backlog(now), 2),
         )
 
     def _beat(self) -> None:
@@ -317,8 +320,13 @@
             return
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
-        if owner is not None:
-            await owner.release()
+        if owner is None:
+            return
+        try:
+            async with asyncio.timeout(RELEASE_TIME):
+                await owner.release()
+        except TimeoutError:
+            log.warning("daemon: release is not on record", extra={"pool": pool})
 
     # Configuration and hosts
 
@@ -362,6 +370,7 @@
         match msg:
             case Beat():
                 self.members.hear(msg, now)
+                self.lines.heard(msg.node, msg.backlog, now)
                 if msg.leaving:
                     self._claim_wanted.set()
             case JobAnswer() | AdviceReply() | RelayReply() | SubmitReply():
--- a/siskinroad/work/holds.py
+++ b/siskinroad/work/holds.py
@@ -15,9 +15,9 @@
 __all__ = ["Holds"]
 
 # Seconds for which a host may wait for an end before it answers, and seconds more
-# until its silence counts.
+# until its silence counts: many times the way between two regions.
 HOLD_WAIT = 1.0
-HOLD_ANSWER = 0.8
+HOLD_ANSWER = 0.5
 HOLD_RETRY = 0.2
 SETTLE_RETRY = 0.25
 # Seconds for which a report's ends may wait for their record before the next call.
--- a/siskinroad/work/lines.py
+++ b/siskinroad/work/lines.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable
 
 from siskinroad.errors import OutcomeUnknownError, SiskinroadError
@@ -21,9 +22,10 @@
 
 # Expected seconds from which a question counts as long.
 LONG_CALL = 0.08
-# Times its expected duration, and seconds besides, that an answer may take.
-PATIENCE_FACTOR = 2.0
-PATIENCE = 0.6
+# Times its expected duration, and seconds besides, that an answer may take. A call
+# that is given up still keeps its line busy, so this is generous.
+PATIENCE_FACTOR = 3.0
+PATIENCE = 1.5
 
 log = logging.getLogger("siskinroad.lines")
 
@@ -47,6 +49,17 @@
         self._calls = calls
         self._alive = alive
         self._free_at: dict[str, float] = {}
+        self._own_free_at = 0.0
+        # Every owner has another order of lines, so that not all take the first.
+        self._rng = random.Random(node)
+
+    def backlog(self, now: float) -> float:
+        """Return the seconds of calls that wait on this daemon's own line."""
+        return max(0.0, self._own_free_at - now)
+
+    def heard(self, line: str, backlog: float, now: float) -> None:
+        """Take in how much waits on another daemon's line, for any owner."""
+        self._free_at[line] = max(self._free_at.get(line, 0.0), now + backlog)
 
     async def ask(
         self, step: tuple[str, int, int], hosts: tuple[str, ...], duration: float
@@ -65,7 +78,7 @@
         self._free_at[line] = start + duration
         timeout = start - now + duration * PATIENCE_FACTOR + PATIENCE
         try:
-            advised = await self._ask_on(line, step, hosts, timeout)
+            advised = await self._ask_on(line, step, hosts, duration, timeout)
         except SiskinroadError as exc:
             # Others take the next question while this line recovers.
             self._free_at[line] = loop.time() + timeout
@@ -90,19 +103,24 @@
     def _choose(self, duration: float, now: float) -> str:
         names = sorted([self._node, *self._alive()])
         half = names[::2] if duration >= LONG_CALL else names[1::2]
-        return min(half or names, key=lambda n: max(now, self._free_at.get(n, 0.0)))
+        lines = half or names
+        self._rng.shuffle(lines)
+        return min(lines, key=lambda n: max(now, self._free_at.get(n, 0.0)))
 
     async def _ask_on(
-        self, line: str, step: tuple[str, int, int], hosts: tuple[str, ...], time: float
+        self,
+        line: str,
+        step: tuple[str, int, int],
+        hosts: tuple[str, ...],
+        duration: float,
+        time: float,
     ) -> Advised:
         job, occurrence, number = step
         if line == self._node:
-            return await self._advisor.advise(
-                job, occurrence, number, list(hosts), time
-            )
+            return await self._call(job, occurrence, number, hosts, duration, time)
         reply = await self._calls.ask(
             line,
-            lambda n: AdviceRequest(n, job, occurrence, number, hosts, time),
+            lambda n: AdviceRequest(n, job, occurrence, number, hosts, duration, time),
             AdviceReply,
             time,
         )
@@ -110,11 +128,30 @@
             raise OutcomeUnknownError("no advice there", step="lines", peer=line)
         return Advised(reply.tickets, reply.valid)
 
+    async def _call(
+        self,
+        job: str,
+        occurrence: int,
+        step: int,
+        hosts: tuple[str, ...],
+        duration: float,
+        timeout: float,
+    ) -> Advised:
+        """Call the advisor on the own line, and keep count of what waits there."""
+        now = asyncio.get_running_loop().time()
+        self._own_free_at = max(self._own_free_at, now) + duration
+        return await self._advisor.advise(job, occurrence, step, list(hosts), timeout)
+
     async def answer(self, msg: AdviceRequest) -> AdviceReply:
         """Ask on this daemon's own line for another daemon."""
         try:
-            advised = await self._advisor.advise(
-                msg.job, msg.occurrence, msg.step, list(msg.hosts), msg.timeout
+            advised = await self._call(
+                msg.job,
+                msg.occurrence,
+                msg.step,
+                msg.hosts,
+                msg.duration,
+                msg.timeout,
             )
         except SiskinroadError as exc:
             log.warning(
--- a/siskinroad/work/messages.py
+++ b/siskinroad/work/messages.py
@@ -35,6 +35,8 @@
         The sender is about to stop.
     able : bool
         The sender has been up for long enough to claim a pool.
+    backlog : float
+        Seconds of calls to the advisor that wait on the sender's line.
     """
 
     node: str
@@ -43,6 +45,7 @@
     store_age: float
     leaving: bool
     able: bool
+    backlog: float = 0.0
 
 
 class JobQuestion(msgspec.Struct, tag="job?", frozen=True, array_like=True):
@@ -95,13 +98,17 @@
 
 
 class AdviceRequest(msgspec.Struct, tag="advice?", frozen=True, array_like=True):
-    """Asks the receiver to call the advisor on its own line."""
+    """Asks the receiver to call the advisor on its own line.
+
+    ``duration`` is the expected time of the call, ``timeout`` the longest.
+    """
 
     id: int
     job: str
     occurrence: int
     step: int
     hosts: tuple[str, ...]
+    duration: float
     timeout: float
 
 
--- a/siskinroad/work/orders.py
+++ b/siskinroad/work/orders.py
@@ -14,7 +14,7 @@
 __all__ = ["Orders", "doubt_claim"]
 
 # Seconds for one order: a way between regions, and a host under load.
-ORDER_TIME = 0.7
+ORDER_TIME = 0.5
 # Orders on their way to one host; more would open more connections.
 ORDERS_PER_HOST = 3
 STOP_RETRY = 0.25
