Count every failed run, in whatever order hosts list the ends

After a take-over two unrecorded ends were listed by two hosts, the later run first, and the newest counted run hid the earlier one. Ruled out: a lost record (the ends were never recorded). Change: a task's record names its failed runs. Tests first in tests/work/test_book.py; two fail before, none after.

--- a/siskinroad/work/book.py
+++ b/siskinroad/work/book.py
@@ -442,12 +442,11 @@
         if end.how is EndKind.DONE:
             task.run = max(task.run, end.run)
             return self._done(step, task, now, wall)
-        if end.run < task.run and task.state != "unsettled":
-            return []
+        newest = end.run >= task.run
         task.run = max(task.run, end.run)
         if task.state == "unsettled":
             self.dirty.add(task.id.job)
-        return self._ended_badly(host, step, task, end, now, wall)
+        return self._ended_badly(host, step, task, end, newest, now, wall)
 
     def _done(self, step: StepRun, task: Task, now: float, wall: float) -> list[Effect]:
         job = step.job
@@ -474,14 +473,15 @@
         step: StepRun,
         task: Task,
         end: Ended,
+        newest: bool,
         now: float,
         wall: float,
     ) -> list[Effect]:
         if task.state == "done":
             return []
-        if task.allows("free"):
+        if newest and task.allows("free"):
             task.move("free")
-        if end.how is EndKind.FAILED and end.run > task.counted:
+        if end.how is EndKind.FAILED and end.run not in task.failures:
             return self._failed(host, step, task, end.run, now, wall)
         return []
 
@@ -497,8 +497,7 @@
         job = step.job
         tasks = step.tasks if step.spec.gang else [task]
         for each in tasks:
-            each.failed += 1
-            each.counted = run
+            each.failures.add(run)
         task.avoid[host.name] = now
         self.dirty.add(job.id)
         verdict = self.health.observe(host.name, job.id, False, now, len(self.hosts))
--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -36,10 +36,8 @@
         Highest run number that was used.
     host : str
         Where the newest run is.
-    failed : int
+    failures : set of int
         Runs that failed through the task's own fault.
-    counted : int
-        Newest run that ``failed`` counts.
     avoid : dict of str to float
         Hosts on which a run failed or stood still, with the loop time of that.
     """
@@ -48,11 +46,15 @@
     state: str = _TASK.initial
     run: int = 0
     host: str = ""
-    failed: int = 0
-    counted: int = 0
+    failures: set[int] = field(default_factory=set)
     checkpoint: str = ""
     avoid: dict[str, float] = field(default_factory=dict)
 
+    @property
+    def failed(self) -> int:
+        """How many runs failed through the task's own fault."""
+        return len(self.failures)
+
     def move(self, event: str) -> None:
         """Apply an event of the ``task`` chart."""
         self.state = _TASK.next(self.state, event)
@@ -70,9 +72,8 @@
             key.index,
             self.state == "done",
             self.run,
-            self.failed,
+            tuple(sorted(self.failures)),
             self.checkpoint,
-            self.counted,
         )
 
 
@@ -224,8 +225,7 @@
             if task is None:
                 continue
             task.run = note.run
-            task.failed = note.failed
-            task.counted = note.counted
+            task.failures = set(note.failed)
             task.checkpoint = note.checkpoint
             self.started = True
             if note.done:
--- a/siskinroad/work/records.py
+++ b/siskinroad/work/records.py
@@ -82,8 +82,8 @@
 class TaskNote(msgspec.Struct, frozen=True, array_like=True):
     """What must last of a task; only of tasks that have been started.
 
-    ``counted`` is the newest run that ``failed`` counts, so that an end which is
-    listed again to another owner is not counted twice.
+    ``failed`` names the runs that failed through the task's own fault: an end that
+    is listed again to another owner is not counted twice, in whatever order.
     """
 
     occurrence: int
@@ -91,9 +91,8 @@
     index: int
     done: bool
     run: int
-    failed: int
+    failed: tuple[int, ...]
     checkpoint: str
-    counted: int = 0
 
 
 class Progress(msgspec.Struct, tag="progress", frozen=True, omit_defaults=True):
--- a/tests/work/test_book.py
+++ b/tests/work/test_book.py
@@ -176,3 +176,23 @@
     book.lapse_silent(5.01)
     assert book.task(T).state == "placed"
     assert book.hosts["i-0"].lapse_at > 9.0
+
+
+def test_failed_runs_are_all_counted_in_whatever_order_hosts_list_them():
+    # Two ends that the former owner could not record, the later one listed first.
+    book = make_book(job(), ("i-0", "i-1"), settled=False)
+    book.waiting_for_hosts = {"i-0", "i-1"}
+    book.former_lapse_at = 1e9
+    answer(book, "i-1", 0.1, ended=[Ended(1, T, 3, EndKind.FAILED, "")])
+    answer(book, "i-0", 0.2, ended=[Ended(1, T, 2, EndKind.FAILED, "")])
+    assert book.task(T).failed == 2
+    book.settle_tasks(0.3)
+    assert book.task(T).run > 3
+
+
+def test_a_failed_end_that_is_listed_after_the_task_went_on_still_counts():
+    book = make_book(job(), ("i-0", "i-1"))
+    task = book.task(T)
+    task.run = 5
+    answer(book, "i-0", 0.1, ended=[Ended(1, T, 2, EndKind.FAILED, "")])
+    assert task.failed == 1 and task.state == "waiting"
