Make room for one blocked large step at a time, from checkpoints

Ruled out: advice (1 s). Change: only the most urgent large step that can be in time closes hosts, and it stops less urgent work there that goes on from its checkpoint; three jobs must agree that a host is 3 times slower.

--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -2,7 +2,8 @@
 
 Loads that this answers: short urgent steps beside long wide ones (order by
 priority, then by objective); gangs beside single tasks that would fill every gap
-(a blocked gang closes the hosts that will fit it first); steps whose tickets
+(one blocked large step closes the hosts that will fit it first, and stops less
+urgent work there that goes on from a checkpoint); steps whose tickets
 expire while they wait (room is reserved before the advisor is asked again).
 """
 
@@ -16,7 +17,7 @@
 from siskinroad.work.book import Book
 from siskinroad.work.effects import AskAdvice, Effect, StartRun
 from siskinroad.work.headroom import UrgentRoom
-from siskinroad.work.host import Host
+from siskinroad.work.host import Host, Run
 from siskinroad.work.job import StepRun, Task
 from siskinroad.work.model import Queue
 
@@ -40,8 +41,15 @@
 DEMAND_STEP = 0.5
 # Seconds for which a task keeps off a host where it failed.
 AVOID_TIME = 1.5
-# Part of a pool's hosts that blocked gangs may close to later work.
+# Part of a pool's hosts that a blocked step may close to later work.
 MAX_CLOSED_PART = 0.5
+# Part of a host that makes a task large: single tasks fill such gaps first.
+LARGE_PART = 0.5
+# Seconds of work left below which nothing is stopped for more urgent work: a stop
+# and the start from the checkpoint take nearly as long.
+MIN_PREEMPTED = 1.5
+# Runs of a task after which it is left alone.
+MOST_RUNS = 4
 
 log = logging.getLogger("siskinroad.planner")
 
@@ -62,6 +70,7 @@
 
     book: Book
     now: float
+    wall: float
     hosts: list[Host]
     demand: dict[str, float]
     lent: float = 0.0
@@ -95,7 +104,7 @@
         """Start what fits, in order of urgency, and ask for advice."""
         hosts = [host for host in self.book.hosts.values() if host.open(now)]
         steps = [s for s in self.book.ready.values() if not s.job.closed]
-        plan = _Plan(self.book, now, hosts, _demand(steps, hosts))
+        plan = _Plan(self.book, now, wall, hosts, _demand(steps, hosts))
         plan.lent = self._room_for_others(steps, hosts, now)
         steps.sort(key=lambda s: self._urgency(s, wall))
         for step in steps:
@@ -152,7 +161,7 @@
             return
         trial = self._place(plan, step, waiting, queue)
         if trial is None:
-            self._close_for_gang(plan, step, queue)
+            self._make_room(plan, step, queue)
             return
         self._carry_out(plan, step, trial, queue)
 
@@ -238,19 +247,57 @@
                 best, best_cost = host, cost
         return best
 
-    def _close_for_gang(self, plan: _Plan, step: StepRun, queue: Queue) -> None:
-        """Keep later work off the hosts that will fit a blocked gang first."""
-        if not step.spec.gang:
+    def _make_room(self, plan: _Plan, step: StepRun, queue: Queue) -> None:
+        """Keep later work off the hosts that will fit a blocked large step first.
+
+        One step at a time does so, the most urgent that can still be in time:
+        hosts that are kept for several at once stand idle for most of them.
+        """
+        large = step.spec.gang or _is_large(plan, step)
+        if plan.closed or not large or self._urgency(step, plan.wall)[1]:
             return
         able = [h for h in plan.hosts if _can_hold(h, step)]
         if queue.advice is not None:
             able = [h for h in able if h.name in step.tickets]
-        able = [h for h in able if h.name not in plan.closed]
-        able.sort(key=lambda h: _missing(h.free(step.key, plan.now), step))
-        most = int(len(plan.hosts) * MAX_CLOSED_PART)
-        for host in able[: len(step.tasks)]:
-            if len(plan.closed) < most:
-                plan.closed.add(host.name)
+        able.sort(key=lambda h: _missing(_room_soon(h, step, plan.now), step))
+        count = len(step.waiting())
+        most = max(1, int(len(plan.hosts) * MAX_CLOSED_PART))
+        if step.spec.gang and count > most:
+            return
+        for host in able[: min(count, most)]:
+            plan.closed.add(host.name)
+            self._preempt(plan, step, host, queue)
+
+    def _preempt(self, plan: _Plan, step: StepRun, host: Host, queue: Queue) -> None:
+        """Stop less urgent work that goes on from its checkpoint elsewhere.
+
+        Only as much as makes the step fit, and only what would hold its room
+        for clearly longer than a stop takes.
+        """
+        room = _room_soon(host, step, plan.now)
+        chosen: list[Run] = []
+        runs = [r for r in host.runs.values() if self._may_preempt(plan, r, queue)]
+        for run in sorted(runs, key=lambda r: r.begun_at, reverse=True):
+            if step.spec.need.fits(room):
+                break
+            room = room + run.need
+            chosen.append(run)
+        if not step.spec.need.fits(room):
+            return
+        for run in chosen:
+            plan.effects += self.book.stop(host, run, "preempted")
+
+    def _may_preempt(self, plan: _Plan, run: Run, queue: Queue) -> bool:
+        other = self.book.queues.get(run.queue)
+        step = self.book.step(run.key[0])
+        if other is None or step is None or other.priority <= queue.priority:
+            return False
+        spec = step.spec
+        if not spec.checkpoints or spec.gang or spec.long_running:
+            return False
+        left = run.declared * (100 - run.progress) / 100
+        fresh = run.key[1] <= MOST_RUNS
+        return run.state == "running" and fresh and left > MIN_PREEMPTED
 
     # Effects
 
@@ -338,6 +385,21 @@
     return count < spec.spread
 
 
+def _is_large(plan: _Plan, step: StepRun) -> bool:
+    """Return whether a task of the step needs most of a host."""
+    rooms = [host.entry.capacity for host in plan.hosts if _can_hold(host, step)]
+    return any(step.spec.need.dominant(room) >= LARGE_PART for room in rooms)
+
+
+def _room_soon(host: Host, step: StepRun, now: float) -> Resources:
+    """Return the room of a host once what is being stopped there has ended."""
+    room = host.free(step.key, now)
+    for run in host.runs.values():
+        if run.state == "stopping":
+            room = room + run.need
+    return room
+
+
 def _missing(room: Resources, step: StepRun) -> float:
     """Return how far a host's room is from holding one task of the step."""
     need = step.spec.need
--- a/siskinroad/work/speed.py
+++ b/siskinroad/work/speed.py
@@ -22,7 +22,7 @@
 # Part of its expected time that a run must have worked before it is judged.
 MIN_PART = 0.5
 # Jobs whose runs must agree that a host is slow.
-MIN_JOBS = 2
+MIN_JOBS = 3
 
 
 @dataclass(slots=True)
--- a/siskinroad/work/steward.py
+++ b/siskinroad/work/steward.py
@@ -25,7 +25,7 @@
 REST_TIME = 6.0
 # Times slower than others that a host is when it counts as slow: more than hosts
 # differ by kind, less than a degraded one is slowed.
-SLOW_RATIO = 2.5
+SLOW_RATIO = 3.0
 # Seconds for which a slow host gets no work after it was last seen to be slow.
 SLOW_REST = 2.0
 # Part of the hosts that may rest: beyond it the load is to blame, not the hosts.
--- a/tests/work/test_planner.py
+++ b/tests/work/test_planner.py
@@ -1,7 +1,7 @@
 """What is placed where under the loads that the planner names."""
 
 from siskinroad.work.book import Book
-from siskinroad.work.effects import AskAdvice, StartRun
+from siskinroad.work.effects import AskAdvice, StartRun, StopRun
 from siskinroad.work.hosts import HostReport
 from siskinroad.work.planner import Planner
 from siskinroad.work.records import Accepted
@@ -157,3 +157,27 @@
     book = make(["i-0"])
     add(book, "paper", job(step(16, cpu_milli=2000)), "slow")
     assert len(started(plan(book))) == 16
+
+
+def test_less_urgent_work_goes_on_from_its_checkpoint_after_urgent_large_work():
+    # Load: single tasks on one accelerator each, beside renders that need eight.
+    book = make(["i-0"])
+    small = step(8, cpu_milli=1000, accelerators=1, checkpoints=True, estimate=5.0)
+    add(book, "small", job(small), "slow")
+    for effect in plan(book):
+        book.start_answered(book.hosts["i-0"], effect.run, None, 0.2)
+    add(book, "large", job(step(1, cpu_milli=8000, accelerators=8)), "fast")
+    stops = [e for e in plan(book, 0.3, 0.3) if isinstance(e, StopRun)]
+    assert len(stops) == 8
+    assert plan(book, 0.4, 0.4) == []
+
+
+def test_nothing_is_stopped_for_work_of_its_own_priority_or_that_is_nearly_done():
+    book = make(["i-0"])
+    near = step(1, cpu_milli=20000, checkpoints=True, estimate=1.0)
+    add(book, "near", job(near), "slow")
+    (effect,) = plan(book)
+    book.start_answered(book.hosts["i-0"], effect.run, None, 0.2)
+    add(book, "urgent", job(step(1, cpu_milli=20000)), "fast")
+    add(book, "equal", job(step(1, cpu_milli=20000)), "slow")
+    assert plan(book, 0.3, 0.3) == []
