Leave a claim alone while another daemon makes it

Ruled out: beats (all were heard). Change: beats name the pools that their sender is claiming. Test: tests/work/test_members.py.

--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -225,7 +225,7 @@
                 for owner in self.owners.values():
                     owner.lose_right()
             self._beat()
-            await asyncio.sleep(OWNER_BEAT_TIME if self.owners else BEAT_TIME)
+            await asyncio.sleep(OWNER_BEAT_TIME if self._runs else BEAT_TIME)
 
     def _make_beat(self) -> Beat:
         now = asyncio.get_running_loop().time()
@@ -239,6 +239,7 @@
             self.leaving,
             self._able(),
             round(self.lines.backlog(now), 2),
+            tuple(pool for pool in self._runs if pool not in self.owners),
         )
 
     def _beat(self) -> None:
@@ -262,6 +263,7 @@
             for pool in self._pools():
                 if pool not in self._runs and self._is_vacant(pool, loop.time()):
                     self._runs[pool] = loop.create_task(self._own(pool))
+                    self._beat()
 
     def _able(self) -> bool:
         """Return whether this daemon has heard enough to claim a pool."""
@@ -276,6 +278,8 @@
         if self.members.owner(pool, now) is not None:
             self._vacant.pop(pool, None)
             return False
+        if self.members.is_being_claimed(pool, now):
+            return False
         since = self._vacant.setdefault(pool, now)
         given_up = self.members.has_given_up(pool, now)
         if now - since < CLAIM_PATIENCE and not given_up:
--- a/siskinroad/work/members.py
+++ b/siskinroad/work/members.py
@@ -103,6 +103,17 @@
                     best = (term, node)
         return best[1] if best else None
 
+    def is_being_claimed(self, pool: str, now: float) -> bool:
+        """Return whether another living daemon is about to own the pool.
+
+        A claim takes seconds while the store is slow; a second one would undo it.
+        """
+        return any(
+            pool in self.heard[node].beat.claiming
+            and now - self.heard[node].at <= OWNER_ALIVE_TIME
+            for node in self.alive(now)
+        )
+
     def has_given_up(self, pool: str, now: float) -> bool:
         """Return whether the pool's owner has just handed it over by itself."""
         return now - self.given_up.get(pool, -1e9) <= ALIVE_TIME
--- a/siskinroad/work/messages.py
+++ b/siskinroad/work/messages.py
@@ -37,6 +37,8 @@
         The sender has been up for long enough to claim a pool.
     backlog : float
         Seconds of calls to the advisor that wait on the sender's line.
+    claiming : tuple of str
+        Pools that the sender is about to own.
     """
 
     node: str
@@ -46,6 +48,7 @@
     leaving: bool
     able: bool
     backlog: float = 0.0
+    claiming: tuple[str, ...] = ()
 
 
 class JobQuestion(msgspec.Struct, tag="job?", frozen=True, array_like=True):
--- a/tests/work/test_members.py
+++ b/tests/work/test_members.py
@@ -1,3 +1,5 @@
+import msgspec
+
 from siskinroad.work.members import Members
 from siskinroad.work.messages import Beat
 from siskinroad.work.records import Member
@@ -74,6 +76,14 @@
     assert members.alive(10.2) == []
 
 
+def test_a_claim_that_takes_long_is_left_alone():
+    # Load: a slow store, a claim of two seconds, and a better rank that comes up.
+    members = make(msgspec.structs.replace(beat("b"), claiming=("p",)))
+    assert members.is_being_claimed("p", 10.5)
+    assert not members.is_being_claimed("q", 10.5)
+    assert not members.is_being_claimed("p", 11.5)
+
+
 def test_only_news_of_members_is_taken_in():
     members = Members("a", 1)
     assert members.learn(Member("b", 2, "x", "d", "r"))
