--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -128,7 +128,7 @@
             self.store,
             self.calls,
             self.owners,
-            lambda pool: self.members.owner(pool, now()),
+            self._owner_of,
             self._capacities,
             self.metrics,
             wall,
@@ -364,6 +364,12 @@
         for owner in self.owners.values():
             owner.hosts_listed(self.hosts)
 
+    def _owner_of(self, pool: str) -> str | None:
+        """Return the daemon that owns a pool, this one included."""
+        if pool in self.owners:
+            return self.member.node
+        return self.members.owner(pool, asyncio.get_running_loop().time())
+
     def _capacities(self, pool: str) -> list[Resources]:
         return [e.capacity for e in self.hosts.values() if e.pool == pool]
 
--- a/siskinroad/work/desk.py
+++ b/siskinroad/work/desk.py
@@ -187,7 +187,7 @@
         return await self._append(queue, record, deadline, outcome == "unknown")
 
     async def _submit_to_owner(self, pool: str, record: Record, left: float) -> str:
-        node = self._node if pool in self._owners else self._find_owner(pool)
+        node = self._find_owner(pool)
         if node is None:
             return "not owner"
         msg = SubmitRequest(0, pool, record.key, record.value, left)
@@ -279,7 +279,7 @@
     async def _ask_owner(
         self, pool: str, verb: str, subject: str, timeout: float
     ) -> JobAnswer | None:
-        node = self._node if pool in self._owners else self._find_owner(pool)
+        node = self._find_owner(pool)
         if node is None:
             return None
         if node == self._node:
@@ -325,6 +325,8 @@
                 "verb": verb,
                 "queue": queue.name if queue else None,
                 "version": self.setup.version if self.setup else None,
+                "store_age_s": round(self._store_age(), 1),
+                "owner": self._find_owner(queue.pool) if queue else None,
                 "outcome": reply.kind.value,
                 "state": reply.state,
                 "reason": reply.reason,
