Back off from stale answers of the store instead of asking at once again

Cause: read as a newcomer would: a page older than what had been read was left out without a pause, so a reader would ask hundreds of times a second while the store is behind. Ruled out: going back (it never did). Test first in tests/work/test_follow.py: hundreds of calls in 3 s before, under 15 after.

--- a/siskinroad/work/follow.py
+++ b/siskinroad/work/follow.py
@@ -7,7 +7,14 @@
 from collections.abc import Callable
 
 from siskinroad.errors import SiskinroadError
-from siskinroad.work.store import Newest, Store, Tail, TrimmedError, newest_of_all
+from siskinroad.work.store import (
+    Newest,
+    Store,
+    StoreUnavailableError,
+    Tail,
+    TrimmedError,
+    newest_of_all,
+)
 
 __all__ = ["Follower"]
 
@@ -91,8 +98,7 @@
     async def _load(self) -> None:
         sent_at = asyncio.get_running_loop().time()
         page = await newest_of_all(self.store, self.topic, ANSWER_TIME)
-        if page.end < self.next:
-            return
+        self._check_stale(page.end)
         items = sorted(page.items, key=lambda item: item.offset)
         self._apply(tuple(items), True)
         self.next = page.end
@@ -103,14 +109,19 @@
         tail = await self.store.read(
             self.topic, self.next, wait=self._wait, timeout=self._wait + ANSWER_TIME
         )
-        if tail.next < self.next:
-            return
+        self._check_stale(tail.end)
         if tail.records:
             self._apply(_numbered(tail), False)
         self.next = tail.next
         if self.next >= tail.end:
             self.confirmed_at = sent_at
 
+    def _check_stale(self, end: int) -> None:
+        """Refuse an answer that is older than what has been read already."""
+        if end < self.next:
+            text = f"the topic ends at {end}, before {self.next}"
+            raise StoreUnavailableError(text, step="follow")
+
     def _note(self, reachable: bool, exc: SiskinroadError | None) -> None:
         if reachable == self.reachable:
             return
--- /dev/null
+++ b/tests/work/test_follow.py
@@ -0,0 +1,86 @@
+"""Following a topic through dropped history and stale answers, on a paused clock."""
+
+import asyncio
+
+from bench.clock import run
+from siskinroad.work.follow import Follower
+from siskinroad.work.store import NewestPage, Record, Tail, TrimmedError
+from siskinroad.work.store_memory import MemoryLogs, MemoryStore
+
+
+class StaleStore(MemoryStore):
+    """Answers as if it were a while ago, for as long as ``behind`` is set."""
+
+    behind = 0
+    calls = 0
+
+    async def read(self, topic, start, *, wait, timeout=1.0):
+        self.calls += 1
+        if not self.behind:
+            return await super().read(topic, start, wait=wait, timeout=timeout)
+        end = self.logs.topic(topic).end - self.behind
+        if start > end:
+            return Tail(start, (), end)
+        raise TrimmedError(end)
+
+    async def newest(self, topic, after="", *, timeout=1.0):
+        page = await super().newest(topic, after, timeout=timeout)
+        return NewestPage(page.items, page.more, page.end - self.behind)
+
+
+async def follow(store, seen, seconds):
+    follower = Follower(
+        store, "t", lambda items, whole: seen.extend(item.key for item in items)
+    )
+    task = asyncio.create_task(follower.run())
+    await asyncio.sleep(seconds)
+    return follower, task
+
+
+def test_records_are_applied_once_each_in_order():
+    async def play():
+        store, seen = MemoryStore(MemoryLogs()), []
+        await store.append("t", [Record("a", b"1"), Record("b", b"1")])
+        _, task = await follow(store, seen, 1.0)
+        await store.append("t", [Record("c", b"1")])
+        await asyncio.sleep(1.0)
+        assert seen == ["a", "b", "c"]
+        task.cancel()
+
+    run(play())
+
+
+def test_stale_answers_never_take_a_reader_back_nor_make_it_spin():
+    async def play():
+        store, seen = StaleStore(MemoryLogs()), []
+        await store.append("t", [Record(k, b"1") for k in "abc"])
+        follower, task = await follow(store, seen, 1.0)
+        store.behind, store.calls = 2, 0
+        await asyncio.sleep(3.0)
+        assert follower.next == 3 and seen == ["a", "b", "c"]
+        assert store.calls < 15
+        store.behind = 0
+        await store.append("t", [Record("d", b"1")])
+        await asyncio.sleep(2.0)
+        assert seen[-1] == "d"
+        task.cancel()
+
+    run(play())
+
+
+def test_a_reader_whose_history_is_dropped_takes_the_newest_of_each_key():
+    async def play():
+        logs = MemoryLogs()
+        store, seen = MemoryStore(logs, "x"), []
+        await store.append("t", [Record("a", b"1")])
+        _, task = await follow(store, seen, 1.0)
+        logs.faults.cut.add("x")
+        await asyncio.sleep(2.5)
+        logs.append("t", [Record("a", b"2"), Record("b", b"1")], None, None)
+        logs.trim("t")
+        logs.faults.cut.clear()
+        await asyncio.sleep(3.0)
+        assert seen[1:] == ["a", "b"]
+        task.cancel()
+
+    run(play())
