Begin a job when it is read, not when it is stored

Ruled out: tokens (both runs were started before the successor had reached that host). Change: the owner begins only what its reader has read.

--- a/siskinroad/work/batcher.py
+++ b/siskinroad/work/batcher.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from siskinroad.errors import SiskinroadError
@@ -35,23 +34,11 @@
 
 
 class Batcher:
-    """Appends records whose repetition is harmless: each has a key of its own.
-
-    Parameters
-    ----------
-    on_stored : callable
-        Called with the records of each append that is known to have taken effect.
-    """
-
-    def __init__(
-        self,
-        store: Store,
-        topic: str,
-        on_stored: Callable[[list[Record]], None] = lambda records: None,
-    ) -> None:
+    """Appends records whose repetition is harmless: each has a key of its own."""
+
+    def __init__(self, store: Store, topic: str) -> None:
         self._store = store
         self._topic = topic
-        self._on_stored = on_stored
         self._waiting: list[_Waiting] = []
         self._task: asyncio.Task[None] | None = None
 
@@ -111,7 +98,6 @@
                 waiting.unsure = True
             self._again(batch, exc)
         else:
-            self._on_stored(records)
             for waiting in batch:
                 if not waiting.fut.done():
                     waiting.fut.set_result(None)
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -31,7 +31,7 @@
     unpack,
 )
 from siskinroad.work.steward import Steward
-from siskinroad.work.store import Newest, Record, StoreUnknownError
+from siskinroad.work.store import Newest, StoreUnknownError
 from siskinroad.work.term import RIGHT_TIME, OwnerParts, Term
 
 __all__ = ["Deposed", "PoolOwner"]
@@ -78,16 +78,9 @@
         self.follower.next = found.next
         # The claim has read all that came before it.
         self.follower.confirmed_at = asyncio.get_running_loop().time()
-        self.intake = Batcher(parts.store, job_topic(pool), self._stored)
-
-    def _stored(self, records: list[Record]) -> None:
-        """Begin jobs that are known to be in the store, before they are read."""
-        loop = asyncio.get_running_loop()
-        for record in records:
-            # Nothing that is stored under this term can be known to a former owner.
-            item = Newest(record.key, record.value, self.term.number)
-            self._take_record(item, loop.time(), self.parts.wall())
-        self.term.plan_wanted.set()
+        # A stored job is begun when it is read, and not before: a claim of another
+        # daemon may stand in front of it.
+        self.intake = Batcher(parts.store, job_topic(pool))
 
     def _load(self, found: Inheritance) -> None:
         loop = asyncio.get_running_loop()
--- a/siskinroad/work/store_memory.py
+++ b/siskinroad/work/store_memory.py
@@ -36,12 +36,15 @@
         Seconds after which an append without an answer takes effect.
     cut : set of str
         Clients that cannot reach the store.
+    deaf : set of str
+        Clients whose reads get no answer, while their appends take effect.
     """
 
     down: bool = False
     lost_answers: int = 0
     late: float = 0.0
     cut: set[str] = field(default_factory=set)
+    deaf: set[str] = field(default_factory=set)
 
 
 @dataclass(slots=True)
@@ -149,6 +152,9 @@
     ) -> Tail:
         """Read records; see the base class."""
         await self._reach(timeout)
+        if self.client in self.logs.faults.deaf:
+            await asyncio.sleep(timeout)
+            raise StoreUnknownError("no answer", step="store.read")
         log = self.logs.topic(topic)
         until = asyncio.get_running_loop().time() + wait
         while start >= log.end:
--- a/tests/work/test_daemon.py
+++ b/tests/work/test_daemon.py
@@ -7,7 +7,7 @@
 from bench.clock import run
 from siskinroad.work.hosts import EndKind
 from siskinroad.work.model import TaskId
-from tests.work.cell import ADVISED, Cell, job, step
+from tests.work.cell import ADVISED, POOL, Cell, job, step
 
 ID = "00000000000000aa"
 
@@ -169,6 +169,27 @@
     scene(play)
 
 
+def test_an_owner_that_has_not_read_of_its_successor_begins_no_later_job():
+    # Trace: a slow owner stores a job for a caller after another has claimed.
+    async def play(cell):
+        await cell.up("a", "b")
+        old = cell.owner()
+        new = next(name for name in cell.daemons if name != old)
+        cell.network.faults.cut |= {(old, new), (new, old)}
+        cell.logs.faults.deaf.add(old)
+        for _ in range(60):
+            if POOL in cell.daemons[new].owners:
+                break
+            await asyncio.sleep(0.05)
+        owner = cell.daemons[old].owners[POOL]
+        await cell.submit(old, ID, job())
+        assert ID not in owner.book.jobs
+        await cell.until_starts(1)
+        assert len(cell.hosts.starts()) == 1
+
+    scene(play)
+
+
 def test_everything_dies_right_after_an_acceptance():
     async def play(cell):
         await cell.up("a", "b", "c")
