--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -24,9 +24,9 @@
 from siskinroad.work.planner import Planner
 from siskinroad.work.progress import Deposed, ProgressLog
 from siskinroad.work.records import (
+    OWNER_KEY,
     Accepted,
     Cancelled,
-    OwnerRecord,
     job_topic,
     unpack,
 )
@@ -184,6 +184,7 @@
     # Accepted jobs
 
     def _take_records(self, items: tuple[Newest, ...], whole: bool) -> None:
+        self._check_claims(items)
         now = asyncio.get_running_loop().time()
         wall = self.parts.wall()
         for item in items:
@@ -191,6 +192,13 @@
                 self._take_record(item, now, wall)
         self.term.plan_wanted.set()
 
+    def _check_claims(self, items: tuple[Newest, ...]) -> None:
+        """Stop before any job is taken in that a later claim stands in front of."""
+        for item in items:
+            if item.key == OWNER_KEY and item.offset + 1 > self.term.number:
+                self.term.right_until = -1e9
+                raise Deposed(f"term {item.offset + 1}", step="owner")
+
     def _take_record(self, item: Newest, now: float, wall: float) -> None:
         try:
             stored = unpack(item.value)
@@ -201,8 +209,6 @@
             )
             return
         match stored:
-            case OwnerRecord() if item.offset + 1 > self.term.number:
-                raise Deposed(f"by {stored.node}", step="owner", peer=stored.node)
             case Accepted(job=job):
                 known = job in self.book.jobs
                 self.book.accept(
