--- a/siskinroad/work/book.py
+++ b/siskinroad/work/book.py
@@ -89,11 +89,10 @@
         job = make_job(accepted)
         job.objective = self._objective(job)
         self.jobs[job.id] = job
-        state = "waiting" if fresh or self.settled else "unsettled"
         if job.spec.occurrences > 1 or job.spec.first:
             self.timed.add(job.id)
         else:
-            job.open_occurrence(state)
+            job.open_occurrence(settled=fresh or self.settled)
         self._find_ready(job, now)
         return job
 
@@ -121,7 +120,7 @@
             while job.opened < job.spec.occurrences and not job.closed:
                 if job.spec.due(job.opened) > wall + early:
                     break
-                job.open_occurrence("waiting" if self.settled else "unsettled")
+                job.open_occurrence(settled=self.settled)
                 self._find_ready(job, now)
             if job.closed or job.opened >= job.spec.occurrences:
                 self.timed.discard(job_id)
--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -179,14 +179,22 @@
             return self.recorded
         return JobState.ACTIVE if self.started else JobState.QUEUED
 
-    def open_occurrence(self, state: str) -> list[StepRun]:
-        """Add the steps of the next occurrence, their tasks in ``state``."""
+    def open_occurrence(self, *, settled: bool) -> list[StepRun]:
+        """Add the steps of the next occurrence.
+
+        Parameters
+        ----------
+        settled : bool
+            No former owner can have begun any of its tasks.
+        """
         number = self.opened
         self.opened += 1
         added = []
         for i, spec in enumerate(self.spec.steps):
             ids = [TaskId(self.id, number, i, n) for n in range(spec.count)]
-            tasks = [Task(key, state) for key in ids]
+            tasks = [Task(key) for key in ids]
+            for task in tasks if not settled else ():
+                task.move("doubt")
             step = StepRun(self, number, i, spec, tasks)
             self.steps[number, i] = step
             added.append(step)
@@ -220,7 +228,7 @@
         self.outcome_at = progress.at
         for note in progress.notes:
             while self.opened <= note.occurrence < self.spec.occurrences:
-                self.open_occurrence("unsettled")
+                self.open_occurrence(settled=False)
             task = self.task(TaskId(self.id, note.occurrence, note.step, note.index))
             if task is None:
                 continue
