Claim the pools of a daemon at once whose address refuses connections

Change: when a peer's connection ends, its address is tried; a refusal means that nothing listens there, and its pools are vacant. This is a hint for claims only: a cut may refuse too, so that leases are still waited for as before. Broken links are made anew when a peer's next life is known, without the library's grown pause.

--- a/siskinroad/peers.py
+++ b/siskinroad/peers.py
@@ -49,17 +49,28 @@
     ----------
     receiver : callable
         Called with the sender's name and each message that arrives.
+    disconnected : callable
+        Called with the name of a peer whose connection has ended.
     """
 
     def __init__(self, codec: Codec = CELL_CODEC) -> None:
         self.codec = codec
         self.receiver: Receiver = lambda name, msg: None
+        self.disconnected: Callable[[str], None] = lambda name: None
         self.traffic = PeerTraffic()
 
     @abstractmethod
     def send(self, name: str, msg: Any) -> None:
         """Send a message if the peer is known; never wait."""
 
+    @abstractmethod
+    async def refuses(self, name: str) -> bool:
+        """Return whether a peer's host is up and nothing listens there.
+
+        The process that listened there before has ended. False where that is not
+        certain: the peer accepts, or nothing is heard of its host.
+        """
+
     @abstractmethod
     async def close(self) -> None:
         """Release all connections."""
@@ -96,6 +107,8 @@
         self.faults = NetworkFaults()
         self.nodes: dict[str, MemoryPeers] = {}
         self.paused: dict[str, list[tuple[str, bytes]]] = {}
+        # Daemons whose hosts are without power: nothing tells of their end.
+        self.dark: set[str] = set()
 
     def join(self, name: str, codec: Codec = CELL_CODEC) -> MemoryPeers:
         """Return the link of one daemon."""
@@ -122,6 +135,14 @@
             node.traffic.received += len(data)
             node.receiver(sender, node.codec.decode(data, sender))
 
+    def ended(self, name: str) -> None:
+        """Tell the other daemons that the connections of one have ended."""
+        loop = asyncio.get_running_loop()
+        for node in self.nodes.values():
+            apart = (name, node.name) in self.faults.cut or name in self.dark
+            if node.name != name and not node.closed and not apart:
+                loop.call_later(self.delay, node.disconnected, name)
+
     def pause(self, name: str) -> None:
         """Hold what arrives for a daemon, as while its process is stopped."""
         self.paused.setdefault(name, [])
@@ -151,6 +172,16 @@
         self.traffic.count(msg, len(data))
         self.network.post(self.name, name, data)
 
+    async def refuses(self, name: str) -> bool:
+        """Return whether a peer has closed its link; see the base class."""
+        await asyncio.sleep(2 * self.network.delay)
+        cut = self.network.faults.cut
+        if (self.name, name) in cut or (name, self.name) in cut:
+            return False
+        node = self.network.nodes.get(name)
+        return node is not None and node.closed and name not in self.network.dark
+
     async def close(self) -> None:
         """Send and receive nothing any more."""
         self.closed = True
+        self.network.ended(self.name)
--- a/siskinroad/peers_zmq.py
+++ b/siskinroad/peers_zmq.py
@@ -9,6 +9,7 @@
 import zmq
 import zmq.asyncio
 from zmq.utils import z85
+from zmq.utils.monitor import parse_monitor_message
 
 from siskinroad.codec import Codec
 from siskinroad.errors import ProtocolError
@@ -22,7 +23,10 @@
 PING_MS = 1000
 PING_TIMEOUT_MS = 3000
 RECONNECT_MS = 100
-RECONNECT_MAX_MS = 2000
+RECONNECT_MAX_MS = 400
+# Seconds for one attempt to reach a peer whose connection has ended: a way
+# between regions and back, and a busy moment.
+PROBE_TIME = 0.3
 SEND_QUEUE = 2000
 MAX_MESSAGE_BYTES = 32 << 20
 
@@ -83,6 +87,8 @@
         self._router = self._ctx.socket(zmq.ROUTER)
         self._known = {peer.name: peer for peer in cfg.peers}
         self._dealers: dict[str, zmq.asyncio.Socket] = {}
+        self._watches: dict[str, asyncio.Task[None]] = {}
+        self._broken: set[str] = set()
         self._allowed = {peer.public_key.encode() for peer in cfg.peers}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -121,18 +127,64 @@
         if self.cfg.secret_key:
             self._set_keys(sock)
             sock.curve_serverkey = peer.public_key.encode()
+        monitor = sock.get_monitor_socket(zmq.EVENT_CONNECTED | zmq.EVENT_DISCONNECTED)
         sock.connect(f"tcp://{peer.address}")
         self._dealers[peer.name] = sock
+        watch = asyncio.create_task(self._watch(peer.name, monitor))
+        self._watches[peer.name] = watch
         return sock
 
+    async def _watch(self, name: str, monitor: zmq.asyncio.Socket) -> None:
+        """Follow whether the connection to a peer stands."""
+        try:
+            while True:
+                event = parse_monitor_message(await monitor.recv_multipart())
+                if event["event"] == zmq.EVENT_CONNECTED:
+                    self._broken.discard(name)
+                elif event["event"] == zmq.EVENT_DISCONNECTED:
+                    self._broken.add(name)
+                    self.disconnected(name)
+        finally:
+            monitor.close()
+
     def learn(self, peer: Peer) -> None:
-        """Take in a peer, or the new address of a known one."""
+        """Take in a peer, its new address, or its new life.
+
+        A connection that is broken is made anew at once: the library's own pause
+        between two attempts has grown while the peer was away.
+        """
         known = self._known.get(peer.name)
         self._known[peer.name] = peer
-        if known is not None and known.address != peer.address:
-            sock = self._dealers.pop(peer.name, None)
-            if sock is not None:
-                sock.close()
+        moved = known is not None and known.address != peer.address
+        if moved or peer.name in self._broken:
+            self._disconnect(peer.name)
+
+    def _disconnect(self, name: str) -> None:
+        self._broken.discard(name)
+        watch = self._watches.pop(name, None)
+        if watch is not None:
+            watch.cancel()
+        sock = self._dealers.pop(name, None)
+        if sock is not None:
+            sock.disable_monitor()
+            sock.close()
+
+    async def refuses(self, name: str) -> bool:
+        """Return whether nothing listens at a peer's address; see the base class."""
+        peer = self._known.get(name)
+        if peer is None:
+            return False
+        ip, _, port = peer.address.rpartition(":")
+        try:
+            async with asyncio.timeout(PROBE_TIME):
+                _, writer = await asyncio.open_connection(ip, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError) as exc:
+            log.debug("peers: %s is not reached: %s", name, exc)
+            return False
+        writer.close()
+        return False
 
     def send(self, name: str, msg: Any) -> None:
         """Send a message; see the base class."""
@@ -157,11 +209,12 @@
 
     async def close(self) -> None:
         """Close every socket."""
-        for task in self._tasks:
+        tasks = [*self._tasks, *self._watches.values()]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        for sock in self._dealers.values():
-            sock.close()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for name in list(self._dealers):
+            self._disconnect(name)
         self._router.close()
         self._ctx.destroy(linger=0)
 
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -135,6 +135,7 @@
             lambda: now() - max(self.store.answered_at, self.setups.confirmed_at),
         )
         peers.receiver = self._receive
+        peers.disconnected = self._disconnected
         decoder = outside.decoder
         self.setups = Follower(self.store, decoder.setup_topic, self._take_setup)
         self.list = Follower(
@@ -394,13 +395,42 @@
             case RelayRequest():
                 self._reply(peer, self.store.serve(msg))
 
+    def _disconnected(self, peer: str) -> None:
+        """Look whether a peer whose connection has ended still lives.
+
+        Load that this answers: owners that are killed. Without this look, what
+        is urgent waits until their beats are missed.
+        """
+        if peer in self.members.heard:
+            self._background(self._look_after(peer))
+
+    async def _look_after(self, peer: str) -> None:
+        heard = self.members.heard.get(peer)
+        if not await self.peers.refuses(peer) or self.members.heard.get(peer) != heard:
+            return
+        now = asyncio.get_running_loop().time()
+        owned = heard.beat.owned if heard is not None else ()
+        log.warning(
+            "daemon: peer has ended",
+            extra={
+                "peer": peer,
+                "silent_s": round(now - heard.at, 2) if heard else None,
+                "pools": [pool for pool, _ in owned],
+            },
+        )
+        self.members.ended(peer, now)
+        self._claim_wanted.set()
+
+    def _background(self, coro: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(_guarded(coro))
+        self._answers.add(task)
+        task.add_done_callback(self._answers.discard)
+
     def _reply(self, peer: str, coro: Coroutine[Any, Any, Any]) -> None:
         async def send() -> None:
             self.peers.send(peer, await coro)
 
-        task = asyncio.get_running_loop().create_task(_guarded(send()))
-        self._answers.add(task)
-        task.add_done_callback(self._answers.discard)
+        self._background(send())
 
 
 async def _guarded(coro: Coroutine[Any, Any, None]) -> None:
--- a/siskinroad/work/members.py
+++ b/siskinroad/work/members.py
@@ -38,7 +38,7 @@
     incarnation : int
         This daemon's life; a later life has a higher one.
     given_up : dict of str to float
-        Loop time at which a leaving owner gave a pool up.
+        Loop time at which a pool's owner gave it up, or its process ended.
     """
 
     node: str
@@ -71,6 +71,16 @@
         if old is None or old.beat.incarnation <= beat.incarnation:
             self.heard[beat.node] = _Heard(beat, now)
 
+    def ended(self, node: str, now: float) -> None:
+        """Note that a daemon's process seems to have ended.
+
+        Its pools may be claimed at once. It is no proof that its leases only have
+        to lapse, and the next beat of the daemon takes it back.
+        """
+        old = self.heard.pop(node, None)
+        for pool, _ in old.beat.owned if old is not None else ():
+            self.given_up[pool] = now
+
     def others(self) -> list[str]:
         """Return every other member on record."""
         return [node for node in self.known if node != self.node]
@@ -115,7 +125,7 @@
         )
 
     def has_given_up(self, pool: str, now: float) -> bool:
-        """Return whether the pool's owner has just handed it over by itself."""
+        """Return whether the pool's owner has just handed it over or ended."""
         return now - self.given_up.get(pool, -1e9) <= ALIVE_TIME
 
     def reaches_store(self, now: float) -> list[str]:
--- a/tests/test_peers_zmq.py
+++ b/tests/test_peers_zmq.py
@@ -82,3 +82,45 @@
         await b.close()
 
     asyncio.run(main())
+
+
+def test_the_end_of_a_peer_is_told_and_nothing_listens_there_then():
+    async def main():
+        one, two = free_addresses(2)
+        a, _ = link("a", one, (Peer("b", two, "d", "r"),))
+        b, got_b = link("b", two, ())
+        ended = []
+        a.disconnected = ended.append
+        assert await until(got_b, a, "b")
+        assert not await a.refuses("b")
+        await b.close()
+        while not ended:
+            await asyncio.sleep(0.01)
+        assert ended == ["b"]
+        assert await a.refuses("b")
+        assert not await a.refuses("nobody")
+        await a.close()
+
+    asyncio.run(main())
+
+
+def test_a_peer_s_new_life_is_reached_without_the_pause_between_attempts():
+    async def main():
+        one, two = free_addresses(2)
+        peer = Peer("b", two, "d", "r")
+        a, _ = link("a", one, (peer,))
+        b, got_b = link("b", two, ())
+        assert await until(got_b, a, "b")
+        await b.close()
+        while "b" not in a._broken:
+            await asyncio.sleep(0.01)
+        old = a._dealers["b"]
+        b, got_b = link("b", two, ())
+        a.learn(peer)
+        a.send("b", ForwardAck("x"))
+        assert a._dealers["b"] is not old
+        assert await until(got_b, a, "b")
+        await a.close()
+        await b.close()
+
+    asyncio.run(main())
--- a/tests/work/cell.py
+++ b/tests/work/cell.py
@@ -97,6 +97,7 @@
 
     def start(self, name):
         self.lives += 1
+        self.network.dark.discard(name)
         peers = self.network.join(name, CODEC)
         outside = Outside(
             MemoryStore(self.logs, name), self.hosts, self.advisor, PlainDecoder()
@@ -118,7 +119,9 @@
             self.start(name)
         await asyncio.sleep(3.0)
 
-    async def kill(self, name):
+    async def kill(self, name, power=False):
+        if power:
+            self.network.dark.add(name)
         await self.daemons.pop(name).close()
 
     def owner(self):
--- a/tests/work/test_daemon.py
+++ b/tests/work/test_daemon.py
@@ -68,13 +68,26 @@
     scene(play)
 
 
-def test_a_take_over_starts_new_work_within_two_seconds_and_a_half():
+def test_a_killed_owner_s_pool_serves_new_work_within_half_a_second():
+    # Load: urgent jobs that are worth most within a second, while owners are killed.
     async def play(cell):
         await cell.up("a", "b", "c")
         await cell.kill(cell.owner())
         began = asyncio.get_running_loop().time()
         await cell.submit(next(iter(cell.daemons)), ID, job())
         starts = await cell.until_starts(1)
+        assert starts[0].at - began < 0.5
+
+    scene(play)
+
+
+def test_an_owner_without_power_is_replaced_within_two_seconds_and_a_half():
+    async def play(cell):
+        await cell.up("a", "b", "c")
+        await cell.kill(cell.owner(), power=True)
+        began = asyncio.get_running_loop().time()
+        await cell.submit(next(iter(cell.daemons)), ID, job())
+        starts = await cell.until_starts(1)
         assert starts[0].at - began < 2.5
 
     scene(play)
--- a/tests/work/test_members.py
+++ b/tests/work/test_members.py
@@ -90,3 +90,19 @@
     assert not members.learn(Member("b", 1, "y", "d", "r"))
     members.forget_all_but(set())
     assert members.others() == []
+
+
+def test_the_pools_of_a_daemon_that_has_ended_are_claimed_at_once():
+    members = make(beat("b", [("p", 4)]), beat("c"))
+    members.ended("b", 10.1)
+    assert members.owner("p", 10.1) is None
+    assert members.has_given_up("p", 10.1)
+    assert members.alive(10.1) == ["c"]
+    assert not members.is_later_life("b", 1)
+
+
+def test_a_daemon_that_beats_after_its_end_was_suspected_lives():
+    members = make(beat("b", [("p", 4)]))
+    members.ended("b", 10.1)
+    members.hear(beat("b", [("p", 4)]), 10.2)
+    assert members.owner("p", 10.2) == "b"
