Keep the room of a start whose stop was decided before its answer

A job was cancelled while five of its starts waited behind unanswered orders of their host. The stop moved them to 'stopping', a report that could not list them yet ended them as absent, their room was given away, and then they were sent. Their stops were rejected, since their token was taken before they waited for the same slot. Change: a run whose stop is decided before its start is answered is 'withdrawn': it keeps its room whatever reports say, is not sent if it was not, and is stopped when its start is answered. Stops and paces take the token when they are sent, and a stop that a raised token overtook is sent again. Tests: five that fail without it, one over a daemon with unanswered starts.

--- a/siskinroad/work/book.py
+++ b/siskinroad/work/book.py
@@ -208,7 +208,7 @@
 
     def stop(self, host: Host, run: Run, reason: str) -> list[Effect]:
         """Order the stop of a run; its room stays taken until the end is listed."""
-        if run.state == "stopping":
+        if run.state in ("stopping", "withdrawn"):
             return []
         run.move("stop")
         return [StopRun(host.name, run, reason)]
@@ -336,6 +336,17 @@
                 step.tickets.pop(host.name, None)
         return self._over(host, run, rejection.value, now)
 
+    def may_send(self, host: Host, run: Run) -> bool:
+        """Return whether a start that has waited to be sent is still wanted."""
+        return host.runs.get(run.key) is run and run.state == "ordered"
+
+    def start_dropped(self, host: Host, run: Run, now: float) -> list[Effect]:
+        """Note that a start was not sent, as it is not wanted any more."""
+        if host.runs.get(run.key) is not run or not run.allows("drop"):
+            return []
+        run.move("drop")
+        return self._over(host, run, "withdrawn", now)
+
     def start_not_sent(self, host: Host, run: Run, now: float) -> list[Effect]:
         """Nothing of a start left this daemon."""
         return self.start_answered(host, run, Rejection.UNWELL, now)
@@ -393,7 +404,7 @@
         log.warning("book: host began a new life", extra={"host": host.name})
         effects: list[Effect] = []
         for run in list(host.runs.values()):
-            if run.state == "ordered":
+            if run.state in ("ordered", "withdrawn"):
                 continue
             run.move("lapse")
             effects += self._over(host, run, "host restarted", now)
@@ -518,10 +529,12 @@
             if run is None:
                 run, more = self._adopt(host, row, now)
                 effects += more
-            elif run.state in ("ordered", "doubtful"):
+            elif run.state in ("ordered", "withdrawn", "doubtful"):
                 run.since = now
                 run.move("list")
                 self._begun(host, run, now)
+                if run.state == "running" and self._is_closed(run):
+                    effects += self.stop(host, run, "job is closed")
             if run.progress != row.progress or not run.moved_at:
                 run.progress = row.progress
                 run.moved_at = now
@@ -532,6 +545,10 @@
                 task.checkpoint = row.checkpoint
         return effects
 
+    def _is_closed(self, run: Run) -> bool:
+        job = self.jobs.get(run.key[0].job)
+        return job is None or job.closed
+
     def _adopt(self, host: Host, row: Running, now: float) -> tuple[Run, list[Effect]]:
         """Take in a run that this owner has not ordered."""
         step = self.step(row.task)
--- a/siskinroad/work/orders.py
+++ b/siskinroad/work/orders.py
@@ -54,6 +54,9 @@
         loop = asyncio.get_running_loop()
         async with self._slot(host.name):
             now = loop.time()
+            if not self.term.book.may_send(host, effect.run):
+                self.term.carry_out(self.term.book.start_dropped(host, effect.run, now))
+                return
             until = host.lease_until(now)
             if until is None or not self.term.may_act():
                 self.term.carry_out(
@@ -133,19 +136,17 @@
 
     async def stop(self, effect: StopRun) -> None:
         """Send a stop until it is answered or the run is over."""
-        host = self.term.book.hosts.get(effect.host)
         task, number = effect.run.key
-        while host is not None and effect.run.state != "over":
-            order = Order(host.name, host.entry.address, host.token, task, number)
-            outcome = "sent"
-            try:
-                async with self._slot(host.name):
-                    async with asyncio.timeout(ORDER_TIME):
-                        answer = await self.term.parts.link.stop(order)
-                if answer.rejection is not None:
-                    outcome = answer.rejection.value
-            except (NotSentError, OutcomeUnknownError, TimeoutError) as exc:
-                outcome = f"unknown: {exc}"
+        while True:
+            host = self.term.book.hosts.get(effect.host)
+            if host is None:
+                return
+            async with self._slot(host.name):
+                if effect.run.state == "over":
+                    return
+                # The token may have been raised while this waited for the slot.
+                order = self._order(host, effect.run)
+                outcome, answered = await self._send_stop(order)
             log.info(
                 "orders: stop",
                 extra={
@@ -153,25 +154,42 @@
                     "task": f"{task.occurrence}.{task.step}.{task.index}",
                     "run": number,
                     "host": host.name,
+                    "token": order.token,
                     "why": effect.reason,
                     "outcome": outcome,
                 },
             )
-            if not outcome.startswith("unknown"):
+            if answered:
                 return
             await asyncio.sleep(STOP_RETRY)
-            host = self.term.book.hosts.get(effect.host)
+
+    async def _send_stop(self, order: Order) -> tuple[str, bool]:
+        """Send one stop; return its outcome, and whether that is final."""
+        try:
+            async with asyncio.timeout(ORDER_TIME):
+                answer = await self.term.parts.link.stop(order)
+        except (NotSentError, OutcomeUnknownError, TimeoutError) as exc:
+            return f"unknown: {exc}", False
+        if answer.rejection is None:
+            return "sent", True
+        host = self.term.book.hosts.get(order.host)
+        overtaken = host is not None and order.token < host.token
+        again = answer.rejection is Rejection.FENCED and overtaken
+        return answer.rejection.value, not again
+
+    def _order(self, host: Host, run: Run) -> Order:
+        task, number = run.key
+        return Order(host.name, host.entry.address, host.token, task, number)
 
     async def pace(self, effect: PaceRun) -> None:
         """Send a change of pace; one without an answer is decided anew later."""
         host = self.term.book.hosts.get(effect.host)
         if host is None:
             return
-        task, number = effect.run.key
-        order = Order(host.name, host.entry.address, host.token, task, number)
         outcome = "sent"
         try:
             async with self._slot(host.name), asyncio.timeout(ORDER_TIME):
+                order = self._order(host, effect.run)
                 await self.term.parts.link.pace(order, effect.percent)
         except (NotSentError, OutcomeUnknownError, TimeoutError) as exc:
             outcome = f"unknown: {exc}"
@@ -179,7 +197,7 @@
         log.info(
             "orders: pace",
             extra={
-                "request": task.job,
+                "request": effect.run.key[0].job,
                 "host": host.name,
                 "percent": effect.percent,
                 "outcome": outcome,
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -395,7 +395,7 @@
     """Return the room of a host once what is being stopped there has ended."""
     room = host.free(step.key, now)
     for run in host.runs.values():
-        if run.state == "stopping":
+        if run.state in ("stopping", "withdrawn"):
             room = room + run.need
     return room
 
--- a/tests/work/test_book.py
+++ b/tests/work/test_book.py
@@ -204,3 +204,50 @@
     host = book.hosts["i-0"]
     answer(book, "i-0", 6.0, sent_at=5.0, clock=6000)
     assert host.lease_until(6.0) == 10000
+
+
+def withdrawn(book):
+    """Order the one task of the job, and cancel the job before any answer."""
+    (start,) = starts(book)
+    book.cancel("j", 0.2, 0.2)
+    return book.hosts["i-0"], start.run
+
+
+def test_a_stop_before_the_start_s_answer_keeps_the_room_through_reports():
+    # Trace: a cancelled job whose starts wait behind a host's other orders; the
+    # host's report of meanwhile does not list them, and they begin after it.
+    book = make_book(job())
+    host, run = withdrawn(book)
+    answer(book, "i-0", 0.4, sent_at=0.3)
+    assert host.used.cpu_milli == 4000
+    book.start_answered(host, run, None, 0.5)
+    assert run.state == "stopping"
+    answer(book, "i-0", 0.7, sent_at=0.6, ended=[Ended(1, T, 1, EndKind.STOPPED, "")])
+    assert host.used.cpu_milli == 0
+
+
+def test_a_withdrawn_start_that_was_not_sent_is_dropped_with_its_room():
+    book = make_book(job())
+    host, run = withdrawn(book)
+    assert not book.may_send(host, run)
+    book.start_dropped(host, run, 0.3)
+    assert host.used.cpu_milli == 0
+    assert book.task(T).state == "abandoned"
+
+
+def test_a_withdrawn_start_without_an_answer_is_stopped_where_it_is_listed():
+    book = make_book(job())
+    host, run = withdrawn(book)
+    book.start_unanswered(host, run, 0.3)
+    effects = answer(book, "i-0", 0.5, running=[Running(T, 1, "", 10, 0)])
+    assert [e.run for e in effects if isinstance(e, StopRun)] == [run]
+
+
+def test_a_start_that_waited_while_its_host_lapsed_is_not_sent():
+    book = make_book(job())
+    (start,) = starts(book)
+    host = book.hosts["i-0"]
+    assert book.may_send(host, start.run)
+    book.lapse_silent(1e9)
+    assert not book.may_send(host, start.run)
+    assert book.start_dropped(host, start.run, 1e9) == []
--- a/tests/work/test_daemon.py
+++ b/tests/work/test_daemon.py
@@ -305,6 +305,23 @@
     scene(play)
 
 
+def test_starts_that_wait_behind_slow_answers_are_not_sent_after_a_cancel():
+    # Load: a wide step on one host whose answers are slow, cancelled meanwhile.
+    async def play(cell):
+        await cell.up("a")
+        host = cell.hosts.hosts["i-0"]
+        host.mute_starts = 3
+        await cell.submit("a", ID, job(step(8)))
+        await asyncio.sleep(0.1)
+        await cell.daemons["a"].desk.cancel(ADVISED, ID, cell.deadline())
+        await asyncio.sleep(4)
+        assert not host.starts
+        await cell.submit("a", "00000000000000bb", job(step(8)))
+        assert len(await cell.until_starts(8)) == 8
+
+    scene(play, hosts=1)
+
+
 def test_an_unknown_job_is_denied_only_on_fresh_records():
     async def play(cell):
         await cell.up("a", "b")
