Refuse what was never sent while the store is silent, and notice its return

Jobs waited behind an append without an answer, were then appended themselves, and ended with an unknown outcome at their deadline, up to 2.5 s after the outage was plain; clients do not come back after that. After the return, reads of before were waited for to their end, up to 2.2 s and a pause. Change: only the batch on its way may end as unknown. What waits behind it is refused, as not run, after 1 s in which the store has answered nothing, or 2 s in any case; new jobs at once, until the store has answered anything. A silent store is asked four times a second, and on its first answer all readers ask anew.

--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -41,6 +41,7 @@
 from siskinroad.work.relay import RelayStore
 from siskinroad.work.store import Newest
 from siskinroad.work.term import OwnerParts
+from siskinroad.work.watch import StoreWatch
 from siskinroad.work.workmetrics import WorkMetrics
 
 __all__ = ["WorkDaemon"]
@@ -109,6 +110,13 @@
         self.store = RelayStore(
             outside.store, self.calls, lambda: self.members.reaches_store(now())
         )
+        self.store.returned = self._store_returned
+        self.watch = StoreWatch(
+            outside.store,
+            MEMBERS_TOPIC,
+            lambda: self.store.answered_at,
+            self.store.answered,
+        )
         self.lines = AdviceLines(
             member.node, outside.advisor, self.calls, lambda: self.members.alive(now())
         )
@@ -122,6 +130,7 @@
             self.metrics,
             wall,
             self.members.is_later_life,
+            lambda: self.store.heard_at,
         )
         self.desk = Desk(
             member.node,
@@ -132,7 +141,7 @@
             self._capacities,
             self.metrics,
             wall,
-            lambda: now() - max(self.store.answered_at, self.setups.confirmed_at),
+            lambda: self.store.heard_at,
         )
         peers.receiver = self._receive
         peers.disconnected = self._disconnected
@@ -158,6 +167,7 @@
             self.setups.run(),
             self.roll.run(),
             self.list.run(),
+            self.watch.run(),
             self._run_beats(),
             self._run_claims(),
         ):
@@ -333,6 +343,13 @@
         except TimeoutError:
             log.warning("daemon: release is not on record", extra={"pool": pool})
 
+    def _store_returned(self) -> None:
+        log.warning("daemon: store answers again after a silence")
+        followers = [self.setups, self.list, self.roll]
+        followers += [owner.follower for owner in self.owners.values()]
+        for follower in followers:
+            follower.nudge()
+
     # Configuration and hosts
 
     def _take_setup(self, items: tuple[Newest, ...], whole: bool) -> None:
--- a/siskinroad/work/desk.py
+++ b/siskinroad/work/desk.py
@@ -38,8 +38,8 @@
 __all__ = ["Desk", "Reply", "ReplyKind"]
 
 # Seconds since the store's last answer after which new work is refused at once:
-# a read that waits a second is always on its way, and slow answers come later.
-STORE_DOWN_AGE = 2.5
+# a silent store is asked every quarter of a second, and slow answers come later.
+STORE_DOWN_AGE = 2.0
 # Seconds that the owner has for storing a job; the rest of the caller's time is
 # for storing it directly.
 SUBMIT_TIME = 1.5
@@ -112,8 +112,8 @@
         Returns the daemon that owns a pool, or None.
     largest : callable
         Returns the capacities of the pool's hosts that are listed.
-    store_age : callable
-        Returns the seconds since the store's last answer by any way.
+    store_heard_at : callable
+        Returns the loop time of the store's last answer by any way.
     """
 
     def __init__(
@@ -126,7 +126,7 @@
         largest: Callable[[str], list[Resources]],
         metrics: WorkMetrics,
         wall: Callable[[], float],
-        store_age: Callable[[], float],
+        store_heard_at: Callable[[], float],
     ) -> None:
         self.setup: Setup | None = None
         self.setup_at = 0.0
@@ -138,9 +138,12 @@
         self._largest = largest
         self._metrics = metrics
         self._wall = wall
-        self._store_age = store_age
+        self._store_heard_at = store_heard_at
         self._batchers: dict[str, Batcher] = {}
 
+    def _store_age(self) -> float:
+        return asyncio.get_running_loop().time() - self._store_heard_at()
+
     def find(self, virtual_host: str, path: str) -> Queue | Reply:
         """Return the queue of a request, or the refusal where there is none."""
         if self.setup is None:
@@ -183,9 +186,12 @@
         if outcome == "stored":
             return Reply(ReplyKind.OK)
         if outcome == "not done":
-            return _not_now("store_unavailable")
+            return self._unavailable()
         return await self._append(queue, record, deadline, outcome == "unknown")
 
+    def _unavailable(self) -> Reply:
+        return _not_now("store_unavailable", self._store_age())
+
     async def _submit_to_owner(self, pool: str, record: Record, left: float) -> str:
         node = self._find_owner(pool)
         if node is None:
@@ -227,14 +233,15 @@
         """Append directly, gathered with what other callers hand in meanwhile."""
         batcher = self._batchers.get(queue.pool)
         if batcher is None:
-            batcher = Batcher(self._store, job_topic(queue.pool))
+            topic = job_topic(queue.pool)
+            batcher = Batcher(self._store, topic, self._store_heard_at)
             self._batchers[queue.pool] = batcher
         try:
             await batcher.put(record, deadline - DEADLINE_SLACK)
         except StoreUnavailableError:
             self._metrics.retries.labels("store_unavailable").inc()
             if not unsure:
-                return _not_now("store_unavailable")
+                return self._unavailable()
         except StoreUnknownError:
             self._metrics.retries.labels("store_unknown").inc()
         else:
--- a/siskinroad/work/follow.py
+++ b/siskinroad/work/follow.py
@@ -65,22 +65,42 @@
         self._apply = apply
         self._wait = wait
         self._spacing = spacing
+        self._limit: asyncio.Timeout | None = None
+
+    def nudge(self) -> None:
+        """Ask anew at once.
+
+        The store answers again after a silence; questions of before never get an
+        answer, and each would be waited for to its end.
+        """
+        if self._limit is not None and not self._limit.expired():
+            self._limit.reschedule(-1)
 
     async def run(self) -> None:
         """Follow until cancelled."""
         pause = FIRST_PAUSE
         while True:
             try:
-                await self._step()
-            except SiskinroadError as exc:
-                self._note(False, exc)
-                await asyncio.sleep(pause)
-                pause = min(2 * pause, LONGEST_PAUSE)
-                continue
-            self._note(True, None)
-            pause = FIRST_PAUSE
-            if self._spacing:
-                await asyncio.sleep(self._spacing)
+                async with asyncio.timeout(None) as limit:
+                    self._limit = limit
+                    pause = await self._turn(pause)
+            except TimeoutError:
+                pause = FIRST_PAUSE
+            finally:
+                self._limit = None
+
+    async def _turn(self, pause: float) -> float:
+        """Read once, then pause; return the pause after the next failure."""
+        try:
+            await self._step()
+        except SiskinroadError as exc:
+            self._note(False, exc)
+            await asyncio.sleep(pause)
+            return min(2 * pause, LONGEST_PAUSE)
+        self._note(True, None)
+        if self._spacing:
+            await asyncio.sleep(self._spacing)
+        return FIRST_PAUSE
 
     async def _step(self) -> None:
         if self.next < 0:
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -80,7 +80,7 @@
         self.follower.confirmed_at = asyncio.get_running_loop().time()
         # A stored job is begun when it is read, and not before: a claim of another
         # daemon may stand in front of it.
-        self.intake = Batcher(parts.store, job_topic(pool))
+        self.intake = Batcher(parts.store, job_topic(pool), parts.store_heard_at)
 
     def _load(self, found: Inheritance) -> None:
         loop = asyncio.get_running_loop()
--- a/siskinroad/work/relay.py
+++ b/siskinroad/work/relay.py
@@ -38,6 +38,9 @@
 
 # Seconds between two looks whether the store answers this daemon again.
 PROBE_TIME = 1.0
+# Seconds without an answer that count as a silence: a read that waits a second is
+# always on its way.
+SILENCE = 1.4
 # Seconds that the way to the other daemon and back may add.
 RELAY_TIME = 0.3
 
@@ -114,6 +117,10 @@
     ----------
     answered_at : float
         Loop time of the store's last direct answer.
+    relayed_at : float
+        Loop time of its last answer by way of another daemon.
+    returned : callable
+        Called when the store answers again after a silence.
     relayed : int
         Calls that went by way of another daemon.
     """
@@ -129,8 +136,15 @@
         self._probes: set[asyncio.Task[None]] = set()
         self._turn = 0
         self.answered_at = -1e9
+        self.relayed_at = -1e9
+        self.returned: Callable[[], None] = lambda: None
         self.relayed = 0
 
+    @property
+    def heard_at(self) -> float:
+        """Loop time of the store's last answer by any way."""
+        return max(self.answered_at, self.relayed_at)
+
     async def append(
         self,
         topic: str,
@@ -218,17 +232,22 @@
         try:
             answer = await direct()
         except (TailMovedError, FencedError, TrimmedError):
-            self._answered()
+            self.answered()
             raise
         except SiskinroadError:
             self._turned_away = True
             raise
-        self._answered()
+        self.answered()
         return answer
 
-    def _answered(self) -> None:
+    def answered(self) -> None:
+        """Note that the store has answered this daemon directly."""
         self._turned_away = False
-        self.answered_at = asyncio.get_running_loop().time()
+        now = asyncio.get_running_loop().time()
+        silence = now - self.answered_at
+        self.answered_at = now
+        if silence > SILENCE:
+            self.returned()
 
     def _probe(self, direct: Callable[[], Awaitable[T]]) -> None:
         """Find out beside the relayed calls when the store answers again.
@@ -279,6 +298,7 @@
             raise StoreUnavailableError("not done", step="relay", peer=helper)
         if reply.outcome != "answered":
             raise StoreUnknownError(reply.outcome, step="relay", peer=helper)
+        self.relayed_at = asyncio.get_running_loop().time()
         answer = _ANSWER.decode(reply.answer)
         match answer:
             case _Moved(end=end):
@@ -300,7 +320,7 @@
             return RelayReply(msg.id, "not done", b"")
         except StoreUnknownError:
             return RelayReply(msg.id, "unknown", b"")
-        self._answered()
+        self.answered()
         return RelayReply(msg.id, "answered", _ENCODE(answer))
 
     async def _make(self, call: _Call, timeout: float) -> _Answer:
--- a/siskinroad/work/store_memory.py
+++ b/siskinroad/work/store_memory.py
@@ -29,7 +29,9 @@
     Attributes
     ----------
     down : bool
-        Nothing is answered or done.
+        No call is sent, and all of them say so.
+    silent : bool
+        Nothing is answered or done, and no call can say so.
     lost_answers : int
         So many of the next appends take effect without an answer.
     late : float
@@ -41,6 +43,7 @@
     """
 
     down: bool = False
+    silent: bool = False
     lost_answers: int = 0
     late: float = 0.0
     cut: set[str] = field(default_factory=set)
@@ -166,6 +169,7 @@
                     await self.logs.changed.wait()
             except TimeoutError:
                 break
+            await self._reach(timeout)
         await self._reach(timeout)
         if start < log.first:
             raise TrimmedError(log.first)
@@ -187,3 +191,6 @@
         if self.logs.faults.down or self.client in self.logs.faults.cut:
             await asyncio.sleep(timeout)
             raise StoreUnavailableError("unreachable", step="store")
+        if self.logs.faults.silent:
+            await asyncio.sleep(timeout)
+            raise StoreUnknownError("no answer", step="store")
--- a/tests/work/test_daemon.py
+++ b/tests/work/test_daemon.py
@@ -248,6 +248,31 @@
     scene(play)
 
 
+def test_callers_of_a_silent_store_are_refused_soon_and_served_once_it_is_back():
+    # Load: an outage of four seconds in which nothing is answered, and callers who
+    # come back every quarter of a second.
+    async def play(cell):
+        loop = asyncio.get_running_loop()
+        await cell.up("a", "b")
+        cell.logs.faults.silent = True
+        first = asyncio.create_task(cell.submit("b", ID, job()))
+        await asyncio.sleep(0.5)
+        began = loop.time()
+        reply = await cell.submit("b", "00000000000000bb", job())
+        assert reply.kind == "not_now" and reply.retry_after > 0
+        assert loop.time() - began < 1.0
+        assert (await first).kind == "unknown"
+        await asyncio.sleep(2.0)
+        cell.logs.faults.silent = False
+        back = loop.time()
+        while (await cell.submit("b", "00000000000000bb", job())).kind != "ok":
+            await asyncio.sleep(0.25)
+        starts = await cell.until_starts(1)
+        assert starts[0].at - back < 1.5
+
+    scene(play)
+
+
 def test_a_daemon_that_the_store_turns_away_accepts_by_way_of_another():
     async def play(cell):
         await cell.up("a", "b", "c")
