Let one daemon gather a pool's jobs, and hand over before the last records

(1) Without an owner all daemons appended by themselves, each again after 1.5 s, and the next claim waited behind them all. (2) A leaving owner announced its leave only after its last records, 1 s later. (3) A daemon that had just started took the leaving owner for a living one. Change: 'intake' stores jobs by way of the owner, or the daemon that is about to own the pool, or one that all agree on; a job goes directly only when that daemon does not answer. An owner that leaves makes the next one wait 0.15 s at most. One batcher for each pool and daemon instead of two.

--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -15,6 +15,7 @@
 from siskinroad.work.claim import claim_pool
 from siskinroad.work.desk import Desk
 from siskinroad.work.follow import Follower
+from siskinroad.work.intake import Intake
 from siskinroad.work.lines import AdviceLines
 from siskinroad.work.members import BEAT_TIME, OWNER_BEAT_TIME, Members
 from siskinroad.work.messages import (
@@ -58,6 +59,8 @@
 JOIN_RETRY = 0.3
 # Seconds for a leaving owner's last records; a stop must end within its grace.
 RELEASE_TIME = 1.0
+# Seconds of that for which the next owner is made to wait.
+HANDOVER_TIME = 0.15
 # Seconds between two reads of the live list: leaving hosts must be known within
 # the platform's bound of a few seconds.
 LIST_SPACING = 0.5
@@ -132,11 +135,19 @@
             self.metrics,
             wall,
             self.members.is_later_life,
+        )
+        self.intake = Intake(
+            member.node,
+            self.store,
+            self.calls,
+            self._gatherer_of,
+            lambda node: node in self.members.alive(now()),
             lambda: self.store.heard_at,
+            self.metrics,
         )
         self.desk = Desk(
             member.node,
-            self.store,
+            self.intake,
             self.calls,
             self.owners,
             self._owner_of,
@@ -181,13 +192,12 @@
         self.leaving = True
         self._beat()
         pools = list(self._runs)
-        for pool in pools:
-            await self._end_term(pool)
-        self._beat()
+        await asyncio.gather(*(self._end_term(pool) for pool in pools))
         log.info("daemon: pools are given up", extra={"pools": pools})
 
     async def close(self) -> None:
         """Stop every loop at once."""
+        self.intake.close()
         tasks = [*self._tasks, *self._runs.values(), *self._answers]
         for task in tasks:
             task.cancel()
@@ -292,6 +302,9 @@
         known = self.members.known.get(owner.node)
         if known is None or known.incarnation != owner.incarnation:
             return False
+        heard = self.members.heard.get(owner.node)
+        if heard is not None and heard.beat.leaving:
+            return False
         return await self.peers.probe(owner.node) is Reach.LISTENS
 
     def _pools(self) -> tuple[str, ...]:
@@ -302,7 +315,7 @@
         if self.members.owner(pool, now) is not None:
             self._vacant.pop(pool, None)
             return False
-        if self.members.is_being_claimed(pool, now):
+        if self.members.claimant(pool, now) is not None:
             return False
         since = self._vacant.setdefault(pool, now)
         given_up = self.members.has_given_up(pool, now)
@@ -349,11 +362,16 @@
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
         if owner is None:
+            self._beat()
             return
-        try:
-            async with asyncio.timeout(RELEASE_TIME):
-                await owner.release()
-        except TimeoutError:
+        # All calls to hosts have ended. The next owner waits for the last records
+        # only while the store is quick: what they lack, the hosts list again.
+        release = asyncio.get_running_loop().create_task(owner.release())
+        await asyncio.wait({release}, timeout=HANDOVER_TIME)
+        self._beat()
+        await asyncio.wait({release}, timeout=RELEASE_TIME)
+        if not release.done():
+            release.cancel()
             log.warning("daemon: release is not on record", extra={"pool": pool})
 
     def _store_returned(self) -> None:
@@ -401,6 +419,18 @@
             return self.member.node
         return self.members.owner(pool, asyncio.get_running_loop().time())
 
+    def _gatherer_of(self, pool: str) -> str:
+        """Return the daemon that stores a pool's jobs, this one included."""
+        owner = self._owner_of(pool)
+        if owner is not None:
+            return owner
+        if pool in self._runs:
+            return self.member.node
+        now = asyncio.get_running_loop().time()
+        # One that leaves hands over to others, who choose it no longer.
+        age = float("inf") if self.leaving else now - self.store.answered_at
+        return self.members.gatherer(pool, now, age)
+
     def _capacities(self, pool: str) -> list[Resources]:
         return [e.capacity for e in self.hosts.values() if e.pool == pool]
 
@@ -417,7 +447,7 @@
             case JobAnswer() | AdviceReply() | RelayReply() | SubmitReply():
                 self.calls.answered(msg.id, msg)
             case SubmitRequest():
-                self._reply(peer, self.desk.accept(msg))
+                self._reply(peer, self.intake.accept(msg))
             case JobQuestion():
                 self._reply(peer, self.desk.answer(msg))
             case AdviceRequest():
--- a/siskinroad/work/desk.py
+++ b/siskinroad/work/desk.py
@@ -12,27 +12,14 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-import msgspec
-
 from siskinroad.errors import SiskinroadError
 from siskinroad.resources import Resources
-from siskinroad.work.batcher import Batcher
 from siskinroad.work.calls import Calls
-from siskinroad.work.messages import (
-    JobAnswer,
-    JobQuestion,
-    SubmitReply,
-    SubmitRequest,
-)
+from siskinroad.work.intake import Intake
+from siskinroad.work.messages import JobAnswer, JobQuestion, SubmitOutcome
 from siskinroad.work.model import JobSpec, Queue, Setup
 from siskinroad.work.owner import PoolOwner
-from siskinroad.work.records import Accepted, Cancelled, job_topic, record_of
-from siskinroad.work.store import (
-    Record,
-    Store,
-    StoreUnavailableError,
-    StoreUnknownError,
-)
+from siskinroad.work.records import Accepted, Cancelled, record_of
 from siskinroad.work.workmetrics import WorkMetrics
 
 __all__ = ["Desk", "Reply", "ReplyKind"]
@@ -40,11 +27,6 @@
 # Seconds since the store's last answer after which new work is refused at once:
 # a silent store is asked every quarter of a second, and slow answers come later.
 STORE_DOWN_AGE = 2.0
-# Seconds that the owner has for storing a job; the rest of the caller's time is
-# for storing it directly.
-SUBMIT_TIME = 1.5
-# Seconds of that which are left for the way between the daemons.
-OWNER_SLACK = 0.15
 ASK_TIME = 0.7
 ASK_TRIES = 2
 ASK_PAUSE = 0.15
@@ -119,7 +101,7 @@
     def __init__(
         self,
         node: str,
-        store: Store,
+        intake: Intake,
         calls: Calls,
         owners: dict[str, PoolOwner],
         find_owner: Callable[[str], str | None],
@@ -131,7 +113,7 @@
         self.setup: Setup | None = None
         self.setup_at = 0.0
         self._node = node
-        self._store = store
+        self._intake = intake
         self._calls = calls
         self._owners = owners
         self._find_owner = find_owner
@@ -139,7 +121,6 @@
         self._metrics = metrics
         self._wall = wall
         self._store_heard_at = store_heard_at
-        self._batchers: dict[str, Batcher] = {}
 
     def _store_age(self) -> float:
         return asyncio.get_running_loop().time() - self._store_heard_at()
@@ -162,7 +143,9 @@
             reply = _not_now("store_silent", self._store_age())
             return self._told(job, "submit", reply, queue)
         accepted = Accepted(job, queue.name, queue.pool, self._wall(), spec)
-        reply = await self._store_job(queue, record_of(accepted), deadline)
+        until = deadline - DEADLINE_SLACK
+        outcome = await self._intake.store(queue.pool, record_of(accepted), until)
+        reply = self._stored(outcome)
         return self._told(job, "submit", reply, queue)
 
     def _why_never(self, queue: Queue, spec: JobSpec) -> str:
@@ -174,79 +157,14 @@
                 return f"no host can hold a task of step {i}"
         return ""
 
-    async def _store_job(self, queue: Queue, record: Record, deadline: float) -> Reply:
-        """Store a job by way of its owner, which gathers many, or directly.
-
-        The owner begins the job at once. The direct way serves while no owner is
-        heard of; storing a job twice is harmless.
-        """
-        loop = asyncio.get_running_loop()
-        left = deadline - DEADLINE_SLACK - loop.time()
-        outcome = await self._submit_to_owner(queue.pool, record, left)
-        if outcome == "stored":
-            return Reply(ReplyKind.OK)
-        if outcome == "not done":
-            return self._unavailable()
-        return await self._append(queue, record, deadline, outcome == "unknown")
-
-    def _unavailable(self) -> Reply:
-        return _not_now("store_unavailable", self._store_age())
-
-    async def _submit_to_owner(self, pool: str, record: Record, left: float) -> str:
-        node = self._find_owner(pool)
-        if node is None:
-            return "not owner"
-        msg = SubmitRequest(0, pool, record.key, record.value, left)
-        if node == self._node:
-            return (await self.accept(msg)).outcome
-        try:
-            reply = await self._calls.ask(
-                node,
-                lambda n: msgspec.structs.replace(msg, id=n),
-                SubmitReply,
-                min(left, SUBMIT_TIME),
-                lambda: self._find_owner(pool) == node,
-            )
-        except SiskinroadError:
-            self._metrics.retries.labels("owner").inc()
-            return "unknown"
-        return reply.outcome
-
-    async def accept(self, msg: SubmitRequest) -> SubmitReply:
-        """Store a job for a pool that this daemon owns, and begin it."""
-        owner = self._owners.get(msg.pool)
-        if owner is None:
-            return SubmitReply(msg.id, "not owner")
-        left = min(msg.left, SUBMIT_TIME - OWNER_SLACK)
-        deadline = asyncio.get_running_loop().time() + left
-        try:
-            await owner.intake.put(Record(msg.key, msg.value), deadline)
-        except StoreUnavailableError:
-            return SubmitReply(msg.id, "not done")
-        except StoreUnknownError:
-            return SubmitReply(msg.id, "unknown")
-        return SubmitReply(msg.id, "stored")
-
-    async def _append(
-        self, queue: Queue, record: Record, deadline: float, unsure: bool = False
-    ) -> Reply:
-        """Append directly, gathered with what other callers hand in meanwhile."""
-        batcher = self._batchers.get(queue.pool)
-        if batcher is None:
-            topic = job_topic(queue.pool)
-            batcher = Batcher(self._store, topic, self._store_heard_at)
-            self._batchers[queue.pool] = batcher
-        try:
-            await batcher.put(record, deadline - DEADLINE_SLACK)
-        except StoreUnavailableError:
-            self._metrics.retries.labels("store_unavailable").inc()
-            if not unsure:
-                return self._unavailable()
-        except StoreUnknownError:
-            self._metrics.retries.labels("store_unknown").inc()
-        else:
-            return Reply(ReplyKind.OK)
-        return Reply(ReplyKind.UNKNOWN, reason="store_did_not_answer")
+    def _stored(self, outcome: SubmitOutcome) -> Reply:
+        match outcome:
+            case SubmitOutcome.STORED:
+                return Reply(ReplyKind.OK)
+            case SubmitOutcome.NOT_DONE:
+                return _not_now("store_unavailable", self._store_age())
+            case SubmitOutcome.UNKNOWN:
+                return Reply(ReplyKind.UNKNOWN, reason="store_did_not_answer")
 
     async def show(self, queue: Queue, job: str, deadline: float) -> Reply:
         """Return a job's state."""
@@ -258,7 +176,9 @@
         reply = await self._ask(queue.pool, "cancel", job, deadline)
         if reply.kind is ReplyKind.NOT_NOW:
             record = record_of(Cancelled(job, self._wall()))
-            reply = await self._append(queue, record, deadline)
+            until = deadline - DEADLINE_SLACK
+            outcome = await self._intake.store(queue.pool, record, until)
+            reply = self._stored(outcome)
         return self._told(job, "cancel", reply, queue)
 
     async def pending(self, queue: Queue, deadline: float) -> Reply:
--- a/siskinroad/work/members.py
+++ b/siskinroad/work/members.py
@@ -113,16 +113,31 @@
                     best = (term, node)
         return best[1] if best else None
 
-    def is_being_claimed(self, pool: str, now: float) -> bool:
-        """Return whether another living daemon is about to own the pool.
+    def claimant(self, pool: str, now: float) -> str | None:
+        """Return another living daemon that is about to own the pool.
 
         A claim takes seconds while the store is slow; a second one would undo it.
         """
-        return any(
-            pool in self.heard[node].beat.claiming
-            and now - self.heard[node].at <= OWNER_ALIVE_TIME
-            for node in self.alive(now)
-        )
+        for node in self.alive(now):
+            heard = self.heard[node]
+            fresh = now - heard.at <= OWNER_ALIVE_TIME
+            if fresh and pool in heard.beat.claiming:
+                return node
+        return None
+
+    def gatherer(self, pool: str, now: float, store_age: float) -> str:
+        """Return the daemon that stores a pool's jobs while nobody owns it.
+
+        It is the one that is about to own it, or of all that reach the store the
+        first by rank, this one included.
+        """
+        claimant = self.claimant(pool, now)
+        if claimant is not None:
+            return claimant
+        nodes = self.reaches_store(now)
+        if store_age <= STORE_AGE or not nodes:
+            nodes.append(self.node)
+        return min(nodes, key=lambda node: _rank(pool, node))
 
     def has_given_up(self, pool: str, now: float) -> bool:
         """Return whether the pool's owner has just handed it over or ended."""
--- a/siskinroad/work/messages.py
+++ b/siskinroad/work/messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
+
 import msgspec
 
 from siskinroad.codec import msgpack_codec
@@ -16,6 +18,7 @@
     "Message",
     "RelayReply",
     "RelayRequest",
+    "SubmitOutcome",
     "SubmitReply",
     "SubmitRequest",
     "decode",
@@ -78,8 +81,16 @@
     pending: int
 
 
+class SubmitOutcome(StrEnum):
+    """What became of a record that was to be stored."""
+
+    STORED = "stored"
+    NOT_DONE = "not done"
+    UNKNOWN = "unknown"
+
+
 class SubmitRequest(msgspec.Struct, tag="submit?", frozen=True, array_like=True):
-    """Asks a pool's owner to store an accepted job's record and to begin it.
+    """Asks the daemon that gathers a pool's jobs to store a record.
 
     ``left`` is the time in seconds that the caller still waits.
     """
@@ -92,13 +103,10 @@
 
 
 class SubmitReply(msgspec.Struct, tag="submit!", frozen=True, array_like=True):
-    """Answers a ``SubmitRequest``.
-
-    ``outcome`` is ``stored``, ``not done``, ``unknown`` or ``not owner``.
-    """
+    """Answers a ``SubmitRequest``."""
 
     id: int
-    outcome: str
+    outcome: SubmitOutcome
 
 
 class AdviceRequest(msgspec.Struct, tag="advice?", frozen=True, array_like=True):
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -6,7 +6,6 @@
 import logging
 
 from siskinroad.errors import SiskinroadError
-from siskinroad.work.batcher import Batcher
 from siskinroad.work.claim import Inheritance, release_pool
 from siskinroad.work.effects import (
     AskAdvice,
@@ -78,9 +77,6 @@
         self.follower.next = found.next
         # The claim has read all that came before it.
         self.follower.confirmed_at = asyncio.get_running_loop().time()
-        # A stored job is begun when it is read, and not before: a claim of another
-        # daemon may stand in front of it.
-        self.intake = Batcher(parts.store, job_topic(pool), parts.store_heard_at)
 
     def _load(self, found: Inheritance) -> None:
         loop = asyncio.get_running_loop()
@@ -142,18 +138,24 @@
             raise excs.exceptions[0] from None
         finally:
             self.term.group = None
-            self.intake.close()
 
     async def release(self) -> None:
         """Record what is known and give the pool up; to be called after ``run``."""
+        extra = {"pool": self.pool, "term": self.term.number}
         try:
             while self.progress.due:
                 await self.progress.flush()
+        except SiskinroadError as exc:
+            # The next owner may have fenced this term already.
+            log.warning(
+                "owner: last progress is not on record",
+                extra={**extra, "error": str(exc)},
+            )
+        try:
             await release_pool(self.parts.store, self.pool, self.term.number)
         except SiskinroadError as exc:
             log.warning(
-                "owner: release is not on record",
-                extra={"pool": self.pool, "term": self.term.number, "error": str(exc)},
+                "owner: release is not on record", extra={**extra, "error": str(exc)}
             )
 
     def lose_right(self) -> None:
--- a/siskinroad/work/store_memory.py
+++ b/siskinroad/work/store_memory.py
@@ -32,6 +32,8 @@
         No call is sent, and all of them say so.
     silent : bool
         Nothing is answered or done, and no call can say so.
+    slow : float
+        Seconds that every call takes.
     lost_answers : int
         So many of the next appends take effect without an answer.
     late : float
@@ -44,6 +46,7 @@
 
     down: bool = False
     silent: bool = False
+    slow: float = 0.0
     lost_answers: int = 0
     late: float = 0.0
     cut: set[str] = field(default_factory=set)
@@ -187,7 +190,7 @@
         return NewestPage(items, len(shown) < len(keys), log.end)
 
     async def _reach(self, timeout: float) -> None:
-        await asyncio.sleep(0)
+        await asyncio.sleep(self.logs.faults.slow)
         if self.logs.faults.down or self.client in self.logs.faults.cut:
             await asyncio.sleep(timeout)
             raise StoreUnavailableError("unreachable", step="store")
--- a/siskinroad/work/term.py
+++ b/siskinroad/work/term.py
@@ -36,7 +36,6 @@
     metrics: WorkMetrics
     wall: Callable[[], float]
     is_later_life: Callable[[str, int], bool]
-    store_heard_at: Callable[[], float]
 
 
 class Term:
--- a/tests/work/test_daemon.py
+++ b/tests/work/test_daemon.py
@@ -153,6 +153,26 @@
     scene(play)
 
 
+def test_a_polite_stop_hands_over_while_the_store_is_slow():
+    # Load: a rolling stop while each answer of the store takes 0.4 s. The next claim
+    # takes four calls, and waits for none of the last records.
+    async def play(cell):
+        await cell.up("a", "b", "c")
+        await cell.submit("a", ID, job(step(8)))
+        await asyncio.sleep(0.1)
+        cell.logs.faults.slow = 0.4
+        leaving = cell.daemons.pop(cell.owner())
+        drain = asyncio.create_task(leaving.drain())
+        await asyncio.sleep(4 * 0.4 + 0.5)
+        assert cell.owner() is not None
+        await drain
+        await leaving.close()
+        await cell.until(ID, "complete")
+        assert len(cell.hosts.starts()) == 8
+
+    scene(play)
+
+
 @pytest.mark.parametrize("late", [-1.0, 0.3, 1.5, 3.0])
 def test_an_order_without_an_answer_never_starts_a_second_run(late):
     async def play(cell):
--- a/tests/work/test_members.py
+++ b/tests/work/test_members.py
@@ -79,9 +79,9 @@
 def test_a_claim_that_takes_long_is_left_alone():
     # Load: a slow store, a claim of two seconds, and a better rank that comes up.
     members = make(msgspec.structs.replace(beat("b"), claiming=("p",)))
-    assert members.is_being_claimed("p", 10.5)
-    assert not members.is_being_claimed("q", 10.5)
-    assert not members.is_being_claimed("p", 11.5)
+    assert members.claimant("p", 10.5) == "b"
+    assert members.claimant("q", 10.5) is None
+    assert members.claimant("p", 11.5) is None
 
 
 def test_only_news_of_members_is_taken_in():
@@ -106,3 +106,26 @@
     members.ended("b", 10.1)
     members.hear(beat("b", [("p", 4)]), 10.2)
     assert members.owner("p", 10.2) == "b"
+
+
+def test_all_daemons_hand_the_jobs_of_a_pool_without_an_owner_to_the_same_one():
+    # Load: a slow store whose partition takes one append after another.
+    beats = [beat(n) for n in "abc"]
+    found = set()
+    for node in "abc":
+        members = make(*[b for b in beats if b.node != node], node=node)
+        found.add(members.gatherer("p", 10.5, 0.1))
+    assert len(found) == 1
+
+
+def test_who_is_about_to_own_a_pool_gathers_its_jobs():
+    claiming = msgspec.structs.replace(beat("c"), claiming=("p",))
+    for node in "ab":
+        members = make(beat("b"), claiming, node=node)
+        assert members.gatherer("p", 10.5, 0.1) == "c"
+
+
+def test_a_daemon_without_the_store_hands_jobs_to_one_that_reaches_it():
+    members = make(beat("b"), beat("c", age=9.0))
+    assert members.gatherer("p", 10.5, 9.0) == "b"
+    assert make(beat("c", age=9.0)).gatherer("p", 10.5, 9.0) == "a"
