Ask for advice ahead of the room and of the next step

Cause: (1) a large step whose tickets had expired was asked about again once its room was free, and the accelerators stood idle for 0.6 s at nine tenths of their load. Ruled out: shorter questions (the advisor's time is mostly the same for one host). Change: tickets of blocked steps are renewed so that they come when progress says that the room does; the next step is asked about when the one before it is about to end. The planner's questions stand in 'asking', what plans share in 'plan'.

--- a/siskinroad/work/book.py
+++ b/siskinroad/work/book.py
@@ -669,8 +669,12 @@
 
     def step(self, key: TaskId) -> StepRun | None:
         """Return the step of a task, or None if it is not known."""
-        job = self.jobs.get(key.job)
-        return job.steps.get((key.occurrence, key.step)) if job else None
+        return self.step_by_key((key.job, key.occurrence, key.step))
+
+    def step_by_key(self, key: tuple[str, int, int]) -> StepRun | None:
+        """Return a step by its job, occurrence and number, or None."""
+        job = self.jobs.get(key[0])
+        return job.steps.get((key[1], key[2])) if job else None
 
 
 def _label(key: TaskId) -> str:
--- a/siskinroad/work/orders.py
+++ b/siskinroad/work/orders.py
@@ -207,7 +207,7 @@
     async def ask(self, effect: AskAdvice) -> None:
         """Ask for advice and note the tickets for the step."""
         loop = asyncio.get_running_loop()
-        step = self.term.book.ready.get(effect.step)
+        step = self.term.book.step_by_key(effect.step)
         if step is None:
             return
         try:
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -1,37 +1,36 @@
-"""Which waiting tasks start where, and which hosts the advisor is asked about.
+"""Which waiting tasks start where.
 
 Loads that this answers: short urgent steps beside long wide ones (order by
 priority, then by objective); gangs beside single tasks that would fill every gap
 (one blocked large step closes the hosts that will fit it first, and stops less
-urgent work there that goes on from a checkpoint); steps whose tickets
-expire while they wait (room is reserved before the advisor is asked again).
+urgent work there that goes on from a checkpoint).
 """
 
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterable
-from dataclasses import dataclass, field
 
 from siskinroad.resources import Resources
+from siskinroad.work.asking import Asker
 from siskinroad.work.book import Book
-from siskinroad.work.effects import AskAdvice, Effect, StartRun
+from siskinroad.work.effects import Effect, StartRun
 from siskinroad.work.headroom import UrgentRoom
 from siskinroad.work.host import Host, Run
 from siskinroad.work.job import StepRun, Task
 from siskinroad.work.model import Queue
+from siskinroad.work.plan import (
+    Plan,
+    Trial,
+    allows,
+    avoids,
+    can_hold,
+    is_large,
+    missing,
+    room_soon,
+)
 
 __all__ = ["Planner"]
 
-# Seconds before its expiry at which a ticket is not used any more: the way of a
-# start between two regions and its wait behind another order.
-TICKET_MARGIN = 0.2
-# Hosts that the advisor answers for in one call, by the platform's page.
-MAX_ASKED = 100
-# Hosts asked about beyond the tasks that wait, when a ticket has expired.
-SPARE_HOSTS = 2
-# Seconds for which room is reserved beyond the advisor's expected answer.
-RESERVE_SLACK = 0.3
 # Part of its declared time in which a step may end: declarations are rough.
 EARLIEST_PART = 0.8
 # Times its objective after which a job is worth nothing more to its users.
@@ -39,12 +38,8 @@
 # Part of a host's room, in demand of others, that makes a difference of one in
 # the choice between hosts.
 DEMAND_STEP = 0.5
-# Seconds for which a task keeps off a host where it failed.
-AVOID_TIME = 1.5
 # Part of a pool's hosts that a blocked step may close to later work.
 MAX_CLOSED_PART = 0.5
-# Part of a host that makes a task large: single tasks fill such gaps first.
-LARGE_PART = 0.5
 # Seconds of work left below which nothing is stopped for more urgent work: a stop
 # and the start from the checkpoint take nearly as long.
 MIN_PREEMPTED = 1.5
@@ -54,39 +49,6 @@
 log = logging.getLogger("siskinroad.planner")
 
 
-@dataclass(slots=True)
-class _Plan:
-    """Room left while one plan is made.
-
-    Attributes
-    ----------
-    demand : dict of str to float
-        How much of each host the waiting steps want.
-    lent : float
-        Thousandths of a processor that less urgent work may yet take.
-    closed : set of str
-        Hosts that are kept for blocked gangs.
-    """
-
-    book: Book
-    now: float
-    wall: float
-    hosts: list[Host]
-    demand: dict[str, float]
-    lent: float = 0.0
-    closed: set[str] = field(default_factory=set)
-    effects: list[Effect] = field(default_factory=list)
-
-
-@dataclass(slots=True)
-class _Trial:
-    """Hosts chosen for tasks of one step, before anything is given."""
-
-    chosen: list[tuple[Task, Host]] = field(default_factory=list)
-    taken: dict[str, Resources] = field(default_factory=dict)
-    counts: dict[str, int] = field(default_factory=dict)
-
-
 class Planner:
     """Places the waiting tasks of a book.
 
@@ -99,16 +61,18 @@
     def __init__(self, book: Book) -> None:
         self.book = book
         self.urgent = UrgentRoom()
+        self.asker = Asker(book)
 
     def plan(self, now: float, wall: float) -> list[Effect]:
         """Start what fits, in order of urgency, and ask for advice."""
         hosts = [host for host in self.book.hosts.values() if host.open(now)]
         steps = [s for s in self.book.ready.values() if not s.job.closed]
-        plan = _Plan(self.book, now, wall, hosts, _demand(steps, hosts))
+        plan = Plan(self.book, now, wall, hosts, _demand(steps, hosts))
         plan.lent = self._room_for_others(steps, hosts, now)
         steps.sort(key=lambda s: self._urgency(s, wall))
         for step in steps:
             self._plan_step(plan, step)
+        self.asker.look_ahead(plan)
         return plan.effects
 
     def _is_urgent(self, queue_name: str) -> bool:
@@ -152,62 +116,41 @@
             late = 1 if ends < worthless else 2
         return (queue.priority if queue else 9, late, objective)
 
-    def _plan_step(self, plan: _Plan, step: StepRun) -> None:
+    def _plan_step(self, plan: Plan, step: StepRun) -> None:
         waiting = step.waiting()
         queue = self.book.queues.get(step.job.queue)
         if not waiting or queue is None:
             return
         if step.spec.gang and len(waiting) < len(step.tasks):
             return
-        if queue.advice is not None and not self._advised(plan, step, queue):
+        advice = queue.advice
+        if advice is not None and not self.asker.is_advised(plan, step, advice):
             return
         trial = self._place(plan, step, waiting, queue)
         if trial is None:
             self._make_room(plan, step, queue)
+            if advice is not None:
+                self.asker.renew_ahead(plan, step, advice)
             return
         self._carry_out(plan, step, trial, queue)
 
-    # Advice
-
-    def _advised(self, plan: _Plan, step: StepRun, queue: Queue) -> bool:
-        """Return whether the allowed hosts are known; ask if they are not."""
-        if step.asking:
-            return bool(step.tickets)
-        unknown = [h for h in plan.hosts if h.name not in step.asked]
-        able = [h.name for h in unknown if _can_hold(h, step)]
-        if not able:
-            return bool(step.tickets)
-        if step.asked and any(h.name in step.tickets for h in plan.hosts):
-            return True
-        self._ask(plan, step, queue, able[:MAX_ASKED])
-        return False
-
-    def _ask(
-        self, plan: _Plan, step: StepRun, queue: Queue, names: Iterable[str]
-    ) -> None:
-        assert queue.advice is not None
-        hosts = tuple(names)
-        step.asking = True
-        duration = queue.advice.duration(len(hosts))
-        plan.effects.append(AskAdvice(step.key, hosts, duration))
-
     # Placement
 
     def _place(
-        self, plan: _Plan, step: StepRun, waiting: list[Task], queue: Queue
-    ) -> _Trial | None:
+        self, plan: Plan, step: StepRun, waiting: list[Task], queue: Queue
+    ) -> Trial | None:
         """Choose a host for each task, or for as many as fit.
 
         Returns
         -------
-        _Trial or None
+        Trial or None
             None if nothing fits, or not the whole gang.
         """
         hosts = plan.hosts
         if queue.advice is not None:
             hosts = [h for h in hosts if h.name in step.tickets]
         hosts = [h for h in hosts if h.name not in plan.closed]
-        trial = _Trial()
+        trial = Trial()
         bounded = queue.priority > 0 and not step.spec.long_running
         lent = plan.lent if bounded else float("inf")
         rooms = {h.name: h.free(step.key, plan.now) for h in hosts}
@@ -227,21 +170,21 @@
 
     def _choose(
         self,
-        plan: _Plan,
+        plan: Plan,
         step: StepRun,
         task: Task,
         hosts: list[Host],
         rooms: dict[str, Resources],
-        trial: _Trial,
+        trial: Trial,
     ) -> Host | None:
         need = step.spec.need
         best: Host | None = None
         best_cost: tuple[float, ...] = ()
         for host in hosts:
             room = rooms[host.name]
-            if not need.fits(room) or _avoids(task, host, plan.now):
+            if not need.fits(room) or avoids(task, host, plan.now):
                 continue
-            if not _allows(step, host, trial):
+            if not allows(step, host, trial):
                 continue
             again = host.name in task.avoid
             cost = (again, *_cost(plan, step, host, room, trial))
@@ -249,19 +192,19 @@
                 best, best_cost = host, cost
         return best
 
-    def _make_room(self, plan: _Plan, step: StepRun, queue: Queue) -> None:
+    def _make_room(self, plan: Plan, step: StepRun, queue: Queue) -> None:
         """Keep later work off the hosts that will fit a blocked large step first.
 
         One step at a time does so, the most urgent that can still be in time:
         hosts that are kept for several at once stand idle for most of them.
         """
-        large = step.spec.gang or _is_large(plan, step)
+        large = step.spec.gang or is_large(plan, step)
         if plan.closed or not large or self._urgency(step, plan.wall)[1]:
             return
-        able = [h for h in plan.hosts if _can_hold(h, step)]
+        able = [h for h in plan.hosts if can_hold(h, step)]
         if queue.advice is not None:
             able = [h for h in able if h.name in step.tickets]
-        able.sort(key=lambda h: _missing(_room_soon(h, step, plan.now), step))
+        able.sort(key=lambda h: missing(room_soon(h, step, plan.now), step))
         count = len(step.waiting())
         most = max(1, int(len(plan.hosts) * MAX_CLOSED_PART))
         if step.spec.gang and count > most:
@@ -270,13 +213,13 @@
             plan.closed.add(host.name)
             self._preempt(plan, step, host, queue)
 
-    def _preempt(self, plan: _Plan, step: StepRun, host: Host, queue: Queue) -> None:
+    def _preempt(self, plan: Plan, step: StepRun, host: Host, queue: Queue) -> None:
         """Stop less urgent work that goes on from its checkpoint elsewhere.
 
         Only as much as makes the step fit, and only what would hold its room
         for clearly longer than a stop takes.
         """
-        room = _room_soon(host, step, plan.now)
+        room = room_soon(host, step, plan.now)
         chosen: list[Run] = []
         runs = [r for r in host.runs.values() if self._may_preempt(plan, r, queue)]
         for run in sorted(runs, key=lambda r: r.begun_at, reverse=True):
@@ -289,7 +232,7 @@
         for run in chosen:
             plan.effects += self.book.stop(host, run, "preempted")
 
-    def _may_preempt(self, plan: _Plan, run: Run, queue: Queue) -> bool:
+    def _may_preempt(self, plan: Plan, run: Run, queue: Queue) -> bool:
         other = self.book.queues.get(run.queue)
         step = self.book.step(run.key[0])
         if other is None or step is None or other.priority <= queue.priority:
@@ -303,45 +246,24 @@
 
     # Effects
 
-    def _carry_out(
-        self, plan: _Plan, step: StepRun, trial: _Trial, queue: Queue
-    ) -> None:
-        missing = []
+    def _carry_out(self, plan: Plan, step: StepRun, trial: Trial, queue: Queue) -> None:
+        stale: list[Host] = []
         if queue.advice is not None:
-            missing = [h for _, h in trial.chosen if not _has_ticket(step, h, plan.now)]
-        if missing and step.spec.gang:
-            self._renew(plan, step, trial, queue, [h for _, h in trial.chosen])
-            return
-        if missing:
-            self._renew(plan, step, trial, queue, missing)
-        barred = {host.name for host in missing}
+            hosts = [host for _, host in trial.chosen]
+            stale = self.asker.without_ticket(step, hosts, plan.now)
+            if stale and step.spec.gang:
+                self.asker.renew(plan, step, trial, queue.advice, hosts)
+                return
+            if stale:
+                self.asker.renew(plan, step, trial, queue.advice, stale)
+        barred = {host.name for host in stale}
         chosen = [(t, h) for t, h in trial.chosen if h.name not in barred]
         number = max(task.run for task in step.tasks) + 1 if step.spec.gang else 0
         for task, host in chosen:
             self._start(plan, step, task, host, number or task.run + 1)
 
-    def _renew(
-        self,
-        plan: _Plan,
-        step: StepRun,
-        trial: _Trial,
-        queue: Queue,
-        hosts: list[Host],
-    ) -> None:
-        """Reserve the chosen room and ask for new tickets of these hosts."""
-        assert queue.advice is not None
-        names = {host.name for host in hosts}
-        spare = [n for n in step.tickets if n not in names and n in self.book.hosts]
-        asked = [*names, *spare[:SPARE_HOSTS]]
-        until = plan.now + queue.advice.duration(len(asked)) + RESERVE_SLACK
-        for host in hosts:
-            room = step.spec.need.times(trial.counts[host.name])
-            host.reserved[step.key] = (room, until)
-        if not step.asking:
-            self._ask(plan, step, queue, asked)
-
     def _start(
-        self, plan: _Plan, step: StepRun, task: Task, host: Host, number: int
+        self, plan: Plan, step: StepRun, task: Task, host: Host, number: int
     ) -> None:
         run = step.make_run(task, number, host.token, plan.now)
         task.run = number
@@ -356,62 +278,6 @@
         plan.effects.append(StartRun(host.name, run, payload, task.checkpoint, ticket))
 
 
-def _has_ticket(step: StepRun, host: Host, now: float) -> bool:
-    return step.tickets[host.name][1] - TICKET_MARGIN > now
-
-
-def _avoids(task: Task, host: Host, now: float) -> bool:
-    """Return whether a task failed there a moment ago; later it may go back.
-
-    The host may be the only one that is allowed, or that has room.
-    """
-    failed_at = task.avoid.get(host.name)
-    return failed_at is not None and now - failed_at < AVOID_TIME
-
-
-def _can_hold(host: Host, step: StepRun) -> bool:
-    """Return whether the empty host could hold a task of the step."""
-    spec = step.spec
-    if spec.label and spec.label not in host.entry.labels:
-        return False
-    return spec.need.fits(host.entry.capacity)
-
-
-def _allows(step: StepRun, host: Host, trial: _Trial) -> bool:
-    spec = step.spec
-    if spec.label and spec.label not in host.entry.labels:
-        return False
-    if not spec.spread:
-        return True
-    count = step.by_host.get(host.name, 0) + trial.counts.get(host.name, 0)
-    return count < spec.spread
-
-
-def _is_large(plan: _Plan, step: StepRun) -> bool:
-    """Return whether a task of the step needs most of a host."""
-    rooms = [host.entry.capacity for host in plan.hosts if _can_hold(host, step)]
-    return any(step.spec.need.dominant(room) >= LARGE_PART for room in rooms)
-
-
-def _room_soon(host: Host, step: StepRun, now: float) -> Resources:
-    """Return the room of a host once what is being stopped there has ended."""
-    room = host.free(step.key, now)
-    for run in host.runs.values():
-        if run.state in ("stopping", "withdrawn"):
-            room = room + run.need
-    return room
-
-
-def _missing(room: Resources, step: StepRun) -> float:
-    """Return how far a host's room is from holding one task of the step."""
-    need = step.spec.need
-    return (
-        max(0, need.accelerators - room.accelerators) * 1000
-        + max(0, need.cpu_milli - room.cpu_milli) / 1000
-        + max(0, need.memory_mib - room.memory_mib) / 10000
-    )
-
-
 def _demand(steps: list[StepRun], hosts: list[Host]) -> dict[str, float]:
     """Return how much of each host the waiting steps want.
 
@@ -430,7 +296,7 @@
     return demand
 
 
-def _others_demand(plan: _Plan, step: StepRun, host: Host) -> int:
+def _others_demand(plan: Plan, step: StepRun, host: Host) -> int:
     """Return the demand of other steps for a host, in whole steps."""
     names = [name for name in step.tickets if name in plan.demand]
     own = 0.0
@@ -441,7 +307,7 @@
 
 
 def _cost(
-    plan: _Plan, step: StepRun, host: Host, room: Resources, trial: _Trial
+    plan: Plan, step: StepRun, host: Host, room: Resources, trial: Trial
 ) -> tuple[float, ...]:
     """Return what a host costs as a place for a task; the least is taken.
 
--- a/siskinroad/work/speed.py
+++ b/siskinroad/work/speed.py
@@ -72,6 +72,21 @@
             return None
         return total / expected
 
+    def remaining(self, run: Run, now: float) -> float:
+        """Return the seconds until a run has probably ended.
+
+        From its progress once that tells anything, until then from what its queue's
+        tasks take; an unknown length or a run that lasts never ends.
+        """
+        if run.long_running:
+            return float("inf")
+        total = seeming_time(run)
+        if total is None:
+            left = run.declared * (100 - run.progress_at_begin) / 100
+            total = left * self.factor(run.queue) or float("inf")
+        begun_at = run.begun_at or now
+        return max(0.0, total - (now - begun_at))
+
     def slowness(self, host: Host) -> float:
         """Return how many times slower than others a host is; 1 if not known.
 
