Deal questions to the advisor in order of urgency, on more lines for long ones

Half of the lines took short questions only, and these used 4% of them. Ruled out: fewer questions (tickets of the former owner are not on record, and they hold for two seconds only). Change: a plan asks no more than the lines take within a quarter of a second, the most urgent steps first; the rest is asked about by later plans. A third of the lines, not half, takes short questions. Test changed: which line is the other one for a long question, as the lines are dealt out differently; the check itself is the same.

--- a/siskinroad/work/asking.py
+++ b/siskinroad/work/asking.py
@@ -180,6 +180,10 @@
     def _ask(
         self, plan: Plan, step: StepRun, advice: Advice, names: Iterable[str]
     ) -> None:
+        """Ask, unless the lines to the advisor are busy: a later plan does then."""
         hosts = tuple(names)
+        duration = advice.duration(len(hosts))
+        if plan.lines is not None and not plan.lines.take(duration):
+            return
         step.asking = True
-        plan.effects.append(AskAdvice(step.key, hosts, advice.duration(len(hosts))))
+        plan.effects.append(AskAdvice(step.key, hosts, duration))
--- a/siskinroad/work/lines.py
+++ b/siskinroad/work/lines.py
@@ -1,9 +1,11 @@
 """Questions to the advisor, dealt over the lines of all living daemons.
 
-The advisor answers one call at a time for each calling daemon. Load that this
-answers: short questions of urgent steps beside long ones of gangs. The daemons
-are split in two by name, and each half takes one kind, so that a short question
-never waits behind a long one while both halves live.
+The advisor answers one call at a time for each calling daemon. Loads that this
+answers: short questions of urgent steps beside long ones of gangs (a third of the
+daemons, by name, takes the short ones, so that none waits behind a long one while
+there are two daemons); a take-over, after which every waiting step is asked about
+anew (an owner asks no more than the lines soon take, in order of urgency, so that a
+step that comes later is not behind all others).
 """
 
 from __future__ import annotations
@@ -18,7 +20,7 @@
 from siskinroad.work.calls import Calls
 from siskinroad.work.messages import AdviceReply, AdviceRequest
 
-__all__ = ["AdviceLines"]
+__all__ = ["AdviceLines", "LineTimes"]
 
 # Expected seconds from which a question counts as long.
 LONG_CALL = 0.08
@@ -26,10 +28,42 @@
 # that is given up still keeps its line busy, so this is generous.
 PATIENCE_FACTOR = 3.0
 PATIENCE = 1.5
+# Daemons for each one that takes short questions: these use little of a line.
+SHORT_LINES = 3
+# Seconds of questions that may wait on a line for another to be sent there: plans
+# are made five times a second at least.
+QUEUE_TIME = 0.25
 
 log = logging.getLogger("siskinroad.lines")
 
 
+class LineTimes:
+    """When the lines are free, while one plan deals questions to them.
+
+    Parameters
+    ----------
+    short, long : list of float
+        Seconds until each line for short and for long questions is free.
+    """
+
+    __slots__ = ("_long", "_short")
+
+    def __init__(self, short: list[float], long: list[float]) -> None:
+        self._short = short
+        self._long = long
+
+    def take(self, duration: float) -> bool:
+        """Take a line for a question, if one is free soon."""
+        lines = self._long if duration >= LONG_CALL else self._short
+        if not lines:
+            return True
+        first = min(range(len(lines)), key=lines.__getitem__)
+        if lines[first] > QUEUE_TIME:
+            return False
+        lines[first] = max(0.0, lines[first]) + duration
+        return True
+
+
 class AdviceLines:
     """Deals questions over the daemons' lines.
 
@@ -100,10 +134,23 @@
         )
         return advised
 
-    def _choose(self, duration: float, now: float) -> str:
+    def times(self, now: float) -> LineTimes:
+        """Return when the lines are free, for one plan."""
+        short, long = self._split()
+        return LineTimes(
+            [self._free_at.get(n, 0.0) - now for n in short],
+            [self._free_at.get(n, 0.0) - now for n in long],
+        )
+
+    def _split(self) -> tuple[list[str], list[str]]:
+        """Return the lines for short and for long questions."""
         names = sorted([self._node, *self._alive()])
-        half = names[::2] if duration >= LONG_CALL else names[1::2]
-        lines = half or names
+        short = names[::SHORT_LINES]
+        return short, [name for name in names if name not in short] or names
+
+    def _choose(self, duration: float, now: float) -> str:
+        short, long = self._split()
+        lines = long if duration >= LONG_CALL else short
         self._rng.shuffle(lines)
         return min(lines, key=lambda n: max(now, self._free_at.get(n, 0.0)))
 
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -241,7 +241,8 @@
             if not self.term.may_act():
                 continue
             now, wall = loop.time(), self.parts.wall()
-            self._carry_out(self.planner.plan(now, wall))
+            lines = self.parts.lines.times(now)
+            self._carry_out(self.planner.plan(now, wall, lines))
 
     async def _run_ticks(self) -> None:
         loop = asyncio.get_running_loop()
--- a/siskinroad/work/plan.py
+++ b/siskinroad/work/plan.py
@@ -9,6 +9,7 @@
 from siskinroad.work.effects import Effect
 from siskinroad.work.host import Host
 from siskinroad.work.job import StepRun, Task
+from siskinroad.work.lines import LineTimes
 
 __all__ = [
     "Plan",
@@ -41,6 +42,8 @@
         Hosts that are kept for blocked gangs.
     renewed : int
         Blocked steps whose tickets this plan renews.
+    lines : LineTimes or None
+        When the lines to the advisor are free; None for at any time.
     """
 
     book: Book
@@ -51,6 +54,7 @@
     lent: float = 0.0
     closed: set[str] = field(default_factory=set)
     renewed: int = 0
+    lines: LineTimes | None = None
     effects: list[Effect] = field(default_factory=list)
 
 
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -17,6 +17,7 @@
 from siskinroad.work.headroom import UrgentRoom
 from siskinroad.work.host import Host, Run
 from siskinroad.work.job import StepRun, Task
+from siskinroad.work.lines import LineTimes
 from siskinroad.work.model import Queue
 from siskinroad.work.plan import (
     Plan,
@@ -63,11 +64,20 @@
         self.urgent = UrgentRoom()
         self.asker = Asker(book)
 
-    def plan(self, now: float, wall: float) -> list[Effect]:
-        """Start what fits, in order of urgency, and ask for advice."""
+    def plan(
+        self, now: float, wall: float, lines: LineTimes | None = None
+    ) -> list[Effect]:
+        """Start what fits, in order of urgency, and ask for advice.
+
+        Parameters
+        ----------
+        lines : LineTimes, optional
+            When the lines to the advisor are free.
+        """
         hosts = [host for host in self.book.hosts.values() if host.open(now)]
         steps = [s for s in self.book.ready.values() if not s.job.closed]
-        plan = Plan(self.book, now, wall, hosts, _demand(steps, hosts))
+        demand = _demand(steps, hosts)
+        plan = Plan(self.book, now, wall, hosts, demand, lines=lines)
         plan.lent = self._room_for_others(steps, hosts, now)
         steps.sort(key=lambda s: self._urgency(s, wall))
         for step in steps:
--- a/tests/work/test_asking.py
+++ b/tests/work/test_asking.py
@@ -2,6 +2,8 @@
 
 from siskinroad.work.effects import AskAdvice, StartRun
 from siskinroad.work.hosts import HostReport, Running
+from siskinroad.work.lines import LineTimes
+from siskinroad.work.planner import Planner
 from tests.work.cell import job, step
 from tests.work.test_planner import add, allow, make, plan, started
 
@@ -107,3 +109,15 @@
     begin(book, plan(book, 0.1), 0.1)
     list_progress(book, 95, 0.95)
     assert asks(plan(book, 0.96)) == []
+
+
+def test_the_most_urgent_steps_are_asked_about_first_and_the_rest_later():
+    # Load: a take-over while many advised steps wait; one line is free.
+    book = make(["i-0", "i-1"])
+    for i in range(5):
+        add(book, f"old{i}", job(step(1, estimate=9.0)), "advised", at=-0.05)
+    urgent = add(book, "young", job(step(1, estimate=0.1)), "advised")
+    effects = Planner(book).plan(0.1, 0.1, LineTimes([0.0], [0.2]))
+    assert asks(effects) == [(urgent.steps[0, 0].key, ("i-0", "i-1"))]
+    later = asks(Planner(book).plan(0.3, 0.3, LineTimes([0.0], [0.2])))
+    assert len(later) == 1 and later[0][0][0].startswith("old")
--- a/tests/work/test_lines.py
+++ b/tests/work/test_lines.py
@@ -7,7 +7,7 @@
 from siskinroad.peers import MemoryNetwork
 from siskinroad.work.advice import Advised, Advisor
 from siskinroad.work.calls import Calls
-from siskinroad.work.lines import AdviceLines
+from siskinroad.work.lines import AdviceLines, LineTimes
 from siskinroad.work.messages import AdviceReply, AdviceRequest
 from tests.work.cell import CODEC
 
@@ -87,8 +87,23 @@
 def test_a_backlog_that_is_heard_of_sends_questions_elsewhere():
     async def play():
         lines = make()
-        lines["a"].heard("a", 5.0, asyncio.get_running_loop().time())
+        lines["a"].heard("b", 5.0, asyncio.get_running_loop().time())
         await timed(lines["a"], "long", 0.6)
         assert lines["c"]._advisor.calls == 1
 
     run(play())
+
+
+def test_a_plan_deals_no_more_questions_than_the_lines_soon_take():
+    # Load: a take-over, after which twenty gangs are asked about anew.
+    times = LineTimes([0.0], [0.0, -1.0, 0.1])
+    assert [times.take(0.6) for _ in range(20)].count(True) == 3
+    # Short questions of later steps find their line free.
+    assert [times.take(0.02) for _ in range(30)].count(True) == 13
+
+
+def test_most_lines_take_long_questions_and_one_alone_takes_all():
+    alive = [f"d{i}" for i in range(7)]
+    short, long = AdviceLines("d7", OneAtATime(), None, lambda: alive)._split()
+    assert (len(short), len(long)) == (3, 5) and not set(short) & set(long)
+    assert AdviceLines("a", OneAtATime(), None, lambda: [])._split() == (["a"], ["a"])
