Copy short tasks that are slow, stand still or are on a silent host

Ruled out: less certainty for all steps (a second run of a task is not allowed there). Change: where a step allows copies, the steward lets a task be placed once more, never on the same host; the first end counts, and the other copy is stopped.

--- a/siskinroad/work/book.py
+++ b/siskinroad/work/book.py
@@ -396,7 +396,7 @@
             effects += self._new_life(host, now)
         host.born = report.born
         host.clock, host.clock_at = report.clock, now
-        host.heard_at = now
+        host.heard_at = host.reported_at = now
         if not host.settled:
             host.settled = True
             # A former owner may have extended the lease just before.
@@ -490,7 +490,43 @@
         self.health.observe(task.host, job.id, True, now, len(self.hosts))
         self._step_changed(step, now)
         self._check_complete(job, wall)
-        return []
+        return self._stop_copies(task) if step.spec.copies else []
+
+    def _stop_copies(self, task: Task) -> list[Effect]:
+        """Stop what still runs of a task that is done."""
+        effects: list[Effect] = []
+        for host in self.hosts.values():
+            for run in list(host.runs.values()):
+                if run.key[0] == task.id:
+                    effects += self.stop(host, run, "another copy is done")
+        return effects
+
+    def copy(self, host: Host, run: Run, why: str, now: float) -> bool:
+        """Let a task be placed once more while its run goes on.
+
+        Only steps that allow copies, and one more copy of a task.
+        """
+        step = self.step(run.key[0])
+        task = self.task(run.key[0])
+        if step is None or task is None or not step.spec.copies or task.older:
+            return False
+        if task.run != run.key[1] or not task.allows("free"):
+            return False
+        task.older = host.name
+        task.move("free")
+        log.info(
+            "book: task is copied",
+            extra={
+                "request": task.id.job,
+                "task": _label(task.id),
+                "run": run.key[1],
+                "host": host.name,
+                "why": why,
+                "progress": run.progress,
+                "report_age_s": round(now - host.reported_at, 2),
+            },
+        )
+        return True
 
     def _ended_badly(
         self,
@@ -627,6 +663,9 @@
         step = self.step(run.key[0])
         if step is not None and step.by_host.get(host.name):
             step.by_host[host.name] -= 1
+        task = self.task(run.key[0])
+        if task is not None and task.older == host.name:
+            task.older = ""
 
     def _over(self, host: Host, run: Run, why: str, now: float) -> list[Effect]:
         """End a run without a listed end: its task may be placed again."""
--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -105,6 +105,8 @@
         Loop time at which every lease that was ever granted has surely lapsed.
     seen, acknowledged : int
         Newest end that was taken in, and newest that is recorded in the store.
+    reported_at : float
+        Loop time of the last report.
     recorded : bool
         The store knows that this owner uses the host.
     answer_time : float
@@ -121,6 +123,7 @@
     clock_at: float = 0.0
     lapse_at: float = 0.0
     heard_at: float = -1e9
+    reported_at: float = 0.0
     seen: int = 0
     acknowledged: int = 0
     unlisted_at: float = 0.0
--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -40,6 +40,8 @@
         Runs that failed through the task's own fault.
     avoid : dict of str to float
         Hosts on which a run failed or stood still, with the loop time of that.
+    older : str
+        Host of an older run that goes on beside the newest one; empty for none.
     """
 
     id: TaskId
@@ -49,6 +51,7 @@
     failures: set[int] = field(default_factory=set)
     checkpoint: str = ""
     avoid: dict[str, float] = field(default_factory=dict)
+    older: str = ""
 
     @property
     def failed(self) -> int:
--- a/siskinroad/work/plan.py
+++ b/siskinroad/work/plan.py
@@ -70,8 +70,11 @@
 def avoids(task: Task, host: Host, now: float) -> bool:
     """Return whether a task failed there a moment ago; later it may go back.
 
-    The host may be the only one that is allowed, or that has room.
+    The host may be the only one that is allowed, or that has room. Two copies of a
+    task never go to the same host.
     """
+    if host.name == task.older:
+        return True
     failed_at = task.avoid.get(host.name)
     return failed_at is not None and now - failed_at < AVOID_TIME
 
--- a/siskinroad/work/steward.py
+++ b/siskinroad/work/steward.py
@@ -1,7 +1,9 @@
 """Looks after what runs: tasks that stand still, and fillers beside servers.
 
 Loads that this answers: hosts on which work stops moving while their calls are
-answered well; fillers that raise the tail of the tasks that serve beside them.
+answered well; hosts that fall silent or slow under short urgent tasks (where copies
+are allowed, another one begins elsewhere without waiting for certainty); fillers
+that raise the tail of the tasks that serve beside them.
 """
 
 from __future__ import annotations
@@ -35,6 +37,14 @@
 MOVE_FACTOR = 1.3
 MOVE_TIME = 0.3
 MOST_MOVES = 3
+# Seconds without a report, after a call has failed, and without progress, after
+# which a task is copied where that is allowed.
+COPY_SILENCE = 0.7
+COPY_STALL = 1.0
+# Times its expected time that a copied run takes, and times as long as a new run
+# that it still needs.
+COPY_RATIO = 3.0
+COPY_GAIN = 1.5
 # Parts of a tail's bound above which fillers are slowed, and below which they
 # may work faster again.
 SLOW_ABOVE = 0.75
@@ -61,12 +71,38 @@
         """Return what is to be done about runs that stall or disturb."""
         effects: list[Effect] = []
         for host in list(self.book.hosts.values()):
+            self._copy(host, now)
             effects += self._stalled(host, now)
             effects += self._slow(host, now)
             effects += self._pace(host, now)
             self._wake(host, now)
         return effects
 
+    def _copy(self, host: Host, now: float) -> None:
+        """Copy tasks that would end sooner elsewhere, where copies are allowed."""
+        for run in list(host.runs.values()):
+            step = self.book.step(run.key[0])
+            if run.state != "running" or step is None or not step.spec.copies:
+                continue
+            why = self._why_copy(host, run, now)
+            if why:
+                self.book.copy(host, run, why, now)
+
+    def _why_copy(self, host: Host, run: Run, now: float) -> str:
+        """Return why a run is not waited for; empty if it is."""
+        if host.heard_at <= 0 and now - host.reported_at > COPY_SILENCE:
+            return "host is silent"
+        expected = self.book.speeds.expected(run.queue, run.declared)
+        ratio = self.book.speeds.ratio(run)
+        if expected is None:
+            return ""
+        moved = now - run.moved_at if run.moved_at else 0.0
+        if run.progress < 100 and moved > max(COPY_STALL, 2 * expected / 100):
+            return "stands still"
+        left = self.book.speeds.remaining(run, now)
+        slow = ratio is not None and ratio > COPY_RATIO
+        return "slow" if slow and left > COPY_GAIN * expected else ""
+
     def _stalled(self, host: Host, now: float) -> list[Effect]:
         """Stop what stands still, so that it can go on elsewhere."""
         if now - host.heard_at > STALL_TIME:
--- a/tests/work/test_steward.py
+++ b/tests/work/test_steward.py
@@ -127,3 +127,86 @@
     tell(book, "i-0", 2.0, [row(serving, 100, 30), row(filler, 12, 400)])
     (faster,) = steward.look(2.0, 2.0)
     assert faster.percent > slower.percent
+
+
+def copied(book, now):
+    """Start one task of a step that allows copies; return its host and its start."""
+    teach(book)
+    add(book, "c", job(step(1, estimate=1.0, copies=True)), "fast")
+    (begun,) = start(book, now)
+    return book.hosts[begun.host], begun
+
+
+def progress(book, begun, now, percent):
+    """Let every host report; the one with the task lists it."""
+    for name in book.hosts:
+        rows = [row(begun, percent)] if name == begun.host else []
+        tell(book, name, now, rows)
+
+
+def test_a_task_on_a_silent_host_is_copied_before_its_leases_have_lapsed():
+    # Load: urgent tasks on a host that is cut off or has lost power.
+    book = make(["i-0", "i-1"])
+    host, begun = copied(book, 2.0)
+    progress(book, begun, 2.1, 10)
+    host.heard_at = 0.0
+    Steward(book, GRACE).look(2.5, 2.5)
+    assert start(book, 2.5) == []
+    Steward(book, GRACE).look(2.9, 2.9)
+    (again,) = start(book, 2.9)
+    assert again.host != host.name and again.run.key[1] == 2
+
+
+def test_a_task_that_is_slow_is_copied_once_and_the_first_end_counts():
+    # Load: a host that has become four times slower under one urgent task.
+    book = make(["i-0", "i-1"])
+    host, begun = copied(book, 2.0)
+    progress(book, begun, 2.8, 20)
+    steward = Steward(book, GRACE)
+    steward.look(2.85, 2.85)
+    (again,) = start(book, 2.9)
+    assert again.host != host.name
+    steward.look(3.1, 3.1)
+    assert start(book, 3.1) == []
+    end = Ended(99, *again.run.key, EndKind.DONE, "")
+    effects = tell(book, again.host, 3.9, ended=[end])
+    stops = [e for e in effects if isinstance(e, StopRun)]
+    assert [(e.host, e.run) for e in stops] == [(host.name, begun.run)]
+    assert book.jobs["c"].outcome == "complete"
+
+
+def test_the_older_copy_may_end_first_and_the_newer_is_stopped():
+    book = make(["i-0", "i-1"])
+    host, begun = copied(book, 2.0)
+    progress(book, begun, 2.8, 20)
+    Steward(book, GRACE).look(2.85, 2.85)
+    (again,) = start(book, 2.9)
+    end = Ended(99, *begun.run.key, EndKind.DONE, "")
+    effects = tell(book, host.name, 3.3, ended=[end])
+    assert [e.run for e in effects if isinstance(e, StopRun)] == [again.run]
+    assert book.jobs["c"].outcome == "complete"
+
+
+def test_tasks_that_allow_no_copies_are_never_copied():
+    book = make(["i-0", "i-1"])
+    teach(book)
+    add(book, "c", job(step(1, estimate=1.0)), "fast")
+    (begun,) = start(book, 2.0)
+    host = book.hosts[begun.host]
+    progress(book, begun, 2.8, 20)
+    host.heard_at = 0.0
+    Steward(book, GRACE).look(3.9, 3.9)
+    assert start(book, 3.9) == []
+
+
+def test_a_copied_task_s_failures_count_once_each():
+    book = make(["i-0", "i-1"])
+    host, begun = copied(book, 2.0)
+    progress(book, begun, 2.8, 20)
+    Steward(book, GRACE).look(2.85, 2.85)
+    (again,) = start(book, 2.9)
+    tell(book, host.name, 3.2, ended=[Ended(99, *begun.run.key, EndKind.FAILED, "")])
+    task = book.task(begun.run.key[0])
+    assert (task.failed, task.state, task.older) == (1, "placed", "")
+    tell(book, again.host, 3.3, ended=[Ended(99, *again.run.key, EndKind.FAILED, "")])
+    assert (task.failed, task.state) == (2, "waiting")
