Move work that outlasts its leaving host; log true ages of reports

Log lines gave silences of 66,000 s, from a mark that means 'not now' and not a time. Ruled out: leaving at the first notice for all (most hosts stay 4.5 to 6.5 s, and most tasks end by then). Change: a draining host's notice is decoded; the steward stops checkpointed work that will not end by then, other work that is clearly too long, and tasks that last just before. Logged silences count from the last report.

--- a/siskinroad/work/book.py
+++ b/siskinroad/work/book.py
@@ -230,14 +230,18 @@
 
     # Hosts
 
-    def host_listed(self, entry: HostEntry) -> None:
+    def host_listed(self, entry: HostEntry, now: float = 0.0) -> None:
         """Take in an entry of the live list."""
         host = self.hosts.get(entry.name)
         if host is None:
             host = Host(entry, self.term * TOKENS_OF_A_TERM)
             self.hosts[entry.name] = host
-        if host.entry.draining != entry.draining:
-            log.info("book: host drains", extra={"host": entry.name})
+        if entry.draining and host.leaves_at == float("inf"):
+            host.leaves_at = now + entry.stays
+            log.info(
+                "book: host drains",
+                extra={"host": entry.name, "stays_s": entry.stays},
+            )
         host.entry = entry
         host.unlisted_at = 0.0
 
@@ -249,7 +253,7 @@
         host.unlisted_at = now
         log.info(
             "book: host is not listed any more",
-            extra={"host": name, "silent_s": round(now - host.heard_at, 2)},
+            extra={"host": name, "silent_s": round(now - host.reported_at, 2)},
         )
 
     def expect_hosts(self, names: Iterable[str], lapse_at: float) -> None:
@@ -316,7 +320,7 @@
                     extra={
                         "host": host.name,
                         "runs": len(host.runs),
-                        "silent_s": round(now - host.heard_at, 2),
+                        "silent_s": round(now - host.reported_at, 2),
                     },
                 )
             for run in list(host.runs.values()):
--- a/siskinroad/work/holds.py
+++ b/siskinroad/work/holds.py
@@ -101,7 +101,7 @@
                 "holds: host does not answer",
                 extra={
                     "host": host.name,
-                    "silent_s": round(now - host.heard_at, 2),
+                    "silent_s": round(now - host.reported_at, 2),
                     "error": str(exc),
                 },
             )
--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -113,6 +113,8 @@
         Smoothed seconds that the host takes to answer an order.
     unlisted_at : float
         Loop time at which the live list lost the host; 0 while it is there.
+    leaves_at : float
+        Loop time until which a draining host stays at least.
     """
 
     entry: HostEntry
@@ -127,6 +129,7 @@
     seen: int = 0
     acknowledged: int = 0
     unlisted_at: float = 0.0
+    leaves_at: float = float("inf")
     resting: bool = False
     recorded: bool = False
     answer_time: float = 0.03
--- a/siskinroad/work/model.py
+++ b/siskinroad/work/model.py
@@ -210,6 +210,8 @@
         The host leaves and takes no new work.
     rack : str
         The host's rack.
+    stays : float
+        Seconds for which a draining host stays at least; 0 if it does not say.
     """
 
     name: str
@@ -220,6 +222,7 @@
     capacity: Resources
     labels: frozenset[str]
     rack: str
+    stays: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -175,7 +175,7 @@
         now = asyncio.get_running_loop().time()
         for entry in entries.values():
             if entry.pool == self.pool:
-                self.book.host_listed(entry)
+                self.book.host_listed(entry, now)
                 self.holds.hold(entry.name)
         for name in self.book.hosts:
             listed = entries.get(name)
--- a/siskinroad/work/steward.py
+++ b/siskinroad/work/steward.py
@@ -2,8 +2,10 @@
 
 Loads that this answers: hosts on which work stops moving while their calls are
 answered well; hosts that fall silent or slow under short urgent tasks (where copies
-are allowed, another one begins elsewhere without waiting for certainty); fillers
-that raise the tail of the tasks that serve beside them.
+are allowed, another one begins elsewhere without waiting for certainty); hosts that
+leave before their work ends (it begins anew elsewhere at once, not when the leases
+of a host that is gone have lapsed); fillers that raise the tail of the tasks that
+serve beside them.
 """
 
 from __future__ import annotations
@@ -13,6 +15,7 @@
 from siskinroad.work.book import Book
 from siskinroad.work.effects import Effect, PaceRun
 from siskinroad.work.host import Host, Run
+from siskinroad.work.job import StepRun
 from siskinroad.work.model import Timing
 from siskinroad.work.speed import seeming_time
 
@@ -45,6 +48,11 @@
 # that it still needs.
 COPY_RATIO = 3.0
 COPY_GAIN = 1.5
+# Seconds before a draining host leaves at which a checkpointed task is moved, and
+# seconds after it for which others are left there: hosts mostly stay a bit longer.
+# Tasks that last are at work until then, and are away for as long at any time.
+LEAVE_MARGIN = 0.3
+LEAVE_HOPE = 1.0
 # Parts of a tail's bound above which fillers are slowed, and below which they
 # may work faster again.
 SLOW_ABOVE = 0.75
@@ -74,6 +82,7 @@
             self._copy(host, now)
             effects += self._stalled(host, now)
             effects += self._slow(host, now)
+            effects += self._leaving(host, now)
             effects += self._pace(host, now)
             self._wake(host, now)
         return effects
@@ -158,6 +167,27 @@
         anew = total / slowness + self.timing.stop_grace + MOVE_TIME
         return total - (now - run.begun_at) > MOVE_FACTOR * anew
 
+    def _leaving(self, host: Host, now: float) -> list[Effect]:
+        """Stop what will not end before a draining host leaves."""
+        if not host.entry.draining:
+            return []
+        left = max(0.0, host.leaves_at - now)
+        effects: list[Effect] = []
+        for run in list(host.runs.values()):
+            step = self.book.step(run.key[0])
+            if run.state != "running" or step is None:
+                continue
+            if self._outlasts(run, step, left, now):
+                effects += self.book.stop(host, run, "host leaves")
+        return effects
+
+    def _outlasts(self, run: Run, step: StepRun, left: float, now: float) -> bool:
+        """Return whether a run is better stopped than left on a leaving host."""
+        if step.spec.long_running:
+            return left <= self.timing.stop_grace + LEAVE_MARGIN
+        most = left - LEAVE_MARGIN if step.spec.checkpoints else left + LEAVE_HOPE
+        return self.book.speeds.remaining(run, now) > most
+
     def _wake(self, host: Host, now: float) -> None:
         if not host.resting:
             return
--- a/tests/work/test_steward.py
+++ b/tests/work/test_steward.py
@@ -1,4 +1,6 @@
-"""Hosts that work slowly or not at all, and fillers beside servers."""
+"""Hosts that work slowly or not at all, or leave, and fillers beside servers."""
+
+import dataclasses
 
 from siskinroad.work.effects import PaceRun, StartRun, StopRun
 from siskinroad.work.hosts import Ended, EndKind, HostReport, Running
@@ -210,3 +212,45 @@
     assert (task.failed, task.state, task.older) == (1, "placed", "")
     tell(book, again.host, 3.3, ended=[Ended(99, *again.run.key, EndKind.FAILED, "")])
     assert (task.failed, task.state) == (2, "waiting")
+
+
+def leaving(book, host, stays, now):
+    """Let a host drain, and return what the steward stops then."""
+    found = book.hosts[host]
+    gone = dataclasses.replace(found.entry, draining=True, stays=stays)
+    book.host_listed(gone, now)
+    effects = Steward(book, GRACE).look(now, now)
+    return [e.run.key[0].job for e in effects if isinstance(e, StopRun)]
+
+
+def test_work_that_will_not_end_before_its_host_leaves_begins_elsewhere_at_once():
+    # Load: hosts that are emptied and taken away in the middle of a day.
+    book = make(["i-0"])
+    teach(book)
+    add(book, "saves", job(step(1, estimate=4.0, checkpoints=True)), "slow")
+    add(book, "lasts", job(step(1, long_running=True)), "slow")
+    add(book, "plain", job(step(1, estimate=9.0)), "slow")
+    add(book, "short", job(step(1, estimate=1.0)), "slow")
+    begun = start(book, 2.0)
+    tell(book, "i-0", 2.3, [row(effect, 10) for effect in begun])
+    assert sorted(leaving(book, "i-0", 2.5, 2.4)) == ["plain", "saves"]
+    # What lasts works on until just before the host leaves.
+    lasting = [row(e, 100) for e in begun if e.run.key[0].job == "lasts"]
+    tell(book, "i-0", 4.4, lasting)
+    assert leaving(book, "i-0", 2.5, 4.5) == ["lasts"]
+
+
+def test_work_on_a_host_that_stays_long_enough_is_left_alone():
+    book = make(["i-0"])
+    tell(book, "i-0", 1.9)
+    add(book, "saves", job(step(1, estimate=2.0, checkpoints=True)), "slow")
+    (begun,) = start(book, 2.0)
+    tell(book, "i-0", 2.3, [row(begun, 15)])
+    assert leaving(book, "i-0", 2.5, 2.4) == []
+
+
+def test_a_host_that_lists_itself_again_leaves_no_later():
+    book = make(["i-0"])
+    for now in (1.0, 2.0):
+        leaving(book, "i-0", 2.5, now)
+    assert book.hosts["i-0"].leaves_at == 3.5
