--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -102,6 +102,8 @@
 PAPER_LOAD = 0.30
 QUOTE_TIME = 0.3
 PAPER_TIME = 2.0
+# Items and seconds of the flood whose waits are drawn.
+PLOTTED_FLOOD = (4000, 300.0)
 FLOOD_ITEMS = 20_000
 FLOOD_TIME = 0.2
 FLOOD_AT = 60.0
@@ -456,6 +458,11 @@
         add("cost at 10 times the size <= 2", ratio, ratio <= GROWTH)
 
 
+def plotted_waits(policy: str) -> list[float]:
+    """Return the waits of urgent requests under a small flood, in seconds."""
+    return run_urgent("stanova booking", policy, *PLOTTED_FLOOD).waits["quote"]
+
+
 def measure(quick: bool = False) -> dict[str, list[dict[str, Any]]]:
     """Run everything; ``quick`` takes a smaller flood and shorter runs."""
     flood, until = (4000, 400.0) if quick else (FLOOD_ITEMS, 1500.0)
@@ -478,9 +485,11 @@
             json.dump(found, file, indent=1)
             file.write("\n")
     if "--plot" in words:
+        # Drawing needs a library that measuring does not.
         from bench.plots import plot_waits
 
-        plot_waits(words[words.index("--plot") + 1])
+        waits = {policy: plotted_waits(policy) for policy in POLICIES}
+        plot_waits(words[words.index("--plot") + 1], waits)
     return 0 if all(row["met"] == "yes" for row in found["targets"]) else 1
 
 
--- a/siskinroad/beats.py
+++ b/siskinroad/beats.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import logging
-from typing import TYPE_CHECKING
 
+from siskinroad.daemonview import DaemonView
 from siskinroad.errors import PlatformError
 from siskinroad.membership import HEARTBEAT_TIME
 from siskinroad.messages import (
@@ -20,9 +20,6 @@
 )
 from siskinroad.platform import ListedHost
 
-if TYPE_CHECKING:
-    from siskinroad.entry import Daemon
-
 __all__ = ["Beats"]
 
 LIST_TIME = 1.5
@@ -38,7 +35,7 @@
 class Beats:
     """The periodic messages of one daemon and the answers to them."""
 
-    def __init__(self, daemon: Daemon) -> None:
+    def __init__(self, daemon: DaemonView) -> None:
         self.daemon = daemon
         cfg = daemon.cfg
         self._near = [p.name for p in cfg.peers if p.data_centre == cfg.data_centre]
--- a/siskinroad/hostwatch.py
+++ b/siskinroad/hostwatch.py
@@ -4,20 +4,18 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from siskinroad.cell import Host
 from siskinroad.effects import ControlTask, End
 from siskinroad.errors import NotSentError, OutcomeUnknownError, StaleEpochError
 from siskinroad.names import AttemptName, attempt_name, parse_attempt, split_task
+from siskinroad.ownerview import OwnerView
 from siskinroad.placement import HostView
 from siskinroad.resources import Resources
 from siskinroad.upstreams import Control, Inventory, TaskReport, TaskState, Usage
 
-if TYPE_CHECKING:
-    from siskinroad.owner import ShardOwner
-
-__all__ = ["TASK_LEASE", "HostWatch", "watch_host"]
+__all__ = ["TASK_LEASE", "HostWatch", "WatchedOwner", "watch_host"]
 
 TASK_LEASE = 20.0
 INVENTORY_WAIT = 10.0
@@ -86,7 +84,7 @@
         """Whether no task can run on it unseen."""
         return self.answered or self.lapsed
 
-    async def ask(self, owner: ShardOwner, *, wait: float, renew: bool) -> bool:
+    async def ask(self, owner: WatchedOwner, *, wait: float, renew: bool) -> bool:
         """Ask for the inventory once; return whether it answered."""
         loop = asyncio.get_running_loop()
         began = loop.time()
@@ -111,7 +109,7 @@
         _take(owner, self, inventory, began)
         return True
 
-    def _fall_silent(self, owner: ShardOwner, now: float, renew: bool) -> None:
+    def _fall_silent(self, owner: WatchedOwner, now: float, renew: bool) -> None:
         if renew:
             self.renewed = now
         if not self.silent:
@@ -119,13 +117,13 @@
             owner.ports.count("host", "silent")
         owner.host_event(self.host.name, "silent")
 
-    def _speak(self, owner: ShardOwner) -> None:
+    def _speak(self, owner: WatchedOwner) -> None:
         self.answered = True
         self.silent = False
         self.lapsed = False
         owner.host_event(self.host.name, "inventory")
 
-    def check_lapse(self, owner: ShardOwner, lease: float, now: float) -> None:
+    def check_lapse(self, owner: WatchedOwner, lease: float, now: float) -> None:
         """Take the tasks of a silent host as ended once their leases have."""
         if self.lapsed or now < self.renewed + lease + LEASE_MARGIN:
             return
@@ -134,7 +132,27 @@
         owner.run(owner.scheduler.lose_tasks(self.host.name, now))
 
 
-async def watch_host(owner: ShardOwner, watch: HostWatch) -> None:
+class TaskKeeper(Protocol):
+    """Who knows the tasks that hosts list."""
+
+    def adopt(self, name: AttemptName, host: str) -> bool:
+        """Take over a task that a host runs; return whether it is known now."""
+
+    def acknowledge(self, key: str, watch: HostWatch, attempt: str) -> None:
+        """Let a host forget an ended attempt once nothing depends on it."""
+
+
+class WatchedOwner(OwnerView, Protocol):
+    """A shard's owner with its hosts; ``watches`` has them by name."""
+
+    watches: dict[str, HostWatch]
+
+    @property
+    def tasks(self) -> TaskKeeper:
+        """The tasks of the jobs that are homed at the shard."""
+
+
+async def watch_host(owner: WatchedOwner, watch: HostWatch) -> None:
     """Keep asking one host for its inventory until it is removed.
 
     While the host is silent no lease is renewed, so that they end for certain.
@@ -154,7 +172,7 @@
 
 
 def _take(
-    owner: ShardOwner, watch: HostWatch, inventory: Inventory, began: float
+    owner: WatchedOwner, watch: HostWatch, inventory: Inventory, began: float
 ) -> None:
     """Bring the scheduler in line with what a host reports."""
     if inventory.leaving:
@@ -186,7 +204,7 @@
 
 
 def _take_running(
-    owner: ShardOwner,
+    owner: WatchedOwner,
     watch: HostWatch,
     name: AttemptName,
     report: TaskReport,
@@ -205,14 +223,14 @@
     return True
 
 
-def _release_strangers(owner: ShardOwner, view: HostView) -> None:
+def _release_strangers(owner: WatchedOwner, view: HostView) -> None:
     index = owner.scheduler.shard.pool_state(view.name).index
     for task in [task for task in view.tasks if task.startswith(STRANGER)]:
         index.give_back(view, task, STRANGER)
 
 
 def _hold_strangers(
-    owner: ShardOwner, view: HostView, reports: list[TaskReport]
+    owner: WatchedOwner, view: HostView, reports: list[TaskReport]
 ) -> None:
     """Hold room for tasks that run though they should not, until they stop."""
     shard = owner.scheduler.shard
@@ -227,7 +245,7 @@
 
 
 def _take_ended(
-    owner: ShardOwner, watch: HostWatch, name: AttemptName, report: TaskReport
+    owner: WatchedOwner, watch: HostWatch, name: AttemptName, report: TaskReport
 ) -> None:
     if report.attempt in watch.recording:
         return
@@ -248,7 +266,7 @@
 
 
 def _lose_unlisted(
-    owner: ShardOwner,
+    owner: WatchedOwner,
     watch: HostWatch,
     view: HostView,
     listed: set[str],
@@ -269,7 +287,7 @@
 
 
 def _hold_phantoms(
-    owner: ShardOwner, watch: HostWatch, view: HostView, requests: int
+    owner: WatchedOwner, watch: HostWatch, view: HostView, requests: int
 ) -> None:
     """Hold room for requests that an earlier owner left on the host."""
     if watch.phantoms == 0:
@@ -285,14 +303,14 @@
         index.take(view, PHANTOM, need.clip(room), PHANTOM)
 
 
-def _own_requests(owner: ShardOwner, view: HostView) -> int:
+def _own_requests(owner: WatchedOwner, view: HostView) -> int:
     running = owner.scheduler.shard.running
     keys = (split_task(task)[0] for task in view.tasks)
     runs = (running.get(key) for key in keys)
     return sum(1 for run in runs if run and run.item.workload.kind == "service")
 
 
-def _largest_request(owner: ShardOwner, host: Host) -> Resources:
+def _largest_request(owner: WatchedOwner, host: Host) -> Resources:
     needs = [
         workload.demand
         for workload in owner.scheduler.shard.cell.workloads.values()
--- a/siskinroad/owner.py
+++ b/siskinroad/owner.py
@@ -4,23 +4,21 @@
 
 import asyncio
 import logging
-import random
-from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
+from collections.abc import Coroutine
 from typing import Any
 
-from siskinroad.cell import Cell, Host, Workload
+from siskinroad.cell import Cell, Host
 from siskinroad.effects import ControlTask, Effect, Finished, Refused, StartTask
 from siskinroad.errors import NotSentError, OutcomeUnknownError, StaleEpochError
 from siskinroad.hostwatch import HostWatch, watch_host
 from siskinroad.names import attempt_name
+from siskinroad.ownerview import OwnerPorts
 from siskinroad.requests import Requests
 from siskinroad.resources import Resources
 from siskinroad.scheduler import TICK_TIME, Scheduler
 from siskinroad.tasks import Tasks
-from siskinroad.upstreams import Upstreams
 
-__all__ = ["OwnerPorts", "ShardOwner"]
+__all__ = ["ShardOwner"]
 
 RELEASE_POLL = 0.02
 MIN_TICK_TIME = 0.01
@@ -28,34 +26,6 @@
 log = logging.getLogger("siskinroad.owner")
 
 
-@dataclass(slots=True, frozen=True)
-class OwnerPorts:
-    """What an owner needs of its daemon.
-
-    Attributes
-    ----------
-    may_place : callable
-        Returns whether requests may be sent to the shard's hosts just now.
-    is_certain : callable
-        Returns whether tasks may be started there just now.
-    ended : callable
-        Takes job, index and outcome of a task that has ended for good and
-        returns a future that is done once this is on record.
-    count : callable
-        Counts an event by name and label.
-    waited : callable
-        Notes the seconds that an item waited before its start.
-    """
-
-    upstreams: Upstreams
-    may_place: Callable[[], bool]
-    is_certain: Callable[[], bool]
-    ended: Callable[[str, int, str], asyncio.Future[int]]
-    count: Callable[[str, str], None]
-    waited: Callable[[Workload, float], None]
-    rng: random.Random
-
-
 class ShardOwner:
     """Places work on one shard from its take-over to its release.
 
--- a/siskinroad/requests.py
+++ b/siskinroad/requests.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 from siskinroad.cell import Workload
 from siskinroad.effects import End, StartTask
@@ -16,12 +15,10 @@
     Refusal,
     StaleEpochError,
 )
+from siskinroad.hostwatch import WatchedOwner
 from siskinroad.queues import Item
 from siskinroad.upstreams import Answer
 
-if TYPE_CHECKING:
-    from siskinroad.owner import ShardOwner
-
 __all__ = ["Requests"]
 
 SERVER_ERROR = 500
@@ -44,7 +41,7 @@
 class Requests:
     """The requests that wait for hosts of one shard or are in progress there."""
 
-    def __init__(self, owner: ShardOwner) -> None:
+    def __init__(self, owner: WatchedOwner) -> None:
         self.owner = owner
         self._waiting: dict[str, _Request] = {}
 
--- a/siskinroad/shards.py
+++ b/siskinroad/shards.py
@@ -16,7 +16,7 @@
 from siskinroad.ledger import Ledger
 from siskinroad.messages import ShardNews
 from siskinroad.metrics import Metrics
-from siskinroad.owner import OwnerPorts, ShardOwner
+from siskinroad.owner import ShardOwner
 from siskinroad.ownership import (
     Append,
     DropShard,
@@ -27,6 +27,7 @@
     SuspendShard,
     TakeShard,
 )
+from siskinroad.ownerview import OwnerPorts
 from siskinroad.platform import HostState
 from siskinroad.records import (
     ClaimReleased,
--- a/siskinroad/snapshotter.py
+++ b/siskinroad/snapshotter.py
@@ -4,15 +4,12 @@
 
 import asyncio
 import logging
-from typing import TYPE_CHECKING
 
 from siskinroad.appender import Appender
+from siskinroad.daemonview import DaemonView
 from siskinroad.errors import PlatformError
 from siskinroad.snapshots import split
 
-if TYPE_CHECKING:
-    from siskinroad.entry import Daemon
-
 __all__ = ["SNAPSHOT_RECORDS", "SNAPSHOT_TIME", "Snapshotter"]
 
 CHECK_TIME = 5.0
@@ -31,7 +28,7 @@
     finds the last snapshot too old. Two at once do no harm.
     """
 
-    def __init__(self, daemon: Daemon) -> None:
+    def __init__(self, daemon: DaemonView) -> None:
         self.daemon = daemon
         self.written = 0
         self._wanted_at = float("-inf")
--- a/siskinroad/status.py
+++ b/siskinroad/status.py
@@ -3,19 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
 
 import msgspec
 
 from siskinroad.accounts import Accounts, OwnerSpan
+from siskinroad.daemonview import DaemonView
 from siskinroad.dispatch import blocked_reason
 from siskinroad.owner import ShardOwner
 from siskinroad.queues import Item
 from siskinroad.shard import milliseconds
 
-if TYPE_CHECKING:
-    from siskinroad.entry import Daemon
-
 __all__ = [
     "DaemonStatus",
     "QueueLine",
@@ -91,7 +88,7 @@
     return asyncio.get_running_loop().time()
 
 
-def status_of(daemon: Daemon) -> DaemonStatus:
+def status_of(daemon: DaemonView) -> DaemonStatus:
     """Return a daemon's status."""
     now = _now()
     stopped = [s.stopped for s in daemon.feed.streams.values() if s.stopped]
@@ -114,7 +111,7 @@
     )
 
 
-def _shard_status(daemon: Daemon, shard: str) -> ShardStatus:
+def _shard_status(daemon: DaemonView, shard: str) -> ShardStatus:
     owner = daemon.shards.owners.get(shard)
     claim = daemon.ledger.claims.get(shard)
     holding = daemon.ownership.holdings.get(shard)
@@ -136,7 +133,7 @@
     )
 
 
-def queue_of(daemon: Daemon) -> list[QueueLine]:
+def queue_of(daemon: DaemonView) -> list[QueueLine]:
     """Return the lanes in which work waits at this daemon."""
     lines = []
     for shard, owner in sorted(daemon.shards.owners.items()):
@@ -163,7 +160,7 @@
     )
 
 
-def explain(daemon: Daemon, key: str) -> str:
+def explain(daemon: DaemonView, key: str) -> str:
     """Return in a sentence why a task waits, or where it runs or ran."""
     for owner in daemon.shards.owners.values():
         text = _explain_here(owner, key)
@@ -201,7 +198,7 @@
     return f"{key} has waited {waited:.1f} s: {why}."
 
 
-def report_of(daemon: Daemon) -> Report:
+def report_of(daemon: DaemonView) -> Report:
     """Return use and idle cost of the shards that this daemon owns."""
     totals: dict[str, OwnerSpan] = {}
     capacity = [0, 0, 0]
--- a/siskinroad/tasks.py
+++ b/siskinroad/tasks.py
@@ -5,11 +5,10 @@
 import asyncio
 import logging
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
 from siskinroad.effects import End, StartTask
 from siskinroad.errors import NotSentError, OutcomeUnknownError, StaleEpochError
-from siskinroad.hostwatch import TASK_LEASE, HostWatch
+from siskinroad.hostwatch import TASK_LEASE, HostWatch, WatchedOwner
 from siskinroad.ledger import JobState
 from siskinroad.names import AttemptName, attempt_name, job_of, task_name
 from siskinroad.queues import Item
@@ -17,9 +16,6 @@
 from siskinroad.scheduler import TICK_TIME
 from siskinroad.upstreams import TaskStart
 
-if TYPE_CHECKING:
-    from siskinroad.owner import ShardOwner
-
 __all__ = ["Tasks"]
 
 SILENT_MARGIN = 1.0
@@ -44,7 +40,7 @@
 class Tasks:
     """The tasks of the jobs that are homed at one shard."""
 
-    def __init__(self, owner: ShardOwner) -> None:
+    def __init__(self, owner: WatchedOwner) -> None:
         self.owner = owner
         self.jobs: dict[str, _Job] = {}
         self._unrecorded: set[str] = set()
