--- a/siskinroad/work/book.py
+++ b/siskinroad/work/book.py
@@ -5,7 +5,8 @@
 Why a task never runs twice, step by step:
 
 1. A run is started only for a task in state ``waiting``, and moves it to
-   ``placed`` until the run is over. A task has one run at a time.
+   ``placed`` until the run is over. A task has one run at a time, unless its step
+   allows copies; then an older run may go on beside the newest one.
 2. A run is over when its host lists its end, when a report that was asked for
    after the start was answered does not list it, when the host rejected it, or
    when the host's leases have surely lapsed.
@@ -19,321 +20,20 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterable
 
-from siskinroad.health import Health
-from siskinroad.work.effects import Effect, SettleHost, StopRun
+from siskinroad.work.effects import Effect
 from siskinroad.work.host import Host, Run
 from siskinroad.work.hosts import Ended, EndKind, HostReport, Rejection, Running
-from siskinroad.work.job import Job, JobState, StepRun, Task, make_job
-from siskinroad.work.model import HostEntry, Queue, Setup, TaskId
-from siskinroad.work.records import Accepted, Progress
-from siskinroad.work.speed import Speeds
+from siskinroad.work.job import JobState, StepRun, Task
+from siskinroad.work.runbook import RunBook, label
 
 __all__ = ["Book"]
 
-# Tokens of one term; a term lasts far fewer changes of token.
-TOKENS_OF_A_TERM = 1 << 20
-# Runs that a former owner may have used for one task without a record.
-UNRECORDED_RUNS = 8
-# Hosts that one question to the advisor counts for in a job's objective, by the
-# platform's page.
-ADVICE_HOSTS = 30
-
 log = logging.getLogger("siskinroad.book")
 
 
-class Book:
-    """Jobs, tasks, hosts and runs of one pool.
-
-    Parameters
-    ----------
-    pool : str
-        Name of the pool.
-    term : int
-        The owner's term; it makes the hosts' tokens.
-    """
-
-    def __init__(self, pool: str, term: int) -> None:
-        self.pool = pool
-        self.term = term
-        self.setup: Setup | None = None
-        self.queues: dict[str, Queue] = {}
-        self.jobs: dict[str, Job] = {}
-        self.hosts: dict[str, Host] = {}
-        self.ready: dict[tuple[str, int, int], StepRun] = {}
-        self.timed: set[str] = set()
-        self.dirty: set[str] = set()
-        self.health = Health()
-        self.speeds = Speeds()
-        self.settled = False
-        self.waiting_for_hosts: set[str] = set()
-        self.former_lapse_at = 0.0
-
-    # Configuration and jobs
-
-    def configure(self, setup: Setup) -> None:
-        """Put a configuration in force; queues that are gone keep their rules."""
-        self.setup = setup
-        for queue in setup.queues:
-            self.queues[queue.name] = queue
-
-    def accept(self, accepted: Accepted, now: float, wall: float, fresh: bool) -> Job:
-        """Take in an accepted job; a repeated submission changes nothing.
-
-        Parameters
-        ----------
-        fresh : bool
-            No former owner can have started any of its tasks.
-        """
-        known = self.jobs.get(accepted.job)
-        if known is not None:
-            return known
-        job = make_job(accepted)
-        self.jobs[job.id] = job
-        if job.spec.occurrences > 1 or job.spec.first:
-            self.timed.add(job.id)
-        else:
-            job.open_occurrence(settled=fresh or self.settled)
-        self._find_ready(job, now)
-        return job
-
-    def restore(self, progress: Progress, now: float) -> None:
-        """Take over what the store has of an accepted job."""
-        job = self.jobs.get(progress.job)
-        if job is None:
-            return
-        job.restore(progress)
-        for step in list(job.steps.values()):
-            self._step_changed(step, now)
-        self._find_ready(job, now)
-
-    def cancel(self, job_id: str, now: float, wall: float) -> list[Effect]:
-        """Cancel a job: what waits never starts, what runs is stopped."""
-        job = self.jobs.get(job_id)
-        if job is None or job.closed:
-            return []
-        return self._close(job, JobState.CANCELLED, wall)
-
-    def open_due(self, now: float, wall: float, early: float) -> None:
-        """Open the occurrences whose time has come, at most ``early`` ahead."""
-        for job_id in list(self.timed):
-            job = self.jobs[job_id]
-            while job.opened < job.spec.occurrences and not job.closed:
-                if job.spec.due(job.opened) > wall + early:
-                    break
-                job.open_occurrence(settled=self.settled)
-                self._find_ready(job, now)
-            if job.closed or job.opened >= job.spec.occurrences:
-                self.timed.discard(job_id)
-
-    def pending(self, queue: str) -> int:
-        """Return the accepted jobs of a queue of which nothing has begun."""
-        return sum(
-            1
-            for job in self.jobs.values()
-            if job.queue == queue and not job.started and not job.closed
-        )
-
-    def forget_closed(self, wall: float, kept: float) -> list[str]:
-        """Forget jobs that ended more than ``kept`` seconds ago; return them."""
-        old = [
-            job.id
-            for job in self.jobs.values()
-            if job.recorded and wall - job.outcome_at > kept
-        ]
-        for job_id in old:
-            del self.jobs[job_id]
-            self.health.forget_workload(job_id)
-        return old
-
-    def allowed(self, job: Job) -> float:
-        """Return the seconds that a job's users grant it until it is complete.
-
-        They count its longest chain of work as it is, not as it was declared, and
-        one question to the advisor for each step of it.
-        """
-        queue = self.queues.get(job.queue)
-        if queue is None:
-            return 0.0
-        chain = max(job.tails) * self.speeds.factor(job.queue)
-        if queue.advice is not None:
-            chain += job.links * queue.advice.duration(ADVICE_HOSTS)
-        return queue.slack * chain + queue.target
-
-    def objective(self, job: Job, occurrence: int = 0) -> float:
-        """Return the Unix time in seconds by which an occurrence is worth most."""
-        begins = job.spec.due(occurrence) if job.spec.first else job.accepted_at
-        return begins + self.allowed(job)
-
-    def _find_ready(self, job: Job, now: float) -> None:
-        if job.closed:
-            return
-        for step in job.steps.values():
-            if step.key not in self.ready and not step.is_done() and job.is_ready(step):
-                step.ready_at = now
-                self.ready[step.key] = step
-
-    def _step_changed(self, step: StepRun, now: float) -> None:
-        """Note the end of a step and of its job."""
-        job = step.job
-        if not step.is_done():
-            return
-        self.ready.pop(step.key, None)
-        self._find_ready(job, now)
-
-    def _check_complete(self, job: Job, wall: float) -> None:
-        if job.closed or job.opened < job.spec.occurrences:
-            return
-        if all(step.is_done() for step in job.steps.values()):
-            self._finish(job, JobState.COMPLETE, wall)
-
-    def _finish(self, job: Job, outcome: str, wall: float) -> None:
-        job.outcome = outcome
-        job.outcome_at = wall
-        self.dirty.add(job.id)
-        for key in [key for key in self.ready if key[0] == job.id]:
-            del self.ready[key]
-        log.info(
-            "book: job %s",
-            outcome,
-            extra={
-                "request": job.id,
-                "queue": job.queue,
-                "age_s": round(wall - job.accepted_at, 3),
-                "late_s": round(wall - self.objective(job, job.opened - 1), 3),
-            },
-        )
-
-    def _close(self, job: Job, outcome: str, wall: float) -> list[Effect]:
-        self._finish(job, outcome, wall)
-        for step in job.steps.values():
-            for task in step.tasks:
-                if task.allows("abandon"):
-                    task.move("abandon")
-        return self._stop_runs(job.id, f"job {outcome}")
-
-    def _stop_runs(self, job_id: str, reason: str) -> list[Effect]:
-        effects: list[Effect] = []
-        for host in self.hosts.values():
-            for run in list(host.runs.values()):
-                if run.key[0].job == job_id:
-                    effects += self.stop(host, run, reason)
-        return effects
-
-    def stop(self, host: Host, run: Run, reason: str) -> list[Effect]:
-        """Order the stop of a run; its room stays taken until the end is listed."""
-        if run.state in ("stopping", "withdrawn"):
-            return []
-        run.move("stop")
-        return [StopRun(host.name, run, reason)]
-
-    # Hosts
-
-    def host_listed(self, entry: HostEntry, now: float = 0.0) -> None:
-        """Take in an entry of the live list."""
-        host = self.hosts.get(entry.name)
-        if host is None:
-            host = Host(entry, self.term * TOKENS_OF_A_TERM)
-            self.hosts[entry.name] = host
-        if entry.draining and host.leaves_at == float("inf"):
-            host.leaves_at = now + entry.stays
-            log.info(
-                "book: host drains",
-                extra={"host": entry.name, "stays_s": entry.stays},
-            )
-        host.entry = entry
-        host.unlisted_at = 0.0
-
-    def host_unlisted(self, name: str, now: float) -> None:
-        """Note that the live list has lost a host; it may run on for a while."""
-        host = self.hosts.get(name)
-        if host is None or host.unlisted_at:
-            return
-        host.unlisted_at = now
-        log.info(
-            "book: host is not listed any more",
-            extra={"host": name, "silent_s": round(now - host.reported_at, 2)},
-        )
-
-    def expect_hosts(self, names: Iterable[str], lapse_at: float) -> None:
-        """Name the hosts that a former owner used, and when their leases lapse."""
-        self.waiting_for_hosts = set(names)
-        for host in self.hosts.values():
-            host.lapse_at = max(host.lapse_at, lapse_at)
-        self.former_lapse_at = lapse_at
-
-    def former_gone(self, lapse_at: float) -> None:
-        """Shorten the wait for silent hosts: the former owner is dead."""
-        self.former_lapse_at = min(self.former_lapse_at, lapse_at)
-
-    def settle_tasks(self, now: float) -> bool:
-        """Release unsettled tasks once no former run can be anywhere else."""
-        if self.settled:
-            return False
-        open_ = [n for n in self.waiting_for_hosts if not self._is_settled(n)]
-        if open_ and now < self.former_lapse_at:
-            return False
-        self.settled = True
-        count = 0
-        for job in self.jobs.values():
-            for step in job.steps.values():
-                for task in step.tasks:
-                    if task.state == "unsettled":
-                        task.run += UNRECORDED_RUNS
-                        task.move("settle")
-                        count += 1
-        log.info(
-            "book: former runs are accounted for",
-            extra={"tasks": count, "silent_hosts": len(open_), "term": self.term},
-        )
-        return True
-
-    def _is_settled(self, name: str) -> bool:
-        host = self.hosts.get(name)
-        return host is not None and host.settled
-
-    def raise_token(self, host: Host) -> Effect:
-        """Raise a host's token, which voids every older start on its way."""
-        host.token += 1
-        return SettleHost(host.name)
-
-    def host_replaced(self, host: Host, now: float) -> list[Effect]:
-        """Another life answers at the host's address: all that ran there is over."""
-        effects: list[Effect] = []
-        for run in list(host.runs.values()):
-            run.move("lapse")
-            effects += self._over(host, run, "host replaced", now)
-        self.hosts.pop(host.name, None)
-        self.waiting_for_hosts.discard(host.name)
-        return effects
-
-    def lapse_silent(self, now: float) -> list[Effect]:
-        """Take the runs of hosts as over whose leases have surely lapsed."""
-        effects: list[Effect] = []
-        for host in list(self.hosts.values()):
-            if now < host.lapse_at or now < self._former_bound(host):
-                continue
-            if host.runs:
-                log.warning(
-                    "book: leases of a silent host have lapsed",
-                    extra={
-                        "host": host.name,
-                        "runs": len(host.runs),
-                        "silent_s": round(now - host.reported_at, 2),
-                    },
-                )
-            for run in list(host.runs.values()):
-                run.move("lapse")
-                effects += self._over(host, run, "lapsed", now)
-            if host.unlisted_at:
-                del self.hosts[host.name]
-        return effects
-
-    def _former_bound(self, host: Host) -> float:
-        return 0.0 if host.settled else self.former_lapse_at
-
-    # Answers and reports
+class Book(RunBook):
+    """Jobs, tasks, hosts and runs of one pool, and what the hosts say of them."""
 
     def start_answered(
         self, host: Host, run: Run, rejection: Rejection | None, now: float
@@ -459,7 +159,7 @@
             "book: run ended",
             extra={
                 "request": end.task.job,
-                "task": _label(end.task),
+                "task": label(end.task),
                 "run": end.run,
                 "host": host.name,
                 "how": end.how.value,
@@ -496,42 +196,6 @@
         self._check_complete(job, wall)
         return self._stop_copies(task) if step.spec.copies else []
 
-    def _stop_copies(self, task: Task) -> list[Effect]:
-        """Stop what still runs of a task that is done."""
-        effects: list[Effect] = []
-        for host in self.hosts.values():
-            for run in list(host.runs.values()):
-                if run.key[0] == task.id:
-                    effects += self.stop(host, run, "another copy is done")
-        return effects
-
-    def copy(self, host: Host, run: Run, why: str, now: float) -> bool:
-        """Let a task be placed once more while its run goes on.
-
-        Only steps that allow copies, and one more copy of a task.
-        """
-        step = self.step(run.key[0])
-        task = self.task(run.key[0])
-        if step is None or task is None or not step.spec.copies or task.older:
-            return False
-        if task.run != run.key[1] or not task.allows("free"):
-            return False
-        task.older = host.name
-        task.move("free")
-        log.info(
-            "book: task is copied",
-            extra={
-                "request": task.id.job,
-                "task": _label(task.id),
-                "run": run.key[1],
-                "host": host.name,
-                "why": why,
-                "progress": run.progress,
-                "report_age_s": round(now - host.reported_at, 2),
-            },
-        )
-        return True
-
     def _ended_badly(
         self,
         host: Host,
@@ -652,73 +316,3 @@
                 run.move("absent")
                 effects += self._over(host, run, "absent", now)
         return effects
-
-    # Ends of runs
-
-    def _begun(self, host: Host, run: Run, now: float) -> None:
-        if not run.begun_at:
-            run.begun_at = now
-        job = self.jobs.get(run.key[0].job)
-        if job is not None:
-            job.started = True
-
-    def _release(self, host: Host, run: Run) -> None:
-        host.drop(run)
-        step = self.step(run.key[0])
-        if step is not None and step.by_host.get(host.name):
-            step.by_host[host.name] -= 1
-        task = self.task(run.key[0])
-        if task is not None and task.older == host.name:
-            task.older = ""
-
-    def _over(self, host: Host, run: Run, why: str, now: float) -> list[Effect]:
-        """End a run without a listed end: its task may be placed again."""
-        self._release(host, run)
-        task = self.task(run.key[0])
-        if task is None or task.run != run.key[1]:
-            return []
-        if task.allows("free"):
-            task.move("free")
-        log.info(
-            "book: run is void",
-            extra={
-                "request": run.key[0].job,
-                "task": _label(run.key[0]),
-                "run": run.key[1],
-                "host": host.name,
-                "why": why,
-            },
-        )
-        return self._break_gang(task, run)
-
-    def _break_gang(self, task: Task, run: Run) -> list[Effect]:
-        """Stop the members of a gang that has lost one."""
-        step = self.step(task.id)
-        if step is None or not step.spec.gang:
-            return []
-        effects: list[Effect] = []
-        for host in self.hosts.values():
-            for other in list(host.runs.values()):
-                if other.step == step.key and other.key[1] == run.key[1]:
-                    effects += self.stop(host, other, "gang lost a member")
-        return effects
-
-    # Lookups
-
-    def task(self, key: TaskId) -> Task | None:
-        """Return a task, or None if its job or the task is not known."""
-        job = self.jobs.get(key.job)
-        return job.task(key) if job else None
-
-    def step(self, key: TaskId) -> StepRun | None:
-        """Return the step of a task, or None if it is not known."""
-        return self.step_by_key((key.job, key.occurrence, key.step))
-
-    def step_by_key(self, key: tuple[str, int, int]) -> StepRun | None:
-        """Return a step by its job, occurrence and number, or None."""
-        job = self.jobs.get(key[0])
-        return job.steps.get((key[1], key[2])) if job else None
-
-
-def _label(key: TaskId) -> str:
-    return f"{key.occurrence}.{key.step}.{key.index}"
