--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -12,7 +12,7 @@
 from siskinroad.resources import Resources
 from siskinroad.suspend import SuspendWatch
 from siskinroad.work.calls import Calls
-from siskinroad.work.claim import claim_pool
+from siskinroad.work.claims import Claims
 from siskinroad.work.desk import Desk
 from siskinroad.work.follow import Follower
 from siskinroad.work.intake import Intake
@@ -31,11 +31,9 @@
 )
 from siskinroad.work.model import HostEntry, Setup, Timing
 from siskinroad.work.outside import Outside
-from siskinroad.work.owner import Deposed, PoolOwner
 from siskinroad.work.records import (
     MEMBERS_TOPIC,
     Member,
-    OwnerRecord,
     record_of,
     unpack,
 )
@@ -47,23 +45,12 @@
 
 __all__ = ["WorkDaemon"]
 
-# Seconds between two looks at pools without an owner.
-CLAIM_TICK = 0.2
-# Seconds after the start before a pool without an owner is claimed: the other
-# daemons have to be heard first. Until it has been up for longer, a daemon asks
-# whether the last owner on record still listens.
-FIRST_CLAIM = 0.35
-YOUNG_TIME = 1.5
-# Seconds for which a pool must be seen without an owner.
-CLAIM_PATIENCE = 0.3
+# Seconds between two tries to put this daemon on record.
 JOIN_RETRY = 0.3
-# Seconds for a leaving owner's last records; a stop must end within its grace.
-RELEASE_TIME = 1.0
-# Seconds of that for which the next owner is made to wait.
-HANDOVER_TIME = 0.15
 # Seconds between two reads of the live list: leaving hosts must be known within
 # the platform's bound of a few seconds.
 LIST_SPACING = 0.5
+# Seconds for which the store may wait for a new member: they are rare.
 MEMBERS_WAIT = 5.0
 
 log = logging.getLogger("siskinroad.daemon")
@@ -99,17 +86,11 @@
         self.wall = wall
         self.metrics = WorkMetrics()
         self.members = Members(member.node, member.incarnation)
-        self.owners: dict[str, PoolOwner] = {}
         self.hosts: dict[str, HostEntry] = {}
-        self.leaving = False
         self._learn = learn
-        self._runs: dict[str, asyncio.Task[None]] = {}
-        self._vacant: dict[str, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._suspend = SuspendWatch()
-        self._started_at = 0.0
         self._answers: set[asyncio.Task[None]] = set()
-        self._claim_wanted = asyncio.Event()
         now = asyncio.get_running_loop().time
         self.calls = Calls(peers, member.incarnation << 20)
         self.store = RelayStore(
@@ -136,6 +117,16 @@
             wall,
             self.members.is_later_life,
         )
+        self.claims = Claims(
+            member,
+            self.members,
+            peers,
+            self.store,
+            self.parts,
+            self.hosts,
+            self._beat,
+        )
+        self.owners = self.claims.owners
         self.intake = Intake(
             member.node,
             self.store,
@@ -170,11 +161,10 @@
     @property
     def ready(self) -> bool:
         """Whether callers should be sent here."""
-        return self.desk.setup is not None and not self.leaving
+        return self.desk.setup is not None and not self.claims.leaving
 
     def start(self) -> None:
         """Start every loop of the daemon."""
-        self._started_at = asyncio.get_running_loop().time()
         for coro in (
             self._run_join(),
             self.setups.run(),
@@ -182,23 +172,22 @@
             self.list.run(),
             self.watch.run(),
             self._run_beats(),
-            self._run_claims(),
+            self.claims.run(),
         ):
             task = asyncio.get_running_loop().create_task(_guarded(coro))
             self._tasks.append(task)
 
     async def drain(self) -> None:
         """Hand every pool over; accepted work goes on under other owners."""
-        self.leaving = True
+        self.claims.leaving = True
         self._beat()
-        pools = list(self._runs)
-        await asyncio.gather(*(self._end_term(pool) for pool in pools))
-        log.info("daemon: pools are given up", extra={"pools": pools})
+        await self.claims.give_up_all()
 
     async def close(self) -> None:
         """Stop every loop at once."""
         self.intake.close()
-        tasks = [*self._tasks, *self._runs.values(), *self._answers]
+        await self.claims.close()
+        tasks = [*self._tasks, *self._answers]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -248,7 +237,7 @@
                 for owner in self.owners.values():
                     owner.lose_right()
             self._beat()
-            await asyncio.sleep(OWNER_BEAT_TIME if self._runs else BEAT_TIME)
+            await asyncio.sleep(OWNER_BEAT_TIME if self.claims.pools else BEAT_TIME)
 
     def _make_beat(self) -> Beat:
         now = asyncio.get_running_loop().time()
@@ -259,10 +248,10 @@
             self.member.incarnation,
             owned,
             age,
-            self.leaving,
-            self._able(),
+            self.claims.leaving,
+            self.claims.able,
             round(self.lines.backlog(now), 2),
-            tuple(pool for pool in self._runs if pool not in self.owners),
+            self.claims.claiming,
         )
 
     def _beat(self) -> None:
@@ -270,110 +259,6 @@
         for node in self.members.others():
             self.peers.send(node, beat)
 
-    # Claims
-
-    async def _run_claims(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            try:
-                async with asyncio.timeout(CLAIM_TICK):
-                    await self._claim_wanted.wait()
-            except TimeoutError:
-                pass
-            self._claim_wanted.clear()
-            for pool in self._pools():
-                vacant = pool not in self._runs and self._is_vacant(pool, loop.time())
-                if vacant and self._able():
-                    self._runs[pool] = loop.create_task(self._own(pool))
-                    self._beat()
-
-    def _able(self) -> bool:
-        """Return whether this daemon has heard enough to claim a pool."""
-        heard = self._up() >= FIRST_CLAIM
-        return heard and self.desk.setup is not None and not self.leaving
-
-    def _up(self) -> float:
-        return asyncio.get_running_loop().time() - self._started_at
-
-    async def _owns_still(self, owner: OwnerRecord) -> bool:
-        """Return whether an owner that this young daemon has not heard may live."""
-        if self._up() > YOUNG_TIME or owner.node == self.member.node:
-            return False
-        known = self.members.known.get(owner.node)
-        if known is None or known.incarnation != owner.incarnation:
-            return False
-        heard = self.members.heard.get(owner.node)
-        if heard is not None and heard.beat.leaving:
-            return False
-        return await self.peers.probe(owner.node) is Reach.LISTENS
-
-    def _pools(self) -> tuple[str, ...]:
-        return self.desk.setup.pools if self.desk.setup else ()
-
-    def _is_vacant(self, pool: str, now: float) -> bool:
-        """Return whether this daemon is to claim the pool now."""
-        if self.members.owner(pool, now) is not None:
-            self._vacant.pop(pool, None)
-            return False
-        if self.members.claimant(pool, now) is not None:
-            return False
-        since = self._vacant.setdefault(pool, now)
-        given_up = self.members.has_given_up(pool, now)
-        if now - since < CLAIM_PATIENCE and not given_up:
-            return False
-        age = now - self.store.answered_at
-        return self.members.should_claim(pool, now, len(self._runs), age)
-
-    async def _own(self, pool: str) -> None:
-        """Claim a pool and own it until another daemon takes it."""
-        owner: PoolOwner | None = None
-        event = "failed"
-        try:
-            record = OwnerRecord(self.member.node, self.member.incarnation)
-            found = await claim_pool(self.store, pool, record, self._owns_still)
-            if self.desk.setup is not None:
-                event = "won"
-                self.metrics.claims.labels(event).inc()
-                owner = PoolOwner(pool, self.parts, found, self.desk.setup)
-                self.owners[pool] = owner
-                self._beat()
-                asyncio.get_running_loop().call_soon(owner.hosts_listed, self.hosts)
-                await owner.run()
-        except Deposed as exc:
-            event = "deposed"
-            log.warning("daemon: pool is lost", extra={"pool": pool, "why": str(exc)})
-        except SiskinroadError as exc:
-            log.warning(
-                "daemon: pool is not claimed", extra={"pool": pool, "why": str(exc)}
-            )
-        except Exception:
-            log.exception("daemon: owner has failed", extra={"pool": pool})
-        finally:
-            self.metrics.claims.labels(event).inc()
-            self.owners.pop(pool, None)
-            self._runs.pop(pool, None)
-            self._vacant.pop(pool, None)
-
-    async def _end_term(self, pool: str) -> None:
-        owner = self.owners.get(pool)
-        task = self._runs.get(pool)
-        if task is None:
-            return
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
-        if owner is None:
-            self._beat()
-            return
-        # All calls to hosts have ended. The next owner waits for the last records
-        # only while the store is quick: what they lack, the hosts list again.
-        release = asyncio.get_running_loop().create_task(owner.release())
-        await asyncio.wait({release}, timeout=HANDOVER_TIME)
-        self._beat()
-        await asyncio.wait({release}, timeout=RELEASE_TIME)
-        if not release.done():
-            release.cancel()
-            log.warning("daemon: release is not on record", extra={"pool": pool})
-
     def _store_returned(self) -> None:
         log.warning("daemon: store answers again after a silence")
         followers = [self.setups, self.list, self.roll]
@@ -393,7 +278,7 @@
         known = self.desk.setup
         if known is not None and setup.version <= known.version:
             return
-        self.desk.setup = setup
+        self.desk.setup = self.claims.setup = setup
         log.info(
             "daemon: configuration is in force",
             extra={"version": setup.version, "queues": len(setup.queues)},
@@ -424,11 +309,11 @@
         owner = self._owner_of(pool)
         if owner is not None:
             return owner
-        if pool in self._runs:
+        if pool in self.claims.pools:
             return self.member.node
         now = asyncio.get_running_loop().time()
         # One that leaves hands over to others, who choose it no longer.
-        age = float("inf") if self.leaving else now - self.store.answered_at
+        age = float("inf") if self.claims.leaving else now - self.store.answered_at
         return self.members.gatherer(pool, now, age)
 
     def _capacities(self, pool: str) -> list[Resources]:
@@ -443,7 +328,7 @@
                 self.members.hear(msg, now)
                 self.lines.heard(msg.node, msg.backlog, now)
                 if msg.leaving:
-                    self._claim_wanted.set()
+                    self.claims.wanted.set()
             case JobAnswer() | AdviceReply() | RelayReply() | SubmitReply():
                 self.calls.answered(msg.id, msg)
             case SubmitRequest():
@@ -480,7 +365,7 @@
             },
         )
         self.members.ended(peer, now)
-        self._claim_wanted.set()
+        self.claims.wanted.set()
 
     def _background(self, coro: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(_guarded(coro))
