Cause the hard cases of the sketch that had no test

A start of a killed owner that is carried out after the take-over (0.2 to 5 s late), a paused owner that goes on, a host that fails all beside a job that fails everywhere, a gang that loses a member's start, long-lived tasks on a leaving host, forty cancels at a take-over, a record that cannot be read.

--- a/siskinroad/work/hosts_memory.py
+++ b/siskinroad/work/hosts_memory.py
@@ -62,6 +62,8 @@
         Seconds that a task takes here.
     how : EndKind
         How tasks end here.
+    poison : set of str
+        Jobs whose tasks fail here, whatever ``how`` says.
     silent : bool
         Nothing is answered, and nothing arrives.
     mute_starts : int
@@ -75,6 +77,7 @@
     born: int = 1
     work: float = 1.0
     how: EndKind = EndKind.DONE
+    poison: set[str] = field(default_factory=set)
     silent: bool = False
     mute_starts: int = 0
     late: float = -1.0
@@ -122,9 +125,8 @@
         self.last_run[order.task] = order.run
         loop = asyncio.get_running_loop()
         now = loop.time()
-        self.runs[order.task] = _Run(
-            order.task, order.run, now, now + self.work, self.how
-        )
+        how = EndKind.FAILED if order.task.job in self.poison else self.how
+        self.runs[order.task] = _Run(order.task, order.run, now, now + self.work, how)
         start = Start(
             self.entry.name, order.task, order.run, loop.time(), order.checkpoint
         )
--- a/tests/work/cell.py
+++ b/tests/work/cell.py
@@ -92,6 +92,9 @@
         self.hosts.add(MemoryHost(entry(name), **fields))
         self.logs.append("keyed.list", [host_record(name)], None, None)
 
+    def drain(self, name):
+        self.logs.append("keyed.list", [host_record(name, True)], None, None)
+
     def unlist(self, name):
         self.logs.append("keyed.list", [Record(name, b"")], None, None)
 
