End an owner on a later claim, instead of taking that for a fault of the store

The follower caught every error of its kind, also the one by which the owner says that it has read a later claim: it noted 'topic not read', paused and read on; the next tick gave the owner its right to act back, for up to 10 s, and it stayed in place until its next record was fenced. Hosts that the new owner had not reached yet could have begun work for both. Change: errors of whoever takes the records end the follower, and with it the owner. An owner that a host rejects for a higher token, or that hears of a later term, stops acting and reads the claims at once.

--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -329,6 +329,7 @@
                 self.lines.heard(msg.node, msg.backlog, now)
                 if msg.leaving:
                     self.claims.wanted.set()
+                self._compare_terms(msg)
             case JobAnswer() | AdviceReply() | RelayReply() | SubmitReply():
                 self.calls.answered(msg.id, msg)
             case SubmitRequest():
@@ -340,6 +341,13 @@
             case RelayRequest():
                 self._reply(peer, self.store.serve(msg))
 
+    def _compare_terms(self, beat: Beat) -> None:
+        """Let an owner look again whose pool another daemon owns by a later claim."""
+        for pool, term in beat.owned:
+            owner = self.owners.get(pool)
+            if owner is not None and term > owner.term.number:
+                owner.doubt()
+
     def _disconnected(self, peer: str) -> None:
         """Look whether a peer whose connection has ended still lives.
 
--- a/siskinroad/work/follow.py
+++ b/siskinroad/work/follow.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from siskinroad.errors import SiskinroadError
 from siskinroad.work.store import (
@@ -28,6 +29,16 @@
 Apply = Callable[[tuple[Newest, ...], bool], None]
 
 
+@dataclass(slots=True, frozen=True)
+class _Found:
+    """What one read has found; ``whole`` is as for ``Follower``'s ``apply``."""
+
+    items: tuple[Newest, ...]
+    whole: bool
+    next: int
+    confirmed_at: float
+
+
 class Follower:
     """Reads one topic for as long as it runs; offsets never go back.
 
@@ -90,51 +101,56 @@
                 self._limit = None
 
     async def _turn(self, pause: float) -> float:
-        """Read once, then pause; return the pause after the next failure."""
+        """Read once, then pause; return the pause after the next failure.
+
+        Errors of whoever takes the records are none of the store's, and end this.
+        """
         try:
-            await self._step()
+            found = await self._fetch()
         except SiskinroadError as exc:
             self._note(False, exc)
             await asyncio.sleep(pause)
             return min(2 * pause, LONGEST_PAUSE)
         self._note(True, None)
+        self._take(found)
         if self._spacing:
             await asyncio.sleep(self._spacing)
         return FIRST_PAUSE
 
-    async def _step(self) -> None:
+    async def _fetch(self) -> _Found:
         if self.next < 0:
-            await self._load()
-            return
+            return await self._load()
         try:
-            await self._read()
+            return await self._read()
         except TrimmedError as exc:
             log.warning(
                 "follow: history is gone, reading the newest records",
                 extra={"topic": self.topic, "from": self.next, "first": exc.first},
             )
-            await self._load()
+            return await self._load()
 
-    async def _load(self) -> None:
+    async def _load(self) -> _Found:
         sent_at = asyncio.get_running_loop().time()
         page = await newest_of_all(self.store, self.topic, ANSWER_TIME)
         self._check_stale(page.end)
         items = sorted(page.items, key=lambda item: item.offset)
-        self._apply(tuple(items), True)
-        self.next = page.end
-        self.confirmed_at = sent_at
+        return _Found(tuple(items), True, page.end, sent_at)
 
-    async def _read(self) -> None:
+    async def _read(self) -> _Found:
         sent_at = asyncio.get_running_loop().time()
         tail = await self.store.read(
             self.topic, self.next, wait=self._wait, timeout=self._wait + ANSWER_TIME
         )
         self._check_stale(tail.end)
-        if tail.records:
-            self._apply(_numbered(tail), False)
-        self.next = tail.next
-        if self.next >= tail.end:
-            self.confirmed_at = sent_at
+        at_end = tail.next >= tail.end
+        confirmed_at = sent_at if at_end else self.confirmed_at
+        return _Found(_numbered(tail), False, tail.next, confirmed_at)
+
+    def _take(self, found: _Found) -> None:
+        if found.items or found.whole:
+            self._apply(found.items, found.whole)
+        self.next = found.next
+        self.confirmed_at = found.confirmed_at
 
     def _check_stale(self, end: int) -> None:
         """Refuse an answer that is older than what has been read already."""
--- a/siskinroad/work/orders.py
+++ b/siskinroad/work/orders.py
@@ -31,6 +31,7 @@
         extra={"host": host.name, "pool": term.pool, "token": host.token},
     )
     host.heard_at = -1e9
+    term.doubted()
 
 
 class Orders:
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -40,6 +40,8 @@
 PLAN_PAUSE = 0.004
 # Seconds by which an occurrence may begin before it is due.
 EARLY_TIME = 0.05
+# Seconds between two readings of the claims for a doubt.
+DOUBT_SPACING = 0.5
 # Seconds since the last read beyond which a job is not said to be unknown.
 FRESH_TIME = 2.5
 
@@ -62,6 +64,7 @@
         self.parts = parts
         self.term = Term(pool, found.term, parts)
         self.term.carry_out = self._carry_out
+        self.term.doubted = self.doubt
         self.book = self.term.book
         self.book.configure(setup)
         self.planner = Planner(self.book)
@@ -69,6 +72,7 @@
         self.progress = ProgressLog(self.term, found.hosts)
         self.orders = Orders(self.term)
         self.holds = Holds(self.term, self.progress)
+        self._doubted_at = -1e9
         self.former = found.former
         self._former_alone = found.former_alone
         self._former_released = found.released_term >= found.former_term
@@ -163,6 +167,17 @@
         self.term.right_until = -1e9
         self.follower.confirmed_at = -1e9
 
+    def doubt(self) -> None:
+        """Read the claims at once, and act no more until that is done.
+
+        A host follows a higher token, or another daemon tells of a higher term.
+        """
+        self.lose_right()
+        now = asyncio.get_running_loop().time()
+        if now - self._doubted_at >= DOUBT_SPACING:
+            self._doubted_at = now
+            self.follower.nudge()
+
     # What the daemon tells
 
     def configure(self, setup: Setup) -> None:
--- a/siskinroad/work/term.py
+++ b/siskinroad/work/term.py
@@ -49,6 +49,8 @@
         Something may be placed; something is to be recorded.
     carry_out : callable
         Carries effects of the book out.
+    doubted : callable
+        Called when another daemon seems to own the pool.
     group : asyncio.TaskGroup or None
         Holds every task of the owner while it runs.
     """
@@ -62,6 +64,7 @@
         self.plan_wanted = asyncio.Event()
         self.flush_wanted = asyncio.Event()
         self.carry_out: Callable[[list[Effect]], None] = lambda effects: None
+        self.doubted: Callable[[], None] = lambda: None
         self.group: asyncio.TaskGroup | None = None
 
     def may_act(self) -> bool:
--- a/tests/work/test_follow.py
+++ b/tests/work/test_follow.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+import pytest
+
 from bench.clock import run
 from siskinroad.work.follow import Follower
+from siskinroad.work.progress import Deposed
 from siskinroad.work.store import NewestPage, Record, Tail, TrimmedError
 from siskinroad.work.store_memory import MemoryLogs, MemoryStore
 
@@ -84,3 +87,39 @@
         task.cancel()
 
     run(play())
+
+
+def test_an_error_of_who_takes_the_records_ends_the_follower():
+    # Trace: an owner read a later claim, took that for a fault of the store, read on,
+    # and had its right to act again at the next tick.
+    async def play():
+        store = MemoryStore(MemoryLogs())
+        await store.append("t", [Record("a", b"1")])
+
+        def refuse(items, whole):
+            raise Deposed("a later claim", step="test")
+
+        follower = Follower(store, "t", refuse)
+        with pytest.raises(Deposed):
+            await follower.run()
+        assert follower.confirmed_at < 0
+
+    run(play())
+
+
+def test_a_nudge_asks_anew_at_once_and_loses_nothing():
+    async def play():
+        logs = MemoryLogs()
+        store, seen = MemoryStore(logs, "me"), []
+        follower, task = await follow(store, seen, 0.5)
+        logs.faults.deaf.add("me")
+        await asyncio.sleep(1.2)
+        logs.faults.deaf.clear()
+        logs.append("t", [Record("a", b"1")], None, None)
+        follower.nudge()
+        await asyncio.sleep(0.05)
+        assert seen == ["a"]
+        task.cancel()
+        follower.nudge()
+
+    run(play())
