Hold a stopped owner's pools through an outage; let daemons meet without the store

Daemons that started meanwhile knew no other one, refused everything for want of a configuration, and could not use the way by a peer. Ruled out: longer leases at the end of a term (the next owner counts on their length). Whoever gets a connection to a daemon says who it is, so that one without the store can send its calls by way of a peer.

--- a/siskinroad/peers.py
+++ b/siskinroad/peers.py
@@ -64,13 +64,14 @@
     ----------
     receiver : callable
         Called with the sender's name and each message that arrives.
-    disconnected : callable
-        Called with the name of a peer whose connection has ended.
+    connected, disconnected : callable
+        Called with the name of a peer to which a connection stands, or has ended.
     """
 
     def __init__(self, codec: Codec = CELL_CODEC) -> None:
         self.codec = codec
         self.receiver: Receiver = lambda name, msg: None
+        self.connected: Callable[[str], None] = lambda name: None
         self.disconnected: Callable[[str], None] = lambda name: None
         self.traffic = PeerTraffic()
 
@@ -122,8 +123,13 @@
         self.dark: set[str] = set()
 
     def join(self, name: str, codec: Codec = CELL_CODEC) -> MemoryPeers:
-        """Return the link of one daemon."""
+        """Return the link of one daemon, to which the others connect at once."""
         self.nodes[name] = MemoryPeers(self, name, codec)
+        loop = asyncio.get_running_loop()
+        for node in self.nodes.values():
+            apart = (node.name, name) in self.faults.cut
+            if node.name != name and not node.closed and not apart:
+                loop.call_later(self.delay, node.connected, name)
         return self.nodes[name]
 
     def post(self, sender: str, name: str, data: bytes) -> None:
--- a/siskinroad/peers_zmq.py
+++ b/siskinroad/peers_zmq.py
@@ -141,6 +141,7 @@
                 event = parse_monitor_message(await monitor.recv_multipart())
                 if event["event"] == zmq.EVENT_CONNECTED:
                     self._broken.discard(name)
+                    self.connected(name)
                 elif event["event"] == zmq.EVENT_DISCONNECTED:
                     self._broken.add(name)
                     self.disconnected(name)
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -22,6 +22,7 @@
     AdviceReply,
     AdviceRequest,
     Beat,
+    Hello,
     JobAnswer,
     JobQuestion,
     RelayReply,
@@ -47,6 +48,8 @@
 
 # Seconds between two tries to put this daemon on record.
 JOIN_RETRY = 0.3
+# Seconds between two looks whether a silent store is back before pools are given up.
+DRAIN_LOOK = 0.1
 # Seconds between two reads of the live list: leaving hosts must be known within
 # the platform's bound of a few seconds.
 LIST_SPACING = 0.5
@@ -132,7 +135,7 @@
             self.store,
             self.calls,
             self._gatherer_of,
-            lambda node: node in self.members.alive(now()),
+            lambda node: self.members.answers(node, now()),
             lambda: self.store.heard_at,
             self.metrics,
         )
@@ -148,6 +151,7 @@
             lambda: self.store.heard_at,
         )
         peers.receiver = self._receive
+        peers.connected = self._connected
         peers.disconnected = self._disconnected
         decoder = outside.decoder
         self.setups = Follower(self.store, decoder.setup_topic, self._take_setup)
@@ -177,12 +181,33 @@
             task = asyncio.get_running_loop().create_task(_guarded(coro))
             self._tasks.append(task)
 
-    async def drain(self) -> None:
-        """Hand every pool over; accepted work goes on under other owners."""
+    async def drain(self, patience: float = 0.0) -> None:
+        """Hand every pool over; accepted work goes on under other owners.
+
+        Parameters
+        ----------
+        patience : float
+            Seconds for which the pools are kept while the store answers nobody:
+            no other daemon could claim them, and their leases would lapse.
+        """
         self.claims.leaving = True
         self._beat()
+        try:
+            async with asyncio.timeout(patience):
+                while self.claims.pools and not await self._store_answers():
+                    await asyncio.sleep(DRAIN_LOOK)
+        except TimeoutError:
+            log.warning("daemon: pools are given up while the store is silent")
         await self.claims.give_up_all()
 
+    async def _store_answers(self) -> bool:
+        try:
+            await self.store.read(MEMBERS_TOPIC, self.roll.next, wait=0.0)
+        except SiskinroadError as exc:
+            log.info("daemon: keeps its pools for now", extra={"error": str(exc)})
+            return False
+        return True
+
     async def close(self) -> None:
         """Stop every loop at once."""
         self.intake.close()
@@ -220,15 +245,26 @@
         except SiskinroadError as exc:
             log.error("daemon: member is not readable", extra={"error": str(exc)})
             return
-        if isinstance(member, Member) and self.members.learn(member):
-            if member.node == self.member.node:
-                return
-            self._learn(member)
-            log.info(
-                "daemon: member",
-                extra={"peer": member.node, "incarnation": member.incarnation},
-            )
-            self.peers.send(member.node, self._make_beat())
+        if isinstance(member, Member):
+            self._meet(member)
+
+    def _meet(self, member: Member) -> None:
+        """Take in a member on record, or one that says so itself."""
+        if member.node == self.member.node or not self.members.learn(member):
+            return
+        self._learn(member)
+        log.info(
+            "daemon: member",
+            extra={"peer": member.node, "incarnation": member.incarnation},
+        )
+        self.peers.send(member.node, self._make_beat())
+
+    def _connected(self, peer: str) -> None:
+        own = self.member
+        self.peers.send(
+            peer,
+            Hello(own.node, own.incarnation, own.address, own.data_centre, own.region),
+        )
 
     async def _run_beats(self) -> None:
         while True:
@@ -330,6 +366,16 @@
                 if msg.leaving:
                     self.claims.wanted.set()
                 self._compare_terms(msg)
+            case Hello():
+                self._meet(
+                    Member(
+                        msg.node,
+                        msg.incarnation,
+                        msg.address,
+                        msg.data_centre,
+                        msg.region,
+                    )
+                )
             case JobAnswer() | AdviceReply() | RelayReply() | SubmitReply():
                 self.calls.answered(msg.id, msg)
             case SubmitRequest():
--- a/siskinroad/work/members.py
+++ b/siskinroad/work/members.py
@@ -95,6 +95,11 @@
             and node != self.node
         )
 
+    def answers(self, node: str, now: float) -> bool:
+        """Return whether a daemon, leaving or not, was heard of late."""
+        heard = self.heard.get(node)
+        return heard is not None and now - heard.at <= ALIVE_TIME
+
     def is_later_life(self, node: str, incarnation: int) -> bool:
         """Return whether a later life of a daemon has been heard."""
         if node == self.node:
--- a/siskinroad/work/messages.py
+++ b/siskinroad/work/messages.py
@@ -13,6 +13,7 @@
     "AdviceReply",
     "AdviceRequest",
     "Beat",
+    "Hello",
     "JobAnswer",
     "JobQuestion",
     "Message",
@@ -55,6 +56,19 @@
     claiming: tuple[str, ...] = ()
 
 
+class Hello(msgspec.Struct, tag="hello", frozen=True, array_like=True):
+    """Sent to a daemon whenever a connection to it stands anew.
+
+    One that has just started and does not reach the store learns so of the others.
+    """
+
+    node: str
+    incarnation: int
+    address: str
+    data_centre: str
+    region: str
+
+
 class JobQuestion(msgspec.Struct, tag="job?", frozen=True, array_like=True):
     """Asks a pool's owner for a job's state, its cancelling, or a queue's count.
 
@@ -156,6 +170,7 @@
 
 Message = (
     Beat
+    | Hello
     | JobQuestion
     | JobAnswer
     | AdviceRequest
--- a/siskinroad/work/store_memory.py
+++ b/siskinroad/work/store_memory.py
@@ -172,8 +172,8 @@
                     await self.logs.changed.wait()
             except TimeoutError:
                 break
-            await self._reach(timeout)
-        await self._reach(timeout)
+            await self._check_reach(timeout)
+        await self._check_reach(timeout)
         if start < log.first:
             raise TrimmedError(log.first)
         return Tail(start, tuple(log.records[start - log.first :]), log.end)
@@ -191,6 +191,9 @@
 
     async def _reach(self, timeout: float) -> None:
         await asyncio.sleep(self.logs.faults.slow)
+        await self._check_reach(timeout)
+
+    async def _check_reach(self, timeout: float) -> None:
         if self.logs.faults.down or self.client in self.logs.faults.cut:
             await asyncio.sleep(timeout)
             raise StoreUnavailableError("unreachable", step="store")
--- a/tests/work/test_members.py
+++ b/tests/work/test_members.py
@@ -129,3 +129,11 @@
     members = make(beat("b"), beat("c", age=9.0))
     assert members.gatherer("p", 10.5, 9.0) == "b"
     assert make(beat("c", age=9.0)).gatherer("p", 10.5, 9.0) == "a"
+
+
+def test_a_leaving_owner_is_asked_for_as_long_as_it_owns():
+    # Load: submissions during a rolling stop, which went past the owner to the store.
+    members = make(beat("b", [("p", 4)], leaving=True), beat("c"))
+    assert members.alive(10.1) == ["c"]
+    assert members.answers("b", 10.1) and members.owner("p", 10.1) == "b"
+    assert not members.answers("b", 12.5) and not members.answers("x", 10.1)
