--- a/siskinroad/work/batcher.py
+++ b/siskinroad/work/batcher.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -39,6 +40,8 @@
 DEADLINE_SLACK = 0.05
 MAX_RECORDS = 200
 
+log = logging.getLogger("siskinroad.batcher")
+
 
 @dataclass(slots=True, eq=False)
 class _Waiting:
@@ -170,6 +173,10 @@
 
     def _refuse_waiting(self, why: str) -> None:
         """Refuse what was never sent."""
+        log.warning(
+            "batcher: an append has no answer",
+            extra={"topic": self._topic, "refused": len(self._waiting), "why": why},
+        )
         self._fail(self._waiting, StoreUnavailableError(why, step="batcher"))
         self._waiting = []
 
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -197,14 +197,17 @@
                 while self.claims.pools and not await self._store_answers():
                     await asyncio.sleep(DRAIN_LOOK)
         except TimeoutError:
-            log.warning("daemon: pools are given up while the store is silent")
+            log.warning("daemon: stops without an answer of the store")
         await self.claims.give_up_all()
 
     async def _store_answers(self) -> bool:
         try:
             await self.store.read(MEMBERS_TOPIC, self.roll.next, wait=0.0)
         except SiskinroadError as exc:
-            log.info("daemon: keeps its pools for now", extra={"error": str(exc)})
+            log.info(
+                "daemon: store is silent, keeps its pools for now",
+                extra={"error": str(exc)},
+            )
             return False
         return True
 
--- a/siskinroad/work/intake.py
+++ b/siskinroad/work/intake.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable
 
 from siskinroad.errors import SiskinroadError
@@ -33,6 +34,8 @@
 # Seconds of its time that are left for the answer's way back.
 WAY_SLACK = 0.15
 
+log = logging.getLogger("siskinroad.intake")
+
 
 class Intake:
     """Appends records to the pools' topics of jobs.
@@ -99,8 +102,12 @@
                 left,
                 lambda: self._alive(node),
             )
-        except SiskinroadError:
+        except SiskinroadError as exc:
             self._metrics.retries.labels("owner").inc()
+            log.warning(
+                "intake: gathering daemon does not answer",
+                extra={"request": record.key, "peer": node, "error": str(exc)},
+            )
             return None
         return reply.outcome
 
@@ -118,14 +125,32 @@
             self._batchers[pool] = batcher
         try:
             await batcher.put(record, deadline)
-        except StoreUnavailableError:
-            self._metrics.retries.labels("store_unavailable").inc()
-            return SubmitOutcome.NOT_DONE
-        except StoreUnknownError:
-            self._metrics.retries.labels("store_unknown").inc()
-            return SubmitOutcome.UNKNOWN
+        except StoreUnavailableError as exc:
+            return self._not_stored(SubmitOutcome.NOT_DONE, pool, record, exc)
+        except StoreUnknownError as exc:
+            return self._not_stored(SubmitOutcome.UNKNOWN, pool, record, exc)
         return SubmitOutcome.STORED
 
+    def _not_stored(
+        self, outcome: SubmitOutcome, pool: str, record: Record, exc: SiskinroadError
+    ) -> SubmitOutcome:
+        label = "store_unknown"
+        if outcome is SubmitOutcome.NOT_DONE:
+            label = "store_unavailable"
+        self._metrics.retries.labels(label).inc()
+        now = asyncio.get_running_loop().time()
+        log.info(
+            "intake: not stored",
+            extra={
+                "request": record.key,
+                "pool": pool,
+                "outcome": outcome.value,
+                "store_age_s": round(now - self._store_heard_at(), 2),
+                "error": str(exc),
+            },
+        )
+        return outcome
+
     def close(self) -> None:
         """Give up what waits; what is on its way may yet take effect."""
         for batcher in self._batchers.values():
