Miss an owner without power after 0.75 s instead of 1.0

Open: after a cut between daemons has healed, owners change three or four times within 1.6 s, until all hear each other again.

--- a/siskinroad/work/claims.py
+++ b/siskinroad/work/claims.py
@@ -32,7 +32,7 @@
 FIRST_CLAIM = 0.35
 YOUNG_TIME = 1.5
 # Seconds for which a pool must be seen without an owner.
-CLAIM_PATIENCE = 0.3
+CLAIM_PATIENCE = 0.25
 # Seconds for a leaving owner's last records; a stop must end within its grace.
 RELEASE_TIME = 1.0
 # Seconds of that for which the next owner is made to wait.
--- a/siskinroad/work/members.py
+++ b/siskinroad/work/members.py
@@ -15,8 +15,8 @@
 # new work waits for its successor.
 BEAT_TIME = 0.6
 ALIVE_TIME = 2.0
-OWNER_BEAT_TIME = 0.3
-OWNER_ALIVE_TIME = 1.0
+OWNER_BEAT_TIME = 0.2
+OWNER_ALIVE_TIME = 0.75
 # Seconds without an answer of the store after which others should own.
 STORE_AGE = 2.5
 
