--- a/siskinroad/work/holds.py
+++ b/siskinroad/work/holds.py
@@ -53,7 +53,7 @@
             if not self.term.may_act():
                 await asyncio.sleep(HOLD_RETRY)
                 continue
-            wait = _wait(host) if host.settled and host.heard_at > 0 else 0.0
+            wait = _wait(host) if host.settled and not host.failing else 0.0
             if host.seen > host.acknowledged:
                 wait = 0.0
             if not await self._hold_once(host, wait):
@@ -67,7 +67,7 @@
         sent_at = loop.time()
         # A silent host is granted nothing more: a call that it answers only
         # later must not extend what is about to be started elsewhere.
-        until = host.lease_until(sent_at) if host.heard_at > 0 else None
+        until = None if host.failing else host.lease_until(sent_at)
         if until is not None:
             host.granted(sent_at)
         token = host.token
@@ -96,7 +96,7 @@
 
     def _host_silent(self, host: Host, exc: Exception) -> None:
         now = asyncio.get_running_loop().time()
-        if host.heard_at > 0:
+        if not host.failing:
             log.warning(
                 "holds: host does not answer",
                 extra={
@@ -105,7 +105,7 @@
                     "error": str(exc),
                 },
             )
-        host.heard_at = min(host.heard_at, 0.0)
+        host.call_failed()
 
     def _hold_rejected(self, host: Host, rejection: Rejection, token: int) -> bool:
         if rejection is Rejection.FENCED and token >= host.token:
@@ -113,7 +113,7 @@
         if rejection is Rejection.OTHER_LIFE:
             now = asyncio.get_running_loop().time()
             log.warning("holds: host has another life", extra={"host": host.name})
-            host.heard_at = -1e9
+            host.call_failed()
             self.term.carry_out(self.term.book.host_replaced(host, now))
         return False
 
--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -105,8 +105,9 @@
         Loop time at which every lease that was ever granted has surely lapsed.
     seen, acknowledged : int
         Newest end that was taken in, and newest that is recorded in the store.
-    reported_at : float
-        Loop time of the last report.
+    heard_at, reported_at : float
+        Loop time of the last answer, not positive since a call has failed, and of
+        the last report, whatever has failed since.
     recorded : bool
         The store knows that this owner uses the host.
     answer_time : float
@@ -144,6 +145,15 @@
         """The host's name."""
         return self.entry.name
 
+    @property
+    def failing(self) -> bool:
+        """Whether the last call to the host has failed."""
+        return self.heard_at <= 0
+
+    def call_failed(self) -> None:
+        """Note that a call got no answer: no new work until one does."""
+        self.heard_at = -1e9
+
     def add(self, run: Run) -> None:
         """Give a run its room."""
         self.runs[run.key] = run
--- a/siskinroad/work/orders.py
+++ b/siskinroad/work/orders.py
@@ -30,7 +30,7 @@
         "orders: host follows another owner",
         extra={"host": host.name, "pool": term.pool, "token": host.token},
     )
-    host.heard_at = -1e9
+    host.call_failed()
     term.doubted()
 
 
@@ -95,12 +95,12 @@
         except NotSentError as exc:
             outcome = f"not sent: {exc}"
             effects = self.term.book.start_not_sent(host, run, loop.time())
-            host.heard_at = -1e9
+            host.call_failed()
         except (OutcomeUnknownError, TimeoutError) as exc:
             outcome = f"unknown: {exc}"
             host.answered_in(loop.time() - sent_at)
             effects = self.term.book.start_unanswered(host, run, loop.time())
-            host.heard_at = -1e9
+            host.call_failed()
         else:
             host.answered_in(loop.time() - sent_at)
             effects = self._started(host, run, order, answer.rejection)
@@ -129,10 +129,10 @@
         if rejection is Rejection.FENCED and order.token >= host.token:
             doubt_claim(self.term, host)
         if rejection is Rejection.UNWELL:
-            host.heard_at = -1e9
+            host.call_failed()
         if rejection is Rejection.OTHER_LIFE:
             self.term.book.host_unlisted(host.name, now)
-            host.heard_at = -1e9
+            host.call_failed()
         return self.term.book.start_answered(host, run, rejection, now)
 
     async def stop(self, effect: StopRun) -> None:
--- a/siskinroad/work/plan.py
+++ b/siskinroad/work/plan.py
@@ -63,7 +63,6 @@
     """Hosts chosen for tasks of one step, before anything is given."""
 
     chosen: list[tuple[Task, Host]] = field(default_factory=list)
-    taken: dict[str, Resources] = field(default_factory=dict)
     counts: dict[str, int] = field(default_factory=dict)
 
 
--- a/siskinroad/work/steward.py
+++ b/siskinroad/work/steward.py
@@ -99,7 +99,7 @@
 
     def _why_copy(self, host: Host, run: Run, now: float) -> str:
         """Return why a run is not waited for; empty if it is."""
-        if host.heard_at <= 0 and now - host.reported_at > COPY_SILENCE:
+        if host.failing and now - host.reported_at > COPY_SILENCE:
             return "host is silent"
         expected = self.book.speeds.expected(run.queue, run.declared)
         ratio = self.book.speeds.ratio(run)
