--- a/siskinroad/peers.py
+++ b/siskinroad/peers.py
@@ -64,15 +64,15 @@
     ----------
     receiver : callable
         Called with the sender's name and each message that arrives.
-    connected, disconnected : callable
+    connected, disconnected : callable or None
         Called with the name of a peer to which a connection stands, or has ended.
     """
 
     def __init__(self, codec: Codec = CELL_CODEC) -> None:
         self.codec = codec
         self.receiver: Receiver = lambda name, msg: None
-        self.connected: Callable[[str], None] = lambda name: None
-        self.disconnected: Callable[[str], None] = lambda name: None
+        self.connected: Callable[[str], None] | None = None
+        self.disconnected: Callable[[str], None] | None = None
         self.traffic = PeerTraffic()
 
     @abstractmethod
@@ -125,13 +125,18 @@
     def join(self, name: str, codec: Codec = CELL_CODEC) -> MemoryPeers:
         """Return the link of one daemon, to which the others connect at once."""
         self.nodes[name] = MemoryPeers(self, name, codec)
-        loop = asyncio.get_running_loop()
         for node in self.nodes.values():
-            apart = (node.name, name) in self.faults.cut
-            if node.name != name and not node.closed and not apart:
-                loop.call_later(self.delay, node.connected, name)
+            if node.connected is not None and (node.name, name) not in self.faults.cut:
+                self._tell(node, node.connected, name)
         return self.nodes[name]
 
+    def _tell(
+        self, node: MemoryPeers, callback: Callable[[str], None], name: str
+    ) -> None:
+        """Call back a daemon about another one, a little later."""
+        if node.name != name and not node.closed:
+            asyncio.get_running_loop().call_later(self.delay, callback, name)
+
     def post(self, sender: str, name: str, data: bytes) -> None:
         """Deliver bytes later, unless a fault says otherwise."""
         faults = self.faults
@@ -154,11 +159,10 @@
 
     def ended(self, name: str) -> None:
         """Tell the other daemons that the connections of one have ended."""
-        loop = asyncio.get_running_loop()
         for node in self.nodes.values():
             apart = (name, node.name) in self.faults.cut or name in self.dark
-            if node.name != name and not node.closed and not apart:
-                loop.call_later(self.delay, node.disconnected, name)
+            if node.disconnected is not None and not apart:
+                self._tell(node, node.disconnected, name)
 
     def pause(self, name: str) -> None:
         """Hold what arrives for a daemon, as while its process is stopped."""
--- a/siskinroad/peers_zmq.py
+++ b/siskinroad/peers_zmq.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from typing import Any, Protocol
 
 import zmq
@@ -144,13 +145,18 @@
                 event = parse_monitor_message(await monitor.recv_multipart())
                 if event["event"] == zmq.EVENT_CONNECTED:
                     self._broken.discard(name)
-                    self.connected(name)
+                    self._call(self.connected, name)
                 elif event["event"] == zmq.EVENT_DISCONNECTED:
                     self._broken.add(name)
-                    self.disconnected(name)
+                    self._call(self.disconnected, name)
         finally:
             monitor.close()
 
+    @staticmethod
+    def _call(callback: Callable[[str], None] | None, name: str) -> None:
+        if callback is not None:
+            callback(name)
+
     def learn(self, peer: Peer) -> None:
         """Take in a peer, its new address, or its new life.
 
