Log the delay of the event loop beside every decision that follows from silence

Logs could not tell a silent host from an owner that reads its sockets late: a failed renewal and an expired lease look the same in both cases, and an end that a host lists after its run was ended had no line at all.

The loop's delay is measured by the timers that run anyway (the owner's tick and the heartbeats). Failed renewals, expired leases and runs that end unlisted name it; an end listed later for such a run is a line and a counter of its own. No decision changes.

--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -16,6 +16,7 @@
 from siskinroad.work.follower import Follower
 from siskinroad.work.job_service import JobService
 from siskinroad.work.job_writer import JobWriter
+from siskinroad.work.loop_delay import LoopDelay
 from siskinroad.work.members import (
     HEARTBEAT_INTERVAL,
     OWNER_HEARTBEAT_INTERVAL,
@@ -93,6 +94,7 @@
         self.peers = peers
         self.wall = wall
         self.metrics = WorkMetrics()
+        self.loop_delay = LoopDelay(self.metrics.loop_delay.observe)
         self.members = Members(member.node, member.incarnation)
         self.hosts: dict[str, HostEntry] = {}
         self._register_address = register_address
@@ -129,6 +131,7 @@
             self.metrics,
             wall,
             self.members.has_later_incarnation,
+            self.loop_delay,
         )
         self.claim_manager = ClaimManager(
             member,
@@ -302,6 +305,7 @@
         )
 
     async def _run_heartbeats(self) -> None:
+        loop = asyncio.get_running_loop()
         while True:
             if self._suspend_detector.take_suspended_s():
                 log.warning(
@@ -310,11 +314,14 @@
                 for owner in self.owners.values():
                     owner.revoke_confirmation()
             self._send_heartbeats()
-            await asyncio.sleep(
+            interval = (
                 OWNER_HEARTBEAT_INTERVAL
                 if self.claim_manager.pools
                 else HEARTBEAT_INTERVAL
             )
+            due_at = loop.time() + interval
+            await asyncio.sleep(interval)
+            self.loop_delay.record(due_at, loop.time())
 
     def _make_heartbeat(self) -> Heartbeat:
         now = asyncio.get_running_loop().time()
--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -9,7 +9,7 @@
 from siskinroad.work.model import JobSpec, Step, TaskId
 from siskinroad.work.records import Accepted, Progress, TaskProgress
 
-__all__ = ["Job", "JobState", "StepRun", "Task", "make_job"]
+__all__ = ["Job", "JobState", "PresumedEnd", "StepRun", "Task", "make_job"]
 
 _TASK_CHART = load_chart("task")
 
@@ -24,6 +24,22 @@
     CANCELLED = "cancelled"
 
 
+@dataclass(slots=True, frozen=True)
+class PresumedEnd:
+    """End of a run that its host has not listed.
+
+    Attributes
+    ----------
+    reason : str
+        Why the run was considered over, such as an expired lease.
+    at : float
+        Loop time in seconds at which it was.
+    """
+
+    reason: str
+    at: float
+
+
 @dataclass(slots=True, eq=False)
 class Task:
     """One task, across all its runs.
@@ -42,6 +58,8 @@
         Hosts on which a run failed or stalled, and the loop time when it did.
     older_run_host : str
         Host of an older run that continues beside the newest one; empty if none.
+    presumed_ends : dict of int to PresumedEnd
+        Runs that were ended without an end listed by their host, by run number.
     """
 
     id: TaskId
@@ -52,6 +70,7 @@
     checkpoint: str = ""
     avoided_hosts: dict[str, float] = field(default_factory=dict)
     older_run_host: str = ""
+    presumed_ends: dict[int, PresumedEnd] = field(default_factory=dict)
 
     @property
     def failure_count(self) -> int:
--- a/siskinroad/work/lease_renewer.py
+++ b/siskinroad/work/lease_renewer.py
@@ -88,8 +88,9 @@
                     wait,
                 )
         except (NotSentError, OutcomeUnknownError, TimeoutError) as exc:
-            self._note_call_failed(host, exc)
+            self._note_call_failed(host, exc, sent_at)
             return False
+        self.term.dependencies.metrics.renewals.labels("answered").inc()
         if isinstance(report, Rejection):
             return self._handle_rejection(host, report, token)
         now, wall = loop.time(), self.term.dependencies.wall()
@@ -102,8 +103,10 @@
             self.term.plan_requested.set()
         return True
 
-    def _note_call_failed(self, host: Host, exc: Exception) -> None:
+    def _note_call_failed(self, host: Host, exc: Exception, sent_at: float) -> None:
         now = asyncio.get_running_loop().time()
+        dependencies = self.term.dependencies
+        dependencies.metrics.renewals.labels("not answered").inc()
         if not host.is_failing:
             log.warning(
                 "lease_renewer: renewal not answered; "
@@ -111,7 +114,11 @@
                 extra={
                     "host": host.name,
                     "silent_s": round(now - host.reported_at, 2),
-                    "error": str(exc),
+                    "sent_s": round(now - sent_at, 3),
+                    "loop_delay_s": round(
+                        dependencies.loop_delay.largest_since(sent_at), 3
+                    ),
+                    "error": str(exc) or "no reply in time",
                 },
             )
         host.record_failed_request()
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -43,6 +43,9 @@
 EARLY_START_TIME = 0.05
 # Least seconds between two rereads of the claims while ownership is uncertain.
 CLAIM_RECHECK_INTERVAL = 0.5
+# Seconds for which a delay of the event loop is named in later log lines: as long as
+# the leases that it may have cost.
+DELAY_PERIOD_S = 5.0
 # Seconds since the last confirmed read after which the owner no longer states that
 # a job does not exist.
 MAX_RECORD_AGE = 2.5
@@ -286,8 +289,10 @@
     async def _run_ticks(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
+            due_at = loop.time() + TICK_INTERVAL
             await asyncio.sleep(TICK_INTERVAL)
             now, wall = loop.time(), self.dependencies.wall()
+            self._record_loop_delay(due_at, now)
             confirmed_until = self.follower.confirmed_at + OWNERSHIP_TIMEOUT_S
             self.term.owned_until = max(self.term.owned_until, confirmed_until)
             self._check_former_owner(now)
@@ -300,6 +305,11 @@
                 self.term.flush_requested.set()
             self.term.plan_requested.set()
 
+    def _record_loop_delay(self, due_at: float, now: float) -> None:
+        loop_delay = self.dependencies.loop_delay
+        loop_delay.record(due_at, now)
+        self.pool_state.loop_delay_s = loop_delay.largest_since(now - DELAY_PERIOD_S)
+
     def _execute_effects(self, effects: list[Effect]) -> None:
         for effect in effects:
             match effect:
--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -179,6 +179,8 @@
                 "run_s": round(now - run.begun_at, 2) if run and run.begun_at else None,
             },
         )
+        if end.run in task.presumed_ends:
+            self._log_late_end(host, end, task, now)
         if end.checkpoint and end.run >= task.run:
             task.checkpoint = end.checkpoint
         if end.end_kind is EndKind.DONE:
@@ -192,6 +194,26 @@
             host, step, task, end, is_newest, now, wall
         )
 
+    def _log_late_end(self, host: Host, end: RunEnd, task: Task, now: float) -> None:
+        """Log an end of a run that was ended before its host listed this end."""
+        presumed = task.presumed_ends.pop(end.run)
+        self.observe_late_end(end.end_kind.value)
+        log.warning(
+            "pool_state: host lists the end of a run that was ended without one",
+            extra={
+                "request": end.task.job,
+                "task": format_task_position(end.task),
+                "run": end.run,
+                "host": host.name,
+                "how": end.end_kind.value,
+                "presumed": presumed.reason,
+                "presumed_s": round(now - presumed.at, 2),
+                "newest_run": task.run,
+                "task_state": task.state,
+                "loop_delay_s": round(self.loop_delay_s, 3),
+            },
+        )
+
     def _complete_task(
         self, step: StepRun, task: Task, now: float, wall: float
     ) -> list[Effect]:
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from siskinroad.work.effects import Effect, ReconcileHost, StopRun
 from siskinroad.work.host import Host, Run
-from siskinroad.work.job import Job, JobState, Task
+from siskinroad.work.job import Job, JobState, PresumedEnd, Task
 from siskinroad.work.job_table import JobTable
 from siskinroad.work.model import HostEntry, TaskId
 
@@ -41,6 +41,12 @@
         Hosts on which a former owner may have started work.
     former_leases_end_at : float
         Loop time by which every lease that a former owner granted has expired.
+    loop_delay_s : float
+        Largest recent delay of the owner's event loop in seconds, for the logs: a
+        late owner finds hosts silent that have replied in time.
+    observe_presumed_end, observe_late_end : callable
+        Receive the reason of each end that no host has listed, and the kind of each
+        end that a host lists after that.
     """
 
     def __init__(self, pool: str, term: int) -> None:
@@ -48,6 +54,9 @@
         self.hosts: dict[str, Host] = {}
         self.former_owner_hosts: set[str] = set()
         self.former_leases_end_at = 0.0
+        self.loop_delay_s = 0.0
+        self.observe_presumed_end: Callable[[str], None] = lambda reason: None
+        self.observe_late_end: Callable[[str], None] = lambda end_kind: None
 
     # Stopping runs
 
@@ -225,6 +234,8 @@
                         "host": host.name,
                         "runs": len(host.runs),
                         "silent_s": round(now - host.reported_at, 2),
+                        "expired_s": round(now - host.lease_expires_at, 2),
+                        "loop_delay_s": round(self.loop_delay_s, 3),
                     },
                 )
             for run in list(host.runs.values()):
@@ -263,6 +274,8 @@
             return []
         if task.allows("free"):
             task.move("free")
+        task.presumed_ends[run.key[1]] = PresumedEnd(reason, now)
+        self.observe_presumed_end(reason)
         log.info(
             "pool_state: run ended without a listed end",
             extra={
@@ -271,6 +284,9 @@
                 "run": run.key[1],
                 "host": host.name,
                 "why": reason,
+                "report_age_s": round(now - host.reported_at, 2),
+                "lease_left_s": round(host.lease_expires_at - now, 2),
+                "loop_delay_s": round(self.loop_delay_s, 3),
             },
         )
         return self._stop_gang(task, run)
--- a/siskinroad/work/term.py
+++ b/siskinroad/work/term.py
@@ -10,6 +10,7 @@
 from siskinroad.work.advisor_channels import AdvisorChannels
 from siskinroad.work.effects import Effect
 from siskinroad.work.hosts import HostClient
+from siskinroad.work.loop_delay import LoopDelay
 from siskinroad.work.model import Timing
 from siskinroad.work.pool_state import PoolState
 from siskinroad.work.store import Store
@@ -36,6 +37,8 @@
         Returns the Unix time in seconds.
     has_later_incarnation : callable
         Returns whether a later incarnation of a daemon than the one given is known.
+    loop_delay : LoopDelay
+        Recent delays of the daemon's event loop.
     """
 
     node: str
@@ -47,6 +50,7 @@
     metrics: WorkMetrics
     wall: Callable[[], float]
     has_later_incarnation: Callable[[str, int], bool]
+    loop_delay: LoopDelay
 
 
 class Term:
@@ -71,6 +75,13 @@
         self.number = number
         self.dependencies = dependencies
         self.pool_state = PoolState(pool, number)
+        metrics = dependencies.metrics
+        self.pool_state.observe_presumed_end = lambda reason: (
+            metrics.unlisted_ends.labels(reason).inc()
+        )
+        self.pool_state.observe_late_end = lambda end_kind: metrics.late_ends.labels(
+            end_kind
+        ).inc()
         self.owned_until = -1e9
         self.plan_requested = asyncio.Event()
         self.flush_requested = asyncio.Event()
--- a/siskinroad/work/workmetrics.py
+++ b/siskinroad/work/workmetrics.py
@@ -7,7 +7,7 @@
 
 __all__ = ["WorkMetrics"]
 
-# Upper bounds of the buckets of the reply time, in seconds.
+# Upper bounds of the buckets of reply times and loop delays, in seconds.
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
 
 
@@ -35,6 +35,30 @@
         self.dropped_lines = Gauge(
             "siskinroad_log_lines_dropped", "Log lines left out.", registry=reg
         )
+        self.renewals = Counter(
+            "siskinroad_lease_renewals",
+            "Lease renewals sent.",
+            ("outcome",),
+            registry=reg,
+        )
+        self.unlisted_ends = Counter(
+            "siskinroad_runs_ended_unlisted",
+            "Runs ended without an end listed by their host.",
+            ("reason",),
+            registry=reg,
+        )
+        self.late_ends = Counter(
+            "siskinroad_late_ends",
+            "Ends listed for runs that were ended without one.",
+            ("end_kind",),
+            registry=reg,
+        )
+        self.loop_delay = Histogram(
+            "siskinroad_loop_delay_seconds",
+            "Delay of the event loop.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=reg,
+        )
         self.latency = Histogram(
             "siskinroad_caller_seconds",
             "Time to answer.",
