Add failing tests of an owner whose event loop is late

In the first test the loop stands still for 5.5 s; in the second, each turn takes 0.3 s. Replies of the hosts arrive in time, but the timeout of the call runs before their reader, so the host counts as silent, its leases expire on the owner's clock and its tasks are placed on another host.

The in-memory host ends a run at its own end when that came before the lease expired, and takes the time that a call to it needs as a parameter: hosts are not equally far.

--- a/siskinroad/work/hosts_memory.py
+++ b/siskinroad/work/hosts_memory.py
@@ -64,6 +64,8 @@
         How each task ends.
     failing_jobs : set of str
         Jobs whose tasks always fail, regardless of ``end_kind``.
+    reply_delay_s : float
+        Seconds that a call takes to arrive, and its reply to come back.
     is_silent : bool
         Whether commands are lost: they have no effect and get no reply.
     unanswered_starts : int
@@ -88,6 +90,7 @@
     task_duration_s: float = 1.0
     end_kind: EndKind = EndKind.DONE
     failing_jobs: set[str] = field(default_factory=set)
+    reply_delay_s: float = 0.001
     is_silent: bool = False
     unanswered_starts: int = 0
     late_start_delay: float = -1.0
@@ -106,12 +109,14 @@
     def advance(self) -> None:
         """End the runs whose lease or duration has passed."""
         now = self.clock()
-        if self.lease_until and now >= self.lease_until:
-            for run in list(self.runs.values()):
-                self._end_run(run, EndKind.LEASE_EXPIRED)
+        is_expired = bool(self.lease_until) and now >= self.lease_until
+        until = self.lease_until if is_expired else now
         for run in list(self.runs.values()):
-            if now >= run.ends_at * 1000:
+            if until >= run.ends_at * 1000:
                 self._end_run(run, run.end_kind)
+        if is_expired:
+            for run in list(self.runs.values()):
+                self._end_run(run, EndKind.LEASE_EXPIRED)
 
     def _end_run(self, run: _Run, end_kind: EndKind) -> None:
         del self.runs[run.task]
@@ -189,7 +194,8 @@
 
     async def _find_host(self, name: str) -> MemoryHost | None:
         self.calls += 1
-        await asyncio.sleep(0.001)
+        host = self.hosts.get(name)
+        await asyncio.sleep(host.reply_delay_s if host is not None else 0.001)
         host = self.hosts.get(name)
         if host is not None and host.is_silent:
             await asyncio.sleep(NO_REPLY_TIME)
--- /dev/null
+++ b/tests/work/test_late_owner.py
@@ -0,0 +1,59 @@
+"""An owner whose event loop is late, while its hosts reply in time."""
+
+import asyncio
+
+from tests.work.cell import job, step
+from tests.work.test_daemon import JOB_ID, run_scenario
+
+# Reply time in seconds of a host in another region than its owner, where the tasks run
+# first; the other hosts are near.
+FAR_REPLY_DELAY_S = 0.03
+
+
+def block_loop(seconds):
+    """Let the time pass during which a callback keeps the loop from running others."""
+    asyncio.get_running_loop()._clock_selector.now += seconds
+
+
+def make_every_turn_late(turns, seconds):
+    """Make each of the next turns of the loop take some time."""
+    if turns:
+        block_loop(seconds)
+        loop = asyncio.get_running_loop()
+        loop.call_soon(make_every_turn_late, turns - 1, seconds)
+
+
+def test_a_task_that_ended_while_its_owner_was_late_is_not_started_again():
+    # The owner's loop stands still for longer than the host's lease; the host has
+    # ended the task before that, and lists the end when it is called again.
+    async def scenario(cell):
+        for host in cell.hosts.hosts.values():
+            host.task_duration_s = 0.47
+        cell.hosts.hosts["i-0"].reply_delay_s = FAR_REPLY_DELAY_S
+        await cell.start_daemons("a")
+        await cell.submit("a", JOB_ID, job(step(4, cpu_milli=16000)))
+        await cell.wait_for_starts(4)
+        block_loop(5.5)
+        await cell.wait_for_state(JOB_ID, "complete")
+        await asyncio.sleep(3.0)
+        assert [start.run for start in cell.hosts.starts()] == [1, 1, 1, 1]
+
+    run_scenario(scenario)
+
+
+def test_an_owner_late_in_every_turn_keeps_its_leases_by_the_replies_that_arrive():
+    # Each turn of the loop takes longer than a host's reply time. A reply needs a few
+    # turns from its arrival to its reader, so a timeout by the clock would drop it, and
+    # the host would get no further lease.
+    async def scenario(cell):
+        for host in cell.hosts.hosts.values():
+            host.task_duration_s = 8.0
+        cell.hosts.hosts["i-0"].reply_delay_s = FAR_REPLY_DELAY_S
+        await cell.start_daemons("a")
+        await cell.submit("a", JOB_ID, job(step(4, cpu_milli=16000)))
+        await cell.wait_for_starts(4)
+        make_every_turn_late(30, 0.3)
+        await cell.wait_for_state(JOB_ID, "complete")
+        assert [start.run for start in cell.hosts.starts()] == [1, 1, 1, 1]
+
+    run_scenario(scenario)
