Keep the replies that have arrived when a call's time limit ends

Cause: the owner decided by its own lateness that a host was silent. asyncio runs the callback of an expired timeout in the same turn in which it reads the sockets, and a cancelled task drops the result that its future already has. With turns of the loop as long as a reply timeout (0.15 to 0.5 s), no reply is ever read in time: the host gets no lease, its ends are dropped each time they are listed, and after 4.4 s its runs are ended as lapsed and placed again. The host had listed the ends; only the owner did not read them. Class of fault: a conclusion from silence that the observer caused itself.

FairTimeout lets the loop poll its sockets eight more times between the end of the limit and the timeout, which covers a connection, a request and a reply. On a loop that is on time that takes no time, so silent hosts are found as fast as before.

--- /dev/null
+++ b/siskinroad/fair_timeout.py
@@ -0,0 +1,58 @@
+"""Timeout that a late event loop does not cut short.
+
+A loop that is late runs the callback of an expired timeout in the same turn in which it
+reads the reply, and so drops a reply that has arrived in time. A fair timeout lets the
+loop poll its sockets some more times before it expires. On a loop that is on time, this
+adds less than a millisecond.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from types import TracebackType
+
+__all__ = ["FairTimeout"]
+
+# Turns of the loop between the end of the time limit and the timeout. Fewer than eight
+# do not cover opening a connection, writing the request and reading the reply.
+GRACE_TURNS = 8
+
+
+class FairTimeout:
+    """Asynchronous context manager that raises ``TimeoutError`` after a time limit.
+
+    Parameters
+    ----------
+    limit_s : float
+        Time limit in seconds.
+    """
+
+    __slots__ = ("_handle", "_limit_s", "_timeout")
+
+    def __init__(self, limit_s: float) -> None:
+        self._limit_s = limit_s
+        self._timeout = asyncio.timeout(None)
+        self._handle: asyncio.Handle | None = None
+
+    async def __aenter__(self) -> FairTimeout:
+        await self._timeout.__aenter__()
+        loop = asyncio.get_running_loop()
+        self._handle = loop.call_later(self._limit_s, self._count_down, GRACE_TURNS)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        assert self._handle is not None
+        self._handle.cancel()
+        await self._timeout.__aexit__(exc_type, exc, traceback)
+
+    def _count_down(self, turns: int) -> None:
+        loop = asyncio.get_running_loop()
+        if turns:
+            self._handle = loop.call_soon(self._count_down, turns - 1)
+        else:
+            self._timeout.reschedule(loop.time())
--- a/siskinroad/work/host_commands.py
+++ b/siskinroad/work/host_commands.py
@@ -6,6 +6,7 @@
 import logging
 
 from siskinroad.errors import NotSentError, OutcomeUnknownError, SiskinroadError
+from siskinroad.fair_timeout import FairTimeout
 from siskinroad.work.effects import (
     Effect,
     RequestAdvice,
@@ -103,7 +104,7 @@
         sent_at = loop.time()
         outcome = "started"
         try:
-            async with asyncio.timeout(host.reply_timeout_s()):
+            async with FairTimeout(host.reply_timeout_s()):
                 reply = await self.term.dependencies.host_client.start(command)
         except NotSentError as exc:
             outcome = f"not sent: {exc}"
@@ -185,7 +186,7 @@
     async def _send_stop(self, command: HostCommand) -> tuple[str, bool]:
         """Send one stop; return its outcome and whether it is final."""
         try:
-            async with asyncio.timeout(COMMAND_TIMEOUT):
+            async with FairTimeout(COMMAND_TIMEOUT):
                 reply = await self.term.dependencies.host_client.stop(command)
         except (NotSentError, OutcomeUnknownError, TimeoutError) as exc:
             return f"unknown: {exc}", False
@@ -207,7 +208,7 @@
             return
         outcome = "sent"
         try:
-            async with self._get_semaphore(host.name), asyncio.timeout(COMMAND_TIMEOUT):
+            async with self._get_semaphore(host.name), FairTimeout(COMMAND_TIMEOUT):
                 command = self._make_command(host, effect.run)
                 await self.term.dependencies.host_client.throttle(
                     command, effect.percent
--- a/siskinroad/work/lease_renewer.py
+++ b/siskinroad/work/lease_renewer.py
@@ -6,6 +6,7 @@
 import logging
 
 from siskinroad.errors import NotSentError, OutcomeUnknownError
+from siskinroad.fair_timeout import FairTimeout
 from siskinroad.work.host import Host
 from siskinroad.work.host_commands import report_higher_token
 from siskinroad.work.hosts import Rejection
@@ -78,7 +79,7 @@
             host.extend_lease_expiry(sent_at)
         token = host.token
         try:
-            async with asyncio.timeout(wait + host.reply_timeout_s()):
+            async with FairTimeout(wait + host.reply_timeout_s()):
                 report = await self.term.dependencies.host_client.renew_lease(
                     host.name,
                     host.entry.address,
