Call a host once more before its runs are ended with its lease

Cause: an expired lease was taken for proof that the run had not ended. A host keeps its ends until they are acknowledged, so one whose replies were lost, or that a late owner has not called, may have done the work.

--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -111,6 +111,8 @@
         The host's clock in milliseconds, and the loop time at which it was read.
     lease_expires_at : float
         Loop time by which every lease granted so far has certainly expired.
+    unanswered_renewal_at : float
+        Loop time at which the newest renewal that got no reply was sent.
     last_end_seen, last_end_stored : int
         Number of the newest run end applied to the pool state, and of the newest one
         stored.
@@ -142,6 +144,7 @@
     lease_expires_at: float = 0.0
     replied_at: float = -1e9
     reported_at: float = 0.0
+    unanswered_renewal_at: float = -1e9
     last_end_seen: int = 0
     last_end_stored: int = 0
     unlisted_at: float = 0.0
@@ -206,6 +209,17 @@
         until = now + LEASE_S * LEASE_EXPIRY_FACTOR + LEASE_EXPIRY_SLACK_S
         self.lease_expires_at = max(self.lease_expires_at, until)
 
+    def is_lease_over(self, now: float) -> bool:
+        """Return whether no lease is left and the host did not reply when asked since.
+
+        A host that replies lists its runs and ends, so what ran there is not lost even
+        if its lease is over. A late owner may not have called it for a while.
+        """
+        asked_since = self.lease_expires_at - LEASE_EXPIRY_SLACK_S
+        return (
+            now >= self.lease_expires_at and self.unanswered_renewal_at >= asked_since
+        )
+
     def is_schedulable(self, now: float) -> bool:
         """Return whether new work may be placed on the host."""
         if not self.is_settled or not self.is_stored:
--- a/siskinroad/work/lease_renewer.py
+++ b/siskinroad/work/lease_renewer.py
@@ -123,6 +123,7 @@
                 },
             )
         host.record_failed_request()
+        host.unanswered_renewal_at = max(host.unanswered_renewal_at, sent_at)
 
     def _handle_rejection(self, host: Host, rejection: Rejection, token: int) -> bool:
         if rejection is Rejection.FENCED and token >= host.token:
--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -10,7 +10,7 @@
    speculative copies; then an older run may continue beside the newest one.
 2. A run is over when its host lists its end, when the host rejected its start, when
    a report requested after the reply to its start does not list it, or when every
-   lease that the host may hold has expired.
+   lease that the host may hold has expired and it does not reply to a further call.
 3. A start without a reply may still be carried out later. Its run is ``doubtful``
    until the host has replied to a request under a higher token: from then on the
    host rejects the start, so a report that does not list the run is conclusive.
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -224,7 +224,7 @@
         """End the runs of hosts whose leases have expired; remove unlisted hosts."""
         effects: list[Effect] = []
         for host in list(self.hosts.values()):
-            if now < host.lease_expires_at or now < self._former_lease_end(host):
+            if not host.is_lease_over(now) or now < self._former_lease_end(host):
                 continue
             if host.runs:
                 log.warning(
--- a/tests/work/test_late_owner.py
+++ b/tests/work/test_late_owner.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from tests.work.cell import job, step
+from siskinroad.work.host import LEASE_S
+from tests.work.cell import POOL, job, step
 from tests.work.test_daemon import JOB_ID, run_scenario
 
 # Reply time in seconds of a host in another region than its owner, where the tasks run
@@ -57,3 +58,41 @@
         assert [start.run for start in cell.hosts.starts()] == [1, 1, 1, 1]
 
     run_scenario(scenario)
+
+
+def test_expired_lease_of_a_host_that_was_not_called_since_ends_no_run():
+    # A host's replies are lost for a moment, and the owner's loop stands still before
+    # it calls the host again: the lease is over, but nobody has asked what ran.
+    async def scenario(cell):
+        for host in cell.hosts.hosts.values():
+            host.task_duration_s = 1.5
+        far_host = cell.hosts.hosts["i-0"]
+        far_host.reply_delay_s = FAR_REPLY_DELAY_S
+        await cell.start_daemons("a")
+        await cell.submit("a", JOB_ID, job(step(4, cpu_milli=16000)))
+        await cell.wait_for_starts(4)
+        far_host.is_silent = True
+        pool_state = cell.daemons["a"].owners[POOL].pool_state
+        while not pool_state.hosts["i-0"].is_failing:
+            await asyncio.sleep(0.02)
+        far_host.is_silent = False
+        block_loop(5.5)
+        await cell.wait_for_state(JOB_ID, "complete")
+        await asyncio.sleep(3.0)
+        assert [start.run for start in cell.hosts.starts()] == [1, 1, 1, 1]
+
+    run_scenario(scenario)
+
+
+def test_runs_of_a_host_that_is_lost_are_placed_again_soon_after_its_lease():
+    async def scenario(cell):
+        for host in cell.hosts.hosts.values():
+            host.task_duration_s = 30.0
+        await cell.start_daemons("a")
+        await cell.submit("a", JOB_ID, job())
+        (start,) = await cell.wait_for_starts(1)
+        cell.hosts.hosts[start.host].is_silent = True
+        starts = await cell.wait_for_starts(2)
+        assert starts[1].at - starts[0].at < LEASE_S + 1.5
+
+    run_scenario(scenario)
