Take only the ends from a report that a newer one has overtaken

Looked for as the same cause elsewhere: state taken from a reply that is older than one already applied. A renewal and a reconciliation call a host at the same time, on two connections, and their replies may overtake each other. The older report listed a run that had ended since; the owner took it for a run to continue, and its task waited for a run that was over. A report of a former incarnation ended the runs of the present one, so their tasks were placed again beside them.

The host's own clock orders its reports. Of an older one only the ends count, which are numbered; one of a former incarnation is ignored.

Two of the three new tests failed before ('placed' for 'waiting', 'waiting' for 'placed').

--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -92,6 +92,10 @@
     ) -> list[Effect]:
         """Apply a host's report of its runs and ends.
 
+        Reports on different connections may overtake each other. Of one that is older
+        than the newest applied, only the ends count; one of a former incarnation of the
+        host is ignored.
+
         Parameters
         ----------
         token : int
@@ -100,6 +104,11 @@
             Loop time at which the request was sent.
         """
         effects: list[Effect] = []
+        if report.incarnation_ms < host.incarnation_ms:
+            return effects
+        if report.incarnation_ms == host.incarnation_ms and report.clock < host.clock:
+            # A newer report has overtaken this one, so what runs is known better.
+            return self._process_ends(host, report.ended, now, wall)
         if host.incarnation_ms and report.incarnation_ms != host.incarnation_ms:
             effects += self._handle_restart(host, now)
         host.incarnation_ms = report.incarnation_ms
--- a/tests/work/test_advice_requester.py
+++ b/tests/work/test_advice_requester.py
@@ -34,7 +34,7 @@
     """Report all runs of every host at the same progress in percent."""
     for host in pool_state.hosts.values():
         running = tuple(RunStatus(t, n, "", percent, 0) for t, n in host.runs)
-        report = HostReport(int(now * 1000), 1, running, ())
+        report = HostReport(1000 + int(now * 1000), 1, running, ())
         pool_state.apply_report(host, report, host.token, now, now, now)
 
 
--- a/tests/work/test_pool_state.py
+++ b/tests/work/test_pool_state.py
@@ -284,3 +284,39 @@
     pool_state.expire_silent_hosts(1e9)
     assert not pool_state.may_send_start(host, start.run)
     assert pool_state.drop_start(host, start.run, 1e9) == []
+
+
+def test_a_report_that_was_overtaken_does_not_bring_back_a_run_that_has_ended():
+    pool_state = make_pool_state(job())
+    (start,) = plan_starts(pool_state)
+    host = pool_state.hosts["i-0"]
+    pool_state.apply_start_reply(host, start.run, None, 0.1)
+    stopped = RunEnd(1, TASK, 1, EndKind.STOPPED, "")
+    send_report(pool_state, "i-0", 1.0, ended=[stopped], clock=2000)
+    running = [RunStatus(TASK, 1, "", 50, 0)]
+    send_report(pool_state, "i-0", 1.1, running=running, clock=1900)
+    assert pool_state.task(TASK).state == "waiting"
+    assert not host.runs
+    assert host.clock == 2000
+
+
+def test_a_report_that_was_overtaken_still_ends_what_it_lists_as_ended():
+    pool_state = make_pool_state(job())
+    (start,) = plan_starts(pool_state)
+    host = pool_state.hosts["i-0"]
+    pool_state.apply_start_reply(host, start.run, None, 0.1)
+    send_report(pool_state, "i-0", 0.9, running=[RunStatus(TASK, 1, "", 9, 0)])
+    done = RunEnd(1, TASK, 1, EndKind.DONE, "")
+    send_report(pool_state, "i-0", 1.0, ended=[done], clock=900)
+    assert pool_state.task(TASK).state == "done"
+
+
+def test_a_late_report_of_a_former_incarnation_ends_no_run_of_the_present_one():
+    pool_state = make_pool_state(job())
+    send_report(pool_state, "i-0", 0.05, incarnation_ms=7)
+    (start,) = plan_starts(pool_state)
+    host = pool_state.hosts["i-0"]
+    pool_state.apply_start_reply(host, start.run, None, 0.2)
+    send_report(pool_state, "i-0", 0.3, incarnation_ms=1, clock=90_000)
+    assert pool_state.task(TASK).state == "placed"
+    assert host.incarnation_ms == 7
--- a/tests/work/test_run_monitor.py
+++ b/tests/work/test_run_monitor.py
@@ -16,7 +16,7 @@
 def report_host(pool_state, host, now, running=(), ended=()):
     """Apply a report of a host and return the effects."""
     state = pool_state.hosts[host]
-    report = HostReport(int(now * 1000), 1, tuple(running), tuple(ended))
+    report = HostReport(1000 + int(now * 1000), 1, tuple(running), tuple(ended))
     return pool_state.apply_report(state, report, state.token, now - 0.001, now, now)
 
 
