Ignore a reply whose host was removed while the call was in progress

A host that has left the list is removed once its lease is over; the reply to a call in progress was then applied to the removed host. A run that it listed was adopted there, and its task stayed placed on a host that nobody calls: a lasting task that does not run (LOST).

test_a_reply_that_comes_after_its_host_was_removed_adopts_no_run failed before.

--- a/siskinroad/work/lease_renewer.py
+++ b/siskinroad/work/lease_renewer.py
@@ -92,6 +92,9 @@
             self._note_call_failed(host, exc, sent_at)
             return False
         self.term.dependencies.metrics.renewals.labels("answered").inc()
+        if self.term.pool_state.hosts.get(host.name) is not host:
+            # The host was removed meanwhile; a run adopted on it would stay forever.
+            return False
         if isinstance(report, Rejection):
             return self._handle_rejection(host, report, token)
         now, wall = loop.time(), self.term.dependencies.wall()
--- a/tests/work/test_late_owner.py
+++ b/tests/work/test_late_owner.py
@@ -96,3 +96,27 @@
         assert starts[1].at - starts[0].at < LEASE_S + 1.5
 
     run_scenario(scenario)
+
+
+def test_a_reply_that_comes_after_its_host_was_removed_adopts_no_run():
+    # A host has left the list and its lease is over, but a call to it is still in
+    # progress. A task that is adopted on the removed host would never run again.
+    async def scenario(cell):
+        for host in cell.hosts.hosts.values():
+            host.task_duration_s = 3.0
+        await cell.start_daemons("a")
+        await cell.submit("a", JOB_ID, job())
+        (start,) = await cell.wait_for_starts(1)
+        owner = cell.daemons["a"].owners[POOL]
+        host = owner.pool_state.hosts[start.host]
+        cell.hosts.hosts[start.host].reply_delay_s = 0.1
+        call = asyncio.create_task(owner.lease_renewer._renew_once(host, 0.0))
+        await asyncio.sleep(0.05)
+        cell.unlist(start.host)
+        owner.pool_state.note_host_unlisted(start.host, 1.0)
+        host.lease_expires_at = host.unanswered_renewal_at = 0.0
+        owner.pool_state.expire_silent_hosts(asyncio.get_running_loop().time())
+        assert not await call
+        await cell.wait_for_state(JOB_ID, "complete")
+
+    run_scenario(scenario)
