Stop the newer run of a task whose earlier run turns out to be done

Cause: when a host lists a done end late, the task was marked as done, but a run of it that was placed meanwhile was still sent, or ran on. Only steps with speculative copies stopped the others.

A start that is not sent yet is dropped, a run that has begun is stopped. Both new tests failed before.

--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -193,8 +193,9 @@
         if end.checkpoint and end.run >= task.run:
             task.checkpoint = end.checkpoint
         if end.end_kind is EndKind.DONE:
+            effects = self._stop_newer_run(task, end.run)
             task.run = max(task.run, end.run)
-            return self._complete_task(step, task, now, wall)
+            return effects + self._complete_task(step, task, now, wall)
         is_newest = end.run >= task.run
         task.run = max(task.run, end.run)
         if task.state == "unsettled":
@@ -203,6 +204,14 @@
             host, step, task, end, is_newest, now, wall
         )
 
+    def _stop_newer_run(self, task: Task, ended_run: int) -> list[Effect]:
+        """Stop the newest run of a task of which an earlier run has succeeded."""
+        host = self.hosts.get(task.host)
+        run = host.runs.get((task.id, task.run)) if host is not None else None
+        if host is None or run is None or task.run <= ended_run:
+            return []
+        return self.stop(host, run, "an earlier run has finished")
+
     def _log_late_end(self, host: Host, end: RunEnd, task: Task, now: float) -> None:
         """Log an end of a run that was ended before its host listed this end."""
         presumed = task.presumed_ends.pop(end.run)
--- a/tests/work/test_pool_state.py
+++ b/tests/work/test_pool_state.py
@@ -320,3 +320,36 @@
     send_report(pool_state, "i-0", 0.3, incarnation_ms=1, clock=90_000)
     assert pool_state.task(TASK).state == "placed"
     assert host.incarnation_ms == 7
+
+
+def restart_elsewhere(pool_state):
+    """Let the first run's host be silent until the task is placed on the other one."""
+    (first,) = plan_starts(pool_state)
+    lost = pool_state.hosts[first.host]
+    pool_state.apply_start_reply(lost, first.run, None, 0.1)
+    lost.lease_expires_at = lost.unanswered_renewal_at = 4.0
+    lost.record_failed_request()
+    pool_state.expire_silent_hosts(4.1)
+    (other,) = (host for host in pool_state.hosts if host != first.host)
+    send_report(pool_state, other, 4.1, clock=5000)
+    (second,) = plan_starts(pool_state, 4.2)
+    return lost, second
+
+
+def test_a_start_not_sent_yet_is_dropped_when_an_earlier_run_turns_out_done():
+    pool_state = make_pool_state(job(), ("i-0", "i-1"))
+    lost, second = restart_elsewhere(pool_state)
+    done = RunEnd(1, TASK, 1, EndKind.DONE, "")
+    send_report(pool_state, lost.name, 4.3, ended=[done], clock=5200)
+    assert not pool_state.may_send_start(pool_state.hosts[second.host], second.run)
+    assert pool_state.task(TASK).state == "done"
+
+
+def test_a_run_is_stopped_when_an_earlier_run_turns_out_done():
+    pool_state = make_pool_state(job(), ("i-0", "i-1"))
+    lost, second = restart_elsewhere(pool_state)
+    host = pool_state.hosts[second.host]
+    pool_state.apply_start_reply(host, second.run, None, 4.25)
+    done = RunEnd(1, TASK, 1, EndKind.DONE, "")
+    effects = send_report(pool_state, lost.name, 4.3, ended=[done], clock=5200)
+    assert [e.run for e in effects if isinstance(e, StopRun)] == [second.run]
