Open the occurrences that a host lists before its ends are applied

Looked for as the same cause elsewhere: an end that is acknowledged without having been applied. A new owner opened the occurrences that had become due at its first check, 0.2 s after its start. A host that reported before that listed ends of tasks which the owner did not know yet: they were dropped, acknowledged, and the tasks run again.

A listed occurrence has been due, so it is opened first. test_ends_of_an_occurrence_that_the_next_owner_has_not_opened_are_applied failed before (the task did not exist).

--- a/siskinroad/work/job_table.py
+++ b/siskinroad/work/job_table.py
@@ -99,13 +99,20 @@
         """Open occurrences that are due within ``max_lead`` seconds."""
         for job_id in list(self.scheduled_jobs):
             job = self.jobs[job_id]
-            while job.opened_occurrences < job.spec.occurrences and not job.is_closed:
-                if job.spec.due(job.opened_occurrences) > wall + max_lead:
-                    break
-                job.open_occurrence(is_settled=self.is_settled)
-                self._collect_ready_steps(job, now)
-            if job.is_closed or job.opened_occurrences >= job.spec.occurrences:
-                self.scheduled_jobs.discard(job_id)
+            due = job.opened_occurrences
+            while due < job.spec.occurrences and job.spec.due(due) <= wall + max_lead:
+                due += 1
+            self.open_occurrences(job, due - 1, now)
+
+    def open_occurrences(self, job: Job, last: int, now: float) -> None:
+        """Open a job's occurrences up to the one numbered ``last``."""
+        while job.opened_occurrences <= min(last, job.spec.occurrences - 1):
+            if job.is_closed:
+                break
+            job.open_occurrence(is_settled=self.is_settled)
+            self._collect_ready_steps(job, now)
+        if job.is_closed or job.opened_occurrences >= job.spec.occurrences:
+            self.scheduled_jobs.discard(job.id)
 
     def count_pending(self, queue: str) -> int:
         """Return the number of open jobs of a queue that have not started."""
--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -106,6 +106,7 @@
         effects: list[Effect] = []
         if report.incarnation_ms < host.incarnation_ms:
             return effects
+        self._open_listed_occurrences(report, now)
         if report.incarnation_ms == host.incarnation_ms and report.clock < host.clock:
             # A newer report has overtaken this one, so what runs is known better.
             return self._process_ends(host, report.ended, now, wall)
@@ -132,6 +133,16 @@
         effects += self._end_absent_runs(host, report, token, sent_at, now)
         return effects
 
+    def _open_listed_occurrences(self, report: HostReport, now: float) -> None:
+        """Open the occurrences of which a host lists runs or ends.
+
+        A former owner has opened them as they were due. Until this owner has, it would
+        not know the tasks, and would acknowledge their ends without applying them.
+        """
+        for task in (listed.task for listed in (*report.ended, *report.running)):
+            if task.job in self.scheduled_jobs:
+                self.open_occurrences(self.jobs[task.job], task.occurrence, now)
+
     def _handle_restart(self, host: Host, now: float) -> list[Effect]:
         log.warning(
             "pool_state: host restarted; runs of its former incarnation are ended",
--- a/tests/work/test_pool_state.py
+++ b/tests/work/test_pool_state.py
@@ -353,3 +353,19 @@
     done = RunEnd(1, TASK, 1, EndKind.DONE, "")
     effects = send_report(pool_state, lost.name, 4.3, ended=[done], clock=5200)
     assert [e.run for e in effects if isinstance(e, StopRun)] == [second.run]
+
+
+def test_ends_of_an_occurrence_that_the_next_owner_has_not_opened_are_applied():
+    # The former owner started the occurrence just before it died, and the host reports
+    # to the next owner before its first check of what is due.
+    pool_state = make_pool_state(
+        job(occurrences=3, first=10.0, interval=5.0), is_settled=False
+    )
+    second = TaskId("j", 1, 0, 0)
+    done = RunEnd(1, second, 1, EndKind.DONE, "")
+    send_report(pool_state, "i-0", 16.0, ended=[done])
+    assert pool_state.task(second).state == "done"
+    pool_state.open_due(16.1, 16.1, 0.0)
+    assert pool_state.task(second).state == "done"
+    assert pool_state.task(TASK).state == "unsettled"
+    assert pool_state.task(TaskId("j", 2, 0, 0)) is None
