Acknowledge no ends to a host that has just failed

Looked for as the same cause elsewhere: numbers of a former incarnation of a host. A host that comes back under its id numbers its ends anew; the first renewal after that named the number up to which the former one's ends were stored, so the host forgot ends that nobody had seen, and their tasks ran again.

A host whose last call failed is told to forget nothing until it has replied. test_a_host_that_is_back_as_another_incarnation_keeps_the_ends_not_seen_yet failed before (the end was never listed).

--- a/siskinroad/work/lease_renewer.py
+++ b/siskinroad/work/lease_renewer.py
@@ -78,13 +78,16 @@
         if lease_until_ms is not None:
             host.extend_lease_expiry(sent_at)
         token = host.token
+        # A host that has failed may be back as another incarnation, which numbers its
+        # ends anew and would forget them up to the number of the former one.
+        acknowledged = 0 if host.is_failing else host.last_end_stored
         try:
             async with FairTimeout(wait + host.reply_timeout_s()):
                 report = await self.term.dependencies.host_client.renew_lease(
                     host.name,
                     host.entry.address,
                     token,
-                    host.last_end_stored,
+                    acknowledged,
                     lease_until_ms,
                     wait,
                 )
--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -139,7 +139,9 @@
         A former owner has opened them as they were due. Until this owner has, it would
         not know the tasks, and would acknowledge their ends without applying them.
         """
-        for task in (listed.task for listed in (*report.ended, *report.running)):
+        listed = [end.task for end in report.ended]
+        listed += [status.task for status in report.running]
+        for task in listed:
             if task.job in self.scheduled_jobs:
                 self.open_occurrences(self.jobs[task.job], task.occurrence, now)
 
--- a/tests/work/test_late_owner.py
+++ b/tests/work/test_late_owner.py
@@ -3,6 +3,9 @@
 import asyncio
 
 from siskinroad.work.host import LEASE_S
+from siskinroad.work.hosts import EndKind
+from siskinroad.work.hosts_memory import _Run
+from siskinroad.work.model import TaskId
 from tests.work.cell import POOL, job, step
 from tests.work.test_daemon import JOB_ID, run_scenario
 
@@ -120,3 +123,37 @@
         await cell.wait_for_state(JOB_ID, "complete")
 
     run_scenario(scenario)
+
+
+def test_a_host_that_is_back_as_another_incarnation_keeps_the_ends_not_seen_yet():
+    # The former incarnation's ends were acknowledged up to a number that the present
+    # one reaches anew; acknowledging that number would drop ends that nobody has seen.
+    async def scenario(cell):
+        for host in cell.hosts.hosts.values():
+            host.task_duration_s = 0.3
+        await cell.start_daemons("a")
+        await cell.submit("a", JOB_ID, job(step(4, cpu_milli=16000)))
+        await cell.wait_for_state(JOB_ID, "complete")
+        await asyncio.sleep(1.5)
+        host = cell.hosts.hosts["i-0"]
+        pool_state = cell.daemons["a"].owners[POOL].pool_state
+        assert pool_state.hosts["i-0"].last_end_stored == 2
+        host.is_silent = True
+        while not pool_state.hosts["i-0"].is_failing:
+            await asyncio.sleep(0.02)
+        host.incarnation_ms, host.last_end_number, host.token = 2, 0, 0
+        other = TaskId("00000000000000bb", 0, 0, 0)
+        host.runs[other] = _Run(other, 1, 0.0, 0.1, EndKind.DONE)
+        host.is_silent = False
+        listed = []
+        apply_report = pool_state.apply_report
+
+        def note_report(state, report, *args):
+            listed.extend(report.ended)
+            return apply_report(state, report, *args)
+
+        pool_state.apply_report = note_report
+        await asyncio.sleep(1.0)
+        assert other in [end.task for end in listed]
+
+    run_scenario(scenario)
