Send no waiting start to a host that has failed meanwhile

Cause: starts that wait for their turn were sent after earlier ones had got no reply, so one silent host made each of them uncertain, its token was raised for each, and their tasks were held back until the host was reconciled or its lease was over. They also carried a lease computed from the clock of an incarnation that may be gone.

--- a/siskinroad/work/host_commands.py
+++ b/siskinroad/work/host_commands.py
@@ -71,7 +71,8 @@
                     self.term.pool_state.drop_start(host, effect.run, now)
                 )
                 return
-            lease_until_ms = host.lease_until(now)
+            # A host that has failed may be another incarnation with its own clock.
+            lease_until_ms = None if host.is_failing else host.lease_until(now)
             if lease_until_ms is None or not self.term.is_owner_confirmed():
                 self.term.execute_effects(
                     self.term.pool_state.note_start_not_sent(host, effect.run, now)
--- a/tests/work/test_late_owner.py
+++ b/tests/work/test_late_owner.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from siskinroad.work.host import LEASE_S
+from siskinroad.work.host_commands import MAX_COMMANDS_PER_HOST
 from siskinroad.work.hosts import EndKind
 from siskinroad.work.hosts_memory import _Run
 from siskinroad.work.model import TaskId
@@ -157,3 +158,18 @@
         assert other in [end.task for end in listed]
 
     run_scenario(scenario)
+
+
+def test_a_start_that_waits_is_not_sent_to_a_host_that_has_failed_meanwhile():
+    async def scenario(cell):
+        await cell.start_daemons("a")
+        for host in cell.hosts.hosts.values():
+            host.is_silent = True
+        await cell.submit("a", JOB_ID, job(step(24, cpu_milli=4000)))
+        calls_before = cell.hosts.calls
+        await asyncio.sleep(1.0)
+        starts = cell.daemons["a"].metrics.starts
+        assert starts.labels("unknown")._value.get() <= 3 * MAX_COMMANDS_PER_HOST
+        assert cell.hosts.calls > calls_before
+
+    run_scenario(scenario)
