Count pools that are being claimed when a claimant is chosen

Cause: a daemon counted the pools that it was itself claiming, but of the others only those that they owned already. While one daemon claims a pool, which takes seconds with a slow store, it defers to the others for the next pool, and they defer to it if the hash of that pool prefers it: nobody claims.

Change: the choice compares the heartbeats, this daemon's own one included, and counts owned and claimed pools alike. The job writer is chosen from the same heartbeats.

--- a/siskinroad/work/claim_manager.py
+++ b/siskinroad/work/claim_manager.py
@@ -21,6 +21,7 @@
 from siskinroad.peers import PeerTransport, Reachability
 from siskinroad.work.claim import claim_pool
 from siskinroad.work.members import Members
+from siskinroad.work.messages import Heartbeat
 from siskinroad.work.model import Configuration, HostEntry
 from siskinroad.work.owner import OwnershipLostError, PoolOwner
 from siskinroad.work.records import Member, OwnerRecord
@@ -62,6 +63,8 @@
 
     Parameters
     ----------
+    make_heartbeat : callable
+        Returns the heartbeat that this daemon would send now.
     send_heartbeat : callable
         Sends a heartbeat with the owned pools to all other daemons at once.
 
@@ -85,6 +88,7 @@
         store: RelayStore,
         dependencies: OwnerDependencies,
         hosts: dict[str, HostEntry],
+        make_heartbeat: Callable[[], Heartbeat],
         send_heartbeat: Callable[[], None],
     ) -> None:
         self.configuration: Configuration | None = None
@@ -97,6 +101,7 @@
         self._store = store
         self._dependencies = dependencies
         self._hosts = hosts
+        self._make_heartbeat = make_heartbeat
         self._send_heartbeat = send_heartbeat
         self._pool_tasks: dict[str, asyncio.Task[None]] = {}
         self._vacant_since: dict[str, float] = {}
@@ -155,8 +160,7 @@
             return False
         if now - self._store_recovered_at < RECOVERY_CLAIM_DELAY:
             return False
-        store_age = now - self._store.direct_answer_at
-        return self._members.should_claim(pool, now, len(self._pool_tasks), store_age)
+        return self._members.should_claim(pool, now, self._make_heartbeat())
 
     def note_store_recovered(self) -> None:
         """Note that the store replies to this daemon again after an outage."""
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -137,6 +137,7 @@
             self.store,
             self.dependencies,
             self.hosts,
+            self._make_heartbeat,
             self._send_heartbeats,
         )
         self.owners = self.claim_manager.owners
@@ -405,13 +406,7 @@
         if pool in self.claim_manager.pools:
             return self.member.node
         now = asyncio.get_running_loop().time()
-        # A draining daemon never selects itself: the others no longer select it either.
-        age = (
-            float("inf")
-            if self.claim_manager.is_leaving
-            else now - self.store.direct_answer_at
-        )
-        return self.members.job_writer(pool, now, age)
+        return self.members.job_writer(pool, now, self._make_heartbeat())
 
     def _list_capacities(self, pool: str) -> list[Resources]:
         return [e.capacity for e in self.hosts.values() if e.pool == pool]
--- a/siskinroad/work/members.py
+++ b/siskinroad/work/members.py
@@ -150,17 +150,24 @@
                 return node
         return None
 
-    def job_writer(self, pool: str, now: float, store_age: float) -> str:
+    def job_writer(self, pool: str, now: float, own: Heartbeat) -> str:
         """Return the daemon that writes a pool's jobs to the store while it is unowned.
 
         This is the daemon that is claiming the pool. If there is none, it is the
-        first by rank of all daemons that reach the store, this one included.
+        first by rank of all daemons that reach the store, this one included unless
+        it is leaving.
+
+        Parameters
+        ----------
+        own : Heartbeat
+            The heartbeat that this daemon would send now.
         """
         claimant = self.claimant(pool, now)
         if claimant is not None:
             return claimant
         nodes = self.members_reaching_store(now)
-        if store_age <= MAX_STORE_AGE or not nodes:
+        is_eligible = own.store_age <= MAX_STORE_AGE and not own.is_leaving
+        if is_eligible or not nodes:
             nodes.append(self.node)
         return min(nodes, key=lambda node: _rank(pool, node))
 
@@ -176,24 +183,33 @@
             if self.last_heartbeats[node].heartbeat.store_age <= MAX_STORE_AGE
         ]
 
-    def should_claim(self, pool: str, now: float, owned: int, store_age: float) -> bool:
+    def should_claim(self, pool: str, now: float, own: Heartbeat) -> bool:
         """Return whether this daemon should claim a pool that has no owner.
 
-        Of the daemons that reach the store, the one that owns the fewest pools claims;
-        ties go to the lowest hash for the pool. So all daemons choose the same one.
+        Of the daemons that reach the store, the one that owns or is claiming the fewest
+        pools claims; ties go to the lowest hash for the pool. So all daemons choose the
+        same one.
+
+        Parameters
+        ----------
+        own : Heartbeat
+            The heartbeat that this daemon would send now.
         """
-        if store_age > MAX_STORE_AGE:
+        if own.store_age > MAX_STORE_AGE:
             return False
-        own = (owned, _rank(pool, self.node))
-        for node in self.members_reaching_store(now):
-            heartbeat = self.last_heartbeats[node].heartbeat
-            # A daemon that has just started cannot claim yet: if others deferred to it,
-            # the pool would stay without an owner.
-            if not heartbeat.can_claim:
-                continue
-            if (len(heartbeat.owned), _rank(pool, node)) < own:
-                return False
-        return True
+        others = [
+            self.last_heartbeats[node].heartbeat
+            for node in self.members_reaching_store(now)
+        ]
+        # A daemon that has just started cannot claim yet: if others deferred to it, the
+        # pool would stay without an owner.
+        candidates = [own, *(other for other in others if other.can_claim)]
+        return own is min(candidates, key=lambda each: _load_order(pool, each))
+
+
+def _load_order(pool: str, heartbeat: Heartbeat) -> tuple[int, bytes]:
+    pools = len(heartbeat.owned) + len(heartbeat.claiming)
+    return (pools, _rank(pool, heartbeat.node))
 
 
 def _rank(pool: str, node: str) -> bytes:
--- a/tests/work/test_members.py
+++ b/tests/work/test_members.py
@@ -8,9 +8,17 @@
 
 
 def heartbeat(
-    node, owned=(), incarnation=1, store_age=0.1, is_leaving=False, can_claim=True
+    node,
+    owned=(),
+    incarnation=1,
+    store_age=0.1,
+    is_leaving=False,
+    can_claim=True,
+    **fields,
 ):
-    return Heartbeat(node, incarnation, tuple(owned), store_age, is_leaving, can_claim)
+    return Heartbeat(
+        node, incarnation, tuple(owned), store_age, is_leaving, can_claim, **fields
+    )
 
 
 def make_members(*heartbeats, node="a", now=10.0):
@@ -20,7 +28,7 @@
     return members
 
 
-def find_claimants(pool, *heartbeats, now=10.0, store_age=0.1):
+def find_claimants(pool, *heartbeats, now=10.0):
     """Return the daemons that would claim the pool, each by its own heartbeats."""
     names = [each.node for each in heartbeats]
     found = []
@@ -30,7 +38,7 @@
         members = make_members(
             *[b for b in heartbeats if b.node != each.node], node=each.node
         )
-        if members.should_claim(pool, now, len(each.owned), store_age):
+        if members.should_claim(pool, now, each):
             found.append(each.node)
     assert set(found) <= set(names)
     return found
@@ -57,10 +65,20 @@
     assert find_claimants("p", *heartbeats) == ["c"]
 
 
+def test_one_daemon_claims_while_another_is_claiming_a_different_pool():
+    # A claim takes seconds while the store is slow. Others must count it as the
+    # claimant itself does, or they defer to it and nobody claims the second pool.
+    heartbeats = [heartbeat("a", claiming=("p",)), heartbeat("b"), heartbeat("c")]
+    for number in range(20):
+        (claimant,) = find_claimants(f"q{number}", *heartbeats)
+        assert claimant != "a"
+
+
 def test_a_daemon_that_cannot_reach_the_store_does_not_claim():
-    assert not make_members(heartbeat("b")).should_claim("p", 10.0, 0, 9.0)
+    own = heartbeat("a", store_age=9.0)
+    assert not make_members(heartbeat("b")).should_claim("p", 10.0, own)
     members = make_members(heartbeat("b", store_age=9.0), heartbeat("c", store_age=9.0))
-    assert members.should_claim("p", 10.0, 0, 0.1)
+    assert members.should_claim("p", 10.0, heartbeat("a"))
 
 
 def test_the_highest_term_owns_a_pool_while_its_heartbeats_arrive():
@@ -127,7 +145,7 @@
     found = set()
     for node in "abc":
         members = make_members(*[b for b in heartbeats if b.node != node], node=node)
-        found.add(members.job_writer("p", 10.5, 0.1))
+        found.add(members.job_writer("p", 10.5, heartbeat(node)))
     assert len(found) == 1
 
 
@@ -135,13 +153,21 @@
     claiming = msgspec.structs.replace(heartbeat("c"), claiming=("p",))
     for node in "ab":
         members = make_members(heartbeat("b"), claiming, node=node)
-        assert members.job_writer("p", 10.5, 0.1) == "c"
+        assert members.job_writer("p", 10.5, heartbeat(node)) == "c"
 
 
 def test_a_daemon_that_cannot_reach_the_store_chooses_a_job_writer_that_can():
-    members = make_members(heartbeat("b"), heartbeat("c", store_age=9.0))
-    assert members.job_writer("p", 10.5, 9.0) == "b"
-    assert make_members(heartbeat("c", store_age=9.0)).job_writer("p", 10.5, 9.0) == "a"
+    own, distant = (heartbeat(node, store_age=9.0) for node in "ac")
+    assert make_members(heartbeat("b"), distant).job_writer("p", 10.5, own) == "b"
+    assert make_members(distant).job_writer("p", 10.5, own) == "a"
+
+
+def test_a_leaving_daemon_writes_the_jobs_of_no_pool_while_there_are_others():
+    own = heartbeat("a", is_leaving=True)
+    for number in range(20):
+        pool = f"p{number}"
+        assert make_members(heartbeat("b")).job_writer(pool, 10.5, own) == "b"
+    assert make_members().job_writer("p", 10.5, own) == "a"
 
 
 def test_a_leaving_owner_receives_requests_for_as_long_as_it_owns_the_pool():
