Tell the other daemons the processor that each one has

Cause: entry hosts differ in processor by a factor of four, and no daemon knows what the others have, so the choice of an owner cannot consider it.

Change: the settings give the process's share of a core times the speed of the core, and each heartbeat carries it. A heartbeat without the field, from an earlier version, is decoded as of unknown processor, and an earlier version ignores the field.

--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -77,6 +77,9 @@
         Called with each new member, to give its address to the connection layer.
     wall : callable
         Returns Unix time in seconds.
+    processor : float
+        Speed of this daemon's processor, in whole cores of the usual speed; 0 if it
+        is unknown.
     """
 
     def __init__(
@@ -87,8 +90,10 @@
         register_address: Callable[[Member], None],
         timing: Timing,
         wall: Callable[[], float],
+        processor: float = 0.0,
     ) -> None:
         self.member = member
+        self.processor = processor
         self.platform_clients = platform_clients
         self.peers = peers
         self.wall = wall
@@ -330,6 +335,7 @@
             self.claim_manager.can_claim,
             round(self.advisor_channels.backlog(now), 2),
             self.claim_manager.claiming,
+            self.processor,
         )
 
     def _send_heartbeats(self) -> None:
--- a/siskinroad/work/messages.py
+++ b/siskinroad/work/messages.py
@@ -44,6 +44,9 @@
         Backlog in seconds of the sender's channel to the advisor.
     claiming : tuple of str
         Names of the pools that the sender is claiming.
+    processor : float
+        Speed of the sender's processor, in whole cores of the usual speed; 0 if it is
+        unknown, as for a sender of an earlier version.
     """
 
     node: str
@@ -54,6 +57,7 @@
     can_claim: bool
     backlog: float = 0.0
     claiming: tuple[str, ...] = ()
+    processor: float = 0.0
 
 
 class Hello(msgspec.Struct, tag="hello", frozen=True, array_like=True):
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -20,6 +20,9 @@
 [listen]
 frontend = "127.0.0.1:8149"
 ready = "127.0.0.1:8141"
+[limits]
+cpu_share = 0.5
+cores = 3
 [bounds]
 grace_s = 6
 hold_max_ms = 10000
@@ -34,6 +37,17 @@
     assert cfg.timing.max_lease_s == 10.0 and cfg.grace == 6.0
 
 
+def test_processor_is_the_share_of_a_core_times_its_speed():
+    # Of two daemons with equal shares, the one on the faster core can do more.
+    assert parse_platform_settings(SETTINGS, "s").processor == 1.5
+    without_speed = SETTINGS.replace("cores = 3", "")
+    assert parse_platform_settings(without_speed, "s").processor == 0.5
+    without_share = SETTINGS.replace("cpu_share = 0.5", "")
+    assert parse_platform_settings(without_share, "s").processor == 0.0
+    without_table = SETTINGS.replace("[limits]", "[other]")
+    assert parse_platform_settings(without_table, "s").processor == 0.0
+
+
 @pytest.mark.parametrize(
     ("old", "new", "place"),
     [
@@ -42,6 +56,10 @@
         ("[7380, 7395]", '"7380"', "port_range"),
         ('ready = "127.0.0.1:8141"', 'ready = "here"', "listen.ready"),
         ("grace_s = 6", 'grace_s = "6"', "bounds.grace_s"),
+        ("cpu_share = 0.5", 'cpu_share = "0.5"', "limits.cpu_share"),
+        ("cpu_share = 0.5", "cpu_share = -0.5", "limits.cpu_share"),
+        ("cores = 3", "cores = nan", "limits.cores"),
+        ("cores = 3", "cores = inf", "limits.cores"),
         ('address = "10.200.1.7:8142"', "", "platform.address"),
     ],
 )
