Wait a short time for a larger daemon that is starting

Cause: a daemon can claim 0.35 s after its start, but the others learn of that only from its next heartbeat, up to 0.6 s later. So daemons that start at once, as after a kill of all, do not count each other: each claims every pool, and the last one to claim owns all of them, whatever its processor. A daemon that starts a moment before a larger one claims in the same way.

Change: for 0.8 s after a pool is found without an owner, a live daemon that cannot claim yet counts as a candidate, unless the set is mixed. A takeover is as fast as before unless a daemon that would be the better owner is just starting.

Result, in tests: four daemons that start at once and three pools, in four orders of size. Before, each pool was claimed four times and one daemon owned all three; now each pool is claimed once, and the largest daemons own the largest pools. A daemon with a quarter of the processor no longer claims before one that starts 0.1 or 0.3 s later.

--- a/siskinroad/work/claim_manager.py
+++ b/siskinroad/work/claim_manager.py
@@ -5,6 +5,8 @@
 - An owner is killed: its pools are claimed as soon as that is known.
 - All daemons are killed at once: the first ones to start claim the pools, after
   they have probed whether the stored owner still listens.
+- All daemons start at once: each may claim before it knows that the others can. They
+  wait a short time for the best claimant, so that not all of them claim every pool.
 - Daemons stop one after another while the store is slow: the next owner waits only
   a short time for the last records.
 - A network partition heals: a daemon that was cut off from both the store and the
@@ -41,6 +43,9 @@
 # Seconds for which a pool must have had no live owner before it is claimed, unless its
 # owner released it.
 CLAIM_DELAY = 0.25
+# Seconds for which a pool without an owner waits for a better claimant that has just
+# started and cannot claim yet, or of which that is not known yet.
+STARTING_CLAIMANT_WAIT = 0.8
 # Seconds without claims after the store replies again. The links to other daemons may
 # have been cut as well, and it takes this long to receive the owner's heartbeats again.
 RECOVERY_CLAIM_DELAY = 1.0
@@ -168,7 +173,10 @@
             return False
         if now - self._store_recovered_at < RECOVERY_CLAIM_DELAY:
             return False
-        return self._members.should_claim(pool, now, self._make_heartbeat())
+        may_wait = now - vacant_since < STARTING_CLAIMANT_WAIT
+        return self._members.should_claim(
+            pool, now, self._make_heartbeat(), may_wait=may_wait
+        )
 
     def note_store_recovered(self) -> None:
         """Note that the store replies to this daemon again after an outage."""
--- a/siskinroad/work/members.py
+++ b/siskinroad/work/members.py
@@ -191,7 +191,9 @@
             if self.last_heartbeats[node].heartbeat.store_age <= MAX_STORE_AGE
         ]
 
-    def should_claim(self, pool: str, now: float, own: Heartbeat) -> bool:
+    def should_claim(
+        self, pool: str, now: float, own: Heartbeat, *, may_wait: bool = False
+    ) -> bool:
         """Return whether this daemon should claim a pool that has no owner.
 
         Of the daemons that reach the store, the one claims that would have the most
@@ -209,14 +211,18 @@
         ----------
         own : Heartbeat
             The heartbeat that this daemon would send now.
+        may_wait : bool
+            Whether the pool may wait for a daemon that cannot claim yet. Never done in
+            a mixed set, as earlier versions do not wait.
         """
         if own.store_age > MAX_STORE_AGE:
             return False
-        # A daemon that has just started cannot claim yet: if others deferred to it, the
-        # pool would stay without an owner.
         others = self._heartbeats_reaching_store(now)
-        candidates = [own, *(other for other in others if other.can_claim)]
-        return self._choose_claimant(pool, candidates) is own
+        # A daemon that has just started cannot claim yet: if others always deferred to
+        # it, the pool would stay without an owner.
+        if not may_wait or _is_mixed([own, *others]):
+            others = [other for other in others if other.can_claim]
+        return self._choose_claimant(pool, [own, *others]) is own
 
     def pool_size(self, pool: str) -> int:
         """Return the number of listed hosts of a pool, at least 1."""
--- a/tests/work/test_daemon.py
+++ b/tests/work/test_daemon.py
@@ -8,7 +8,8 @@
 from siskinroad.peers import Reachability
 from siskinroad.work.hosts import EndKind
 from siskinroad.work.model import TaskId
-from tests.work.cell import ADVISED, POOL, Cell, job, step
+from siskinroad.work.records import OWNER_KEY, job_topic
+from tests.work.cell import ADVISED, POOL, POOLS, Cell, job, step
 
 JOB_ID = "00000000000000aa"
 
@@ -133,6 +134,58 @@
     run_scenario(scenario)
 
 
+def count_claims(cell, pool):
+    """Return the number of claims of a pool that the store holds."""
+    records = cell.logs.topics[job_topic(pool)].records
+    return sum(record.key == OWNER_KEY for record in records)
+
+
+@pytest.mark.parametrize("by_size", ["abcd", "badc", "cadb", "dcba"])
+def test_daemons_that_start_at_once_claim_the_largest_pools_by_processor(by_size):
+    # Each daemon can claim before it knows that the others can: if each went by what
+    # it knows, all would claim every pool, and the last claim would own.
+    async def scenario(cell):
+        for i in range(8):
+            cell.add_host(f"k-{i}", pool="bulk")
+        for name, processor in zip(by_size, (2.1, 1.9, 1.7, 0.5), strict=True):
+            cell.start(name, processor)
+        await asyncio.sleep(3.0)
+        assert [cell.owner(p) for p in ("bulk", POOL, "archive")] == list(by_size[:3])
+        assert [count_claims(cell, p) for p in POOLS] == [1, 1, 1]
+
+    run_scenario(scenario, configuration=2)
+
+
+@pytest.mark.parametrize("delay", [0.1, 0.3])
+def test_smaller_daemon_does_not_claim_before_a_larger_one_that_is_starting(delay):
+    async def scenario(cell):
+        cell.start("a", 0.5)
+        await asyncio.sleep(delay)
+        cell.start("b", 2.1)
+        await asyncio.sleep(3.0)
+        assert cell.owner() == "b" and count_claims(cell, POOL) == 1
+
+    run_scenario(scenario)
+
+
+def test_larger_daemon_that_cannot_claim_delays_a_claim_by_less_than_a_second():
+    # A daemon that gets no configuration never becomes able to claim.
+    async def scenario(cell):
+        cell.start("c", 1.1)
+        await asyncio.sleep(3.0)
+        starting = cell.start("b", 2.1)
+        starting.configuration_follower._apply = lambda items, is_snapshot: None
+        cell.start("a", 0.5)
+        await asyncio.sleep(3.0)
+        await cell.kill("c")
+        began = asyncio.get_running_loop().time()
+        while cell.owner() != "a":
+            await asyncio.sleep(0.01)
+            assert asyncio.get_running_loop().time() - began < 1.0
+
+    run_scenario(scenario)
+
+
 def test_restarted_daemon_does_not_claim_pool_before_heartbeats_of_its_owner_arrive():
     # After a restart on a busy host, the owner's heartbeats arrive late; the daemon
     # must not take that for a dead owner.
--- a/tests/work/test_members.py
+++ b/tests/work/test_members.py
@@ -68,6 +68,28 @@
         assert len(find_claimants("p", *heartbeats)) == 1
 
 
+def test_a_pool_waits_for_a_larger_daemon_that_has_just_started_but_not_for_long():
+    starting = heartbeat("b", can_claim=False, processor=2.1)
+    members = make_members(starting, heartbeat("c", processor=0.5))
+    own = heartbeat("a", processor=1.0)
+    assert not members.should_claim("p", 10.0, own, may_wait=True)
+    assert members.should_claim("p", 10.0, own)
+    larger = heartbeat("a", processor=2.2)
+    assert members.should_claim("p", 10.0, larger, may_wait=True)
+
+
+def test_a_pool_does_not_wait_for_a_starting_daemon_in_a_mixed_set():
+    # Daemons of an earlier version do not wait, and would claim beside the one waited
+    # for.
+    heartbeats = [heartbeat("a", processor=1.0), heartbeat("b")]
+    starting = heartbeat("c", can_claim=False, processor=2.1)
+    for number in range(20):
+        pool = f"p{number}"
+        members = make_members(heartbeats[1], starting)
+        claims = members.should_claim(pool, 10.0, heartbeats[0], may_wait=True)
+        assert claims == (find_claimants(pool, *heartbeats) == ["a"])
+
+
 def test_a_daemon_without_pools_claims_before_those_that_own_one():
     heartbeats = [
         heartbeat("a", [("q", 3)]),
