Do not wait for an owner that has fallen silent

Cause: an owner that loses power is no longer the owner after 0.75 s without a heartbeat, but remains a live daemon, and so a candidate for its own pools, until 2 s. By processor it is the best one, as it was chosen before, and all others defer to it; by the number of pools they did so where they owned as many as it did.

Change: a daemon that owns or is claiming a pool is no candidate, neither as claimant nor as job writer, once it has been silent for the time after which it is no owner.

--- a/siskinroad/work/members.py
+++ b/siskinroad/work/members.py
@@ -170,7 +170,7 @@
         claimant = self.claimant(pool, now)
         if claimant is not None:
             return claimant
-        writers = self._heartbeats_reaching_store(now)
+        writers = self._candidates(now)
         is_eligible = own.store_age <= MAX_STORE_AGE and not own.is_leaving
         if is_eligible or not writers:
             writers.append(own)
@@ -204,8 +204,10 @@
         In a mixed set, in which the processor of a candidate is unknown, the one that
         owns the fewest pools claims, ties as above. Earlier versions, which send no
         processor, choose so too, so both versions agree on one daemon for as long as
-        one of an earlier version can claim. The exception is a candidate that is
-        claiming another pool: earlier versions do not count that claim.
+        one of an earlier version can claim. Earlier versions do not count claims in
+        progress, though, and still count an owner that has fallen silent. So they may
+        defer to such a daemon, and the pool waits until that claim has ended or that
+        owner is no longer a live daemon; two daemons never claim for that reason.
 
         Parameters
         ----------
@@ -217,7 +219,7 @@
         """
         if own.store_age > MAX_STORE_AGE:
             return False
-        others = self._heartbeats_reaching_store(now)
+        others = self._candidates(now)
         # A daemon that has just started cannot claim yet: if others always deferred to
         # it, the pool would stay without an owner.
         if not may_wait or _is_mixed([own, *others]):
@@ -228,9 +230,21 @@
         """Return the number of listed hosts of a pool, at least 1."""
         return max(1, self.pool_sizes.get(pool, 0))
 
-    def _heartbeats_reaching_store(self, now: float) -> list[Heartbeat]:
-        nodes = self.members_reaching_store(now)
-        return [self.last_heartbeats[node].heartbeat for node in nodes]
+    def _candidates(self, now: float) -> list[Heartbeat]:
+        """Return the heartbeats of other daemons that reach the store.
+
+        An owner that has been silent for long enough to lose its pools is left out: it
+        would be waited for until it is no longer a live daemon.
+        """
+        found = [
+            self.last_heartbeats[node] for node in self.members_reaching_store(now)
+        ]
+        return [
+            last_heartbeat.heartbeat
+            for last_heartbeat in found
+            if now - last_heartbeat.received_at <= OWNER_HEARTBEAT_TIMEOUT
+            or not _pools(last_heartbeat.heartbeat)
+        ]
 
     def _choose_claimant(self, pool: str, candidates: list[Heartbeat]) -> Heartbeat:
         """Return the best candidate for a pool, the same whatever their order."""
--- a/tests/work/test_daemon.py
+++ b/tests/work/test_daemon.py
@@ -134,6 +134,20 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("by_size", ["abcd", "badc", "cadb", "dcba"])
+def test_pool_of_owner_that_lost_power_is_claimed_soon(by_size):
+    async def scenario(cell):
+        for name, processor in zip(by_size, (2.1, 1.6, 1.1, 0.5), strict=True):
+            cell.start(name, processor)
+        await asyncio.sleep(3.0)
+        assert cell.owner() == by_size[0]
+        await cell.kill(by_size[0], loses_power=True)
+        await asyncio.sleep(1.5)
+        assert cell.owner() == by_size[1]
+
+    run_scenario(scenario)
+
+
 def count_claims(cell, pool):
     """Return the number of claims of a pool that the store holds."""
     records = cell.logs.topics[job_topic(pool)].records
--- a/tests/work/test_members.py
+++ b/tests/work/test_members.py
@@ -190,6 +190,29 @@
         assert len(found) == 1
 
 
+def test_daemons_do_not_wait_for_an_owner_that_has_fallen_silent():
+    # An owner that lost power remains a live daemon for longer than it remains the
+    # owner. It would be the best claimant of its own pool, or of an equal number of
+    # pools by hash.
+    for processors in ((2.1, 1.0, 0.5), (0.0, 0.0, 0.0)):
+        silent, b, c = (
+            heartbeat(node, [(pool, 3)], processor=processor)
+            for node, pool, processor in zip("abc", "pqr", processors, strict=True)
+        )
+        for number in range(20):
+            pool = f"p{number}"
+            writers = set()
+            claimants = []
+            for own, other in ((b, c), (c, b)):
+                members = make_members(silent, node=own.node, now=9.0)
+                members.record_heartbeat(other, 10.0)
+                writers.add(members.job_writer(pool, 10.0, own))
+                if members.should_claim(pool, 10.0, own):
+                    claimants.append(own.node)
+            assert len(claimants) == 1 and len(writers) == 1
+            assert "a" not in writers
+
+
 def test_the_job_writer_is_the_daemon_that_should_claim():
     # The claimant reads the jobs that it stored itself without another trip.
     rng = random.Random(9)
