--- a/tests/work/test_members.py
+++ b/tests/work/test_members.py
@@ -190,6 +190,26 @@
         assert len(found) == 1
 
 
+def test_daemons_of_two_versions_never_claim_twice_beside_another_claim():
+    # Earlier versions do not count a claim in progress, so nobody may claim for a
+    # moment.
+    rng = random.Random(11)
+
+    def decide(pool, own, heartbeats):
+        counted = [msgspec.structs.replace(each, claiming=()) for each in heartbeats]
+        index = heartbeats.index(own)
+        # The claimant itself counts its claim.
+        owned = own.owned + tuple((name, 0) for name in own.claiming)
+        counted[index] = msgspec.structs.replace(counted[index], owned=owned)
+        return decide_as_earlier_version(pool, counted[index], counted)
+
+    for _ in range(200):
+        heartbeats, sizes = make_random_set(rng, 0.6)
+        heartbeats[0] = msgspec.structs.replace(heartbeats[0], claiming=("t",))
+        found = find_claimants("p", *heartbeats, sizes=sizes, decide=decide)
+        assert len(found) <= 1
+
+
 def test_daemons_do_not_wait_for_an_owner_that_has_fallen_silent():
     # An owner that lost power remains a live daemon for longer than it remains the
     # owner. It would be the best claimant of its own pool, or of an equal number of
