--- a/siskinroad/work/claim_manager.py
+++ b/siskinroad/work/claim_manager.py
@@ -5,6 +5,8 @@
 - An owner is killed: its pools are claimed as soon as that is known.
 - All daemons are killed at once: the first ones to start claim the pools, after
   they have probed whether the stored owner still listens.
+- All daemons start at once: each may claim before it knows that the others can. They
+  wait a short time for the best claimant, so that not all of them claim every pool.
 - Daemons stop one after another while the store is slow: the next owner waits only
   a short time for the last records.
 - A network partition heals: a daemon that was cut off from both the store and the
@@ -21,6 +23,7 @@
 from siskinroad.peers import PeerTransport, Reachability
 from siskinroad.work.claim import claim_pool
 from siskinroad.work.members import Members
+from siskinroad.work.messages import Heartbeat
 from siskinroad.work.model import Configuration, HostEntry
 from siskinroad.work.owner import OwnershipLostError, PoolOwner
 from siskinroad.work.records import Member, OwnerRecord
@@ -40,6 +43,9 @@
 # Seconds for which a pool must have had no live owner before it is claimed, unless its
 # owner released it.
 CLAIM_DELAY = 0.25
+# Seconds for which a pool without an owner waits for a better claimant that has just
+# started and cannot claim yet, or of which that is not known yet.
+STARTING_CLAIMANT_WAIT = 0.8
 # Seconds without claims after the store replies again. The links to other daemons may
 # have been cut as well, and it takes this long to receive the owner's heartbeats again.
 RECOVERY_CLAIM_DELAY = 1.0
@@ -62,6 +68,8 @@
 
     Parameters
     ----------
+    make_heartbeat : callable
+        Returns the heartbeat that this daemon would send now.
     send_heartbeat : callable
         Sends a heartbeat with the owned pools to all other daemons at once.
 
@@ -85,6 +93,7 @@
         store: RelayStore,
         dependencies: OwnerDependencies,
         hosts: dict[str, HostEntry],
+        make_heartbeat: Callable[[], Heartbeat],
         send_heartbeat: Callable[[], None],
     ) -> None:
         self.configuration: Configuration | None = None
@@ -97,6 +106,7 @@
         self._store = store
         self._dependencies = dependencies
         self._hosts = hosts
+        self._make_heartbeat = make_heartbeat
         self._send_heartbeat = send_heartbeat
         self._pool_tasks: dict[str, asyncio.Task[None]] = {}
         self._vacant_since: dict[str, float] = {}
@@ -134,7 +144,7 @@
             except TimeoutError:
                 pass
             self.check_requested.clear()
-            for pool in self.configuration.pools if self.configuration else ():
+            for pool in self._pools_by_size():
                 should_claim = pool not in self._pool_tasks and self._should_claim(
                     pool, loop.time()
                 )
@@ -142,6 +152,14 @@
                     self._pool_tasks[pool] = loop.create_task(self._own_pool(pool))
                     self._send_heartbeat()
 
+    def _pools_by_size(self) -> list[str]:
+        """Return all pools, those of most hosts first.
+
+        The daemon with the most processor is chosen for the pool that is claimed first.
+        """
+        pools = self.configuration.pools if self.configuration else ()
+        return sorted(pools, key=self._members.pool_size, reverse=True)
+
     def _should_claim(self, pool: str, now: float) -> bool:
         """Return whether this daemon should claim the pool now."""
         if self._members.owner(pool, now) is not None:
@@ -155,8 +173,10 @@
             return False
         if now - self._store_recovered_at < RECOVERY_CLAIM_DELAY:
             return False
-        store_age = now - self._store.direct_answer_at
-        return self._members.should_claim(pool, now, len(self._pool_tasks), store_age)
+        may_wait = now - vacant_since < STARTING_CLAIMANT_WAIT
+        return self._members.should_claim(
+            pool, now, self._make_heartbeat(), may_wait=may_wait
+        )
 
     def note_store_recovered(self) -> None:
         """Note that the store replies to this daemon again after an outage."""
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -78,6 +79,9 @@
         Called with each new member, to give its address to the connection layer.
     wall : callable
         Returns Unix time in seconds.
+    processor : float
+        Speed of this daemon's processor, in whole cores of the usual speed; 0 if it
+        is unknown.
     """
 
     def __init__(
@@ -88,8 +92,10 @@
         register_address: Callable[[Member], None],
         timing: Timing,
         wall: Callable[[], float],
+        processor: float = 0.0,
     ) -> None:
         self.member = member
+        self.processor = processor
         self.platform_clients = platform_clients
         self.peers = peers
         self.wall = wall
@@ -140,6 +146,7 @@
             self.store,
             self.dependencies,
             self.hosts,
+            self._make_heartbeat,
             self._send_heartbeats,
         )
         self.owners = self.claim_manager.owners
@@ -336,6 +343,7 @@
             self.claim_manager.can_claim,
             round(self.advisor_channels.backlog(now), 2),
             self.claim_manager.claiming,
+            self.processor,
         )
 
     def _send_heartbeats(self) -> None:
@@ -395,6 +403,7 @@
                 self.hosts.pop(item.key, None)
             else:
                 self.hosts[item.key] = entry
+        self.members.pool_sizes = Counter(entry.pool for entry in self.hosts.values())
         for owner in self.owners.values():
             owner.apply_host_list(self.hosts)
 
@@ -412,13 +421,7 @@
         if pool in self.claim_manager.pools:
             return self.member.node
         now = asyncio.get_running_loop().time()
-        # A draining daemon never selects itself: the others no longer select it either.
-        age = (
-            float("inf")
-            if self.claim_manager.is_leaving
-            else now - self.store.direct_answer_at
-        )
-        return self.members.job_writer(pool, now, age)
+        return self.members.job_writer(pool, now, self._make_heartbeat())
 
     def _list_capacities(self, pool: str) -> list[Resources]:
         return [e.capacity for e in self.hosts.values() if e.pool == pool]
@@ -431,7 +434,9 @@
             case Heartbeat():
                 self.members.record_heartbeat(msg, now)
                 self.advisor_channels.record_backlog(msg.node, msg.backlog, now)
-                if msg.is_leaving:
+                # What another daemon has begun to claim may make this one the next
+                # best for the other pools.
+                if msg.is_leaving or msg.claiming:
                     self.claim_manager.check_requested.set()
                 self._check_for_later_terms(msg)
             case Hello():
