Say in words that a peer closed the connection before its response

Cause: a close before the response showed the parser's states ("can't handle event type ConnectionClosed"). An idle connection whose close had arrived, but had not been read by the loop yet, was used, and the request's outcome was then unknown. Change: the client's own error text; an idle connection with anything to read is not used. Result: both tests failed before and pass.

--- a/siskinroad/http_client.py
+++ b/siskinroad/http_client.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -224,6 +225,10 @@
                     raise EOFError("connection closed before the end of the response")
                 case _ if event is h11.NEED_DATA:
                     data = await conn.reader.read(READ_BYTES)
+                    if not data and head is None:
+                        raise EOFError(
+                            "connection closed by the peer before a response"
+                        )
                     self.bytes_in += len(data)
                     conn.http.receive_data(data)
         assert head is not None
@@ -253,4 +258,18 @@
 
 
 def _is_closed(conn: _Connection) -> bool:
-    return conn.reader.at_eof() or conn.writer.is_closing()
+    return (
+        conn.reader.at_eof()
+        or conn.writer.is_closing()
+        or _is_readable(conn.writer.get_extra_info("socket").fileno())
+    )
+
+
+def _is_readable(fd: int) -> bool:
+    """Return whether a socket has bytes, a close or an error to read.
+
+    The event loop may not have read them yet.
+    """
+    poller = select.poll()
+    poller.register(fd, select.POLLIN)
+    return bool(poller.poll(0))
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -13,7 +13,8 @@
 async def serve(respond):
     """Serve the raw replies that ``respond`` returns for each request.
 
-    None sends no reply; after one that ends in ``!``, the connection is closed.
+    None sends no reply; after one that ends in ``!``, the connection is closed, and
+    ``!`` alone is not sent.
     """
 
     async def accept(reader, writer):
@@ -22,7 +23,7 @@
             reply = respond(head)
             if reply is None:
                 await asyncio.sleep(1e6)
-            writer.write(reply)
+            writer.write(b"" if reply == b"!" else reply)
             if reply.endswith(b"!"):
                 writer.close()
                 return
@@ -62,6 +63,41 @@
     run_on_paused_clock(main())
 
 
+def test_a_connection_closed_before_the_response_leaves_the_outcome_unknown():
+    """The error must say so in words: the parser's own text named its states."""
+
+    async def main():
+        address = await serve(lambda head: b"!")
+        text = "connection closed by the peer before a response"
+        with pytest.raises(OutcomeUnknownError, match=text):
+            await HttpPool().request(address, "GET", "/")
+
+    run_on_paused_clock(main())
+
+
+def test_an_idle_connection_that_the_peer_has_closed_is_not_used():
+    """A close that the late loop has not read yet must not cost a request."""
+
+    async def main():
+        writers = []
+
+        async def accept(reader, writer):
+            writers.append(writer)
+            while await reader.readuntil(b"\r\n\r\n"):
+                writer.write(OK)
+
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        pool = HttpPool()
+        await pool.request(address, "GET", "/")
+        # The segment is in the client's socket; its loop has had no turn to read it.
+        writers[0].write_eof()
+        assert (await pool.request(address, "GET", "/")).body == b"ok"
+        assert pool.opened == 2
+
+    run_on_paused_clock(main())
+
+
 def test_a_timeout_retires_the_older_connections_to_the_peer():
     """A middlebox that lost one connection may have lost all that were open then."""
 
