Take a response that was received before its late timeout

Cause: a loop that was blocked past a timeout found the response and the timer due at once, and the timer's callback cancelled the request that the response had woken. Each call also cost a stream reader, a drain and two asyncio timeouts. The second of two responses to one request was taken as the response to the next request, and a request that h11 rejects before a byte is sent left the outcome unknown. Bytes that no request asked for close the connection; an invalid request counts as not sent.

--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -117,6 +117,134 @@
     run_on_paused_clock(main())
 
 
+def block_loop(seconds):
+    """Let the paused clock pass, as a callback that takes long does."""
+    asyncio.get_running_loop()._clock_selector.now += seconds
+
+
+async def request_while_loop_is_late(respond):
+    """Send a request with a timeout of 2 s to a peer that calls ``respond``."""
+
+    async def accept(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        respond(writer)
+        await asyncio.sleep(1e6)
+
+    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    pool = HttpPool()
+    response = await pool.request(address, "GET", "/", timeout=2.0)
+    assert response.body == b"ok"
+    assert pool.timeouts == 0
+
+
+def test_a_response_received_while_the_loop_was_blocked_is_taken():
+    """The loop finds the response and the timer of the timeout due at once."""
+
+    def respond(writer):
+        writer.write(OK)
+        block_loop(5.0)
+
+    run_on_paused_clock(request_while_loop_is_late(respond))
+
+
+def test_a_response_that_the_late_loop_has_not_polled_is_taken():
+    """It arrives while the callback before the timer runs, after the last poll."""
+
+    def respond(writer):
+        asyncio.get_running_loop().call_later(1.0, writer.write, OK)
+        block_loop(5.0)
+
+    run_on_paused_clock(request_while_loop_is_late(respond))
+
+
+def test_a_timeout_that_is_not_late_fires_at_its_time():
+    """A silent peer is given up at the timeout, by the loop's clock."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        address = await serve(lambda head: None)
+        started_at = loop.time()
+        with pytest.raises(OutcomeUnknownError, match="no answer"):
+            await HttpPool().request(address, "GET", "/", timeout=2.0)
+        assert loop.time() - started_at == pytest.approx(2.0)
+
+    run_on_paused_clock(main())
+
+
+def test_bytes_that_no_request_asked_for_are_not_taken_as_a_response():
+    """A second response to one request would be taken as that to the next one."""
+
+    async def main():
+        replies = [OK + OK.replace(b"ok", b"no"), OK]
+        address = await serve(lambda head: replies.pop(0))
+        pool = HttpPool()
+        for _ in range(2):
+            assert (await pool.request(address, "GET", "/")).body == b"ok"
+        assert pool.opened == 2
+
+    run_on_paused_clock(main())
+
+
+def test_a_request_that_is_not_valid_is_not_sent():
+    """No byte of it leaves, so the error must not leave the outcome open."""
+
+    async def main():
+        address = await serve(lambda head: OK)
+        with pytest.raises(NotSentError):
+            await HttpPool().request(address, "GET", "/", headers=(("a b", ""),))
+
+    run_on_paused_clock(main())
+
+
+def test_a_cancelled_request_closes_its_connection():
+    """Its response would otherwise be taken as that to the next request."""
+
+    async def main():
+        address = await serve(lambda head: None if b"/silent" in head else OK)
+        pool = HttpPool()
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(1.0):
+                await pool.request(address, "GET", "/silent")
+        assert (await pool.request(address, "GET", "/")).body == b"ok"
+        assert pool.opened == 2
+
+    run_on_paused_clock(main())
+
+
+def test_a_large_request_and_response_arrive_whole():
+    """Bodies beyond the buffers of the sockets are sent and received in parts."""
+
+    async def main():
+        async def accept(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            body = await reader.readexactly(5_000_000)
+            head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
+            writer.write(head + body)
+
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        body = bytes(range(250)) * 20_000
+        response = await HttpPool().request(address, "POST", "/", body=body)
+        assert response.body == body
+        assert response.headers == {"content-length": "5000000"}
+
+    run_on_paused_clock(main())
+
+
+def test_a_response_without_a_length_ends_with_its_connection():
+    """The close is its end; the connection is not used again."""
+
+    async def main():
+        address = await serve(lambda head: b"HTTP/1.1 200 OK\r\n\r\nall!")
+        pool = HttpPool()
+        for opened in (1, 2):
+            assert (await pool.request(address, "GET", "/")).body == b"all!"
+            assert pool.opened == opened
+
+    run_on_paused_clock(main())
+
+
 def test_connections_to_a_peer_are_limited():
     """A request beyond the limit must fail as not sent, so it may be sent again."""
 
