--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -134,6 +134,26 @@
     assert report.ended[0].end_kind is EndKind.LEASE_EXPIRED
 
 
+@pytest.mark.parametrize(
+    "row",
+    [
+        [5, 2, "", 41],
+        [None, 2, "", 41],
+        ["5c0e.0.1", 2, "", 41],
+        ["5c0e.0.1.2.3", 2, "", 41],
+        ["5c0e.0.1.-2", 2, "", 41],
+        ["5c0e.0.1.1_7", 2, "", 41],
+        ["5c0e.0.1. 7", 2, "", 41],
+        ["5c0e.0.1.17", [], "", 41],
+        ["5c0e.0.1.17", 2, ""],
+    ],
+)
+def test_row_of_a_report_that_is_not_valid_raises_protocol_error(row):
+    body = {"clock_ms": 482113, "running": [row], "finished": []}
+    with pytest.raises(ProtocolError):
+        decode_report(msgspec.json.encode(body), "i-1")
+
+
 def test_task_name_round_trips():
     task = TaskId("5c0e7a21d94b36f8", 3, 1, 17)
     assert task_from_name(task_name(task)) == task
