Reuse no older connection after a request that its caller gave up

Cause: the pool opens new connections after a time-out of its own, as a path that lost the state of one connection may have lost all. Calls to hosts end by the caller's own, shorter time limit, which the pool took for an ordinary cancellation: each further call to the host tried the next silent connection. Opening a connection also had a time limit that a late loop cut short.

A request cancelled by its caller retires the older connections too, and the opening has a fair timeout. test_connections_are_not_reused_after_a_request_that_its_caller_gave_up failed before (2 connections opened, not 3).

--- a/siskinroad/http_client.py
+++ b/siskinroad/http_client.py
@@ -13,6 +13,7 @@
 import h11
 
 from siskinroad.errors import NotSentError, OutcomeUnknownError
+from siskinroad.fair_timeout import FairTimeout
 from siskinroad.http_connection import ClientConnection, ClientResponse
 
 __all__ = ["ClientResponse", "HttpPool"]
@@ -135,6 +136,10 @@
             if not is_sent:
                 raise NotSentError(str(exc), step="http", peer=address) from exc
             raise OutcomeUnknownError(str(exc), step="http", peer=address) from exc
+        except asyncio.CancelledError:
+            # The caller's own time limit is over: the peer has not answered either.
+            self._retire_connections(peer, conn)
+            raise
         except BaseException:
             _abort(conn)
             raise
@@ -157,7 +162,8 @@
         loop = asyncio.get_running_loop()
         ip, _, port = address.rpartition(":")
         generation = peer.generation
-        async with asyncio.timeout_at(min(deadline, loop.time() + CONNECT_TIMEOUT)):
+        limit_s = min(deadline - loop.time(), CONNECT_TIMEOUT)
+        async with FairTimeout(limit_s):
             _, conn = await loop.create_connection(
                 lambda: ClientConnection(generation), ip, int(port)
             )
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -259,3 +259,24 @@
             await first
 
     run_on_paused_clock(main())
+
+
+def test_connections_are_not_reused_after_a_request_that_its_caller_gave_up():
+    """A caller's own time limit ends a request on a path that has lost its state."""
+
+    async def main():
+        silent = {"now": False}
+        address = await serve(lambda head: None if silent["now"] else OK)
+        pool = HttpPool()
+        requests = [pool.request(address, "GET", "/") for _ in range(2)]
+        await asyncio.gather(*requests)
+        assert pool.opened == 2
+        silent["now"] = True
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await pool.request(address, "GET", "/")
+        silent["now"] = False
+        await pool.request(address, "GET", "/")
+        assert pool.opened == 3
+
+    run_on_paused_clock(main())
