Rest after each planning pass for twice the time that it took

Cause: with a long backlog a pass takes longer than the interval in which the next one is requested, and the owner planned without a pause: leases lapsed and tickets expired while it did, which made the backlog longer. Its load grew with its lateness.

--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -39,6 +39,9 @@
 TICK_INTERVAL = 0.2
 # Seconds for which events are collected before the next planning pass.
 PLAN_DELAY = 0.004
+# Multiple of the time that a planning pass took for which the next one waits, so that a
+# long backlog leaves the renewal of leases two thirds of the processor.
+PLAN_REST_FACTOR = 2.0
 # Seconds before its due time at which an occurrence may already start.
 EARLY_START_TIME = 0.05
 # Least seconds between two rereads of the claims while ownership is uncertain.
@@ -276,15 +279,17 @@
 
     async def _run_planning(self) -> None:
         loop = asyncio.get_running_loop()
+        took_s = 0.0
         while True:
             await self.term.plan_requested.wait()
-            await asyncio.sleep(PLAN_DELAY)
+            await asyncio.sleep(max(PLAN_DELAY, PLAN_REST_FACTOR * took_s))
             self.term.plan_requested.clear()
             if not self.term.is_owner_confirmed():
                 continue
             now, wall = loop.time(), self.dependencies.wall()
             channels = self.dependencies.advisor_channels.channel_times(now)
             self._execute_effects(self.planner.plan(now, wall, channels))
+            took_s = loop.time() - now
 
     async def _run_ticks(self) -> None:
         loop = asyncio.get_running_loop()
--- a/tests/work/test_late_owner.py
+++ b/tests/work/test_late_owner.py
@@ -173,3 +173,26 @@
         assert cell.hosts.calls > calls_before
 
     run_scenario(scenario)
+
+
+def test_planning_a_long_backlog_leaves_time_to_renew_leases():
+    # A pass over a long backlog takes longer than the interval in which the next one is
+    # requested. Planning without a rest would leave the loop no time for the hosts.
+    async def scenario(cell):
+        await cell.start_daemons("a")
+        owner = cell.daemons["a"].owners[POOL]
+        passes = []
+
+        def plan(now, wall, channels):
+            passes.append(now)
+            block_loop(0.3)
+            return []
+
+        owner.planner.plan = plan
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        await asyncio.sleep(12.0)
+        assert len(passes) > 3
+        assert len(passes) * 0.3 < 0.4 * (loop.time() - began)
+
+    run_scenario(scenario)
