Make resource vectors without a Python call for each field

A planning pass makes thousands of vectors, and each one of a frozen data class costs a call for each of its four fields: 4.6 of 31 s under the profiler. They are structs of msgspec now, which are made in C.

--- a/siskinroad/resources.py
+++ b/siskinroad/resources.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 __all__ = ["DIMENSIONS", "NOTHING", "Resources"]
 
 DIMENSIONS = ("cpu_milli", "memory_mib", "accelerators", "slots")
 
 
-@dataclass(slots=True, frozen=True)
-class Resources:
+class Resources(msgspec.Struct, frozen=True, gc=False):
     """Vector of resources.
 
     Attributes
@@ -79,14 +78,10 @@
         Slots are a limit of the host's software and are not billed.
         """
         return max(
-            _fraction(self.cpu_milli, total.cpu_milli),
-            _fraction(self.memory_mib, total.memory_mib),
-            _fraction(self.accelerators, total.accelerators),
+            self.cpu_milli / total.cpu_milli if total.cpu_milli else 0.0,
+            self.memory_mib / total.memory_mib if total.memory_mib else 0.0,
+            self.accelerators / total.accelerators if total.accelerators else 0.0,
         )
 
 
-def _fraction(part: int, total: int) -> float:
-    return part / total if total else 0.0
-
-
 NOTHING = Resources()
