Keep each step's waiting and done tasks instead of scanning for them

The planner, the advice requests and each end of a run scanned all tasks of a step to count those that wait or are done, so that a step of many tasks cost each event more. Each task now updates the tally of its step when it moves; a closed job leaves the ready steps by its own steps rather than by a scan of all ready ones.

--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left, insort
 from dataclasses import dataclass, field
 
 from siskinroad.charts import load_chart
+from siskinroad.resources import Resources
 from siskinroad.work.host import Run
 from siskinroad.work.model import JobSpec, Step, TaskId
 from siskinroad.work.records import Accepted, Progress, TaskProgress
 
-__all__ = ["Job", "JobState", "StepRun", "Task", "make_job"]
+__all__ = ["Job", "JobState", "StepRun", "Task", "TaskTally", "make_job"]
 
 _TASK_CHART = load_chart("task")
 
@@ -24,6 +26,36 @@
     CANCELLED = "cancelled"
 
 
+@dataclass(slots=True, eq=False)
+class TaskTally:
+    """Tasks of one step by state, kept up to date as they move.
+
+    Attributes
+    ----------
+    waiting : list of int
+        Sorted indices of the waiting tasks.
+    done_count : int
+        Number of tasks that have succeeded.
+    """
+
+    waiting: list[int] = field(default_factory=list)
+    done_count: int = 0
+
+    def add(self, index: int, state: str) -> None:
+        """Add a task, or a task's new state."""
+        if state == "waiting":
+            insort(self.waiting, index)
+        elif state == "done":
+            self.done_count += 1
+
+    def remove(self, index: int, state: str) -> None:
+        """Remove a task's former state."""
+        if state == "waiting":
+            del self.waiting[bisect_left(self.waiting, index)]
+        elif state == "done":
+            self.done_count -= 1
+
+
 @dataclass(slots=True, eq=False)
 class Task:
     """One task, across all its runs.
@@ -42,9 +74,12 @@
         Hosts on which a run failed or stalled, and the loop time when it did.
     older_run_host : str
         Host of an older run that continues beside the newest one; empty if none.
+    tally : TaskTally
+        Tally of the step's tasks, which this task keeps up to date.
     """
 
     id: TaskId
+    tally: TaskTally = field(default_factory=TaskTally)
     state: str = _TASK_CHART.initial
     run: int = 0
     host: str = ""
@@ -53,6 +88,9 @@
     avoided_hosts: dict[str, float] = field(default_factory=dict)
     older_run_host: str = ""
 
+    def __post_init__(self) -> None:
+        self.tally.add(self.id.index, self.state)
+
     @property
     def failure_count(self) -> int:
         """Number of runs that failed because of the task itself."""
@@ -60,7 +98,11 @@
 
     def move(self, event: str) -> None:
         """Apply an event of the ``task`` chart."""
-        self.state = _TASK_CHART.next_state(self.state, event)
+        former = self.state
+        self.state = _TASK_CHART.next_state(former, event)
+        if self.state != former:
+            self.tally.remove(self.id.index, former)
+            self.tally.add(self.id.index, self.state)
 
     def allows(self, event: str) -> bool:
         """Return whether the chart has ``event`` in this state."""
@@ -86,6 +128,12 @@
 
     Attributes
     ----------
+    tally : TaskTally
+        Tally that the step's tasks keep up to date.
+    key : tuple
+        Job id, occurrence number and step number.
+    need : Resources
+        Resources that one task allocates.
     runs_by_host : dict of str to int
         Number of the step's runs that occupy capacity on each host.
     requested_hosts : set of str
@@ -103,23 +151,30 @@
     number: int
     spec: Step
     tasks: list[Task]
+    tally: TaskTally
+    key: tuple[str, int, int] = field(init=False)
+    need: Resources = field(init=False)
     runs_by_host: dict[str, int] = field(default_factory=dict)
     requested_hosts: set[str] = field(default_factory=set)
     tickets: dict[str, tuple[str, float]] = field(default_factory=dict)
     is_advice_pending: bool = False
     ready_at: float = 0.0
 
+    def __post_init__(self) -> None:
+        self.key = (self.job.id, self.occurrence, self.number)
+        self.need = self.spec.need
+
     @property
-    def key(self) -> tuple[str, int, int]:
-        """Job id, occurrence number and step number."""
-        return (self.job.id, self.occurrence, self.number)
+    def waiting_count(self) -> int:
+        """Number of tasks that wait for a host."""
+        return len(self.tally.waiting)
 
     def make_run(self, task: Task, number: int, token: int, now: float) -> Run:
         """Return a new run of one of the step's tasks, not yet started."""
         spec = self.spec
         return Run(
             (task.id, number),
-            spec.need,
+            self.need,
             token,
             now,
             self.key,
@@ -132,11 +187,11 @@
 
     def waiting(self) -> list[Task]:
         """Return the tasks that wait for a host."""
-        return [task for task in self.tasks if task.state == "waiting"]
+        return [self.tasks[i] for i in self.tally.waiting]
 
     def is_done(self) -> bool:
         """Return whether every task has succeeded."""
-        return all(task.state == "done" for task in self.tasks)
+        return self.tally.done_count == len(self.tasks)
 
 
 @dataclass(slots=True, eq=False)
@@ -197,10 +252,11 @@
         added = []
         for i, spec in enumerate(self.spec.steps):
             ids = [TaskId(self.id, number, i, n) for n in range(spec.count)]
-            tasks = [Task(key) for key in ids]
+            tally = TaskTally()
+            tasks = [Task(key, tally) for key in ids]
             for task in tasks if not is_settled else ():
                 task.move("doubt")
-            step = StepRun(self, number, i, spec, tasks)
+            step = StepRun(self, number, i, spec, tasks, tally)
             self.steps[number, i] = step
             added.append(step)
         return added
--- a/siskinroad/work/job_table.py
+++ b/siskinroad/work/job_table.py
@@ -190,8 +190,8 @@
         job.outcome = outcome
         job.outcome_at = wall
         self.dirty.add(job.id)
-        for key in [key for key in self.ready if key[0] == job.id]:
-            del self.ready[key]
+        for step in job.steps.values():
+            self.ready.pop(step.key, None)
         log.info(
             "pool_state: job %s",
             outcome,
