Find the runs of a job without a scan of every host

A cancellation, the end of one of two copies and the loss of a member of a gang each scanned all runs of all hosts. The hosts now keep an index of the pool's runs by job, and the use of each host by queue, which the planner needs next. The stops of one event come in the order of the starts rather than of the hosts. The test compares both with a full scan after each event of a load with faults.

--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -8,7 +8,7 @@
 from siskinroad.resources import NOTHING, Resources
 from siskinroad.work.model import HostEntry, TaskId
 
-__all__ = ["LEASE_S", "Host", "Run", "RunKey"]
+__all__ = ["LEASE_S", "Host", "QueueUse", "Run", "RunIndex", "RunKey"]
 
 # Seconds of lease that each request grants. A shorter lease expires before a successor
 # has detected a dead owner and renewed it; a longer one delays the restart of the tasks
@@ -94,6 +94,54 @@
         return _RUN_CHART.allows(self.state, event)
 
 
+@dataclass(slots=True, eq=False)
+class QueueUse:
+    """Use of one host by the runs of one queue.
+
+    Attributes
+    ----------
+    runs : int
+        Number of runs.
+    cpu_milli : int
+        Thousandths of a processor that they hold.
+    """
+
+    runs: int = 0
+    cpu_milli: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class RunIndex:
+    """Runs of all hosts of a pool by job, kept up to date by the hosts.
+
+    Attributes
+    ----------
+    by_job : dict of str to dict
+        The runs of each job by host and key, with their hosts.
+    """
+
+    by_job: dict[str, dict[tuple[str, RunKey], tuple[Host, Run]]] = field(
+        default_factory=dict
+    )
+
+    def add(self, host: Host, run: Run) -> None:
+        """Add a run of a host."""
+        runs = self.by_job.setdefault(run.key[0].job, {})
+        runs[host.name, run.key] = (host, run)
+
+    def remove(self, host: Host, run: Run) -> None:
+        """Remove a run of a host."""
+        job = run.key[0].job
+        runs = self.by_job[job]
+        del runs[host.name, run.key]
+        if not runs:
+            del self.by_job[job]
+
+    def find_runs(self, job: str) -> list[tuple[Host, Run]]:
+        """Return the runs of a job with their hosts."""
+        return list(self.by_job.get(job, {}).values())
+
+
 @dataclass(slots=True, eq=False)
 class Host:
     """One incarnation of an upstream host.
@@ -129,12 +177,17 @@
         The host is in quarantine and gets no new work.
     used : Resources
         Sum of the needs of its runs.
+    queue_uses : dict of str to QueueUse
+        Use by the runs of each queue that has any.
     reserved : dict
         Resources reserved for a step, by step key, with the loop time of the expiry.
+    index : RunIndex
+        Index of the pool's runs, which this host keeps up to date.
     """
 
     entry: HostEntry
     token: int
+    index: RunIndex = field(default_factory=RunIndex)
     is_settled: bool = False
     incarnation_ms: int = 0
     clock: int = 0
@@ -151,6 +204,7 @@
     reply_time_s: float = 0.03
     runs: dict[RunKey, Run] = field(default_factory=dict)
     used: Resources = NOTHING
+    queue_uses: dict[str, QueueUse] = field(default_factory=dict)
     reserved: dict[tuple[str, int, int], tuple[Resources, float]] = field(
         default_factory=dict
     )
@@ -173,11 +227,21 @@
         """Add a run and allocate its resources."""
         self.runs[run.key] = run
         self.used = self.used + run.need
+        use = self.queue_uses.setdefault(run.queue, QueueUse())
+        use.runs += 1
+        use.cpu_milli += run.need.cpu_milli
+        self.index.add(self, run)
 
     def remove_run(self, run: Run) -> None:
         """Remove a run and free its resources."""
         del self.runs[run.key]
         self.used = self.used - run.need
+        use = self.queue_uses[run.queue]
+        use.runs -= 1
+        use.cpu_milli -= run.need.cpu_milli
+        if not use.runs:
+            del self.queue_uses[run.queue]
+        self.index.remove(self, run)
 
     def reply_timeout_s(self) -> float:
         """Return the timeout in seconds for a reply of the host.
@@ -219,6 +283,8 @@
     def free_capacity(self, step: tuple[str, int, int], now: float) -> Resources:
         """Return the free capacity for a step, less the reservations of other steps."""
         available = self.entry.capacity - self.used
+        if not self.reserved:
+            return available
         for key, (reserved_need, until) in list(self.reserved.items()):
             if until < now:
                 del self.reserved[key]
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 
 from siskinroad.work.effects import Effect, ReconcileHost, StopRun
-from siskinroad.work.host import Host, Run
+from siskinroad.work.host import Host, Run, RunIndex
 from siskinroad.work.job import Job, JobState, Task
 from siskinroad.work.job_table import JobTable
 from siskinroad.work.model import HostEntry, TaskId
@@ -37,6 +37,8 @@
 
     Attributes
     ----------
+    run_index : RunIndex
+        Runs of all hosts by job.
     former_owner_hosts : set of str
         Hosts on which a former owner may have started work.
     former_leases_end_at : float
@@ -46,6 +48,7 @@
     def __init__(self, pool: str, term: int) -> None:
         super().__init__(pool, term)
         self.hosts: dict[str, Host] = {}
+        self.run_index = RunIndex()
         self.former_owner_hosts: set[str] = set()
         self.former_leases_end_at = 0.0
 
@@ -68,10 +71,8 @@
 
     def _stop_runs(self, job_id: str, reason: str) -> list[Effect]:
         effects: list[Effect] = []
-        for host in self.hosts.values():
-            for run in list(host.runs.values()):
-                if run.key[0].job == job_id:
-                    effects += self.stop(host, run, reason)
+        for host, run in self.run_index.find_runs(job_id):
+            effects += self.stop(host, run, reason)
         return effects
 
     def stop(self, host: Host, run: Run, reason: str) -> list[Effect]:
@@ -111,10 +112,9 @@
     def _stop_copies(self, task: Task) -> list[Effect]:
         """Stop the remaining runs of a task that is done."""
         effects: list[Effect] = []
-        for host in self.hosts.values():
-            for run in list(host.runs.values()):
-                if run.key[0] == task.id:
-                    effects += self.stop(host, run, "another copy has finished")
+        for host, run in self.run_index.find_runs(task.id.job):
+            if run.key[0] == task.id:
+                effects += self.stop(host, run, "another copy has finished")
         return effects
 
     # Hosts
@@ -123,7 +123,7 @@
         """Add or update a host from its entry in the live list."""
         host = self.hosts.get(entry.name)
         if host is None:
-            host = Host(entry, self.term * TOKENS_PER_TERM)
+            host = Host(entry, self.term * TOKENS_PER_TERM, self.run_index)
             self.hosts[entry.name] = host
         if entry.draining and host.earliest_leave_at == float("inf"):
             host.earliest_leave_at = now + entry.min_stay_s
@@ -281,10 +281,9 @@
         if step is None or not step.spec.gang:
             return []
         effects: list[Effect] = []
-        for host in self.hosts.values():
-            for other in list(host.runs.values()):
-                if other.step == step.key and other.key[1] == run.key[1]:
-                    effects += self.stop(host, other, "gang lost a member")
+        for host, other in self.run_index.find_runs(task.id.job):
+            if other.step == step.key and other.key[1] == run.key[1]:
+                effects += self.stop(host, other, "gang lost a member")
         return effects
 
 
--- a/tests/work/test_indexes.py
+++ b/tests/work/test_indexes.py
@@ -1,8 +1,10 @@
-"""Tests that what is kept of tasks by state equals a full scan."""
+"""Tests that what is kept of tasks and runs by job equals a full scan."""
 
 import pytest
 
 from bench.planning_load import LoadSizes, PlanningLoad
+from siskinroad.resources import Resources
+from siskinroad.work.host import QueueUse
 
 SEEDS = range(1, 5)
 # A small pool, in which hosts fall silent, drain and jobs are cancelled.
@@ -23,6 +25,7 @@
 
     def note_event(self):
         check_tallies(self.pool_state)
+        check_run_indexes(self.pool_state)
 
 
 def check_tallies(pool_state):
@@ -35,8 +38,28 @@
             assert step_run.is_done() == all(task.state == "done" for task in tasks)
 
 
+def check_run_indexes(pool_state):
+    by_job = {}
+    for host in pool_state.hosts.values():
+        uses = {}
+        used = Resources()
+        for run in host.runs.values():
+            by_job.setdefault(run.key[0].job, {})[host.name, run.key] = (host, run)
+            use = uses.setdefault(run.queue, QueueUse())
+            use.runs += 1
+            use.cpu_milli += run.need.cpu_milli
+            used = used + run.need
+        found = {name: (use.runs, use.cpu_milli) for name, use in uses.items()}
+        kept = {
+            name: (use.runs, use.cpu_milli) for name, use in host.queue_uses.items()
+        }
+        assert kept == found
+        assert host.used == used
+    assert pool_state.run_index.by_job == by_job
+
+
 @pytest.mark.parametrize("seed", SEEDS)
-def test_the_tallies_of_tasks_equal_a_full_scan_after_each_event(seed):
+def test_the_indexes_of_tasks_and_runs_equal_a_full_scan_after_each_event(seed):
     load = CheckedLoad(TROUBLED, seed)
     load.run(5.0)
     kinds = {command[1] for command in load.commands}
