Examine each host a few times in a planning pass, whatever waits

With 126 hosts and 15 urgent jobs a second, a planning pass took tens of milliseconds, and one follows almost every report: the owner's loop was saturated, so leases lapsed and advice tickets expired. A pass examined every host for each waiting task of each step, again for each step that needs advice, for each blocked step that might be large, and for each step that becomes ready next.

Now a pass examines every host once. Hosts without room for the smallest waiting task are left out of it; a need that fits no host is remembered, and a larger one is not looked for again (open_hosts). Which hosts could hold a need if they were empty is kept between passes until a host or an entry changes (host_set). Tasks are placed from a heap of hosts by cost, and the first task without a host ends its step, unless only the hosts where it failed are to blame (placement). Ranks are computed once, from one set of times for each queue; the use by urgent queues comes from the hosts' tallies; the demand for a host is computed when it first decides between two, so tasks placed earlier in the same pass no longer count in it. Advice for the next step is considered within the same occurrence only: across occurrences it could only ask for steps that were ready already.

--- a/siskinroad/work/advice_requester.py
+++ b/siskinroad/work/advice_requester.py
@@ -17,8 +17,8 @@
 from siskinroad.work.effects import RequestAdvice
 from siskinroad.work.host import Host
 from siskinroad.work.job import StepRun
-from siskinroad.work.model import Advice, Queue
-from siskinroad.work.planning_pass import PlanningPass, TentativePlacement, host_can_fit
+from siskinroad.work.model import Advice
+from siskinroad.work.planning_pass import PlanningPass, TentativePlacement
 from siskinroad.work.pool_state import PoolState
 
 __all__ = ["AdviceRequester"]
@@ -39,6 +39,8 @@
 # Largest number of blocked steps whose tickets one planning pass renews before their
 # capacity is free.
 MAX_EARLY_RENEWALS = 3
+# Seconds by which sums of times may differ through rounding.
+ROUNDING_S = 1e-6
 
 
 class AdviceRequester:
@@ -59,14 +61,15 @@
         """Return whether the step has tickets; request advice for new hosts if not."""
         if step.is_advice_pending:
             return bool(step.tickets)
-        unknown = [h for h in planning_pass.hosts if h.name not in step.requested_hosts]
-        eligible = [h.name for h in unknown if host_can_fit(h, step)]
-        if not eligible:
+        host_set = planning_pass.host_set
+        capable = host_set.find_capable_hosts(step)
+        if capable.names <= step.requested_hosts:
             return bool(step.tickets)
-        if step.requested_hosts and any(
-            h.name in step.tickets for h in planning_pass.hosts
-        ):
+        if step.requested_hosts and host_set.has_any(step.tickets):
             return True
+        eligible = [
+            host.name for host in capable.hosts if host.name not in step.requested_hosts
+        ]
         self._request_advice(planning_pass, step, advice, eligible[:MAX_HOSTS_PER_CALL])
         return False
 
@@ -88,7 +91,7 @@
         names = self._add_spare_hosts(step, hosts)
         until = planning_pass.now + advice.duration(len(names)) + RESERVATION_MARGIN
         for host in hosts:
-            capacity = step.spec.need.times(placement.counts[host.name])
+            capacity = step.need.times(placement.counts[host.name])
             host.reserved[step.key] = (capacity, until)
         if not step.is_advice_pending:
             self._request_advice(planning_pass, step, advice, names)
@@ -99,7 +102,14 @@
         """Request new tickets early enough to arrive before the capacity is free."""
         if step.is_advice_pending or planning_pass.renewed_steps >= MAX_EARLY_RENEWALS:
             return
-        hosts, at = self._predict_next_capacity(planning_pass, step)
+        longest_s = advice.duration(len(step.tickets)) + EARLY_REQUEST_MARGIN
+        limit = planning_pass.now + longest_s + ROUNDING_S
+        if not any(
+            valid_until - TICKET_MARGIN <= limit
+            for _, valid_until in step.tickets.values()
+        ):
+            return
+        hosts, at = self._predict_next_capacity(planning_pass, step, limit)
         stale = self.find_hosts_with_stale_tickets(step, hosts, at)
         if not stale:
             return
@@ -109,96 +119,67 @@
             self._request_advice(planning_pass, step, advice, names)
 
     def _predict_next_capacity(
-        self, planning_pass: PlanningPass, step: StepRun
+        self, planning_pass: PlanningPass, step: StepRun, limit: float
     ) -> tuple[list[Host], float]:
         """Return the hosts that will have capacity for a step, and when all have it.
 
-        The list is empty if no such time can be predicted.
+        The list is empty if no such time up to ``limit`` can be predicted.
         """
+        count = step.waiting_count if step.spec.gang else 1
         openings: list[tuple[float, Host]] = []
-        for host in planning_pass.hosts:
-            if host.name in step.tickets:
-                openings += [
-                    (at, host)
-                    for at in self._predict_capacity_times(planning_pass, step, host)
-                ]
+        for host in planning_pass.host_set.find_hosts(step.tickets):
+            times = _predict_capacity_times(planning_pass, step, host, count, limit)
+            openings += [(at, host) for at in times]
         openings.sort(key=lambda opening: opening[0])
-        count = len(step.waiting()) if step.spec.gang else 1
         chosen = openings[:count]
         if len(chosen) < count:
             return [], planning_pass.now
         return list({h.name: h for _, h in chosen}.values()), chosen[-1][0]
 
-    def _predict_capacity_times(
-        self, planning_pass: PlanningPass, step: StepRun, host: Host
-    ) -> list[float]:
-        """Return the loop times at which a host has capacity for one more task each."""
-        need = step.spec.need
-        capacity = host.free_capacity(step.key, planning_pass.now)
-        speed_estimates = self.pool_state.speed_estimates
-        ends = [
-            (
-                planning_pass.now + speed_estimates.remaining_s(run, planning_pass.now),
-                run.need,
-            )
-            for run in host.runs.values()
-        ]
-        ends.sort(key=lambda end: end[0])
-        times: list[float] = []
-        at = planning_pass.now
-        for end, freed in [*ends, (float("inf"), need)]:
-            while need.fits(capacity):
-                capacity = capacity - need
-                times.append(at)
-            capacity = capacity + freed
-            at = end
-        return times
-
     def request_for_next_steps(self, planning_pass: PlanningPass) -> None:
         """Request advice for steps that become ready when the running ones end."""
-        for step in list(self.pool_state.ready.values()):
-            queue = self.pool_state.queues.get(step.job.queue)
-            if queue is None or queue.advice is None or step.job.is_closed:
+        for step in self.pool_state.ready.values():
+            job = step.job
+            successors = job.successors[step.number]
+            if not successors or step.waiting_count or job.is_closed:
+                continue
+            queue = self.pool_state.queues.get(job.queue)
+            if queue is None or queue.advice is None:
                 continue
-            for after in step.job.steps.values():
-                if step.number in after.spec.after:
-                    self._request_if_ready_soon(
-                        planning_pass, after, queue, queue.advice
-                    )
+            for number in successors:
+                after = job.steps[step.occurrence, number]
+                self._request_if_ready_soon(planning_pass, after, queue.advice)
 
     def _request_if_ready_soon(
-        self, planning_pass: PlanningPass, step: StepRun, queue: Queue, advice: Advice
+        self, planning_pass: PlanningPass, step: StepRun, advice: Advice
     ) -> None:
         """Request advice for a step if all steps that it depends on end soon."""
         if step.is_advice_pending or step.requested_hosts:
             return
+        capable = planning_pass.host_set.find_capable_hosts(step)
+        eligible = [host.name for host in capable.hosts[:MAX_HOSTS_PER_CALL]]
+        limit_s = advice.duration(len(eligible)) + EARLY_REQUEST_MARGIN
         predecessors = [step.job.steps[step.occurrence, i] for i in step.spec.after]
-        eligible = [h.name for h in planning_pass.hosts if host_can_fit(h, step)][
-            :MAX_HOSTS_PER_CALL
-        ]
-        duration = advice.duration(len(eligible)) + EARLY_REQUEST_MARGIN
-        remaining_time_s = max(
-            self._remaining_time_s(each, planning_pass.now) for each in predecessors
-        )
-        if eligible and remaining_time_s <= duration:
+        if eligible and all(
+            self._ends_within(each, limit_s, planning_pass.now) for each in predecessors
+        ):
             self._request_advice(planning_pass, step, advice, eligible)
 
-    def _remaining_time_s(self, step: StepRun, now: float) -> float:
-        """Return the estimated seconds until a step ends; infinity if unknown."""
-        if step.waiting():
-            return float("inf")
-        remaining_time_s = 0.0
+    def _ends_within(self, step: StepRun, limit_s: float, now: float) -> bool:
+        """Return whether a step is expected to end within ``limit_s`` seconds."""
+        if step.waiting_count:
+            return False
+        speed_estimates = self.pool_state.speed_estimates
         for task in step.tasks:
             if task.state == "done":
                 continue
             host = self.pool_state.hosts.get(task.host)
             run = host.runs.get((task.id, task.run)) if host is not None else None
             if run is None or run.state != "running":
-                return float("inf")
-            remaining_time_s = max(
-                remaining_time_s, self.pool_state.speed_estimates.remaining_s(run, now)
-            )
-        return remaining_time_s
+                return False
+            if speed_estimates.remaining_s(run, now) > limit_s:
+                return False
+        return True
 
     def _add_spare_hosts(self, step: StepRun, hosts: Iterable[Host]) -> list[str]:
         """Return the names of ``hosts`` and of a few others with tickets."""
@@ -224,3 +205,26 @@
             return
         step.is_advice_pending = True
         planning_pass.effects.append(RequestAdvice(step.key, hosts, duration))
+
+
+def _predict_capacity_times(
+    planning_pass: PlanningPass, step: StepRun, host: Host, count: int, limit: float
+) -> list[float]:
+    """Return when a host has capacity for one more task each, at most ``count`` times.
+
+    Times after ``limit`` are left out.
+    """
+    need = step.need
+    capacity = host.free_capacity(step.key, planning_pass.now)
+    times: list[float] = []
+    at = planning_pass.now
+    ends = iter(planning_pass.find_run_ends(host))
+    while at <= limit:
+        while need.fits(capacity):
+            capacity = capacity - need
+            times.append(at)
+            if len(times) == count:
+                return times
+        at, freed = next(ends, (float("inf"), need))
+        capacity = capacity + freed
+    return times
--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left, insort
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from siskinroad.charts import load_chart
@@ -189,6 +190,10 @@
         """Return the tasks that wait for a host."""
         return [self.tasks[i] for i in self.tally.waiting]
 
+    def iterate_waiting(self) -> Iterator[Task]:
+        """Iterate over the waiting tasks, which must not move meanwhile."""
+        return map(self.tasks.__getitem__, self.tally.waiting)
+
     def is_done(self) -> bool:
         """Return whether every task has succeeded."""
         return self.tally.done_count == len(self.tasks)
@@ -206,8 +211,12 @@
         Outcome in the store; empty until the outcome is stored.
     remaining_times : list of float
         Declared seconds from the start of each step to the end of the job.
+    longest_time : float
+        Declared seconds of the longest chain of steps.
     chain_length : int
         Number of steps in the longest chain of steps that depend on each other.
+    successors : tuple of tuple of int
+        Numbers of the steps that depend directly on each step.
     opened_occurrences : int
         Number of occurrences whose steps exist.
     has_started : bool
@@ -220,7 +229,9 @@
     spec: JobSpec
     accepted_at: float
     remaining_times: list[float] = field(default_factory=list)
+    longest_time: float = 0.0
     chain_length: int = 1
+    successors: tuple[tuple[int, ...], ...] = ()
     steps: dict[tuple[int, int], StepRun] = field(default_factory=dict)
     opened_occurrences: int = 0
     outcome: str = ""
@@ -239,6 +250,10 @@
             return self.stored_outcome
         return JobState.ACTIVE if self.has_started else JobState.QUEUED
 
+    def base_time(self, occurrence: int) -> float:
+        """Return the Unix time from which an occurrence's allowed time counts."""
+        return self.spec.due(occurrence) if self.spec.first else self.accepted_at
+
     def open_occurrence(self, *, is_settled: bool) -> list[StepRun]:
         """Add the steps of the next occurrence.
 
@@ -317,7 +332,12 @@
     job = Job(accepted.job, accepted.queue, accepted.pool, accepted.spec, accepted.at)
     steps = accepted.spec.steps
     job.remaining_times = _longest_chains(steps, [step.estimate for step in steps])
+    job.longest_time = max(job.remaining_times)
     job.chain_length = round(max(_longest_chains(steps, [1.0 for _ in steps])))
+    job.successors = tuple(
+        tuple(j for j, step in enumerate(steps) if i in step.after)
+        for i in range(len(steps))
+    )
     return job
 
 
--- a/siskinroad/work/job_table.py
+++ b/siskinroad/work/job_table.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import dataclass
 
 from siskinroad.health import Health
 from siskinroad.work.job import Job, JobState, StepRun, Task, make_job
@@ -14,7 +15,7 @@
 from siskinroad.work.records import Accepted, Progress
 from siskinroad.work.speed_estimates import SpeedEstimates
 
-__all__ = ["JobTable"]
+__all__ = ["JobTable", "QueueTimes"]
 
 # Number of hosts assumed for each advice request when the time of a job is estimated,
 # as the platform's documentation specifies.
@@ -23,6 +24,38 @@
 log = logging.getLogger("siskinroad.pool_state")
 
 
+@dataclass(slots=True, frozen=True)
+class QueueTimes:
+    """What the time that a queue allows its jobs is computed from.
+
+    Attributes
+    ----------
+    run_time_ratio : float
+        Learned ratio of actual to declared run times.
+    advice_s : float
+        Seconds that one advice request takes; 0 if the queue needs none.
+    slack : float
+        Multiple of the job's expected duration that its target time allows.
+    target : float
+        Seconds that the target time allows in addition.
+    """
+
+    run_time_ratio: float
+    advice_s: float
+    slack: float
+    target: float
+
+    def allowed_time(self, job: Job) -> float:
+        """Return the seconds within which a job should be complete.
+
+        The time is based on the job's longest chain of steps, with declared run
+        times scaled to measured ones, and one advice request for each of its steps.
+        """
+        chain_s = job.longest_time * self.run_time_ratio
+        chain_s += job.chain_length * self.advice_s
+        return self.slack * chain_s + self.target
+
+
 class JobTable:
     """Table of the jobs of one pool, without the hosts that run them.
 
@@ -127,28 +160,21 @@
             self.health.remove_workload(job_id)
         return expired
 
-    def allowed_time(self, job: Job) -> float:
-        """Return the seconds within which a job should be complete.
-
-        The time is based on the job's longest chain of steps, with declared run
-        times scaled to measured ones, and one advice request for each of its steps.
-        """
-        queue = self.queues.get(job.queue)
+    def queue_times(self, name: str) -> QueueTimes:
+        """Return the times of a queue; a queue that is unknown allows none."""
+        queue = self.queues.get(name)
+        ratio = self.speed_estimates.run_time_ratio(name)
         if queue is None:
-            return 0.0
-        chain_s = max(job.remaining_times) * self.speed_estimates.run_time_ratio(
-            job.queue
-        )
+            return QueueTimes(ratio, 0.0, 0.0, 0.0)
+        advice_s = 0.0
         if queue.advice is not None:
-            chain_s += job.chain_length * queue.advice.duration(
-                HOSTS_PER_ADVICE_REQUEST
-            )
-        return queue.slack * chain_s + queue.target
+            advice_s = queue.advice.duration(HOSTS_PER_ADVICE_REQUEST)
+        return QueueTimes(ratio, advice_s, queue.slack, queue.target)
 
     def target_time(self, job: Job, occurrence: int = 0) -> float:
         """Return the Unix time by which an occurrence should be complete."""
-        base_time = job.spec.due(occurrence) if job.spec.first else job.accepted_at
-        return base_time + self.allowed_time(job)
+        allowed_time = self.queue_times(job.queue).allowed_time(job)
+        return job.base_time(occurrence) + allowed_time
 
     def task(self, key: TaskId) -> Task | None:
         """Return a task, or None if the job or the task is unknown."""
--- a/siskinroad/work/planning_pass.py
+++ b/siskinroad/work/planning_pass.py
@@ -7,8 +7,10 @@
 from siskinroad.resources import Resources
 from siskinroad.work.advisor_channels import ChannelTimes
 from siskinroad.work.effects import Effect
-from siskinroad.work.host import Host
+from siskinroad.work.host import Host, Run
+from siskinroad.work.host_set import HostSet
 from siskinroad.work.job import StepRun, Task
+from siskinroad.work.open_hosts import OpenHosts
 from siskinroad.work.pool_state import PoolState
 
 __all__ = [
@@ -16,17 +18,12 @@
     "TentativePlacement",
     "compute_available_after_stops",
     "compute_shortfall",
-    "host_can_fit",
-    "is_large",
     "step_allows_host",
     "task_avoids_host",
 ]
 
 # Seconds for which a task is not placed again on a host where it failed.
 AVOID_FAILED_HOST_S = 1.5
-# Fraction of a host from which a task counts as large: gaps of that size are filled by
-# small tasks first, so that a large one may never fit.
-LARGE_TASK_FRACTION = 0.5
 
 
 @dataclass(slots=True)
@@ -35,8 +32,12 @@
 
     Attributes
     ----------
-    demand : dict of str to float
-        Demand of the waiting steps for each host, in whole hosts.
+    host_set : HostSet
+        Hosts that may get new work.
+    open_hosts : OpenHosts
+        Those that may fit a waiting task.
+    steps : list of StepRun
+        Ready steps with waiting tasks, in the order in which they became ready.
     non_urgent_cpu_milli : float
         Thousandths of a processor still available to steps that are not urgent.
     excluded_hosts : set of str
@@ -50,13 +51,69 @@
     pool_state: PoolState
     now: float
     wall: float
-    hosts: list[Host]
-    demand: dict[str, float]
+    host_set: HostSet
+    open_hosts: OpenHosts
+    steps: list[StepRun]
+    channels: ChannelTimes | None = None
     non_urgent_cpu_milli: float = 0.0
     excluded_hosts: set[str] = field(default_factory=set)
     renewed_steps: int = 0
-    channels: ChannelTimes | None = None
     effects: list[Effect] = field(default_factory=list)
+    _spread_demand: list[tuple[StepRun, float]] | None = None
+    _demand: dict[Host, float] = field(default_factory=dict)
+    _run_ends: dict[Host, list[tuple[float, Resources]]] = field(default_factory=dict)
+
+    def exclude_host(self, host: Host) -> None:
+        """Withhold a host from the steps after the present one."""
+        self.excluded_hosts.add(host.name)
+        self.open_hosts.exclude(host)
+
+    def add_run(self, host: Host, run: Run) -> None:
+        """Allocate a host's capacity to a run that is being started."""
+        host.add_run(run)
+        self.open_hosts.take(host)
+        self._run_ends.pop(host, None)
+
+    def find_demand(self, host: Host) -> float:
+        """Return the demand of the waiting steps for a host, in whole hosts.
+
+        A step's demand is spread evenly over the hosts that it may use, so that a step
+        with a single allowed host counts in full there. The demand of a host is
+        computed when it first matters, and holds for the rest of the pass.
+        """
+        demand = self._demand.get(host)
+        if demand is None:
+            demand = self._demand[host] = self._compute_demand(host)
+        return demand
+
+    def _compute_demand(self, host: Host) -> float:
+        if self._spread_demand is None:
+            self._spread_demand = self._spread_over_hosts()
+        name = host.name
+        demand = 0.0
+        for step, tasks_per_host in self._spread_demand:
+            if name in step.tickets:
+                share = self.host_set.compute_share(step.need, host)
+                demand += tasks_per_host * share
+        return demand
+
+    def _spread_over_hosts(self) -> list[tuple[StepRun, float]]:
+        """Return the steps with tickets, each with its tasks for one allowed host."""
+        counts = [(step, self.host_set.count(step.tickets)) for step in self.steps]
+        return [(step, step.waiting_count / n) for step, n in counts if n]
+
+    def find_run_ends(self, host: Host) -> list[tuple[float, Resources]]:
+        """Return when the runs of a host are expected to end, and what each frees."""
+        ends = self._run_ends.get(host)
+        if ends is None:
+            remaining_s = self.pool_state.speed_estimates.remaining_s
+            ends = [
+                (self.now + remaining_s(run, self.now), run.need)
+                for run in host.runs.values()
+            ]
+            ends.sort(key=lambda end: end[0])
+            self._run_ends[host] = ends
+        return ends
 
 
 @dataclass(slots=True)
@@ -88,14 +145,6 @@
     return failed_at is not None and now - failed_at < AVOID_FAILED_HOST_S
 
 
-def host_can_fit(host: Host, step: StepRun) -> bool:
-    """Return whether the host, if it were empty, could hold a task of the step."""
-    spec = step.spec
-    if spec.label and spec.label not in host.entry.labels:
-        return False
-    return spec.need.fits(host.entry.capacity)
-
-
 def step_allows_host(step: StepRun, host: Host, placement: TentativePlacement) -> bool:
     """Return whether label and spread let the step place one more task on the host."""
     spec = step.spec
@@ -107,17 +156,6 @@
     return count < spec.spread
 
 
-def is_large(planning_pass: PlanningPass, step: StepRun) -> bool:
-    """Return whether a task of the step needs a large fraction of some host."""
-    capacities = [
-        host.entry.capacity for host in planning_pass.hosts if host_can_fit(host, step)
-    ]
-    return any(
-        step.spec.need.dominant(host_capacity) >= LARGE_TASK_FRACTION
-        for host_capacity in capacities
-    )
-
-
 def compute_available_after_stops(host: Host, step: StepRun, now: float) -> Resources:
     """Return the free capacity of a host once the runs being stopped have ended."""
     available = host.free_capacity(step.key, now)
@@ -132,7 +170,7 @@
 
     The result is a rank without a unit; a missing accelerator outweighs all else.
     """
-    need = step.spec.need
+    need = step.need
     return (
         max(0, need.accelerators - available.accelerators) * 1000
         + max(0, need.cpu_milli - available.cpu_milli) / 1000
--- a/tests/work/test_indexes.py
+++ b/tests/work/test_indexes.py
@@ -33,7 +33,7 @@
         for step_run in each.steps.values():
             tasks = step_run.tasks
             waiting = [task for task in tasks if task.state == "waiting"]
-            assert step_run.waiting() == waiting
+            assert step_run.waiting() == list(step_run.iterate_waiting()) == waiting
             assert step_run.waiting_count == len(waiting)
             assert step_run.is_done() == all(task.state == "done" for task in tasks)
 
