Check only hosts with runs, and each run for less

The check of the runs, five times a second, looked up the step of every run to learn whether it allows copies, and computed the slowdown of runs that are too young or on hosts with too few jobs. The run now carries whether copies are allowed, hosts without runs are passed over, and the cheap conditions come first.

--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -61,6 +61,8 @@
         Usage in the newest report; see ``RunStatus`` for its unit.
     filler : bool
         Uses only processors that other tasks leave idle.
+    copies : bool
+        Speculative copies of its task may run at the same time.
     speed_percent : int
         Percent of full speed that the newest throttle command allows.
     """
@@ -79,6 +81,7 @@
     usage: int = 0
     speed_percent: int = 100
     filler: bool = False
+    copies: bool = False
     tail_limit: float = 0.0
     queue: str = ""
     declared_s: float = 0.0
--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -180,6 +180,7 @@
             now,
             self.key,
             filler=spec.filler,
+            copies=spec.copies,
             tail_limit=spec.tail_limit,
             queue=self.job.queue,
             declared_s=spec.estimate,
--- a/siskinroad/work/run_monitor.py
+++ b/siskinroad/work/run_monitor.py
@@ -89,19 +89,24 @@
         """Check every host and return the commands that stop or throttle its runs."""
         effects: list[Effect] = []
         for host in list(self.pool_state.hosts.values()):
-            self._allow_copies(host, now)
-            effects += self._stop_stalled_runs(host, now)
-            effects += self._move_off_slow_host(host, now)
-            effects += self._stop_before_leave(host, now)
-            effects += self._throttle_best_effort(host, now)
+            if host.runs:
+                effects += self._check_host(host, now)
             self._end_quarantine(host, now)
         return effects
 
+    def _check_host(self, host: Host, now: float) -> list[Effect]:
+        self._allow_copies(host, now)
+        return [
+            *self._stop_stalled_runs(host, now),
+            *self._move_off_slow_host(host, now),
+            *self._stop_before_leave(host, now),
+            *self._throttle_best_effort(host, now),
+        ]
+
     def _allow_copies(self, host: Host, now: float) -> None:
         """Allow speculative copies of tasks whose runs are slow, stalled or silent."""
         for run in list(host.runs.values()):
-            step = self.pool_state.step(run.key[0])
-            if run.state != "running" or step is None or not step.spec.copies:
+            if not run.copies or run.state != "running":
                 continue
             reason = self._find_copy_reason(host, run, now)
             if reason:
@@ -114,19 +119,16 @@
         expected_s = self.pool_state.speed_estimates.expected_s(
             run.queue, run.declared_s
         )
-        slowdown = self.pool_state.speed_estimates.slowdown(run)
         if expected_s is None:
             return ""
         stalled_s = now - run.progress_changed_at if run.progress_changed_at else 0.0
         if run.progress < 100 and stalled_s > max(COPY_STALL_S, 2 * expected_s / 100):
             return "no progress"
+        slowdown = self.pool_state.speed_estimates.slowdown(run)
+        if slowdown is None or slowdown <= COPY_RATIO:
+            return ""
         estimated_remaining_s = self.pool_state.speed_estimates.remaining_s(run, now)
-        is_slow = slowdown is not None and slowdown > COPY_RATIO
-        return (
-            "slow"
-            if is_slow and estimated_remaining_s > MIN_COPY_GAIN * expected_s
-            else ""
-        )
+        return "slow" if estimated_remaining_s > MIN_COPY_GAIN * expected_s else ""
 
     def _stop_stalled_runs(self, host: Host, now: float) -> list[Effect]:
         """Stop stalled runs, so that their tasks restart elsewhere."""
--- a/siskinroad/work/speed_estimates.py
+++ b/siskinroad/work/speed_estimates.py
@@ -69,13 +69,14 @@
         Returns None if the run is too young by its newest report, is long-running, or
         has no expected time.
         """
-        expected_s = self.expected_s(run.queue, run.declared_s)
-        total_s = extrapolate_total_s(run)
-        if expected_s is None or total_s is None or run.long_running:
+        worked_s = run.reported_at - run.begun_at
+        if run.long_running or worked_s < MIN_ELAPSED_S:
             return None
-        if run.reported_at - run.begun_at < MIN_EXPECTED_FRACTION * expected_s:
+        expected_s = self.expected_s(run.queue, run.declared_s)
+        if expected_s is None or worked_s < MIN_EXPECTED_FRACTION * expected_s:
             return None
-        return total_s / expected_s
+        total_s = extrapolate_total_s(run)
+        return None if total_s is None else total_s / expected_s
 
     def remaining_s(self, run: Run, now: float) -> float:
         """Return the estimated seconds until a run ends.
@@ -97,6 +98,8 @@
 
     def host_slowdown(self, host: Host) -> float:
         """Return the median slowdown of a host's runs; 1 below ``MIN_JOBS`` jobs."""
+        if len(host.runs) < MIN_JOBS:
+            return 1.0
         slowdowns: list[float] = []
         jobs: set[str] = set()
         for run in host.runs.values():
