Keep the expected ends of a host's runs until its next report

A blocked step whose tickets expire predicts when its hosts have capacity again. Each planning pass estimated the end of every run on these hosts anew, though the estimate changes only with a report of the host, a start or an end; several passes fall between two reports. The ends are kept now.

--- a/siskinroad/work/advice_requester.py
+++ b/siskinroad/work/advice_requester.py
@@ -20,6 +20,7 @@
 from siskinroad.work.model import Advice
 from siskinroad.work.planning_pass import PlanningPass, TentativePlacement
 from siskinroad.work.pool_state import PoolState
+from siskinroad.work.run_ends import RunEnds
 
 __all__ = ["AdviceRequester"]
 
@@ -54,6 +55,7 @@
 
     def __init__(self, pool_state: PoolState) -> None:
         self.pool_state = pool_state
+        self._run_ends = RunEnds(pool_state.speed_estimates)
 
     def check_or_request_advice(
         self, planning_pass: PlanningPass, step: StepRun, advice: Advice
@@ -126,18 +128,43 @@
         The list is empty if no such time up to ``limit`` can be predicted.
         """
         count = step.waiting_count if step.spec.gang else 1
+        now = planning_pass.now
         openings: list[tuple[float, Host]] = []
         for host in planning_pass.host_set.find_hosts(step.tickets):
-            times = _predict_capacity_times(planning_pass, step, host, count, limit)
+            times = self._predict_capacity_times(step, host, count, now, limit)
             openings += [(at, host) for at in times]
         openings.sort(key=lambda opening: opening[0])
         chosen = openings[:count]
         if len(chosen) < count:
-            return [], planning_pass.now
+            return [], now
         return list({h.name: h for _, h in chosen}.values()), chosen[-1][0]
 
+    def _predict_capacity_times(
+        self, step: StepRun, host: Host, count: int, now: float, limit: float
+    ) -> list[float]:
+        """Return when a host has capacity for one more task each, up to ``count``.
+
+        Times after ``limit`` are left out.
+        """
+        need = step.need
+        capacity = host.free_capacity(step.key, now)
+        times: list[float] = []
+        at = now
+        ends = iter(self._run_ends.find_ends(host, now))
+        while at <= limit:
+            while need.fits(capacity):
+                capacity = capacity - need
+                times.append(at)
+                if len(times) == count:
+                    return times
+            end, freed = next(ends, (float("inf"), need))
+            capacity = capacity + freed
+            at = max(at, end)
+        return times
+
     def request_for_next_steps(self, planning_pass: PlanningPass) -> None:
         """Request advice for steps that become ready when the running ones end."""
+        self._run_ends.keep_only(self.pool_state.hosts)
         for step in self.pool_state.ready.values():
             job = step.job
             successors = job.successors[step.number]
@@ -205,26 +232,3 @@
             return
         step.is_advice_pending = True
         planning_pass.effects.append(RequestAdvice(step.key, hosts, duration))
-
-
-def _predict_capacity_times(
-    planning_pass: PlanningPass, step: StepRun, host: Host, count: int, limit: float
-) -> list[float]:
-    """Return when a host has capacity for one more task each, at most ``count`` times.
-
-    Times after ``limit`` are left out.
-    """
-    need = step.need
-    capacity = host.free_capacity(step.key, planning_pass.now)
-    times: list[float] = []
-    at = planning_pass.now
-    ends = iter(planning_pass.find_run_ends(host))
-    while at <= limit:
-        while need.fits(capacity):
-            capacity = capacity - need
-            times.append(at)
-            if len(times) == count:
-                return times
-        at, freed = next(ends, (float("inf"), need))
-        capacity = capacity + freed
-    return times
--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -180,6 +180,8 @@
         The host is in quarantine and gets no new work.
     used : Resources
         Sum of the needs of its runs.
+    run_changes : int
+        Number of times that a run was added or removed.
     queue_uses : dict of str to QueueUse
         Use by the runs of each queue that has any.
     reserved : dict
@@ -207,6 +209,7 @@
     reply_time_s: float = 0.03
     runs: dict[RunKey, Run] = field(default_factory=dict)
     used: Resources = NOTHING
+    run_changes: int = 0
     queue_uses: dict[str, QueueUse] = field(default_factory=dict)
     reserved: dict[tuple[str, int, int], tuple[Resources, float]] = field(
         default_factory=dict
@@ -230,6 +233,7 @@
         """Add a run and allocate its resources."""
         self.runs[run.key] = run
         self.used = self.used + run.need
+        self.run_changes += 1
         use = self.queue_uses.setdefault(run.queue, QueueUse())
         use.runs += 1
         use.cpu_milli += run.need.cpu_milli
@@ -239,6 +243,7 @@
         """Remove a run and free its resources."""
         del self.runs[run.key]
         self.used = self.used - run.need
+        self.run_changes += 1
         use = self.queue_uses[run.queue]
         use.runs -= 1
         use.cpu_milli -= run.need.cpu_milli
--- a/siskinroad/work/planning_pass.py
+++ b/siskinroad/work/planning_pass.py
@@ -61,7 +61,6 @@
     effects: list[Effect] = field(default_factory=list)
     _spread_demand: list[tuple[StepRun, float]] | None = None
     _demand: dict[Host, float] = field(default_factory=dict)
-    _run_ends: dict[Host, list[tuple[float, Resources]]] = field(default_factory=dict)
 
     def exclude_host(self, host: Host) -> None:
         """Withhold a host from the steps after the present one."""
@@ -72,7 +71,6 @@
         """Allocate a host's capacity to a run that is being started."""
         host.add_run(run)
         self.open_hosts.take(host)
-        self._run_ends.pop(host, None)
 
     def find_demand(self, host: Host) -> float:
         """Return the demand of the waiting steps for a host, in whole hosts.
@@ -102,19 +100,6 @@
         counts = [(step, self.host_set.count(step.tickets)) for step in self.steps]
         return [(step, step.waiting_count / n) for step, n in counts if n]
 
-    def find_run_ends(self, host: Host) -> list[tuple[float, Resources]]:
-        """Return when the runs of a host are expected to end, and what each frees."""
-        ends = self._run_ends.get(host)
-        if ends is None:
-            remaining_s = self.pool_state.speed_estimates.remaining_s
-            ends = [
-                (self.now + remaining_s(run, self.now), run.need)
-                for run in host.runs.values()
-            ]
-            ends.sort(key=lambda end: end[0])
-            self._run_ends[host] = ends
-        return ends
-
 
 @dataclass(slots=True)
 class TentativePlacement:
--- a/tests/work/test_indexes.py
+++ b/tests/work/test_indexes.py
@@ -5,6 +5,8 @@
 from bench.planning_load import LoadSizes, PlanningLoad
 from siskinroad.resources import Resources
 from siskinroad.work.host import QueueUse
+from siskinroad.work.run_ends import RunEnds
+from siskinroad.work.speed_estimates import SpeedEstimates
 
 SEEDS = range(1, 5)
 # A small pool, in which hosts fall silent, drain and jobs are cancelled.
@@ -64,3 +66,29 @@
     load.run(5.0)
     kinds = {command[1] for command in load.commands}
     assert {"start", "stop", "advice"} <= kinds
+
+
+class EndsLoad(PlanningLoad):
+    """Load that compares the kept ends of runs with new ones after each event."""
+
+    def __init__(self, sizes, seed):
+        super().__init__(sizes, seed)
+        self.run_ends = RunEnds(self.pool_state.speed_estimates)
+
+    def note_event(self):
+        remaining_s = self.pool_state.speed_estimates.remaining_s
+        for host in self.pool_state.hosts.values():
+            ends = self.run_ends.find_ends(host, self.now)
+            kept = sorted(max(self.now, end) for end, _ in ends)
+            runs = host.runs.values()
+            new = sorted(self.now + remaining_s(run, self.now) for run in runs)
+            assert kept == pytest.approx(new)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_the_kept_ends_of_runs_equal_new_ones_after_each_event(seed, monkeypatch):
+    # With the ratios of the queues fixed: the kept ends use those of the last report.
+    monkeypatch.setattr(SpeedEstimates, "record_run", lambda *args: None)
+    load = EndsLoad(TROUBLED, seed)
+    load.run(5.0)
+    assert any(host.runs for host in load.pool_state.hosts.values())
