Count the pending jobs of a queue without a scan of all jobs

A caller's question for the number of pending jobs scanned every job that the owner knows, of all queues and however long closed. The jobs that may be pending are kept by queue, and those that have started or are closed are dropped at each count. The test compares the count with a scan after each event of a load with faults.

--- a/siskinroad/work/job_table.py
+++ b/siskinroad/work/job_table.py
@@ -85,6 +85,7 @@
         self.configuration: Configuration | None = None
         self.queues: dict[str, Queue] = {}
         self.jobs: dict[str, Job] = {}
+        self._maybe_pending: dict[str, list[Job]] = {}
         self.ready: dict[tuple[str, int, int], StepRun] = {}
         self.scheduled_jobs: set[str] = set()
         self.dirty: set[str] = set()
@@ -111,6 +112,7 @@
             return existing
         job = make_job(accepted)
         self.jobs[job.id] = job
+        self._maybe_pending.setdefault(job.queue, []).append(job)
         if job.spec.occurrences > 1 or job.spec.first:
             self.scheduled_jobs.add(job.id)
         else:
@@ -142,11 +144,14 @@
 
     def count_pending(self, queue: str) -> int:
         """Return the number of open jobs of a queue that have not started."""
-        return sum(
-            1
-            for job in self.jobs.values()
-            if job.queue == queue and not job.has_started and not job.is_closed
-        )
+        # A job that has started or is closed never becomes pending again.
+        pending = [
+            job
+            for job in self._maybe_pending.get(queue, ())
+            if not job.has_started and not job.is_closed
+        ]
+        self._maybe_pending[queue] = pending
+        return len(pending)
 
     def forget_closed(self, wall: float, retention: float) -> list[str]:
         """Remove jobs closed more than ``retention`` seconds ago; return their ids."""
@@ -158,6 +163,8 @@
         for job_id in expired:
             del self.jobs[job_id]
             self.health.remove_workload(job_id)
+        for queue in list(self._maybe_pending):
+            self.count_pending(queue)
         return expired
 
     def queue_times(self, name: str) -> QueueTimes:
--- a/tests/work/test_indexes.py
+++ b/tests/work/test_indexes.py
@@ -27,6 +27,7 @@
 
     def note_event(self):
         check_tallies(self.pool_state)
+        check_pending(self.pool_state)
         check_run_indexes(self.pool_state)
 
 
@@ -40,6 +41,16 @@
             assert step_run.is_done() == all(task.state == "done" for task in tasks)
 
 
+def check_pending(pool_state):
+    for queue in pool_state.queues:
+        pending = [
+            each
+            for each in pool_state.jobs.values()
+            if each.queue == queue and not each.has_started and not each.is_closed
+        ]
+        assert pool_state.count_pending(queue) == len(pending)
+
+
 def check_run_indexes(pool_state):
     by_job = {}
     for host in pool_state.hosts.values():
@@ -92,3 +103,15 @@
     load = EndsLoad(TROUBLED, seed)
     load.run(5.0)
     assert any(host.runs for host in load.pool_state.hosts.values())
+
+
+def test_a_forgotten_job_is_kept_nowhere():
+    load = PlanningLoad(TROUBLED)
+    load.run(4.0)
+    pool_state = load.pool_state
+    for each in pool_state.jobs.values():
+        each.stored_outcome = each.outcome
+    forgotten = set(pool_state.forget_closed(load.now + 200.0, 120.0))
+    assert forgotten
+    kept = {job.id for jobs in pool_state._maybe_pending.values() for job in jobs}
+    assert not forgotten & (kept | {key[0] for key in pool_state.ready})
