Compare hosts' entries that were listed anew only once

A planning pass keeps its set of hosts while their entries are equal. After the list of hosts was read again with new but equal entries, each pass would have compared them by their fields; the set now takes over the newer ones.

--- a/siskinroad/work/host_set.py
+++ b/siskinroad/work/host_set.py
@@ -108,6 +108,8 @@
     """Return the set of the given hosts: the former one if nothing has changed."""
     entries = [host.entry for host in hosts]
     if former is not None and former.is_made_of(hosts, entries):
+        # Entries that are listed anew are compared by their fields only once.
+        former.entries = entries
         return former
     shapes: dict[tuple[Resources, frozenset[str]], list[int]] = {}
     for i, entry in enumerate(entries):
