--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -2,14 +2,25 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left, insort
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from siskinroad.charts import load_chart
+from siskinroad.resources import Resources
 from siskinroad.work.host import Run
 from siskinroad.work.model import JobSpec, Step, TaskId
 from siskinroad.work.records import Accepted, Progress, TaskProgress
 
-__all__ = ["Job", "JobState", "PresumedEnd", "StepRun", "Task", "make_job"]
+__all__ = [
+    "Job",
+    "JobState",
+    "PresumedEnd",
+    "StepRun",
+    "Task",
+    "TaskTally",
+    "make_job",
+]
 
 _TASK_CHART = load_chart("task")
 
@@ -40,6 +51,36 @@
     at: float
 
 
+@dataclass(slots=True, eq=False)
+class TaskTally:
+    """Tasks of one step by state, kept up to date as they move.
+
+    Attributes
+    ----------
+    waiting : list of int
+        Sorted indices of the waiting tasks.
+    done_count : int
+        Number of tasks that have succeeded.
+    """
+
+    waiting: list[int] = field(default_factory=list)
+    done_count: int = 0
+
+    def add(self, index: int, state: str) -> None:
+        """Add a task, or a task's new state."""
+        if state == "waiting":
+            insort(self.waiting, index)
+        elif state == "done":
+            self.done_count += 1
+
+    def remove(self, index: int, state: str) -> None:
+        """Remove a task's former state."""
+        if state == "waiting":
+            del self.waiting[bisect_left(self.waiting, index)]
+        elif state == "done":
+            self.done_count -= 1
+
+
 @dataclass(slots=True, eq=False)
 class Task:
     """One task, across all its runs.
@@ -60,9 +101,12 @@
         Host of an older run that continues beside the newest one; empty if none.
     presumed_ends : dict of int to PresumedEnd
         Runs that were ended without an end listed by their host, by run number.
+    tally : TaskTally
+        Tally of the step's tasks, which this task keeps up to date.
     """
 
     id: TaskId
+    tally: TaskTally = field(default_factory=TaskTally)
     state: str = _TASK_CHART.initial
     run: int = 0
     host: str = ""
@@ -72,6 +116,9 @@
     older_run_host: str = ""
     presumed_ends: dict[int, PresumedEnd] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.tally.add(self.id.index, self.state)
+
     @property
     def failure_count(self) -> int:
         """Number of runs that failed because of the task itself."""
@@ -79,7 +126,11 @@
 
     def move(self, event: str) -> None:
         """Apply an event of the ``task`` chart."""
-        self.state = _TASK_CHART.next_state(self.state, event)
+        former = self.state
+        self.state = _TASK_CHART.next_state(former, event)
+        if self.state != former:
+            self.tally.remove(self.id.index, former)
+            self.tally.add(self.id.index, self.state)
 
     def allows(self, event: str) -> bool:
         """Return whether the chart has ``event`` in this state."""
@@ -105,6 +156,12 @@
 
     Attributes
     ----------
+    tally : TaskTally
+        Tally that the step's tasks keep up to date.
+    key : tuple
+        Job id, occurrence number and step number.
+    need : Resources
+        Resources that one task allocates.
     runs_by_host : dict of str to int
         Number of the step's runs that occupy capacity on each host.
     requested_hosts : set of str
@@ -122,27 +179,35 @@
     number: int
     spec: Step
     tasks: list[Task]
+    tally: TaskTally
+    key: tuple[str, int, int] = field(init=False)
+    need: Resources = field(init=False)
     runs_by_host: dict[str, int] = field(default_factory=dict)
     requested_hosts: set[str] = field(default_factory=set)
     tickets: dict[str, tuple[str, float]] = field(default_factory=dict)
     is_advice_pending: bool = False
     ready_at: float = 0.0
 
+    def __post_init__(self) -> None:
+        self.key = (self.job.id, self.occurrence, self.number)
+        self.need = self.spec.need
+
     @property
-    def key(self) -> tuple[str, int, int]:
-        """Job id, occurrence number and step number."""
-        return (self.job.id, self.occurrence, self.number)
+    def waiting_count(self) -> int:
+        """Number of tasks that wait for a host."""
+        return len(self.tally.waiting)
 
     def make_run(self, task: Task, number: int, token: int, now: float) -> Run:
         """Return a new run of one of the step's tasks, not yet started."""
         spec = self.spec
         return Run(
             (task.id, number),
-            spec.need,
+            self.need,
             token,
             now,
             self.key,
             filler=spec.filler,
+            copies=spec.copies,
             tail_limit=spec.tail_limit,
             queue=self.job.queue,
             declared_s=spec.estimate,
@@ -151,11 +216,15 @@
 
     def waiting(self) -> list[Task]:
         """Return the tasks that wait for a host."""
-        return [task for task in self.tasks if task.state == "waiting"]
+        return [self.tasks[i] for i in self.tally.waiting]
+
+    def iterate_waiting(self) -> Iterator[Task]:
+        """Iterate over the waiting tasks, which must not move meanwhile."""
+        return map(self.tasks.__getitem__, self.tally.waiting)
 
     def is_done(self) -> bool:
         """Return whether every task has succeeded."""
-        return all(task.state == "done" for task in self.tasks)
+        return self.tally.done_count == len(self.tasks)
 
 
 @dataclass(slots=True, eq=False)
@@ -170,8 +239,12 @@
         Outcome in the store; empty until the outcome is stored.
     remaining_times : list of float
         Declared seconds from the start of each step to the end of the job.
+    longest_time : float
+        Declared seconds of the longest chain of steps.
     chain_length : int
         Number of steps in the longest chain of steps that depend on each other.
+    successors : tuple of tuple of int
+        Numbers of the steps that depend directly on each step.
     opened_occurrences : int
         Number of occurrences whose steps exist.
     has_started : bool
@@ -184,7 +257,9 @@
     spec: JobSpec
     accepted_at: float
     remaining_times: list[float] = field(default_factory=list)
+    longest_time: float = 0.0
     chain_length: int = 1
+    successors: tuple[tuple[int, ...], ...] = ()
     steps: dict[tuple[int, int], StepRun] = field(default_factory=dict)
     opened_occurrences: int = 0
     outcome: str = ""
@@ -203,6 +278,10 @@
             return self.stored_outcome
         return JobState.ACTIVE if self.has_started else JobState.QUEUED
 
+    def base_time(self, occurrence: int) -> float:
+        """Return the Unix time from which an occurrence's allowed time counts."""
+        return self.spec.due(occurrence) if self.spec.first else self.accepted_at
+
     def open_occurrence(self, *, is_settled: bool) -> list[StepRun]:
         """Add the steps of the next occurrence.
 
@@ -216,10 +295,11 @@
         added = []
         for i, spec in enumerate(self.spec.steps):
             ids = [TaskId(self.id, number, i, n) for n in range(spec.count)]
-            tasks = [Task(key) for key in ids]
+            tally = TaskTally()
+            tasks = [Task(key, tally) for key in ids]
             for task in tasks if not is_settled else ():
                 task.move("doubt")
-            step = StepRun(self, number, i, spec, tasks)
+            step = StepRun(self, number, i, spec, tasks, tally)
             self.steps[number, i] = step
             added.append(step)
         return added
@@ -280,7 +360,12 @@
     job = Job(accepted.job, accepted.queue, accepted.pool, accepted.spec, accepted.at)
     steps = accepted.spec.steps
     job.remaining_times = _longest_chains(steps, [step.estimate for step in steps])
+    job.longest_time = max(job.remaining_times)
     job.chain_length = round(max(_longest_chains(steps, [1.0 for _ in steps])))
+    job.successors = tuple(
+        tuple(j for j, step in enumerate(steps) if i in step.after)
+        for i in range(len(steps))
+    )
     return job
 
 
