Take a host's report for a run only if the run is on that host

Cause: attempts are named by job, index and try, and each owner counts the tries from those that hosts report to it. An owner that took over while a host was silent gives its first attempt the name of the one that the silent host ran. When that host answered again, the end of the old attempt was taken for the end of the new one on another host: its capacity was freed and the task started a third time while it ran. Change: a report counts for a run only from the host that the run is on; any other running attempt of its name is stopped, any other end is only acknowledged.

--- a/siskinroad/host_monitor.py
+++ b/siskinroad/host_monitor.py
@@ -13,6 +13,7 @@
 from siskinroad.owner_context import OwnerContext
 from siskinroad.placement import HostView
 from siskinroad.resources import Resources
+from siskinroad.shard import Running
 from siskinroad.upstreams import Control, Inventory, TaskReport, TaskState, Usage
 
 __all__ = ["TASK_LEASE_S", "HostMonitor", "MonitoredOwner", "monitor_host"]
@@ -256,8 +257,7 @@
     """
     host = monitor.host.name
     run = owner.scheduler.shard.running.get(name.key)
-    is_known = run is not None and run.attempt == name.run and name.member in run.hosts
-    if not is_known and not owner.tasks.adopt(name, host):
+    if not _is_run_on(run, name, host) and not owner.tasks.adopt(name, host):
         stop = ControlTask(name.key, name.run, host, name.member, Control.STOP)
         owner.run([stop])
         return False
@@ -266,6 +266,19 @@
     return True
 
 
+def _is_run_on(run: Running | None, name: AttemptName, host: str) -> bool:
+    """Return whether a host reports the run in progress, not another of its name.
+
+    Each owner of the shard numbers the attempts from those that it has found, so a
+    host that was silent at a takeover may report an attempt of the same name.
+    """
+    return (
+        run is not None
+        and run.attempt == name.run
+        and run.hosts.get(name.member) == host
+    )
+
+
 def _release_unknown_tasks(owner: MonitoredOwner, view: HostView) -> None:
     index = owner.scheduler.shard.pool_state(view.name).index
     for task in [task for task in view.tasks if task.startswith(UNKNOWN_TASK)]:
@@ -298,7 +311,7 @@
         owner.tasks.adopt(name, monitor.host.name)
         run = running.get(name.key)
     monitor.unrecorded.add(report.attempt)
-    if run is not None and run.attempt == name.run and name.member in run.hosts:
+    if _is_run_on(run, name, monitor.host.name):
         now = asyncio.get_running_loop().time()
         end = END_BY_STATE[report.state]
         effects = owner.scheduler.record_attempt_end(
--- /dev/null
+++ b/tests/test_host_monitor.py
@@ -0,0 +1,29 @@
+"""What the owner concludes from a host's silence, inventories and late replies."""
+
+import asyncio
+
+from bench.clock import run_on_paused_clock
+from tests.owned_shard import JOB, OwnedShard, make_job, make_start
+
+
+def test_an_attempt_of_the_same_name_on_another_host_is_not_taken_for_this_one():
+    """Two owners in turn number their first attempts alike."""
+
+    async def main():
+        shard = OwnedShard()
+        silent, other = shard.hosts["e0"], shard.hosts["e1"]
+        now = asyncio.get_running_loop().time()
+        silent.start_task(make_start(f"{JOB}/0#1~0"), now)
+        silent.faults.silent = True
+        shard.owner.tasks.restore([make_job()])
+        await shard.owner.take_over()
+        await asyncio.sleep(25.0)
+        assert [attempt for _, attempt in shard.starts("e1")] == [f"{JOB}/0#1~0"]
+        silent.faults.silent = False
+        await asyncio.sleep(5.0)
+        assert silent.events[-1].kind == "end:stopped"
+        assert len(shard.starts()) == 2
+        assert shard.owner.scheduler.shard.running[f"{JOB}/0"].hosts == {0: "e1"}
+        assert other.tasks[f"{JOB}/0#1~0"].state == "running"
+
+    run_on_paused_clock(main())
