Count the lease of a late start before a silent host's tasks are lost

Cause: the lease of a silent host's tasks was taken to run from the last call that renewed it. A start that was in flight when that call failed reaches the host up to 2 s later, and the host counts the lease from there. Change: the tasks are lost only once the lease has expired since the last start on the host ended as well, and never while a start is in flight. Result: the new test failed: the task was started on another host at 1032.01 s while the first host's lease ran until 1032.80 s; now the second start is after it.

--- a/siskinroad/host_monitor.py
+++ b/siskinroad/host_monitor.py
@@ -161,8 +161,14 @@
     def end_tasks_if_leases_expired(
         self, owner: MonitoredOwner, lease_s: float, now: float
     ) -> None:
-        """End the tasks of a silent host as lost once their leases have expired."""
-        if self.leases_expired or now < self.last_renewal + lease_s + LEASE_MARGIN:
+        """End the tasks of a silent host as lost once their leases have expired.
+
+        The lease of a task that was started since the last renewal runs from its start.
+        """
+        if self.leases_expired or self.starting:
+            return
+        renewed_at = max(self.last_renewal, self.last_start_ended_at)
+        if now < renewed_at + lease_s + LEASE_MARGIN:
             return
         self.leases_expired = True
         owner.ports.count_event("host", "lapsed")
--- a/tests/test_host_monitor.py
+++ b/tests/test_host_monitor.py
@@ -27,3 +27,27 @@
         assert other.tasks[f"{JOB}/0#1~0"].state == "running"
 
     run_on_paused_clock(main())
+
+
+def test_a_start_in_flight_when_its_host_falls_silent_delays_the_lapse():
+    """The lease of a task runs from its start, which may reach the host late."""
+
+    async def main():
+        shard = OwnedShard()
+        silent, other = shard.hosts["e0"], shard.hosts["e1"]
+        other.faults.down = True
+        await shard.owner.take_over()
+        silent.faults.loses_replies = True
+        await asyncio.sleep(10.9)
+        shard.client.delay = 1.9
+        shard.owner.tasks.accept(make_job())
+        await asyncio.sleep(5.0)
+        shard.client.delay = 0.0005
+        silent.faults.down = True
+        other.faults.down = False
+        await asyncio.sleep(25.0)
+        task = silent.tasks[f"{JOB}/0#1~0"]
+        assert len(shard.starts("e1")) == 1
+        assert shard.starts("e1")[0][0] >= task.lease_expires_at
+
+    run_on_paused_clock(main())
