Conclude no silence of a host from the owner's own lateness

Cause: an inventory request that timed out counted as the host's silence even when the loop noticed the time-out late, with the reply unread. A silent host's tasks were lost on the clock alone: after a pause of the owner past the end of their leases the reply of a host that answered again was dropped, and tasks that it had done were started again. Change: a time-out that is noticed more than 0.1 s late shows nothing. Tasks are lost only if a request that began after the end of their leases went unanswered. The in-memory host ends a task by its end or its lease, whichever is earlier; it looked at the lease first however late it looked.

--- a/siskinroad/host_monitor.py
+++ b/siskinroad/host_monitor.py
@@ -28,6 +28,11 @@
 INVENTORY_WAIT = 10.0
 # Seconds beyond the long poll after which a host counts as silent.
 INVENTORY_MARGIN = 1.0
+# Seconds by which the time-out of an inventory request may be noticed late for it to
+# show silence. After a longer delay the reply may lie unread at this daemon. The
+# handling of a reply takes several steps of the loop, so a value near
+# ``INVENTORY_MARGIN`` would take a busy owner for a silent host.
+MAX_LATENESS = 0.1
 # Seconds between inventory requests to a silent host.
 SILENT_RETRY_INTERVAL = 1.0
 # Seconds added to a lease before its tasks count as lost. Without it, a task
@@ -61,7 +66,7 @@
         The host has answered an inventory request of this owner, or the owner has
         stopped waiting for it after the takeover.
     is_silent : bool
-        The last inventory request failed or timed out.
+        The last inventory request failed, or timed out while the loop was on time.
     last_renewal : float
         Loop time at which the last request that may have renewed its task leases
         ended.
@@ -69,6 +74,8 @@
         Its task leases have expired since it became silent.
     is_removed : bool
         The host is no longer in the configuration.
+    last_unanswered_at : float
+        Loop time at which the last request that showed silence began.
     last_start_ended_at : float
         Loop time at which the last call to start a task on it ended.
     starting : set of str
@@ -95,6 +102,7 @@
     leases_expired: bool = False
     is_removed: bool = False
     last_renewal: float = float("-inf")
+    last_unanswered_at: float = float("-inf")
     last_start_ended_at: float = float("-inf")
     starting: set[str] = field(default_factory=set)
     acked: list[str] = field(default_factory=list)
@@ -134,7 +142,7 @@
             return False
         except (NotSentError, OutcomeUnknownError, TimeoutError):
             self.acked += acked
-            self._mark_silent(owner, loop.time(), renew)
+            self._apply_failure(owner, requested_at, wait, renew)
             return False
         if renew:
             self.last_renewal = loop.time()
@@ -144,9 +152,19 @@
         _apply_inventory(owner, self, inventory, requested_at)
         return True
 
-    def _mark_silent(self, owner: MonitoredOwner, now: float, renew: bool) -> None:
+    def _apply_failure(
+        self, owner: MonitoredOwner, requested_at: float, wait: float, renew: bool
+    ) -> None:
+        now = asyncio.get_running_loop().time()
         if renew:
             self.last_renewal = now
+        if now > requested_at + wait + INVENTORY_MARGIN + MAX_LATENESS:
+            owner.ports.count_event("host", "late")
+            return
+        self.last_unanswered_at = requested_at
+        self._mark_silent(owner)
+
+    def _mark_silent(self, owner: MonitoredOwner) -> None:
         if not self.is_silent:
             self.is_silent = True
             owner.ports.count_event("host", "silent")
@@ -164,11 +182,13 @@
         """End the tasks of a silent host as lost once their leases have expired.
 
         The lease of a task that was started since the last renewal runs from its start.
+        The host must have left a request unanswered that began after that: it may have
+        answered since the last one, with tasks that have ended.
         """
         if self.leases_expired or self.starting:
             return
         renewed_at = max(self.last_renewal, self.last_start_ended_at)
-        if now < renewed_at + lease_s + LEASE_MARGIN:
+        if self.last_unanswered_at < renewed_at + lease_s + LEASE_MARGIN:
             return
         self.leases_expired = True
         owner.ports.count_event("host", "lapsed")
--- a/siskinroad/upstreams_memory.py
+++ b/siskinroad/upstreams_memory.py
@@ -161,9 +161,11 @@
         for task in self.tasks.values():
             if task.state is not TaskState.RUNNING:
                 continue
-            if now >= task.lease_expires_at:
+            if now < min(task.ends_at, task.lease_expires_at):
+                continue
+            if task.lease_expires_at <= task.ends_at:
                 self.end_task(task, TaskState.STOPPED, now)
-            elif now >= task.ends_at:
+            else:
                 failing = self.faults.failing
                 self.end_task(
                     task, TaskState.FAILED if failing else TaskState.DONE, now
--- a/tests/test_host_monitor.py
+++ b/tests/test_host_monitor.py
@@ -3,7 +3,20 @@
 import asyncio
 
 from bench.clock import run_on_paused_clock
-from tests.owned_shard import JOB, OwnedShard, make_job, make_start
+from siskinroad.upstreams_memory import MemoryUpstreamClient
+from tests.owned_shard import JOB, OwnedShard, block_loop, make_job, make_start
+
+
+class BlockingClient(MemoryUpstreamClient):
+    """Client whose loop blocks for ``block_s`` while e0 replies to an inventory."""
+
+    block_s = 0.0
+
+    async def inventory(self, host, epoch, acked, wait, renew):
+        if self.block_s and host.name == "e0":
+            asyncio.get_running_loop().call_soon(block_loop, self.block_s)
+            self.block_s = 0.0
+        return await super().inventory(host, epoch, acked, wait, renew)
 
 
 def test_an_attempt_of_the_same_name_on_another_host_is_not_taken_for_this_one():
@@ -51,3 +64,25 @@
         assert shard.starts("e1")[0][0] >= task.lease_expires_at
 
     run_on_paused_clock(main())
+
+
+def test_replies_that_wait_while_the_loop_is_blocked_are_no_silence():
+    """The time-out of a call passes before the loop handles the reply to it."""
+
+    async def main():
+        shard = OwnedShard(BlockingClient, run_time_s=12.0)
+        host = shard.hosts["e0"]
+        shard.hosts["e1"].faults.down = True
+        await shard.owner.take_over()
+        shard.owner.tasks.accept(make_job())
+        await asyncio.sleep(1.0)
+        host.faults.silent = True
+        await asyncio.sleep(15.3)
+        shard.hosts["e1"].faults.down = False
+        host.faults.silent = False
+        shard.client.block_s = 30.0
+        await asyncio.sleep(50.0)
+        assert [state for _, _, state in shard.outcomes] == ["done"]
+        assert len(shard.starts()) == 1
+
+    run_on_paused_clock(main())
