Do not take a start without a reply for lost while it may still arrive

Cause: a start whose call timed out after 2 s was taken for lost as soon as an inventory requested after that did not list its task, and the task was started again. A host that is slow to handle its calls may handle the start after the inventory, and then runs the task as well. Change: for 20 s, the lease of a task, its absence from an inventory is no sign that a task whose start got no reply is lost.

--- a/siskinroad/host_monitor.py
+++ b/siskinroad/host_monitor.py
@@ -38,6 +38,11 @@
 # Seconds added to a lease before its tasks count as lost. Without it, a task
 # could be started elsewhere while the silent host still runs it.
 LEASE_MARGIN = 1.0
+# Seconds for which a start without a reply may still reach its host, so that a task
+# missing from an inventory is not lost. If it is too short, a host that is slow to
+# handle the call runs a task that is started elsewhere; a longer one delays the restart
+# of a task whose start was lost.
+LATE_START_TIME = TASK_LEASE_S
 # Pauses between inventories in seconds: the shortest, and the longest while the
 # inventory stays the same. A host answers at once while it lists ended tasks, so
 # without the pauses the monitor would poll in a tight loop.
@@ -80,6 +85,9 @@
         Loop time at which the last call to start a task on it ended.
     starting : set of str
         Attempts whose start is in flight.
+    unconfirmed : dict of str to float
+        Attempts whose start got no reply, with the loop time until which it may still
+        reach the host.
     acked : list of str
         Ended attempts to acknowledge, so that the host can forget them.
     controls_to_retry : list of ControlTask
@@ -105,6 +113,7 @@
     last_unanswered_at: float = float("-inf")
     last_start_ended_at: float = float("-inf")
     starting: set[str] = field(default_factory=set)
+    unconfirmed: dict[str, float] = field(default_factory=dict)
     acked: list[str] = field(default_factory=list)
     controls_to_retry: list[ControlTask] = field(default_factory=list)
     unrecorded: set[str] = field(default_factory=set)
@@ -176,6 +185,22 @@
         self.leases_expired = False
         owner.host_event(self.host.name, "inventory")
 
+    def record_unconfirmed_start(self, attempt: str, now: float) -> None:
+        """Record that a start got no reply and may still reach the host."""
+        self.unconfirmed[attempt] = now + LATE_START_TIME
+
+    def may_be_starting(self, attempt: str, now: float) -> bool:
+        """Return whether a start of an attempt may still reach the host."""
+        return attempt in self.starting or now < self.unconfirmed.get(attempt, now)
+
+    def forget_confirmed_starts(self, listed: set[str], now: float) -> None:
+        """Forget the starts that reached the host, or can no longer reach it."""
+        self.unconfirmed = {
+            attempt: until
+            for attempt, until in self.unconfirmed.items()
+            if attempt not in listed and now < until
+        }
+
     def end_tasks_if_leases_expired(
         self, owner: MonitoredOwner, lease_s: float, now: float
     ) -> None:
@@ -357,18 +382,19 @@
     """End as lost the tasks that are missing from an inventory.
 
     An inventory requested before the last start on the host ended may lack that
-    task, so it ends none.
+    task, so it ends none. A start that got no reply may reach the host later.
     """
+    now = asyncio.get_running_loop().time()
+    monitor.forget_confirmed_starts(listed, now)
     if monitor.last_start_ended_at >= requested_at:
         return
-    now = asyncio.get_running_loop().time()
     for task in list(view.tasks):
         key, member = split_task(task)
         run = owner.scheduler.shard.running.get(key)
         if run is None or run.item.workload.kind == "service":
             continue
         attempt = attempt_name(run.attempt, member)
-        if attempt not in listed and attempt not in monitor.starting:
+        if attempt not in listed and not monitor.may_be_starting(attempt, now):
             owner.run(owner.scheduler.record_attempt_end(key, member, End.LOST, now))
 
 
--- a/siskinroad/tasks.py
+++ b/siskinroad/tasks.py
@@ -191,6 +191,7 @@
             self._report_not_started(key, member)
         except OutcomeUnknownError:
             owner.ports.count_event("retry", "start_unknown")
+            monitor.record_unconfirmed_start(start.attempt, owner.now())
         finally:
             monitor.starting.discard(start.attempt)
             monitor.last_start_ended_at = owner.now()
--- a/tests/test_host_monitor.py
+++ b/tests/test_host_monitor.py
@@ -3,6 +3,8 @@
 import asyncio
 
 from bench.clock import run_on_paused_clock
+from siskinroad.errors import OutcomeUnknownError
+from siskinroad.upstreams_http import CONTROL_TIMEOUT_S
 from siskinroad.upstreams_memory import MemoryUpstreamClient
 from tests.owned_shard import JOB, OwnedShard, block_loop, make_job, make_start
 
@@ -19,6 +21,24 @@
         return await super().inventory(host, epoch, acked, wait, renew)
 
 
+class LateStartClient(MemoryUpstreamClient):
+    """Client whose first start with ``late_s`` set arrives that much later."""
+
+    late_s = 0.0
+
+    async def start(self, host, epoch, start):
+        if not self.late_s:
+            await super().start(host, epoch, start)
+            return
+        late_s, self.late_s = self.late_s, 0.0
+        loop = asyncio.get_running_loop()
+        memory_host = self.memory_hosts[host.name]
+        arrival = loop.time() + late_s
+        loop.call_at(arrival, lambda: memory_host.start_task(start, arrival))
+        await asyncio.sleep(CONTROL_TIMEOUT_S)
+        raise OutcomeUnknownError("no reply", step="worker", peer=host.name)
+
+
 def test_an_attempt_of_the_same_name_on_another_host_is_not_taken_for_this_one():
     """Two owners in turn number their first attempts alike."""
 
@@ -86,3 +106,21 @@
         assert len(shard.starts()) == 1
 
     run_on_paused_clock(main())
+
+
+def test_a_start_without_a_reply_that_reaches_its_host_late_runs_nowhere_else():
+    """An inventory between the time-out and the arrival does not list the task."""
+
+    async def main():
+        shard = OwnedShard(LateStartClient)
+        shard.hosts["e0"].duration = lambda workload, rng: 1.0
+        shard.hosts["e1"].duration = lambda workload, rng: 1.0
+        await shard.owner.take_over()
+        shard.client.late_s = 4.0
+        shard.owner.tasks.accept(make_job(80))
+        await asyncio.sleep(40.0)
+        tasks = [attempt.partition("#")[0] for _, attempt in shard.starts()]
+        assert len(tasks) == len(set(tasks)) == 80
+        assert len(shard.outcomes) == 80
+
+    run_on_paused_clock(main())
