Store an outcome before its end is acknowledged, also after a refusal

Cause: an ended task was acknowledged to its host once the append of its outcome had ended, even if that had failed. The appender refuses a record while 20,000 are pending, as in a long outage of the log. The host then forgot the task, no record of its end was left, and the next owner would have started it again. Change: an outcome that was refused is appended again after 1 s; the end is acknowledged once it is stored.

--- a/siskinroad/tasks.py
+++ b/siskinroad/tasks.py
@@ -24,6 +24,9 @@
 # Seconds beyond ``TASK_LEASE_S`` to wait for silent hosts after a takeover. Without
 # a margin, a task could be started again while its host still runs it.
 SILENT_HOST_MARGIN = 1.0
+# Seconds after which an outcome that the log refused is appended again. A shorter time
+# loads a log that is behind already; a longer one keeps ended tasks on their hosts.
+RECORD_RETRY_INTERVAL = 1.0
 # Stored outcome by the end of an attempt; every other end is stored as "failed".
 OUTCOME_BY_END = {End.DONE: "done", End.STOPPED: "cancelled"}
 
@@ -216,8 +219,21 @@
         self._unrecorded.add(key)
         job.ended[index] = outcome
         job.unrecorded_count += 1
-        fut = self.owner.ports.record_outcome(name, index, outcome)
-        fut.add_done_callback(lambda _: self._on_recorded(key))
+        self._append_outcome(key, outcome)
+
+    def _append_outcome(self, key: str, outcome: str) -> None:
+        fut = self.owner.ports.record_outcome(*job_of(key), outcome)
+        fut.add_done_callback(lambda fut: self._on_appended(key, outcome, fut))
+
+    def _on_appended(self, key: str, outcome: str, fut: asyncio.Future[int]) -> None:
+        if not fut.cancelled() and fut.exception() is None:
+            self._on_recorded(key)
+        elif not self.owner.is_closed:
+            self.owner.spawn(self._append_later(key, outcome))
+
+    async def _append_later(self, key: str, outcome: str) -> None:
+        await asyncio.sleep(RECORD_RETRY_INTERVAL)
+        self._append_outcome(key, outcome)
 
     def _on_recorded(self, key: str) -> None:
         self._unrecorded.discard(key)
