Apply the ends of tasks that are read from the log to the shard's owner

Cause: the owner of a shard forgot a job once the appends of its outcomes were confirmed, before they were read back. The record of an accepted job that is in the log twice, as after an append without a reply, was then taken for a new job. An end that an earlier owner had stored was never applied to the later owner's tasks either: if the host had forgotten the task by then, it was started again. Change: the owner applies the outcomes that it reads, and forgets a job when it has read the last one.

--- a/siskinroad/entry.py
+++ b/siskinroad/entry.py
@@ -304,7 +304,8 @@
         self.ledger.apply(offset, records)
         if self.ledger.is_complete and not was_complete:
             self.shards.apply_snapshot()
-        self.shards.apply_records(records)
+        if self.ledger.is_complete:
+            self.shards.apply_records(records)
         self._schedule_notify()
 
     def put_in_force(self) -> None:
--- a/siskinroad/shards.py
+++ b/siskinroad/shards.py
@@ -148,17 +148,30 @@
                 case JobAccepted() if record.shard in self.owners:
                     owner = self.owners[record.shard]
                     owner.tasks.accept(self.ledger.jobs[record.job])
+                case TasksEnded():
+                    self._apply_outcomes(record)
                 case JobCancelled() if record.job in self.ledger.jobs:
                     shard = self.ledger.jobs[record.job].accepted.shard
                     if shard in self.owners:
                         self.owners[shard].tasks.cancel(record.job)
 
+    def _apply_outcomes(self, record: TasksEnded) -> None:
+        outcomes = dict.fromkeys(record.indices, record.outcome)
+        # A settled job may have been removed from the ledger by its last record.
+        state = self.ledger.jobs.get(record.job)
+        is_settled = state is None or state.settled
+        for owner in self.owners.values():
+            owner.tasks.apply_outcomes(record.job, outcomes, is_settled=is_settled)
+
     def apply_snapshot(self) -> None:
         """Pass to the owners the jobs that the ledger has read from a snapshot."""
         for state in list(self.ledger.jobs.values()):
             owner = self.owners.get(state.accepted.shard)
             if owner is None:
                 continue
+            owner.tasks.apply_outcomes(
+                state.accepted.job, state.ended, is_settled=state.settled
+            )
             owner.tasks.accept(state)
             if state.cancelled:
                 owner.tasks.cancel(state.accepted.job)
--- a/siskinroad/tasks.py
+++ b/siskinroad/tasks.py
@@ -47,12 +47,15 @@
         Whether the job is cancelled, so that none of its tasks may start.
     unrecorded_count : int
         Number of outcomes in ``ended`` that are not stored yet.
+    is_settled : bool
+        Whether the outcomes of all its tasks have been read back from the log.
     """
 
     accepted: JobAccepted
     ended: dict[int, str] = field(default_factory=dict)
     is_cancelled: bool = False
     unrecorded_count: int = 0
+    is_settled: bool = False
 
 
 class TaskTable:
@@ -150,9 +153,30 @@
         if job is None:
             return
         job.is_cancelled = True
-        scheduler = self.owner.scheduler
         for index in range(job.accepted.count):
-            self.owner.run(scheduler.cancel(f"{name}/{index}", self.owner.now()))
+            self._cancel_task(name, index)
+
+    def apply_outcomes(
+        self, name: str, outcomes: dict[int, str], *, is_settled: bool
+    ) -> None:
+        """Apply outcomes of a job's tasks that were read from the log, by index.
+
+        A task of which an earlier owner has stored the outcome is not run again: its
+        host may have forgotten it since.
+        """
+        job = self.jobs.get(name)
+        if job is None:
+            return
+        for index, outcome in outcomes.items():
+            if index not in job.ended:
+                job.ended[index] = outcome
+                self._cancel_task(name, index)
+        job.is_settled = is_settled
+        self._forget_if_settled(job)
+
+    def _cancel_task(self, name: str, index: int) -> None:
+        owner = self.owner
+        owner.run(owner.scheduler.cancel(f"{name}/{index}", owner.now()))
 
     def adopt(self, name: AttemptName, host: str) -> bool:
         """Adopt a task that a host reports; return False if it must not run.
@@ -241,8 +265,15 @@
         name, _ = job_of(key)
         job = self.jobs[name]
         job.unrecorded_count -= 1
-        if not job.unrecorded_count and len(job.ended) >= job.accepted.count:
-            del self.jobs[name]
+        self._forget_if_settled(job)
+
+    def _forget_if_settled(self, job: _Job) -> None:
+        """Forget a job once the log shows its end, also to a late copy of its record.
+
+        Until then the job's record, read again, would look like that of a new job.
+        """
+        if job.is_settled and not job.unrecorded_count:
+            del self.jobs[job.accepted.job]
 
     def outcomes(self, name: str) -> dict[int, str]:
         """Return the outcomes by task index of an unsettled job; empty if unknown."""
