Run a job on the shard of its first record alone

Cause: a submission that is repeated before the record of the first one has been read may be accepted on another shard of the same data centre, under the same name. The ledger keeps the first record, but each owner took the job from the record that named its shard, so both shards ran it. Change: the owner of the shard in the ledger's state gets the job. Result: the new test failed with 2 starts of one task, on two shards; now 1.

--- a/siskinroad/shards.py
+++ b/siskinroad/shards.py
@@ -145,9 +145,11 @@
         """Pass to the owners the job records that the ledger has just applied."""
         for record in records:
             match record:
-                case JobAccepted() if record.shard in self.owners:
-                    owner = self.owners[record.shard]
-                    owner.tasks.accept(self.ledger.jobs[record.job])
+                case JobAccepted() if record.job in self.ledger.jobs:
+                    # Of several records of a job the first sets its shard.
+                    state = self.ledger.jobs[record.job]
+                    if state.accepted.shard in self.owners:
+                        self.owners[state.accepted.shard].tasks.accept(state)
                 case TasksEnded():
                     self._apply_outcomes(record)
                 case JobCancelled() if record.job in self.ledger.jobs:
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -5,7 +5,7 @@
 from bench.clock import run_on_paused_clock
 from bench.world import World, small_cell
 from siskinroad.errors import PlatformError
-from siskinroad.records import TasksEnded, encode_batch
+from siskinroad.records import JobAccepted, TasksEnded, encode_batch
 from tests.owned_shard import JOB, OwnedShard, make_job
 
 
@@ -97,3 +97,24 @@
         assert len(_starts(world)) == 1
 
     run_on_paused_clock(main())
+
+
+def test_a_job_accepted_on_two_shards_runs_on_the_first_alone():
+    """A submission may be repeated before the record of the first one is read."""
+
+    async def main():
+        world = World(small_cell(east=4, shards=2), ["east-1a"])
+        await world.start_and_configure()
+        daemon = world.daemons["east-1a"]
+        first, second = sorted(s for s in daemon.shards.owners if "east-1" in s)
+        records = [
+            JobAccepted("east-1.x", "recount", "records", shard, 1, b"")
+            for shard in (first, second)
+        ]
+        for record in records:
+            world.log.append("dc.east-1", encode_batch("east-1a", [record]))
+        await asyncio.sleep(20.0)
+        assert daemon.ledger.jobs["east-1.x"].settled
+        assert len(_starts(world)) == 1
+
+    run_on_paused_clock(main())
