Bind the outcome of a keyed request to its intent

Cause: the outcome of a key named only its daemon. An append whose reply was lost may take effect late: a late copy of the outcome "not run" of a refused request then closed the next intent of the same daemon for the key, under which the request was being sent. The key was open again, and a repeat ran the request a second time. Change: each intent has a number, which its outcome repeats. The ledger ignores an outcome of another intent and a late copy of a settled one; a request is sent only under its own intent, not an earlier one of its daemon. The rule of the ledger has a test of its own, which needs the new field.

--- a/siskinroad/entry.py
+++ b/siskinroad/entry.py
@@ -154,7 +154,7 @@
         send = self.peers.send
         append = self.appender.append
         self.guard = IdempotencyGuard(
-            cfg.name, self.ledger, append, self._wait_ledger_applied
+            cfg.name, self.incarnation, self.ledger, append, self._wait_ledger_applied
         )
         self.shards = OwnedShards(
             self.place,
--- a/siskinroad/idempotency.py
+++ b/siskinroad/idempotency.py
@@ -25,6 +25,9 @@
 OUTCOME_TIMEOUT = 1.0
 # Seconds between two reads of the ledger during that wait.
 OUTCOME_POLL_INTERVAL = 0.05
+# Numbers of intents reserved for each incarnation, so that they differ across restarts.
+# A smaller value could give one number to intents of two incarnations.
+NUMBERS_PER_INCARNATION = 1 << 20
 # Most bytes of a response body that are stored with the outcome. A repeat of a request
 # with a larger response is refused instead of answered.
 MAX_STORED_BODY = 4096
@@ -38,6 +41,8 @@
 
     Parameters
     ----------
+    incarnation : int
+        Incarnation of this daemon; the numbers of its intents start from it.
     append : callable
         Appends a record within a time limit in seconds; its future returns the
         offset.
@@ -48,6 +53,7 @@
     def __init__(
         self,
         name: str,
+        incarnation: int,
         ledger: Ledger,
         append: Callable[[Record, float], asyncio.Future[int]],
         wait_applied: Callable[[int], Awaitable[None]],
@@ -57,6 +63,7 @@
         self.append = append
         self.wait_applied = wait_applied
         self._active_keys: set[str] = set()
+        self._next_number = incarnation * NUMBERS_PER_INCARNATION
 
     async def run(
         self,
@@ -87,8 +94,9 @@
             raise _log_unavailable_refusal(Outcome.UNKNOWN)
         self._active_keys.add(name)
         try:
-            await self._record_intent(name, service, request_digest)
-            return await self._send(name, send)
+            intent = self._make_intent(name, service, request_digest)
+            await self._record_intent(intent)
+            return await self._send(intent, send)
         finally:
             self._active_keys.discard(name)
 
@@ -101,44 +109,52 @@
             known = self.ledger.keys.get(name, known)
         return known
 
-    async def _record_intent(
+    def _make_intent(
         self, name: str, service: str, request_digest: str
-    ) -> None:
-        intent = IntentRecorded(name, service, request_digest, self.name)
+    ) -> IntentRecorded:
+        self._next_number += 1
+        return IntentRecorded(
+            name, service, request_digest, self.name, self._next_number
+        )
+
+    async def _record_intent(self, intent: IntentRecorded) -> None:
         try:
             offset = await self.append(intent, INTENT_TIMEOUT)
             await self.wait_applied(offset)
         except (PlatformError, TimeoutError):
-            self._record_outcome(name, NOT_RUN, None)
+            self._record_outcome(intent, NOT_RUN, None)
             raise _log_unavailable_refusal(Outcome.NOT_RUN) from None
-        state = self.ledger.keys.get(name)
+        state = self.ledger.keys.get(intent.key)
         if state is None or state.intent.daemon != self.name or state.outcome:
             raise _in_progress_refusal()
-        if state.intent.body_digest != request_digest:
+        if state.intent.body_digest != intent.body_digest:
             raise Refusal(Reason.KEY_REUSED, step="keys")
+        if state.intent.number != intent.number:
+            raise _in_progress_refusal()
 
     async def _send(
-        self, name: str, send: Callable[[], Awaitable[UpstreamResponse]]
+        self, intent: IntentRecorded, send: Callable[[], Awaitable[UpstreamResponse]]
     ) -> UpstreamResponse:
         try:
             answer = await send()
         except Refusal as exc:
             did_not_run = exc.outcome is Outcome.NOT_RUN
-            self._record_outcome(name, NOT_RUN if did_not_run else UNKNOWN, None)
+            self._record_outcome(intent, NOT_RUN if did_not_run else UNKNOWN, None)
             raise
         except BaseException:
-            self._record_outcome(name, UNKNOWN, None)
+            self._record_outcome(intent, UNKNOWN, None)
             raise
-        self._record_outcome(name, DONE, answer)
+        self._record_outcome(intent, DONE, answer)
         return answer
 
     def _record_outcome(
-        self, name: str, outcome: str, answer: UpstreamResponse | None
+        self, intent: IntentRecorded, outcome: str, answer: UpstreamResponse | None
     ) -> None:
         status = answer.status if answer is not None else 0
         is_small = answer is not None and len(answer.body) <= MAX_STORED_BODY
         body = answer.body if answer is not None and is_small else None
-        self.append(KeyOutcome(name, outcome, status, body, self.name), float("inf"))
+        record = KeyOutcome(intent.key, outcome, status, body, self.name, intent.number)
+        self.append(record, float("inf"))
 
 
 def _did_not_run(state: KeyState) -> bool:
--- a/siskinroad/ledger.py
+++ b/siskinroad/ledger.py
@@ -191,14 +191,14 @@
             and known.outcome is not None
             and known.outcome.outcome == "not run"
         )
-        if known is None or did_not_run:
+        if known is None or (did_not_run and not _is_same_intent(known, record)):
             self.keys[record.key] = KeyState(record, offset)
 
     def _record_outcome(self, record: KeyOutcome) -> None:
         known = self.keys.get(record.key)
         if known is None or known.outcome is not None:
             return
-        if known.intent.daemon != record.daemon:
+        if not _is_same_intent(known, record):
             return
         known.outcome = record
         _evict_oldest(
@@ -242,6 +242,12 @@
                     self._apply_record(offset, index, record)
 
 
+def _is_same_intent(known: KeyState, record: IntentRecorded | KeyOutcome) -> bool:
+    """Return whether a record, perhaps a late copy, belongs to the stored intent."""
+    intent = known.intent
+    return (intent.daemon, intent.number) == (record.daemon, record.number)
+
+
 def _evict_oldest(
     states: dict[str, _State], limit: int, is_finished: Callable[[_State], bool]
 ) -> None:
--- a/siskinroad/records.py
+++ b/siskinroad/records.py
@@ -105,18 +105,23 @@
 
 
 class IntentRecorded(msgspec.Struct, tag="intent", frozen=True):
-    """Intent to send a keyed request, at most once."""
+    """Intent to send a keyed request, at most once.
+
+    ``number`` tells apart the intents of a daemon, in all its incarnations.
+    """
 
     key: str
     service: str
     body_digest: str
     daemon: str
+    number: int = 0
 
 
 class KeyOutcome(msgspec.Struct, tag="outcome", frozen=True):
     """Outcome of a keyed request; a small response body is stored with it.
 
-    It is valid only from the daemon whose intent for the key is stored.
+    It is valid only for the stored intent for the key, which ``daemon`` and ``number``
+    identify.
     """
 
     key: str
@@ -124,6 +129,7 @@
     status: int
     body: bytes | None
     daemon: str
+    number: int = 0
 
 
 class SnapshotPart(msgspec.Struct, tag="snapshot", frozen=True):
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -58,6 +58,18 @@
     assert ledger.keys["k"].outcome.outcome == "done"
 
 
+def test_late_copies_of_an_intent_and_its_outcome_do_not_touch_a_later_intent():
+    """The key of a request that has been sent would be open again."""
+    refused = KeyOutcome("k", "not run", 0, None, "a", 1)
+    first = IntentRecorded("k", "s", "m", "a", 1)
+    second = IntentRecorded("k", "s", "m", "a", 2)
+    ledger = _apply_batches(Ledger(), [first], [refused], [first])
+    assert ledger.keys["k"].outcome == refused
+    _apply_batches(ledger, [second], [refused])
+    assert ledger.keys["k"].intent == second
+    assert ledger.keys["k"].outcome is None
+
+
 def test_a_reader_recovers_from_a_snapshot_and_later_records():
     complete = _apply_batches(
         Ledger(), [DaemonJoined("a", 1)], [JOB], [ClaimMade("s", "a", 1, 0)]
