Take no stamp of an earlier incarnation for a confirmation of a claim

Cause: a daemon's peers echo its latest stamp, a time of its own clock, and the reader of the log returns one with each tail. After a restart they still hold the stamp of the earlier incarnation until they hear from the new one. The clock of a host that has restarted starts again near 0, and that of another host may show anything: a stamp of the earlier incarnation then confirmed the new one's claims far into the future, and later, lower echoes were ignored. Such a daemon never suspended its shards, however long it was cut off: two owners. Change: echoes and tails carry the incarnation that made the stamp; others confirm nothing. A daemon of the former version sends none, so that during an update only reads of the log by the daemon itself, or through an updated reader, confirm a claim.

--- a/bench/model.py
+++ b/bench/model.py
@@ -42,7 +42,7 @@
     inbox: list[Heartbeat] = field(default_factory=list)
 
     def __post_init__(self) -> None:
-        self.members = Membership(self.name)
+        self.members = Membership(self.name, self.incarnation)
         self.ownership = Ownership(
             self.name, self.incarnation, self.ledger, self.members
         )
@@ -111,7 +111,9 @@
                 continue
             member = node.members.members.get(other.name)
             echo = (
-                Echo(member.stamp, node.ownership.claimed_shards()) if member else None
+                Echo(member.stamp, node.ownership.claimed_shards(), member.incarnation)
+                if member
+                else None
             )
             other.inbox.append(
                 Heartbeat(
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -161,16 +161,32 @@
     names = [f"east-1{x}" for x in "abcdefg"]
     stamp = 123456.789
     heartbeat = Heartbeat(
-        "east-1a", 1764801000000, stamp, Echo(stamp, []), 1200, False, True, names, []
+        "east-1a",
+        1764801000000,
+        stamp,
+        Echo(stamp, [], 1764801000000),
+        1200,
+        False,
+        True,
+        names,
+        [],
     )
     brief_heartbeat = Heartbeat(
-        "east-1a", 1764801000000, stamp, Echo(stamp, []), 1200, False, True, None, []
+        "east-1a",
+        1764801000000,
+        stamp,
+        Echo(stamp, [], 1764801000000),
+        1200,
+        False,
+        True,
+        None,
+        [],
     )
     heartbeat_with_shard = Heartbeat(
         "east-1a",
         1764801000000,
         stamp,
-        Echo(stamp, []),
+        Echo(stamp, [], 1764801000000),
         1200,
         False,
         True,
@@ -201,7 +217,7 @@
         "heartbeat that names the admitted": len(encode(heartbeat)),
         "heartbeat, a shard more": len(encode(heartbeat_with_shard))
         - len(encode(heartbeat)),
-        "tail": len(encode(LogTail("dc.east-1", 123456, stamp))),
+        "tail": len(encode(LogTail("dc.east-1", 123456, stamp, 1764801000000))),
         "digest": len(encode(digest)),
         "digest, a shard more": len(encode(digest_with_shard)) - len(encode(digest)),
         "claim record": len(encode_batch("east-1a", [claim])),
@@ -280,7 +296,7 @@
     from siskinroad.membership import Membership
     from siskinroad.messages import decode
 
-    members = Membership("z")
+    members = Membership("z", 0)
     stamp = [0.0]
 
     def exchange_heartbeat() -> None:
--- a/siskinroad/entry.py
+++ b/siskinroad/entry.py
@@ -116,7 +116,7 @@
         cfg, rng = self.cfg, self.rng
         send = self.peers.send
         stream = data_centre_stream(cfg.data_centre)
-        self.members = Membership(cfg.name)
+        self.members = Membership(cfg.name, self.incarnation)
         self.ledger = Ledger()
         self.configuration = Configuration()
         self.ownership = Ownership(
--- a/siskinroad/membership.py
+++ b/siskinroad/membership.py
@@ -53,10 +53,17 @@
 
 
 class Membership:
-    """The members of one data centre, without this daemon."""
+    """The members of one data centre, without this daemon.
 
-    def __init__(self, name: str) -> None:
+    Parameters
+    ----------
+    name, incarnation : str, int
+        Name and incarnation of this daemon.
+    """
+
+    def __init__(self, name: str, incarnation: int) -> None:
         self.name = name
+        self.incarnation = incarnation
         self.members: dict[str, Member] = {}
         self.draining = False
 
@@ -91,9 +98,12 @@
         if msg.admits is not None:
             member.admits = frozenset(msg.admits)
         member.shards = msg.shards
-        if msg.echo is not None and msg.echo.stamp >= member.echoed_stamp:
-            member.echoed_stamp = msg.echo.stamp
-            member.claimed_shards = frozenset(msg.echo.claimed_shards)
+        echo = msg.echo
+        if echo is None or echo.incarnation != self.incarnation:
+            return
+        if echo.stamp >= member.echoed_stamp:
+            member.echoed_stamp = echo.stamp
+            member.claimed_shards = frozenset(echo.claimed_shards)
 
     def alive_members(self, now: float) -> list[Member]:
         """Return the members whose last heartbeat is within ``HEARTBEAT_TIMEOUT``."""
--- a/siskinroad/messages.py
+++ b/siskinroad/messages.py
@@ -52,11 +52,13 @@
     """Echo of a peer's latest stamp, with the shards that the sender has claimed.
 
     ``claimed_shards`` lists the shards on which the sender has or may have a claim; on
-    all others the echo confirms the receiver's claim.
+    all others the echo confirms the receiver's claim. ``incarnation`` is that of the
+    peer whose stamp it is: the clock of another one may differ.
     """
 
     stamp: float
     claimed_shards: list[str]
+    incarnation: int = 0
 
 
 class Heartbeat(msgspec.Struct, tag="hb", frozen=True):
@@ -104,12 +106,13 @@
     """Notice from the log's reader that it has read the stream up to ``next``.
 
     ``stamp`` is the receiver's own stamp, which the reader had received before it began
-    that read.
+    that read, from the receiver's incarnation ``incarnation``.
     """
 
     stream: str
     next: int
     stamp: float
+    incarnation: int = 0
 
 
 class LogRecords(msgspec.Struct, tag="records", frozen=True):
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -7,6 +7,7 @@
 from bench.clock import run_on_paused_clock
 from bench.world import World, small_cell
 from siskinroad.errors import Refusal
+from siskinroad.ownership import LEASE_TIME
 from siskinroad.records import JobAccepted
 
 NAMES = ["east-1a", "east-1b", "west-1a"]
@@ -274,3 +275,30 @@
         assert owner.ledger.jobs["east-1.x"].settled
 
     run_on_paused_clock(main())
+
+
+def test_stamps_of_an_earlier_incarnation_do_not_extend_a_lease():
+    """A restarted host's clock may show less than before; its peers echo the old one.
+
+    Here the peer still holds the stamp of the earlier incarnation, since the first
+    messages of the new one are lost.
+    """
+
+    async def main():
+        world = World(small_cell(west=0), ["east-1a", "east-1b"])
+        await world.start_and_configure()
+        await world.kill("east-1b")
+        await asyncio.sleep(5.0)
+        peer = world.daemons["east-1a"].members.members["east-1b"]
+        peer.stamp += 1e6
+        peer.last_heartbeat = asyncio.get_running_loop().time()
+        world.network.faults.cut.add(("east-1b", "east-1a"))
+        restarted = world.start("east-1b")
+        await asyncio.sleep(1.2)
+        world.network.faults.cut.clear()
+        await asyncio.sleep(10.0)
+        now = asyncio.get_running_loop().time()
+        assert _owner_of(world, "booking/east-1/0")
+        assert restarted.ownership.lease_until("booking/east-1/0") <= now + LEASE_TIME
+
+    run_on_paused_clock(main())
--- a/tests/test_log_reader.py
+++ b/tests/test_log_reader.py
@@ -6,7 +6,7 @@
 from bench.clock import run_on_paused_clock
 from siskinroad.log_reader import LogReader, Stream
 from siskinroad.membership import Membership
-from siskinroad.messages import LogFetch, LogRecords
+from siskinroad.messages import LogFetch, LogRecords, LogTail
 from siskinroad.platform import LogPage
 from siskinroad.platform_memory import MemoryPlatform, MemoryPlatformState
 from siskinroad.records import DaemonJoined, encode_batch
@@ -23,7 +23,7 @@
         self.log_reader = LogReader(
             "a",
             platform,
-            Membership("a"),
+            Membership("a", 2),
             lambda name, msg: self.sent.append((name, msg)),
             lambda stream, stamp: self.confirmed.append(stamp),
             random.Random(1),
@@ -134,3 +134,16 @@
     assert follower.offset == 3
     pages = [(msg.start, len(msg.records)) for _, msg in follower.sent]
     assert pages == [(2, 1), (0, 0)]
+
+
+def test_a_tail_with_the_stamp_of_an_earlier_incarnation_confirms_nothing():
+    """The clock of the earlier one may have shown more than this one's."""
+
+    async def main():
+        follower = Follower(MemoryPlatform(MemoryPlatformState()))
+        follower.log_reader.handle_tail(LogTail("s", 1, 5000.0, 1), 1000.0)
+        assert follower.confirmed == []
+        follower.log_reader.handle_tail(LogTail("s", 1, 999.0, 2), 1000.0)
+        assert follower.confirmed == [999.0]
+
+    run_on_paused_clock(main())
