Keep the capacity of an earlier owner's requests while new ones start

Cause: the requests that an earlier owner left on a host were counted as those that the host reports less those that this owner has in progress. A report is older than the requests sent since, and a request that has ended at the host counts as in progress until its reply is handled. The difference was then too small, and since it never grows again, the capacity was given away for good: the host was overfilled. Change: until the longest time limit of the pool's services has passed since the first inventory, the host's own number is the bound. The in-memory host makes its report when it sends it; it made it when the reply arrived.

--- a/siskinroad/host_monitor.py
+++ b/siskinroad/host_monitor.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from siskinroad.cell import Host
+from siskinroad.cell import Host, Workload
 from siskinroad.effects import ControlTask, End
 from siskinroad.errors import NotSentError, OutcomeUnknownError, StaleEpochError
 from siskinroad.names import AttemptName, attempt_name, parse_attempt, split_task
@@ -102,6 +102,8 @@
     earlier_owners_requests : int
         Requests of earlier owners in progress on the host; -1 before the first
         inventory.
+    earlier_owners_until : float
+        Loop time by which the time limits of these requests have passed.
     """
 
     host: Host
@@ -118,6 +120,7 @@
     controls_to_retry: list[ControlTask] = field(default_factory=list)
     unrecorded: set[str] = field(default_factory=set)
     earlier_owners_requests: int = -1
+    earlier_owners_until: float = float("inf")
     last_reported: list[tuple[str, TaskState]] = field(default_factory=list)
     is_unchanged: bool = False
 
@@ -401,13 +404,23 @@
 def _reserve_requests_of_earlier_owners(
     owner: MonitoredOwner, monitor: HostMonitor, view: HostView, requests: int
 ) -> None:
-    """Reserve capacity for requests that earlier owners left on the host."""
+    """Reserve capacity for requests that earlier owners left on the host.
+
+    The inventory may be older than requests sent since, or newer than the end of one
+    whose reply is not handled yet. So this owner's requests are subtracted from the
+    host's number only once the time limits of the earlier ones have passed.
+    """
     if monitor.earlier_owners_requests == 0:
         return
+    now = asyncio.get_running_loop().time()
+    if monitor.earlier_owners_requests < 0:
+        monitor.earlier_owners_until = now + _longest_time_limit(owner, monitor.host)
     index = owner.scheduler.shard.pool_state(view.name).index
     if EARLIER_OWNERS_REQUESTS in view.tasks:
         index.release(view, EARLIER_OWNERS_REQUESTS, EARLIER_OWNERS_REQUESTS)
-    reported = max(0, requests - _count_own_requests(owner, view))
+    is_over = now >= monitor.earlier_owners_until
+    own_requests = _count_own_requests(owner, view) if is_over else 0
+    reported = max(0, requests - own_requests)
     monitor.earlier_owners_requests = (
         reported
         if monitor.earlier_owners_requests < 0
@@ -430,12 +443,21 @@
     return sum(1 for run in runs if run and run.item.workload.kind == "service")
 
 
-def _largest_request(owner: MonitoredOwner, host: Host) -> Resources:
-    needs = [
-        workload.demand
+def _services(owner: MonitoredOwner, host: Host) -> list[Workload]:
+    return [
+        workload
         for workload in owner.scheduler.shard.cell.workloads.values()
         if workload.pool == host.pool and workload.kind == "service"
     ]
+
+
+def _longest_time_limit(owner: MonitoredOwner, host: Host) -> float:
+    """Return the longest time limit, in seconds, of a request to the host."""
+    return max((service.timeout for service in _services(owner, host)), default=0.0)
+
+
+def _largest_request(owner: MonitoredOwner, host: Host) -> Resources:
+    needs = [service.demand for service in _services(owner, host)]
     return Resources(
         max((need.cpu_milli for need in needs), default=0),
         max((need.memory_mib for need in needs), default=0),
--- a/siskinroad/upstreams_memory.py
+++ b/siskinroad/upstreams_memory.py
@@ -305,9 +305,10 @@
             if renew:
                 self._renew_leases(memory_host, loop.time())
             await self._wait_for_task_end(memory_host, loop.time() + wait)
-            await self._deliver_reply(memory_host, host)
             tasks = memory_host.report_tasks(loop.time())
-            return Inventory(tasks, memory_host.requests, memory_host.leaving)
+            inventory = Inventory(tasks, memory_host.requests, memory_host.leaving)
+            await self._deliver_reply(memory_host, host)
+            return inventory
 
     def _renew_leases(self, memory_host: MemoryHost, now: float) -> None:
         for task in memory_host.tasks.values():
--- a/tests/owned_shard.py
+++ b/tests/owned_shard.py
@@ -17,10 +17,12 @@
 
 
 class OwnedShard:
-    """An owner of two hosts, e0 and e1; ``run_time_s`` applies to each task."""
+    """An owner of ``east`` hosts, e0 and so on; ``run_time_s`` applies to each task."""
 
-    def __init__(self, client_class=MemoryUpstreamClient, run_time_s=60.0):
-        cell = parse_cell(small_cell(east=2))
+    def __init__(
+        self, client_class=MemoryUpstreamClient, run_time_s=60.0, east=2, **keys
+    ):
+        cell = parse_cell(small_cell(east=east, **keys))
         hosts = cell.shards("east-1")[SHARD]
         self.run_time_s = run_time_s
         self.hosts = {host.name: self._make_host(cell, host) for host in hosts}
@@ -43,6 +45,7 @@
             cell.pools[host.pool].capacity,
             random.Random(1),
             duration=lambda workload, rng: self.run_time_s,
+            demand=lambda workload: cell.workloads[workload].demand,
         )
 
     def record_outcome(self, job, index, outcome):
--- a/tests/test_host_monitor.py
+++ b/tests/test_host_monitor.py
@@ -21,6 +21,13 @@
         return await super().inventory(host, epoch, acked, wait, renew)
 
 
+class LogDownShard(OwnedShard):
+    """Owned shard that stores no outcome, so that hosts keep to list ended tasks."""
+
+    def record_outcome(self, job, index, outcome):
+        return asyncio.get_running_loop().create_future()
+
+
 class LateStartClient(MemoryUpstreamClient):
     """Client whose first start with ``late_s`` set arrives that much later."""
 
@@ -124,3 +131,45 @@
         assert len(shard.outcomes) == 80
 
     run_on_paused_clock(main())
+
+
+def test_requests_of_an_earlier_owner_keep_their_capacity_while_new_ones_start():
+    """An inventory may be older than the requests that this owner has sent since."""
+
+    async def main():
+        shard = LogDownShard(east=1, cpu=4)
+        owner, memory_host = shard.owner, shard.hosts["e0"]
+        earlier = MemoryUpstreamClient(shard.hosts)
+        shard.run_time_s = 4.0
+        host = owner.monitors["e0"].host
+        calls = [
+            asyncio.create_task(
+                earlier.request(host, f"r{n}#1", 1, "/quote", b"", 20.0)
+            )
+            for n in range(3)
+        ]
+        await asyncio.sleep(0.1)
+        shard.run_time_s = 0.25
+        memory_host.start_task(make_start(f"{JOB}/0#1~0"), owner.now())
+        owner.tasks.restore([make_job()])
+        await owner.take_over()
+        await asyncio.sleep(1.0)
+        shard.client.delay = 0.1
+        quote = owner.scheduler.shard.cell.workloads["quote"]
+        for n in range(20):
+            owner.requests.submit(f"q{n}", quote, "/quote", b"", owner.now() + 60.0)
+        await asyncio.gather(*calls)
+        await asyncio.sleep(30.0)
+        assert _peak_cpu(memory_host) <= 4000
+        assert len(shard.starts()) == 3 + 1 + 20
+
+    run_on_paused_clock(main())
+
+
+def _peak_cpu(memory_host):
+    used = peak = 0
+    for event in memory_host.events:
+        sign = 1 if event.kind == "start" else -1
+        used += sign * event.used.cpu_milli
+        peak = max(peak, used)
+    return peak
