Keep a host that leaves the cell file until its work has ended

Cause: when a revision removed a host, its tasks counted as lost at once and were started again, while the host ran them on: nobody told it to stop them, and their leases last 20 s. If the task was started on the host that was being removed, the start raised KeyError; that ended the daemon's reader of the log for good, and with it the confirmations of its claims. Change: a removed host is closed like a leaving one and forgotten once no run is left on it. The platform's list does not open it again. Result: the new test failed: the reader ended with KeyError and the revision was not read back; now the task runs once, on the removed host, which is then forgotten.

--- a/siskinroad/host_monitor.py
+++ b/siskinroad/host_monitor.py
@@ -78,7 +78,7 @@
     leases_expired : bool
         Its task leases have expired since it became silent.
     is_removed : bool
-        The host is no longer in the configuration.
+        The host is no longer in the configuration; it is forgotten once idle.
     last_unanswered_at : float
         Loop time at which the last request that showed silence began.
     last_start_ended_at : float
@@ -238,20 +238,23 @@
 
     monitors: dict[str, HostMonitor]
 
+    def forget_host(self, name: str) -> bool:
+        """Forget a removed host unless it still runs work; return whether it did."""
+
     @property
     def tasks(self) -> TaskTracker:
         """Tasks of the shard's jobs."""
 
 
 async def monitor_host(owner: MonitoredOwner, monitor: HostMonitor) -> None:
-    """Fetch a host's inventory in a loop until the host is removed.
+    """Fetch a host's inventory in a loop until the host is removed and idle.
 
     No lease is renewed while the host is silent, so that its task leases are certain
     to expire: a request that reaches it although the reply is lost would renew them.
     """
     loop = asyncio.get_running_loop()
     pause = MIN_PAUSE
-    while not monitor.is_removed:
+    while not (monitor.is_removed and owner.forget_host(monitor.host.name)):
         if monitor.is_silent:
             await asyncio.sleep(SILENT_RETRY_INTERVAL)
             await monitor.fetch_inventory(owner, wait=0.0, renew=False)
--- a/siskinroad/owner.py
+++ b/siskinroad/owner.py
@@ -11,7 +11,7 @@
 from siskinroad.effects import ControlTask, Effect, Finished, Refused, StartTask
 from siskinroad.errors import NotSentError, OutcomeUnknownError, StaleEpochError
 from siskinroad.host_monitor import HostMonitor, monitor_host
-from siskinroad.names import attempt_name
+from siskinroad.names import attempt_name, split_task
 from siskinroad.owner_context import OwnerPorts
 from siskinroad.requests import RequestTable
 from siskinroad.resources import Resources
@@ -151,19 +151,38 @@
             self.run(self.scheduler.tick(self.now()))
 
     def configure(self, cell: Cell, hosts: list[Host]) -> None:
-        """Apply a new cell configuration: remove, add and update hosts."""
-        now = self.now()
+        """Apply a new cell configuration: remove, add and update hosts.
+
+        A removed host gets no new work; it is forgotten once what it runs has ended.
+        """
         names = {host.name for host in hosts}
-        for name in [name for name in self.monitors if name not in names]:
-            monitor = self.monitors.pop(name)
-            monitor.is_removed = True
-            self.run(self.scheduler.remove_host(name, now))
-        self.run(self.scheduler.configure(cell, now))
+        for name, monitor in self.monitors.items():
+            if name not in names:
+                monitor.is_removed = True
+                self.host_event(name, "leave")
+        self.run(self.scheduler.configure(cell, self.now()))
         for host in hosts:
             if host.name not in self.monitors:
                 self._add_host(host)
                 self.spawn(monitor_host(self, self.monitors[host.name]))
-            self.monitors[host.name].host = host
+            monitor = self.monitors[host.name]
+            monitor.host = host
+            if monitor.is_removed:
+                monitor.is_removed = False
+                self.host_event(host.name, "rejoin")
+
+    def forget_host(self, name: str) -> bool:
+        """Forget a removed host unless it still runs work; return whether it did.
+
+        What it runs would otherwise be started again while it still runs there.
+        """
+        view = self.scheduler.view(name)
+        running = self.scheduler.shard.running
+        if view is not None and any(split_task(x)[0] in running for x in view.tasks):
+            return False
+        del self.monitors[name]
+        self.run(self.scheduler.remove_host(name, self.now()))
+        return True
 
     def host_event(self, name: str, event: str) -> None:
         """Apply an event of the ``upstream`` chart to a host."""
--- a/siskinroad/shards.py
+++ b/siskinroad/shards.py
@@ -132,13 +132,13 @@
             self._apply_host_list(owner)
 
     def _apply_host_list(self, owner: ShardOwner) -> None:
-        for name in owner.monitors:
+        for name, monitor in owner.monitors.items():
             match self.host_list.get(name):
                 case HostState.LEAVING:
                     owner.host_event(name, "leave")
                 case HostState.GONE:
                     owner.host_event(name, "gone")
-                case HostState.LIVE:
+                case HostState.LIVE if not monitor.is_removed:
                     owner.host_event(name, "rejoin")
 
     def apply_records(self, records: list[Record]) -> None:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,6 +1,7 @@
 """Tests of whole daemons on a simulated network, without their HTTP listeners."""
 
 import asyncio
+import re
 
 import pytest
 
@@ -302,3 +303,25 @@
         assert restarted.ownership.lease_until("booking/east-1/0") <= now + LEASE_TIME
 
     run_on_paused_clock(main())
+
+
+def test_a_task_on_a_host_that_leaves_the_cell_file_runs_nowhere_else_meanwhile():
+    """The host is not told to stop what it runs, and its leases last for a while."""
+
+    async def main():
+        world = World(small_cell(west=0), ["east-1a"])
+        await world.start_and_configure()
+        world.run_time_s["recount"] = 12.0
+        daemon = world.daemons["east-1a"]
+        cell = daemon.cell()
+        view = await daemon.jobs.submit(cell, cell.workloads["recount"], 1, b"", "")
+        await asyncio.sleep(1.0)
+        (start,) = [event for event in world.events if event.kind == "start"]
+        table = rf'\[\[upstreams.hosts\]\]\nname = "{start.host}"\n(?:\w+ = .*\n)+'
+        await daemon.publisher.apply(re.sub(table, "", world.text), None)
+        assert (await daemon.jobs.watch(view.job, 60.0)).done == 1
+        assert [e for e in world.events if e.kind == "start"] == [start]
+        await asyncio.sleep(15.0)
+        assert start.host not in daemon.shards.owners["booking/east-1/0"].monitors
+
+    run_on_paused_clock(main())
