Repeat a submission of unknown outcome in the same data centre alone

Cause: a submission is sent again every 0.5 s until a reply comes. If the owner stored the job and restarted before its reply, the new incarnation refused a later copy with "no owner", as not run. The submission was then tried in another data centre, where the job has another name: it ran in both. Change: a refusal of a request that was sent more than once has an unknown outcome. After one, the submission is tried in the same data centre alone, where the job's name is the same, and its final refusal says that the outcome is unknown.

--- a/siskinroad/jobs.py
+++ b/siskinroad/jobs.py
@@ -71,6 +71,7 @@
     """A request to a job's owner that awaits its reply."""
 
     fut: asyncio.Future[JobReply]
+    send_count: int = 0
 
 
 def data_centre_of(job: str) -> str:
@@ -132,15 +133,21 @@
         suffix = self._make_name_suffix(workload, key)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + NO_OWNER_TIMEOUT
+        centre = home_data_centre_of(cell, workload, key, self.place) if key else ""
+        outcome = Outcome.NOT_RUN
         while True:
             try:
-                load = self._choose_shard(cell, workload, key)
+                load = self._choose_shard(workload, centre)
                 job = f"{load.place.data_centre}.{suffix}"
                 return await self._call_owner(
                     load.owner, "submit", job, load.shard, workload.name, count, payload
                 )
             except Refusal as exc:
+                if exc.outcome is Outcome.UNKNOWN:
+                    # Elsewhere the job would have another name and could run twice.
+                    outcome, centre = Outcome.UNKNOWN, load.place.data_centre
                 if exc.reason not in RETRIED_REASONS or loop.time() >= deadline:
+                    exc.outcome = outcome
                     raise
             await asyncio.sleep(NO_OWNER_RETRY_INTERVAL)
 
@@ -151,19 +158,18 @@
         self._sequence += 1
         return f"{self._id_prefix}-{self._sequence}"
 
-    def _choose_shard(self, cell: Cell, workload: Workload, key: str) -> ShardLoad:
-        """Choose a shard for a job; a key always leads to the same data centre."""
+    def _choose_shard(self, workload: Workload, centre: str) -> ShardLoad:
+        """Choose a shard for a job, in the named data centre if there is one."""
         now = asyncio.get_running_loop().time()
         loads = self.loads()
-        if key:
-            home = home_data_centre_of(cell, workload, key, self.place)
-            loads = [load for load in loads if load.place.data_centre == home]
+        if centre:
+            loads = [load for load in loads if load.place.data_centre == centre]
         local_loads = [load for load in loads if load.place == self.place]
         load = choose_shard(workload, local_loads, self.place, set(), now, self.rng)
         if load is None:
             load = choose_shard(workload, loads, self.place, set(), now, self.rng)
         if load is None:
-            reason = Reason.HOME_DATA_CENTRE_UNREACHABLE if key else Reason.NO_OWNER
+            reason = Reason.HOME_DATA_CENTRE_UNREACHABLE if centre else Reason.NO_OWNER
             raise Refusal(reason, step="submit", retry_after=1.0)
         return load
 
@@ -251,9 +257,10 @@
         try:
             while loop.time() < deadline:
                 self.send(owner, msg)
+                pending.send_count += 1
                 await asyncio.wait({pending.fut}, timeout=RESEND_INTERVAL)
                 if pending.fut.done():
-                    return pending.fut.result()
+                    return _check_repeated(pending.fut.result(), pending.send_count)
         finally:
             del self._pending[msg.id]
         raise Refusal(
@@ -413,6 +420,18 @@
         raise Refusal(Reason.BAD_REQUEST, step="submit", message=text)
 
 
+def _check_repeated(reply: JobReply, send_count: int) -> JobReply:
+    """Return a reply, a refusal of a repeated request with its outcome unknown.
+
+    The owner may have accepted the first copy, and a restart may have lost its reply.
+    """
+    if reply.status == 0 or send_count == 1:
+        return reply
+    refusal = _decode_refusal(reply)
+    refusal.outcome = Outcome.UNKNOWN
+    return JobReply(reply.id, reply.status, _encode_refusal(refusal))
+
+
 def _encode_refusal(exc: Refusal) -> bytes:
     fields: list[Any] = [
         exc.reason.value,
