Wait for a daemon that has sent heartbeats since the list showed it as gone

Cause: a daemon that the platform's list shows as gone counted as stopped, whatever its heartbeats said. While the list still shows an earlier host of the name as gone, the new daemon's shards were taken over without waiting as soon as its heartbeats failed to arrive, before its lease had expired. Change: a listed daemon counts as stopped only while no heartbeat of it has arrived since it was first listed as gone. Result: the new test failed: two daemons could place work on one shard; now one at a time, and both in turn while they are cut off from each other.

--- a/siskinroad/ownership.py
+++ b/siskinroad/ownership.py
@@ -160,7 +160,7 @@
         self.ledger = ledger
         self.members = members
         self.shards: dict[str, bool] = {}
-        self.terminated: set[str] = set()
+        self.terminated: dict[str, float] = {}
         self.draining = False
         self.shard_claims: dict[str, ShardClaim] = {}
         self.confirmed_at = float("-inf")
@@ -174,9 +174,9 @@
         """Set the data centre's shards, each with whether its hosts check epochs."""
         self.shards = dict(shards)
 
-    def set_terminated(self, names: set[str]) -> None:
+    def set_terminated(self, names: set[str], now: float) -> None:
         """Set the daemons that the platform lists as terminated."""
-        self.terminated = set(names)
+        self.terminated = {name: self.terminated.get(name, now) for name in names}
 
     def confirm_by_log(self, stamp: float) -> None:
         """Record that a read begun at ``stamp`` reached the end of the log."""
@@ -204,7 +204,11 @@
         """Return the daemons whose statements a confirmation by peers needs."""
         names = set(self.ledger.joined)
         names |= {m.name for m in self.members.members.values() if m.joined}
-        return sorted(names - {self.name} - self.terminated)
+        return sorted(
+            name
+            for name in names
+            if name != self.name and not self._is_terminated(name)
+        )
 
     def is_admitted(self) -> bool:
         """Return whether this incarnation has been admitted."""
@@ -350,11 +354,22 @@
         member = self.members.members.get(claim.daemon)
         return member is not None and self.name in member.admits
 
+    def _is_terminated(self, name: str) -> bool:
+        """Return whether a daemon is listed as terminated and has sent nothing since.
+
+        The list may still show an earlier daemon of the name.
+        """
+        listed_at = self.terminated.get(name)
+        member = self.members.members.get(name)
+        return listed_at is not None and (
+            member is None or member.last_heartbeat <= listed_at
+        )
+
     def _has_stopped_placing(self, claim: Claim) -> bool:
         """Return whether the holder of a claim has certainly stopped placing work."""
         if (
             claim.released
-            or claim.daemon in self.terminated
+            or self._is_terminated(claim.daemon)
             or claim.daemon == self.name
         ):
             return True
--- a/siskinroad/shards.py
+++ b/siskinroad/shards.py
@@ -127,7 +127,7 @@
         terminated = {
             name for name, state in host_list.items() if state is HostState.GONE
         }
-        self.ownership.set_terminated(terminated)
+        self.ownership.set_terminated(terminated, self._now())
         for owner in self.owners.values():
             self._apply_host_list(owner)
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -9,6 +9,7 @@
 from bench.world import World, small_cell
 from siskinroad.errors import Refusal
 from siskinroad.ownership import LEASE_TIME
+from siskinroad.platform import HostState
 from siskinroad.records import JobAccepted
 
 NAMES = ["east-1a", "east-1b", "west-1a"]
@@ -325,3 +326,31 @@
         assert start.host not in daemon.shards.owners["booking/east-1/0"].monitors
 
     run_on_paused_clock(main())
+
+
+def test_a_daemon_that_the_list_shows_as_gone_while_it_is_alive_is_waited_for():
+    """The list may still show the host that was there before under the same name."""
+
+    async def main():
+        world = World(small_cell(west=0), ["east-1a", "east-1b"])
+        await world.start_and_configure()
+        shard = "booking/east-1/0"
+        owner = _owner_of(world, shard)
+        other = next(name for name in world.names if name != owner)
+        world.log.set_host_state("east-1", owner, HostState.GONE)
+        await asyncio.sleep(5.0)
+        world.network.faults.cut |= {(owner, other), (other, owner)}
+        owners = set()
+        for _ in range(200):
+            await asyncio.sleep(0.05)
+            now = asyncio.get_running_loop().time()
+            placing = [
+                name
+                for name, daemon in world.daemons.items()
+                if daemon.ownership.may_place(shard, now)
+            ]
+            assert len(placing) <= 1
+            owners.update(placing)
+        assert owners == {owner, other}
+
+    run_on_paused_clock(main())
