Keep an owner suspended that a host has rejected as stale

Cause: an owner that learns from a host during its takeover that a later owner exists was suspended, and resumed at the end of the takeover; a later suspension that leaves requests running resumed it as well. It placed work although it had logged that it placed none. The hosts that the later owner has reached refuse it; no promise was seen to break. Change: neither resumes a stale owner.

--- a/siskinroad/owner.py
+++ b/siskinroad/owner.py
@@ -88,13 +88,13 @@
         await monitor.fetch_inventory(self, wait=0.0, renew=True)
 
     def resume(self) -> None:
-        """Place work again; called once ownership of the shard is certain."""
-        if not self.is_closed:
+        """Place work again, once ownership is certain, unless a host rejected it."""
+        if not self.is_closed and not self.is_stale:
             self.run(self.scheduler.resume(self.now()))
 
     def suspend(self, *, requests: bool = False) -> None:
         """Place no work until resumed; with ``requests``, still place requests."""
-        self.scheduler.is_paused = not requests
+        self.scheduler.is_paused = self.is_stale or not requests
         self.scheduler.requests_only = requests
 
     async def release(self) -> None:
--- a/siskinroad/shards.py
+++ b/siskinroad/shards.py
@@ -198,7 +198,7 @@
                     self.owners[shard].suspend(requests=has_fencing)
             case ResumeShard(shard=shard):
                 self._count_claim_event("resume")
-                if shard in self.owners and not self.owners[shard].is_stale:
+                if shard in self.owners:
                     self.owners[shard].resume()
             case ReleaseShard():
                 self._spawn(self._release(effect))
--- a/tests/test_host_monitor.py
+++ b/tests/test_host_monitor.py
@@ -173,3 +173,21 @@
         used += sign * event.used.cpu_milli
         peak = max(peak, used)
     return peak
+
+
+def test_an_owner_that_a_host_rejects_during_its_takeover_places_nothing():
+    """The host has seen the epoch of a later owner, whose claim is not read yet."""
+
+    async def main():
+        shard = OwnedShard()
+        shard.hosts["e0"].epoch = 2
+        await shard.owner.take_over()
+        assert shard.owner.is_stale
+        shard.owner.suspend(requests=True)
+        quote = shard.owner.scheduler.shard.cell.workloads["quote"]
+        shard.owner.requests.submit("q", quote, "/quote", b"", shard.owner.now() + 60.0)
+        shard.owner.tasks.accept(make_job())
+        await asyncio.sleep(5.0)
+        assert shard.starts() == []
+
+    run_on_paused_clock(main())
