Pause before the next inventory of a host that has rejected the owner

Cause: a rejected inventory request was repeated at once, until the owner had read that its claim was lost: with many hosts this fills its loop, on which it reads that. Change: a pause of 1 s after a request that was rejected, or whose time-out was noticed late.

--- a/siskinroad/host_monitor.py
+++ b/siskinroad/host_monitor.py
@@ -264,6 +264,8 @@
             doubled_pause = min(pause * 2, MAX_UNCHANGED_PAUSE)
             pause = doubled_pause if monitor.is_unchanged else MIN_PAUSE
             await asyncio.sleep(pause)
+        elif not monitor.is_silent:
+            await asyncio.sleep(MAX_UNCHANGED_PAUSE)
 
 
 def _apply_inventory(
--- a/tests/test_host_monitor.py
+++ b/tests/test_host_monitor.py
@@ -21,6 +21,16 @@
         return await super().inventory(host, epoch, acked, wait, renew)
 
 
+class CountingClient(MemoryUpstreamClient):
+    """Client that counts the inventories that it requests."""
+
+    calls = 0
+
+    async def inventory(self, host, epoch, acked, wait, renew):
+        self.calls += 1
+        return await super().inventory(host, epoch, acked, wait, renew)
+
+
 class LogDownShard(OwnedShard):
     """Owned shard that stores no outcome, so that hosts keep to list ended tasks."""
 
@@ -191,3 +201,15 @@
         assert shard.starts() == []
 
     run_on_paused_clock(main())
+
+
+def test_a_rejected_owner_does_not_ask_the_host_in_a_tight_loop():
+    async def main():
+        shard = OwnedShard(CountingClient)
+        await shard.owner.take_over()
+        shard.hosts["e0"].epoch = 2
+        shard.client.calls = 0
+        await asyncio.sleep(30.0)
+        assert shard.client.calls <= 60
+
+    run_on_paused_clock(main())
