Wait after a takeover for what silent hosts' monitors conclude

Cause: tasks that no host reports were started 21 s after a takeover, whatever had become of the silent hosts' replies. An owner whose loop was blocked meanwhile started tasks that such a host had done and would have reported at once. Change: a silent host is waited for until it has answered or its monitor has concluded that its leases have expired, which takes a request that went unanswered while the loop was on time. For a host that was removed meanwhile the deadline remains. Result: the new test failed with 2 starts of a task that the silent host had done; now 1, and its end is stored.

--- a/siskinroad/tasks.py
+++ b/siskinroad/tasks.py
@@ -123,11 +123,12 @@
         if silent:
             wait = TASK_LEASE_S + SILENT_HOST_MARGIN
             log.info(
-                "tasks: shard %s waits up to %.0f s for %d silent hosts to answer "
-                "before it starts tasks that no host reports",
+                "tasks: shard %s waits for %d silent hosts to answer or their task "
+                "leases to expire, in about %.0f s, before it starts tasks that no "
+                "host reports",
                 owner.shard,
-                wait,
                 len(silent),
+                wait,
             )
             owner.spawn(self._queue_after_silence(silent, owner.now() + wait))
             return
@@ -139,14 +140,22 @@
     async def _queue_after_silence(
         self, silent: list[HostMonitor], deadline: float
     ) -> None:
-        while self.owner.now() < deadline and any(
-            not host_monitor.is_accounted_for for host_monitor in silent
-        ):
+        while any(self._may_run_unknown(monitor, deadline) for monitor in silent):
             await asyncio.sleep(TICK_INTERVAL)
         for monitor in silent:
             monitor.has_answered = True
         self.queue_unreported()
 
+    def _may_run_unknown(self, monitor: HostMonitor, deadline: float) -> bool:
+        """Return whether a host may run a task that it has not reported.
+
+        A host that is monitored is waited for until its monitor has concluded, as the
+        deadline may pass while the loop is late. A removed one is not monitored.
+        """
+        if monitor.is_removed:
+            return self.owner.now() < deadline
+        return not monitor.is_accounted_for
+
     def cancel(self, name: str) -> None:
         """Cancel every task of a job; none is started after this."""
         job = self.jobs.get(name)
--- a/tests/test_host_monitor.py
+++ b/tests/test_host_monitor.py
@@ -213,3 +213,24 @@
         assert shard.client.calls <= 60
 
     run_on_paused_clock(main())
+
+
+def test_a_takeover_during_which_the_loop_is_blocked_waits_for_silent_hosts():
+    """The time for which silent hosts are waited for may pass with replies unread."""
+
+    async def main():
+        shard = OwnedShard(BlockingClient, run_time_s=10.0)
+        host = shard.hosts["e0"]
+        now = asyncio.get_running_loop().time()
+        host.start_task(make_start(f"{JOB}/0#1~0"), now)
+        host.faults.silent = True
+        shard.owner.tasks.restore([make_job()])
+        await shard.owner.take_over()
+        await asyncio.sleep(5.3)
+        host.faults.silent = False
+        shard.client.block_s = 30.0
+        await asyncio.sleep(50.0)
+        assert shard.outcomes == [(JOB, 0, "done")]
+        assert len(shard.starts()) == 1
+
+    run_on_paused_clock(main())
