Confirm no claim by a read while records of the log are missing

Cause: a read to the end of the log confirmed a claim also while the ledger lacked records that had been trimmed unread. Change: a read confirms claims only while the ledger is complete. Result: the new test failed: two daemons might place work on one shard by the check before each request; now only the later owner may. The former owner's scheduler had been suspended by then; that it placed work was not shown.

--- a/siskinroad/entry.py
+++ b/siskinroad/entry.py
@@ -336,7 +336,8 @@
             await self._applied.wait_for(predicate)
 
     def _confirm_by_log(self, stream: str, stamp: float) -> None:
-        if stream == data_centre_stream(self.cfg.data_centre):
+        is_own = stream == data_centre_stream(self.cfg.data_centre)
+        if is_own and self.ledger.is_complete:
             self.ownership.confirm_by_log(stamp)
 
     # Requests
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -354,3 +354,26 @@
         assert owners == {owner, other}
 
     run_on_paused_clock(main())
+
+
+def test_a_read_of_a_log_whose_records_were_trimmed_confirms_no_claim():
+    """The records that this daemon missed may hold a later claim."""
+
+    async def main():
+        world = World(small_cell(west=0), ["east-1a", "east-1b"])
+        await world.start_and_configure()
+        shard = "booking/east-1/0"
+        former = _owner_of(world, shard)
+        other = next(name for name in world.names if name != former)
+        world.network.faults.cut |= {(former, other), (other, former)}
+        world.log.faults.cut.add(former)
+        await asyncio.sleep(10.0)
+        world.log.trim("dc.east-1", world.daemons[other].ledger.next_offset)
+        world.log.faults.cut.clear()
+        await asyncio.sleep(3.0)
+        now = asyncio.get_running_loop().time()
+        assert world.daemons[other].ownership.may_place(shard, now)
+        assert not world.daemons[former].ledger.is_complete
+        assert not world.daemons[former].ownership.may_place(shard, now)
+
+    run_on_paused_clock(main())
