--- a/siskinroad/entry.py
+++ b/siskinroad/entry.py
@@ -116,7 +116,7 @@
         cfg, rng = self.cfg, self.rng
         send = self.peers.send
         stream = data_centre_stream(cfg.data_centre)
-        self.members = Membership(cfg.name)
+        self.members = Membership(cfg.name, self.incarnation)
         self.ledger = Ledger()
         self.configuration = Configuration()
         self.ownership = Ownership(
@@ -154,7 +154,7 @@
         send = self.peers.send
         append = self.appender.append
         self.guard = IdempotencyGuard(
-            cfg.name, self.ledger, append, self._wait_ledger_applied
+            cfg.name, self.incarnation, self.ledger, append, self._wait_ledger_applied
         )
         self.shards = OwnedShards(
             self.place,
@@ -304,7 +304,8 @@
         self.ledger.apply(offset, records)
         if self.ledger.is_complete and not was_complete:
             self.shards.apply_snapshot()
-        self.shards.apply_records(records)
+        if self.ledger.is_complete:
+            self.shards.apply_records(records)
         self._schedule_notify()
 
     def put_in_force(self) -> None:
@@ -335,7 +336,8 @@
             await self._applied.wait_for(predicate)
 
     def _confirm_by_log(self, stream: str, stamp: float) -> None:
-        if stream == data_centre_stream(self.cfg.data_centre):
+        is_own = stream == data_centre_stream(self.cfg.data_centre)
+        if is_own and self.ledger.is_complete:
             self.ownership.confirm_by_log(stamp)
 
     # Requests
--- a/siskinroad/host_monitor.py
+++ b/siskinroad/host_monitor.py
@@ -6,13 +6,14 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from siskinroad.cell import Host
+from siskinroad.cell import Host, Workload
 from siskinroad.effects import ControlTask, End
 from siskinroad.errors import NotSentError, OutcomeUnknownError, StaleEpochError
 from siskinroad.names import AttemptName, attempt_name, parse_attempt, split_task
 from siskinroad.owner_context import OwnerContext
 from siskinroad.placement import HostView
 from siskinroad.resources import Resources
+from siskinroad.shard import Running
 from siskinroad.upstreams import Control, Inventory, TaskReport, TaskState, Usage
 
 __all__ = ["TASK_LEASE_S", "HostMonitor", "MonitoredOwner", "monitor_host"]
@@ -27,11 +28,21 @@
 INVENTORY_WAIT = 10.0
 # Seconds beyond the long poll after which a host counts as silent.
 INVENTORY_MARGIN = 1.0
+# Seconds by which the time-out of an inventory request may be noticed late for it to
+# show silence. After a longer delay the reply may lie unread at this daemon. The
+# handling of a reply takes several steps of the loop, so a value near
+# ``INVENTORY_MARGIN`` would take a busy owner for a silent host.
+MAX_LATENESS = 0.1
 # Seconds between inventory requests to a silent host.
 SILENT_RETRY_INTERVAL = 1.0
 # Seconds added to a lease before its tasks count as lost. Without it, a task
 # could be started elsewhere while the silent host still runs it.
 LEASE_MARGIN = 1.0
+# Seconds for which a start without a reply may still reach its host, so that a task
+# missing from an inventory is not lost. If it is too short, a host that is slow to
+# handle the call runs a task that is started elsewhere; a longer one delays the restart
+# of a task whose start was lost.
+LATE_START_TIME = TASK_LEASE_S
 # Pauses between inventories in seconds: the shortest, and the longest while the
 # inventory stays the same. A host answers at once while it lists ended tasks, so
 # without the pauses the monitor would poll in a tight loop.
@@ -60,18 +71,23 @@
         The host has answered an inventory request of this owner, or the owner has
         stopped waiting for it after the takeover.
     is_silent : bool
-        The last inventory request failed or timed out.
+        The last inventory request failed, or timed out while the loop was on time.
     last_renewal : float
         Loop time at which the last request that may have renewed its task leases
         ended.
     leases_expired : bool
         Its task leases have expired since it became silent.
     is_removed : bool
-        The host is no longer in the configuration.
+        The host is no longer in the configuration; it is forgotten once idle.
+    last_unanswered_at : float
+        Loop time at which the last request that showed silence began.
     last_start_ended_at : float
         Loop time at which the last call to start a task on it ended.
     starting : set of str
         Attempts whose start is in flight.
+    unconfirmed : dict of str to float
+        Attempts whose start got no reply, with the loop time until which it may still
+        reach the host.
     acked : list of str
         Ended attempts to acknowledge, so that the host can forget them.
     controls_to_retry : list of ControlTask
@@ -86,6 +102,8 @@
     earlier_owners_requests : int
         Requests of earlier owners in progress on the host; -1 before the first
         inventory.
+    earlier_owners_until : float
+        Loop time by which the time limits of these requests have passed.
     """
 
     host: Host
@@ -94,12 +112,15 @@
     leases_expired: bool = False
     is_removed: bool = False
     last_renewal: float = float("-inf")
+    last_unanswered_at: float = float("-inf")
     last_start_ended_at: float = float("-inf")
     starting: set[str] = field(default_factory=set)
+    unconfirmed: dict[str, float] = field(default_factory=dict)
     acked: list[str] = field(default_factory=list)
     controls_to_retry: list[ControlTask] = field(default_factory=list)
     unrecorded: set[str] = field(default_factory=set)
     earlier_owners_requests: int = -1
+    earlier_owners_until: float = float("inf")
     last_reported: list[tuple[str, TaskState]] = field(default_factory=list)
     is_unchanged: bool = False
 
@@ -133,7 +154,7 @@
             return False
         except (NotSentError, OutcomeUnknownError, TimeoutError):
             self.acked += acked
-            self._mark_silent(owner, loop.time(), renew)
+            self._apply_failure(owner, requested_at, wait, renew)
             return False
         if renew:
             self.last_renewal = loop.time()
@@ -143,9 +164,19 @@
         _apply_inventory(owner, self, inventory, requested_at)
         return True
 
-    def _mark_silent(self, owner: MonitoredOwner, now: float, renew: bool) -> None:
+    def _apply_failure(
+        self, owner: MonitoredOwner, requested_at: float, wait: float, renew: bool
+    ) -> None:
+        now = asyncio.get_running_loop().time()
         if renew:
             self.last_renewal = now
+        if now > requested_at + wait + INVENTORY_MARGIN + MAX_LATENESS:
+            owner.ports.count_event("host", "late")
+            return
+        self.last_unanswered_at = requested_at
+        self._mark_silent(owner)
+
+    def _mark_silent(self, owner: MonitoredOwner) -> None:
         if not self.is_silent:
             self.is_silent = True
             owner.ports.count_event("host", "silent")
@@ -157,11 +188,35 @@
         self.leases_expired = False
         owner.host_event(self.host.name, "inventory")
 
+    def record_unconfirmed_start(self, attempt: str, now: float) -> None:
+        """Record that a start got no reply and may still reach the host."""
+        self.unconfirmed[attempt] = now + LATE_START_TIME
+
+    def may_be_starting(self, attempt: str, now: float) -> bool:
+        """Return whether a start of an attempt may still reach the host."""
+        return attempt in self.starting or now < self.unconfirmed.get(attempt, now)
+
+    def forget_confirmed_starts(self, listed: set[str], now: float) -> None:
+        """Forget the starts that reached the host, or can no longer reach it."""
+        self.unconfirmed = {
+            attempt: until
+            for attempt, until in self.unconfirmed.items()
+            if attempt not in listed and now < until
+        }
+
     def end_tasks_if_leases_expired(
         self, owner: MonitoredOwner, lease_s: float, now: float
     ) -> None:
-        """End the tasks of a silent host as lost once their leases have expired."""
-        if self.leases_expired or now < self.last_renewal + lease_s + LEASE_MARGIN:
+        """End the tasks of a silent host as lost once their leases have expired.
+
+        The lease of a task that was started since the last renewal runs from its start.
+        The host must have left a request unanswered that began after that: it may have
+        answered since the last one, with tasks that have ended.
+        """
+        if self.leases_expired or self.starting:
+            return
+        renewed_at = max(self.last_renewal, self.last_start_ended_at)
+        if self.last_unanswered_at < renewed_at + lease_s + LEASE_MARGIN:
             return
         self.leases_expired = True
         owner.ports.count_event("host", "lapsed")
@@ -183,20 +238,23 @@
 
     monitors: dict[str, HostMonitor]
 
+    def forget_host(self, name: str) -> bool:
+        """Forget a removed host unless it still runs work; return whether it did."""
+
     @property
     def tasks(self) -> TaskTracker:
         """Tasks of the shard's jobs."""
 
 
 async def monitor_host(owner: MonitoredOwner, monitor: HostMonitor) -> None:
-    """Fetch a host's inventory in a loop until the host is removed.
+    """Fetch a host's inventory in a loop until the host is removed and idle.
 
     No lease is renewed while the host is silent, so that its task leases are certain
     to expire: a request that reaches it although the reply is lost would renew them.
     """
     loop = asyncio.get_running_loop()
     pause = MIN_PAUSE
-    while not monitor.is_removed:
+    while not (monitor.is_removed and owner.forget_host(monitor.host.name)):
         if monitor.is_silent:
             await asyncio.sleep(SILENT_RETRY_INTERVAL)
             await monitor.fetch_inventory(owner, wait=0.0, renew=False)
@@ -206,6 +264,8 @@
             doubled_pause = min(pause * 2, MAX_UNCHANGED_PAUSE)
             pause = doubled_pause if monitor.is_unchanged else MIN_PAUSE
             await asyncio.sleep(pause)
+        elif not monitor.is_silent:
+            await asyncio.sleep(MAX_UNCHANGED_PAUSE)
 
 
 def _apply_inventory(
@@ -256,8 +316,7 @@
     """
     host = monitor.host.name
     run = owner.scheduler.shard.running.get(name.key)
-    is_known = run is not None and run.attempt == name.run and name.member in run.hosts
-    if not is_known and not owner.tasks.adopt(name, host):
+    if not _is_run_on(run, name, host) and not owner.tasks.adopt(name, host):
         stop = ControlTask(name.key, name.run, host, name.member, Control.STOP)
         owner.run([stop])
         return False
@@ -266,6 +325,19 @@
     return True
 
 
+def _is_run_on(run: Running | None, name: AttemptName, host: str) -> bool:
+    """Return whether a host reports the run in progress, not another of its name.
+
+    Each owner of the shard numbers the attempts from those that it has found, so a
+    host that was silent at a takeover may report an attempt of the same name.
+    """
+    return (
+        run is not None
+        and run.attempt == name.run
+        and run.hosts.get(name.member) == host
+    )
+
+
 def _release_unknown_tasks(owner: MonitoredOwner, view: HostView) -> None:
     index = owner.scheduler.shard.pool_state(view.name).index
     for task in [task for task in view.tasks if task.startswith(UNKNOWN_TASK)]:
@@ -298,7 +370,7 @@
         owner.tasks.adopt(name, monitor.host.name)
         run = running.get(name.key)
     monitor.unrecorded.add(report.attempt)
-    if run is not None and run.attempt == name.run and name.member in run.hosts:
+    if _is_run_on(run, name, monitor.host.name):
         now = asyncio.get_running_loop().time()
         end = END_BY_STATE[report.state]
         effects = owner.scheduler.record_attempt_end(
@@ -318,31 +390,42 @@
     """End as lost the tasks that are missing from an inventory.
 
     An inventory requested before the last start on the host ended may lack that
-    task, so it ends none.
+    task, so it ends none. A start that got no reply may reach the host later.
     """
+    now = asyncio.get_running_loop().time()
+    monitor.forget_confirmed_starts(listed, now)
     if monitor.last_start_ended_at >= requested_at:
         return
-    now = asyncio.get_running_loop().time()
     for task in list(view.tasks):
         key, member = split_task(task)
         run = owner.scheduler.shard.running.get(key)
         if run is None or run.item.workload.kind == "service":
             continue
         attempt = attempt_name(run.attempt, member)
-        if attempt not in listed and attempt not in monitor.starting:
+        if attempt not in listed and not monitor.may_be_starting(attempt, now):
             owner.run(owner.scheduler.record_attempt_end(key, member, End.LOST, now))
 
 
 def _reserve_requests_of_earlier_owners(
     owner: MonitoredOwner, monitor: HostMonitor, view: HostView, requests: int
 ) -> None:
-    """Reserve capacity for requests that earlier owners left on the host."""
+    """Reserve capacity for requests that earlier owners left on the host.
+
+    The inventory may be older than requests sent since, or newer than the end of one
+    whose reply is not handled yet. So this owner's requests are subtracted from the
+    host's number only once the time limits of the earlier ones have passed.
+    """
     if monitor.earlier_owners_requests == 0:
         return
+    now = asyncio.get_running_loop().time()
+    if monitor.earlier_owners_requests < 0:
+        monitor.earlier_owners_until = now + _longest_time_limit(owner, monitor.host)
     index = owner.scheduler.shard.pool_state(view.name).index
     if EARLIER_OWNERS_REQUESTS in view.tasks:
         index.release(view, EARLIER_OWNERS_REQUESTS, EARLIER_OWNERS_REQUESTS)
-    reported = max(0, requests - _count_own_requests(owner, view))
+    is_over = now >= monitor.earlier_owners_until
+    own_requests = _count_own_requests(owner, view) if is_over else 0
+    reported = max(0, requests - own_requests)
     monitor.earlier_owners_requests = (
         reported
         if monitor.earlier_owners_requests < 0
@@ -365,12 +448,21 @@
     return sum(1 for run in runs if run and run.item.workload.kind == "service")
 
 
-def _largest_request(owner: MonitoredOwner, host: Host) -> Resources:
-    needs = [
-        workload.demand
+def _services(owner: MonitoredOwner, host: Host) -> list[Workload]:
+    return [
+        workload
         for workload in owner.scheduler.shard.cell.workloads.values()
         if workload.pool == host.pool and workload.kind == "service"
     ]
+
+
+def _longest_time_limit(owner: MonitoredOwner, host: Host) -> float:
+    """Return the longest time limit, in seconds, of a request to the host."""
+    return max((service.timeout for service in _services(owner, host)), default=0.0)
+
+
+def _largest_request(owner: MonitoredOwner, host: Host) -> Resources:
+    needs = [service.demand for service in _services(owner, host)]
     return Resources(
         max((need.cpu_milli for need in needs), default=0),
         max((need.memory_mib for need in needs), default=0),
--- a/siskinroad/shards.py
+++ b/siskinroad/shards.py
@@ -127,38 +127,53 @@
         terminated = {
             name for name, state in host_list.items() if state is HostState.GONE
         }
-        self.ownership.set_terminated(terminated)
+        self.ownership.set_terminated(terminated, self._now())
         for owner in self.owners.values():
             self._apply_host_list(owner)
 
     def _apply_host_list(self, owner: ShardOwner) -> None:
-        for name in owner.monitors:
+        for name, monitor in owner.monitors.items():
             match self.host_list.get(name):
                 case HostState.LEAVING:
                     owner.host_event(name, "leave")
                 case HostState.GONE:
                     owner.host_event(name, "gone")
-                case HostState.LIVE:
+                case HostState.LIVE if not monitor.is_removed:
                     owner.host_event(name, "rejoin")
 
     def apply_records(self, records: list[Record]) -> None:
         """Pass to the owners the job records that the ledger has just applied."""
         for record in records:
             match record:
-                case JobAccepted() if record.shard in self.owners:
-                    owner = self.owners[record.shard]
-                    owner.tasks.accept(self.ledger.jobs[record.job])
+                case JobAccepted() if record.job in self.ledger.jobs:
+                    # Of several records of a job the first sets its shard.
+                    state = self.ledger.jobs[record.job]
+                    if state.accepted.shard in self.owners:
+                        self.owners[state.accepted.shard].tasks.accept(state)
+                case TasksEnded():
+                    self._apply_outcomes(record)
                 case JobCancelled() if record.job in self.ledger.jobs:
                     shard = self.ledger.jobs[record.job].accepted.shard
                     if shard in self.owners:
                         self.owners[shard].tasks.cancel(record.job)
 
+    def _apply_outcomes(self, record: TasksEnded) -> None:
+        outcomes = dict.fromkeys(record.indices, record.outcome)
+        # A settled job may have been removed from the ledger by its last record.
+        state = self.ledger.jobs.get(record.job)
+        is_settled = state is None or state.settled
+        for owner in self.owners.values():
+            owner.tasks.apply_outcomes(record.job, outcomes, is_settled=is_settled)
+
     def apply_snapshot(self) -> None:
         """Pass to the owners the jobs that the ledger has read from a snapshot."""
         for state in list(self.ledger.jobs.values()):
             owner = self.owners.get(state.accepted.shard)
             if owner is None:
                 continue
+            owner.tasks.apply_outcomes(
+                state.accepted.job, state.ended, is_settled=state.settled
+            )
             owner.tasks.accept(state)
             if state.cancelled:
                 owner.tasks.cancel(state.accepted.job)
@@ -183,7 +198,7 @@
                     self.owners[shard].suspend(requests=has_fencing)
             case ResumeShard(shard=shard):
                 self._count_claim_event("resume")
-                if shard in self.owners and not self.owners[shard].is_stale:
+                if shard in self.owners:
                     self.owners[shard].resume()
             case ReleaseShard():
                 self._spawn(self._release(effect))
--- a/siskinroad/tasks.py
+++ b/siskinroad/tasks.py
@@ -24,6 +24,9 @@
 # Seconds beyond ``TASK_LEASE_S`` to wait for silent hosts after a takeover. Without
 # a margin, a task could be started again while its host still runs it.
 SILENT_HOST_MARGIN = 1.0
+# Seconds after which an outcome that the log refused is appended again. A shorter time
+# loads a log that is behind already; a longer one keeps ended tasks on their hosts.
+RECORD_RETRY_INTERVAL = 1.0
 # Stored outcome by the end of an attempt; every other end is stored as "failed".
 OUTCOME_BY_END = {End.DONE: "done", End.STOPPED: "cancelled"}
 
@@ -44,12 +47,15 @@
         Whether the job is cancelled, so that none of its tasks may start.
     unrecorded_count : int
         Number of outcomes in ``ended`` that are not stored yet.
+    is_settled : bool
+        Whether the outcomes of all its tasks have been read back from the log.
     """
 
     accepted: JobAccepted
     ended: dict[int, str] = field(default_factory=dict)
     is_cancelled: bool = False
     unrecorded_count: int = 0
+    is_settled: bool = False
 
 
 class TaskTable:
@@ -117,11 +123,12 @@
         if silent:
             wait = TASK_LEASE_S + SILENT_HOST_MARGIN
             log.info(
-                "tasks: shard %s waits up to %.0f s for %d silent hosts to answer "
-                "before it starts tasks that no host reports",
+                "tasks: shard %s waits for %d silent hosts to answer or their task "
+                "leases to expire, in about %.0f s, before it starts tasks that no "
+                "host reports",
                 owner.shard,
-                wait,
                 len(silent),
+                wait,
             )
             owner.spawn(self._queue_after_silence(silent, owner.now() + wait))
             return
@@ -133,23 +140,52 @@
     async def _queue_after_silence(
         self, silent: list[HostMonitor], deadline: float
     ) -> None:
-        while self.owner.now() < deadline and any(
-            not host_monitor.is_accounted_for for host_monitor in silent
-        ):
+        while any(self._may_run_unknown(monitor, deadline) for monitor in silent):
             await asyncio.sleep(TICK_INTERVAL)
         for monitor in silent:
             monitor.has_answered = True
         self.queue_unreported()
 
+    def _may_run_unknown(self, monitor: HostMonitor, deadline: float) -> bool:
+        """Return whether a host may run a task that it has not reported.
+
+        A host that is monitored is waited for until its monitor has concluded, as the
+        deadline may pass while the loop is late. A removed one is not monitored.
+        """
+        if monitor.is_removed:
+            return self.owner.now() < deadline
+        return not monitor.is_accounted_for
+
     def cancel(self, name: str) -> None:
         """Cancel every task of a job; none is started after this."""
         job = self.jobs.get(name)
         if job is None:
             return
         job.is_cancelled = True
-        scheduler = self.owner.scheduler
         for index in range(job.accepted.count):
-            self.owner.run(scheduler.cancel(f"{name}/{index}", self.owner.now()))
+            self._cancel_task(name, index)
+
+    def apply_outcomes(
+        self, name: str, outcomes: dict[int, str], *, is_settled: bool
+    ) -> None:
+        """Apply outcomes of a job's tasks that were read from the log, by index.
+
+        A task of which an earlier owner has stored the outcome is not run again: its
+        host may have forgotten it since.
+        """
+        job = self.jobs.get(name)
+        if job is None:
+            return
+        for index, outcome in outcomes.items():
+            if index not in job.ended:
+                job.ended[index] = outcome
+                self._cancel_task(name, index)
+        job.is_settled = is_settled
+        self._forget_if_settled(job)
+
+    def _cancel_task(self, name: str, index: int) -> None:
+        owner = self.owner
+        owner.run(owner.scheduler.cancel(f"{name}/{index}", owner.now()))
 
     def adopt(self, name: AttemptName, host: str) -> bool:
         """Adopt a task that a host reports; return False if it must not run.
@@ -191,6 +227,7 @@
             self._report_not_started(key, member)
         except OutcomeUnknownError:
             owner.ports.count_event("retry", "start_unknown")
+            monitor.record_unconfirmed_start(start.attempt, owner.now())
         finally:
             monitor.starting.discard(start.attempt)
             monitor.last_start_ended_at = owner.now()
@@ -215,8 +252,21 @@
         self._unrecorded.add(key)
         job.ended[index] = outcome
         job.unrecorded_count += 1
-        fut = self.owner.ports.record_outcome(name, index, outcome)
-        fut.add_done_callback(lambda _: self._on_recorded(key))
+        self._append_outcome(key, outcome)
+
+    def _append_outcome(self, key: str, outcome: str) -> None:
+        fut = self.owner.ports.record_outcome(*job_of(key), outcome)
+        fut.add_done_callback(lambda fut: self._on_appended(key, outcome, fut))
+
+    def _on_appended(self, key: str, outcome: str, fut: asyncio.Future[int]) -> None:
+        if not fut.cancelled() and fut.exception() is None:
+            self._on_recorded(key)
+        elif not self.owner.is_closed:
+            self.owner.spawn(self._append_later(key, outcome))
+
+    async def _append_later(self, key: str, outcome: str) -> None:
+        await asyncio.sleep(RECORD_RETRY_INTERVAL)
+        self._append_outcome(key, outcome)
 
     def _on_recorded(self, key: str) -> None:
         self._unrecorded.discard(key)
@@ -224,8 +274,15 @@
         name, _ = job_of(key)
         job = self.jobs[name]
         job.unrecorded_count -= 1
-        if not job.unrecorded_count and len(job.ended) >= job.accepted.count:
-            del self.jobs[name]
+        self._forget_if_settled(job)
+
+    def _forget_if_settled(self, job: _Job) -> None:
+        """Forget a job once the log shows its end, also to a late copy of its record.
+
+        Until then the job's record, read again, would look like that of a new job.
+        """
+        if job.is_settled and not job.unrecorded_count:
+            del self.jobs[job.accepted.job]
 
     def outcomes(self, name: str) -> dict[int, str]:
         """Return the outcomes by task index of an unsettled job; empty if unknown."""
--- a/siskinroad/upstreams_memory.py
+++ b/siskinroad/upstreams_memory.py
@@ -161,9 +161,11 @@
         for task in self.tasks.values():
             if task.state is not TaskState.RUNNING:
                 continue
-            if now >= task.lease_expires_at:
+            if now < min(task.ends_at, task.lease_expires_at):
+                continue
+            if task.lease_expires_at <= task.ends_at:
                 self.end_task(task, TaskState.STOPPED, now)
-            elif now >= task.ends_at:
+            else:
                 failing = self.faults.failing
                 self.end_task(
                     task, TaskState.FAILED if failing else TaskState.DONE, now
@@ -303,9 +305,10 @@
             if renew:
                 self._renew_leases(memory_host, loop.time())
             await self._wait_for_task_end(memory_host, loop.time() + wait)
-            await self._deliver_reply(memory_host, host)
             tasks = memory_host.report_tasks(loop.time())
-            return Inventory(tasks, memory_host.requests, memory_host.leaving)
+            inventory = Inventory(tasks, memory_host.requests, memory_host.leaving)
+            await self._deliver_reply(memory_host, host)
+            return inventory
 
     def _renew_leases(self, memory_host: MemoryHost, now: float) -> None:
         for task in memory_host.tasks.values():
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,12 +1,15 @@
 """Tests of whole daemons on a simulated network, without their HTTP listeners."""
 
 import asyncio
+import re
 
 import pytest
 
 from bench.clock import run_on_paused_clock
 from bench.world import World, small_cell
 from siskinroad.errors import Refusal
+from siskinroad.ownership import LEASE_TIME
+from siskinroad.platform import HostState
 from siskinroad.records import JobAccepted
 
 NAMES = ["east-1a", "east-1b", "west-1a"]
@@ -274,3 +277,103 @@
         assert owner.ledger.jobs["east-1.x"].settled
 
     run_on_paused_clock(main())
+
+
+def test_stamps_of_an_earlier_incarnation_do_not_extend_a_lease():
+    """A restarted host's clock may show less than before; its peers echo the old one.
+
+    Here the peer still holds the stamp of the earlier incarnation, since the first
+    messages of the new one are lost.
+    """
+
+    async def main():
+        world = World(small_cell(west=0), ["east-1a", "east-1b"])
+        await world.start_and_configure()
+        await world.kill("east-1b")
+        await asyncio.sleep(5.0)
+        peer = world.daemons["east-1a"].members.members["east-1b"]
+        peer.stamp += 1e6
+        peer.last_heartbeat = asyncio.get_running_loop().time()
+        world.network.faults.cut.add(("east-1b", "east-1a"))
+        restarted = world.start("east-1b")
+        await asyncio.sleep(1.2)
+        world.network.faults.cut.clear()
+        await asyncio.sleep(10.0)
+        now = asyncio.get_running_loop().time()
+        assert _owner_of(world, "booking/east-1/0")
+        assert restarted.ownership.lease_until("booking/east-1/0") <= now + LEASE_TIME
+
+    run_on_paused_clock(main())
+
+
+def test_a_task_on_a_host_that_leaves_the_cell_file_runs_nowhere_else_meanwhile():
+    """The host is not told to stop what it runs, and its leases last for a while."""
+
+    async def main():
+        world = World(small_cell(west=0), ["east-1a"])
+        await world.start_and_configure()
+        world.run_time_s["recount"] = 12.0
+        daemon = world.daemons["east-1a"]
+        cell = daemon.cell()
+        view = await daemon.jobs.submit(cell, cell.workloads["recount"], 1, b"", "")
+        await asyncio.sleep(1.0)
+        (start,) = [event for event in world.events if event.kind == "start"]
+        table = rf'\[\[upstreams.hosts\]\]\nname = "{start.host}"\n(?:\w+ = .*\n)+'
+        await daemon.publisher.apply(re.sub(table, "", world.text), None)
+        assert (await daemon.jobs.watch(view.job, 60.0)).done == 1
+        assert [e for e in world.events if e.kind == "start"] == [start]
+        await asyncio.sleep(15.0)
+        assert start.host not in daemon.shards.owners["booking/east-1/0"].monitors
+
+    run_on_paused_clock(main())
+
+
+def test_a_daemon_that_the_list_shows_as_gone_while_it_is_alive_is_waited_for():
+    """The list may still show the host that was there before under the same name."""
+
+    async def main():
+        world = World(small_cell(west=0), ["east-1a", "east-1b"])
+        await world.start_and_configure()
+        shard = "booking/east-1/0"
+        owner = _owner_of(world, shard)
+        other = next(name for name in world.names if name != owner)
+        world.log.set_host_state("east-1", owner, HostState.GONE)
+        await asyncio.sleep(5.0)
+        world.network.faults.cut |= {(owner, other), (other, owner)}
+        owners = set()
+        for _ in range(200):
+            await asyncio.sleep(0.05)
+            now = asyncio.get_running_loop().time()
+            placing = [
+                name
+                for name, daemon in world.daemons.items()
+                if daemon.ownership.may_place(shard, now)
+            ]
+            assert len(placing) <= 1
+            owners.update(placing)
+        assert owners == {owner, other}
+
+    run_on_paused_clock(main())
+
+
+def test_a_read_of_a_log_whose_records_were_trimmed_confirms_no_claim():
+    """The records that this daemon missed may hold a later claim."""
+
+    async def main():
+        world = World(small_cell(west=0), ["east-1a", "east-1b"])
+        await world.start_and_configure()
+        shard = "booking/east-1/0"
+        former = _owner_of(world, shard)
+        other = next(name for name in world.names if name != former)
+        world.network.faults.cut |= {(former, other), (other, former)}
+        world.log.faults.cut.add(former)
+        await asyncio.sleep(10.0)
+        world.log.trim("dc.east-1", world.daemons[other].ledger.next_offset)
+        world.log.faults.cut.clear()
+        await asyncio.sleep(3.0)
+        now = asyncio.get_running_loop().time()
+        assert world.daemons[other].ownership.may_place(shard, now)
+        assert not world.daemons[former].ledger.is_complete
+        assert not world.daemons[former].ownership.may_place(shard, now)
+
+    run_on_paused_clock(main())
