Drop log lines unformatted while the buffer is full

Cause: with a reader that has stopped, each line was formatted and then dropped, and the count of dropped lines went with the first of them, so the log never showed the others.

--- a/siskinroad/logs.py
+++ b/siskinroad/logs.py
@@ -57,20 +57,28 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Buffer a record and write what fits, or count the record as dropped."""
-        if not self._consume_token(record):
+        if not self._consume_token(record) or self._is_full():
             self.dropped += 1
             return
-        if self.dropped > self._reported_drops:
-            record.dropped_lines = self.dropped - self._reported_drops
-            self._reported_drops = self.dropped
+        reported_drops = self.dropped
+        if reported_drops > self._reported_drops:
+            record.dropped_lines = reported_drops - self._reported_drops
         line = self.format(record).encode() + b"\n"
         if self._pending_bytes + len(line) > MAX_PENDING_BYTES:
             self.dropped += 1
         else:
+            self._reported_drops = reported_drops
             self._pending_lines.append(line)
             self._pending_bytes += len(line)
         self._write_pending()
 
+    def _is_full(self) -> bool:
+        """Return whether the buffer, after another write, takes no common line."""
+        if self._pending_bytes + PIPE_WRITE_BYTES <= MAX_PENDING_BYTES:
+            return False
+        self._write_pending()
+        return self._pending_bytes + PIPE_WRITE_BYTES > MAX_PENDING_BYTES
+
     def _consume_token(self, record: logging.LogRecord) -> bool:
         elapsed_s = max(0.0, record.created - self._last_record_s)
         self._last_record_s = record.created
