Set the server's timers for head and body again

Two further cancelled timers per request make them differ too: they depend on how many cancelled timers the loop holds. Change: the timers are back; the single write of a response stays.

--- a/siskinroad/httpd.py
+++ b/siskinroad/httpd.py
@@ -131,11 +131,24 @@
         head = await self._read_head()
         if head is None:
             return None
-        body = await self._read_body()
+        body = bytearray()
+        try:
+            async with asyncio.timeout(self.limits.request_timeout):
+                while True:
+                    event = await self._next_event()
+                    if isinstance(event, h11.EndOfMessage):
+                        break
+                    if not isinstance(event, h11.Data):
+                        raise _BadRequestError(400, "truncated")
+                    body += event.data
+                    if len(body) > self.limits.body_bytes:
+                        raise _BadRequestError(413, "body_too_large")
+        except TimeoutError:
+            raise _BadRequestError(408, "slow_body") from None
         path, query = _split_target(head.target.decode("latin-1"))
         headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in head.headers}
         method = head.method.decode("latin-1")
-        return HttpRequest(method, path, query, headers, body)
+        return HttpRequest(method, path, query, headers, bytes(body))
 
     async def _read_head(self) -> h11.Request | None:
         try:
@@ -143,52 +156,17 @@
                 await self._await_first_byte()
         except TimeoutError:
             return None
-        event = self._next_event()
-        if event is h11.NEED_DATA:
-            event = await self._receive_head()
-        if isinstance(event, h11.ConnectionClosed):
-            return None
-        if not isinstance(event, h11.Request):
-            raise _BadRequestError(400, "garbage")
-        return event
-
-    async def _receive_head(self) -> object:
-        event: object = h11.NEED_DATA
         try:
             async with asyncio.timeout(self.limits.request_timeout):
-                while event is h11.NEED_DATA:
-                    await self._receive()
-                    event = self._next_event()
+                event = await self._next_event()
         except TimeoutError:
             raise _BadRequestError(408, "slow_headers") from None
+        if isinstance(event, h11.ConnectionClosed):
+            return None
+        if not isinstance(event, h11.Request):
+            raise _BadRequestError(400, "garbage")
         return event
 
-    async def _read_body(self) -> bytes:
-        body = bytearray()
-        if self._parse_body(body):
-            return bytes(body)
-        try:
-            async with asyncio.timeout(self.limits.request_timeout):
-                while not self._parse_body(body):
-                    await self._receive()
-        except TimeoutError:
-            raise _BadRequestError(408, "slow_body") from None
-        return bytes(body)
-
-    def _parse_body(self, body: bytearray) -> bool:
-        """Append what is received to ``body``; return whether it is whole."""
-        while True:
-            event = self._next_event()
-            if isinstance(event, h11.EndOfMessage):
-                return True
-            if event is h11.NEED_DATA:
-                return False
-            if not isinstance(event, h11.Data):
-                raise _BadRequestError(400, "truncated")
-            body += event.data
-            if len(body) > self.limits.body_bytes:
-                raise _BadRequestError(413, "body_too_large")
-
     async def _await_first_byte(self) -> None:
         data, closed = self.http.trailing_data
         if data or closed:
@@ -201,19 +179,20 @@
         except RuntimeError:
             raise _BadRequestError(400, "after_close") from None
 
-    def _next_event(self) -> object:
-        try:
-            return self.http.next_event()
-        except h11.RemoteProtocolError as exc:
-            status = exc.error_status_hint
-            reason = "headers_too_large" if status == 431 else "garbage"
-            raise _BadRequestError(status, reason) from None
-
-    async def _receive(self) -> None:
-        if self.http.they_are_waiting_for_100_continue:
-            interim = h11.InformationalResponse(status_code=100, headers=[])
-            self.writer.write(self.http.send(interim) or b"")
-        self._parse(await self.reader.read(READ_BYTES))
+    async def _next_event(self) -> object:
+        while True:
+            try:
+                event = self.http.next_event()
+            except h11.RemoteProtocolError as exc:
+                status = exc.error_status_hint
+                reason = "headers_too_large" if status == 431 else "garbage"
+                raise _BadRequestError(status, reason) from None
+            if event is not h11.NEED_DATA:
+                return event
+            if self.http.they_are_waiting_for_100_continue:
+                interim = h11.InformationalResponse(status_code=100, headers=[])
+                self.writer.write(self.http.send(interim) or b"")
+            self._parse(await self.reader.read(READ_BYTES))
 
     async def _send_error(self, exc: _BadRequestError) -> None:
         if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
