Keep the late report of a removed host out of the index of runs

A report can arrive after its host was removed or replaced under the same name. The runs that it lists were added to the pool's index, where they took the place of the same runs of the new host, and their removal would have raised an error. A removed host gets an index of its own. Found by reading; the test fails before.

--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -216,10 +216,15 @@
         for run in list(host.runs.values()):
             run.move("lapse")
             effects += self._end_run(host, run, "host replaced", now)
-        self.hosts.pop(host.name, None)
+        self._remove_host(host)
         self.former_owner_hosts.discard(host.name)
         return effects
 
+    def _remove_host(self, host: Host) -> None:
+        """Remove a host without runs; a late report of it changes no index."""
+        self.hosts.pop(host.name, None)
+        host.index = RunIndex()
+
     def expire_silent_hosts(self, now: float) -> list[Effect]:
         """End the runs of hosts whose leases have expired; remove unlisted hosts."""
         effects: list[Effect] = []
@@ -242,7 +247,7 @@
                 run.move("lapse")
                 effects += self._end_run(host, run, "lapsed", now)
             if host.unlisted_at:
-                del self.hosts[host.name]
+                self._remove_host(host)
         return effects
 
     def _former_lease_end(self, host: Host) -> float:
--- a/tests/work/test_indexes.py
+++ b/tests/work/test_indexes.py
@@ -5,8 +5,12 @@
 from bench.planning_load import LoadSizes, PlanningLoad
 from siskinroad.resources import Resources
 from siskinroad.work.host import QueueUse
+from siskinroad.work.hosts import HostReport, RunStatus
+from siskinroad.work.model import TaskId
 from siskinroad.work.run_ends import RunEnds
 from siskinroad.work.speed_estimates import SpeedEstimates
+from tests.work.cell import entry, job, step
+from tests.work.test_planner import add_job, make_pool_state
 
 SEEDS = range(1, 5)
 # A small pool, in which hosts fall silent, drain and jobs are cancelled.
@@ -115,3 +119,29 @@
     assert forgotten
     kept = {job.id for jobs in pool_state._maybe_pending.values() for job in jobs}
     assert not forgotten & (kept | {key[0] for key in pool_state.ready})
+
+
+def report_running(pool_state, host, running):
+    report = HostReport(1000, 1, running, ())
+    return pool_state.apply_report(host, report, host.token, 0.2, 0.2, 0.2)
+
+
+@pytest.mark.parametrize("cause", ["replaced", "expired"])
+def test_a_late_report_of_a_removed_host_leaves_the_indexes_as_they_are(cause):
+    # A call to a host is still open when the host is replaced under the same name.
+    pool_state = make_pool_state(["i-0"])
+    add_job(pool_state, "j", job(step(2)))
+    host = pool_state.hosts["i-0"]
+    if cause == "replaced":
+        pool_state.replace_host(host, 0.1)
+    else:
+        pool_state.note_host_unlisted("i-0", 0.1)
+        pool_state.expire_silent_hosts(99.0)
+    pool_state.add_or_update_host(entry("i-0"))
+    running = (RunStatus(TaskId("j", 0, 0, 0), 1, "", 5, 0),)
+    report_running(pool_state, host, running)
+    check_run_indexes(pool_state)
+    report_running(pool_state, pool_state.hosts["i-0"], running)
+    check_run_indexes(pool_state)
+    report_running(pool_state, host, ())
+    check_run_indexes(pool_state)
