Leave jobs that are restored as closed out of the ready steps

After a takeover, every job that the store holds as complete, failed or cancelled kept its steps among the ready ones, as its progress lists no ends: each planning pass went through all of them for as long as the term lasted. A restored job with an outcome has no ready steps now; the new test fails before.

--- a/siskinroad/work/job_table.py
+++ b/siskinroad/work/job_table.py
@@ -126,6 +126,9 @@
         if job is None:
             return
         job.restore(progress)
+        if job.is_closed:
+            self._remove_ready_steps(job)
+            return
         for step in list(job.steps.values()):
             self._close_step_if_done(step, now)
         self._collect_ready_steps(job, now)
@@ -212,6 +215,10 @@
                 step.ready_at = now
                 self.ready[step.key] = step
 
+    def _remove_ready_steps(self, job: Job) -> None:
+        for step in job.steps.values():
+            self.ready.pop(step.key, None)
+
     def _close_step_if_done(self, step: StepRun, now: float) -> None:
         """Replace a step in ``ready`` by the steps that depend on it, if it is done."""
         job = step.job
@@ -230,8 +237,7 @@
         job.outcome = outcome
         job.outcome_at = wall
         self.dirty.add(job.id)
-        for step in job.steps.values():
-            self.ready.pop(step.key, None)
+        self._remove_ready_steps(job)
         log.info(
             "pool_state: job %s",
             outcome,
--- a/tests/work/test_indexes.py
+++ b/tests/work/test_indexes.py
@@ -7,6 +7,7 @@
 from siskinroad.work.host import QueueUse
 from siskinroad.work.hosts import HostReport, RunStatus
 from siskinroad.work.model import TaskId
+from siskinroad.work.records import Progress
 from siskinroad.work.run_ends import RunEnds
 from siskinroad.work.speed_estimates import SpeedEstimates
 from tests.work.cell import entry, job, step
@@ -145,3 +146,12 @@
     check_run_indexes(pool_state)
     report_running(pool_state, host, ())
     check_run_indexes(pool_state)
+
+
+def test_jobs_restored_as_closed_have_no_ready_steps():
+    # After a takeover most of the jobs in the store are closed.
+    pool_state = make_pool_state(["i-0"])
+    add_job(pool_state, "j", job(step(2), step(2, after=(0,))))
+    pool_state.restore(Progress("j", "complete", 1.0, ()), 0.0)
+    assert not pool_state.ready
+    assert pool_state.jobs["j"].shown_state() == "complete"
