Take no run for absent from a report that leaves out ends

A host lists 500 ends at a time, and the next ones only once these are acknowledged. A run that had ended as done, but whose end was not in the list yet, was in neither list, so it was ended as absent and its task run again; and a new owner settled the tasks of the former one by such a report. Ends pile up while the store is down, as they are acknowledged when they are stored.

A list of that length proves no absence and reconciles no host. Both new tests of the pool state failed before ('waiting' for 'placed', settled for not settled).

--- a/siskinroad/work/hosts.py
+++ b/siskinroad/work/hosts.py
@@ -163,12 +163,15 @@
         The host's own clock in milliseconds.
     incarnation_ms : int
         Unix time in milliseconds at which this incarnation of the host began.
+    lists_all_ends : bool
+        Whether no end was left out for want of room in the report.
     """
 
     clock: int
     incarnation_ms: int
     running: tuple[RunStatus, ...]
     ended: tuple[RunEnd, ...]
+    lists_all_ends: bool = True
 
 
 class HostClient(ABC):
--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -94,7 +94,7 @@
 
         Reports on different connections may overtake each other. Of one that is older
         than the newest applied, only the ends count; one of a former incarnation of the
-        host is ignored.
+        host is ignored. One that leaves out ends does not show that a run is absent.
 
         Parameters
         ----------
@@ -115,7 +115,7 @@
         host.incarnation_ms = report.incarnation_ms
         host.clock, host.clock_read_at = report.clock, now
         host.replied_at = host.reported_at = now
-        if not host.is_settled:
+        if not host.is_settled and report.lists_all_ends:
             host.is_settled = True
             # A former owner may have renewed the lease just before this report.
             host.extend_lease_expiry(now)
@@ -130,7 +130,8 @@
             )
         effects += self._process_ends(host, report.ended, now, wall)
         effects += self._process_running(host, report.running, now)
-        effects += self._end_absent_runs(host, report, token, sent_at, now)
+        if report.lists_all_ends:
+            effects += self._end_absent_runs(host, report, token, sent_at, now)
         return effects
 
     def _open_listed_occurrences(self, report: HostReport, now: float) -> None:
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -134,6 +134,21 @@
     assert report.ended[0].end_kind is EndKind.LEASE_EXPIRED
 
 
+@pytest.mark.parametrize(("count", "lists_all_ends"), [(499, True), (500, False)])
+def test_a_report_with_the_most_ends_that_fit_may_leave_out_others(
+    count, lists_all_ends
+):
+    name = "5c0e7a21d94b36f8.0.1.17"
+    body = {
+        "clock_ms": 482113,
+        "born": 7,
+        "running": [],
+        "finished": [[n + 1, name, n + 1, "stopped", ""] for n in range(count)],
+    }
+    report = decode_report(msgspec.json.encode(body), "i-1")
+    assert report.lists_all_ends is lists_all_ends
+
+
 def test_task_name_round_trips():
     task = TaskId("5c0e7a21d94b36f8", 3, 1, 17)
     assert task_from_name(task_name(task)) == task
--- a/tests/work/test_pool_state.py
+++ b/tests/work/test_pool_state.py
@@ -13,8 +13,10 @@
 TASK = TaskId("j", 0, 0, 0)
 
 
-def report(*, running=(), ended=(), clock=1000, incarnation_ms=1):
-    return HostReport(clock, incarnation_ms, tuple(running), tuple(ended))
+def report(*, running=(), ended=(), clock=1000, incarnation_ms=1, lists_all_ends=True):
+    return HostReport(
+        clock, incarnation_ms, tuple(running), tuple(ended), lists_all_ends
+    )
 
 
 def make_pool_state(spec, hosts=("i-0",), term=1, queue="fast", is_settled=True):
@@ -369,3 +371,27 @@
     assert pool_state.task(second).state == "done"
     assert pool_state.task(TASK).state == "unsettled"
     assert pool_state.task(TaskId("j", 2, 0, 0)) is None
+
+
+def test_a_report_that_leaves_out_ends_does_not_show_that_a_run_is_absent():
+    # A host lists a limited number of ends at a time, so the end of a run may follow
+    # only when the ones before it are acknowledged.
+    pool_state = make_pool_state(job())
+    (start,) = plan_starts(pool_state)
+    host = pool_state.hosts["i-0"]
+    pool_state.apply_start_reply(host, start.run, None, 0.1)
+    send_report(pool_state, "i-0", 1.0, clock=2000, lists_all_ends=False)
+    assert pool_state.task(TASK).state == "placed"
+    done = RunEnd(501, TASK, 1, EndKind.DONE, "")
+    send_report(pool_state, "i-0", 1.2, clock=2200, ended=[done])
+    assert pool_state.task(TASK).state == "done"
+
+
+def test_a_host_is_reconciled_only_by_a_report_of_all_its_ends():
+    pool_state = make_pool_state(job(), is_settled=False)
+    pool_state.former_owner_hosts = {"i-0"}
+    pool_state.former_leases_end_at = 1e9
+    send_report(pool_state, "i-0", 1.0, lists_all_ends=False)
+    assert not pool_state.settle_tasks(1.0)
+    send_report(pool_state, "i-0", 1.2, clock=1200)
+    assert pool_state.settle_tasks(1.2)
