Tell a host's former incarnation by the order of the calls

Looked for as the same cause elsewhere: state taken from a reply that is out of date. An incarnation is numbered by the calendar clock at its start. Where that clock was set back, every report of the restarted host was taken for one of its former incarnation and ignored, while the lease was renewed: its runs were never ended and their tasks never ran again.

A report of another incarnation is ignored only if it was requested before the newest one arrived; one requested after that can only be of the present incarnation. test_a_restarted_host_whose_clock_was_set_back_is_not_ignored failed before (incarnation 7 for 3).

--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -93,8 +93,9 @@
         """Apply a host's report of its runs and ends.
 
         Reports on different connections may overtake each other. Of one that is older
-        than the newest applied, only the ends count; one of a former incarnation of the
-        host is ignored. One that leaves out ends does not show that a run is absent.
+        than the newest applied, only the ends count; one that may be of a former
+        incarnation of the host is ignored. One that leaves out ends does not show that
+        a run is absent.
 
         Parameters
         ----------
@@ -104,13 +105,16 @@
             Loop time at which the request was sent.
         """
         effects: list[Effect] = []
-        if report.incarnation_ms < host.incarnation_ms:
+        is_other = host.incarnation_ms not in (0, report.incarnation_ms)
+        # Only the order of the calls tells a former incarnation: the calendar clock
+        # that numbers them may have been set back. The next call shows which is up.
+        if is_other and sent_at < host.reported_at:
             return effects
         self._open_listed_occurrences(report, now)
         if report.incarnation_ms == host.incarnation_ms and report.clock < host.clock:
             # A newer report has overtaken this one, so what runs is known better.
             return self._process_ends(host, report.ended, now, wall)
-        if host.incarnation_ms and report.incarnation_ms != host.incarnation_ms:
+        if is_other:
             effects += self._handle_restart(host, now)
         host.incarnation_ms = report.incarnation_ms
         host.clock, host.clock_read_at = report.clock, now
