End with a host's restart only the runs that its former incarnation had accepted

A host that had restarted ended every run there but those not sent yet. A start without a reply may still arrive, and the present incarnation rejects it only once it was called with the raised token; a start may also have been accepted by the present incarnation while the report that shows the restart was under way. In both cases the task was placed again beside its run.

A start without a reply is resolved as on a host that did not restart; a run that was accepted since the call which shows the restart, by the next report. Two of the three new tests failed before (a second start was planned).

--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -115,7 +115,7 @@
             # A newer report has overtaken this one, so what runs is known better.
             return self._process_ends(host, report.ended, now, wall)
         if is_other:
-            effects += self._handle_restart(host, now)
+            effects += self._handle_restart(host, sent_at, now)
         host.incarnation_ms = report.incarnation_ms
         host.clock, host.clock_read_at = report.clock, now
         host.replied_at = host.reported_at = now
@@ -150,14 +150,20 @@
             if task.job in self.scheduled_jobs:
                 self.open_occurrences(self.jobs[task.job], task.occurrence, now)
 
-    def _handle_restart(self, host: Host, now: float) -> list[Effect]:
+    def _handle_restart(self, host: Host, sent_at: float, now: float) -> list[Effect]:
+        """End the runs that a former incarnation of a host has accepted.
+
+        Starts without a reply may still arrive, and one that was accepted since the
+        call which shows the restart may be of the present incarnation.
+        """
         log.warning(
             "pool_state: host restarted; runs of its former incarnation are ended",
             extra={"host": host.name},
         )
         effects: list[Effect] = []
         for run in list(host.runs.values()):
-            if run.state in ("ordered", "withdrawn"):
+            is_accepted = run.state in ("running", "stopping")
+            if not is_accepted or run.commanded_at >= sent_at:
                 continue
             run.move("lapse")
             effects += self._end_run(host, run, "host restarted", now)
--- a/tests/work/test_pool_state.py
+++ b/tests/work/test_pool_state.py
@@ -413,3 +413,46 @@
     # A late report of the former incarnation has the higher number now.
     send_report(pool_state, "i-0", 1.0, sent_at=0.8, incarnation_ms=7, clock=9500)
     assert host.incarnation_ms == 3
+
+
+def test_a_start_without_a_reply_is_awaited_after_its_host_has_restarted():
+    # The start may still arrive, and the present incarnation has seen no higher token
+    # until it is called with the raised one.
+    pool_state = make_pool_state(job(), ("i-0", "i-1"))
+    (start,) = plan_starts(pool_state)
+    host = pool_state.hosts[start.host]
+    token = host.token
+    pool_state.note_start_without_reply(host, start.run, 0.3)
+    send_report(
+        pool_state, host.name, 0.4, token=token, sent_at=0.2, incarnation_ms=2, clock=5
+    )
+    assert host.incarnation_ms == 2
+    assert not plan_starts(pool_state, 0.5)
+    running = [RunStatus(TASK, 1, "", 1, 0)]
+    send_report(
+        pool_state, host.name, 0.6, running=running, incarnation_ms=2, clock=200
+    )
+    assert start.run.state == "running"
+
+
+def test_a_start_without_a_reply_is_over_once_the_restarted_host_was_called_anew():
+    pool_state = make_pool_state(job(), ("i-0", "i-1"))
+    (start,) = plan_starts(pool_state)
+    host = pool_state.hosts[start.host]
+    pool_state.note_start_without_reply(host, start.run, 0.3)
+    send_report(pool_state, host.name, 0.4, incarnation_ms=2, clock=5)
+    assert start.run.state == "over"
+    assert len(plan_starts(pool_state, 0.5)) == 1
+
+
+def test_a_start_accepted_after_the_call_that_shows_a_restart_is_not_ended_by_it():
+    # The reply to the start overtakes the report of the same incarnation, which was
+    # made before the start arrived.
+    pool_state = make_pool_state(job(), ("i-0", "i-1"))
+    (start,) = plan_starts(pool_state)
+    host = pool_state.hosts[start.host]
+    pool_state.apply_start_reply(host, start.run, None, 0.4)
+    send_report(pool_state, host.name, 0.5, sent_at=0.2, incarnation_ms=2, clock=5)
+    assert not plan_starts(pool_state, 0.6)
+    send_report(pool_state, host.name, 0.8, incarnation_ms=2, clock=300)
+    assert start.run.state == "over"
