Stop the newer runs of all members when an earlier run of a gang is done

Looked for as the same cause elsewhere: an end that is listed late. Such an end of one member completes the whole gang, but only this member's newer run was dropped or stopped. The starts of the others were still sent, after the end was applied, or waited there for a member that would not come.

test_newer_runs_of_every_member_are_stopped_when_an_earlier_run_of_a_gang_is_done failed before (the other member's start was still to be sent).

--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -217,7 +217,7 @@
         if end.checkpoint and end.run >= task.run:
             task.checkpoint = end.checkpoint
         if end.end_kind is EndKind.DONE:
-            effects = self._stop_newer_run(task, end.run)
+            effects = self._stop_newer_runs(step, task, end.run)
             task.run = max(task.run, end.run)
             return effects + self._complete_task(step, task, now, wall)
         is_newest = end.run >= task.run
@@ -228,13 +228,20 @@
             host, step, task, end, is_newest, now, wall
         )
 
-    def _stop_newer_run(self, task: Task, ended_run: int) -> list[Effect]:
-        """Stop the newest run of a task of which an earlier run has succeeded."""
-        host = self.hosts.get(task.host)
-        run = host.runs.get((task.id, task.run)) if host is not None else None
-        if host is None or run is None or task.run <= ended_run:
-            return []
-        return self.stop(host, run, "an earlier run has finished")
+    def _stop_newer_runs(
+        self, step: StepRun, task: Task, ended_run: int
+    ) -> list[Effect]:
+        """Stop the newest run of a task of which an earlier run has succeeded.
+
+        A gang has succeeded as a whole, so the newest runs of all its members are.
+        """
+        effects: list[Effect] = []
+        for each in step.tasks if step.spec.gang else [task]:
+            host = self.hosts.get(each.host)
+            run = host.runs.get((each.id, each.run)) if host is not None else None
+            if host is not None and run is not None and each.run > ended_run:
+                effects += self.stop(host, run, "an earlier run has finished")
+        return effects
 
     def _log_late_end(self, host: Host, end: RunEnd, task: Task, now: float) -> None:
         """Log an end of a run that was ended before its host listed this end."""
--- a/tests/work/test_pool_state.py
+++ b/tests/work/test_pool_state.py
@@ -456,3 +456,27 @@
     assert not plan_starts(pool_state, 0.6)
     send_report(pool_state, host.name, 0.8, incarnation_ms=2, clock=300)
     assert start.run.state == "over"
+
+
+def test_newer_runs_of_every_member_are_stopped_when_an_earlier_run_of_a_gang_is_done():
+    pool_state = make_pool_state(
+        job(step(2, gang=True, cpu_milli=20000)), ("i-0", "i-1", "i-2", "i-3")
+    )
+    first = plan_starts(pool_state)
+    lost = [pool_state.hosts[start.host] for start in first]
+    for host, start in zip(lost, first, strict=True):
+        pool_state.apply_start_reply(host, start.run, None, 0.1)
+        host.lease_expires_at = host.unanswered_renewal_at = 4.0
+        host.record_failed_request()
+    pool_state.expire_silent_hosts(4.1)
+    for name in set(pool_state.hosts) - {host.name for host in lost}:
+        send_report(pool_state, name, 4.1, clock=5000)
+    second = plan_starts(pool_state, 4.2)
+    assert [start.run.key[1] for start in second] == [2, 2]
+    # One start was sent, the other still waits to be.
+    sent, unsent = second
+    pool_state.apply_start_reply(pool_state.hosts[sent.host], sent.run, None, 4.25)
+    done = RunEnd(1, first[0].run.key[0], 1, EndKind.DONE, "")
+    effects = send_report(pool_state, lost[0].name, 4.3, ended=[done], clock=5200)
+    assert sent.run in [e.run for e in effects if isinstance(e, StopRun)]
+    assert not pool_state.may_send_start(pool_state.hosts[unsent.host], unsent.run)
