Take a rejected renewal for a call without a report

A host that rejected every renewal (503, 400, a fence of another owner) counted as having replied, so the owner noted a further lease with each call and never asked for the lease to be over: its runs were held forever, and their tasks did not run again.

--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -112,7 +112,7 @@
     lease_expires_at : float
         Loop time by which every lease granted so far has certainly expired.
     unanswered_renewal_at : float
-        Loop time at which the newest renewal that got no reply was sent.
+        Loop time at which the newest renewal that brought no report was sent.
     last_end_seen, last_end_stored : int
         Number of the newest run end applied to the pool state, and of the newest one
         stored.
@@ -210,9 +210,9 @@
         self.lease_expires_at = max(self.lease_expires_at, until)
 
     def is_lease_over(self, now: float) -> bool:
-        """Return whether no lease is left and the host did not reply when asked since.
+        """Return whether no lease is left and the host did not report when asked since.
 
-        A host that replies lists its runs and ends, so what ran there is not lost even
+        A host that reports lists its runs and ends, so what ran there is not lost even
         if its lease is over. A late owner may not have called it for a while.
         """
         asked_since = self.lease_expires_at - LEASE_EXPIRY_SLACK_S
--- a/siskinroad/work/lease_renewer.py
+++ b/siskinroad/work/lease_renewer.py
@@ -99,7 +99,7 @@
             # The host was removed meanwhile; a run adopted on it would stay forever.
             return False
         if isinstance(report, Rejection):
-            return self._handle_rejection(host, report, token)
+            return self._handle_rejection(host, report, token, sent_at)
         now, wall = loop.time(), self.term.dependencies.wall()
         effects = self.term.pool_state.apply_report(
             host, report, token, sent_at, now, wall
@@ -131,8 +131,16 @@
         host.record_failed_request()
         host.unanswered_renewal_at = max(host.unanswered_renewal_at, sent_at)
 
-    def _handle_rejection(self, host: Host, rejection: Rejection, token: int) -> bool:
-        if rejection is Rejection.FENCED and token >= host.token:
+    def _handle_rejection(
+        self, host: Host, rejection: Rejection, token: int, sent_at: float
+    ) -> bool:
+        if rejection is Rejection.FENCED and token < host.token:
+            # Rejected for this owner's own raised token.
+            return False
+        # No report came, and no lease was granted, as without a reply.
+        host.record_failed_request()
+        host.unanswered_renewal_at = max(host.unanswered_renewal_at, sent_at)
+        if rejection is Rejection.FENCED:
             report_higher_token(self.term, host)
         if rejection is Rejection.OTHER_INCARNATION:
             now = asyncio.get_running_loop().time()
@@ -141,7 +149,6 @@
                 "treating it as restarted",
                 extra={"host": host.name},
             )
-            host.record_failed_request()
             self.term.execute_effects(self.term.pool_state.replace_host(host, now))
         return False
 
--- /dev/null
+++ b/tests/work/test_host_replies.py
@@ -0,0 +1,50 @@
+"""Hosts whose replies do not tell what runs there, or that take long to reply."""
+
+import asyncio
+
+from siskinroad.work.host import LEASE_S
+from siskinroad.work.hosts import Rejection
+from tests.work.cell import job
+from tests.work.test_daemon import JOB_ID, run_scenario
+
+
+def reject_renewals(cell, name, rejection, seconds):
+    """Let a host reject every renewal for a while; its runs go on."""
+    renew_lease = cell.hosts.renew_lease
+    until = asyncio.get_running_loop().time() + seconds
+
+    async def reject(host, *args):
+        if host == name and asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(0.001)
+            return rejection
+        return await renew_lease(host, *args)
+
+    cell.hosts.renew_lease = reject
+
+
+def test_runs_of_a_host_that_rejects_every_renewal_are_placed_again():
+    async def scenario(cell):
+        for host in cell.hosts.hosts.values():
+            host.task_duration_s = 30.0
+        await cell.start_daemons("a")
+        await cell.submit("a", JOB_ID, job())
+        (start,) = await cell.wait_for_starts(1)
+        reject_renewals(cell, start.host, Rejection.UNAVAILABLE, 60.0)
+        starts = await cell.wait_for_starts(2)
+        assert LEASE_S < starts[1].at - starts[0].at < LEASE_S + 1.5
+
+    run_scenario(scenario)
+
+
+def test_a_host_that_rejects_some_renewals_keeps_its_runs():
+    async def scenario(cell):
+        for host in cell.hosts.hosts.values():
+            host.task_duration_s = 8.0
+        await cell.start_daemons("a")
+        await cell.submit("a", JOB_ID, job())
+        (start,) = await cell.wait_for_starts(1)
+        reject_renewals(cell, start.host, Rejection.UNAVAILABLE, 2.5)
+        await cell.wait_for_state(JOB_ID, "complete")
+        assert len(cell.hosts.starts()) == 1
+
+    run_scenario(scenario)
