End no run on a call without a report that is older than the newest report

Looked for as the same cause elsewhere: a conclusion from an out-of-date negative. A lease was over when its time was over and any call since then had brought no report, even if the host had reported after that call. The check of leases that ran between such a report and the next renewal ended runs whose ends the report had left out.

The call without a report has to be sent since the newest report, so the host is asked once more. test_a_host_that_has_reported_since_it_was_silent_is_asked_again_for_its_ends failed before ('waiting' for 'placed'). A test that removes a host by setting these times now names a call after the newest report; what it checks is the same.

--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -215,7 +215,9 @@
         A host that reports lists its runs and ends, so what ran there is not lost even
         if its lease is over. A late owner may not have called it for a while.
         """
-        asked_since = self.lease_expires_at - LEASE_EXPIRY_SLACK_S
+        asked_since = max(
+            self.lease_expires_at - LEASE_EXPIRY_SLACK_S, self.reported_at
+        )
         return (
             now >= self.lease_expires_at and self.unanswered_renewal_at >= asked_since
         )
--- a/tests/work/test_late_owner.py
+++ b/tests/work/test_late_owner.py
@@ -118,8 +118,9 @@
         await asyncio.sleep(0.05)
         cell.unlist(start.host)
         owner.pool_state.note_host_unlisted(start.host, 1.0)
-        host.lease_expires_at = host.unanswered_renewal_at = 0.0
-        owner.pool_state.expire_silent_hosts(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        host.lease_expires_at, host.unanswered_renewal_at = 0.0, now
+        owner.pool_state.expire_silent_hosts(now)
         assert not await call
         await cell.wait_for_state(JOB_ID, "complete")
 
--- a/tests/work/test_pool_state.py
+++ b/tests/work/test_pool_state.py
@@ -480,3 +480,19 @@
     effects = send_report(pool_state, lost[0].name, 4.3, ended=[done], clock=5200)
     assert sent.run in [e.run for e in effects if isinstance(e, StopRun)]
     assert not pool_state.may_send_start(pool_state.hosts[unsent.host], unsent.run)
+
+
+def test_a_host_that_has_reported_since_it_was_silent_is_asked_again_for_its_ends():
+    # It lists so many ends that the one of the run is not among them yet.
+    pool_state = make_pool_state(job())
+    (start,) = plan_starts(pool_state)
+    host = pool_state.hosts["i-0"]
+    pool_state.apply_start_reply(host, start.run, None, 0.1)
+    host.lease_expires_at = 4.0
+    host.unanswered_renewal_at = 4.1
+    send_report(pool_state, "i-0", 4.6, sent_at=4.5, clock=5600, lists_all_ends=False)
+    pool_state.expire_silent_hosts(4.7)
+    assert pool_state.task(TASK).state == "placed"
+    host.unanswered_renewal_at = 4.8
+    pool_state.expire_silent_hosts(5.1)
+    assert pool_state.task(TASK).state == "waiting"
