Send a stop again that an unavailable host has rejected

Every rejection of a stop counted as the end of the matter. A host that answers 429 or 503 has done nothing, so the run of a cancelled job went on there and was never stopped again.

Such a stop is repeated like one without a reply. test_a_stop_that_an_unavailable_host_rejects_is_sent_again failed before (the run was still there).

--- a/siskinroad/work/host_commands.py
+++ b/siskinroad/work/host_commands.py
@@ -195,7 +195,10 @@
             return "sent", True
         host = self.term.pool_state.hosts.get(command.host)
         is_superseded = host is not None and command.token < host.token
-        is_retryable = reply.rejection is Rejection.FENCED and is_superseded
+        # A host that is unavailable has done nothing, and the run may go on.
+        is_retryable = reply.rejection is Rejection.UNAVAILABLE or (
+            reply.rejection is Rejection.FENCED and is_superseded
+        )
         return reply.rejection.value, not is_retryable
 
     def _make_command(self, host: Host, run: Run) -> HostCommand:
--- a/tests/work/test_host_replies.py
+++ b/tests/work/test_host_replies.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from siskinroad.work.host import LEASE_S
-from siskinroad.work.hosts import Rejection
-from tests.work.cell import job
+from siskinroad.work.hosts import CommandReply, Rejection
+from tests.work.cell import FAST, job
 from tests.work.test_daemon import JOB_ID, run_scenario
 
 
@@ -48,3 +48,27 @@
         assert len(cell.hosts.starts()) == 1
 
     run_scenario(scenario)
+
+
+def test_a_stop_that_an_unavailable_host_rejects_is_sent_again():
+    async def scenario(cell):
+        for host in cell.hosts.hosts.values():
+            host.task_duration_s = 30.0
+        await cell.start_daemons("a")
+        await cell.submit("a", JOB_ID, job())
+        (start,) = await cell.wait_for_starts(1)
+        stop = cell.hosts.stop
+        rejected = []
+
+        async def reject_twice(command):
+            if len(rejected) < 2:
+                rejected.append(command)
+                return CommandReply(Rejection.UNAVAILABLE, None, None)
+            return await stop(command)
+
+        cell.hosts.stop = reject_twice
+        await cell.daemons["a"].job_service.cancel(FAST, JOB_ID, cell.deadline())
+        await asyncio.sleep(1.0)
+        assert not cell.hosts.hosts[start.host].runs
+
+    run_scenario(scenario)
