Decide a throttling again that its host has rejected

Looked for as the same cause elsewhere: a negative that shows nothing. The reply to a throttling was not read, so one that the host had rejected counted as in force, and the task beside it stayed disturbed until the monitor chose another figure.

test_a_throttling_that_a_host_rejects_is_decided_again failed before (50 for the state without a throttling in force).

--- a/siskinroad/work/host_commands.py
+++ b/siskinroad/work/host_commands.py
@@ -206,7 +206,7 @@
         return HostCommand(host.name, host.entry.address, host.token, task, run_number)
 
     async def throttle(self, effect: ThrottleRun) -> None:
-        """Throttle a run; if there is no answer, the monitor decides again later."""
+        """Throttle a run; if the host has not done so, the monitor decides again."""
         host = self.term.pool_state.hosts.get(effect.host)
         if host is None:
             return
@@ -214,9 +214,12 @@
         try:
             async with self._get_semaphore(host.name), FairTimeout(COMMAND_TIMEOUT):
                 command = self._make_command(host, effect.run)
-                await self.term.dependencies.host_client.throttle(
+                reply = await self.term.dependencies.host_client.throttle(
                     command, effect.percent
                 )
+            if reply.rejection is not None:
+                outcome = reply.rejection.value
+                effect.run.speed_percent = -1
         except (NotSentError, OutcomeUnknownError, TimeoutError) as exc:
             outcome = f"unknown: {exc}"
             effect.run.speed_percent = -1
--- a/tests/work/test_host_replies.py
+++ b/tests/work/test_host_replies.py
@@ -2,9 +2,10 @@
 
 import asyncio
 
+from siskinroad.work.effects import ThrottleRun
 from siskinroad.work.host import LEASE_S
 from siskinroad.work.hosts import CommandReply, Rejection
-from tests.work.cell import FAST, job
+from tests.work.cell import FAST, POOL, job
 from tests.work.test_daemon import JOB_ID, run_scenario
 
 
@@ -72,3 +73,22 @@
         assert not cell.hosts.hosts[start.host].runs
 
     run_scenario(scenario)
+
+
+def test_a_throttling_that_a_host_rejects_is_decided_again():
+    async def scenario(cell):
+        await cell.start_daemons("a")
+        await cell.submit("a", JOB_ID, job())
+        (start,) = await cell.wait_for_starts(1)
+        owner = cell.daemons["a"].owners[POOL]
+        (run,) = owner.pool_state.hosts[start.host].runs.values()
+        run.speed_percent = 50
+
+        async def reject(command, percent):
+            return CommandReply(Rejection.UNAVAILABLE, None, None)
+
+        cell.hosts.throttle = reject
+        await owner.host_commands.throttle(ThrottleRun(start.host, run, 50))
+        assert run.speed_percent != 50
+
+    run_scenario(scenario)
