Add a failing test of a host that was removed and comes back

Looked for as the same cause elsewhere: state of a host that is forgotten while the host keeps its own. A host that left the list and was removed gets the term's first token when it is listed again; if its token had been raised, it rejects every call, and each rejection makes the owner stop until it has read the claims again.

--- a/tests/work/test_host_replies.py
+++ b/tests/work/test_host_replies.py
@@ -5,10 +5,13 @@
 from siskinroad.work.effects import ThrottleRun
 from siskinroad.work.host import LEASE_S
 from siskinroad.work.hosts import CommandReply, Rejection
-from tests.work.cell import FAST, POOL, job
+from tests.work.cell import FAST, POOL, host_record, job
 from tests.work.test_daemon import JOB_ID, run_scenario
 
 
+OTHER_JOB_ID = "00000000000000bb"
+
+
 def reject_renewals(cell, name, rejection, seconds):
     """Let a host reject every renewal for a while; its runs go on."""
     renew_lease = cell.hosts.renew_lease
@@ -92,3 +95,27 @@
         assert run.speed_percent != 50
 
     run_scenario(scenario)
+
+
+def test_a_host_that_was_removed_and_comes_back_accepts_its_owner_s_token():
+    # The token was raised before the host was cut off and left the list. The same
+    # incarnation is back later, and still rejects lower tokens.
+    async def scenario(cell):
+        host = cell.hosts.hosts["i-0"]
+        await cell.start_daemons("a")
+        host.unanswered_starts = 1
+        await cell.submit("a", JOB_ID, job())
+        await cell.wait_for_state(JOB_ID, "complete")
+        pool_state = cell.daemons["a"].owners[POOL].pool_state
+        assert host.token == pool_state.hosts["i-0"].token
+        host.is_silent = True
+        cell.unlist("i-0")
+        while "i-0" in pool_state.hosts:
+            await asyncio.sleep(0.1)
+        host.is_silent = False
+        cell.logs.append("keyed.list", [host_record("i-0")], None, None)
+        await asyncio.sleep(2.0)
+        await cell.submit("a", OTHER_JOB_ID, job())
+        await cell.wait_for_state(OTHER_JOB_ID, "complete")
+
+    run_scenario(scenario, hosts=1)
