Wait longer for a host after a renewal without a reply in time

Looked for as the same cause elsewhere: silence that the observer caused. The time limit of a renewal follows the reply times of starts alone. Where every reply took longer than the limit, none was ever read: a host with a reply time of 0.3 s was never used, and one whose replies became that slow lost its lease though it replied to each call.

A renewal that runs out of time counts as a reply time, so the limit grows up to its maximum of 0.5 s. Measured reply times are capped at that, as a late owner measures its own delay too. test_hosts_that_reply_more_slowly_than_expected_are_used failed before (queued after 20 s).

--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -192,7 +192,12 @@
         return min(MAX_REPLY_TIMEOUT_S, max(MIN_REPLY_TIMEOUT_S, timeout_s))
 
     def record_reply_time(self, seconds: float) -> None:
-        """Update the smoothed reply time with a new sample in seconds."""
+        """Update the smoothed reply time with a new sample in seconds.
+
+        A late owner measures its own delay too, so longer samples than the longest
+        timeout count as that.
+        """
+        seconds = min(seconds, MAX_REPLY_TIMEOUT_S)
         self.reply_time_s += REPLY_TIME_WEIGHT * (seconds - self.reply_time_s)
 
     def lease_until(self, now: float) -> int | None:
--- a/siskinroad/work/lease_renewer.py
+++ b/siskinroad/work/lease_renewer.py
@@ -92,6 +92,9 @@
                     wait,
                 )
         except (NotSentError, OutcomeUnknownError, TimeoutError) as exc:
+            if isinstance(exc, TimeoutError):
+                # The host may be slow, not silent: wait longer for the next reply.
+                host.record_reply_time(loop.time() - sent_at - wait)
             self._note_call_failed(host, exc, sent_at)
             return False
         self.term.dependencies.metrics.renewals.labels("answered").inc()
--- a/tests/work/test_host_replies.py
+++ b/tests/work/test_host_replies.py
@@ -8,7 +8,6 @@
 from tests.work.cell import FAST, POOL, host_record, job
 from tests.work.test_daemon import JOB_ID, run_scenario
 
-
 OTHER_JOB_ID = "00000000000000bb"
 
 
@@ -119,3 +118,16 @@
         await cell.wait_for_state(OTHER_JOB_ID, "complete")
 
     run_scenario(scenario, hosts=1)
+
+
+def test_hosts_that_reply_more_slowly_than_expected_are_used():
+    # The first timeout is shorter than their reply time.
+    async def scenario(cell):
+        for host in cell.hosts.hosts.values():
+            host.reply_delay_s = 0.3
+        await cell.start_daemons("a")
+        await cell.submit("a", JOB_ID, job())
+        await cell.wait_for_state(JOB_ID, "complete")
+        assert len(cell.hosts.starts()) == 1
+
+    run_scenario(scenario)
