Measure a run's speed and stalls by when its reports were due, not by when they are read

A report that had waited in the owner's socket counted as made when it was read. A late owner therefore found its hosts several times slower than expected and its runs without progress, quarantined the hosts and stopped the runs.

A report counts as made when the reply was due at the latest, and a run as stalled only by the time between its reports. A stall is noticed up to one report later than before. Both new tests failed before (three stops; one stop).

--- a/siskinroad/work/lease_renewer.py
+++ b/siskinroad/work/lease_renewer.py
@@ -81,8 +81,9 @@
         # A host that has failed may be back as another incarnation, which numbers its
         # ends anew and would forget them up to the number of the former one.
         acknowledged = 0 if host.is_failing else host.last_end_stored
+        limit_s = wait + host.reply_timeout_s()
         try:
-            async with FairTimeout(wait + host.reply_timeout_s()):
+            async with FairTimeout(limit_s):
                 report = await self.term.dependencies.host_client.renew_lease(
                     host.name,
                     host.entry.address,
@@ -105,7 +106,7 @@
             return self._handle_rejection(host, report, token, sent_at)
         now, wall = loop.time(), self.term.dependencies.wall()
         effects = self.term.pool_state.apply_report(
-            host, report, token, sent_at, now, wall
+            host, report, token, sent_at, now, wall, answered_by=sent_at + limit_s
         )
         self.term.execute_effects(effects)
         settled = self.term.pool_state.settle_tasks(now)
--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -89,6 +89,8 @@
         sent_at: float,
         now: float,
         wall: float,
+        *,
+        answered_by: float = float("inf"),
     ) -> list[Effect]:
         """Apply a host's report of its runs and ends.
 
@@ -103,6 +105,9 @@
             Token under which the report was requested.
         sent_at : float
             Loop time at which the request was sent.
+        answered_by : float
+            Loop time by which a reply was due; a later one has probably waited for
+            this owner, and tells of the time when it was due.
         """
         effects: list[Effect] = []
         is_other = host.incarnation_ms not in (0, report.incarnation_ms)
@@ -133,7 +138,8 @@
                 },
             )
         effects += self._process_ends(host, report.ended, now, wall)
-        effects += self._process_running(host, report.running, now)
+        made_at = min(now, answered_by)
+        effects += self._process_running(host, report.running, made_at, now)
         if report.lists_all_ends:
             effects += self._end_absent_runs(host, report, token, sent_at, now)
         return effects
@@ -336,7 +342,7 @@
         return self._close_job(job, JobState.FAILED, wall)
 
     def _process_running(
-        self, host: Host, running: tuple[RunStatus, ...], now: float
+        self, host: Host, running: tuple[RunStatus, ...], made_at: float, now: float
     ) -> list[Effect]:
         effects: list[Effect] = []
         for status in running:
@@ -352,8 +358,8 @@
                     effects += self.stop(host, run, "job is closed")
             if run.progress != status.progress or not run.progress_changed_at:
                 run.progress = status.progress
-                run.progress_changed_at = now
-            run.reported_at = now
+                run.progress_changed_at = made_at
+            run.reported_at = max(run.reported_at, made_at)
             run.usage = status.usage
             task = self.task(status.task)
             if task is not None and status.checkpoint and status.run == task.run:
--- a/siskinroad/work/run_monitor.py
+++ b/siskinroad/work/run_monitor.py
@@ -117,7 +117,7 @@
         slowdown = self.pool_state.speed_estimates.slowdown(run)
         if expected_s is None:
             return ""
-        stalled_s = now - run.progress_changed_at if run.progress_changed_at else 0.0
+        stalled_s = _stalled_s(run)
         if run.progress < 100 and stalled_s > max(COPY_STALL_S, 2 * expected_s / 100):
             return "no progress"
         estimated_remaining_s = self.pool_state.speed_estimates.remaining_s(run, now)
@@ -132,7 +132,7 @@
         """Stop stalled runs, so that their tasks restart elsewhere."""
         if now - host.replied_at > STALL_TIMEOUT_S:
             return []
-        stalled = [run for run in host.runs.values() if self._is_stalled(run, now)]
+        stalled = [run for run in host.runs.values() if self._is_stalled(run)]
         effects: list[Effect] = []
         for run in stalled:
             task = self.pool_state.task(run.key[0])
@@ -143,13 +143,10 @@
             self._quarantine_host(host, now, QUARANTINE_S, "stalls")
         return effects
 
-    def _is_stalled(self, run: Run, now: float) -> bool:
+    def _is_stalled(self, run: Run) -> bool:
         if run.state != "running" or run.progress >= 100 or run.filler:
             return False
-        return (
-            bool(run.progress_changed_at)
-            and now - run.progress_changed_at > STALL_TIMEOUT_S
-        )
+        return _stalled_s(run) > STALL_TIMEOUT_S
 
     def _quarantine_host(
         self, host: Host, now: float, seconds: float, reason: str
@@ -275,3 +272,14 @@
         if effects:
             self._throttled_at[host.name] = now
         return effects
+
+
+def _stalled_s(run: Run) -> float:
+    """Return the seconds for which a run's reports have shown the same progress.
+
+    The time since the newest report does not count: a late owner has not read the
+    later ones yet.
+    """
+    if not run.progress_changed_at:
+        return 0.0
+    return run.reported_at - run.progress_changed_at
--- a/tests/work/test_run_monitor.py
+++ b/tests/work/test_run_monitor.py
@@ -286,3 +286,38 @@
     for now in (1.0, 2.0):
         drain_host(pool_state, "i-0", 2.5, now)
     assert pool_state.hosts["i-0"].earliest_leave_at == 3.5
+
+
+def apply_late_report(pool_state, host, sent_at, made_at, now, running=()):
+    """Apply a report that has waited in the owner's socket since it was made."""
+    state = pool_state.hosts[host]
+    report = HostReport(1000 + int(made_at * 1000), 1, tuple(running), ())
+    return pool_state.apply_report(
+        state, report, state.token, sent_at, now, now, answered_by=made_at
+    )
+
+
+def test_a_late_owner_takes_no_host_for_slow():
+    # The reports were made after 1.05 s of work, at the expected speed, and are read
+    # 4 s later.
+    pool_state = make_pool_state(["i-0", "i-1", "i-2"])
+    learn_run_time(pool_state)
+    begun = start_three_jobs(pool_state, 1.1)
+    for name in pool_state.hosts:
+        rows = [running_row(start, 60) for start in begun if start.host == name]
+        apply_late_report(pool_state, name, 1.2, 1.7, 5.7, rows)
+    assert RunMonitor(pool_state, TIMING).check_runs(5.7, 5.7) == []
+    assert not any(host.is_quarantined for host in pool_state.hosts.values())
+
+
+def test_a_late_owner_takes_no_run_for_stalled():
+    # The host has reported progress each half second, but the owner has read its last
+    # report, with the same whole percent, 3 s after that was made.
+    pool_state = make_pool_state(["i-0", "i-1", "i-2"])
+    add_job(pool_state, "j", job(step(1, estimate=60.0)), "slow")
+    (begun,) = start_waiting(pool_state, 0.1)
+    report_host(pool_state, begun.host, 0.5, [running_row(begun, 1)])
+    row = running_row(begun, 1)
+    apply_late_report(pool_state, begun.host, 0.6, 0.9, 3.9, [row])
+    assert RunMonitor(pool_state, TIMING).check_runs(3.9, 3.9) == []
+    assert begun.run.state == "running"
