Keep the replies of peers that have arrived when a request's time is over

A request to another daemon ended at its timeout, or when the peer's last heartbeat seemed old, in the turn in which the loop resumed, before the reply and the heartbeats were read. Callers were told that the outcome was unknown, advice and relayed calls were repeated.

The loop polls its sockets before either conclusion.

--- a/siskinroad/fair_timeout.py
+++ b/siskinroad/fair_timeout.py
@@ -11,7 +11,7 @@
 import asyncio
 from types import TracebackType
 
-__all__ = ["FairTimeout"]
+__all__ = ["FairTimeout", "let_loop_poll"]
 
 # Turns of the loop between the end of the time limit and the timeout. Fewer than eight
 # do not cover opening a connection, writing the request and reading the reply.
@@ -56,3 +56,9 @@
             self._handle = loop.call_soon(self._count_down, turns - 1)
         else:
             self._timeout.reschedule(loop.time())
+
+
+async def let_loop_poll() -> None:
+    """Let the loop read what has arrived before a conclusion from silence."""
+    for _ in range(GRACE_TURNS):
+        await asyncio.sleep(0)
--- a/siskinroad/work/peer_calls.py
+++ b/siskinroad/work/peer_calls.py
@@ -8,6 +8,7 @@
 from typing import TypeVar
 
 from siskinroad.errors import OutcomeUnknownError
+from siskinroad.fair_timeout import let_loop_poll
 from siskinroad.peers import PeerTransport
 from siskinroad.work.messages import Message
 
@@ -96,8 +97,17 @@
     ) -> None:
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
-        while not future.done() and loop.time() < deadline and should_keep_waiting():
-            remaining = deadline - loop.time()
+
+        def is_over() -> bool:
+            return loop.time() >= deadline or not should_keep_waiting()
+
+        while not future.done():
+            if is_over():
+                # The reply, or a sign of life of the peer, may have arrived unread.
+                await let_loop_poll()
+                if is_over():
+                    return
+            remaining = max(0.0, deadline - loop.time())
             await asyncio.wait(
                 [future], timeout=min(remaining, LIVENESS_CHECK_INTERVAL)
             )
