Refuse no record for a silence of the store that a late loop seems to see

Looked for as the same cause elsewhere: silence that the observer caused. The limits after which queued records are refused ran as timers, so a late loop ran them before it read the answer to the append. Callers were told that their jobs were not accepted, and the next ones were refused until another answer was read.

These timers let the loop poll its sockets first. test_a_late_loop_refuses_no_record_for_the_silence_of_the_store failed before (refused).

--- a/siskinroad/fair_timeout.py
+++ b/siskinroad/fair_timeout.py
@@ -9,9 +9,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from types import TracebackType
 
-__all__ = ["FairTimeout", "let_loop_poll"]
+__all__ = ["FairTimeout", "FairTimer", "let_loop_poll"]
 
 # Turns of the loop between the end of the time limit and the timeout. Fewer than eight
 # do not cover opening a connection, writing the request and reading the reply.
@@ -58,6 +59,36 @@
             self._timeout.reschedule(loop.time())
 
 
+class FairTimer:
+    """Call of a function after a delay, once the loop has polled its sockets.
+
+    Parameters
+    ----------
+    delay_s : float
+        Delay in seconds.
+    """
+
+    __slots__ = ("_callback", "_handle")
+
+    def __init__(self, delay_s: float, callback: Callable[[], None]) -> None:
+        self._callback = callback
+        loop = asyncio.get_running_loop()
+        self._handle: asyncio.Handle = loop.call_later(
+            delay_s, self._count_down, GRACE_TURNS
+        )
+
+    def cancel(self) -> None:
+        """Cancel the call, if it has not been made yet."""
+        self._handle.cancel()
+
+    def _count_down(self, turns: int) -> None:
+        if turns:
+            loop = asyncio.get_running_loop()
+            self._handle = loop.call_soon(self._count_down, turns - 1)
+        else:
+            self._callback()
+
+
 async def let_loop_poll() -> None:
     """Let the loop read what has arrived before a conclusion from silence."""
     for _ in range(GRACE_TURNS):
--- a/siskinroad/work/batcher.py
+++ b/siskinroad/work/batcher.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 
 from siskinroad.errors import SiskinroadError
+from siskinroad.fair_timeout import FairTimer
 from siskinroad.work.store import (
     Record,
     Store,
@@ -129,13 +130,14 @@
 
     async def _store_batch(self, batch: list[_PendingAppend]) -> None:
         """Append a batch, repeated until its outcome is known or time runs out."""
-        loop = asyncio.get_running_loop()
+        began = asyncio.get_running_loop().time()
         timers = [
-            loop.call_later(SILENCE_LIMIT, self._refuse_if_silent, loop.time()),
-            loop.call_later(
+            FairTimer(SILENCE_LIMIT, lambda: self._refuse_if_silent(began)),
+            FairTimer(
                 STUCK_APPEND_LIMIT,
-                self._refuse_unsent,
-                "append not answered within the stuck-append limit; record not sent",
+                lambda: self._refuse_unsent(
+                    "append not answered within the stuck-append limit; record not sent"
+                ),
             ),
         ]
         attempts = 0
--- a/tests/test_fair_timeout.py
+++ b/tests/test_fair_timeout.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bench.clock import run_on_paused_clock
-from siskinroad.fair_timeout import FairTimeout
+from siskinroad.fair_timeout import FairTimeout, FairTimer
 
 
 def test_expires_at_its_limit_if_the_loop_is_on_time():
@@ -55,3 +55,19 @@
         await asyncio.sleep(1.0)
 
     run_on_paused_clock(scenario())
+
+
+def test_a_timer_of_a_late_loop_can_be_cancelled_by_what_the_loop_reads():
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        calls = []
+        timer = FairTimer(0.5, lambda: calls.append("late"))
+        loop.call_later(0.2, lambda: loop.call_soon(timer.cancel))
+        loop._clock_selector.now += 1.0
+        await asyncio.sleep(1.0)
+        assert not calls
+        FairTimer(0.5, lambda: calls.append("on time"))
+        await asyncio.sleep(0.6)
+        assert calls == ["on time"]
+
+    run_on_paused_clock(scenario())
--- a/tests/work/test_batcher.py
+++ b/tests/work/test_batcher.py
@@ -174,3 +174,32 @@
         assert [outcome for outcome, _ in results].count("unknown") <= 2
 
     run_on_paused_clock(scenario())
+
+
+class StoreReadLate(FaultyStore):
+    """A store whose answers are read some turns of the loop after they arrive."""
+
+    async def append(self, topic, records, *, at=None, fence=None, timeout=1.0):
+        await asyncio.sleep(self.delay)
+        for _ in range(4):
+            await asyncio.sleep(0)
+        self.last_answer_at = asyncio.get_running_loop().time()
+        self.stored.update(record.key for record in records)
+        return 0
+
+
+def test_a_late_loop_refuses_no_record_for_the_silence_of_the_store():
+    # The loop stands still for longer than both limits, while an answer arrives.
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        store = StoreReadLate(delay=0.3)
+        batcher = make_batcher(store)
+        tasks = [asyncio.create_task(submit(batcher, "sent", 9.0))]
+        await asyncio.sleep(0.05)
+        tasks.append(asyncio.create_task(submit(batcher, "queued", 9.0)))
+        await asyncio.sleep(0.05)
+        loop._clock_selector.now += 3.0
+        outcomes = [outcome for outcome, _ in await asyncio.gather(*tasks)]
+        assert outcomes == ["stored", "stored"]
+
+    run_on_paused_clock(scenario())
