Read the answers that have arrived before a job is refused for the store's silence

Looked for as the same cause elsewhere: a late daemon that handled a caller's request before the store's answers found the store silent for as long as it was late itself, and refused the job with store_silent.

It lets the loop poll its sockets first. test_a_late_daemon_refuses_no_job_for_the_silence_of_the_store failed before (store_silent).

--- a/siskinroad/work/job_service.py
+++ b/siskinroad/work/job_service.py
@@ -13,6 +13,7 @@
 from enum import StrEnum
 
 from siskinroad.errors import SiskinroadError
+from siskinroad.fair_timeout import let_loop_poll
 from siskinroad.resources import Resources
 from siskinroad.work.job_writer import JobWriter
 from siskinroad.work.messages import JobReply, JobRequest, SubmitOutcome
@@ -149,6 +150,9 @@
             return self._log_reply(
                 job, "submit", CallerReply(ReplyKind.NEVER, reason=unfit_reason)
             )
+        if self._store_age_s() > STORE_SILENCE_LIMIT:
+            # A late loop has not read the answers yet that have arrived.
+            await let_loop_poll()
         if self._store_age_s() > STORE_SILENCE_LIMIT:
             reply = _refuse_for_now("store_silent", self._store_age_s())
             return self._log_reply(job, "submit", reply, queue)
--- a/tests/work/test_late_owner.py
+++ b/tests/work/test_late_owner.py
@@ -174,3 +174,13 @@
         assert cell.hosts.calls > calls_before
 
     run_scenario(scenario)
+
+
+def test_a_late_daemon_refuses_no_job_for_the_silence_of_the_store():
+    async def scenario(cell):
+        await cell.start_daemons("a")
+        block_loop(3.0)
+        reply = await cell.submit("a", JOB_ID, job())
+        assert reply.kind == "ok", reply.reason
+
+    run_scenario(scenario)
