Keep a run that is live when a former one with a higher number ends

Run numbers of rejected starts are not stored, and the next owner skips eight numbers only. After more rejections than that, a run of the former owner had a higher number than the next owner's run of the task. When its host came back and listed its end, that end counted as the newest: the task was freed and placed a third time beside its live run, and the live run was not found any more when it had to be stopped.

An end frees a task only if no other run of it is live, and a done end stops whichever other run is live. Both new tests failed before (a start was planned; no stop).

--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -223,30 +223,37 @@
         if end.checkpoint and end.run >= task.run:
             task.checkpoint = end.checkpoint
         if end.end_kind is EndKind.DONE:
-            effects = self._stop_newer_runs(step, task, end.run)
+            effects = self._stop_other_runs(step, task, end.run)
             task.run = max(task.run, end.run)
             return effects + self._complete_task(step, task, now, wall)
-        is_newest = end.run >= task.run
-        task.run = max(task.run, end.run)
+        # A former owner may have used a higher number than the run that is live now.
+        is_newest = end.run >= task.run and self._find_newest_run(task) is None
+        if is_newest:
+            task.run = end.run
         if task.state == "unsettled":
             self.dirty.add(task.id.job)
         return self._handle_unsuccessful_end(
             host, step, task, end, is_newest, now, wall
         )
 
-    def _stop_newer_runs(
+    def _find_newest_run(self, task: Task) -> tuple[Host, Run] | None:
+        """Return the newest run of a task and its host, unless the run is over."""
+        host = self.hosts.get(task.host)
+        run = host.runs.get((task.id, task.run)) if host is not None else None
+        return (host, run) if host is not None and run is not None else None
+
+    def _stop_other_runs(
         self, step: StepRun, task: Task, ended_run: int
     ) -> list[Effect]:
-        """Stop the newest run of a task of which an earlier run has succeeded.
+        """Stop the newest run of a task of which another run has succeeded.
 
         A gang has succeeded as a whole, so the newest runs of all its members are.
         """
         effects: list[Effect] = []
         for each in step.tasks if step.spec.gang else [task]:
-            host = self.hosts.get(each.host)
-            run = host.runs.get((each.id, each.run)) if host is not None else None
-            if host is not None and run is not None and each.run > ended_run:
-                effects += self.stop(host, run, "an earlier run has finished")
+            newest = self._find_newest_run(each)
+            if newest is not None and each.run != ended_run:
+                effects += self.stop(*newest, "another run has finished")
         return effects
 
     def _log_late_end(self, host: Host, end: RunEnd, task: Task, now: float) -> None:
--- a/tests/work/test_pool_state.py
+++ b/tests/work/test_pool_state.py
@@ -496,3 +496,39 @@
     host.unanswered_renewal_at = 4.8
     pool_state.expire_silent_hosts(5.1)
     assert pool_state.task(TASK).state == "waiting"
+
+
+def place_below_a_former_run(pool_state):
+    """Let the next owner place a task under a lower number than the former one used.
+
+    The former owner had many starts rejected and stored none of their numbers; the
+    host of its newest run does not reply until its lease is over.
+    """
+    next_owner = make_successor(pool_state)
+    next_owner.former_leases_end_at = 5.0
+    send_report(next_owner, "i-1", 6.0)
+    assert next_owner.settle_tasks(6.0)
+    (start,) = plan_starts(next_owner, 6.1)
+    host = next_owner.hosts["i-1"]
+    next_owner.apply_start_reply(host, start.run, None, 6.2)
+    assert (start.host, start.run.key[1]) == ("i-1", 9)
+    return next_owner, start
+
+
+def test_a_former_run_with_a_higher_number_does_not_free_a_task_that_runs():
+    pool_state = make_pool_state(job(), ("i-0", "i-1"))
+    next_owner, _ = place_below_a_former_run(pool_state)
+    lapsed = RunEnd(1, TASK, 12, EndKind.LEASE_EXPIRED, "")
+    send_report(next_owner, "i-0", 6.5, ended=[lapsed])
+    assert not plan_starts(next_owner, 6.6)
+    done = RunEnd(1, TASK, 9, EndKind.DONE, "")
+    send_report(next_owner, "i-1", 7.0, ended=[done], clock=2000)
+    assert next_owner.task(TASK).state == "done"
+
+
+def test_a_run_is_stopped_when_a_former_one_with_a_higher_number_is_done():
+    pool_state = make_pool_state(job(), ("i-0", "i-1"))
+    next_owner, start = place_below_a_former_run(pool_state)
+    done = RunEnd(1, TASK, 12, EndKind.DONE, "")
+    effects = send_report(next_owner, "i-0", 6.5, ended=[done])
+    assert [e.run for e in effects if isinstance(e, StopRun)] == [start.run]
