Store the number of a task's run after every few rejected starts

Looked for as the same cause elsewhere: takeovers. A rejected start uses up a run number and nothing stored it, so the next owner, which skips eight numbers, used numbers again that the former one had used for runs.

The number is stored after each fourth rejection of a task's starts. test_the_next_owner_skips_the_numbers_of_many_rejected_starts failed before (8 for 30).

--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -27,10 +27,18 @@
 from siskinroad.work.host import Host, Run
 from siskinroad.work.hosts import EndKind, HostReport, Rejection, RunEnd, RunStatus
 from siskinroad.work.job import JobState, StepRun, Task
-from siskinroad.work.run_table import RunTable, format_task_position
+from siskinroad.work.run_table import (
+    MAX_UNSTORED_RUNS,
+    RunTable,
+    format_task_position,
+)
 
 __all__ = ["PoolState"]
 
+# Number of rejected starts of a task after which its run number is stored, so that the
+# next owner skips every number that may have been used by then.
+STORED_RUN_INTERVAL = MAX_UNSTORED_RUNS // 2
+
 log = logging.getLogger("siskinroad.pool_state")
 
 
@@ -51,6 +59,8 @@
         if not run.allows("reject"):
             return []
         run.move("reject")
+        if run.key[1] % STORED_RUN_INTERVAL == 0:
+            self.dirty.add(run.key[0].job)
         if rejection is Rejection.TICKET:
             step = self.step(run.key[0])
             if step is not None:
--- a/tests/work/test_pool_state.py
+++ b/tests/work/test_pool_state.py
@@ -532,3 +532,20 @@
     done = RunEnd(1, TASK, 12, EndKind.DONE, "")
     effects = send_report(next_owner, "i-0", 6.5, ended=[done])
     assert [e.run for e in effects if isinstance(e, StopRun)] == [start.run]
+
+
+def test_the_next_owner_skips_the_numbers_of_many_rejected_starts():
+    pool_state = make_pool_state(job())
+    stored = pool_state.jobs["j"].make_progress()
+    for i in range(30):
+        (start,) = plan_starts(pool_state, 0.1 + i / 100)
+        pool_state.apply_start_reply(
+            pool_state.hosts["i-0"], start.run, Rejection.NO_CAPACITY, 0.1 + i / 100
+        )
+        if pool_state.dirty:
+            stored = pool_state.jobs["j"].make_progress()
+            pool_state.dirty.clear()
+    next_owner = make_pool_state(job(), term=9, is_settled=False)
+    next_owner.restore(stored, 1.0)
+    assert next_owner.settle_tasks(1.0)
+    assert next_owner.task(TASK).run >= pool_state.task(TASK).run
