Send no start whose ticket has expired while it waited for its turn

The ticket was checked when the task was placed. A start that waited for earlier ones, or for a late loop, was sent with a ticket that had expired, and the host rejected it.

--- a/siskinroad/work/host_commands.py
+++ b/siskinroad/work/host_commands.py
@@ -73,7 +73,12 @@
                 return
             # A host that has failed may be another incarnation with its own clock.
             lease_until_ms = None if host.is_failing else host.lease_until(now)
-            if lease_until_ms is None or not self.term.is_owner_confirmed():
+            ticket = self._find_ticket(effect, now)
+            if (
+                lease_until_ms is None
+                or ticket is None
+                or not self.term.is_owner_confirmed()
+            ):
                 self.term.execute_effects(
                     self.term.pool_state.note_start_not_sent(host, effect.run, now)
                 )
@@ -92,12 +97,23 @@
                 effect.payload,
                 lease_until_ms,
                 effect.checkpoint,
-                effect.ticket,
+                ticket,
             )
             effects = await self._send_start(host, effect.run, command)
         self.term.execute_effects(effects)
         self.term.plan_requested.set()
 
+    def _find_ticket(self, effect: StartRun, now: float) -> str | None:
+        """Return the ticket for a start; None if it has expired while this waited."""
+        if not effect.ticket:
+            return ""
+        step = self.term.pool_state.step(effect.run.key[0])
+        newest = step.tickets.get(effect.host) if step is not None else None
+        if newest is None:
+            return None
+        ticket, valid_until = newest
+        return ticket if now < valid_until else None
+
     async def _send_start(
         self, host: Host, run: Run, command: StartCommand
     ) -> list[Effect]:
--- a/tests/work/test_host_replies.py
+++ b/tests/work/test_host_replies.py
@@ -2,10 +2,11 @@
 
 import asyncio
 
+from siskinroad.work.advice import AdviceResult
 from siskinroad.work.effects import ThrottleRun
 from siskinroad.work.host import LEASE_S
 from siskinroad.work.hosts import CommandReply, Rejection
-from tests.work.cell import FAST, POOL, host_record, job
+from tests.work.cell import ADVISED, FAST, POOL, host_record, job, step
 from tests.work.test_daemon import JOB_ID, run_scenario
 
 OTHER_JOB_ID = "00000000000000bb"
@@ -131,3 +132,33 @@
         assert len(cell.hosts.starts()) == 1
 
     run_scenario(scenario)
+
+
+def test_no_start_is_sent_with_a_ticket_that_has_expired():
+    # The starts wait for one another, so the last ones are sent after the tickets of
+    # the first advice have expired.
+    async def scenario(cell):
+        loop = asyncio.get_running_loop()
+        host = cell.hosts.hosts["i-0"]
+        host.task_duration_s = 20.0
+        host.reply_delay_s = 0.4
+        advise, start = cell.advisor.advise, cell.hosts.start
+        expired = []
+
+        async def advise_with_expiry(*args, **kwargs):
+            result = await advise(*args, **kwargs)
+            expiry = str(loop.time() + result.valid_s)
+            return AdviceResult(dict.fromkeys(result.tickets, expiry), result.valid_s)
+
+        async def note_expired(command):
+            if float(command.ticket) < loop.time():
+                expired.append(command)
+            return await start(command)
+
+        cell.advisor.advise, cell.hosts.start = advise_with_expiry, note_expired
+        await cell.start_daemons("a")
+        await cell.submit("a", JOB_ID, job(step(24, cpu_milli=1000)), ADVISED)
+        await cell.wait_for_starts(24)
+        assert not expired
+
+    run_scenario(scenario, hosts=1)
