Reread the claims once for a host that keeps rejecting the same token

Each rejection for a higher token made the owner stop until it had read the claims again. A host that goes on rejecting is called ten times a second, so the owner of the pool was never confirmed, and nothing was started on any host.

Only the first rejection of a token has that effect. test_a_host_that_keeps_rejecting_the_token_does_not_stop_its_owner failed before (not confirmed once in 2 s).

--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -102,6 +102,8 @@
     ----------
     token : int
         Fencing token sent with every command; the host rejects lower ones.
+    rejected_token : int
+        Token that the host has rejected last for a higher one; 0 if none.
     is_settled : bool
         The host has replied under this owner's token, so that it is reconciled with
         the owner's view: no command of a former owner can start a task there any more.
@@ -137,6 +139,7 @@
 
     entry: HostEntry
     token: int
+    rejected_token: int = 0
     is_settled: bool = False
     incarnation_ms: int = 0
     clock: int = 0
--- a/siskinroad/work/host_commands.py
+++ b/siskinroad/work/host_commands.py
@@ -33,7 +33,15 @@
 
 
 def report_higher_token(term: Term, host: Host) -> None:
-    """Report that a host has seen a higher token than this owner ever sent to it."""
+    """Report that a host has seen a higher token than this owner ever sent to it.
+
+    Only the first rejection of a token is reported: once the claims have been read
+    since then, a further one does not show that another daemon owns the pool.
+    """
+    if host.rejected_token == host.token:
+        host.record_failed_request()
+        return
+    host.rejected_token = host.token
     log.warning(
         "host_commands: host rejected the token; "
         "it has accepted another owner's higher one",
--- a/tests/work/test_host_replies.py
+++ b/tests/work/test_host_replies.py
@@ -162,3 +162,19 @@
         assert not expired
 
     run_scenario(scenario, hosts=1)
+
+
+def test_a_host_that_keeps_rejecting_the_token_does_not_stop_its_owner():
+    # The owner reads the claims once and finds that the pool is still its own.
+    async def scenario(cell):
+        await cell.start_daemons("a")
+        cell.hosts.hosts["i-0"].token = 1 << 60
+        await asyncio.sleep(2.0)
+        owner = cell.daemons["a"].owners[POOL]
+        confirmed = []
+        for _ in range(40):
+            await asyncio.sleep(0.05)
+            confirmed.append(owner.term.is_owner_confirmed())
+        assert all(confirmed)
+
+    run_scenario(scenario)
