Draw no conclusion from an address that a host has left meanwhile

A host that is back at another address is listed there while a call to its former address may be in progress, where another host answers that it is not meant. The owner took the host at its new address for gone and ended its runs, which then ran twice, or took it for unlisted until the list changed again.

--- a/siskinroad/work/lease_renewer.py
+++ b/siskinroad/work/lease_renewer.py
@@ -77,7 +77,7 @@
         lease_until_ms = None if host.is_failing else host.lease_until(sent_at)
         if lease_until_ms is not None:
             host.extend_lease_expiry(sent_at)
-        token = host.token
+        token, address = host.token, host.entry.address
         # A host that has failed may be back as another incarnation, which numbers its
         # ends anew and would forget them up to the number of the former one.
         acknowledged = 0 if host.is_failing else host.last_end_stored
@@ -86,7 +86,7 @@
             async with FairTimeout(limit_s):
                 report = await self.term.dependencies.host_client.renew_lease(
                     host.name,
-                    host.entry.address,
+                    address,
                     token,
                     acknowledged,
                     lease_until_ms,
@@ -103,7 +103,7 @@
             # The host was removed meanwhile; a run adopted on it would stay forever.
             return False
         if isinstance(report, Rejection):
-            return self._handle_rejection(host, report, token, sent_at)
+            return self._handle_rejection(host, report, token, address, sent_at)
         now, wall = loop.time(), self.term.dependencies.wall()
         effects = self.term.pool_state.apply_report(
             host, report, token, sent_at, now, wall, answered_by=sent_at + limit_s
@@ -136,7 +136,12 @@
         host.unanswered_renewal_at = max(host.unanswered_renewal_at, sent_at)
 
     def _handle_rejection(
-        self, host: Host, rejection: Rejection, token: int, sent_at: float
+        self,
+        host: Host,
+        rejection: Rejection,
+        token: int,
+        address: str,
+        sent_at: float,
     ) -> bool:
         if rejection is Rejection.FENCED and token < host.token:
             # Rejected for this owner's own raised token.
@@ -146,7 +151,9 @@
         host.unanswered_renewal_at = max(host.unanswered_renewal_at, sent_at)
         if rejection is Rejection.FENCED:
             report_higher_token(self.term, host)
-        if rejection is Rejection.OTHER_INCARNATION:
+        # A host that is listed at another address since then has left only this one.
+        has_moved = address != host.entry.address
+        if rejection is Rejection.OTHER_INCARNATION and not has_moved:
             now = asyncio.get_running_loop().time()
             log.warning(
                 "lease_renewer: host reports another incarnation; "
--- a/tests/work/test_host_replies.py
+++ b/tests/work/test_host_replies.py
@@ -1,6 +1,7 @@
 """Hosts whose replies do not tell what runs there, or that take long to reply."""
 
 import asyncio
+import dataclasses
 
 from siskinroad.work.advice import AdviceResult
 from siskinroad.work.effects import ThrottleRun
@@ -178,3 +179,29 @@
         assert all(confirmed)
 
     run_scenario(scenario)
+
+
+def test_a_reply_from_an_address_that_a_host_has_left_ends_no_run():
+    # The host is listed at another address while a call to the former one is in
+    # progress, where another host replies now.
+    async def scenario(cell):
+        for host in cell.hosts.hosts.values():
+            host.task_duration_s = 5.0
+        await cell.start_daemons("a")
+        await cell.submit("a", JOB_ID, job())
+        (start,) = await cell.wait_for_starts(1)
+        pool_state = cell.daemons["a"].owners[POOL].pool_state
+        renew_lease = cell.hosts.renew_lease
+        moved = dataclasses.replace(pool_state.hosts[start.host].entry, address="new")
+
+        async def reply_from_another_host(host, address, *args):
+            if host == start.host and address != moved.address:
+                pool_state.add_or_update_host(moved)
+                return Rejection.OTHER_INCARNATION
+            return await renew_lease(host, address, *args)
+
+        cell.hosts.renew_lease = reply_from_another_host
+        await cell.wait_for_state(JOB_ID, "complete")
+        assert len(cell.hosts.starts()) == 1
+
+    run_scenario(scenario)
