--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -153,6 +153,8 @@
     ----------
     token : int
         Fencing token sent with every command; the host rejects lower ones.
+    rejected_token : int
+        Token that the host has rejected last for a higher one; 0 if none.
     is_settled : bool
         The host has replied under this owner's token, so that it is reconciled with
         the owner's view: no command of a former owner can start a task there any more.
@@ -163,7 +165,7 @@
     lease_expires_at : float
         Loop time by which every lease granted so far has certainly expired.
     unanswered_renewal_at : float
-        Loop time at which the newest renewal that got no reply was sent.
+        Loop time at which the newest renewal that brought no report was sent.
     last_end_seen, last_end_stored : int
         Number of the newest run end applied to the pool state, and of the newest one
         stored.
@@ -195,6 +197,7 @@
     entry: HostEntry
     token: int
     index: RunIndex = field(default_factory=RunIndex)
+    rejected_token: int = 0
     is_settled: bool = False
     incarnation_ms: int = 0
     clock: int = 0
@@ -264,7 +267,12 @@
         return min(MAX_REPLY_TIMEOUT_S, max(MIN_REPLY_TIMEOUT_S, timeout_s))
 
     def record_reply_time(self, seconds: float) -> None:
-        """Update the smoothed reply time with a new sample in seconds."""
+        """Update the smoothed reply time with a new sample in seconds.
+
+        A late owner measures its own delay too, so longer samples than the longest
+        timeout count as that.
+        """
+        seconds = min(seconds, MAX_REPLY_TIMEOUT_S)
         self.reply_time_s += REPLY_TIME_WEIGHT * (seconds - self.reply_time_s)
 
     def lease_until(self, now: float) -> int | None:
@@ -282,12 +290,14 @@
         self.lease_expires_at = max(self.lease_expires_at, until)
 
     def is_lease_over(self, now: float) -> bool:
-        """Return whether no lease is left and the host did not reply when asked since.
+        """Return whether no lease is left and the host did not report when asked since.
 
-        A host that replies lists its runs and ends, so what ran there is not lost even
+        A host that reports lists its runs and ends, so what ran there is not lost even
         if its lease is over. A late owner may not have called it for a while.
         """
-        asked_since = self.lease_expires_at - LEASE_EXPIRY_SLACK_S
+        asked_since = max(
+            self.lease_expires_at - LEASE_EXPIRY_SLACK_S, self.reported_at
+        )
         return (
             now >= self.lease_expires_at and self.unanswered_renewal_at >= asked_since
         )
--- a/siskinroad/work/host_commands.py
+++ b/siskinroad/work/host_commands.py
@@ -33,7 +33,15 @@
 
 
 def report_higher_token(term: Term, host: Host) -> None:
-    """Report that a host has seen a higher token than this owner ever sent to it."""
+    """Report that a host has seen a higher token than this owner ever sent to it.
+
+    Only the first rejection of a token is reported: once the claims have been read
+    since then, a further one does not show that another daemon owns the pool.
+    """
+    if host.rejected_token == host.token:
+        host.record_failed_request()
+        return
+    host.rejected_token = host.token
     log.warning(
         "host_commands: host rejected the token; "
         "it has accepted another owner's higher one",
@@ -73,7 +81,12 @@
                 return
             # A host that has failed may be another incarnation with its own clock.
             lease_until_ms = None if host.is_failing else host.lease_until(now)
-            if lease_until_ms is None or not self.term.is_owner_confirmed():
+            ticket = self._find_ticket(effect, now)
+            if (
+                lease_until_ms is None
+                or ticket is None
+                or not self.term.is_owner_confirmed()
+            ):
                 self.term.execute_effects(
                     self.term.pool_state.note_start_not_sent(host, effect.run, now)
                 )
@@ -92,12 +105,23 @@
                 effect.payload,
                 lease_until_ms,
                 effect.checkpoint,
-                effect.ticket,
+                ticket,
             )
             effects = await self._send_start(host, effect.run, command)
         self.term.execute_effects(effects)
         self.term.plan_requested.set()
 
+    def _find_ticket(self, effect: StartRun, now: float) -> str | None:
+        """Return the ticket for a start; None if it has expired while this waited."""
+        if not effect.ticket:
+            return ""
+        step = self.term.pool_state.step(effect.run.key[0])
+        newest = step.tickets.get(effect.host) if step is not None else None
+        if newest is None:
+            return None
+        ticket, valid_until = newest
+        return ticket if now < valid_until else None
+
     async def _send_start(
         self, host: Host, run: Run, command: StartCommand
     ) -> list[Effect]:
@@ -151,7 +175,8 @@
         if rejection is Rejection.UNAVAILABLE:
             host.record_failed_request()
         if rejection is Rejection.OTHER_INCARNATION:
-            self.term.pool_state.note_host_unlisted(host.name, now)
+            if command.address == host.entry.address:
+                self.term.pool_state.note_host_unlisted(host.name, now)
             host.record_failed_request()
         return self.term.pool_state.apply_start_reply(host, run, rejection, now)
 
@@ -195,7 +220,10 @@
             return "sent", True
         host = self.term.pool_state.hosts.get(command.host)
         is_superseded = host is not None and command.token < host.token
-        is_retryable = reply.rejection is Rejection.FENCED and is_superseded
+        # A host that is unavailable has done nothing, and the run may go on.
+        is_retryable = reply.rejection is Rejection.UNAVAILABLE or (
+            reply.rejection is Rejection.FENCED and is_superseded
+        )
         return reply.rejection.value, not is_retryable
 
     def _make_command(self, host: Host, run: Run) -> HostCommand:
@@ -203,7 +231,7 @@
         return HostCommand(host.name, host.entry.address, host.token, task, run_number)
 
     async def throttle(self, effect: ThrottleRun) -> None:
-        """Throttle a run; if there is no answer, the monitor decides again later."""
+        """Throttle a run; if the host has not done so, the monitor decides again."""
         host = self.term.pool_state.hosts.get(effect.host)
         if host is None:
             return
@@ -211,9 +239,12 @@
         try:
             async with self._get_semaphore(host.name), FairTimeout(COMMAND_TIMEOUT):
                 command = self._make_command(host, effect.run)
-                await self.term.dependencies.host_client.throttle(
+                reply = await self.term.dependencies.host_client.throttle(
                     command, effect.percent
                 )
+            if reply.rejection is not None:
+                outcome = reply.rejection.value
+                effect.run.speed_percent = -1
         except (NotSentError, OutcomeUnknownError, TimeoutError) as exc:
             outcome = f"unknown: {exc}"
             effect.run.speed_percent = -1
--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -27,10 +27,18 @@
 from siskinroad.work.host import Host, Run
 from siskinroad.work.hosts import EndKind, HostReport, Rejection, RunEnd, RunStatus
 from siskinroad.work.job import JobState, StepRun, Task
-from siskinroad.work.run_table import RunTable, format_task_position
+from siskinroad.work.run_table import (
+    MAX_UNSTORED_RUNS,
+    RunTable,
+    format_task_position,
+)
 
 __all__ = ["PoolState"]
 
+# Number of rejected starts of a task after which its run number is stored, so that the
+# next owner skips every number that may have been used by then.
+STORED_RUN_INTERVAL = MAX_UNSTORED_RUNS // 2
+
 log = logging.getLogger("siskinroad.pool_state")
 
 
@@ -51,6 +59,8 @@
         if not run.allows("reject"):
             return []
         run.move("reject")
+        if run.key[1] % STORED_RUN_INTERVAL == 0:
+            self.dirty.add(run.key[0].job)
         if rejection is Rejection.TICKET:
             step = self.step(run.key[0])
             if step is not None:
@@ -89,12 +99,15 @@
         sent_at: float,
         now: float,
         wall: float,
+        *,
+        answered_by: float = float("inf"),
     ) -> list[Effect]:
         """Apply a host's report of its runs and ends.
 
         Reports on different connections may overtake each other. Of one that is older
-        than the newest applied, only the ends count; one of a former incarnation of the
-        host is ignored.
+        than the newest applied, only the ends count; one that may be of a former
+        incarnation of the host is ignored. One that leaves out ends does not show that
+        a run is absent.
 
         Parameters
         ----------
@@ -102,20 +115,26 @@
             Token under which the report was requested.
         sent_at : float
             Loop time at which the request was sent.
+        answered_by : float
+            Loop time by which a reply was due; a later one has probably waited for
+            this owner, and tells of the time when it was due.
         """
         effects: list[Effect] = []
-        if report.incarnation_ms < host.incarnation_ms:
+        is_other = host.incarnation_ms not in (0, report.incarnation_ms)
+        # Only the order of the calls tells a former incarnation: the calendar clock
+        # that numbers them may have been set back. The next call shows which is up.
+        if is_other and sent_at < host.reported_at:
             return effects
         self._open_listed_occurrences(report, now)
         if report.incarnation_ms == host.incarnation_ms and report.clock < host.clock:
             # A newer report has overtaken this one, so what runs is known better.
             return self._process_ends(host, report.ended, now, wall)
-        if host.incarnation_ms and report.incarnation_ms != host.incarnation_ms:
-            effects += self._handle_restart(host, now)
+        if is_other:
+            effects += self._handle_restart(host, sent_at, now)
         host.incarnation_ms = report.incarnation_ms
         host.clock, host.clock_read_at = report.clock, now
         host.replied_at = host.reported_at = now
-        if not host.is_settled:
+        if not host.is_settled and report.lists_all_ends:
             host.is_settled = True
             # A former owner may have renewed the lease just before this report.
             host.extend_lease_expiry(now)
@@ -129,8 +148,10 @@
                 },
             )
         effects += self._process_ends(host, report.ended, now, wall)
-        effects += self._process_running(host, report.running, now)
-        effects += self._end_absent_runs(host, report, token, sent_at, now)
+        made_at = min(now, answered_by)
+        effects += self._process_running(host, report.running, made_at, now)
+        if report.lists_all_ends:
+            effects += self._end_absent_runs(host, report, token, sent_at, now)
         return effects
 
     def _open_listed_occurrences(self, report: HostReport, now: float) -> None:
@@ -145,14 +166,20 @@
             if task.job in self.scheduled_jobs:
                 self.open_occurrences(self.jobs[task.job], task.occurrence, now)
 
-    def _handle_restart(self, host: Host, now: float) -> list[Effect]:
+    def _handle_restart(self, host: Host, sent_at: float, now: float) -> list[Effect]:
+        """End the runs that a former incarnation of a host has accepted.
+
+        Starts without a reply may still arrive, and one that was accepted since the
+        call which shows the restart may be of the present incarnation.
+        """
         log.warning(
             "pool_state: host restarted; runs of its former incarnation are ended",
             extra={"host": host.name},
         )
         effects: list[Effect] = []
         for run in list(host.runs.values()):
-            if run.state in ("ordered", "withdrawn"):
+            is_accepted = run.state in ("running", "stopping")
+            if not is_accepted or run.commanded_at >= sent_at:
                 continue
             run.move("lapse")
             effects += self._end_run(host, run, "host restarted", now)
@@ -206,24 +233,38 @@
         if end.checkpoint and end.run >= task.run:
             task.checkpoint = end.checkpoint
         if end.end_kind is EndKind.DONE:
-            effects = self._stop_newer_run(task, end.run)
+            effects = self._stop_other_runs(step, task, end.run)
             task.run = max(task.run, end.run)
             return effects + self._complete_task(step, task, now, wall)
-        is_newest = end.run >= task.run
-        task.run = max(task.run, end.run)
+        # A former owner may have used a higher number than the run that is live now.
+        is_newest = end.run >= task.run and self._find_newest_run(task) is None
+        if is_newest:
+            task.run = end.run
         if task.state == "unsettled":
             self.dirty.add(task.id.job)
         return self._handle_unsuccessful_end(
             host, step, task, end, is_newest, now, wall
         )
 
-    def _stop_newer_run(self, task: Task, ended_run: int) -> list[Effect]:
-        """Stop the newest run of a task of which an earlier run has succeeded."""
+    def _find_newest_run(self, task: Task) -> tuple[Host, Run] | None:
+        """Return the newest run of a task and its host, unless the run is over."""
         host = self.hosts.get(task.host)
         run = host.runs.get((task.id, task.run)) if host is not None else None
-        if host is None or run is None or task.run <= ended_run:
-            return []
-        return self.stop(host, run, "an earlier run has finished")
+        return (host, run) if host is not None and run is not None else None
+
+    def _stop_other_runs(
+        self, step: StepRun, task: Task, ended_run: int
+    ) -> list[Effect]:
+        """Stop the newest run of a task of which another run has succeeded.
+
+        A gang has succeeded as a whole, so the newest runs of all its members are.
+        """
+        effects: list[Effect] = []
+        for each in step.tasks if step.spec.gang else [task]:
+            newest = self._find_newest_run(each)
+            if newest is not None and each.run != ended_run:
+                effects += self.stop(*newest, "another run has finished")
+        return effects
 
     def _log_late_end(self, host: Host, end: RunEnd, task: Task, now: float) -> None:
         """Log an end of a run that was ended before its host listed this end."""
@@ -318,7 +359,7 @@
         return self._close_job(job, JobState.FAILED, wall)
 
     def _process_running(
-        self, host: Host, running: tuple[RunStatus, ...], now: float
+        self, host: Host, running: tuple[RunStatus, ...], made_at: float, now: float
     ) -> list[Effect]:
         effects: list[Effect] = []
         for status in running:
@@ -334,8 +375,8 @@
                     effects += self.stop(host, run, "job is closed")
             if run.progress != status.progress or not run.progress_changed_at:
                 run.progress = status.progress
-                run.progress_changed_at = now
-            run.reported_at = now
+                run.progress_changed_at = made_at
+            run.reported_at = max(run.reported_at, made_at)
             run.usage = status.usage
             task = self.task(status.task)
             if task is not None and status.checkpoint and status.run == task.run:
--- /dev/null
+++ b/tests/work/test_host_replies.py
@@ -0,0 +1,207 @@
+"""Hosts whose replies do not tell what runs there, or that take long to reply."""
+
+import asyncio
+import dataclasses
+
+from siskinroad.work.advice import AdviceResult
+from siskinroad.work.effects import ThrottleRun
+from siskinroad.work.host import LEASE_S
+from siskinroad.work.hosts import CommandReply, Rejection
+from tests.work.cell import ADVISED, FAST, POOL, host_record, job, step
+from tests.work.test_daemon import JOB_ID, run_scenario
+
+OTHER_JOB_ID = "00000000000000bb"
+
+
+def reject_renewals(cell, name, rejection, seconds):
+    """Let a host reject every renewal for a while; its runs go on."""
+    renew_lease = cell.hosts.renew_lease
+    until = asyncio.get_running_loop().time() + seconds
+
+    async def reject(host, *args):
+        if host == name and asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(0.001)
+            return rejection
+        return await renew_lease(host, *args)
+
+    cell.hosts.renew_lease = reject
+
+
+def test_runs_of_a_host_that_rejects_every_renewal_are_placed_again():
+    async def scenario(cell):
+        for host in cell.hosts.hosts.values():
+            host.task_duration_s = 30.0
+        await cell.start_daemons("a")
+        await cell.submit("a", JOB_ID, job())
+        (start,) = await cell.wait_for_starts(1)
+        reject_renewals(cell, start.host, Rejection.UNAVAILABLE, 60.0)
+        starts = await cell.wait_for_starts(2)
+        assert LEASE_S < starts[1].at - starts[0].at < LEASE_S + 1.5
+
+    run_scenario(scenario)
+
+
+def test_a_host_that_rejects_some_renewals_keeps_its_runs():
+    async def scenario(cell):
+        for host in cell.hosts.hosts.values():
+            host.task_duration_s = 8.0
+        await cell.start_daemons("a")
+        await cell.submit("a", JOB_ID, job())
+        (start,) = await cell.wait_for_starts(1)
+        reject_renewals(cell, start.host, Rejection.UNAVAILABLE, 2.5)
+        await cell.wait_for_state(JOB_ID, "complete")
+        assert len(cell.hosts.starts()) == 1
+
+    run_scenario(scenario)
+
+
+def test_a_stop_that_an_unavailable_host_rejects_is_sent_again():
+    async def scenario(cell):
+        for host in cell.hosts.hosts.values():
+            host.task_duration_s = 30.0
+        await cell.start_daemons("a")
+        await cell.submit("a", JOB_ID, job())
+        (start,) = await cell.wait_for_starts(1)
+        stop = cell.hosts.stop
+        rejected = []
+
+        async def reject_twice(command):
+            if len(rejected) < 2:
+                rejected.append(command)
+                return CommandReply(Rejection.UNAVAILABLE, None, None)
+            return await stop(command)
+
+        cell.hosts.stop = reject_twice
+        await cell.daemons["a"].job_service.cancel(FAST, JOB_ID, cell.deadline())
+        await asyncio.sleep(1.0)
+        assert not cell.hosts.hosts[start.host].runs
+
+    run_scenario(scenario)
+
+
+def test_a_throttling_that_a_host_rejects_is_decided_again():
+    async def scenario(cell):
+        await cell.start_daemons("a")
+        await cell.submit("a", JOB_ID, job())
+        (start,) = await cell.wait_for_starts(1)
+        owner = cell.daemons["a"].owners[POOL]
+        (run,) = owner.pool_state.hosts[start.host].runs.values()
+        run.speed_percent = 50
+
+        async def reject(command, percent):
+            return CommandReply(Rejection.UNAVAILABLE, None, None)
+
+        cell.hosts.throttle = reject
+        await owner.host_commands.throttle(ThrottleRun(start.host, run, 50))
+        assert run.speed_percent != 50
+
+    run_scenario(scenario)
+
+
+def test_a_host_that_was_removed_and_comes_back_accepts_its_owner_s_token():
+    # The token was raised before the host was cut off and left the list. The same
+    # incarnation is back later, and still rejects lower tokens.
+    async def scenario(cell):
+        host = cell.hosts.hosts["i-0"]
+        await cell.start_daemons("a")
+        host.unanswered_starts = 1
+        await cell.submit("a", JOB_ID, job())
+        await cell.wait_for_state(JOB_ID, "complete")
+        pool_state = cell.daemons["a"].owners[POOL].pool_state
+        assert host.token == pool_state.hosts["i-0"].token
+        host.is_silent = True
+        cell.unlist("i-0")
+        while "i-0" in pool_state.hosts:
+            await asyncio.sleep(0.1)
+        host.is_silent = False
+        cell.logs.append("keyed.list", [host_record("i-0")], None, None)
+        await asyncio.sleep(2.0)
+        await cell.submit("a", OTHER_JOB_ID, job())
+        await cell.wait_for_state(OTHER_JOB_ID, "complete")
+
+    run_scenario(scenario, hosts=1)
+
+
+def test_hosts_that_reply_more_slowly_than_expected_are_used():
+    # The first timeout is shorter than their reply time.
+    async def scenario(cell):
+        for host in cell.hosts.hosts.values():
+            host.reply_delay_s = 0.3
+        await cell.start_daemons("a")
+        await cell.submit("a", JOB_ID, job())
+        await cell.wait_for_state(JOB_ID, "complete")
+        assert len(cell.hosts.starts()) == 1
+
+    run_scenario(scenario)
+
+
+def test_no_start_is_sent_with_a_ticket_that_has_expired():
+    # The starts wait for one another, so the last ones are sent after the tickets of
+    # the first advice have expired.
+    async def scenario(cell):
+        loop = asyncio.get_running_loop()
+        host = cell.hosts.hosts["i-0"]
+        host.task_duration_s = 20.0
+        host.reply_delay_s = 0.4
+        advise, start = cell.advisor.advise, cell.hosts.start
+        expired = []
+
+        async def advise_with_expiry(*args, **kwargs):
+            result = await advise(*args, **kwargs)
+            expiry = str(loop.time() + result.valid_s)
+            return AdviceResult(dict.fromkeys(result.tickets, expiry), result.valid_s)
+
+        async def note_expired(command):
+            if float(command.ticket) < loop.time():
+                expired.append(command)
+            return await start(command)
+
+        cell.advisor.advise, cell.hosts.start = advise_with_expiry, note_expired
+        await cell.start_daemons("a")
+        await cell.submit("a", JOB_ID, job(step(24, cpu_milli=1000)), ADVISED)
+        await cell.wait_for_starts(24)
+        assert not expired
+
+    run_scenario(scenario, hosts=1)
+
+
+def test_a_host_that_keeps_rejecting_the_token_does_not_stop_its_owner():
+    # The owner reads the claims once and finds that the pool is still its own.
+    async def scenario(cell):
+        await cell.start_daemons("a")
+        cell.hosts.hosts["i-0"].token = 1 << 60
+        await asyncio.sleep(2.0)
+        owner = cell.daemons["a"].owners[POOL]
+        confirmed = []
+        for _ in range(40):
+            await asyncio.sleep(0.05)
+            confirmed.append(owner.term.is_owner_confirmed())
+        assert all(confirmed)
+
+    run_scenario(scenario)
+
+
+def test_a_reply_from_an_address_that_a_host_has_left_ends_no_run():
+    # The host is listed at another address while a call to the former one is in
+    # progress, where another host replies now.
+    async def scenario(cell):
+        for host in cell.hosts.hosts.values():
+            host.task_duration_s = 5.0
+        await cell.start_daemons("a")
+        await cell.submit("a", JOB_ID, job())
+        (start,) = await cell.wait_for_starts(1)
+        pool_state = cell.daemons["a"].owners[POOL].pool_state
+        renew_lease = cell.hosts.renew_lease
+        moved = dataclasses.replace(pool_state.hosts[start.host].entry, address="new")
+
+        async def reply_from_another_host(host, address, *args):
+            if host == start.host and address != moved.address:
+                pool_state.add_or_update_host(moved)
+                return Rejection.OTHER_INCARNATION
+            return await renew_lease(host, address, *args)
+
+        cell.hosts.renew_lease = reply_from_another_host
+        await cell.wait_for_state(JOB_ID, "complete")
+        assert len(cell.hosts.starts()) == 1
+
+    run_scenario(scenario)
--- a/tests/work/test_late_owner.py
+++ b/tests/work/test_late_owner.py
@@ -118,8 +118,9 @@
         await asyncio.sleep(0.05)
         cell.unlist(start.host)
         owner.pool_state.note_host_unlisted(start.host, 1.0)
-        host.lease_expires_at = host.unanswered_renewal_at = 0.0
-        owner.pool_state.expire_silent_hosts(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        host.lease_expires_at, host.unanswered_renewal_at = 0.0, now
+        owner.pool_state.expire_silent_hosts(now)
         assert not await call
         await cell.wait_for_state(JOB_ID, "complete")
 
@@ -149,9 +150,9 @@
         listed = []
         apply_report = pool_state.apply_report
 
-        def note_report(state, report, *args):
+        def note_report(state, report, *args, **fields):
             listed.extend(report.ended)
-            return apply_report(state, report, *args)
+            return apply_report(state, report, *args, **fields)
 
         pool_state.apply_report = note_report
         await asyncio.sleep(1.0)
@@ -196,3 +197,13 @@
         assert len(passes) * 0.3 < 0.4 * (loop.time() - began)
 
     run_scenario(scenario)
+
+
+def test_a_late_daemon_refuses_no_job_for_the_silence_of_the_store():
+    async def scenario(cell):
+        await cell.start_daemons("a")
+        block_loop(3.0)
+        reply = await cell.submit("a", JOB_ID, job())
+        assert reply.kind == "ok", reply.reason
+
+    run_scenario(scenario)
--- a/tests/work/test_pool_state.py
+++ b/tests/work/test_pool_state.py
@@ -13,8 +13,10 @@
 TASK = TaskId("j", 0, 0, 0)
 
 
-def report(*, running=(), ended=(), clock=1000, incarnation_ms=1):
-    return HostReport(clock, incarnation_ms, tuple(running), tuple(ended))
+def report(*, running=(), ended=(), clock=1000, incarnation_ms=1, lists_all_ends=True):
+    return HostReport(
+        clock, incarnation_ms, tuple(running), tuple(ended), lists_all_ends
+    )
 
 
 def make_pool_state(spec, hosts=("i-0",), term=1, queue="fast", is_settled=True):
@@ -317,7 +319,7 @@
     (start,) = plan_starts(pool_state)
     host = pool_state.hosts["i-0"]
     pool_state.apply_start_reply(host, start.run, None, 0.2)
-    send_report(pool_state, "i-0", 0.3, incarnation_ms=1, clock=90_000)
+    send_report(pool_state, "i-0", 0.3, sent_at=0.0, incarnation_ms=1, clock=90_000)
     assert pool_state.task(TASK).state == "placed"
     assert host.incarnation_ms == 7
 
@@ -369,3 +371,181 @@
     assert pool_state.task(second).state == "done"
     assert pool_state.task(TASK).state == "unsettled"
     assert pool_state.task(TaskId("j", 2, 0, 0)) is None
+
+
+def test_a_report_that_leaves_out_ends_does_not_show_that_a_run_is_absent():
+    # A host lists a limited number of ends at a time, so the end of a run may follow
+    # only when the ones before it are acknowledged.
+    pool_state = make_pool_state(job())
+    (start,) = plan_starts(pool_state)
+    host = pool_state.hosts["i-0"]
+    pool_state.apply_start_reply(host, start.run, None, 0.1)
+    send_report(pool_state, "i-0", 1.0, clock=2000, lists_all_ends=False)
+    assert pool_state.task(TASK).state == "placed"
+    done = RunEnd(501, TASK, 1, EndKind.DONE, "")
+    send_report(pool_state, "i-0", 1.2, clock=2200, ended=[done])
+    assert pool_state.task(TASK).state == "done"
+
+
+def test_a_host_is_reconciled_only_by_a_report_of_all_its_ends():
+    pool_state = make_pool_state(job(), is_settled=False)
+    pool_state.former_owner_hosts = {"i-0"}
+    pool_state.former_leases_end_at = 1e9
+    send_report(pool_state, "i-0", 1.0, lists_all_ends=False)
+    assert not pool_state.settle_tasks(1.0)
+    send_report(pool_state, "i-0", 1.2, clock=1200)
+    assert pool_state.settle_tasks(1.2)
+
+
+def test_a_restarted_host_whose_clock_was_set_back_is_not_ignored():
+    # The number of an incarnation is the time of its start by the host's calendar
+    # clock, which may have been set back. A report that was requested after the newest
+    # one had arrived is of the present incarnation, whatever its number.
+    pool_state = make_pool_state(job())
+    (start,) = plan_starts(pool_state)
+    host = pool_state.hosts["i-0"]
+    pool_state.apply_start_reply(host, start.run, None, 0.2)
+    send_report(pool_state, "i-0", 0.3, incarnation_ms=7, clock=9000)
+    assert pool_state.task(TASK).state == "waiting"
+    send_report(pool_state, "i-0", 0.9, sent_at=0.5, incarnation_ms=3, clock=10)
+    assert host.incarnation_ms == 3
+    assert host.reported_at == 0.9
+    # A late report of the former incarnation has the higher number now.
+    send_report(pool_state, "i-0", 1.0, sent_at=0.8, incarnation_ms=7, clock=9500)
+    assert host.incarnation_ms == 3
+
+
+def test_a_start_without_a_reply_is_awaited_after_its_host_has_restarted():
+    # The start may still arrive, and the present incarnation has seen no higher token
+    # until it is called with the raised one.
+    pool_state = make_pool_state(job(), ("i-0", "i-1"))
+    (start,) = plan_starts(pool_state)
+    host = pool_state.hosts[start.host]
+    token = host.token
+    pool_state.note_start_without_reply(host, start.run, 0.3)
+    send_report(
+        pool_state, host.name, 0.4, token=token, sent_at=0.2, incarnation_ms=2, clock=5
+    )
+    assert host.incarnation_ms == 2
+    assert not plan_starts(pool_state, 0.5)
+    running = [RunStatus(TASK, 1, "", 1, 0)]
+    send_report(
+        pool_state, host.name, 0.6, running=running, incarnation_ms=2, clock=200
+    )
+    assert start.run.state == "running"
+
+
+def test_a_start_without_a_reply_is_over_once_the_restarted_host_was_called_anew():
+    pool_state = make_pool_state(job(), ("i-0", "i-1"))
+    (start,) = plan_starts(pool_state)
+    host = pool_state.hosts[start.host]
+    pool_state.note_start_without_reply(host, start.run, 0.3)
+    send_report(pool_state, host.name, 0.4, incarnation_ms=2, clock=5)
+    assert start.run.state == "over"
+    assert len(plan_starts(pool_state, 0.5)) == 1
+
+
+def test_a_start_accepted_after_the_call_that_shows_a_restart_is_not_ended_by_it():
+    # The reply to the start overtakes the report of the same incarnation, which was
+    # made before the start arrived.
+    pool_state = make_pool_state(job(), ("i-0", "i-1"))
+    (start,) = plan_starts(pool_state)
+    host = pool_state.hosts[start.host]
+    pool_state.apply_start_reply(host, start.run, None, 0.4)
+    send_report(pool_state, host.name, 0.5, sent_at=0.2, incarnation_ms=2, clock=5)
+    assert not plan_starts(pool_state, 0.6)
+    send_report(pool_state, host.name, 0.8, incarnation_ms=2, clock=300)
+    assert start.run.state == "over"
+
+
+def test_newer_runs_of_every_member_are_stopped_when_an_earlier_run_of_a_gang_is_done():
+    pool_state = make_pool_state(
+        job(step(2, gang=True, cpu_milli=20000)), ("i-0", "i-1", "i-2", "i-3")
+    )
+    first = plan_starts(pool_state)
+    lost = [pool_state.hosts[start.host] for start in first]
+    for host, start in zip(lost, first, strict=True):
+        pool_state.apply_start_reply(host, start.run, None, 0.1)
+        host.lease_expires_at = host.unanswered_renewal_at = 4.0
+        host.record_failed_request()
+    pool_state.expire_silent_hosts(4.1)
+    for name in set(pool_state.hosts) - {host.name for host in lost}:
+        send_report(pool_state, name, 4.1, clock=5000)
+    second = plan_starts(pool_state, 4.2)
+    assert [start.run.key[1] for start in second] == [2, 2]
+    # One start was sent, the other still waits to be.
+    sent, unsent = second
+    pool_state.apply_start_reply(pool_state.hosts[sent.host], sent.run, None, 4.25)
+    done = RunEnd(1, first[0].run.key[0], 1, EndKind.DONE, "")
+    effects = send_report(pool_state, lost[0].name, 4.3, ended=[done], clock=5200)
+    assert sent.run in [e.run for e in effects if isinstance(e, StopRun)]
+    assert not pool_state.may_send_start(pool_state.hosts[unsent.host], unsent.run)
+
+
+def test_a_host_that_has_reported_since_it_was_silent_is_asked_again_for_its_ends():
+    # It lists so many ends that the one of the run is not among them yet.
+    pool_state = make_pool_state(job())
+    (start,) = plan_starts(pool_state)
+    host = pool_state.hosts["i-0"]
+    pool_state.apply_start_reply(host, start.run, None, 0.1)
+    host.lease_expires_at = 4.0
+    host.unanswered_renewal_at = 4.1
+    send_report(pool_state, "i-0", 4.6, sent_at=4.5, clock=5600, lists_all_ends=False)
+    pool_state.expire_silent_hosts(4.7)
+    assert pool_state.task(TASK).state == "placed"
+    host.unanswered_renewal_at = 4.8
+    pool_state.expire_silent_hosts(5.1)
+    assert pool_state.task(TASK).state == "waiting"
+
+
+def place_below_a_former_run(pool_state):
+    """Let the next owner place a task under a lower number than the former one used.
+
+    The former owner had many starts rejected and stored none of their numbers; the
+    host of its newest run does not reply until its lease is over.
+    """
+    next_owner = make_successor(pool_state)
+    next_owner.former_leases_end_at = 5.0
+    send_report(next_owner, "i-1", 6.0)
+    assert next_owner.settle_tasks(6.0)
+    (start,) = plan_starts(next_owner, 6.1)
+    host = next_owner.hosts["i-1"]
+    next_owner.apply_start_reply(host, start.run, None, 6.2)
+    assert (start.host, start.run.key[1]) == ("i-1", 9)
+    return next_owner, start
+
+
+def test_a_former_run_with_a_higher_number_does_not_free_a_task_that_runs():
+    pool_state = make_pool_state(job(), ("i-0", "i-1"))
+    next_owner, _ = place_below_a_former_run(pool_state)
+    lapsed = RunEnd(1, TASK, 12, EndKind.LEASE_EXPIRED, "")
+    send_report(next_owner, "i-0", 6.5, ended=[lapsed])
+    assert not plan_starts(next_owner, 6.6)
+    done = RunEnd(1, TASK, 9, EndKind.DONE, "")
+    send_report(next_owner, "i-1", 7.0, ended=[done], clock=2000)
+    assert next_owner.task(TASK).state == "done"
+
+
+def test_a_run_is_stopped_when_a_former_one_with_a_higher_number_is_done():
+    pool_state = make_pool_state(job(), ("i-0", "i-1"))
+    next_owner, start = place_below_a_former_run(pool_state)
+    done = RunEnd(1, TASK, 12, EndKind.DONE, "")
+    effects = send_report(next_owner, "i-0", 6.5, ended=[done])
+    assert [e.run for e in effects if isinstance(e, StopRun)] == [start.run]
+
+
+def test_the_next_owner_skips_the_numbers_of_many_rejected_starts():
+    pool_state = make_pool_state(job())
+    stored = pool_state.jobs["j"].make_progress()
+    for i in range(30):
+        (start,) = plan_starts(pool_state, 0.1 + i / 100)
+        pool_state.apply_start_reply(
+            pool_state.hosts["i-0"], start.run, Rejection.NO_CAPACITY, 0.1 + i / 100
+        )
+        if pool_state.dirty:
+            stored = pool_state.jobs["j"].make_progress()
+            pool_state.dirty.clear()
+    next_owner = make_pool_state(job(), term=9, is_settled=False)
+    next_owner.restore(stored, 1.0)
+    assert next_owner.settle_tasks(1.0)
+    assert next_owner.task(TASK).run >= pool_state.task(TASK).run
