Keep the token of a host that was removed until it comes back

Cause: a host that left the list and was removed got the term's first token when it was listed again. If its token had been raised before, it rejected every call, and its tasks did not run.

The next token is kept by host name.

--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -55,6 +55,7 @@
         super().__init__(pool, term)
         self.hosts: dict[str, Host] = {}
         self.run_index = RunIndex()
+        self._next_tokens: dict[str, int] = {}
         self.former_owner_hosts: set[str] = set()
         self.former_leases_end_at = 0.0
         self.loop_delay_s = 0.0
@@ -132,7 +133,9 @@
         """Add or update a host from its entry in the live list."""
         host = self.hosts.get(entry.name)
         if host is None:
-            host = Host(entry, self.term * TOKENS_PER_TERM, self.run_index)
+            first_token = self.term * TOKENS_PER_TERM
+            token = self._next_tokens.pop(entry.name, first_token)
+            host = Host(entry, token, self.run_index)
             self.hosts[entry.name] = host
         if entry.draining and host.earliest_leave_at == float("inf"):
             host.earliest_leave_at = now + entry.min_stay_s
@@ -221,8 +224,12 @@
         return effects
 
     def _remove_host(self, host: Host) -> None:
-        """Remove a host without runs; a late report of it changes no index."""
+        """Remove a host without runs; a late report of it changes no index.
+
+        A host that comes back keeps the tokens that it has seen.
+        """
         self.hosts.pop(host.name, None)
+        self._next_tokens[host.name] = host.token + 1
         host.index = RunIndex()
 
     def expire_silent_hosts(self, now: float) -> list[Effect]:
