--- a/siskinroad/fair_timeout.py
+++ b/siskinroad/fair_timeout.py
@@ -19,46 +19,6 @@
 GRACE_TURNS = 8
 
 
-class FairTimeout:
-    """Asynchronous context manager that raises ``TimeoutError`` after a time limit.
-
-    Parameters
-    ----------
-    limit_s : float
-        Time limit in seconds.
-    """
-
-    __slots__ = ("_handle", "_limit_s", "_timeout")
-
-    def __init__(self, limit_s: float) -> None:
-        self._limit_s = limit_s
-        self._timeout = asyncio.timeout(None)
-        self._handle: asyncio.Handle | None = None
-
-    async def __aenter__(self) -> FairTimeout:
-        await self._timeout.__aenter__()
-        loop = asyncio.get_running_loop()
-        self._handle = loop.call_later(self._limit_s, self._count_down, GRACE_TURNS)
-        return self
-
-    async def __aexit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        assert self._handle is not None
-        self._handle.cancel()
-        await self._timeout.__aexit__(exc_type, exc, traceback)
-
-    def _count_down(self, turns: int) -> None:
-        loop = asyncio.get_running_loop()
-        if turns:
-            self._handle = loop.call_soon(self._count_down, turns - 1)
-        else:
-            self._timeout.reschedule(loop.time())
-
-
 class FairTimer:
     """Call of a function after a delay, once the loop has polled its sockets.
 
@@ -89,6 +49,41 @@
             self._callback()
 
 
+class FairTimeout:
+    """Asynchronous context manager that raises ``TimeoutError`` after a time limit.
+
+    Parameters
+    ----------
+    limit_s : float
+        Time limit in seconds.
+    """
+
+    __slots__ = ("_limit_s", "_timeout", "_timer")
+
+    def __init__(self, limit_s: float) -> None:
+        self._limit_s = limit_s
+        self._timeout = asyncio.timeout(None)
+        self._timer: FairTimer | None = None
+
+    async def __aenter__(self) -> FairTimeout:
+        await self._timeout.__aenter__()
+        self._timer = FairTimer(self._limit_s, self._expire)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        assert self._timer is not None
+        self._timer.cancel()
+        await self._timeout.__aexit__(exc_type, exc, traceback)
+
+    def _expire(self) -> None:
+        self._timeout.reschedule(asyncio.get_running_loop().time())
+
+
 async def let_loop_poll() -> None:
     """Let the loop read what has arrived before a conclusion from silence."""
     for _ in range(GRACE_TURNS):
