--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -23,6 +23,9 @@
 # Largest number of run numbers that a former owner may have used for one task without
 # storing them. They are skipped after a takeover, so that no run number is used twice.
 MAX_UNSTORED_RUNS = 8
+# Number of a task's newest presumed ends that are remembered. Starts may be rejected any
+# number of times.
+MAX_PRESUMED_ENDS = 8
 
 log = logging.getLogger("siskinroad.pool_state")
 
@@ -286,6 +289,8 @@
             return []
         if task.allows("free"):
             task.move("free")
+        if len(task.presumed_ends) >= MAX_PRESUMED_ENDS:
+            del task.presumed_ends[next(iter(task.presumed_ends))]
         task.presumed_ends[run.key[1]] = PresumedEnd(reason, now)
         self.observe_presumed_end(reason)
         log.info(
--- a/tests/work/test_loop_delay.py
+++ b/tests/work/test_loop_delay.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from siskinroad.work.hosts import EndKind, RunEnd
+from siskinroad.work.hosts import EndKind, Rejection, RunEnd
 from siskinroad.work.loop_delay import LoopDelay
 from tests.work.cell import job
 from tests.work.test_pool_state import TASK, make_pool_state, plan_starts, send_report
@@ -46,3 +46,13 @@
     (line,) = (r for r in caplog.records if "ended without one" in r.getMessage())
     assert (line.presumed, line.how, line.loop_delay_s) == ("lapsed", "done", 5.0)
     assert late_ends == ["done"]
+
+
+def test_only_the_newest_ends_of_rejected_starts_are_remembered():
+    pool_state = make_pool_state(job())
+    host = pool_state.hosts["i-0"]
+    for _ in range(20):
+        (start,) = plan_starts(pool_state)
+        pool_state.apply_start_reply(host, start.run, Rejection.NO_CAPACITY, 0.1)
+    presumed_ends = pool_state.task(TASK).presumed_ends
+    assert list(presumed_ends) == list(range(13, 21))
