--- a/siskinroad/work/advice_requester.py
+++ b/siskinroad/work/advice_requester.py
@@ -63,11 +63,11 @@
         """Return whether the step has tickets; request advice for new hosts if not."""
         if step.is_advice_pending:
             return bool(step.tickets)
-        host_set = planning_pass.host_set
-        capable = host_set.find_capable_hosts(step)
+        schedulable_hosts = planning_pass.schedulable_hosts
+        capable = schedulable_hosts.find_capable_hosts(step)
         if capable.names <= step.requested_hosts:
             return bool(step.tickets)
-        if step.requested_hosts and host_set.has_any(step.tickets):
+        if step.requested_hosts and schedulable_hosts.has_any(step.tickets):
             return True
         eligible = [
             host.name for host in capable.hosts if host.name not in step.requested_hosts
@@ -130,7 +130,7 @@
         count = step.waiting_count if step.spec.gang else 1
         now = planning_pass.now
         openings: list[tuple[float, Host]] = []
-        for host in planning_pass.host_set.find_hosts(step.tickets):
+        for host in planning_pass.schedulable_hosts.find_hosts(step.tickets):
             times = self._predict_capacity_times(step, host, count, now, limit)
             openings += [(at, host) for at in times]
         openings.sort(key=lambda opening: opening[0])
@@ -183,7 +183,7 @@
         """Request advice for a step if all steps that it depends on end soon."""
         if step.is_advice_pending or step.requested_hosts:
             return
-        capable = planning_pass.host_set.find_capable_hosts(step)
+        capable = planning_pass.schedulable_hosts.find_capable_hosts(step)
         eligible = [host.name for host in capable.hosts[:MAX_HOSTS_PER_CALL]]
         limit_s = advice.duration(len(eligible)) + EARLY_REQUEST_MARGIN
         predecessors = [step.job.steps[step.occurrence, i] for i in step.spec.after]
--- a/siskinroad/work/open_hosts.py
+++ b/siskinroad/work/open_hosts.py
@@ -11,8 +11,8 @@
 
 from siskinroad.resources import Resources
 from siskinroad.work.host import Host
-from siskinroad.work.host_set import HostSet
 from siskinroad.work.job import StepRun
+from siskinroad.work.schedulable_hosts import SchedulableHosts
 
 __all__ = ["OpenHosts", "make_open_hosts"]
 
@@ -35,7 +35,7 @@
 
     free: dict[Host, Resources]
     smallest_need: Resources
-    _hosts: HostSet
+    _hosts: SchedulableHosts
     _unfit_needs: dict[str, list[Resources]] = field(default_factory=dict)
 
     def take(self, host: Host) -> None:
@@ -106,7 +106,7 @@
         self._unfit_needs[label] = [*smallest, need]
 
 
-def make_open_hosts(hosts: HostSet, steps: list[StepRun]) -> OpenHosts:
+def make_open_hosts(hosts: SchedulableHosts, steps: list[StepRun]) -> OpenHosts:
     """Return the hosts that may fit a task of one of the waiting steps."""
     if not steps:
         return OpenHosts({}, Resources(), hosts)
--- a/siskinroad/work/placement.py
+++ b/siskinroad/work/placement.py
@@ -76,7 +76,7 @@
         self._has_choice = len(candidates) > 1
         self._ticketed_hosts = 0
         if self._has_choice:
-            self._ticketed_hosts = planning_pass.host_set.count(step.tickets)
+            self._ticketed_hosts = planning_pass.schedulable_hosts.count(step.tickets)
         self._costs: dict[Host, Cost] = {}
         self._heap: list[tuple[Cost, int]] = []
 
@@ -102,7 +102,7 @@
             return self._choose_for_failed(task)
         while self._heap:
             cost, position = self._heap[0]
-            host = self._pass.host_set.hosts[position]
+            host = self._pass.schedulable_hosts.hosts[position]
             if self._costs.get(host) == cost:
                 return host
             heapq.heappop(self._heap)
@@ -111,7 +111,7 @@
     def _choose_for_failed(self, task: Task) -> Host | None:
         """Return the cheapest host for a task that avoids some; None if none fits."""
         now = self._pass.now
-        positions = self._pass.host_set.positions
+        positions = self._pass.schedulable_hosts.positions
         return min(
             (host for host in self._costs if not task_avoids_host(task, host, now)),
             key=lambda host: (
@@ -149,7 +149,7 @@
             return
         cost = self._compute_cost(host, available) if self._has_choice else ()
         self._costs[host] = cost
-        position = self._pass.host_set.positions[host.name]
+        position = self._pass.schedulable_hosts.positions[host.name]
         heapq.heappush(self._heap, (cost, position))
 
     def _compute_cost(self, host: Host, available: Resources) -> Cost:
@@ -192,6 +192,6 @@
         step = self._step
         own = 0.0
         if host.name in step.tickets:
-            share = self._pass.host_set.compute_share(step.need, host)
+            share = self._pass.schedulable_hosts.compute_share(step.need, host)
             own = step.waiting_count / self._ticketed_hosts * share
         return int((self._pass.find_demand(host) - own) / DEMAND_QUANTUM)
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -16,7 +16,6 @@
 from siskinroad.work.effects import Effect, StartRun
 from siskinroad.work.headroom import UrgentHeadroom
 from siskinroad.work.host import Host, Run
-from siskinroad.work.host_set import HostSet, make_host_set
 from siskinroad.work.job import StepRun, Task
 from siskinroad.work.job_table import QueueTimes
 from siskinroad.work.model import Queue
@@ -29,6 +28,7 @@
     compute_shortfall,
 )
 from siskinroad.work.pool_state import PoolState
+from siskinroad.work.schedulable_hosts import SchedulableHosts, make_schedulable_hosts
 
 __all__ = ["Planner"]
 
@@ -63,7 +63,7 @@
         self.pool_state = pool_state
         self.urgent_headroom = UrgentHeadroom()
         self.advice_requester = AdviceRequester(pool_state)
-        self._host_set: HostSet | None = None
+        self._schedulable_hosts: SchedulableHosts | None = None
 
     def plan(
         self, now: float, wall: float, channels: ChannelTimes | None = None
@@ -84,13 +84,13 @@
             for step in pool_state.ready.values()
             if step.waiting_count and not step.job.is_closed
         ]
-        self._host_set = make_host_set(hosts, self._host_set)
+        self._schedulable_hosts = make_schedulable_hosts(hosts, self._schedulable_hosts)
         planning_pass = PlanningPass(
             pool_state,
             now,
             wall,
-            self._host_set,
-            make_open_hosts(self._host_set, steps),
+            self._schedulable_hosts,
+            make_open_hosts(self._schedulable_hosts, steps),
             steps,
             channels,
         )
@@ -106,7 +106,7 @@
         urgent = {queue.name for queue in queues if queue.priority == 0}
         used = 0
         urgent_used = 0
-        for host in planning_pass.host_set.hosts:
+        for host in planning_pass.schedulable_hosts.hosts:
             used += host.used.cpu_milli
             for name, use in host.queue_uses.items():
                 if name in urgent:
@@ -117,7 +117,7 @@
             if step.job.queue in urgent
         )
         self.urgent_headroom.observe(urgent_used + waiting, planning_pass.now)
-        capacity = planning_pass.host_set.cpu_milli
+        capacity = planning_pass.schedulable_hosts.cpu_milli
         return (
             capacity
             - used
@@ -184,12 +184,12 @@
         """
         if planning_pass.excluded_hosts:
             return
-        host_set = planning_pass.host_set
-        capable = host_set.find_capable_hosts(step)
+        schedulable_hosts = planning_pass.schedulable_hosts
+        capable = schedulable_hosts.find_capable_hosts(step)
         if not step.spec.gang and not capable.has_large:
             return
         count = step.waiting_count
-        max_hosts = max(1, int(len(host_set.hosts) * MAX_EXCLUDED_FRACTION))
+        max_hosts = max(1, int(len(schedulable_hosts.hosts) * MAX_EXCLUDED_FRACTION))
         if step.spec.gang and count > max_hosts:
             return
         hosts = capable.hosts
--- a/siskinroad/work/planning_pass.py
+++ b/siskinroad/work/planning_pass.py
@@ -8,10 +8,10 @@
 from siskinroad.work.advisor_channels import ChannelTimes
 from siskinroad.work.effects import Effect
 from siskinroad.work.host import Host, Run
-from siskinroad.work.host_set import HostSet
 from siskinroad.work.job import StepRun, Task
 from siskinroad.work.open_hosts import OpenHosts
 from siskinroad.work.pool_state import PoolState
+from siskinroad.work.schedulable_hosts import SchedulableHosts
 
 __all__ = [
     "PlanningPass",
@@ -32,7 +32,7 @@
 
     Attributes
     ----------
-    host_set : HostSet
+    schedulable_hosts : SchedulableHosts
         Hosts that may get new work.
     open_hosts : OpenHosts
         Those that may fit a waiting task.
@@ -51,7 +51,7 @@
     pool_state: PoolState
     now: float
     wall: float
-    host_set: HostSet
+    schedulable_hosts: SchedulableHosts
     open_hosts: OpenHosts
     steps: list[StepRun]
     channels: ChannelTimes | None = None
@@ -91,13 +91,15 @@
         demand = 0.0
         for step, tasks_per_host in self._spread_demand:
             if name in step.tickets:
-                share = self.host_set.compute_share(step.need, host)
+                share = self.schedulable_hosts.compute_share(step.need, host)
                 demand += tasks_per_host * share
         return demand
 
     def _spread_over_hosts(self) -> list[tuple[StepRun, float]]:
         """Return the steps with tickets, each with its tasks for one allowed host."""
-        counts = [(step, self.host_set.count(step.tickets)) for step in self.steps]
+        counts = [
+            (step, self.schedulable_hosts.count(step.tickets)) for step in self.steps
+        ]
         return [(step, step.waiting_count / n) for step, n in counts if n]
 
 
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -23,7 +23,7 @@
 # Largest number of run numbers that a former owner may have used for one task without
 # storing them. They are skipped after a takeover, so that no run number is used twice.
 MAX_UNSTORED_RUNS = 8
-# Number of a task's newest presumed ends that are remembered. Starts may be rejected any
+# Number of a task's newest presumed ends that are remembered: starts may be rejected any
 # number of times.
 MAX_PRESUMED_ENDS = 8
 
--- a/siskinroad/work/host_set.py
+++ b/siskinroad/work/schedulable_hosts.py
@@ -13,7 +13,7 @@
 from siskinroad.work.job import StepRun
 from siskinroad.work.model import HostEntry
 
-__all__ = ["HostSet", "make_host_set"]
+__all__ = ["SchedulableHosts", "make_schedulable_hosts"]
 
 # Fraction of a host from which a task counts as large: gaps of that size are filled by
 # small tasks first, so that a large one may never fit.
@@ -40,7 +40,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class HostSet:
+class SchedulableHosts:
     """Hosts that may get new work.
 
     Attributes
@@ -104,7 +104,9 @@
         return share
 
 
-def make_host_set(hosts: list[Host], former: HostSet | None) -> HostSet:
+def make_schedulable_hosts(
+    hosts: list[Host], former: SchedulableHosts | None
+) -> SchedulableHosts:
     """Return the set of the given hosts: the former one if nothing has changed."""
     entries = [host.entry for host in hosts]
     if former is not None and former.is_made_of(hosts, entries):
@@ -116,4 +118,4 @@
         shapes.setdefault((entry.capacity, entry.labels), []).append(i)
     positions = {entry.name: i for i, entry in enumerate(entries)}
     cpu_milli = sum(entry.capacity.cpu_milli for entry in entries)
-    return HostSet(hosts, entries, positions, cpu_milli, shapes)
+    return SchedulableHosts(hosts, entries, positions, cpu_milli, shapes)
--- a/tests/work/test_placement.py
+++ b/tests/work/test_placement.py
@@ -6,7 +6,6 @@
 import pytest
 
 from siskinroad.resources import Resources
-from siskinroad.work.host_set import make_host_set
 from siskinroad.work.open_hosts import make_open_hosts
 from siskinroad.work.placement import DEMAND_QUANTUM, place_tasks
 from siskinroad.work.planning_pass import (
@@ -15,6 +14,7 @@
     step_allows_host,
     task_avoids_host,
 )
+from siskinroad.work.schedulable_hosts import make_schedulable_hosts
 from tests.work.cell import entry, job, step
 from tests.work.test_planner import add_job, make_pool_state
 
@@ -24,7 +24,7 @@
     placement = TentativePlacement()
     available = {
         host: host.free_capacity(step_run.key, planning_pass.now)
-        for host in planning_pass.host_set.hosts
+        for host in planning_pass.schedulable_hosts.hosts
         if host.name not in planning_pass.excluded_hosts
         and (not needs_ticket or host.name in step_run.tickets)
     }
@@ -54,7 +54,7 @@
 def compute_demand(planning_pass):
     """Return the demand of the waiting steps for each host, in whole hosts."""
     demand = Counter()
-    hosts = {host.name: host for host in planning_pass.host_set.hosts}
+    hosts = {host.name: host for host in planning_pass.schedulable_hosts.hosts}
     for step_run in planning_pass.steps:
         names = [name for name in step_run.tickets if name in hosts]
         for name in names:
@@ -79,7 +79,7 @@
         same_step = step_run.runs_by_host.get(host.name, 0) + here
         parts = (best_effort, same_step, -free.cpu_milli)
     else:
-        known = planning_pass.host_set.positions
+        known = planning_pass.schedulable_hosts.positions
         names = [name for name in step_run.tickets if name in known]
         own = 0.0
         if host.name in names:
@@ -144,9 +144,11 @@
     rng = random.Random(seed)
     pool_state = make_random_pool(rng)
     steps = make_random_steps(rng, pool_state)
-    host_set = make_host_set(list(pool_state.hosts.values()), None)
-    open_hosts = make_open_hosts(host_set, steps)
-    planning_pass = PlanningPass(pool_state, 0.1, 0.1, host_set, open_hosts, steps)
+    schedulable_hosts = make_schedulable_hosts(list(pool_state.hosts.values()), None)
+    open_hosts = make_open_hosts(schedulable_hosts, steps)
+    planning_pass = PlanningPass(
+        pool_state, 0.1, 0.1, schedulable_hosts, open_hosts, steps
+    )
     planning_pass.non_urgent_cpu_milli = 1e9
     for step_run in steps:
         needs_ticket = step_run.job.queue == "advised"
@@ -160,17 +162,17 @@
             run = step_run.make_run(task, 1, host.token, 0.1)
             planning_pass.add_run(host, run)
         if not chosen and rng.random() < 0.2:
-            planning_pass.exclude_host(rng.choice(host_set.hosts))
+            planning_pass.exclude_host(rng.choice(schedulable_hosts.hosts))
 
 
 def test_a_set_of_hosts_is_kept_until_a_host_or_an_entry_changes():
     pool_state = make_pool_state(["i-0", "i-1"])
     hosts = list(pool_state.hosts.values())
-    kept = make_host_set(hosts, None)
-    assert make_host_set(list(hosts), kept) is kept
-    assert make_host_set(hosts[:1], kept) is not kept
+    kept = make_schedulable_hosts(hosts, None)
+    assert make_schedulable_hosts(list(hosts), kept) is kept
+    assert make_schedulable_hosts(hosts[:1], kept) is not kept
     pool_state.add_or_update_host(entry("i-1", capacity=Resources(1, 1, 0, 0)))
-    changed = make_host_set(hosts, kept)
+    changed = make_schedulable_hosts(hosts, kept)
     assert changed is not kept
     large = add_job(pool_state, "large", job(step(1))).steps[0, 0]
     assert [h.name for h in changed.find_capable_hosts(large).hosts] == ["i-0"]
