--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -23,8 +23,8 @@
 # Largest number of run numbers that a former owner may have used for one task without
 # storing them. They are skipped after a takeover, so that no run number is used twice.
 MAX_UNSTORED_RUNS = 8
-# Number of a task's newest presumed ends that are remembered: starts may be rejected any
-# number of times.
+# Number of newest presumed ends that are remembered of a task: starts may be rejected
+# any number of times.
 MAX_PRESUMED_ENDS = 8
 
 log = logging.getLogger("siskinroad.pool_state")
