--- a/siskinroad/work/host_commands.py
+++ b/siskinroad/work/host_commands.py
@@ -79,38 +79,44 @@
                     self.term.pool_state.drop_start(host, effect.run, now)
                 )
                 return
-            # A host that has failed may be another incarnation with its own clock.
-            lease_until_ms = None if host.is_failing else host.lease_until(now)
-            ticket = self._find_ticket(effect, now)
-            if (
-                lease_until_ms is None
-                or ticket is None
-                or not self.term.is_owner_confirmed()
-            ):
+            command = self._make_start_command(host, effect, now)
+            if command is None or not self.term.is_owner_confirmed():
                 self.term.execute_effects(
                     self.term.pool_state.note_start_not_sent(host, effect.run, now)
                 )
                 return
-            # The token may have been raised since the effect was created, and the host
-            # would reject the lower one.
-            effect.run.token = host.token
+            effect.run.token = command.token
             host.extend_lease_expiry(now)
-            task, run_number = effect.run.key
-            command = StartCommand(
-                host.name,
-                host.entry.address,
-                host.token,
-                task,
-                run_number,
-                effect.payload,
-                lease_until_ms,
-                effect.checkpoint,
-                ticket,
-            )
             effects = await self._send_start(host, effect.run, command)
         self.term.execute_effects(effects)
         self.term.plan_requested.set()
 
+    def _make_start_command(
+        self, host: Host, effect: StartRun, now: float
+    ) -> StartCommand | None:
+        """Return the command with what holds now; None if it may not be sent.
+
+        The host's token may have been raised since the effect was created, and the
+        host would reject the lower one. A host that has failed may be another
+        incarnation with its own clock, so no lease is computed for it.
+        """
+        lease_until_ms = None if host.is_failing else host.lease_until(now)
+        ticket = self._find_ticket(effect, now)
+        if lease_until_ms is None or ticket is None:
+            return None
+        task, run_number = effect.run.key
+        return StartCommand(
+            host.name,
+            host.entry.address,
+            host.token,
+            task,
+            run_number,
+            effect.payload,
+            lease_until_ms,
+            effect.checkpoint,
+            ticket,
+        )
+
     def _find_ticket(self, effect: StartRun, now: float) -> str | None:
         """Return the ticket for a start; None if it has expired while this waited."""
         if not effect.ticket:
--- a/siskinroad/work/lease_renewer.py
+++ b/siskinroad/work/lease_renewer.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import logging
+from dataclasses import dataclass
 
 from siskinroad.errors import NotSentError, OutcomeUnknownError
 from siskinroad.fair_timeout import FairTimeout
 from siskinroad.work.host import Host
 from siskinroad.work.host_commands import report_higher_token
-from siskinroad.work.hosts import Rejection
+from siskinroad.work.hosts import HostReport, Rejection
 from siskinroad.work.progress import ProgressLog
 from siskinroad.work.term import Term
 
@@ -31,6 +32,25 @@
 log = logging.getLogger("siskinroad.lease_renewer")
 
 
+@dataclass(slots=True, frozen=True)
+class _Renewal:
+    """Renewal of a host's lease that is in progress.
+
+    Attributes
+    ----------
+    sent_at, limit_s : float
+        Loop time at which it was sent, and the seconds until its reply is due.
+    token, address : int, str
+        The host's token and address when it was sent.
+    """
+
+    host: Host
+    sent_at: float
+    token: int
+    address: str
+    limit_s: float
+
+
 class LeaseRenewer:
     """Lease renewer with one call in progress to each known host at any time."""
 
@@ -70,89 +90,88 @@
                 await self._wait_until_stored(host)
 
     async def _renew_once(self, host: Host, wait: float) -> bool:
-        loop = asyncio.get_running_loop()
-        sent_at = loop.time()
-        # A host that does not answer is granted no further lease: a delayed call
-        # must not prolong runs that are about to be started elsewhere.
-        lease_until_ms = None if host.is_failing else host.lease_until(sent_at)
-        if lease_until_ms is not None:
-            host.extend_lease_expiry(sent_at)
-        token, address = host.token, host.entry.address
-        # A host that has failed may be back as another incarnation, which numbers its
-        # ends anew and would forget them up to the number of the former one.
-        acknowledged = 0 if host.is_failing else host.last_end_stored
+        """Send one renewal and apply its reply; return whether it brought a report."""
+        now = asyncio.get_running_loop().time()
         limit_s = wait + host.reply_timeout_s()
+        call = _Renewal(host, now, host.token, host.entry.address, limit_s)
         try:
-            async with FairTimeout(limit_s):
-                report = await self.term.dependencies.host_client.renew_lease(
-                    host.name,
-                    address,
-                    token,
-                    acknowledged,
-                    lease_until_ms,
-                    wait,
-                )
+            report = await self._send(call, wait)
         except (NotSentError, OutcomeUnknownError, TimeoutError) as exc:
-            if isinstance(exc, TimeoutError):
-                # The host may be slow, not silent: wait longer for the next reply.
-                host.record_reply_time(loop.time() - sent_at - wait)
-            self._note_call_failed(host, exc, sent_at)
+            self._note_call_failed(call, wait, exc)
             return False
         self.term.dependencies.metrics.renewals.labels("answered").inc()
         if self.term.pool_state.hosts.get(host.name) is not host:
             # The host was removed meanwhile; a run adopted on it would stay forever.
             return False
         if isinstance(report, Rejection):
-            return self._handle_rejection(host, report, token, address, sent_at)
-        now, wall = loop.time(), self.term.dependencies.wall()
+            self._handle_rejection(call, report)
+            return False
+        self._apply_report(call, report)
+        return True
+
+    async def _send(self, call: _Renewal, wait: float) -> HostReport | Rejection:
+        host = call.host
+        # A host that does not answer is granted no further lease: a delayed call
+        # must not prolong runs that are about to be started elsewhere.
+        lease_until_ms = None if host.is_failing else host.lease_until(call.sent_at)
+        if lease_until_ms is not None:
+            host.extend_lease_expiry(call.sent_at)
+        # A host that has failed may be back as another incarnation, which numbers its
+        # ends anew and would forget them up to the number of the former one.
+        acknowledged = 0 if host.is_failing else host.last_end_stored
+        async with FairTimeout(call.limit_s):
+            return await self.term.dependencies.host_client.renew_lease(
+                host.name, call.address, call.token, acknowledged, lease_until_ms, wait
+            )
+
+    def _apply_report(self, call: _Renewal, report: HostReport) -> None:
+        now, wall = asyncio.get_running_loop().time(), self.term.dependencies.wall()
         effects = self.term.pool_state.apply_report(
-            host, report, token, sent_at, now, wall, answered_by=sent_at + limit_s
+            call.host,
+            report,
+            call.token,
+            call.sent_at,
+            now,
+            wall,
+            answered_by=call.sent_at + call.limit_s,
         )
         self.term.execute_effects(effects)
         settled = self.term.pool_state.settle_tasks(now)
         if settled or report.ended or report.running:
             self.term.plan_requested.set()
-        return True
 
-    def _note_call_failed(self, host: Host, exc: Exception, sent_at: float) -> None:
+    def _note_call_failed(self, call: _Renewal, wait: float, exc: Exception) -> None:
         now = asyncio.get_running_loop().time()
-        dependencies = self.term.dependencies
+        host, dependencies = call.host, self.term.dependencies
         dependencies.metrics.renewals.labels("not answered").inc()
+        if isinstance(exc, TimeoutError):
+            # The host may be slow, not silent: wait longer for the next reply.
+            host.record_reply_time(now - call.sent_at - wait)
         if not host.is_failing:
+            delay_s = dependencies.loop_delay.largest_since(call.sent_at)
             log.warning(
                 "lease_renewer: renewal not answered; "
                 "granting the host no lease and no start until it answers",
                 extra={
                     "host": host.name,
                     "silent_s": round(now - host.reported_at, 2),
-                    "sent_s": round(now - sent_at, 3),
-                    "loop_delay_s": round(
-                        dependencies.loop_delay.largest_since(sent_at), 3
-                    ),
+                    "sent_s": round(now - call.sent_at, 3),
+                    "loop_delay_s": round(delay_s, 3),
                     "error": str(exc) or "no reply in time",
                 },
             )
-        host.record_failed_request()
-        host.unanswered_renewal_at = max(host.unanswered_renewal_at, sent_at)
-
-    def _handle_rejection(
-        self,
-        host: Host,
-        rejection: Rejection,
-        token: int,
-        address: str,
-        sent_at: float,
-    ) -> bool:
-        if rejection is Rejection.FENCED and token < host.token:
+        _note_no_report(call)
+
+    def _handle_rejection(self, call: _Renewal, rejection: Rejection) -> None:
+        host = call.host
+        if rejection is Rejection.FENCED and call.token < host.token:
             # Rejected for this owner's own raised token.
-            return False
-        # No report came, and no lease was granted, as without a reply.
-        host.record_failed_request()
-        host.unanswered_renewal_at = max(host.unanswered_renewal_at, sent_at)
+            return
+        _note_no_report(call)
         if rejection is Rejection.FENCED:
             report_higher_token(self.term, host)
         # A host that is listed at another address since then has left only this one.
-        has_moved = address != host.entry.address
+        has_moved = call.address != host.entry.address
         if rejection is Rejection.OTHER_INCARNATION and not has_moved:
             now = asyncio.get_running_loop().time()
             log.warning(
@@ -161,7 +180,6 @@
                 extra={"host": host.name},
             )
             self.term.execute_effects(self.term.pool_state.replace_host(host, now))
-        return False
 
     async def _wait_until_stored(self, host: Host) -> None:
         """Wait briefly until the ends that a host has listed are stored."""
@@ -195,6 +213,13 @@
             await asyncio.sleep(RECONCILE_RETRY_INTERVAL)
 
 
+def _note_no_report(call: _Renewal) -> None:
+    """Note that a renewal brought no report and granted no lease."""
+    host = call.host
+    host.record_failed_request()
+    host.unanswered_renewal_at = max(host.unanswered_renewal_at, call.sent_at)
+
+
 def _renewal_wait_s(host: Host) -> float:
     """Return the seconds for which the host may hold the call open."""
     has_short_task = any(
