Give each run of the process tests addresses of its own

Cause: a daemon serves its metrics on a fixed port, so two runs of the tests on one machine met at 127.0.0.3:9464, and one failed (seen once beside other runs).

The loopback addresses follow from the process id.

--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -41,6 +41,15 @@
 }
 
 
+def loopback_ip(number):
+    """Return an address that another run of the tests at the same time does not use.
+
+    A daemon serves its metrics on a fixed port.
+    """
+    pid = os.getpid()
+    return f"127.{1 + pid // 256 % 254}.{pid % 256}.{number}"
+
+
 def free_port(ip):
     with socket.socket() as sock:
         sock.bind((ip, 0))
@@ -76,7 +85,7 @@
 
 
 async def start_daemon(tmp_path, number, platform):
-    ip = f"127.0.0.{number}"
+    ip = loopback_ip(number)
     ports = {"peers": free_port(ip), "front": free_port(ip), "ready": free_port(ip)}
     path = tmp_path / f"{number}.toml"
     text = SETTINGS.format(name=f"edge-{number}", ip=ip, platform=platform, **ports)
@@ -112,7 +121,7 @@
         assert unknown.status == 404
         count = await caller.send(front, "GET", "/pule252/")
         assert json.loads(count.body) == {"pending": 0}
-        metrics = await caller.send("127.0.0.2:9464", "GET", "/metrics")
+        metrics = await caller.send(f"{loopback_ip(2)}:9464", "GET", "/metrics")
         assert b"siskinroad_caller_answers_total" in metrics.body
         daemons[0][0].send_signal(signal.SIGTERM)
         assert await daemons[0][0].wait() == 0
