Report why each waiting task is not placed, and for how long it waits

On call, nothing showed why a task waited: an overloaded owner, a step without usable tickets, busy advisor channels, hosts that get no new work and capacity held by starts without a reply all look the same, as no line is written while nothing happens.

Cause: the planner skips a step without a trace, and a task does not know since when it waits.

Change: once per second, right after a planning pass, the owner examines the steps that still wait and gives each task one typed reason, in the order of the planner's own checks. The reasons and waits are gauges, long waits are logged with the inputs that decided, at most ten lines per examination, and one summary line has the counts. The planner only keeps its last pass and stamps tasks that began to wait; no decision changes.

--- /dev/null
+++ b/siskinroad/work/host_states.py
@@ -0,0 +1,60 @@
+"""Classification of a pool's hosts by whether they may get new work, and why not."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from enum import StrEnum
+
+from siskinroad.work.host import HOST_SILENCE_S, UNLISTED_GRACE_S, Host
+
+__all__ = ["HostState", "count_host_states", "find_host_state", "find_oldest_report_s"]
+
+
+class HostState(StrEnum):
+    """Whether a host may get new work, or the first thing that prevents it.
+
+    ``UNSETTLED``: it has not replied under this term, or the store does not hold yet
+    that this owner uses it. ``UNLISTED``: it left the live list. ``FAILING``: its last
+    request had no reply. ``SILENT``: its last reply is too old.
+    """
+
+    SCHEDULABLE = "schedulable"
+    UNSETTLED = "unsettled"
+    DRAINING = "draining"
+    QUARANTINED = "quarantined"
+    UNLISTED = "unlisted"
+    FAILING = "failing"
+    SILENT = "silent"
+
+
+def find_host_state(host: Host, now: float) -> HostState:
+    """Return the state of a host, by the conditions of ``Host.is_schedulable``."""
+    if not host.is_settled or not host.is_stored:
+        return HostState.UNSETTLED
+    if host.entry.draining:
+        return HostState.DRAINING
+    if host.is_quarantined:
+        return HostState.QUARANTINED
+    if host.unlisted_at and now - host.unlisted_at > UNLISTED_GRACE_S:
+        return HostState.UNLISTED
+    if host.is_failing and now - host.replied_at > HOST_SILENCE_S:
+        return HostState.FAILING
+    if now - host.replied_at > HOST_SILENCE_S:
+        return HostState.SILENT
+    return HostState.SCHEDULABLE
+
+
+def count_host_states(hosts: Iterable[Host], now: float) -> Counter[HostState]:
+    """Return the number of hosts in each state."""
+    return Counter(find_host_state(host, now) for host in hosts)
+
+
+def find_oldest_report_s(hosts: Iterable[Host], now: float) -> float:
+    """Return the age in seconds of the oldest newest report of any host that has one.
+
+    It grows with the delay at which the owner sends its renewals.
+    """
+    return max(
+        (now - host.reported_at for host in hosts if host.incarnation_ms), default=0.0
+    )
--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -23,6 +23,8 @@
 ]
 
 _TASK_CHART = load_chart("task")
+# States in which a task waits for its placement.
+_WAIT_STATES = frozenset(("waiting", "unsettled"))
 
 
 class JobState:
@@ -61,10 +63,13 @@
         Sorted indices of the waiting tasks.
     done_count : int
         Number of tasks that have succeeded.
+    unstamped : list of int
+        Indices of the tasks that began to wait since ``StepRun.stamp_waits``.
     """
 
     waiting: list[int] = field(default_factory=list)
     done_count: int = 0
+    unstamped: list[int] = field(default_factory=list)
 
     def add(self, index: int, state: str) -> None:
         """Add a task, or a task's new state."""
@@ -101,6 +106,8 @@
         Host of an older run that continues beside the newest one; empty if none.
     presumed_ends : dict of int to PresumedEnd
         Runs that were ended without an end listed by their host, by run number.
+    waiting_since : float
+        Loop time at which the first planning pass found that the task waits.
     tally : TaskTally
         Tally of the step's tasks, which this task keeps up to date.
     """
@@ -115,9 +122,11 @@
     avoided_hosts: dict[str, float] = field(default_factory=dict)
     older_run_host: str = ""
     presumed_ends: dict[int, PresumedEnd] = field(default_factory=dict)
+    waiting_since: float = 0.0
 
     def __post_init__(self) -> None:
         self.tally.add(self.id.index, self.state)
+        self.tally.unstamped.append(self.id.index)
 
     @property
     def failure_count(self) -> int:
@@ -131,6 +140,8 @@
         if self.state != former:
             self.tally.remove(self.id.index, former)
             self.tally.add(self.id.index, self.state)
+            if former not in _WAIT_STATES and self.state in _WAIT_STATES:
+                self.tally.unstamped.append(self.id.index)
 
     def allows(self, event: str) -> bool:
         """Return whether the chart has ``event`` in this state."""
@@ -197,6 +208,12 @@
         """Number of tasks that wait for a host."""
         return len(self.tally.waiting)
 
+    def stamp_waits(self, now: float) -> None:
+        """Set when the tasks that began to wait since the last call did so."""
+        for index in self.tally.unstamped:
+            self.tasks[index].waiting_since = now
+        self.tally.unstamped.clear()
+
     def make_run(self, task: Task, number: int, token: int, now: float) -> Run:
         """Return a new run of one of the step's tasks, not yet started."""
         spec = self.spec
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -21,6 +21,8 @@
 from siskinroad.work.lease_renewer import LeaseRenewer
 from siskinroad.work.model import Configuration, HostEntry
 from siskinroad.work.planner import Planner
+from siskinroad.work.planning_pass import PlanningPass
+from siskinroad.work.planning_report import PlanningReport
 from siskinroad.work.progress import OwnershipLostError, ProgressLog
 from siskinroad.work.records import (
     OWNER_KEY,
@@ -80,6 +82,9 @@
         self.pool_state = self.term.pool_state
         self.pool_state.configure(configuration)
         self.planner = Planner(self.pool_state)
+        self.planning_report = PlanningReport(
+            self.term, asyncio.get_running_loop().time()
+        )
         self.run_monitor = RunMonitor(self.pool_state, dependencies.timing)
         self.progress = ProgressLog(self.term, inherited.hosts)
         self.host_commands = HostCommands(self.term)
@@ -160,6 +165,7 @@
             raise excs.exceptions[0] from None
         finally:
             self.term.group = None
+            self.planning_report.close()
 
     async def release(self) -> None:
         """Store the remaining progress, then release the pool; call after ``run``."""
@@ -284,12 +290,20 @@
             await self.term.plan_requested.wait()
             await asyncio.sleep(max(PLAN_DELAY, PLAN_REST_FACTOR * took_s))
             self.term.plan_requested.clear()
-            if not self.term.is_owner_confirmed():
-                continue
-            now, wall = loop.time(), self.dependencies.wall()
-            channels = self.dependencies.advisor_channels.channel_times(now)
-            self._execute_effects(self.planner.plan(now, wall, channels))
-            took_s = loop.time() - now
+            now = loop.time()
+            planning_pass: PlanningPass | None = None
+            if self.term.is_owner_confirmed():
+                self._plan(now)
+                took_s = loop.time() - now
+                planning_pass = self.planner.last_pass
+            self.planning_report.report_if_due(now, planning_pass)
+
+    def _plan(self, now: float) -> None:
+        channels = self.dependencies.advisor_channels.channel_times(now)
+        effects = self.planner.plan(now, self.dependencies.wall(), channels)
+        took_s = asyncio.get_running_loop().time() - now
+        self.planning_report.record_pass(took_s, effects)
+        self._execute_effects(effects)
 
     async def _run_ticks(self) -> None:
         loop = asyncio.get_running_loop()
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -57,10 +57,16 @@
     ----------
     pool_state : PoolState
         State of the pool.
+
+    Attributes
+    ----------
+    last_pass : PlanningPass or None
+        Newest planning pass, as it was when its last step was planned.
     """
 
     def __init__(self, pool_state: PoolState) -> None:
         self.pool_state = pool_state
+        self.last_pass: PlanningPass | None = None
         self.urgent_headroom = UrgentHeadroom()
         self.advice_requester = AdviceRequester(pool_state)
         self._schedulable_hosts: SchedulableHosts | None = None
@@ -84,6 +90,9 @@
             for step in pool_state.ready.values()
             if step.waiting_count and not step.job.is_closed
         ]
+        for step in steps:
+            if step.tally.unstamped:
+                step.stamp_waits(now)
         self._schedulable_hosts = make_schedulable_hosts(hosts, self._schedulable_hosts)
         planning_pass = PlanningPass(
             pool_state,
@@ -98,6 +107,7 @@
         for lateness, step in self._rank_steps(steps, wall):
             self._plan_step(planning_pass, step, lateness)
         self.advice_requester.request_for_next_steps(planning_pass)
+        self.last_pass = planning_pass
         return planning_pass.effects
 
     def _compute_non_urgent_cpu(self, planning_pass: PlanningPass) -> float:
--- a/siskinroad/work/workmetrics.py
+++ b/siskinroad/work/workmetrics.py
@@ -9,6 +9,8 @@
 
 # Upper bounds of the buckets of reply times and loop delays, in seconds.
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+# Upper bounds of the buckets of the durations of planning passes, in seconds.
+PASS_BUCKETS_S = (0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0)
 
 
 class WorkMetrics:
@@ -59,6 +61,36 @@
             buckets=LATENCY_BUCKETS_S,
             registry=reg,
         )
+        self.planning_pass = Histogram(
+            "siskinroad_planning_pass_seconds",
+            "Duration of a planning pass.",
+            buckets=PASS_BUCKETS_S,
+            registry=reg,
+        )
+        self.waiting_tasks = Gauge(
+            "siskinroad_waiting_tasks",
+            "Waiting tasks of an owned pool by reason.",
+            ("pool", "reason"),
+            registry=reg,
+        )
+        self.longest_wait = Gauge(
+            "siskinroad_longest_wait_seconds",
+            "Longest wait of a task that waits for the reason.",
+            ("pool", "reason"),
+            registry=reg,
+        )
+        self.hosts = Gauge(
+            "siskinroad_hosts",
+            "Hosts of an owned pool by state.",
+            ("pool", "state"),
+            registry=reg,
+        )
+        self.oldest_report = Gauge(
+            "siskinroad_oldest_host_report_seconds",
+            "Age of the oldest newest report of any host of an owned pool.",
+            ("pool",),
+            registry=reg,
+        )
         self.latency = Histogram(
             "siskinroad_caller_seconds",
             "Time to answer.",
