--- a/siskinroad/work/host_states.py
+++ b/siskinroad/work/host_states.py
@@ -51,9 +51,10 @@
 
 
 def find_oldest_report_s(hosts: Iterable[Host], now: float) -> float:
-    """Return the age in seconds of the oldest newest report of any host that has one.
+    """Return the seconds since the last report of the host that is silent longest.
 
-    It grows with the delay at which the owner sends its renewals.
+    Hosts that never reported are left out. The age grows if the owner sends its
+    renewals late.
     """
     return max(
         (now - host.reported_at for host in hosts if host.incarnation_ms), default=0.0
--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -107,7 +107,7 @@
     presumed_ends : dict of int to PresumedEnd
         Runs that were ended without an end listed by their host, by run number.
     waiting_since : float
-        Loop time at which the first planning pass found that the task waits.
+        Loop time of the first planning pass or examination since it began to wait.
     tally : TaskTally
         Tally of the step's tasks, which this task keeps up to date.
     """
--- a/siskinroad/work/wait_log.py
+++ b/siskinroad/work/wait_log.py
@@ -59,7 +59,7 @@
         due = [wait for wait in waits if self._is_due(wait, now)]
         for wait in due[:MAX_LINES]:
             self._logged_at[wait.key] = now
-            extra = self._describe_wait(wait, now)
+            extra = _describe_wait(wait, now)
             extra |= self._describe_hosts(wait.step, now)
             extra |= _describe_tickets(wait.step, now, planning_pass)
             log.warning("owner: tasks wait for placement", extra=extra)
@@ -70,19 +70,6 @@
         logged_at = self._logged_at.get(wait.key)
         return logged_at is None or now - logged_at >= REPEAT_INTERVAL_S
 
-    def _describe_wait(self, wait: StepWait, now: float) -> dict[str, object]:
-        job = wait.step.job
-        named = wait.tasks[:MAX_NAMED_TASKS]
-        return {
-            "request": job.id,
-            "queue": job.queue,
-            "task_count": len(wait.tasks),
-            "tasks": [format_task_position(task.id) for task in named],
-            "reason": wait.reason.value,
-            "waited_s": round(now - wait.waiting_since, 2),
-            "reason_s": round(now - wait.reason_since, 2),
-        }
-
     def _describe_hosts(self, step: StepRun, now: float) -> dict[str, object]:
         """Return the capable hosts by state, and the use of those with tickets."""
         queue = self._pool_state.queues.get(step.job.queue)
@@ -104,6 +91,20 @@
         }
 
 
+def _describe_wait(wait: StepWait, now: float) -> dict[str, object]:
+    job = wait.step.job
+    named = wait.tasks[:MAX_NAMED_TASKS]
+    return {
+        "request": job.id,
+        "queue": job.queue,
+        "task_count": len(wait.tasks),
+        "tasks": [format_task_position(task.id) for task in named],
+        "reason": wait.reason.value,
+        "waited_s": round(now - wait.waiting_since, 2),
+        "reason_s": round(now - wait.reason_since, 2),
+    }
+
+
 def _describe_tickets(
     step: StepRun, now: float, planning_pass: PlanningPass | None
 ) -> dict[str, object]:
--- a/siskinroad/work/wait_reasons.py
+++ b/siskinroad/work/wait_reasons.py
@@ -177,37 +177,29 @@
         free: dict[Host, Resources],
     ) -> dict[WaitReason, list[Task]]:
         """Return the tasks by reason, with regard to the hosts that each avoids."""
-        avoiding: list[Task] = []
-        others: list[Task] = []
-        for task in tasks:
-            avoids_any = task.avoided_hosts or task.older_run_host
-            (avoiding if avoids_any else others).append(task)
+        reason = self._check_tickets(step, queue, free)
+        now = self._pass.now
         if step.spec.gang:
-            return {self._check_avoided(step, queue, avoiding, free): tasks}
+            allowed = {
+                host: available
+                for host, available in free.items()
+                if not any(task_avoids_host(task, host, now) for task in tasks)
+            }
+            if not _fits_step(step, allowed):
+                reason = WaitReason.AVOIDS_FAILED_HOST
+            return {reason: tasks}
         reasons: dict[WaitReason, list[Task]] = {}
-        if others:
-            reasons[self._check_avoided(step, queue, [], free)] = others
-        for task in avoiding:
-            reason = self._check_avoided(step, queue, [task], free)
-            reasons.setdefault(reason, []).append(task)
+        for task in tasks:
+            avoids_all = all(task_avoids_host(task, host, now) for host in free)
+            own_reason = WaitReason.AVOIDS_FAILED_HOST if avoids_all else reason
+            reasons.setdefault(own_reason, []).append(task)
         return reasons
 
-    def _check_avoided(
-        self,
-        step: StepRun,
-        queue: Queue,
-        avoiding: list[Task],
-        free: dict[Host, Resources],
+    def _check_tickets(
+        self, step: StepRun, queue: Queue, hosts: Iterable[Host]
     ) -> WaitReason:
-        now = self._pass.now
-        free = {
-            host: available
-            for host, available in free.items()
-            if not any(task_avoids_host(task, host, now) for task in avoiding)
-        }
-        if not _fits_step(step, free):
-            return WaitReason.AVOIDS_FAILED_HOST
-        if queue.advice is None or not _has_stale_ticket(step, free, now):
+        """Return the reason of the tasks that avoid none of the hosts left."""
+        if queue.advice is None or not _has_stale_ticket(step, hosts, self._pass.now):
             return WaitReason.UNEXPLAINED
         if step.is_advice_pending:
             return WaitReason.ADVICE_PENDING
--- a/siskinroad/work/workmetrics.py
+++ b/siskinroad/work/workmetrics.py
@@ -87,7 +87,7 @@
         )
         self.oldest_report = Gauge(
             "siskinroad_oldest_host_report_seconds",
-            "Age of the oldest newest report of any host of an owned pool.",
+            "Seconds since the last report of the pool's longest silent host.",
             ("pool",),
             registry=reg,
         )
--- a/tests/work/test_wait_reasons.py
+++ b/tests/work/test_wait_reasons.py
@@ -197,6 +197,22 @@
     assert not find_reasons(pool_state, one, now=AVOID_FAILED_HOST_S)
 
 
+def test_a_gang_avoids_a_host_where_one_of_its_members_failed():
+    pool_state = make_pool_state(["i-0", "i-1"])
+    spec = job(step(2, cpu_milli=LARGE_CPU_MILLI, gang=True))
+    gang = add_job(pool_state, "gang", spec)
+    for task in gang.steps[0, 0].tasks:
+        task.avoided_hosts["i-0"] = 0.0
+    assert find_reasons(pool_state, gang) == {WaitReason.AVOIDS_FAILED_HOST: 2}
+
+
+def test_a_speculative_copy_avoids_the_host_of_the_older_run():
+    pool_state = make_pool_state(["i-0"])
+    one = add_job(pool_state, "one", job(step(1, copies=True)))
+    one.steps[0, 0].tasks[0].older_run_host = "i-0"
+    assert find_reasons(pool_state, one) == {WaitReason.AVOIDS_FAILED_HOST: 1}
+
+
 def test_unexplained_if_the_planner_leaves_out_a_task_that_fits(monkeypatch):
     pool_state = make_pool_state(["i-0"])
     one = add_job(pool_state, "one", job())
