Check the reasons of waiting tasks against the planner under a load with faults

On call, a reason that the examiner derives differently from the planner would send the reader the wrong way, and no test compared the two beyond single states.

Change: a seeded load with faults, 30 hosts, gangs and advice, examined after every pass: each waiting task has exactly one reason, and none is unexplained.

--- a/tests/work/test_wait_tracker.py
+++ b/tests/work/test_wait_tracker.py
@@ -1,7 +1,10 @@
 """Tests of how long a task has waited, and for how long its reason has held."""
 
+from collections import Counter
+
 import pytest
 
+from bench.planning_load import LoadSizes, PlanningLoad
 from siskinroad.work import wait_tracker
 from siskinroad.work.planner import Planner
 from siskinroad.work.wait_reasons import WaitReason
@@ -128,6 +131,41 @@
     assert sorted(t.id for t in found) == sorted(t.id for t in waiting)
 
 
+class ExaminedLoad(PlanningLoad):
+    """Load whose waits are examined after each planning pass."""
+
+    def __init__(self, sizes, seed):
+        self.tracker = None
+        self.counts = Counter()
+        super().__init__(sizes, seed)
+
+    def plan(self, channels):
+        effects = super().plan(channels)
+        if self.tracker is None:
+            self.tracker = WaitTracker(self.pool_state)
+        found = []
+        for wait in self.tracker.examine(self.now, self.planner.last_pass):
+            self.counts[wait.reason] += len(wait.tasks)
+            found += [task.id for task in wait.tasks]
+        ready = self.pool_state.ready.values()
+        assert sorted(found) == sorted(t.id for s in ready for t in s.waiting())
+        return effects
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_known_reason_explains_each_task_that_a_pass_leaves_waiting(seed):
+    # The examiner repeats the planner's checks: one that it lacks, or that differs,
+    # leaves tasks unexplained under a load with faults.
+    sizes = LoadSizes(
+        hosts=30, backlog_jobs=10, advised_per_s=20.0, gangs_per_s=3.0, faults_per_s=10
+    )
+    load = ExaminedLoad(sizes, seed)
+    load.run(2.0)
+    assert len(load.counts) >= 4
+    assert not load.counts[WaitReason.UNEXPLAINED]
+    assert not load.counts[WaitReason.ADVICE_NOT_REQUESTED]
+
+
 @pytest.mark.parametrize("limit", [0, 2])
 def test_steps_beyond_the_limit_are_counted_as_not_examined(monkeypatch, limit):
     monkeypatch.setattr(wait_tracker, "MAX_EXAMINED_STEPS", limit)
