Show that a pool behind its work stops starting tasks on free hosts

What callers saw: for 8 s a pool served nothing in time, though no disruption was near.

Cause, as the tests show it: for each step that waits with expired tickets and for which no advisor channel is free, a planning pass predicts when every host will have free capacity, and reserves capacity for the request that it cannot make. Passes become longer than a ticket is valid, so that no ticket can be used any more; the backlog that makes them long does not shrink.

No logic is changed.

--- /dev/null
+++ b/tests/work/test_overload.py
@@ -0,0 +1,155 @@
+"""Tests of a pool that is behind its work and whose owner's passes take time.
+
+The load that they replay: after a burst or a fault, hundreds of steps wait whose
+tickets have expired, and no advisor channel is free. If a planning pass then takes
+longer than a ticket is valid, no ticket can be used, nothing is started and the backlog
+never ends.
+"""
+
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+
+from bench.planning_load import ADVISED, CONFIGURATION, LoadSizes, PlanningLoad
+from siskinroad.work.advisor_channels import ChannelTimes
+from siskinroad.work.effects import StartRun
+from siskinroad.work.host import Host
+from siskinroad.work.model import Advice, JobSpec, Step
+from siskinroad.work.owner import PLAN_DELAY, PLAN_REST_FACTOR
+from siskinroad.work.planner import Planner
+from tests.work.cell import job, step
+from tests.work.test_planner import add_job, give_tickets, make_pool_state
+
+# Seconds of an owner's processor for one examination of a host.
+EXAMINATION_S = 2e-6
+SHORT_CHANNELS, LONG_CHANNELS = 10, 19
+# Mean ratio of the run time of the load's tasks to their declared one.
+MEAN_STRETCH = 1.15
+
+examinations = Counter()
+
+
+class CountedHost(Host):
+    """Host that counts the reads of its state."""
+
+    __slots__ = ()
+    counted = frozenset(("entry", "used", "runs", "reserved", "replied_at"))
+
+    def __getattribute__(self, name):
+        if name in CountedHost.counted:
+            examinations["reads"] += 1
+        return super().__getattribute__(name)
+
+
+def make_busy_channels():
+    return ChannelTimes([10.0] * SHORT_CHANNELS, [10.0] * LONG_CHANNELS)
+
+
+def make_backlog(hosts, steps, tickets_until):
+    """Return a pool with empty hosts, and steps with a ticket for most of them."""
+    names = [f"i-{i:03}" for i in range(hosts)]
+    pool_state = make_pool_state(names)
+    for number in range(steps):
+        spec = job(step(8, cpu_milli=9000))
+        late = add_job(pool_state, f"j-{number}", spec, "advised", at=-30.0)
+        give_tickets(late, *names[: hosts * 2 // 3], until=tickets_until)
+    return pool_state
+
+
+def test_a_step_that_gets_no_advisor_channel_reserves_no_capacity():
+    # Without the request, the reservation would keep the capacity from steps that could
+    # use it, in every pass again.
+    pool_state = make_pool_state(["i-0"])
+    stale = add_job(pool_state, "stale", job(step(1, cpu_milli=30000)), "advised")
+    valid = add_job(pool_state, "valid", job(step(1, cpu_milli=30000)), "advised")
+    give_tickets(stale, "i-0", until=0.1)
+    give_tickets(valid, "i-0", until=100.0)
+    effects = Planner(pool_state).plan(0.2, 0.2, make_busy_channels())
+    starts = [e.run.key[0].job for e in effects if isinstance(e, StartRun)]
+    assert starts == ["valid"]
+
+
+@pytest.mark.parametrize("steps", [50, 400])
+def test_steps_that_no_channel_serves_cost_a_pass_no_examination_of_hosts(steps):
+    # Each pass predicted when every host of every such step would have free capacity,
+    # for requests that could not be made.
+    pool_state = make_backlog(126, steps, tickets_until=0.1)
+    planner = Planner(pool_state)
+    planner.plan(0.2, 0.2, make_busy_channels())
+    for host in pool_state.hosts.values():
+        host.__class__ = CountedHost
+    examinations.clear()
+    planner.plan(0.3, 0.3, make_busy_channels())
+    assert examinations.total() <= 12 * 126 + 10 * steps
+
+
+class SlowOwnerLoad(PlanningLoad):
+    """Load whose planning passes take time, as on an owner with little processor.
+
+    The owner rests after each pass for as long as the real one does.
+    """
+
+    def __init__(self, sizes, seed):
+        super().__init__(sizes, seed)
+        advised = replace(ADVISED, priority=0, advice=Advice(0.02, 0.0003, 1.5))
+        self.pool_state.configure(replace(CONFIGURATION, queues=(advised,)))
+        self.channels = ([0.0] * SHORT_CHANNELS, [0.0] * LONG_CHANNELS)
+        self.pass_times = []
+
+    def note_host(self, host):
+        host.__class__ = CountedHost
+
+    def _plan(self):
+        examinations.clear()
+        before = self.now
+        channels = ChannelTimes(*([t - before for t in each] for each in self.channels))
+        effects = self.plan(channels)
+        took_s = examinations.total() * EXAMINATION_S
+        self.pass_times.append(took_s)
+        self._at(took_s, self._execute, effects)
+        rest_s = max(PLAN_DELAY, PLAN_REST_FACTOR * took_s)
+        self._at(took_s + rest_s, self._end_rest)
+
+    def _end_rest(self):
+        self.is_plan_requested = False
+        self._request_plan()
+
+    def submit_backlog(self, jobs):
+        for _ in range(jobs):
+            need = {"cpu_milli": self.rng.randrange(5, 15) * 1000, "memory_mib": 4000}
+            spec = JobSpec("p", (Step(8, estimate=0.8, **need),))
+            self._submit("advised", spec)
+
+    def compute_full_pool_s(self):
+        """Return the seconds of work that waits if the pool is full all the time."""
+        ready = self.pool_state.ready.values()
+        cpu_s = sum(s.waiting_count * s.need.cpu_milli * s.spec.estimate for s in ready)
+        hosts = self.pool_state.hosts.values()
+        cpu_milli = sum(host.entry.capacity.cpu_milli for host in hosts)
+        return MEAN_STRETCH * cpu_s / cpu_milli
+
+    def count_waiting(self):
+        return sum(each.waiting_count for each in self.pool_state.ready.values())
+
+
+NO_ARRIVALS = LoadSizes(
+    urgent_per_s=0.0,
+    advised_per_s=0.0,
+    gangs_per_s=0.0,
+    batch_per_s=0.0,
+    backlog_jobs=0,
+    lasting_tasks=0,
+)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_pool_with_a_backlog_goes_on_starting_tasks_on_its_free_hosts(seed):
+    # Six times the work that the pool holds at once arrives within a moment. Half of
+    # the pool has to be in use on average until the last task has started.
+    load = SlowOwnerLoad(NO_ARRIVALS, seed)
+    load.run(1.0)
+    load.submit_backlog(500)
+    limit_s = 2 * load.compute_full_pool_s()
+    load.run(limit_s)
+    assert load.count_waiting() == 0, f"after {limit_s:.1f} s"
