--- a/tests/work/test_planner.py
+++ b/tests/work/test_planner.py
@@ -48,6 +48,15 @@
         step_run.tickets[host] = (f"t-{host}", until)
 
 
+def answer_advice(pool_state, request, allowed, until):
+    """Answer an advice request with a ticket for each of its hosts in ``allowed``."""
+    step_run = pool_state.step_by_key(request.step)
+    step_run.requested_hosts.update(request.hosts)
+    for host in allowed.intersection(request.hosts):
+        step_run.tickets[host] = (f"t-{host}", until)
+    step_run.is_advice_pending = False
+
+
 def test_urgent_steps_are_placed_before_older_steps_of_lower_priority():
     pool_state = make_pool_state(["i-0"])
     add_job(pool_state, "paper", job(step(1, cpu_milli=20000)), "slow")
