Keep what a step knows from the advisor in one record

Cause: the hosts that a step was asked about, its tickets and their validity stood as a set and a dict of tuples in StepRun, and each user of them wrote its own rule.

Change: StepAdvice and Ticket in work/step_advice.py, with one method that records an answer. StepRun refers to them. Ticket is a named tuple, since the planner reads its first field by position.

Evidence: tests of planner, placement, planning load, pool state, host replies and advice requester pass, with the 13 known faults as before.

--- a/bench/planning_load.py
+++ b/bench/planning_load.py
@@ -325,14 +325,16 @@
         step = self.pool_state.step_by_key(key)
         if step is None:
             return
-        step.requested_hosts.update(hosts)
+        allowed = []
         for name in hosts:
             chance = self.allowed.get((key, name))
             if chance is None:
                 chance = self.allowed[key, name] = self.rng.random() < 0.6
             if chance:
-                valid_s = self.pool_state.queues[step.job.queue].advice.valid_s
-                step.tickets[name] = (f"t-{name}", self.now + valid_s)
+                allowed.append(name)
+        valid_until = self.now + self.pool_state.queues[step.job.queue].advice.valid_s
+        tickets = {name: f"t-{name}" for name in allowed}
+        step.advice.record_answer(hosts, tickets, valid_until)
         step.is_advice_pending = False
         self._request_plan()
 
--- a/siskinroad/work/advice_requester.py
+++ b/siskinroad/work/advice_requester.py
@@ -65,13 +65,12 @@
             return bool(step.tickets)
         schedulable_hosts = planning_pass.schedulable_hosts
         capable = schedulable_hosts.find_capable_hosts(step)
-        if capable.names <= step.requested_hosts:
+        answered = step.advice.answered
+        if capable.names <= answered:
             return bool(step.tickets)
-        if step.requested_hosts and schedulable_hosts.has_any(step.tickets):
+        if answered and schedulable_hosts.has_any(step.tickets):
             return True
-        eligible = [
-            host.name for host in capable.hosts if host.name not in step.requested_hosts
-        ]
+        eligible = [host.name for host in capable.hosts if host.name not in answered]
         self._request_advice(planning_pass, step, advice, eligible[:MAX_HOSTS_PER_CALL])
         return False
 
@@ -79,7 +78,8 @@
         self, step: StepRun, hosts: Iterable[Host], at: float
     ) -> list[Host]:
         """Return the hosts whose tickets can no longer be used at loop time ``at``."""
-        return [h for h in hosts if step.tickets[h.name][1] - TICKET_MARGIN <= at]
+        tickets = step.tickets
+        return [h for h in hosts if tickets[h.name].valid_until - TICKET_MARGIN <= at]
 
     def reserve_and_renew(
         self,
@@ -107,8 +107,8 @@
         longest_s = advice.duration(len(step.tickets)) + EARLY_REQUEST_MARGIN
         limit = planning_pass.now + longest_s + ROUNDING_S
         if not any(
-            valid_until - TICKET_MARGIN <= limit
-            for _, valid_until in step.tickets.values()
+            ticket.valid_until - TICKET_MARGIN <= limit
+            for ticket in step.tickets.values()
         ):
             return
         hosts, at = self._predict_next_capacity(planning_pass, step, limit)
@@ -181,7 +181,7 @@
         self, planning_pass: PlanningPass, step: StepRun, advice: Advice
     ) -> None:
         """Request advice for a step if all steps that it depends on end soon."""
-        if step.is_advice_pending or step.requested_hosts:
+        if step.is_advice_pending or step.advice.answered:
             return
         capable = planning_pass.schedulable_hosts.find_capable_hosts(step)
         eligible = [host.name for host in capable.hosts[:MAX_HOSTS_PER_CALL]]
--- a/siskinroad/work/host_commands.py
+++ b/siskinroad/work/host_commands.py
@@ -122,11 +122,10 @@
         if not effect.ticket:
             return ""
         step = self.term.pool_state.step(effect.run.key[0])
-        newest = step.tickets.get(effect.host) if step is not None else None
-        if newest is None:
+        ticket = step.tickets.get(effect.host) if step is not None else None
+        if ticket is None or now >= ticket.valid_until:
             return None
-        ticket, valid_until = newest
-        return ticket if now < valid_until else None
+        return ticket.value
 
     async def _send_start(
         self, host: Host, run: Run, command: StartCommand
@@ -279,8 +278,6 @@
             await asyncio.sleep(ADVICE_RETRY_INTERVAL)
         else:
             valid_until = loop.time() + result.valid_s
-            step.requested_hosts.update(effect.hosts)
-            for host, ticket in result.tickets.items():
-                step.tickets[host] = (ticket, valid_until)
+            step.advice.record_answer(effect.hosts, result.tickets, valid_until)
         step.is_advice_pending = False
         self.term.plan_requested.set()
--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -11,6 +11,7 @@
 from siskinroad.work.host import Run
 from siskinroad.work.model import JobSpec, Step, TaskId
 from siskinroad.work.records import Accepted, Progress, TaskProgress
+from siskinroad.work.step_advice import StepAdvice, Ticket
 
 __all__ = [
     "Job",
@@ -164,10 +165,10 @@
         Resources that one task allocates.
     runs_by_host : dict of str to int
         Number of the step's runs that occupy capacity on each host.
-    requested_hosts : set of str
-        Hosts for which advice was requested.
-    tickets : dict of str to tuple
-        Ticket of each allowed host, and the loop time until which it is valid.
+    advice : StepAdvice
+        What the step knows from the advisor.
+    tickets : dict of str to Ticket
+        The tickets in ``advice``.
     is_advice_pending : bool
         Whether an advice request is in flight.
     ready_at : float
@@ -183,14 +184,15 @@
     key: tuple[str, int, int] = field(init=False)
     need: Resources = field(init=False)
     runs_by_host: dict[str, int] = field(default_factory=dict)
-    requested_hosts: set[str] = field(default_factory=set)
-    tickets: dict[str, tuple[str, float]] = field(default_factory=dict)
+    advice: StepAdvice = field(default_factory=StepAdvice)
+    tickets: dict[str, Ticket] = field(init=False)
     is_advice_pending: bool = False
     ready_at: float = 0.0
 
     def __post_init__(self) -> None:
         self.key = (self.job.id, self.occurrence, self.number)
         self.need = self.spec.need
+        self.tickets = self.advice.tickets
 
     @property
     def waiting_count(self) -> int:
--- a/siskinroad/work/schedulable_hosts.py
+++ b/siskinroad/work/schedulable_hosts.py
@@ -12,6 +12,7 @@
 from siskinroad.work.host import Host
 from siskinroad.work.job import StepRun
 from siskinroad.work.model import HostEntry
+from siskinroad.work.step_advice import Ticket
 
 __all__ = ["SchedulableHosts", "make_schedulable_hosts"]
 
@@ -81,17 +82,17 @@
         hosts = [self.hosts[i] for i in sorted(positions)]
         return CapableHosts(hosts, frozenset(h.name for h in hosts), has_large)
 
-    def find_hosts(self, names: dict[str, tuple[str, float]]) -> list[Host]:
+    def find_hosts(self, names: dict[str, Ticket]) -> list[Host]:
         """Return the hosts of the set that are named, in the order of the set."""
         known = self.positions
         return [self.hosts[i] for i in sorted(known[n] for n in names if n in known)]
 
-    def count(self, names: dict[str, tuple[str, float]]) -> int:
+    def count(self, names: dict[str, Ticket]) -> int:
         """Return how many hosts of the set are named."""
         known = self.positions
         return sum(1 for name in names if name in known) if names else 0
 
-    def has_any(self, names: dict[str, tuple[str, float]]) -> bool:
+    def has_any(self, names: dict[str, Ticket]) -> bool:
         """Return whether any host of the set is named."""
         return not self.positions.keys().isdisjoint(names)
 
--- a/tests/work/test_advice_requester.py
+++ b/tests/work/test_advice_requester.py
@@ -228,7 +228,7 @@
     pool_state = make_pool_state(["i-0", "i-1"])
     waiting_job = add_job(pool_state, "waits", job(), "advised")
     give_tickets(waiting_job, "i-0")
-    waiting_job.steps[0, 0].requested_hosts.add("i-1")
+    waiting_job.steps[0, 0].advice.answered.add("i-1")
     pool = AdvisedPool(pool_state, allowed={"i-0"}, rejecting={"i-0"})
     now = pool.run(0.2, 0.4)
     assert pool.starts
@@ -265,7 +265,7 @@
     assert fill_host(pool_state, 0.1) == names[0]
     waiting_job = add_job(pool_state, "waits", job(step(1, **fields)), "advised")
     give_tickets(waiting_job, names[0])
-    waiting_job.steps[0, 0].requested_hosts.update(names[:100])
+    waiting_job.steps[0, 0].advice.answered.update(names[:100])
     return pool_state, names
 
 
@@ -298,7 +298,7 @@
     accept_starts(pool_state, plan(pool_state, 0.1), 0.1)
     waiting_job = add_job(pool_state, "waits", job(step(1, **LARGE)), "advised")
     give_tickets(waiting_job, names[0])
-    waiting_job.steps[0, 0].requested_hosts.update(names[:100])
+    waiting_job.steps[0, 0].advice.answered.update(names[:100])
     report_progress(pool_state, 99, 4.05)
     assert advice_requests(plan(pool_state, 4.05, 4.05)) == []
 
@@ -311,7 +311,7 @@
     accept_starts(pool_state, plan(pool_state, 0.1), 0.1)
     waiting_job = add_job(pool_state, "waits", job(step(1, **LARGE)), "advised")
     give_tickets(waiting_job, names[0])
-    waiting_job.steps[0, 0].requested_hosts.update(names[:100])
+    waiting_job.steps[0, 0].advice.answered.update(names[:100])
     planner = Planner(pool_state)
     requests = []
     for i in range(40):
@@ -333,7 +333,7 @@
         fill_host(pool_state, 0.1 + i / 1000)
     gang = add_job(pool_state, "gang", job(step(2, gang=True, **LARGE)), "advised")
     give_tickets(gang, names[0])
-    gang.steps[0, 0].requested_hosts.update(names[:100])
+    gang.steps[0, 0].advice.answered.update(names[:100])
     pool = AdvisedPool(pool_state, allowed={names[0]})
     pool.run(0.4, 5.0)
     assert [hosts for _, hosts in pool.requests] == [(names[100], names[101])]
@@ -346,7 +346,7 @@
     spread = step(2, spread=1, estimate=60.0)
     waiting_job = add_job(pool_state, "waits", job(spread), "advised")
     give_tickets(waiting_job, names[0])
-    waiting_job.steps[0, 0].requested_hosts.update(names[:100])
+    waiting_job.steps[0, 0].advice.answered.update(names[:100])
     pool = AdvisedPool(pool_state, allowed={names[0], names[100]})
     pool.run(0.2, 3.0)
     assert [host for _, _, host in pool.starts] == [names[0], names[100]]
@@ -374,7 +374,7 @@
     pool_state = make_pool_state(["i-0", "i-1"])
     waiting_job = add_job(pool_state, "waits", job(), "advised")
     give_tickets(waiting_job, "i-0")
-    waiting_job.steps[0, 0].requested_hosts.add("i-1")
+    waiting_job.steps[0, 0].advice.answered.add("i-1")
     restart_host(pool_state, "i-0", 0.1)
     effects = plan(pool_state, 0.2)
     assert list_starts(effects) == []
@@ -385,7 +385,7 @@
     # It may be of another kind, which the step may use.
     pool_state = make_pool_state(["i-0", "i-1"])
     waiting_job = add_job(pool_state, "waits", job(), "advised")
-    waiting_job.steps[0, 0].requested_hosts.update(("i-0", "i-1"))
+    waiting_job.steps[0, 0].advice.answered.update(("i-0", "i-1"))
     restart_host(pool_state, "i-1", 0.1)
     assert advice_requests(plan(pool_state, 0.2)) == [
         (waiting_job.steps[0, 0].key, ("i-1",))
@@ -397,7 +397,7 @@
     pool_state = make_pool_state(["i-0", "i-1"])
     waiting_job = add_job(pool_state, "waits", job(), "advised")
     give_tickets(waiting_job, "i-0")
-    waiting_job.steps[0, 0].requested_hosts.add("i-1")
+    waiting_job.steps[0, 0].advice.answered.add("i-1")
     pool_state.replace_host(pool_state.hosts["i-0"], 0.1)
     pool_state.add_or_update_host(entry("i-0"), 0.1)
     pool_state.hosts["i-0"].is_stored = True
--- a/tests/work/test_placement.py
+++ b/tests/work/test_placement.py
@@ -15,6 +15,7 @@
     task_avoids_host,
 )
 from siskinroad.work.schedulable_hosts import make_schedulable_hosts
+from siskinroad.work.step_advice import Ticket
 from tests.work.cell import entry, job, step
 from tests.work.test_planner import add_job, make_pool_state
 
@@ -115,7 +116,7 @@
         step_run = add_job(pool_state, f"j{i}", job(spec), queue).steps[0, 0]
         if queue == "advised":
             for name in rng.sample(names, rng.randrange(len(names))):
-                step_run.tickets[name] = ("t", 100.0)
+                step_run.tickets[name] = Ticket("t", 100.0)
         if rng.random() < 0.3:
             for name in rng.sample(names, min(3, len(names))):
                 host = pool_state.hosts[name]
--- a/tests/work/test_planner.py
+++ b/tests/work/test_planner.py
@@ -42,18 +42,15 @@
 
 def give_tickets(accepted_job, *hosts, until=100.0, step_number=0):
     """Give a step of a job a ticket for each of the hosts."""
-    step_run = accepted_job.steps[0, step_number]
-    step_run.requested_hosts.update(hosts)
-    for host in hosts:
-        step_run.tickets[host] = (f"t-{host}", until)
+    advice = accepted_job.steps[0, step_number].advice
+    advice.record_answer(hosts, {host: f"t-{host}" for host in hosts}, until)
 
 
 def answer_advice(pool_state, request, allowed, until):
     """Answer an advice request with a ticket for each of its hosts in ``allowed``."""
     step_run = pool_state.step_by_key(request.step)
-    step_run.requested_hosts.update(request.hosts)
-    for host in allowed.intersection(request.hosts):
-        step_run.tickets[host] = (f"t-{host}", until)
+    tickets = {host: f"t-{host}" for host in allowed.intersection(request.hosts)}
+    step_run.advice.record_answer(request.hosts, tickets, until)
     step_run.is_advice_pending = False
 
 
