End the advice about a host with its incarnation

What callers saw: a start with a ticket of a former incarnation, which the host rejects; a step that a restarted host could serve and that never asked about it.

Cause: a ticket holds for one life of the host, and its next one may be of another kind, but the step kept tickets and answers by the host's name. Hosts that had left stayed in the set for ever.

Change: a restart, a replacement or a removal of a host makes every step of an open job forget what the advisor said about it. Nothing is compared in a planning pass. The log line of a restart tells how many steps lost a ticket.

--- a/siskinroad/work/job_table.py
+++ b/siskinroad/work/job_table.py
@@ -198,6 +198,20 @@
         job = self.jobs.get(key.job)
         return job.task(key) if job else None
 
+    def forget_advice(self, host: str) -> int:
+        """Forget the advice about a host in all open jobs.
+
+        Returns the number of steps that had a ticket for it.
+        """
+        tickets = 0
+        for job in self.jobs.values():
+            if job.is_closed:
+                continue
+            for step in job.steps.values():
+                tickets += host in step.tickets
+                step.advice.forget_host(host)
+        return tickets
+
     def step(self, key: TaskId) -> StepRun | None:
         """Return the step of a task, or None if it is unknown."""
         return self.step_by_key((key.job, key.occurrence, key.step))
--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -209,9 +209,10 @@
         Starts without a reply may still arrive, and one that was accepted since the
         call which shows the restart may be of the present incarnation.
         """
+        tickets = self.forget_advice(host.name)
         log.warning(
             "pool_state: host restarted; runs of its former incarnation are ended",
-            extra={"host": host.name},
+            extra={"host": host.name, "void_tickets": tickets},
         )
         effects: list[Effect] = []
         for run in list(host.runs.values()):
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -229,9 +229,11 @@
     def _remove_host(self, host: Host) -> None:
         """Remove a host without runs; a late report of it changes no index.
 
-        A host that comes back keeps the tokens that it has seen.
+        A host that comes back keeps the tokens that it has seen, but may have restarted
+        meanwhile, so that the advice about it is void.
         """
         self.hosts.pop(host.name, None)
+        self.forget_advice(host.name)
         self._next_tokens[host.name] = host.token + 1
         host.index = RunIndex()
 
--- a/siskinroad/work/step_advice.py
+++ b/siskinroad/work/step_advice.py
@@ -4,7 +4,8 @@
 it may not. The set of hosts that a step may use does not change, so a host with an
 answer is not asked about again; only tickets are renewed. A ticket that its host has
 rejected ends the answer: the host is asked about again, after a pause if it rejects
-one ticket after another.
+one ticket after another. Every answer ends with the incarnation of its host: its
+tickets are void, and the next incarnation may be of another kind.
 """
 
 from __future__ import annotations
@@ -116,6 +117,12 @@
         """Record that a host has accepted a ticket."""
         self.rejections.pop(host, None)
 
+    def forget_host(self, name: str) -> None:
+        """Forget what is known about the former incarnation of a host."""
+        self.answered.discard(name)
+        self.tickets.pop(name, None)
+        self.rejections.pop(name, None)
+
     def may_ask_about(self, host: str, now: float) -> bool:
         """Return whether a host without an answer may be asked about now."""
         rejection = self.rejections.get(host)
