Drop the ticket of a host that a later answer does not allow

Cause: an answer without a host left an earlier ticket for it in place. Once that had expired, the step reserved the host's capacity and renewed the ticket again and again.

Change: such an answer drops the ticket. As the hosts that a step may use do not change, the two answers contradict each other: the host is asked about once more, and what the advisor says then holds for the rest of the incarnation.

--- a/siskinroad/work/step_advice.py
+++ b/siskinroad/work/step_advice.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -76,12 +76,20 @@
     rejections: dict[str, TicketRejection] = field(default_factory=dict)
 
     def record_answer(
-        self, hosts: Iterable[str], tickets: Mapping[str, str], valid_until: float
+        self, hosts: Collection[str], tickets: Mapping[str, str], valid_until: float
     ) -> None:
-        """Record an answer about ``hosts``, with tickets for those allowed."""
+        """Record an answer about ``hosts``, with tickets for those allowed.
+
+        A host that was allowed before and is not now loses its ticket. As the allowed
+        hosts do not change, it is asked about once more before that is believed.
+        """
         self.answered.update(hosts)
-        for host, value in tickets.items():
-            self.tickets[host] = Ticket(value, valid_until)
+        for host in hosts:
+            value = tickets.get(host)
+            if value is not None:
+                self.tickets[host] = Ticket(value, valid_until)
+            elif self.tickets.pop(host, None) is not None:
+                self.answered.discard(host)
 
     def record_rejection(
         self, host: str, value: str | None, now: float
