End a pending advice request however its call ends

Cause: the mark that a step's request is in flight was removed only after a reply or an error of the project's own. If the call was cancelled alone, which ends neither the owner nor its other tasks, the step never requested advice again. No caller is known to have met this; the library's calls may raise it.

Change: the mark is removed in any case, and a planning pass follows.

--- a/siskinroad/work/host_commands.py
+++ b/siskinroad/work/host_commands.py
@@ -16,6 +16,7 @@
 )
 from siskinroad.work.host import Host, Run
 from siskinroad.work.hosts import HostCommand, Rejection, StartCommand
+from siskinroad.work.job import StepRun
 from siskinroad.work.term import Term
 
 __all__ = ["HostCommands", "report_higher_token"]
@@ -266,11 +267,18 @@
         )
 
     async def request_advice(self, effect: RequestAdvice) -> None:
-        """Request advice and store the tickets that it grants to the step."""
-        loop = asyncio.get_running_loop()
+        """Request advice for a step, which may request again once this has ended."""
         step = self.term.pool_state.step_by_key(effect.step)
         if step is None:
             return
+        try:
+            await self._request_advice(effect, step)
+        finally:
+            step.is_advice_pending = False
+            self.term.plan_requested.set()
+
+    async def _request_advice(self, effect: RequestAdvice, step: StepRun) -> None:
+        """Request advice and store the tickets that it grants to the step."""
         try:
             result = await self.term.dependencies.advisor_channels.request_advice(
                 effect.step, effect.hosts, effect.duration
@@ -279,7 +287,5 @@
             self.term.dependencies.metrics.retries.labels("advice").inc()
             await asyncio.sleep(ADVICE_RETRY_INTERVAL)
         else:
-            valid_until = loop.time() + result.valid_s
+            valid_until = asyncio.get_running_loop().time() + result.valid_s
             step.advice.record_answer(effect.hosts, result.tickets, valid_until)
-        step.is_advice_pending = False
-        self.term.plan_requested.set()
