Start tasks without a ticket once their queue needs no advice

What callers saw: a task that was planned again and again and never started, after its queue's advice was removed from the configuration.

Cause: the start was withdrawn because the step still held a ticket for the host, and that had expired. Nothing renews tickets of such a queue.

Change: only the starts of a queue that needs advice look for a valid ticket.

--- a/siskinroad/work/host_commands.py
+++ b/siskinroad/work/host_commands.py
@@ -119,11 +119,19 @@
         )
 
     def _find_ticket(self, effect: StartRun, now: float) -> str | None:
-        """Return the ticket for a start; None if it has expired while this waited."""
+        """Return the ticket for a start; None if it has expired while this waited.
+
+        A queue may need no advice any more: its steps may still hold tickets.
+        """
         if not effect.ticket:
             return ""
         step = self.term.pool_state.step(effect.run.key[0])
-        ticket = step.tickets.get(effect.host) if step is not None else None
+        if step is None:
+            return None
+        queue = self.term.pool_state.queues.get(step.job.queue)
+        if queue is None or queue.advice is None:
+            return ""
+        ticket = step.tickets.get(effect.host)
         if ticket is None or now >= ticket.valid_until:
             return None
         return ticket.value
