Ask about other hosts when a step's allowed hosts are full

What callers saw: in a pool with more hosts than one advisor call may name, a task waited for ever behind a long-running one on its only allowed host, beside twenty empty hosts about which nothing had asked.

Cause: while any host with a ticket could be used, full or not, a step asked about no further host.

Change: a step that fits on none of its allowed hosts asks about hosts without an answer that have capacity now. A gang, and a large task that fits on no host, ask about full ones too, since capacity is withheld from smaller tasks only on allowed hosts. The cost stays bounded: each host is asked about once, no pass asks for more than three blocked steps (renewals included), and a step looks for other hosts every 0.2 s at most. None is asked about while an allowed host is expected to have capacity by the time of the reply, for 2 s at most, nor for a step that only the urgent headroom blocks. A log line tells how many hosts are allowed, have no answer and are asked about.

--- a/siskinroad/work/advice_requester.py
+++ b/siskinroad/work/advice_requester.py
@@ -1,6 +1,6 @@
 """Timing of advice requests, and the choice of hosts to request advice about.
 
-Three workloads shape the rules:
+Four workloads shape the rules:
 
 - Steps whose tickets expire while they wait for capacity. The capacity is reserved
   until new tickets arrive.
@@ -8,16 +8,21 @@
   advisor call. Tickets are renewed before the capacity becomes free.
 - Jobs of several short steps. Advice for the next step is requested while the one
   before it still runs.
+- Pools with more hosts than one call may name. A step whose allowed hosts are full asks
+  about the others, each of them once: hosts with capacity, and for large tasks, for
+  which capacity has to be withheld from smaller ones, all hosts.
 """
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Iterable
 
 from siskinroad.work.effects import RequestAdvice
 from siskinroad.work.host import Host
 from siskinroad.work.job import StepRun
 from siskinroad.work.model import Advice
+from siskinroad.work.placement import place_tasks
 from siskinroad.work.planning_pass import PlanningPass, TentativePlacement
 from siskinroad.work.pool_state import PoolState
 from siskinroad.work.run_ends import RunEnds
@@ -37,12 +42,24 @@
 # Tickets are requested early by the expected duration of the call plus this margin in
 # seconds.
 EARLY_REQUEST_MARGIN = 0.15
-# Largest number of blocked steps whose tickets one planning pass renews before their
-# capacity is free.
+# Largest number of blocked steps for which one planning pass requests advice.
 MAX_EARLY_RENEWALS = 3
+# Seconds between two checks of whether a blocked step should ask about other hosts.
+# There may be hundreds of planning passes a second and hundreds of blocked steps.
+OTHERS_CHECK_INTERVAL_S = 0.2
+# Seconds for which a blocked step waits for expected capacity on its allowed hosts
+# rather than ask about others. A run may be expected to end soon for any length of
+# time, and the capacity may go to other steps.
+MAX_CAPACITY_WAIT_S = 2.0
+# Seconds within which allowed hosts must have capacity for a large task or a gang, or
+# full hosts are asked about too. With a small value, each call delays those of other
+# steps for hosts that are not needed.
+LARGE_TASK_HORIZON_S = 5.0
 # Seconds by which sums of times may differ through rounding.
 ROUNDING_S = 1e-6
 
+log = logging.getLogger("siskinroad.advice_requester")
+
 
 class AdviceRequester:
     """Decides when to request advice, and about which hosts.
@@ -65,19 +82,14 @@
             return bool(step.tickets)
         schedulable_hosts = planning_pass.schedulable_hosts
         capable = schedulable_hosts.find_capable_hosts(step)
-        answered = step.advice.answered
-        if capable.names <= answered:
+        if capable.names <= step.advice.answered:
             return bool(step.tickets)
-        if answered and schedulable_hosts.has_any(step.tickets):
+        if schedulable_hosts.has_any(step.tickets):
             return True
-        eligible = [
-            name
-            for name in capable.names - answered
-            if step.advice.may_ask_about(name, planning_pass.now)
-        ]
-        eligible.sort(key=schedulable_hosts.positions.__getitem__)
-        if not eligible:
+        names = step.advice.find_unanswered(capable.names, planning_pass.now)
+        if not names:
             return bool(step.tickets)
+        eligible = sorted(names, key=schedulable_hosts.positions.__getitem__)
         self._request_advice(planning_pass, step, advice, eligible[:MAX_HOSTS_PER_CALL])
         return False
 
@@ -108,9 +120,20 @@
     def renew_early(
         self, planning_pass: PlanningPass, step: StepRun, advice: Advice
     ) -> None:
-        """Request new tickets early enough to arrive before the capacity is free."""
+        """Request advice for a blocked step if capacity would otherwise stay unused.
+
+        New tickets are requested early enough to arrive before an allowed host has
+        capacity; without such a prospect, advice about other hosts.
+        """
         if step.is_advice_pending or planning_pass.renewed_steps >= MAX_EARLY_RENEWALS:
             return
+        self._renew_before_capacity(planning_pass, step, advice)
+        if not step.is_advice_pending:
+            self._ask_about_others(planning_pass, step, advice)
+
+    def _renew_before_capacity(
+        self, planning_pass: PlanningPass, step: StepRun, advice: Advice
+    ) -> None:
         longest_s = advice.duration(len(step.tickets)) + EARLY_REQUEST_MARGIN
         limit = planning_pass.now + longest_s + ROUNDING_S
         if not any(
@@ -127,6 +150,87 @@
             planning_pass.renewed_steps += 1
             self._request_advice(planning_pass, step, advice, names)
 
+    def _ask_about_others(
+        self, planning_pass: PlanningPass, step: StepRun, advice: Advice
+    ) -> None:
+        """Request advice about hosts without an answer if the allowed ones are full."""
+        now = planning_pass.now
+        if now - step.advice.others_checked_at < OTHERS_CHECK_INTERVAL_S - ROUNDING_S:
+            return
+        step.advice.others_checked_at = now
+        capable = planning_pass.schedulable_hosts.find_capable_hosts(step)
+        names = step.advice.find_unanswered(capable.names, now)
+        if not names or self._is_blocked_by_headroom(planning_pass, step):
+            return
+        hosts = planning_pass.open_hosts.find_among(names, step, now)
+        horizon_s = EARLY_REQUEST_MARGIN
+        if step.spec.gang or (not hosts and capable.has_large):
+            hosts = planning_pass.schedulable_hosts.find_hosts(names)
+            horizon_s = LARGE_TASK_HORIZON_S
+        hosts = hosts[:MAX_HOSTS_PER_CALL]
+        horizon_s += advice.duration(len(hosts))
+        if not hosts or self._should_wait_for_capacity(planning_pass, step, horizon_s):
+            return
+        planning_pass.renewed_steps += 1
+        self._request_advice(planning_pass, step, advice, [h.name for h in hosts])
+        if step.is_advice_pending:
+            self._log_other_hosts(planning_pass, step, len(names), len(hosts))
+
+    def _is_blocked_by_headroom(
+        self, planning_pass: PlanningPass, step: StepRun
+    ) -> bool:
+        """Return whether a blocked step would fit but for the urgent headroom."""
+        placement = place_tasks(
+            planning_pass, step, needs_ticket=True, is_bounded=False
+        )
+        return placement is not None
+
+    def _should_wait_for_capacity(
+        self, planning_pass: PlanningPass, step: StepRun, horizon_s: float
+    ) -> bool:
+        """Return whether a blocked step should wait for its allowed hosts."""
+        step_advice = step.advice
+        now = planning_pass.now
+        if not self._expects_capacity(planning_pass, step, now + horizon_s):
+            step_advice.capacity_expected_since = None
+            return False
+        if step_advice.capacity_expected_since is None:
+            step_advice.capacity_expected_since = now
+        return now - step_advice.capacity_expected_since < MAX_CAPACITY_WAIT_S
+
+    def _expects_capacity(
+        self, planning_pass: PlanningPass, step: StepRun, limit: float
+    ) -> bool:
+        """Return whether allowed hosts should have capacity by loop time ``limit``."""
+        now = planning_pass.now
+        count = step.waiting_count if step.spec.gang else 1
+        for host in planning_pass.schedulable_hosts.find_hosts(step.tickets):
+            is_open = step.need.fits(host.free_capacity(step.key, now))
+            # Capacity that a single task cannot use now tells nothing of later.
+            if is_open and not step.spec.gang:
+                continue
+            count -= len(self._predict_capacity_times(step, host, count, now, limit))
+            if count <= 0:
+                return True
+        return False
+
+    def _log_other_hosts(
+        self, planning_pass: PlanningPass, step: StepRun, unanswered: int, asked: int
+    ) -> None:
+        log.info(
+            "advice_requester: allowed hosts have no capacity; "
+            "requesting advice about others",
+            extra={
+                "request": step.job.id,
+                "step": f"{step.occurrence}.{step.number}",
+                "waiting": step.waiting_count,
+                "allowed": len(step.tickets),
+                "allowed_in_use": planning_pass.schedulable_hosts.count(step.tickets),
+                "unanswered": unanswered,
+                "asked": asked,
+            },
+        )
+
     def _predict_next_capacity(
         self, planning_pass: PlanningPass, step: StepRun, limit: float
     ) -> tuple[list[Host], float]:
--- a/siskinroad/work/open_hosts.py
+++ b/siskinroad/work/open_hosts.py
@@ -76,6 +76,22 @@
             candidates[host] = available
         return candidates
 
+    def find_among(self, names: set[str], step: StepRun, now: float) -> list[Host]:
+        """Return the hosts among ``names`` that fit a task of a step."""
+        need = step.need
+        label = step.spec.label
+        if self._is_unfit(need, label):
+            return []
+        fitting = self._find_fitting(need, label)
+        if not fitting:
+            self._add_unfit(need, label)
+        return [
+            host
+            for host in fitting
+            if host.name in names
+            and (not host.reserved or need.fits(host.free_capacity(step.key, now)))
+        ]
+
     def _find_fitting(self, need: Resources, label: str) -> list[Host]:
         fitting = [host for host, free in self.free.items() if need.fits(free)]
         if label:
--- a/siskinroad/work/schedulable_hosts.py
+++ b/siskinroad/work/schedulable_hosts.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from siskinroad.resources import Resources
@@ -82,7 +83,7 @@
         hosts = [self.hosts[i] for i in sorted(positions)]
         return CapableHosts(hosts, frozenset(h.name for h in hosts), has_large)
 
-    def find_hosts(self, names: dict[str, Ticket]) -> list[Host]:
+    def find_hosts(self, names: Iterable[str]) -> list[Host]:
         """Return the hosts of the set that are named, in the order of the set."""
         known = self.positions
         return [self.hosts[i] for i in sorted(known[n] for n in names if n in known)]
--- a/siskinroad/work/step_advice.py
+++ b/siskinroad/work/step_advice.py
@@ -69,11 +69,18 @@
         Newest ticket of each host that the step may use, valid or not.
     rejections : dict of str to TicketRejection
         Hosts that have rejected a ticket and accepted none since.
+    others_checked_at : float
+        Loop time at which the blocked step last looked for other hosts to ask about.
+    capacity_expected_since : float or None
+        Loop time since which the blocked step has asked about no other host, because
+        one with a ticket was expected to have capacity soon.
     """
 
     answered: set[str] = field(default_factory=set)
     tickets: dict[str, Ticket] = field(default_factory=dict)
     rejections: dict[str, TicketRejection] = field(default_factory=dict)
+    others_checked_at: float = -1e9
+    capacity_expected_since: float | None = None
 
     def record_answer(
         self, hosts: Collection[str], tickets: Mapping[str, str], valid_until: float
@@ -131,10 +138,13 @@
         self.tickets.pop(name, None)
         self.rejections.pop(name, None)
 
-    def may_ask_about(self, host: str, now: float) -> bool:
-        """Return whether a host without an answer may be asked about now."""
-        rejection = self.rejections.get(host)
-        return rejection is None or now >= rejection.ask_again_at
+    def find_unanswered(self, hosts: frozenset[str], now: float) -> set[str]:
+        """Return which of ``hosts`` have no answer and may be asked about now."""
+        unanswered = set(hosts - self.answered)
+        for host, rejection in self.rejections.items():
+            if now < rejection.ask_again_at:
+                unanswered.discard(host)
+        return unanswered
 
 
 def _compute_pause(count: int) -> float:
--- a/tests/work/test_advice_requester.py
+++ b/tests/work/test_advice_requester.py
@@ -5,6 +5,7 @@
 
 from siskinroad.work.advisor_channels import ChannelTimes
 from siskinroad.work.effects import RequestAdvice, StartRun
+from siskinroad.work.headroom import UrgentHeadroom
 from siskinroad.work.hosts import HostReport, Rejection, RunStatus
 from siskinroad.work.planner import Planner
 from tests.work.cell import ADVISED, CONFIGURATION, POOL, entry, job, step
@@ -477,3 +478,38 @@
         await cell.wait_for_starts(2, seconds=5.0)
 
     run_scenario(scenario, hosts=1)
+
+
+def test_a_step_that_only_the_urgent_headroom_blocks_asks_about_no_other_host(
+    monkeypatch,
+):
+    # Its allowed host has capacity, and so would the others.
+    names = [f"i-{i:03}" for i in range(101)]
+    pool_state = make_pool_state(names)
+    waiting_job = add_job(pool_state, "waits", job(), "advised")
+    give_tickets(waiting_job, names[0])
+    waiting_job.steps[0, 0].advice.answered.update(names[:100])
+    monkeypatch.setattr(
+        UrgentHeadroom, "compute_headroom", lambda self, capacity, used: capacity
+    )
+    planner = Planner(pool_state)
+    effects = [effect for i in range(10) for effect in planner.plan(i / 4, i / 4)]
+    assert effects == []
+
+
+def test_a_pass_asks_about_other_hosts_for_few_steps():
+    # After the loss of a host that many steps may use, their requests together would
+    # occupy every advisor channel.
+    pool_state, names = make_large_pool()
+    for i in range(30):
+        other = add_job(pool_state, f"waits-{i}", job(), "advised")
+        give_tickets(other, names[0])
+        other.steps[0, 0].advice.answered.update(names[:100])
+    pool = AdvisedPool(pool_state, allowed={names[0], names[110]})
+    pool.run(0.2, 1.0)
+    times = [at for at, _ in pool.requests]
+    assert max(times.count(at) for at in times) == 3
+    pool.run(1.2, 5.0)
+    started = {name for _, name, _ in pool.starts}
+    # The newly allowed host has room for eight of them.
+    assert len(started) == 8
