Ask first about hosts with capacity where one call cannot name all

Cause: a step with more than a hundred capable hosts asked about the first hundred in the order of the pool, full or not, and had to wait for one of those that were allowed.

Change: such a call names the hosts with capacity first. They are chosen only once a channel is assigned to the call, so that a step that waits for a channel costs less.

--- a/siskinroad/work/advice_requester.py
+++ b/siskinroad/work/advice_requester.py
@@ -89,10 +89,23 @@
         names = step.advice.find_unanswered(capable.names, planning_pass.now)
         if not names:
             return bool(step.tickets)
-        eligible = sorted(names, key=schedulable_hosts.positions.__getitem__)
-        self._request_advice(planning_pass, step, advice, eligible[:MAX_HOSTS_PER_CALL])
+        count = min(len(names), MAX_HOSTS_PER_CALL)
+        if _assign_channel(planning_pass, advice.duration(count)):
+            hosts = self._choose_hosts(planning_pass, step, names)
+            self._add_request(planning_pass, step, advice, hosts)
         return False
 
+    def _choose_hosts(
+        self, planning_pass: PlanningPass, step: StepRun, names: set[str]
+    ) -> list[str]:
+        """Return the names for one call: hosts with capacity first if some are left."""
+        hosts = planning_pass.schedulable_hosts.find_hosts(names)
+        if len(hosts) > MAX_HOSTS_PER_CALL:
+            now = planning_pass.now
+            with_capacity = planning_pass.open_hosts.find_among(names, step, now)
+            hosts = list(dict.fromkeys([*with_capacity, *hosts]))
+        return [host.name for host in hosts[:MAX_HOSTS_PER_CALL]]
+
     def find_hosts_with_stale_tickets(
         self, step: StepRun, hosts: Iterable[Host], at: float
     ) -> list[Host]:
@@ -335,11 +348,23 @@
         names: Iterable[str],
     ) -> None:
         """Request advice if a channel is free soon; otherwise a later pass does."""
-        hosts = tuple(names)
-        duration = advice.duration(len(hosts))
-        if planning_pass.channels is not None and not planning_pass.channels.assign(
-            duration
-        ):
-            return
+        hosts = list(names)
+        if _assign_channel(planning_pass, advice.duration(len(hosts))):
+            self._add_request(planning_pass, step, advice, hosts)
+
+    def _add_request(
+        self,
+        planning_pass: PlanningPass,
+        step: StepRun,
+        advice: Advice,
+        hosts: list[str],
+    ) -> None:
         step.is_advice_pending = True
-        planning_pass.effects.append(RequestAdvice(step.key, hosts, duration))
+        duration = advice.duration(len(hosts))
+        planning_pass.effects.append(RequestAdvice(step.key, tuple(hosts), duration))
+
+
+def _assign_channel(planning_pass: PlanningPass, duration: float) -> bool:
+    """Return whether a call may be made now, and count it against its channel."""
+    channels = planning_pass.channels
+    return channels is None or channels.assign(duration)
