End the reservation of capacity for a step that gets no answer

What callers saw: in a test, an urgent task that needs no advice did not start for as long as the advisor did not answer a less urgent step.

Cause: a step with expired tickets reserves the hosts that fit it until new tickets arrive. Every planning pass extended the reservation, also while no channel was free for the call and after calls that failed, and a reservation holds against all other steps.

Change: capacity is reserved for 2 s at most without an answer. The step still requests new tickets, and may reserve again once the advisor has answered. A log line tells when a step's reservations end, and whether a call was in flight.

Evidence: a new test, without a free channel and with a call that does not end: before, the urgent task did not start in 4 s; now it does within 3 s. A second one checks that an answer lets the step reserve again.

--- a/siskinroad/work/advice_requester.py
+++ b/siskinroad/work/advice_requester.py
@@ -39,6 +39,10 @@
 SPARE_HOSTS = 2
 # Seconds for which capacity stays reserved beyond the expected duration of the call.
 RESERVATION_MARGIN = 0.3
+# Seconds for which capacity may stay reserved for a step without any answer of the
+# advisor. Without an end, a failing advisor would keep capacity from all other steps,
+# more urgent ones included.
+MAX_RESERVATION_S = 2.0
 # Tickets are requested early by the expected duration of the call plus this margin in
 # seconds.
 EARLY_REQUEST_MARGIN = 0.15
@@ -123,10 +127,11 @@
     ) -> None:
         """Reserve the chosen capacity and request new tickets for ``hosts``."""
         names = self._add_spare_hosts(step, hosts)
-        until = planning_pass.now + advice.duration(len(names)) + RESERVATION_MARGIN
-        for host in hosts:
-            capacity = step.need.times(placement.counts[host.name])
-            host.reserved[step.key] = (capacity, until)
+        if _may_reserve(step, planning_pass.now):
+            until = planning_pass.now + advice.duration(len(names)) + RESERVATION_MARGIN
+            for host in hosts:
+                capacity = step.need.times(placement.counts[host.name])
+                host.reserved[step.key] = (capacity, until)
         if not step.is_advice_pending:
             self._request_advice(planning_pass, step, advice, names)
 
@@ -364,6 +369,27 @@
         planning_pass.effects.append(RequestAdvice(step.key, tuple(hosts), duration))
 
 
+def _may_reserve(step: StepRun, now: float) -> bool:
+    """Return whether capacity may be reserved until the advisor answers."""
+    step_advice = step.advice
+    if step_advice.reserving_since is None:
+        step_advice.reserving_since = now
+    reserved_s = now - step_advice.reserving_since
+    if reserved_s > MAX_RESERVATION_S and not step_advice.is_reservation_over:
+        step_advice.is_reservation_over = True
+        log.warning(
+            "advice_requester: no answer of the advisor in time; "
+            "reserving no more capacity for the step until it answers",
+            extra={
+                "request": step.job.id,
+                "step": f"{step.occurrence}.{step.number}",
+                "reserved_s": round(reserved_s, 2),
+                "is_call_in_flight": step.is_advice_pending,
+            },
+        )
+    return not step_advice.is_reservation_over
+
+
 def _assign_channel(planning_pass: PlanningPass, duration: float) -> bool:
     """Return whether a call may be made now, and count it against its channel."""
     channels = planning_pass.channels
--- a/siskinroad/work/step_advice.py
+++ b/siskinroad/work/step_advice.py
@@ -71,6 +71,11 @@
         Hosts that have rejected a ticket and accepted none since.
     others_checked_at : float
         Loop time at which the blocked step last looked for other hosts to ask about.
+    reserving_since : float or None
+        Loop time since which capacity is reserved until the next answer; None if none
+        has been since the newest one.
+    is_reservation_over : bool
+        Whether no more capacity is reserved until the next answer.
     capacity_expected_since : float or None
         Loop time since which the blocked step has asked about no other host, because
         one with a ticket was expected to have capacity soon.
@@ -80,6 +85,8 @@
     tickets: dict[str, Ticket] = field(default_factory=dict)
     rejections: dict[str, TicketRejection] = field(default_factory=dict)
     others_checked_at: float = -1e9
+    reserving_since: float | None = None
+    is_reservation_over: bool = False
     capacity_expected_since: float | None = None
 
     def record_answer(
@@ -90,6 +97,8 @@
         A host that was allowed before and is not now loses its ticket. As the allowed
         hosts do not change, it is asked about once more before that is believed.
         """
+        self.reserving_since = None
+        self.is_reservation_over = False
         self.answered.update(hosts)
         for host in hosts:
             value = tickets.get(host)
--- a/tests/work/test_advice_requester.py
+++ b/tests/work/test_advice_requester.py
@@ -513,3 +513,42 @@
     started = {name for _, name, _ in pool.starts}
     # The newly allowed host has room for eight of them.
     assert len(started) == 8
+
+
+def test_capacity_is_not_reserved_for_ever_for_a_step_without_an_answer():
+    # The advisor does not reply: neither is a channel free, nor does a call end. The
+    # reservation also withholds the capacity from more urgent steps.
+    for channels in (ChannelTimes([9.0], [9.0]), None):
+        pool_state = make_pool_state(["i-0"])
+        medium = step(1, cpu_milli=20000)
+        waiting_job = add_job(pool_state, "waits", job(medium), "advised")
+        give_tickets(waiting_job, "i-0", until=0.0)
+        planner = Planner(pool_state)
+        planner.plan(0.1, 0.1, channels)
+        add_job(pool_state, "urgent", job(step(1, cpu_milli=14000)), "fast")
+        starts = []
+        for i in range(20):
+            now = 0.2 + 0.2 * i
+            report_progress(pool_state, 0, now)
+            starts += [(now, *s) for s in list_starts(planner.plan(now, now, channels))]
+        ((at, name, _),) = starts
+        # A reservation for the length of a usual call still holds.
+        assert name == "urgent" and 1.0 < at < 3.0
+
+
+def test_an_answer_lets_a_step_reserve_capacity_again():
+    pool_state = make_pool_state(["i-0"])
+    waiting_job = add_job(pool_state, "waits", job(step(1, **LARGE)), "advised")
+    give_tickets(waiting_job, "i-0", until=0.0)
+    planner = Planner(pool_state)
+    for i in range(20):
+        now = 0.2 + 0.2 * i
+        report_progress(pool_state, 0, now)
+        planner.plan(now, now)
+    host = pool_state.hosts["i-0"]
+    assert host.free_capacity(("other", 0, 0), 4.8) == host.entry.capacity
+    # The ticket of the late answer has expired once more.
+    waiting_job.steps[0, 0].is_advice_pending = False
+    give_tickets(waiting_job, "i-0", until=4.9)
+    planner.plan(4.9, 4.9)
+    assert host.free_capacity(("other", 0, 0), 5.0) != host.entry.capacity
