--- a/siskinroad/work/advice_requester.py
+++ b/siskinroad/work/advice_requester.py
@@ -47,7 +47,7 @@
 # seconds.
 EARLY_REQUEST_MARGIN = 0.15
 # Largest number of blocked steps for which one planning pass requests advice.
-MAX_EARLY_RENEWALS = 3
+MAX_BLOCKED_STEP_REQUESTS = 3
 # Seconds between two checks of whether a blocked step should ask about other hosts.
 # There may be hundreds of planning passes a second and hundreds of blocked steps.
 OTHERS_CHECK_INTERVAL_S = 0.2
@@ -143,7 +143,9 @@
         New tickets are requested early enough to arrive before an allowed host has
         capacity; without such a prospect, advice about other hosts.
         """
-        if step.is_advice_pending or planning_pass.renewed_steps >= MAX_EARLY_RENEWALS:
+        if step.is_advice_pending:
+            return
+        if planning_pass.renewed_steps >= MAX_BLOCKED_STEP_REQUESTS:
             return
         self._renew_before_capacity(planning_pass, step, advice)
         if not step.is_advice_pending:
@@ -152,6 +154,7 @@
     def _renew_before_capacity(
         self, planning_pass: PlanningPass, step: StepRun, advice: Advice
     ) -> None:
+        """Request new tickets that arrive just before an allowed host has capacity."""
         longest_s = advice.duration(len(step.tickets)) + EARLY_REQUEST_MARGIN
         limit = planning_pass.now + longest_s + ROUNDING_S
         if not any(
@@ -180,17 +183,18 @@
         names = step.advice.find_unanswered(capable.names, now)
         if not names or self._is_blocked_by_headroom(planning_pass, step):
             return
-        hosts = planning_pass.open_hosts.find_among(names, step, now)
-        horizon_s = EARLY_REQUEST_MARGIN
-        if step.spec.gang or (not hosts and capable.has_large):
-            hosts = planning_pass.schedulable_hosts.find_hosts(names)
+        open_hosts = planning_pass.open_hosts.find_among(names, step, now)
+        if step.spec.gang or (not open_hosts and capable.has_large):
+            hosts = self._choose_hosts(planning_pass, step, names)
             horizon_s = LARGE_TASK_HORIZON_S
-        hosts = hosts[:MAX_HOSTS_PER_CALL]
+        else:
+            hosts = [host.name for host in open_hosts[:MAX_HOSTS_PER_CALL]]
+            horizon_s = EARLY_REQUEST_MARGIN
         horizon_s += advice.duration(len(hosts))
         if not hosts or self._should_wait_for_capacity(planning_pass, step, horizon_s):
             return
         planning_pass.renewed_steps += 1
-        self._request_advice(planning_pass, step, advice, [h.name for h in hosts])
+        self._request_advice(planning_pass, step, advice, hosts)
         if step.is_advice_pending:
             self._log_other_hosts(planning_pass, step, len(names), len(hosts))
 
