Bound the wait of a gang for capacity that its spread does not let it use

A gang whose allowed hosts have room, but may run one task each, expected capacity in every pass and renewed its tickets every 2 s, so that its wait never ended.

Change: only a request about other hosts ends the wait, and hosts are expected to hold no more of a step's tasks than its spread allows.

--- a/siskinroad/work/advice_requester.py
+++ b/siskinroad/work/advice_requester.py
@@ -196,6 +196,7 @@
         planning_pass.renewed_steps += 1
         self._request_advice(planning_pass, step, advice, hosts)
         if step.is_advice_pending:
+            step.advice.capacity_expected_since = None
             self._log_other_hosts(planning_pass, step, len(names), len(hosts))
 
     def _is_blocked_by_headroom(
@@ -231,7 +232,10 @@
             # Capacity that a single task cannot use now tells nothing of later.
             if is_open and not step.spec.gang:
                 continue
-            count -= len(self._predict_capacity_times(step, host, count, now, limit))
+            most = _limit_to_spread(step, host, count)
+            if most > 0:
+                times = self._predict_capacity_times(step, host, most, now, limit)
+                count -= len(times)
             if count <= 0:
                 return True
         return False
@@ -373,6 +377,14 @@
         planning_pass.effects.append(RequestAdvice(step.key, tuple(hosts), duration))
 
 
+def _limit_to_spread(step: StepRun, host: Host, count: int) -> int:
+    """Return how many of ``count`` more tasks the step's spread allows on a host."""
+    spread = step.spec.spread
+    if not spread:
+        return count
+    return min(count, spread - step.runs_by_host.get(host.name, 0))
+
+
 def _may_reserve(step: StepRun, now: float) -> bool:
     """Return whether capacity may be reserved until the advisor answers."""
     step_advice = step.advice
--- a/siskinroad/work/step_advice.py
+++ b/siskinroad/work/step_advice.py
@@ -97,7 +97,7 @@
         A host that was allowed before and is not now loses its ticket. As the allowed
         hosts do not change, it is asked about once more before that is believed.
         """
-        self.reserving_since = self.capacity_expected_since = None
+        self.reserving_since = None
         self.is_reservation_over = False
         self.answered.update(hosts)
         for host in hosts:
--- a/tests/work/test_advice_requester.py
+++ b/tests/work/test_advice_requester.py
@@ -552,3 +552,17 @@
     give_tickets(waiting_job, "i-0", until=4.9)
     planner.plan(4.9, 4.9)
     assert host.free_capacity(("other", 0, 0), 5.0) != host.entry.capacity
+
+
+def test_renewals_do_not_put_off_a_gang_s_request_about_other_hosts():
+    # Two allowed hosts have room for the whole gang, but may run one task each. While
+    # the gang waits, their tickets are renewed again and again.
+    names = [f"i-{i:03}" for i in range(102)]
+    pool_state = make_pool_state(names)
+    gang = add_job(pool_state, "gang", job(step(3, gang=True, spread=1)), "advised")
+    give_tickets(gang, *names[:2], until=0.3)
+    gang.steps[0, 0].advice.answered.update(names[:100])
+    pool = AdvisedPool(pool_state, allowed={*names[:2], names[101]})
+    pool.run(0.2, 6.0)
+    assert {host for _, _, host in pool.starts} == {*names[:2], names[101]}
+    assert pool.starts[0][0] < 4.0
