Merge the answers of the advisor, each with its end

What callers saw: steps that waited for ever, as no step was asked about again once its last ticket was rejected or the asked hosts were full (shown by tests, not by the record).

--- a/siskinroad/work/advice_requester.py
+++ b/siskinroad/work/advice_requester.py
@@ -1,6 +1,6 @@
 """Timing of advice requests, and the choice of hosts to request advice about.
 
-Three workloads shape the rules:
+Four workloads shape the rules:
 
 - Steps whose tickets expire while they wait for capacity. The capacity is reserved
   until new tickets arrive.
@@ -8,16 +8,21 @@
   advisor call. Tickets are renewed before the capacity becomes free.
 - Jobs of several short steps. Advice for the next step is requested while the one
   before it still runs.
+- Pools with more hosts than one call may name. A step whose allowed hosts are full asks
+  about the others, each of them once: hosts with capacity, and for large tasks, for
+  which capacity has to be withheld from smaller ones, all hosts.
 """
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Iterable
 
 from siskinroad.work.effects import RequestAdvice
 from siskinroad.work.host import Host
 from siskinroad.work.job import StepRun
 from siskinroad.work.model import Advice
+from siskinroad.work.placement import place_tasks
 from siskinroad.work.planning_pass import PlanningPass, TentativePlacement
 from siskinroad.work.pool_state import PoolState
 from siskinroad.work.run_ends import RunEnds
@@ -34,15 +39,31 @@
 SPARE_HOSTS = 2
 # Seconds for which capacity stays reserved beyond the expected duration of the call.
 RESERVATION_MARGIN = 0.3
+# Seconds for which capacity may stay reserved for a step without any answer of the
+# advisor. Without an end, a failing advisor would keep capacity from all other steps,
+# more urgent ones included.
+MAX_RESERVATION_S = 2.0
 # Tickets are requested early by the expected duration of the call plus this margin in
 # seconds.
 EARLY_REQUEST_MARGIN = 0.15
-# Largest number of blocked steps whose tickets one planning pass renews before their
-# capacity is free.
-MAX_EARLY_RENEWALS = 3
+# Largest number of blocked steps for which one planning pass requests advice.
+MAX_BLOCKED_STEP_REQUESTS = 3
+# Seconds between two checks of whether a blocked step should ask about other hosts.
+# There may be hundreds of planning passes a second and hundreds of blocked steps.
+OTHERS_CHECK_INTERVAL_S = 0.2
+# Seconds for which a blocked step waits for expected capacity on its allowed hosts
+# rather than ask about others. A run may be expected to end soon for any length of
+# time, and the capacity may go to other steps.
+MAX_CAPACITY_WAIT_S = 2.0
+# Seconds within which allowed hosts must have capacity for a large task or a gang, or
+# full hosts are asked about too. With a small value, each call delays those of other
+# steps for hosts that are not needed.
+LARGE_TASK_HORIZON_S = 5.0
 # Seconds by which sums of times may differ through rounding.
 ROUNDING_S = 1e-6
 
+log = logging.getLogger("siskinroad.advice_requester")
+
 
 class AdviceRequester:
     """Decides when to request advice, and about which hosts.
@@ -65,21 +86,36 @@
             return bool(step.tickets)
         schedulable_hosts = planning_pass.schedulable_hosts
         capable = schedulable_hosts.find_capable_hosts(step)
-        if capable.names <= step.requested_hosts:
+        if capable.names <= step.advice.answered:
             return bool(step.tickets)
-        if step.requested_hosts and schedulable_hosts.has_any(step.tickets):
+        if schedulable_hosts.has_any(step.tickets):
             return True
-        eligible = [
-            host.name for host in capable.hosts if host.name not in step.requested_hosts
-        ]
-        self._request_advice(planning_pass, step, advice, eligible[:MAX_HOSTS_PER_CALL])
+        names = step.advice.find_unanswered(capable.names, planning_pass.now)
+        if not names:
+            return bool(step.tickets)
+        count = min(len(names), MAX_HOSTS_PER_CALL)
+        if _assign_channel(planning_pass, advice.duration(count)):
+            hosts = self._choose_hosts(planning_pass, step, names)
+            self._add_request(planning_pass, step, advice, hosts)
         return False
 
+    def _choose_hosts(
+        self, planning_pass: PlanningPass, step: StepRun, names: set[str]
+    ) -> list[str]:
+        """Return the names for one call: hosts with capacity first if some are left."""
+        hosts = planning_pass.schedulable_hosts.find_hosts(names)
+        if len(hosts) > MAX_HOSTS_PER_CALL:
+            now = planning_pass.now
+            with_capacity = planning_pass.open_hosts.find_among(names, step, now)
+            hosts = list(dict.fromkeys([*with_capacity, *hosts]))
+        return [host.name for host in hosts[:MAX_HOSTS_PER_CALL]]
+
     def find_hosts_with_stale_tickets(
         self, step: StepRun, hosts: Iterable[Host], at: float
     ) -> list[Host]:
         """Return the hosts whose tickets can no longer be used at loop time ``at``."""
-        return [h for h in hosts if step.tickets[h.name][1] - TICKET_MARGIN <= at]
+        tickets = step.tickets
+        return [h for h in hosts if tickets[h.name].valid_until - TICKET_MARGIN <= at]
 
     def reserve_and_renew(
         self,
@@ -91,24 +127,39 @@
     ) -> None:
         """Reserve the chosen capacity and request new tickets for ``hosts``."""
         names = self._add_spare_hosts(step, hosts)
-        until = planning_pass.now + advice.duration(len(names)) + RESERVATION_MARGIN
-        for host in hosts:
-            capacity = step.need.times(placement.counts[host.name])
-            host.reserved[step.key] = (capacity, until)
+        if _may_reserve(step, planning_pass.now):
+            until = planning_pass.now + advice.duration(len(names)) + RESERVATION_MARGIN
+            for host in hosts:
+                capacity = step.need.times(placement.counts[host.name])
+                host.reserved[step.key] = (capacity, until)
         if not step.is_advice_pending:
             self._request_advice(planning_pass, step, advice, names)
 
     def renew_early(
         self, planning_pass: PlanningPass, step: StepRun, advice: Advice
     ) -> None:
-        """Request new tickets early enough to arrive before the capacity is free."""
-        if step.is_advice_pending or planning_pass.renewed_steps >= MAX_EARLY_RENEWALS:
+        """Request advice for a blocked step if capacity would otherwise stay unused.
+
+        New tickets are requested early enough to arrive before an allowed host has
+        capacity; without such a prospect, advice about other hosts.
+        """
+        if step.is_advice_pending:
             return
+        if planning_pass.renewed_steps >= MAX_BLOCKED_STEP_REQUESTS:
+            return
+        self._renew_before_capacity(planning_pass, step, advice)
+        if not step.is_advice_pending:
+            self._ask_about_others(planning_pass, step, advice)
+
+    def _renew_before_capacity(
+        self, planning_pass: PlanningPass, step: StepRun, advice: Advice
+    ) -> None:
+        """Request new tickets that arrive just before an allowed host has capacity."""
         longest_s = advice.duration(len(step.tickets)) + EARLY_REQUEST_MARGIN
         limit = planning_pass.now + longest_s + ROUNDING_S
         if not any(
-            valid_until - TICKET_MARGIN <= limit
-            for _, valid_until in step.tickets.values()
+            ticket.valid_until - TICKET_MARGIN <= limit
+            for ticket in step.tickets.values()
         ):
             return
         hosts, at = self._predict_next_capacity(planning_pass, step, limit)
@@ -120,6 +171,92 @@
             planning_pass.renewed_steps += 1
             self._request_advice(planning_pass, step, advice, names)
 
+    def _ask_about_others(
+        self, planning_pass: PlanningPass, step: StepRun, advice: Advice
+    ) -> None:
+        """Request advice about hosts without an answer if the allowed ones are full."""
+        now = planning_pass.now
+        if now - step.advice.others_checked_at < OTHERS_CHECK_INTERVAL_S - ROUNDING_S:
+            return
+        step.advice.others_checked_at = now
+        capable = planning_pass.schedulable_hosts.find_capable_hosts(step)
+        names = step.advice.find_unanswered(capable.names, now)
+        if not names or self._is_blocked_by_headroom(planning_pass, step):
+            return
+        open_hosts = planning_pass.open_hosts.find_among(names, step, now)
+        if step.spec.gang or (not open_hosts and capable.has_large):
+            hosts = self._choose_hosts(planning_pass, step, names)
+            horizon_s = LARGE_TASK_HORIZON_S
+        else:
+            hosts = [host.name for host in open_hosts[:MAX_HOSTS_PER_CALL]]
+            horizon_s = EARLY_REQUEST_MARGIN
+        horizon_s += advice.duration(len(hosts))
+        if not hosts or self._should_wait_for_capacity(planning_pass, step, horizon_s):
+            return
+        planning_pass.renewed_steps += 1
+        self._request_advice(planning_pass, step, advice, hosts)
+        if step.is_advice_pending:
+            step.advice.capacity_expected_since = None
+            self._log_other_hosts(planning_pass, step, len(names), len(hosts))
+
+    def _is_blocked_by_headroom(
+        self, planning_pass: PlanningPass, step: StepRun
+    ) -> bool:
+        """Return whether a blocked step would fit but for the urgent headroom."""
+        placement = place_tasks(
+            planning_pass, step, needs_ticket=True, is_bounded=False
+        )
+        return placement is not None
+
+    def _should_wait_for_capacity(
+        self, planning_pass: PlanningPass, step: StepRun, horizon_s: float
+    ) -> bool:
+        """Return whether a blocked step should wait for its allowed hosts."""
+        step_advice = step.advice
+        now = planning_pass.now
+        if not self._expects_capacity(planning_pass, step, now + horizon_s):
+            step_advice.capacity_expected_since = None
+            return False
+        if step_advice.capacity_expected_since is None:
+            step_advice.capacity_expected_since = now
+        return now - step_advice.capacity_expected_since < MAX_CAPACITY_WAIT_S
+
+    def _expects_capacity(
+        self, planning_pass: PlanningPass, step: StepRun, limit: float
+    ) -> bool:
+        """Return whether allowed hosts should have capacity by loop time ``limit``."""
+        now = planning_pass.now
+        count = step.waiting_count if step.spec.gang else 1
+        for host in planning_pass.schedulable_hosts.find_hosts(step.tickets):
+            is_open = step.need.fits(host.free_capacity(step.key, now))
+            # Capacity that a single task cannot use now tells nothing of later.
+            if is_open and not step.spec.gang:
+                continue
+            most = _limit_to_spread(step, host, count)
+            if most > 0:
+                times = self._predict_capacity_times(step, host, most, now, limit)
+                count -= len(times)
+            if count <= 0:
+                return True
+        return False
+
+    def _log_other_hosts(
+        self, planning_pass: PlanningPass, step: StepRun, unanswered: int, asked: int
+    ) -> None:
+        log.info(
+            "advice_requester: allowed hosts have no capacity; "
+            "requesting advice about others",
+            extra={
+                "request": step.job.id,
+                "step": f"{step.occurrence}.{step.number}",
+                "waiting": step.waiting_count,
+                "allowed": len(step.tickets),
+                "allowed_in_use": planning_pass.schedulable_hosts.count(step.tickets),
+                "unanswered": unanswered,
+                "asked": asked,
+            },
+        )
+
     def _predict_next_capacity(
         self, planning_pass: PlanningPass, step: StepRun, limit: float
     ) -> tuple[list[Host], float]:
@@ -181,7 +318,7 @@
         self, planning_pass: PlanningPass, step: StepRun, advice: Advice
     ) -> None:
         """Request advice for a step if all steps that it depends on end soon."""
-        if step.is_advice_pending or step.requested_hosts:
+        if step.is_advice_pending or step.advice.answered:
             return
         capable = planning_pass.schedulable_hosts.find_capable_hosts(step)
         eligible = [host.name for host in capable.hosts[:MAX_HOSTS_PER_CALL]]
@@ -224,11 +361,52 @@
         names: Iterable[str],
     ) -> None:
         """Request advice if a channel is free soon; otherwise a later pass does."""
-        hosts = tuple(names)
-        duration = advice.duration(len(hosts))
-        if planning_pass.channels is not None and not planning_pass.channels.assign(
-            duration
-        ):
-            return
+        hosts = list(names)
+        if _assign_channel(planning_pass, advice.duration(len(hosts))):
+            self._add_request(planning_pass, step, advice, hosts)
+
+    def _add_request(
+        self,
+        planning_pass: PlanningPass,
+        step: StepRun,
+        advice: Advice,
+        hosts: list[str],
+    ) -> None:
         step.is_advice_pending = True
-        planning_pass.effects.append(RequestAdvice(step.key, hosts, duration))
+        duration = advice.duration(len(hosts))
+        planning_pass.effects.append(RequestAdvice(step.key, tuple(hosts), duration))
+
+
+def _limit_to_spread(step: StepRun, host: Host, count: int) -> int:
+    """Return how many of ``count`` more tasks the step's spread allows on a host."""
+    spread = step.spec.spread
+    if not spread:
+        return count
+    return min(count, spread - step.runs_by_host.get(host.name, 0))
+
+
+def _may_reserve(step: StepRun, now: float) -> bool:
+    """Return whether capacity may be reserved until the advisor answers."""
+    step_advice = step.advice
+    if step_advice.reserving_since is None:
+        step_advice.reserving_since = now
+    reserved_s = now - step_advice.reserving_since
+    if reserved_s > MAX_RESERVATION_S and not step_advice.is_reservation_over:
+        step_advice.is_reservation_over = True
+        log.warning(
+            "advice_requester: no answer of the advisor in time; "
+            "reserving no more capacity for the step until it answers",
+            extra={
+                "request": step.job.id,
+                "step": f"{step.occurrence}.{step.number}",
+                "reserved_s": round(reserved_s, 2),
+                "is_call_in_flight": step.is_advice_pending,
+            },
+        )
+    return not step_advice.is_reservation_over
+
+
+def _assign_channel(planning_pass: PlanningPass, duration: float) -> bool:
+    """Return whether a call may be made now, and count it against its channel."""
+    channels = planning_pass.channels
+    return channels is None or channels.assign(duration)
--- a/siskinroad/work/host_commands.py
+++ b/siskinroad/work/host_commands.py
@@ -16,6 +16,7 @@
 )
 from siskinroad.work.host import Host, Run
 from siskinroad.work.hosts import HostCommand, Rejection, StartCommand
+from siskinroad.work.job import StepRun
 from siskinroad.work.term import Term
 
 __all__ = ["HostCommands", "report_higher_token"]
@@ -118,15 +119,22 @@
         )
 
     def _find_ticket(self, effect: StartRun, now: float) -> str | None:
-        """Return the ticket for a start; None if it has expired while this waited."""
+        """Return the ticket for a start; None if it has expired while this waited.
+
+        A queue may need no advice any more: its steps may still hold tickets.
+        """
         if not effect.ticket:
             return ""
         step = self.term.pool_state.step(effect.run.key[0])
-        newest = step.tickets.get(effect.host) if step is not None else None
-        if newest is None:
+        if step is None:
             return None
-        ticket, valid_until = newest
-        return ticket if now < valid_until else None
+        queue = self.term.pool_state.queues.get(step.job.queue)
+        if queue is None or queue.advice is None:
+            return ""
+        ticket = step.tickets.get(effect.host)
+        if ticket is None or now >= ticket.valid_until:
+            return None
+        return ticket.value
 
     async def _send_start(
         self, host: Host, run: Run, command: StartCommand
@@ -184,7 +192,9 @@
             if command.address == host.entry.address:
                 self.term.pool_state.note_host_unlisted(host.name, now)
             host.record_failed_request()
-        return self.term.pool_state.apply_start_reply(host, run, rejection, now)
+        return self.term.pool_state.apply_start_reply(
+            host, run, rejection, now, ticket=command.ticket
+        )
 
     async def stop(self, effect: StopRun) -> None:
         """Send a stop, repeated until it is answered or the run has ended."""
@@ -265,11 +275,18 @@
         )
 
     async def request_advice(self, effect: RequestAdvice) -> None:
-        """Request advice and store the tickets that it grants to the step."""
-        loop = asyncio.get_running_loop()
+        """Request advice for a step, which may request again once this has ended."""
         step = self.term.pool_state.step_by_key(effect.step)
         if step is None:
             return
+        try:
+            await self._request_advice(effect, step)
+        finally:
+            step.is_advice_pending = False
+            self.term.plan_requested.set()
+
+    async def _request_advice(self, effect: RequestAdvice, step: StepRun) -> None:
+        """Request advice and store the tickets that it grants to the step."""
         try:
             result = await self.term.dependencies.advisor_channels.request_advice(
                 effect.step, effect.hosts, effect.duration
@@ -278,9 +295,5 @@
             self.term.dependencies.metrics.retries.labels("advice").inc()
             await asyncio.sleep(ADVICE_RETRY_INTERVAL)
         else:
-            valid_until = loop.time() + result.valid_s
-            step.requested_hosts.update(effect.hosts)
-            for host, ticket in result.tickets.items():
-                step.tickets[host] = (ticket, valid_until)
-        step.is_advice_pending = False
-        self.term.plan_requested.set()
+            valid_until = asyncio.get_running_loop().time() + result.valid_s
+            step.advice.record_answer(effect.hosts, result.tickets, valid_until)
--- a/siskinroad/work/wait_log.py
+++ b/siskinroad/work/wait_log.py
@@ -112,7 +112,7 @@
     fields: dict[str, object] = {
         "tickets": len(step.tickets),
         "valid_tickets": valid,
-        "asked_hosts": len(step.requested_hosts),
+        "asked_hosts": len(step.advice.answered),
         "is_advice_pending": step.is_advice_pending,
     }
     if planning_pass is not None:
--- a/siskinroad/work/wait_reasons.py
+++ b/siskinroad/work/wait_reasons.py
@@ -100,7 +100,7 @@
             return None
         if step.is_advice_pending:
             return WaitReason.ADVICE_PENDING
-        unasked = sum(1 for name in capable.names if name not in step.requested_hosts)
+        unasked = sum(1 for name in capable.names if name not in step.advice.answered)
         if not unasked:
             return WaitReason.ADVICE_NOT_ALLOWED
         channels = self._pass.channels
