Reserve capacity only for a step whose advice is requested, against less urgent ones

What callers saw: new urgent jobs were not started while the hosts that they may use were free.

Cause: a step with expired tickets reserved the capacity that it chose in every planning pass, whether an advisor channel took its request or not, and the reservation held against all other steps, more urgent ones with valid tickets included. In a backlog of hundreds of such steps, all free capacity is reserved by steps that cannot use it.

Change: a step reserves once its request is made; a reservation does not count for steps of a higher priority or less lateness.

--- a/siskinroad/work/advice_requester.py
+++ b/siskinroad/work/advice_requester.py
@@ -19,7 +19,7 @@
 from collections.abc import Iterable
 
 from siskinroad.work.effects import RequestAdvice
-from siskinroad.work.host import Host
+from siskinroad.work.host import Host, Reservation
 from siskinroad.work.job import StepRun
 from siskinroad.work.model import Advice
 from siskinroad.work.placement import place_tasks
@@ -125,15 +125,19 @@
         advice: Advice,
         hosts: list[Host],
     ) -> None:
-        """Reserve the chosen capacity and request new tickets for ``hosts``."""
+        """Request new tickets for ``hosts``; reserve the chosen capacity until then.
+
+        Without a request, which a later pass makes, the capacity is left to others.
+        """
         names = self._add_spare_hosts(step, hosts)
-        if _may_reserve(step, planning_pass.now):
-            until = planning_pass.now + advice.duration(len(names)) + RESERVATION_MARGIN
-            for host in hosts:
-                capacity = step.need.times(placement.counts[host.name])
-                host.reserved[step.key] = (capacity, until)
         if not step.is_advice_pending:
             self._request_advice(planning_pass, step, advice, names)
+        if not step.is_advice_pending or not _may_reserve(step, planning_pass.now):
+            return
+        until = planning_pass.now + advice.duration(len(names)) + RESERVATION_MARGIN
+        for host in hosts:
+            capacity = step.need.times(placement.counts[host.name])
+            host.reserved[step.key] = Reservation(capacity, until, step.rank)
 
     def renew_early(
         self, planning_pass: PlanningPass, step: StepRun, advice: Advice
@@ -228,7 +232,7 @@
         now = planning_pass.now
         count = step.waiting_count if step.spec.gang else 1
         for host in planning_pass.schedulable_hosts.find_hosts(step.tickets):
-            is_open = step.need.fits(host.free_capacity(step.key, now))
+            is_open = step.need.fits(host.free_capacity(step.key, now, step.rank))
             # Capacity that a single task cannot use now tells nothing of later.
             if is_open and not step.spec.gang:
                 continue
@@ -284,7 +288,7 @@
         Times after ``limit`` are left out.
         """
         need = step.need
-        capacity = host.free_capacity(step.key, now)
+        capacity = host.free_capacity(step.key, now, step.rank)
         times: list[float] = []
         at = now
         ends = iter(self._run_ends.find_ends(host, now))
--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -3,12 +3,22 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from siskinroad.charts import load_chart
 from siskinroad.resources import NOTHING, Resources
 from siskinroad.work.model import HostEntry, TaskId
 
-__all__ = ["LEASE_S", "Host", "QueueUse", "Run", "RunIndex", "RunKey"]
+__all__ = [
+    "LEASE_S",
+    "LOWEST_RANK",
+    "Host",
+    "QueueUse",
+    "Reservation",
+    "Run",
+    "RunIndex",
+    "RunKey",
+]
 
 # Seconds of lease that each request grants. A shorter lease expires before a successor
 # has detected a dead owner and renewed it; a longer one delays the restart of the tasks
@@ -35,6 +45,25 @@
 # The task of a run and the run's number.
 RunKey = tuple[TaskId, int]
 
+# Rank of a step that no planning pass has ranked yet.
+LOWEST_RANK = (1 << 30, 0)
+
+
+class Reservation(NamedTuple):
+    """Capacity of one host that is kept for a step until its tickets arrive.
+
+    Attributes
+    ----------
+    until : float
+        Loop time in seconds at which it expires.
+    rank : tuple of int
+        Priority and lateness of the step. More urgent steps may take the capacity.
+    """
+
+    need: Resources
+    until: float
+    rank: tuple[int, int] = (0, 0)
+
 
 @dataclass(slots=True, eq=False)
 class Run:
@@ -189,7 +218,7 @@
     queue_uses : dict of str to QueueUse
         Use by the runs of each queue that has any.
     reserved : dict
-        Resources reserved for a step, by step key, with the loop time of the expiry.
+        Reservations by the key of their step.
     index : RunIndex
         Index of the pool's runs, which this host keeps up to date.
     """
@@ -217,9 +246,7 @@
     used: Resources = NOTHING
     run_changes: int = 0
     queue_uses: dict[str, QueueUse] = field(default_factory=dict)
-    reserved: dict[tuple[str, int, int], tuple[Resources, float]] = field(
-        default_factory=dict
-    )
+    reserved: dict[tuple[str, int, int], Reservation] = field(default_factory=dict)
 
     @property
     def name(self) -> str:
@@ -312,14 +339,26 @@
             return False
         return now - self.replied_at <= HOST_SILENCE_S
 
-    def free_capacity(self, step: tuple[str, int, int], now: float) -> Resources:
-        """Return the free capacity for a step, less the reservations of other steps."""
+    def free_capacity(
+        self,
+        step: tuple[str, int, int],
+        now: float,
+        rank: tuple[int, int] = LOWEST_RANK,
+    ) -> Resources:
+        """Return the free capacity for a step, less the reservations of other steps.
+
+        Parameters
+        ----------
+        rank : tuple of int
+            Priority and lateness of the step. The reservations of steps that are less
+            urgent do not count.
+        """
         available = self.entry.capacity - self.used
         if not self.reserved:
             return available
-        for key, (reserved_need, until) in list(self.reserved.items()):
-            if until < now:
+        for key, reservation in list(self.reserved.items()):
+            if reservation.until < now:
                 del self.reserved[key]
-            elif key != step:
-                available = available - reserved_need
+            elif key != step and reservation.rank <= rank:
+                available = available - reservation.need
         return available
--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -8,7 +8,7 @@
 
 from siskinroad.charts import load_chart
 from siskinroad.resources import Resources
-from siskinroad.work.host import Run
+from siskinroad.work.host import LOWEST_RANK, Run
 from siskinroad.work.model import JobSpec, Step, TaskId
 from siskinroad.work.records import Accepted, Progress, TaskProgress
 from siskinroad.work.step_advice import StepAdvice, Ticket
@@ -184,6 +184,10 @@
         Whether an advice request is in flight.
     ready_at : float
         Loop time at which the step became ready to start.
+    planned_at : float
+        Loop time at which the newest planning pass that planned the step began.
+    rank : tuple of int
+        Priority and lateness in the newest planning pass.
     """
 
     job: Job
@@ -199,6 +203,8 @@
     tickets: dict[str, Ticket] = field(init=False)
     is_advice_pending: bool = False
     ready_at: float = 0.0
+    planned_at: float = -1e9
+    rank: tuple[int, int] = LOWEST_RANK
 
     def __post_init__(self) -> None:
         self.key = (self.job.id, self.occurrence, self.number)
--- a/siskinroad/work/open_hosts.py
+++ b/siskinroad/work/open_hosts.py
@@ -70,7 +70,7 @@
         for host in fitting:
             available = self.free[host]
             if host.reserved:
-                available = host.free_capacity(step.key, now)
+                available = host.free_capacity(step.key, now, step.rank)
                 if not need.fits(available):
                     continue
             candidates[host] = available
@@ -89,7 +89,10 @@
             host
             for host in fitting
             if host.name in names
-            and (not host.reserved or need.fits(host.free_capacity(step.key, now)))
+            and (
+                not host.reserved
+                or need.fits(host.free_capacity(step.key, now, step.rank))
+            )
         ]
 
     def _find_fitting(self, need: Resources, label: str) -> list[Host]:
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -153,7 +153,8 @@
             if name not in times:
                 times[name] = self.pool_state.queue_times(name)
             lateness, target_time = _compute_lateness(step, times[name], wall)
-            ranked.append((queue.priority, lateness, target_time, i))
+            step.rank = (queue.priority, lateness)
+            ranked.append((*step.rank, target_time, i))
         ranked.sort()
         return [(lateness, steps[i]) for _, lateness, _, i in ranked]
 
--- a/siskinroad/work/planning_pass.py
+++ b/siskinroad/work/planning_pass.py
@@ -145,7 +145,7 @@
 
 def compute_available_after_stops(host: Host, step: StepRun, now: float) -> Resources:
     """Return the free capacity of a host once the runs being stopped have ended."""
-    available = host.free_capacity(step.key, now)
+    available = host.free_capacity(step.key, now, step.rank)
     for run in host.runs.values():
         if run.state in ("stopping", "withdrawn"):
             available = available + run.need
--- a/siskinroad/work/wait_reasons.py
+++ b/siskinroad/work/wait_reasons.py
@@ -150,7 +150,7 @@
     ) -> tuple[WaitReason | None, dict[Host, Resources]]:
         """Return the reason that holds for all tasks, and the hosts that are left."""
         now = self._pass.now
-        free = {host: host.free_capacity(step.key, now) for host in hosts}
+        free = {host: host.free_capacity(step.key, now, step.rank) for host in hosts}
         free = {host: r for host, r in free.items() if step.need.fits(r)}
         if not _fits_step(step, free):
             return WaitReason.RESERVED, free
