Bound the work of a planning pass whatever waits

What callers saw: a pool served nothing in time for 8 s after a burst had ended, and leases of sound hosts lapsed.

Cause: a planning pass looked for hosts for every waiting step. For each step without a usable ticket it also predicted when every host would have free capacity, even where no advisor channel could take a request. With 400 such steps on 126 hosts a pass took 149 ms of processor. The owner plans a third of its time, so on a small host a pass followed the last one after longer than a ticket is valid (1.5 s there): nothing was started, the backlog stayed, and renewals were late.

Change: a step that neither has nor awaits a usable ticket and for which no channel is free is left out; predictions for blocked steps are spread over the passes, 8 each; a pass plans 64 steps at most, half of them the first ones, half those that were planned longest ago. What is left out has the reason deferred.

--- a/siskinroad/work/advice_requester.py
+++ b/siskinroad/work/advice_requester.py
@@ -1,6 +1,6 @@
 """Timing of advice requests, and the choice of hosts to request advice about.
 
-Four workloads shape the rules:
+Five workloads shape the rules:
 
 - Steps whose tickets expire while they wait for capacity. The capacity is reserved
   until new tickets arrive.
@@ -11,6 +11,10 @@
 - Pools with more hosts than one call may name. A step whose allowed hosts are full asks
   about the others, each of them once: hosts with capacity, and for large tasks, for
   which capacity has to be withheld from smaller ones, all hosts.
+- Hundreds of steps whose tickets have expired, after a burst. The channels take a few
+  requests at a time; a step without a request reserves nothing, and predictions for
+  blocked steps are spread over the passes. Otherwise a pass takes longer than a ticket
+  is valid, and nothing is started any more.
 """
 
 from __future__ import annotations
@@ -26,13 +30,10 @@
 from siskinroad.work.planning_pass import PlanningPass, TentativePlacement
 from siskinroad.work.pool_state import PoolState
 from siskinroad.work.run_ends import RunEnds
+from siskinroad.work.step_advice import TICKET_MARGIN
 
 __all__ = ["AdviceRequester"]
 
-# Seconds before its expiry from which a ticket is no longer used. With a smaller
-# margin, it may expire while the start command travels between two regions or waits
-# behind another command.
-TICKET_MARGIN = 0.2
 # Largest number of hosts in one advisor call, a limit of the platform's interface.
 MAX_HOSTS_PER_CALL = 100
 # Extra hosts in a renewal of tickets, beyond those whose tickets expire.
@@ -48,6 +49,11 @@
 EARLY_REQUEST_MARGIN = 0.15
 # Largest number of blocked steps for which one planning pass requests advice.
 MAX_BLOCKED_STEP_REQUESTS = 3
+# Largest number of blocked steps for which one planning pass predicts free capacity. If
+# there are more, the least seconds between two predictions for one step, so that all
+# get their turn.
+MAX_EXAMINED_STEPS = 8
+EXAMINATION_INTERVAL_S = 0.1
 # Seconds between two checks of whether a blocked step should ask about other hosts.
 # There may be hundreds of planning passes a second and hundreds of blocked steps.
 OTHERS_CHECK_INTERVAL_S = 0.2
@@ -77,6 +83,18 @@
     def __init__(self, pool_state: PoolState) -> None:
         self.pool_state = pool_state
         self._run_ends = RunEnds(pool_state.speed_estimates)
+        # Of the last planning pass.
+        self._blocked_steps = 0
+
+    def may_use_tickets(
+        self, planning_pass: PlanningPass, step: StepRun, advice: Advice
+    ) -> bool:
+        """Return whether a step has or awaits usable tickets, or could request some."""
+        return (
+            step.is_advice_pending
+            or step.advice.newest_valid_until - TICKET_MARGIN > planning_pass.now
+            or planning_pass.has_free_channel(advice.duration(1))
+        )
 
     def check_or_request_advice(
         self, planning_pass: PlanningPass, step: StepRun, advice: Advice
@@ -147,14 +165,31 @@
         New tickets are requested early enough to arrive before an allowed host has
         capacity; without such a prospect, advice about other hosts.
         """
+        planning_pass.blocked_steps += 1
         if step.is_advice_pending:
             return
         if planning_pass.renewed_steps >= MAX_BLOCKED_STEP_REQUESTS:
             return
+        if not self._may_examine(planning_pass, step, advice):
+            return
+        planning_pass.examined_steps += 1
+        step.advice.examined_at = planning_pass.now
         self._renew_before_capacity(planning_pass, step, advice)
         if not step.is_advice_pending:
             self._ask_about_others(planning_pass, step, advice)
 
+    def _may_examine(
+        self, planning_pass: PlanningPass, step: StepRun, advice: Advice
+    ) -> bool:
+        """Return whether this pass may predict free capacity for a blocked step."""
+        if planning_pass.examined_steps >= MAX_EXAMINED_STEPS:
+            return False
+        is_crowded = self._blocked_steps > MAX_EXAMINED_STEPS
+        examined_s = planning_pass.now - step.advice.examined_at
+        if is_crowded and examined_s < EXAMINATION_INTERVAL_S - ROUNDING_S:
+            return False
+        return planning_pass.has_free_channel(advice.duration(1))
+
     def _renew_before_capacity(
         self, planning_pass: PlanningPass, step: StepRun, advice: Advice
     ) -> None:
@@ -305,6 +340,7 @@
 
     def request_for_next_steps(self, planning_pass: PlanningPass) -> None:
         """Request advice for steps that become ready when the running ones end."""
+        self._blocked_steps = planning_pass.blocked_steps
         self._run_ends.keep_only(self.pool_state.hosts)
         for step in self.pool_state.ready.values():
             job = step.job
--- a/siskinroad/work/advisor_channels.py
+++ b/siskinroad/work/advisor_channels.py
@@ -59,6 +59,11 @@
         self._short = short
         self._long = long
 
+    def has_free(self, duration: float) -> bool:
+        """Return whether ``assign`` would assign a call of ``duration`` seconds."""
+        channels = self._long if duration >= LONG_CALL_THRESHOLD else self._short
+        return not channels or min(channels) <= MAX_CHANNEL_BACKLOG
+
     def assign(self, duration: float) -> bool:
         """Assign a call of ``duration`` seconds to a channel if one is free.
 
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -44,6 +44,9 @@
 # Remaining seconds of work up to which a run is not preempted: stopping it and starting
 # it from its checkpoint take nearly as long.
 MIN_PREEMPTIBLE_S = 1.5
+# Largest number of steps for which one planning pass looks for hosts. A pass that takes
+# as long as a ticket is valid would start nothing any more.
+MAX_STEPS_PER_PASS = 64
 # Highest run number that may be preempted; it bounds how often one task is stopped.
 MAX_PREEMPTIBLE_RUN = 4
 
@@ -104,8 +107,7 @@
             channels,
         )
         planning_pass.non_urgent_cpu_milli = self._compute_non_urgent_cpu(planning_pass)
-        for lateness, step in self._rank_steps(steps, wall):
-            self._plan_step(planning_pass, step, lateness)
+        self._plan_steps(planning_pass, self._rank_steps(steps, wall))
         self.advice_requester.request_for_next_steps(planning_pass)
         self.last_pass = planning_pass
         return planning_pass.effects
@@ -158,12 +160,41 @@
         ranked.sort()
         return [(lateness, steps[i]) for _, lateness, _, i in ranked]
 
+    def _plan_steps(
+        self, planning_pass: PlanningPass, ranked: list[tuple[int, StepRun]]
+    ) -> None:
+        """Plan the steps in their order, up to the largest number for one pass.
+
+        Half of a pass that cannot take all steps is for the first ones, half for those
+        that were planned longest ago, so that each step gets its turn.
+        """
+        plannable = [
+            item for item in ranked if self._is_plannable(planning_pass, item[1])
+        ]
+        if len(plannable) > MAX_STEPS_PER_PASS:
+            first = plannable[: MAX_STEPS_PER_PASS // 2]
+            rest = plannable[MAX_STEPS_PER_PASS // 2 :]
+            rest.sort(key=lambda item: item[1].planned_at)
+            count = MAX_STEPS_PER_PASS - len(first)
+            planning_pass.deferred_steps = {step.key for _, step in rest[count:]}
+            plannable = first + rest[:count]
+        for lateness, step in plannable:
+            step.planned_at = planning_pass.now
+            self._plan_step(planning_pass, step, lateness)
+
+    def _is_plannable(self, planning_pass: PlanningPass, step: StepRun) -> bool:
+        """Return whether a step could start a task or request advice in this pass."""
+        if step.spec.gang and step.waiting_count < len(step.tasks):
+            return False
+        advice = self.pool_state.queues[step.job.queue].advice
+        if advice is None:
+            return True
+        return self.advice_requester.may_use_tickets(planning_pass, step, advice)
+
     def _plan_step(
         self, planning_pass: PlanningPass, step: StepRun, lateness: int
     ) -> None:
         queue = self.pool_state.queues[step.job.queue]
-        if step.spec.gang and step.waiting_count < len(step.tasks):
-            return
         advice = queue.advice
         if advice is not None and not self.advice_requester.check_or_request_advice(
             planning_pass, step, advice
--- a/siskinroad/work/planning_pass.py
+++ b/siskinroad/work/planning_pass.py
@@ -44,6 +44,11 @@
         Hosts that a blocked large step withholds from the steps after it.
     renewed_steps : int
         Number of blocked steps whose tickets this pass renews.
+    blocked_steps, examined_steps : int
+        Number of steps that no host with a ticket fits, and for how many of these this
+        pass has predicted free capacity.
+    deferred_steps : set of tuple
+        Keys of the steps that are left to the next passes.
     channels : ChannelTimes or None
         When the advisor channels are free; None if they always are.
     """
@@ -58,6 +63,9 @@
     non_urgent_cpu_milli: float = 0.0
     excluded_hosts: set[str] = field(default_factory=set)
     renewed_steps: int = 0
+    blocked_steps: int = 0
+    examined_steps: int = 0
+    deferred_steps: set[tuple[str, int, int]] = field(default_factory=set)
     effects: list[Effect] = field(default_factory=list)
     _spread_demand: list[tuple[StepRun, float]] | None = None
     _demand: dict[Host, float] = field(default_factory=dict)
@@ -72,6 +80,10 @@
         host.add_run(run)
         self.open_hosts.take(host)
 
+    def has_free_channel(self, duration: float) -> bool:
+        """Return whether an advisor channel takes a call of ``duration`` seconds."""
+        return self.channels is None or self.channels.has_free(duration)
+
     def find_demand(self, host: Host) -> float:
         """Return the demand of the waiting steps for a host, in whole hosts.
 
--- a/siskinroad/work/step_advice.py
+++ b/siskinroad/work/step_advice.py
@@ -14,8 +14,12 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-__all__ = ["StepAdvice", "Ticket", "TicketRejection"]
+__all__ = ["TICKET_MARGIN", "StepAdvice", "Ticket", "TicketRejection"]
 
+# Seconds before its expiry from which a ticket is no longer used. With a smaller
+# margin, it may expire while the start command travels between two regions or waits
+# behind another command.
+TICKET_MARGIN = 0.2
 # Seconds before another request about a host that has rejected two tickets in a row.
 # Every further rejection doubles the pause up to the longest one, so that a host whose
 # clock is wrong does not occupy an advisor channel.
@@ -69,6 +73,11 @@
         Newest ticket of each host that the step may use, valid or not.
     rejections : dict of str to TicketRejection
         Hosts that have rejected a ticket and accepted none since.
+    newest_valid_until : float
+        Loop time from which no ticket is valid; a ticket that is valid for longest may
+        have been rejected since.
+    examined_at : float
+        Loop time at which free capacity was last predicted for the blocked step.
     others_checked_at : float
         Loop time at which the blocked step last looked for other hosts to ask about.
     reserving_since : float or None
@@ -84,6 +93,8 @@
     answered: set[str] = field(default_factory=set)
     tickets: dict[str, Ticket] = field(default_factory=dict)
     rejections: dict[str, TicketRejection] = field(default_factory=dict)
+    newest_valid_until: float = -1e9
+    examined_at: float = -1e9
     others_checked_at: float = -1e9
     reserving_since: float | None = None
     is_reservation_over: bool = False
@@ -100,6 +111,7 @@
         self.reserving_since = None
         self.is_reservation_over = False
         self.answered.update(hosts)
+        self.newest_valid_until = max(self.newest_valid_until, valid_until)
         for host in hosts:
             value = tickets.get(host)
             if value is not None:
--- a/siskinroad/work/wait_reasons.py
+++ b/siskinroad/work/wait_reasons.py
@@ -11,7 +11,6 @@
 from enum import StrEnum
 
 from siskinroad.resources import Resources
-from siskinroad.work.advice_requester import TICKET_MARGIN
 from siskinroad.work.host import Host
 from siskinroad.work.job import StepRun, Task
 from siskinroad.work.model import Advice, Queue
@@ -21,6 +20,7 @@
     step_allows_host,
     task_avoids_host,
 )
+from siskinroad.work.step_advice import TICKET_MARGIN
 
 __all__ = ["WaitExaminer", "WaitReason"]
 
@@ -34,6 +34,7 @@
     ticket for none of them. ``TICKETED_HOSTS_FULL``: only hosts without a ticket have
     free capacity, and no request is pending. ``TICKETS_STALE``: hosts with free
     capacity have tickets that have expired or are about to, and no request is pending.
+    ``DEFERRED``: the step is left to the next passes, as too many steps wait.
     ``UNEXPLAINED``: none of the checks fails; the planner should have placed the task.
     ``NOT_EXAMINED``: more steps wait than are examined at once.
     """
@@ -56,6 +57,7 @@
     URGENT_HEADROOM = "urgent_headroom"
     AVOIDS_FAILED_HOST = "avoids_failed_host"
     TICKETS_STALE = "tickets_stale"
+    DEFERRED = "deferred"
     UNEXPLAINED = "unexplained"
     NOT_EXAMINED = "not_examined"
 
@@ -199,11 +201,13 @@
         self, step: StepRun, queue: Queue, hosts: Iterable[Host]
     ) -> WaitReason:
         """Return the reason of the tasks that avoid none of the hosts left."""
-        if queue.advice is None or not _has_stale_ticket(step, hosts, self._pass.now):
-            return WaitReason.UNEXPLAINED
-        if step.is_advice_pending:
-            return WaitReason.ADVICE_PENDING
-        return WaitReason.TICKETS_STALE
+        if queue.advice is not None and _has_stale_ticket(step, hosts, self._pass.now):
+            if step.is_advice_pending:
+                return WaitReason.ADVICE_PENDING
+            return WaitReason.TICKETS_STALE
+        if step.key in self._pass.deferred_steps:
+            return WaitReason.DEFERRED
+        return WaitReason.UNEXPLAINED
 
 
 def _fits_step(
--- a/tests/work/test_overload.py
+++ b/tests/work/test_overload.py
@@ -12,12 +12,14 @@
 import pytest
 
 from bench.planning_load import ADVISED, CONFIGURATION, LoadSizes, PlanningLoad
+from siskinroad.resources import Resources
 from siskinroad.work.advisor_channels import ChannelTimes
 from siskinroad.work.effects import StartRun
 from siskinroad.work.host import Host
 from siskinroad.work.model import Advice, JobSpec, Step
 from siskinroad.work.owner import PLAN_DELAY, PLAN_REST_FACTOR
-from siskinroad.work.planner import Planner
+from siskinroad.work.planner import MAX_STEPS_PER_PASS, Planner
+from siskinroad.work.wait_reasons import WaitExaminer, WaitReason
 from tests.work.cell import job, step
 from tests.work.test_planner import add_job, give_tickets, make_pool_state
 
@@ -57,6 +59,16 @@
     return pool_state
 
 
+def fill_hosts(pool_state):
+    """Let each host run one task of an urgent job that takes all of it."""
+    for name, host in pool_state.hosts.items():
+        filling = add_job(pool_state, f"fill-{name}", job(step(1, cpu_milli=32000)))
+        step_run = filling.steps[0, 0]
+        task = step_run.tasks[0]
+        task.move("order")
+        host.add_run(step_run.make_run(task, 1, host.token, 0.0))
+
+
 def test_a_step_that_gets_no_advisor_channel_reserves_no_capacity():
     # Without the request, the reservation would keep the capacity from steps that could
     # use it, in every pass again.
@@ -84,6 +96,39 @@
     assert examinations.total() <= 12 * 126 + 10 * steps
 
 
+def test_each_of_many_waiting_steps_gets_its_turn_in_a_few_passes():
+    # The first steps of the order are planned in each pass; if they stay blocked, those
+    # after them would never be planned.
+    pool_state = make_backlog(3, 4 * MAX_STEPS_PER_PASS, tickets_until=100.0)
+    fill_hosts(pool_state)
+    planner = Planner(pool_state)
+    for i in range(10):
+        planner.plan(1.0 + 0.01 * i, 1.0, None)
+        assert len(planner.last_pass.deferred_steps) == 3 * MAX_STEPS_PER_PASS
+    steps = [each for each in pool_state.ready.values() if each.waiting_count]
+    assert len(steps) == 4 * MAX_STEPS_PER_PASS
+    assert all(each.planned_at >= 1.0 for each in steps)
+
+
+def test_a_step_that_is_left_to_the_next_passes_has_a_reason_of_its_own():
+    pool_state = make_backlog(3, 2 * MAX_STEPS_PER_PASS, tickets_until=100.0)
+    fill_hosts(pool_state)
+    planner = Planner(pool_state)
+    planner.plan(1.0, 1.0, None)
+    deferred = [pool_state.ready[key] for key in planner.last_pass.deferred_steps]
+    assert len(deferred) == MAX_STEPS_PER_PASS
+    # A full pool is the reason to name, even for a step that was not planned.
+    full = WaitExaminer(planner.last_pass)
+    assert {r for s in deferred for r in full.find_reasons(s)} == {
+        WaitReason.NO_CAPACITY
+    }
+    for host in pool_state.hosts.values():
+        host.used = Resources()
+    planner.last_pass.non_urgent_cpu_milli = float("inf")
+    free = WaitExaminer(planner.last_pass)
+    assert {r for s in deferred for r in free.find_reasons(s)} == {WaitReason.DEFERRED}
+
+
 class SlowOwnerLoad(PlanningLoad):
     """Load whose planning passes take time, as on an owner with little processor.
 
