Place tasks first where their tickets can be used

Cause: a step chose its hosts by cost alone. Of a backlog, each step renewed the tickets of a few hosts, and in the next pass chose others, whose tickets had expired, and renewed those: one advisor call for each started task, where the channels were the limit.

Change: hosts with a usable ticket are tried first; only if none of them fits (or not the whole gang) are all allowed hosts.

--- a/siskinroad/work/placement.py
+++ b/siskinroad/work/placement.py
@@ -13,6 +13,7 @@
     step_allows_host,
     task_avoids_host,
 )
+from siskinroad.work.step_advice import TICKET_MARGIN
 
 __all__ = ["place_tasks"]
 
@@ -49,7 +50,35 @@
     )
     if not candidates:
         return None
-    placer = _Placer(planning_pass, step, candidates)
+    if needs_ticket:
+        usable = _find_usable(planning_pass, step, candidates)
+        if 0 < len(usable) < len(candidates):
+            placement = _place_on(planning_pass, step, usable, cpu_milli)
+            if placement is not None:
+                return placement
+    return _place_on(planning_pass, step, candidates, cpu_milli)
+
+
+def _find_usable(
+    planning_pass: PlanningPass, step: StepRun, candidates: dict[Host, Resources]
+) -> dict[Host, Resources]:
+    """Return the candidates with a ticket that can be used now.
+
+    They are tried first: a step that preferred hosts by cost alone could renew tickets
+    again and again, each time for other hosts.
+    """
+    expiry = planning_pass.now + TICKET_MARGIN
+    tickets = step.tickets
+    return {h: r for h, r in candidates.items() if tickets[h.name].valid_until > expiry}
+
+
+def _place_on(
+    planning_pass: PlanningPass,
+    step: StepRun,
+    candidates: dict[Host, Resources],
+    cpu_milli: float,
+) -> TentativePlacement | None:
+    placer = _Placer(planning_pass, step, dict(candidates))
     placement = placer.place(cpu_milli)
     if len(placement.chosen) < (step.waiting_count if step.spec.gang else 1):
         return None
