Name no more hosts in a renewal than one advisor call may

Cause: a step may hold tickets for more hosts than one call may name, now that it asks about others. A renewal named all hosts that were chosen, and the advisor rejects such a call each time.

Change: a renewal names a hundred hosts at most, those whose tickets expire first.

Evidence: a new test, with single tasks and a gang on 120 hosts: before, the request named 120 hosts.

--- a/siskinroad/work/advice_requester.py
+++ b/siskinroad/work/advice_requester.py
@@ -346,12 +346,20 @@
         return True
 
     def _add_spare_hosts(self, step: StepRun, hosts: Iterable[Host]) -> list[str]:
-        """Return the names of ``hosts`` and of a few others with tickets."""
+        """Return the names of ``hosts`` and of a few others with tickets.
+
+        If one call cannot name all of them, the tickets that expire first are renewed.
+        """
         names = {host.name for host in hosts}
+        if len(names) > MAX_HOSTS_PER_CALL:
+            tickets = step.tickets
+            by_expiry = sorted(names, key=lambda n: (tickets[n].valid_until, n))
+            names = set(by_expiry[:MAX_HOSTS_PER_CALL])
         spare = [
             n for n in step.tickets if n not in names and n in self.pool_state.hosts
         ]
-        return [*sorted(names), *spare[:SPARE_HOSTS]]
+        count = min(SPARE_HOSTS, MAX_HOSTS_PER_CALL - len(names))
+        return [*sorted(names), *spare[:count]]
 
     def _request_advice(
         self,
--- a/tests/work/test_advice_requester.py
+++ b/tests/work/test_advice_requester.py
@@ -566,3 +566,22 @@
     pool.run(0.2, 6.0)
     assert {host for _, _, host in pool.starts} == {*names[:2], names[101]}
     assert pool.starts[0][0] < 4.0
+
+
+def test_a_renewal_names_no_more_hosts_than_one_call_may():
+    # The advisor rejects a larger call each time. The hosts whose tickets have expired
+    # first are named, so that the others get theirs in the next call.
+    names = [f"i-{i:03}" for i in range(120)]
+    for is_gang in (False, True):
+        pool_state = make_pool_state(names)
+        spec = step(120, gang=is_gang, **LARGE)
+        wide = add_job(pool_state, "wide", job(spec), "advised")
+        give_tickets(wide, *names[:60], until=0.0)
+        give_tickets(wide, *names[60:], until=-1.0)
+        planner = Planner(pool_state)
+        ((_, hosts),) = advice_requests(planner.plan(0.1, 0.1))
+        assert len(hosts) == 100 and set(names[60:]) < set(hosts)
+        give_tickets(wide, *hosts, until=2.0)
+        wide.steps[0, 0].is_advice_pending = False
+        ((_, hosts),) = advice_requests(planner.plan(0.3, 0.3))
+        assert set(names[40:60]) <= set(hosts)
