Move the forecast of capacity out of the advice requester

Change: CapacityForecast in work/capacity_forecast.py. No behaviour changes.

Evidence: tests of advice requester, planner, placement, planning load, pool state, indexes and host replies pass.

--- a/siskinroad/work/advice_requester.py
+++ b/siskinroad/work/advice_requester.py
@@ -18,6 +18,7 @@
 import logging
 from collections.abc import Iterable
 
+from siskinroad.work.capacity_forecast import CapacityForecast
 from siskinroad.work.effects import RequestAdvice
 from siskinroad.work.host import Host
 from siskinroad.work.job import StepRun
@@ -25,7 +26,6 @@
 from siskinroad.work.placement import place_tasks
 from siskinroad.work.planning_pass import PlanningPass, TentativePlacement
 from siskinroad.work.pool_state import PoolState
-from siskinroad.work.run_ends import RunEnds
 
 __all__ = ["AdviceRequester"]
 
@@ -76,7 +76,7 @@
 
     def __init__(self, pool_state: PoolState) -> None:
         self.pool_state = pool_state
-        self._run_ends = RunEnds(pool_state.speed_estimates)
+        self._forecast = CapacityForecast(pool_state.speed_estimates)
 
     def check_or_request_advice(
         self, planning_pass: PlanningPass, step: StepRun, advice: Advice
@@ -162,7 +162,7 @@
             for ticket in step.tickets.values()
         ):
             return
-        hosts, at = self._predict_next_capacity(planning_pass, step, limit)
+        hosts, at = self._forecast.predict_next_capacity(planning_pass, step, limit)
         stale = self.find_hosts_with_stale_tickets(step, hosts, at)
         if not stale:
             return
@@ -214,32 +214,13 @@
         """Return whether a blocked step should wait for its allowed hosts."""
         step_advice = step.advice
         now = planning_pass.now
-        if not self._expects_capacity(planning_pass, step, now + horizon_s):
+        if not self._forecast.expects_capacity(planning_pass, step, now + horizon_s):
             step_advice.capacity_expected_since = None
             return False
         if step_advice.capacity_expected_since is None:
             step_advice.capacity_expected_since = now
         return now - step_advice.capacity_expected_since < MAX_CAPACITY_WAIT_S
 
-    def _expects_capacity(
-        self, planning_pass: PlanningPass, step: StepRun, limit: float
-    ) -> bool:
-        """Return whether allowed hosts should have capacity by loop time ``limit``."""
-        now = planning_pass.now
-        count = step.waiting_count if step.spec.gang else 1
-        for host in planning_pass.schedulable_hosts.find_hosts(step.tickets):
-            is_open = step.need.fits(host.free_capacity(step.key, now))
-            # Capacity that a single task cannot use now tells nothing of later.
-            if is_open and not step.spec.gang:
-                continue
-            most = _limit_to_spread(step, host, count)
-            if most > 0:
-                times = self._predict_capacity_times(step, host, most, now, limit)
-                count -= len(times)
-            if count <= 0:
-                return True
-        return False
-
     def _log_other_hosts(
         self, planning_pass: PlanningPass, step: StepRun, unanswered: int, asked: int
     ) -> None:
@@ -257,51 +238,9 @@
             },
         )
 
-    def _predict_next_capacity(
-        self, planning_pass: PlanningPass, step: StepRun, limit: float
-    ) -> tuple[list[Host], float]:
-        """Return the hosts that will have capacity for a step, and when all have it.
-
-        The list is empty if no such time up to ``limit`` can be predicted.
-        """
-        count = step.waiting_count if step.spec.gang else 1
-        now = planning_pass.now
-        openings: list[tuple[float, Host]] = []
-        for host in planning_pass.schedulable_hosts.find_hosts(step.tickets):
-            times = self._predict_capacity_times(step, host, count, now, limit)
-            openings += [(at, host) for at in times]
-        openings.sort(key=lambda opening: opening[0])
-        chosen = openings[:count]
-        if len(chosen) < count:
-            return [], now
-        return list({h.name: h for _, h in chosen}.values()), chosen[-1][0]
-
-    def _predict_capacity_times(
-        self, step: StepRun, host: Host, count: int, now: float, limit: float
-    ) -> list[float]:
-        """Return when a host has capacity for one more task each, up to ``count``.
-
-        Times after ``limit`` are left out.
-        """
-        need = step.need
-        capacity = host.free_capacity(step.key, now)
-        times: list[float] = []
-        at = now
-        ends = iter(self._run_ends.find_ends(host, now))
-        while at <= limit:
-            while need.fits(capacity):
-                capacity = capacity - need
-                times.append(at)
-                if len(times) == count:
-                    return times
-            end, freed = next(ends, (float("inf"), need))
-            capacity = capacity + freed
-            at = max(at, end)
-        return times
-
     def request_for_next_steps(self, planning_pass: PlanningPass) -> None:
         """Request advice for steps that become ready when the running ones end."""
-        self._run_ends.keep_only(self.pool_state.hosts)
+        self._forecast.keep_only(self.pool_state.hosts)
         for step in self.pool_state.ready.values():
             job = step.job
             successors = job.successors[step.number]
@@ -385,14 +324,6 @@
         planning_pass.effects.append(RequestAdvice(step.key, tuple(hosts), duration))
 
 
-def _limit_to_spread(step: StepRun, host: Host, count: int) -> int:
-    """Return how many of ``count`` more tasks the step's spread allows on a host."""
-    spread = step.spec.spread
-    if not spread:
-        return count
-    return min(count, spread - step.runs_by_host.get(host.name, 0))
-
-
 def _may_reserve(step: StepRun, now: float) -> bool:
     """Return whether capacity may be reserved until the advisor answers."""
     step_advice = step.advice
