--- a/siskinroad/work/placement.py
+++ b/siskinroad/work/placement.py
@@ -50,35 +50,7 @@
     )
     if not candidates:
         return None
-    if needs_ticket:
-        usable = _find_usable(planning_pass, step, candidates)
-        if 0 < len(usable) < len(candidates):
-            placement = _place_on(planning_pass, step, usable, cpu_milli)
-            if placement is not None:
-                return placement
-    return _place_on(planning_pass, step, candidates, cpu_milli)
-
-
-def _find_usable(
-    planning_pass: PlanningPass, step: StepRun, candidates: dict[Host, Resources]
-) -> dict[Host, Resources]:
-    """Return the candidates with a ticket that can be used now.
-
-    They are tried first: a step that preferred hosts by cost alone could renew tickets
-    again and again, each time for other hosts.
-    """
-    expiry = planning_pass.now + TICKET_MARGIN
-    tickets = step.tickets
-    return {h: r for h, r in candidates.items() if tickets[h.name].valid_until > expiry}
-
-
-def _place_on(
-    planning_pass: PlanningPass,
-    step: StepRun,
-    candidates: dict[Host, Resources],
-    cpu_milli: float,
-) -> TentativePlacement | None:
-    placer = _Placer(planning_pass, step, dict(candidates))
+    placer = _Placer(planning_pass, step, candidates, needs_ticket=needs_ticket)
     placement = placer.place(cpu_milli)
     if len(placement.chosen) < (step.waiting_count if step.spec.gang else 1):
         return None
@@ -88,6 +60,9 @@
 class _Placer:
     """Placement of one step's tasks, cheapest host first.
 
+    With the same rack penalty, hosts with a usable ticket come first: a step that chose
+    by capacity alone could renew tickets again and again, each time for other hosts.
+
     Placing a task changes only the cost of its own host, so the hosts are kept in a
     heap by cost, and only the changed one is entered again.
     """
@@ -97,8 +72,11 @@
         planning_pass: PlanningPass,
         step: StepRun,
         candidates: dict[Host, Resources],
+        *,
+        needs_ticket: bool,
     ) -> None:
         self._pass = planning_pass
+        self._needs_ticket = needs_ticket
         self._step = step
         self._available = candidates
         self._placement = TentativePlacement()
@@ -176,11 +154,20 @@
             return
         if not step_allows_host(self._step, host, self._placement):
             return
-        cost = self._compute_cost(host, available) if self._has_choice else ()
+        cost: Cost = ()
+        if self._has_choice:
+            rack_penalty, *others = self._compute_cost(host, available)
+            cost = (rack_penalty, self._has_stale_ticket(host), *others)
         self._costs[host] = cost
         position = self._pass.schedulable_hosts.positions[host.name]
         heapq.heappush(self._heap, (cost, position))
 
+    def _has_stale_ticket(self, host: Host) -> bool:
+        if not self._needs_ticket:
+            return False
+        valid_until = self._step.tickets[host.name].valid_until
+        return valid_until - TICKET_MARGIN <= self._pass.now
+
     def _compute_cost(self, host: Host, available: Resources) -> Cost:
         """Return the cost of placing a task on a host, as a tuple; the lowest wins.
 
