Show that a long-running task which lost its run is placed last

Callers saw a long-running task that lost its run wait behind newer jobs of its queue.

Cause: the rank of a step counts its allowed time from the acceptance of its job. A long-running task that has to be placed again later than three times that time is ranked as work without value, though its users count every second without it.

No logic is changed.

--- a/tests/work/test_planner.py
+++ b/tests/work/test_planner.py
@@ -213,3 +213,50 @@
     add_job(pool_state, "urgent", job(step(1, cpu_milli=20000)), "fast")
     add_job(pool_state, "equal", job(step(1, cpu_milli=20000)), "slow")
     assert plan(pool_state, 0.3, 0.3) == []
+
+
+def end_only_run(pool_state, now):
+    """Let the only run of the pool end without a report, as after an expired lease."""
+    ((host, run),) = [
+        (host, run) for host in pool_state.hosts.values() for run in host.runs.values()
+    ]
+    pool_state.replace_host(host, now)
+    pool_state.add_or_update_host(entry(host.name), now)
+    restarted = pool_state.hosts[host.name]
+    restarted.is_stored = True
+    report = HostReport(1000, 2, (), ())
+    pool_state.apply_report(restarted, report, restarted.token, now, now, now)
+    assert pool_state.task(run.key[0]).state == "waiting"
+
+
+def start_watch_again_beside(other_at, now):
+    """Return the starts after a long-running task of an old job has lost its run.
+
+    The job was accepted 60 s before, and the run is lost at 60 s. The host has room for
+    one task, and another job of the same queue is accepted at ``other_at``.
+    """
+    pool_state = make_pool_state(["i-0"])
+    watch = job(step(1, cpu_milli=20000, long_running=True))
+    add_job(pool_state, "watch", watch, "slow")
+    assert list_starts(plan(pool_state)) == [("watch", "i-0")]
+    end_only_run(pool_state, 60.0)
+    pool_state.hosts["i-0"].replied_at = now
+    other = job(step(1, cpu_milli=20000))
+    add_job(pool_state, "other", other, "slow", at=other_at)
+    return list_starts(plan(pool_state, now, now))
+
+
+def test_a_long_running_task_that_lost_its_run_is_not_ranked_as_without_value():
+    # Counted from the acceptance of its job, it is later than three times its allowed
+    # time, and every other step of its priority would be placed before it.
+    assert start_watch_again_beside(60.1, 60.2) == [("watch", "i-0")]
+
+
+def test_a_long_running_task_that_waits_past_its_target_time_is_placed_first():
+    # Its users count every second without it, so it never loses its value.
+    assert start_watch_again_beside(99.9, 100.0) == [("watch", "i-0")]
+
+
+def test_the_wait_of_a_long_running_task_counts_from_the_loss_of_its_run():
+    # The other job has waited for longer, and both can still meet their target times.
+    assert start_watch_again_beside(59.0, 60.2) == [("other", "i-0")]
