Rank a long-running step from when its tasks began to wait, never as worthless

Callers saw a long-running task that lost its run stay away while newer jobs of the same queue were started.

Cause: the allowed time of each step counted from the acceptance of its job. A long-running task that was placed again later than three times that time was ranked behind every other step of its priority, as work without value, and so was any that had waited for that long.

Change: a task keeps the time at which it lost its last run. The allowed time of a long-running step counts from when its longest waiting task began to wait, and such steps are ranked by target time alone, since each second without them counts the same.

--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -101,6 +101,8 @@
         Host of an older run that continues beside the newest one; empty if none.
     presumed_ends : dict of int to PresumedEnd
         Runs that were ended without an end listed by their host, by run number.
+    waiting_since : float
+        Loop time at which the task lost its last run; 0 if it has lost none.
     tally : TaskTally
         Tally of the step's tasks, which this task keeps up to date.
     """
@@ -115,6 +117,7 @@
     avoided_hosts: dict[str, float] = field(default_factory=dict)
     older_run_host: str = ""
     presumed_ends: dict[int, PresumedEnd] = field(default_factory=dict)
+    waiting_since: float = 0.0
 
     def __post_init__(self) -> None:
         self.tally.add(self.id.index, self.state)
@@ -136,6 +139,11 @@
         """Return whether the chart has ``event`` in this state."""
         return _TASK_CHART.allows(self.state, event)
 
+    def move_to_waiting(self, event: str, now: float) -> None:
+        """Apply an event after which the task waits for a host, unless abandoned."""
+        self.move(event)
+        self.waiting_since = now
+
     def make_task_progress(self) -> TaskProgress:
         """Return the task's part of the job's progress record."""
         key = self.id
@@ -214,6 +222,13 @@
             long_running=spec.long_running,
         )
 
+    @property
+    def waiting_since(self) -> float:
+        """Loop time from which the task that has waited longest waits."""
+        tasks = self.iterate_waiting()
+        longest = min((task.waiting_since for task in tasks), default=0.0)
+        return max(self.ready_at, longest)
+
     def waiting(self) -> list[Task]:
         """Return the tasks that wait for a host."""
         return [self.tasks[i] for i in self.tally.waiting]
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -95,7 +95,7 @@
             channels,
         )
         planning_pass.non_urgent_cpu_milli = self._compute_non_urgent_cpu(planning_pass)
-        for lateness, step in self._rank_steps(steps, wall):
+        for lateness, step in self._rank_steps(steps, now, wall):
             self._plan_step(planning_pass, step, lateness)
         self.advice_requester.request_for_next_steps(planning_pass)
         return planning_pass.effects
@@ -125,16 +125,17 @@
         )
 
     def _rank_steps(
-        self, steps: list[StepRun], wall: float
+        self, steps: list[StepRun], now: float, wall: float
     ) -> list[tuple[int, StepRun]]:
         """Return the steps by priority, lateness and target time, with the lateness.
 
         Steps that can still meet their target time come first. Under overload, the
         earliest target time first would spend capacity on steps that are late anyway,
-        and so make the next ones late too.
+        and so make the next ones late too. Long-running steps are ranked by target time
+        alone: their users count every second without them, however late they are.
         """
         times: dict[str, QueueTimes] = {}
-        ranked: list[tuple[int, int, float, int]] = []
+        ranked: list[tuple[int, int, float, int, int]] = []
         for i, step in enumerate(steps):
             name = step.job.queue
             queue = self.pool_state.queues.get(name)
@@ -142,10 +143,11 @@
                 continue
             if name not in times:
                 times[name] = self.pool_state.queue_times(name)
-            lateness, target_time = _compute_lateness(step, times[name], wall)
-            ranked.append((queue.priority, lateness, target_time, i))
+            lateness, target_time = _compute_lateness(step, times[name], now, wall)
+            rank = 0 if step.spec.long_running else lateness
+            ranked.append((queue.priority, rank, target_time, i, lateness))
         ranked.sort()
-        return [(lateness, steps[i]) for _, lateness, _, i in ranked]
+        return [(lateness, steps[i]) for _, _, _, i, lateness in ranked]
 
     def _plan_step(
         self, planning_pass: PlanningPass, step: StepRun, lateness: int
@@ -317,17 +319,21 @@
 
 
 def _compute_lateness(
-    step: StepRun, times: QueueTimes, wall: float
+    step: StepRun, times: QueueTimes, now: float, wall: float
 ) -> tuple[int, float]:
     """Return how late a step is, and its target time.
 
     The lateness is 0 if the step can still meet its target time, 1 if it cannot, and 2
-    if its job has no value left.
+    if its job has no value left. The allowed time of a long-running step counts from
+    when its tasks began to wait, as its job never ends by itself.
     """
     job = step.job
     remaining_s = job.remaining_times[step.number] * times.run_time_ratio
     allowed_time = times.allowed_time(job)
-    target_time = job.base_time(step.occurrence) + allowed_time
+    base_time = job.base_time(step.occurrence)
+    if step.spec.long_running:
+        base_time = max(base_time, wall - (now - step.waiting_since))
+    target_time = base_time + allowed_time
     earliest_end = wall + EARLIEST_END_FRACTION * remaining_s
     if earliest_end <= target_time:
         return 0, target_time
--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -320,7 +320,7 @@
         if task.state == "done":
             return []
         if is_newest and task.allows("free"):
-            task.move("free")
+            task.move_to_waiting("free", now)
         if end.end_kind is EndKind.FAILED and end.run not in task.failures:
             return self._record_failure(host, step, task, end.run, now, wall)
         return []
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -107,7 +107,7 @@
         if task.run != run.key[1] or not task.allows("free"):
             return False
         task.older_run_host = host.name
-        task.move("free")
+        task.move_to_waiting("free", now)
         log.info(
             "pool_state: task may be placed again as a speculative copy",
             extra={
@@ -194,7 +194,7 @@
                 for task in step.tasks:
                     if task.state == "unsettled":
                         task.run += MAX_UNSTORED_RUNS
-                        task.move("settle")
+                        task.move_to_waiting("settle", now)
                         count += 1
         log.info(
             "pool_state: runs of former owners are reconciled or lapsed; "
@@ -288,7 +288,7 @@
         if task is None or task.run != run.key[1]:
             return []
         if task.allows("free"):
-            task.move("free")
+            task.move_to_waiting("free", now)
         if len(task.presumed_ends) >= MAX_PRESUMED_ENDS:
             del task.presumed_ends[next(iter(task.presumed_ends))]
         task.presumed_ends[run.key[1]] = PresumedEnd(reason, now)
