Show that advisor channels count as busy without an end, and get retries unbounded

Callers saw whole queues wait for seconds while hosts were free.

Cause: after a failed call a channel counts as busy for the length of the call's timeout, which contains the backlog that was believed before; a heartbeat can only raise the backlog of a channel, so that one which is idle again stays avoided. While the advisor does not reply, calls that passed their expected end no longer count, so that more are sent in each planning pass.

No logic is changed.

--- a/tests/work/test_advisor_channels.py
+++ b/tests/work/test_advisor_channels.py
@@ -1,9 +1,13 @@
 """Tests of advisor calls over the channels of several daemons, on a paused clock."""
 
 import asyncio
+import contextlib
 import random
 
+import pytest
+
 from bench.clock import run_on_paused_clock
+from siskinroad.errors import NotSentError, OutcomeUnknownError, SiskinroadError
 from siskinroad.peers import MemoryNetwork
 from siskinroad.work.advice import AdviceResult, Advisor
 from siskinroad.work.advisor_channels import AdvisorChannels, ChannelTimes
@@ -123,3 +127,123 @@
         ["a"],
         ["a"],
     )
+
+
+class FailingAdvisor(Advisor):
+    """Advisor that can be set to refuse calls, or not to reply within the timeout."""
+
+    def __init__(self):
+        self.is_refusing = False
+        self.is_silent = False
+        self.calls = 0
+
+    async def advise(self, job, occurrence, step, hosts, timeout):
+        self.calls += 1
+        if self.is_refusing:
+            raise NotSentError("too many calls are waiting", step="advise")
+        if self.is_silent:
+            await asyncio.sleep(timeout)
+            raise OutcomeUnknownError("no reply in time", step="advise")
+        await asyncio.sleep(0.02)
+        return AdviceResult(dict.fromkeys(hosts, "t"), 2.0)
+
+
+def make_failing_clients():
+    """Return clients of advisors that refuse every call, and their first one."""
+    clients = make_clients()
+    for client in clients.values():
+        client._advisor = FailingAdvisor()
+        client._advisor.is_refusing = True
+    return clients, clients["a"]
+
+
+async def fail_on_every_channel(client, duration):
+    """Let calls fail until every channel for calls of this duration is avoided."""
+    for i in range(40):
+        now = asyncio.get_running_loop().time()
+        if not client.channel_times(now).assign(duration):
+            return
+        with pytest.raises(SiskinroadError):
+            await client.request_advice((f"j{i}", 0, 0), ("i-0",), duration)
+    raise AssertionError("channels are not avoided after failed calls")
+
+
+def test_an_idle_channel_is_used_again_after_a_failed_call():
+    # The failures have ended, and the heartbeats say so. The channels would otherwise
+    # count as busy for the length of the timeout, in which no step gets advice.
+    async def scenario():
+        _, client = make_failing_clients()
+        await fail_on_every_channel(client, 0.4)
+        now = asyncio.get_running_loop().time()
+        for name in NAMES[1:]:
+            client.record_backlog(name, 0.0, now)
+        assert client.channel_times(now).assign(0.4)
+
+    run_on_paused_clock(scenario())
+
+
+def test_a_lower_backlog_in_a_later_heartbeat_counts():
+    # The calls of another owner, which the first heartbeat counted, were answered or
+    # given up sooner than expected.
+    async def scenario():
+        client = make_clients()["a"]
+        now = asyncio.get_running_loop().time()
+        for backlog in (8.0, 0.0):
+            for name in NAMES[1:]:
+                client.record_backlog(name, backlog, now)
+        assert client.channel_times(now).assign(0.4)
+
+    run_on_paused_clock(scenario())
+
+
+def test_an_advisor_that_does_not_reply_gets_few_calls_and_is_used_soon_after():
+    # Each call that is not answered still occupies the advisor, which serves one call
+    # at a time, so that retries would pile up there.
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        network = MemoryNetwork(random.Random(1))
+        peer_calls = PeerCalls(network.join("a", CODEC), 0)
+        advisor = FailingAdvisor()
+        client = AdvisorChannels("a", advisor, peer_calls, lambda: [])
+        advisor.is_silent = True
+
+        async def request(number):
+            with contextlib.suppress(SiskinroadError):
+                await client.request_advice((f"j{number}", 0, 0), ("i-0",), 0.02)
+
+        async def request_when_free(until):
+            requests = []
+            while loop.time() < until:
+                times = client.channel_times(loop.time())
+                while times.assign(0.02):
+                    requests.append(asyncio.ensure_future(request(len(requests))))
+                await asyncio.sleep(0.05)
+            return requests
+
+        requests = await request_when_free(loop.time() + 10.0)
+        assert advisor.calls < 32
+        advisor.is_silent = False
+        await asyncio.wait(requests)
+        calls = advisor.calls
+        await request_when_free(loop.time() + 2.0)
+        assert advisor.calls > calls
+
+    run_on_paused_clock(scenario())
+
+
+def test_the_timeout_of_a_call_is_bounded_whatever_backlog_is_reported():
+    # A step is asked about only once at a time: until the timeout of its call, it
+    # waits for nothing else.
+    async def scenario():
+        client = make_clients()["a"]
+        now = asyncio.get_running_loop().time()
+        for name in NAMES:
+            client.record_backlog(name, 60.0, now)
+        client._advisor = FailingAdvisor()
+        client._advisor.is_silent = True
+        client._live_peers = list
+        with pytest.raises(SiskinroadError):
+            await client.request_advice(("j", 0, 0), ("i-0",), 0.4)
+        assert asyncio.get_running_loop().time() - now < 5.0
+
+    run_on_paused_clock(scenario())
