End what is believed of an advisor channel by answers, reports and a short backoff

Callers saw the steps of a queue with an advisor wait for seconds with free hosts, and an advisor that did not reply got more calls in each planning pass.

Cause: a failed call made its channel count as busy for the length of its timeout, which contained the backlog believed before; heartbeats could only raise a backlog. A call counted only until its expected end, so that an advisor that did not reply got another one each time, and each occupies it: it serves one call of a daemon at a time.

Change: one class keeps the load of a channel. A call counts until it is answered or its timeout has passed. A report of the channel's daemon replaces the one before. After a failure the channel gets no call for 0.2 s, twice as long with each further failure, 1 s at most, then one call at a time until one is answered; a report that it is idle ends the wait. The wait for a channel adds at most 1 s to the timeout of a call. Each failure, each report that ends a backoff and each recovery is logged with what decided it.

--- a/siskinroad/work/advisor_channels.py
+++ b/siskinroad/work/advisor_channels.py
@@ -14,12 +14,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from siskinroad.errors import OutcomeUnknownError, SiskinroadError
 from siskinroad.work.advice import AdviceResult, Advisor
+from siskinroad.work.advisor_channel import MAX_CHANNEL_BACKLOG, AdvisorChannel
 from siskinroad.work.messages import AdviceReply, AdviceRequest
 from siskinroad.work.peer_calls import PeerCalls
 
@@ -33,12 +35,13 @@
 # timed out still occupies its channel.
 TIMEOUT_FACTOR = 3.0
 TIMEOUT_MARGIN = 1.5
+# Longest wait in seconds for a channel to be free that a timeout allows. The step gets
+# no other call until the timeout, so a backlog that is believed wrongly must not
+# prolong it without limit.
+MAX_CHANNEL_WAIT = 1.0
 # One daemon in this many makes the short calls only. These take little time, so a small
 # share of the channels is enough for them.
 DAEMONS_PER_SHORT_CHANNEL = 3
-# Largest backlog in seconds at which a channel is assigned another call. At least five
-# planning passes run per second, so a call that gets no channel is soon retried.
-MAX_CHANNEL_BACKLOG = 0.25
 
 log = logging.getLogger("siskinroad.advisor_channels")
 
@@ -49,8 +52,8 @@
     Parameters
     ----------
     short, long : list of float
-        Seconds until each channel for short and for long calls is free; negative if
-        it already is.
+        Seconds until each channel for short and for long calls is free; not positive
+        if it already is.
     """
 
     __slots__ = ("_long", "_short")
@@ -102,21 +105,24 @@
         self._advisor = advisor
         self._peer_calls = peer_calls
         self._live_peers = live_peers
-        self._channel_free_at: dict[str, float] = {}
-        self._own_channel_free_at = 0.0
+        self._channels: dict[str, AdvisorChannel] = {}
         # Seeded by name: with a different order per daemon, owners that find several
         # channels free do not all choose the same one.
         self._rng = random.Random(node)
 
+    def _get_channel(self, name: str) -> AdvisorChannel:
+        channel = self._channels.get(name)
+        if channel is None:
+            channel = self._channels[name] = AdvisorChannel(name)
+        return channel
+
     def backlog(self, now: float) -> float:
         """Return the backlog of this daemon's own channel in seconds."""
-        return max(0.0, self._own_channel_free_at - now)
+        return max(0.0, self._get_channel(self._node).backlog(now))
 
     def record_backlog(self, channel: str, backlog: float, now: float) -> None:
         """Record a peer's backlog in seconds, which covers the calls of all owners."""
-        self._channel_free_at[channel] = max(
-            self._channel_free_at.get(channel, 0.0), now + backlog
-        )
+        self._get_channel(channel).record_report(backlog, now)
 
     async def request_advice(
         self, step: tuple[str, int, int], hosts: tuple[str, ...], duration: float
@@ -140,28 +146,14 @@
         loop = asyncio.get_running_loop()
         now = loop.time()
         channel = self._choose_channel(duration, now)
-        start = max(now, self._channel_free_at.get(channel, 0.0))
-        self._channel_free_at[channel] = start + duration
-        timeout = start - now + duration * TIMEOUT_FACTOR + TIMEOUT_MARGIN
-        try:
-            result = await self._request_through(
-                channel, step, hosts, duration, timeout
-            )
-        except SiskinroadError as exc:
-            # Treat the channel as busy for the length of the timeout, so that the other
-            # channels get the next calls while it recovers.
-            self._channel_free_at[channel] = loop.time() + timeout
-            log.warning(
-                "advisor_channels: advisor call failed; "
-                "other channels are preferred for the length of its timeout",
-                extra={"request": step[0], "line": channel, "error": str(exc)},
-            )
-            raise
+        wait = min(MAX_CHANNEL_WAIT, max(0.0, channel.backlog(now)))
+        timeout = wait + duration * TIMEOUT_FACTOR + TIMEOUT_MARGIN
+        result = await self._request_through(channel, step, hosts, duration, timeout)
         log.info(
             "advisor_channels: advice received",
             extra={
                 "request": step[0],
-                "line": channel,
+                "line": channel.name,
                 "asked": len(hosts),
                 "allowed": len(result.tickets),
                 "took_s": round(loop.time() - now, 3),
@@ -174,8 +166,8 @@
         """Return the time until each channel is free, for one planning pass."""
         short, long = self._split_channels()
         return ChannelTimes(
-            [self._channel_free_at.get(n, 0.0) - now for n in short],
-            [self._channel_free_at.get(n, 0.0) - now for n in long],
+            [self._get_channel(name).backlog(now) for name in short],
+            [self._get_channel(name).backlog(now) for name in long],
         )
 
     def _split_channels(self) -> tuple[list[str], list[str]]:
@@ -184,37 +176,41 @@
         short = names[::DAEMONS_PER_SHORT_CHANNEL]
         return short, [name for name in names if name not in short] or names
 
-    def _choose_channel(self, duration: float, now: float) -> str:
+    def _choose_channel(self, duration: float, now: float) -> AdvisorChannel:
         short, long = self._split_channels()
-        channels = long if duration >= LONG_CALL_THRESHOLD else short
-        self._rng.shuffle(channels)
-        return min(channels, key=lambda n: max(now, self._channel_free_at.get(n, 0.0)))
+        names = long if duration >= LONG_CALL_THRESHOLD else short
+        self._rng.shuffle(names)
+        channels = [self._get_channel(name) for name in names]
+        return min(channels, key=lambda channel: max(0.0, channel.backlog(now)))
 
     async def _request_through(
         self,
-        channel: str,
+        channel: AdvisorChannel,
         step: tuple[str, int, int],
         hosts: tuple[str, ...],
         duration: float,
         timeout: float,
     ) -> AdviceResult:
         job, occurrence, step_number = step
-        if channel == self._node:
+        if channel.name == self._node:
             return await self._call_advisor(
                 job, occurrence, step_number, hosts, duration, timeout
             )
-        reply = await self._peer_calls.request(
-            channel,
-            lambda request_id: AdviceRequest(
-                request_id, job, occurrence, step_number, hosts, duration, timeout
-            ),
-            AdviceReply,
-            timeout,
-        )
-        if not reply.valid:
-            raise OutcomeUnknownError(
-                "peer replied that its advisor call failed", step="lines", peer=channel
+        with _track_call(channel, job, duration):
+            reply = await self._peer_calls.request(
+                channel.name,
+                lambda request_id: AdviceRequest(
+                    request_id, job, occurrence, step_number, hosts, duration, timeout
+                ),
+                AdviceReply,
+                timeout,
             )
+            if not reply.valid:
+                raise OutcomeUnknownError(
+                    "peer replied that its advisor call failed",
+                    step="lines",
+                    peer=channel.name,
+                )
         return AdviceResult(reply.tickets, reply.valid)
 
     async def _call_advisor(
@@ -227,9 +223,10 @@
         timeout: float,
     ) -> AdviceResult:
         """Call the advisor on this daemon's channel and add to its backlog."""
-        now = asyncio.get_running_loop().time()
-        self._own_channel_free_at = max(self._own_channel_free_at, now) + duration
-        return await self._advisor.advise(job, occurrence, step, list(hosts), timeout)
+        with _track_call(self._get_channel(self._node), job, duration):
+            return await self._advisor.advise(
+                job, occurrence, step, list(hosts), timeout
+            )
 
     async def serve(self, msg: AdviceRequest) -> AdviceReply:
         """Call the advisor on this daemon's channel for another daemon."""
@@ -250,3 +247,20 @@
             )
             return AdviceReply(msg.id, {}, 0.0)
         return AdviceReply(msg.id, result.tickets, result.valid_s)
+
+
+@contextlib.contextmanager
+def _track_call(channel: AdvisorChannel, job: str, duration: float) -> Iterator[None]:
+    """Count a call on its channel while it is in progress, and record how it ends."""
+    loop = asyncio.get_running_loop()
+    began_at = loop.time()
+    call = channel.begin_call(duration, began_at)
+    try:
+        yield
+    except SiskinroadError as exc:
+        channel.record_failure(job, began_at, loop.time(), str(exc))
+        raise
+    else:
+        channel.record_answer()
+    finally:
+        channel.end_call(call, loop.time())
