Show that a listed host which replied once as another incarnation is lost

Callers saw jobs wait beside a free host that was listed and replied.

Cause: a start that is rejected by another incarnation marks the host as having left the live list, and a renewal that is removes the host. Only the next change of the live list ends either, and none comes if the entry is right.

No logic is changed.

--- a/tests/work/test_host_replies.py
+++ b/tests/work/test_host_replies.py
@@ -205,3 +205,39 @@
         assert len(cell.hosts.starts()) == 1
 
     run_scenario(scenario)
+
+
+def test_a_host_that_rejected_one_start_as_another_incarnation_is_used_again():
+    # The host stays in the live list and replies to its renewals, so one reply from
+    # another incarnation at its address says nothing of it any more.
+    async def scenario(cell):
+        await cell.start_daemons("a")
+        start = cell.hosts.start
+        rejected = []
+
+        async def reject_once(command):
+            if not rejected:
+                rejected.append(command)
+                return CommandReply(Rejection.OTHER_INCARNATION, None, None)
+            return await start(command)
+
+        cell.hosts.start = reject_once
+        await cell.submit("a", JOB_ID, job())
+        await cell.wait_for_state(JOB_ID, "complete")
+        await asyncio.sleep(5.0)
+        await cell.submit("a", OTHER_JOB_ID, job())
+        await cell.wait_for_state(OTHER_JOB_ID, "complete")
+
+    run_scenario(scenario, hosts=1)
+
+
+def test_a_listed_host_that_was_removed_as_restarted_is_added_again():
+    # Its entry in the live list is the same as before, so the list does not change.
+    async def scenario(cell):
+        await cell.start_daemons("a")
+        reject_renewals(cell, "i-0", Rejection.OTHER_INCARNATION, 1.5)
+        await asyncio.sleep(3.0)
+        await cell.submit("a", JOB_ID, job())
+        await cell.wait_for_state(JOB_ID, "complete", seconds=5.0)
+
+    run_scenario(scenario, hosts=1)
