Use a listed host again after it replied once as another incarnation

Callers saw jobs wait beside a free host that was listed and replied.

Cause: two conclusions were drawn from one reply and ended only by the next change of the live list. A rejected start marked the host as unlisted, so that it got no work 2.5 s later; a rejected renewal removed it from the pool.

Change: a rejected start no longer says anything about the list: the host gets no work until its next renewal, which either brings a report or removes the host. The owner checks each second that every listed host of its pool is known, and adds a missing one again, with a log line; while it still replies as another incarnation, that costs one call a second.

--- a/siskinroad/work/host_commands.py
+++ b/siskinroad/work/host_commands.py
@@ -181,8 +181,7 @@
         if rejection is Rejection.UNAVAILABLE:
             host.record_failed_request()
         if rejection is Rejection.OTHER_INCARNATION:
-            if command.address == host.entry.address:
-                self.term.pool_state.note_host_unlisted(host.name, now)
+            # The next renewal shows whether the host has gone.
             host.record_failed_request()
         return self.term.pool_state.apply_start_reply(host, run, rejection, now)
 
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -37,6 +37,9 @@
 
 # Seconds between two checks of the claim, silent hosts, due occurrences and runs.
 TICK_INTERVAL = 0.2
+# Seconds between two checks that every listed host is known. A host that replied as
+# another incarnation was removed, and gets a call each time while it stays listed.
+RELIST_INTERVAL = 1.0
 # Seconds for which events are collected before the next planning pass.
 PLAN_DELAY = 0.004
 # Multiple of the time that a planning pass took for which the next one waits, so that a
@@ -85,6 +88,8 @@
         self.host_commands = HostCommands(self.term)
         self.lease_renewer = LeaseRenewer(self.term, self.progress)
         self._rechecked_at = -1e9
+        self._listed_hosts: dict[str, HostEntry] = {}
+        self._relisted_at = -1e9
         self.former = inherited.former
         self._are_earlier_owners_reconciled = inherited.are_earlier_owners_reconciled
         self._is_former_released = inherited.released_term >= inherited.former_term
@@ -207,8 +212,12 @@
         self.term.plan_requested.set()
 
     def apply_host_list(self, entries: dict[str, HostEntry]) -> None:
-        """Apply the live host list."""
+        """Apply the live host list, which later changes in place.
+
+        Called again after each of these changes.
+        """
         now = asyncio.get_running_loop().time()
+        self._listed_hosts = entries
         for entry in entries.values():
             if entry.pool == self.pool:
                 self.pool_state.add_or_update_host(entry, now)
@@ -219,6 +228,26 @@
                 self.pool_state.note_host_unlisted(name, now)
         self.term.plan_requested.set()
 
+    def _add_missing_hosts(self, now: float) -> None:
+        """Add the listed hosts that were removed since the list last changed."""
+        if now - self._relisted_at < RELIST_INTERVAL:
+            return
+        self._relisted_at = now
+        for entry in self._listed_hosts.values():
+            if entry.pool != self.pool or entry.name in self.pool_state.hosts:
+                continue
+            log.info(
+                "owner: host was removed, but is still listed; adding it again",
+                extra={
+                    "host": entry.name,
+                    "pool": self.pool,
+                    "address": entry.address,
+                    "draining": entry.draining,
+                },
+            )
+            self.pool_state.add_or_update_host(entry, now)
+            self.lease_renewer.start_renewing(entry.name)
+
     # Accepted jobs
 
     def _apply_records(
@@ -301,6 +330,7 @@
             confirmed_until = self.follower.confirmed_at + OWNERSHIP_TIMEOUT_S
             self.term.owned_until = max(self.term.owned_until, confirmed_until)
             self._check_former_owner(now)
+            self._add_missing_hosts(now)
             effects = self.pool_state.expire_silent_hosts(now)
             self.pool_state.settle_tasks(now)
             self.pool_state.open_due(now, wall, EARLY_START_TIME)
