Show that quarantine has two keepers, no end for hosts that left, and no joint limit

Callers saw tasks fail on the same hosts again and again, and a pool that shrank.

Cause: the outcomes of tasks and the run monitor each set the same flag of a host, with limits and end times of their own. What the first keeps of a host is not removed when the host leaves, so that it counts towards the limit for good, and under the same name is never quarantined again. Together the two may withhold 90 % of the hosts.

No logic is changed.

--- a/tests/work/test_run_monitor.py
+++ b/tests/work/test_run_monitor.py
@@ -7,7 +7,7 @@
 from siskinroad.work.model import Timing
 from siskinroad.work.planner import Planner
 from siskinroad.work.run_monitor import RunMonitor
-from tests.work.cell import job, step
+from tests.work.cell import entry, job, step
 from tests.work.test_planner import add_job, make_pool_state
 
 TIMING = Timing(stop_grace_s=0.2)
@@ -321,3 +321,86 @@
     apply_late_report(pool_state, begun.host, 0.6, 0.9, 3.9, [row])
     assert RunMonitor(pool_state, TIMING).check_runs(3.9, 3.9) == []
     assert begun.run.state == "running"
+
+
+def make_named_pool(count):
+    """Return a pool in which each host has its own name as a label."""
+    names = [f"i-{i}" for i in range(count)]
+    return make_pool_state(names, **{name: entry(name, rack=name) for name in names})
+
+
+def add_named_host(pool_state, name, now):
+    """List a host, under a name that may have been used before, and let it reply."""
+    pool_state.add_or_update_host(entry(name, rack=name), now)
+    host = pool_state.hosts[name]
+    host.is_stored = True
+    report = HostReport(1000 + int(now * 1000), 2, (), ())
+    pool_state.apply_report(host, report, host.token, now, now, now)
+
+
+def fail_three_jobs(pool_state, name, now):
+    """Let a task of each of three jobs fail on one host; return if it is quarantined."""
+    host = pool_state.hosts[name]
+    for _ in range(3):
+        now += 0.1
+        for each in pool_state.hosts.values():
+            each.replied_at = now
+        spec = job(step(1, label=name))
+        job_id = f"{name}-{now:.1f}"
+        add_job(pool_state, job_id, spec, "fast", at=now)
+        (begun,) = start_waiting(pool_state, now)
+        end = RunEnd(host.last_end_seen + 1, *begun.run.key, EndKind.FAILED, "")
+        report_host(pool_state, name, now + 0.05, ended=[end])
+        pool_state.cancel(job_id, now, now)
+    return host.is_quarantined
+
+
+def test_a_host_whose_tasks_keep_failing_is_quarantined_for_a_while():
+    pool_state = make_named_pool(4)
+    run_monitor = RunMonitor(pool_state, TIMING)
+    assert fail_three_jobs(pool_state, "i-0", 1.0)
+    run_monitor.check_runs(1.5, 1.5)
+    run_monitor.check_runs(6.0, 6.0)
+    assert pool_state.hosts["i-0"].is_quarantined
+    run_monitor.check_runs(8.0, 8.0)
+    assert not pool_state.hosts["i-0"].is_quarantined
+
+
+def test_hosts_that_left_in_quarantine_do_not_prevent_that_of_others():
+    # Half of the hosts failed and were replaced by others, of which one fails too.
+    pool_state = make_named_pool(4)
+    for i in range(2):
+        assert fail_three_jobs(pool_state, f"i-{i}", 1.0 + i)
+        pool_state.replace_host(pool_state.hosts[f"i-{i}"], 2.0 + i)
+        add_named_host(pool_state, f"i-{i + 4}", 2.0 + i)
+    assert fail_three_jobs(pool_state, "i-4", 5.0)
+
+
+def test_a_host_that_comes_back_under_its_name_can_be_quarantined_again():
+    pool_state = make_named_pool(4)
+    run_monitor = RunMonitor(pool_state, TIMING)
+    assert fail_three_jobs(pool_state, "i-0", 1.0)
+    run_monitor.check_runs(1.5, 1.5)
+    pool_state.replace_host(pool_state.hosts["i-0"], 2.0)
+    add_named_host(pool_state, "i-0", 3.0)
+    assert fail_three_jobs(pool_state, "i-0", 20.0)
+    run_monitor.check_runs(20.5, 20.5)
+    assert pool_state.hosts["i-0"].is_quarantined
+
+
+def test_slow_and_failing_hosts_in_quarantine_are_at_most_half_of_the_pool():
+    # Four of ten hosts stall; then others fail. If more than half look bad, the cause
+    # is probably not in the hosts.
+    pool_state = make_named_pool(10)
+    run_monitor = RunMonitor(pool_state, TIMING)
+    for i in range(4):
+        spec = job(step(2, label=f"i-{i}"))
+        add_job(pool_state, f"stalled-{i}", spec, "fast")
+    begun = start_waiting(pool_state, 0.1)
+    for now in (0.5, 1.5, 2.5, 3.5):
+        report_all(pool_state, now, begun, 5)
+    run_monitor.check_runs(3.5, 3.5)
+    assert sum(host.is_quarantined for host in pool_state.hosts.values()) == 4
+    for i in range(4, 10):
+        fail_three_jobs(pool_state, f"i-{i}", 3.5 + i / 10)
+    assert sum(host.is_quarantined for host in pool_state.hosts.values()) == 5
