Keep quarantine in one place, with one limit, and forget it when a host leaves

Callers saw tasks fail on the same hosts again and again, and a pool that shrank.

Cause: the outcomes of tasks and the run monitor both set the flag of a quarantined host, each with a limit of its own, so that together they could withhold 90 % of a pool. The run monitor kept the end of each quarantine by the name of the host, and the record of outcomes kept a host that had left as ejected: it counted towards the limit for good, and under the same name was never quarantined again.

Change: the pool state starts and ends each quarantine. The end is kept with the host, so that it goes with it, and a shorter quarantine no longer cuts short a longer one. At most half of the hosts are in quarantine, whatever the reasons; slow and stalled hosts are added up to 40 % as before. A host that may not be added is counted anew. What is known of the outcomes on a host goes when the host is removed. Each decision is logged with the number of hosts that are in quarantine.

The bench of planning sets the end beside the flag.

--- a/bench/planning_load.py
+++ b/bench/planning_load.py
@@ -446,3 +446,4 @@
             case 3:
                 host = self.pool_state.hosts[rng.choice(names)]
                 host.is_quarantined = True
+                host.quarantined_until = self.now + 6.0
--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -182,6 +182,8 @@
         Earliest loop time at which a draining host may leave.
     is_quarantined : bool
         The host is in quarantine and gets no new work.
+    quarantined_until : float
+        Loop time at which the quarantine ends.
     used : Resources
         Sum of the needs of its runs.
     run_changes : int
@@ -211,6 +213,7 @@
     unlisted_at: float = 0.0
     earliest_leave_at: float = float("inf")
     is_quarantined: bool = False
+    quarantined_until: float = 0.0
     is_stored: bool = False
     reply_time_s: float = 0.03
     runs: dict[RunKey, Run] = field(default_factory=dict)
--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -38,6 +38,8 @@
 # Number of rejected starts of a task after which its run number is stored, so that the
 # next owner skips every number that may have been used by then.
 STORED_RUN_INTERVAL = MAX_UNSTORED_RUNS // 2
+# Seconds in quarantine of a host whose runs fail.
+FAILING_QUARANTINE_S = 6.0
 
 log = logging.getLogger("siskinroad.pool_state")
 
@@ -342,12 +344,7 @@
         self.dirty.add(job.id)
         verdict = self.health.observe(host.name, job.id, False, now, len(self.hosts))
         if verdict is not None and verdict.event == "eject":
-            host.is_quarantined = True
-            log.warning(
-                "pool_state: host quarantined: too many of its runs failed; "
-                "it gets no new work",
-                extra={"host": host.name},
-            )
+            self._quarantine_failing_host(host, now)
         queue = self.queues.get(job.queue)
         attempt_limit = queue.max_attempts if queue else 1
         if (
@@ -358,6 +355,17 @@
             return []
         return self._close_job(job, JobState.FAILED, wall)
 
+    def _quarantine_failing_host(self, host: Host, now: float) -> None:
+        reason = "too many of its runs failed"
+        if self.quarantine_host(host, FAILING_QUARANTINE_S, reason, now):
+            return
+        # Further failures there are counted anew.
+        self.health.remove_host(host.name)
+        log.warning(
+            "pool_state: host not quarantined, as too many others are",
+            extra={"host": host.name, "why": reason, "hosts": len(self.hosts)},
+        )
+
     def _process_running(
         self, host: Host, running: tuple[RunStatus, ...], made_at: float, now: float
     ) -> list[Effect]:
--- a/siskinroad/work/run_monitor.py
+++ b/siskinroad/work/run_monitor.py
@@ -28,15 +28,15 @@
 STALL_TIMEOUT_S = 2.5
 # Number of runs stalled on one host at the same time that puts it in quarantine.
 QUARANTINE_STALLED_RUNS = 2
-# Seconds in quarantine of a host whose runs fail or stall.
-QUARANTINE_S = 6.0
+# Seconds in quarantine of a host whose runs stall.
+STALL_QUARANTINE_S = 6.0
 # Ratio of actual to expected run time from which a host counts as slow. A smaller value
 # would catch hosts of a slower type, a larger one would miss degraded hosts.
 SLOW_HOST_RATIO = 3.0
 # Seconds in quarantine of a slow host after it was last measured as slow.
 SLOW_QUARANTINE_S = 2.0
-# Largest fraction of the hosts in quarantine at once: if more of them look bad, the
-# cause is the load, not the hosts.
+# Largest fraction of the hosts in quarantine up to which a slow or stalled one is
+# added: if more of them look bad, the cause is the load, not the hosts.
 MAX_QUARANTINED_FRACTION = 0.4
 # A task is moved off a slow host only if its remaining time there is more than this
 # multiple of the time that a restart elsewhere takes.
@@ -83,7 +83,6 @@
         self.pool_state = pool_state
         self.timing = timing
         self._throttled_at: dict[str, float] = {}
-        self._quarantined_until: dict[str, float] = {}
 
     def check_runs(self, now: float, wall: float) -> list[Effect]:
         """Check every host and return the commands that stop or throttle its runs."""
@@ -91,7 +90,8 @@
         for host in list(self.pool_state.hosts.values()):
             if host.runs:
                 effects += self._check_host(host, now)
-            self._end_quarantine(host, now)
+            if host.is_quarantined and now >= host.quarantined_until:
+                self.pool_state.end_quarantine(host)
         return effects
 
     def _check_host(self, host: Host, now: float) -> list[Effect]:
@@ -142,7 +142,7 @@
                 task.avoided_hosts[host.name] = now
             effects += self.pool_state.stop(host, run, "no progress")
         if len(stalled) >= QUARANTINE_STALLED_RUNS:
-            self._quarantine_host(host, now, QUARANTINE_S, "stalls")
+            self._quarantine_host(host, now, STALL_QUARANTINE_S, "stalls")
         return effects
 
     def _is_stalled(self, run: Run) -> bool:
@@ -153,19 +153,9 @@
     def _quarantine_host(
         self, host: Host, now: float, seconds: float, reason: str
     ) -> None:
-        quarantined_count = sum(
-            1 for h in self.pool_state.hosts.values() if h.is_quarantined
+        self.pool_state.quarantine_host(
+            host, seconds, reason, now, MAX_QUARANTINED_FRACTION
         )
-        max_quarantined = len(self.pool_state.hosts) * MAX_QUARANTINED_FRACTION
-        if not host.is_quarantined and quarantined_count + 1 > max_quarantined:
-            return
-        if not host.is_quarantined:
-            log.warning(
-                "run_monitor: host quarantined; it gets no new work",
-                extra={"host": host.name, "why": reason},
-            )
-        host.is_quarantined = True
-        self._quarantined_until[host.name] = now + seconds
 
     def _move_off_slow_host(self, host: Host, now: float) -> list[Effect]:
         """Quarantine a slow host, and stop runs that would end sooner elsewhere."""
@@ -228,19 +218,6 @@
         )
         return self.pool_state.speed_estimates.remaining_s(run, now) > limit_s
 
-    def _end_quarantine(self, host: Host, now: float) -> None:
-        if not host.is_quarantined:
-            return
-        until = self._quarantined_until.setdefault(host.name, now + QUARANTINE_S)
-        if now >= until:
-            host.is_quarantined = False
-            del self._quarantined_until[host.name]
-            self.pool_state.health.remove_host(host.name)
-            log.info(
-                "run_monitor: host leaves quarantine and may get new work",
-                extra={"host": host.name},
-            )
-
     def _throttle_best_effort(self, host: Host, now: float) -> list[Effect]:
         """Throttle best-effort tasks by the response tails of the tasks beside them."""
         best_effort = [
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -26,6 +26,9 @@
 # Number of newest presumed ends that are remembered of a task: starts may be rejected
 # any number of times.
 MAX_PRESUMED_ENDS = 8
+# Largest fraction of the hosts in quarantine at once, for any reason. If more of them
+# look bad, the cause is probably one that they share, and the others would be overrun.
+MAX_QUARANTINED_FRACTION = 0.5
 
 log = logging.getLogger("siskinroad.pool_state")
 
@@ -233,6 +236,7 @@
         """
         self.hosts.pop(host.name, None)
         self._next_tokens[host.name] = host.token + 1
+        self.health.remove_host(host.name)
         host.index = RunIndex()
 
     def expire_silent_hosts(self, now: float) -> list[Effect]:
@@ -263,6 +267,58 @@
     def _former_lease_end(self, host: Host) -> float:
         return 0.0 if host.is_settled else self.former_leases_end_at
 
+    # Quarantine
+
+    def quarantine_host(
+        self,
+        host: Host,
+        seconds: float,
+        reason: str,
+        now: float,
+        max_fraction: float = MAX_QUARANTINED_FRACTION,
+    ) -> bool:
+        """Give a host no new work for some seconds from now.
+
+        Parameters
+        ----------
+        max_fraction : float
+            Fraction of the hosts in quarantine up to which this one may be added.
+
+        Returns
+        -------
+        bool
+            False if too many others are in quarantine.
+        """
+        others = sum(
+            1 for h in self.hosts.values() if h.is_quarantined and h is not host
+        )
+        if not host.is_quarantined:
+            if others + 1 > max_fraction * len(self.hosts):
+                return False
+            log.warning(
+                "pool_state: host quarantined; it gets no new work",
+                extra={
+                    "host": host.name,
+                    "why": reason,
+                    "quarantine_s": seconds,
+                    "others": others,
+                    "hosts": len(self.hosts),
+                    "report_age_s": round(now - host.reported_at, 2),
+                },
+            )
+        host.is_quarantined = True
+        host.quarantined_until = max(host.quarantined_until, now + seconds)
+        return True
+
+    def end_quarantine(self, host: Host) -> None:
+        """Let a host get new work again, and forget how tasks ended there."""
+        host.is_quarantined = False
+        self.health.remove_host(host.name)
+        log.info(
+            "pool_state: host leaves quarantine and may get new work",
+            extra={"host": host.name},
+        )
+
     # Starts and ends of runs
 
     def _mark_begun(self, host: Host, run: Run, now: float) -> None:
--- a/tests/work/test_run_monitor.py
+++ b/tests/work/test_run_monitor.py
@@ -339,7 +339,7 @@
 
 
 def fail_three_jobs(pool_state, name, now):
-    """Let a task of each of three jobs fail on one host; return if it is quarantined."""
+    """Let tasks of three jobs fail on one host; return whether it is quarantined."""
     host = pool_state.hosts[name]
     for _ in range(3):
         now += 0.1
