Keep no record of outcomes by host, which was read nowhere and grew with each job

Cause: the health of a host kept the outcomes of each workload that ran there, for the life of the owner. On the users' platform each job is a workload, so that the owner's memory grew with the number of jobs that had ended.

Change: the outcomes are kept by workload only, which is what blame is computed from, and go with the workload. The decisions are the same.

--- a/siskinroad/health.py
+++ b/siskinroad/health.py
@@ -25,8 +25,8 @@
 # Largest fraction of a pool's hosts in quarantine or on probation. A larger value
 # could take the whole pool out of service on a fault that all hosts share.
 MAX_EJECTED_FRACTION = 0.5
-# Half the number of failure-free counterparts added to those observed when a failure
-# rate is computed. With a smaller value, a single counterpart could decide the rate.
+# Half the number of failure-free hosts added to those observed when a failure rate is
+# computed. With a smaller value, a single host could decide the rate.
 PRIOR_COUNT = 1.0
 
 
@@ -38,14 +38,14 @@
 
 @dataclass(slots=True)
 class _Score:
-    """Recent outcomes of a host by workload, or of a workload by host."""
+    """Recent outcomes of a workload by host."""
 
-    by_counterpart: dict[str, _Outcomes] = field(default_factory=dict)
+    by_host: dict[str, _Outcomes] = field(default_factory=dict)
 
-    def add(self, counterpart: str, succeeded: bool) -> None:
-        outcomes = self.by_counterpart.get(counterpart)
+    def add(self, host: str, succeeded: bool) -> None:
+        outcomes = self.by_host.get(host)
         if outcomes is None:
-            outcomes = self.by_counterpart[counterpart] = _Outcomes()
+            outcomes = self.by_host[host] = _Outcomes()
         if succeeded:
             outcomes.successes = outcomes.successes * DECAY + 1
             outcomes.failures *= DECAY
@@ -53,12 +53,12 @@
             outcomes.failures = outcomes.failures * DECAY + 1
             outcomes.successes *= DECAY
 
-    def failure_rate_without(self, counterpart: str) -> float:
-        """Return the mean failure rate over all counterparts but the given one."""
+    def failure_rate_without(self, host: str) -> float:
+        """Return the mean failure rate over all hosts but the given one."""
         failures = 0.0
         total = 2 * PRIOR_COUNT
-        for name, outcomes in self.by_counterpart.items():
-            if name != counterpart:
+        for name, outcomes in self.by_host.items():
+            if name != host:
                 rate = outcomes.failures / (
                     outcomes.successes + outcomes.failures + 1e-9
                 )
@@ -77,7 +77,6 @@
 
 @dataclass(slots=True)
 class _HostHealth:
-    score: _Score = field(default_factory=_Score)
     blame: float = 0.0
     quarantine_time: float = FIRST_QUARANTINE
     quarantine_end: float = 0.0
@@ -110,7 +109,6 @@
         else:
             host_health.blame += 1.0 - score.failure_rate_without(host) * 2
             host_health.blame = max(host_health.blame, 0.0)
-        host_health.score.add(workload, succeeded)
         score.add(host, succeeded)
         if host_health.state == "probation":
             return self._observe_probation(host, host_health, succeeded, now)
