Show that an owner waits for a new record before it confirms its claim

Callers saw a pool stand still for a second after one host had rejected a token.

Cause: an owner whose claim is in doubt acts again once it has read the claims. The read is one that the store holds open for a second while there is no new record.

No logic is changed.

--- a/tests/work/test_daemon.py
+++ b/tests/work/test_daemon.py
@@ -691,3 +691,17 @@
 
 def test_task_ids_with_different_indices_differ():
     assert TaskId("a", 0, 1, 2) != TaskId("a", 0, 1, 3)
+
+
+def test_an_owner_that_rereads_the_claims_acts_again_within_half_a_second():
+    # The store holds a read open for a second while there is no new record. For as
+    # long as the claims are not confirmed, no lease is renewed and nothing is started.
+    async def scenario(cell):
+        await cell.start_daemons("a")
+        owner = cell.daemons["a"].owners[POOL]
+        owner.recheck_claims()
+        assert not owner.term.is_owner_confirmed()
+        await asyncio.sleep(0.5)
+        assert owner.term.is_owner_confirmed()
+
+    run_scenario(scenario)
