Let the store reply at once to an owner whose claim is not confirmed

Callers saw a pool stand still for a second after one host had rejected a token.

Cause: an owner whose claim is in doubt neither renews leases nor starts anything until it has read the claims, and asked the store to hold that read open for a second for a new record.

Change: a follower that has no confirmed read, or whose confirmation was revoked, asks for no wait.

--- a/siskinroad/work/follower.py
+++ b/siskinroad/work/follower.py
@@ -49,7 +49,8 @@
         Called with records in the order of their offsets, and whether they are a
         snapshot: the newest record of every key, so that any other key is gone.
     wait : float
-        Seconds for which the store may hold a read open for a new record.
+        Seconds for which the store may hold a read open for a new record. It is not
+        asked to while ``confirmed_at`` is negative, so that this ends soon.
     read_pause : float
         Seconds to wait after each successful read before the next.
 
@@ -57,7 +58,8 @@
     ----------
     confirmed_at : float
         Loop time at which the last successful read up to the topic's end was
-        sent: every record appended before then has been applied.
+        sent: every record appended before then has been applied. Negative before
+        the first, and if the owner of the follower has revoked it.
     """
 
     def __init__(
@@ -143,11 +145,9 @@
 
     async def _read_later_records(self) -> _FetchResult:
         sent_at = asyncio.get_running_loop().time()
+        wait = self._wait if self.confirmed_at >= 0 else 0.0
         result = await self.store.read(
-            self.topic,
-            self.next_offset,
-            wait=self._wait,
-            timeout=self._wait + REPLY_TIMEOUT,
+            self.topic, self.next_offset, wait=wait, timeout=wait + REPLY_TIMEOUT
         )
         self._reject_stale(result.end)
         is_at_end = result.next_offset >= result.end
