Show that a host which is replaced between two appends is not used

Callers saw jobs wait beside a free host that was listed and replied.

Cause: a host gets work once the store holds a record that it is used. If it is removed and added again before the next append, the set of hosts is the stored one, so that nothing is appended, and the new state of the host is never marked as stored.

No logic is changed.

--- a/tests/work/test_host_replies.py
+++ b/tests/work/test_host_replies.py
@@ -241,3 +241,17 @@
         await cell.wait_for_state(JOB_ID, "complete", seconds=5.0)
 
     run_scenario(scenario, hosts=1)
+
+
+def test_a_host_that_was_replaced_between_two_appends_is_used():
+    # The set of used hosts in the store names it already, so nothing is to be stored.
+    async def scenario(cell):
+        await cell.start_daemons("a")
+        owner = cell.daemons["a"].owners[POOL]
+        now = asyncio.get_running_loop().time()
+        owner.pool_state.replace_host(owner.pool_state.hosts["i-0"], now)
+        owner.apply_host_list(cell.daemons["a"].hosts)
+        await cell.submit("a", JOB_ID, job())
+        await cell.wait_for_state(JOB_ID, "complete", seconds=5.0)
+
+    run_scenario(scenario, hosts=1)
