Use a host again that was replaced between two appends of progress

Callers saw jobs wait beside a free host that was listed and replied.

Cause: a host gets work once the store holds a record that it is used. A host that was removed as restarted and listed again before the next append left the set of hosts as it was stored, so that nothing was left to store, and its new state was marked only with the next progress of some job.

Change: a host that is not marked yet counts as an unstored change. If the stored set names it, nothing is appended, and it is marked.

--- a/siskinroad/work/progress.py
+++ b/siskinroad/work/progress.py
@@ -66,9 +66,15 @@
 
     @property
     def has_unstored_changes(self) -> bool:
-        """Whether anything has not been stored yet."""
-        pending = self._batch is not None or bool(self.term.pool_state.dirty)
-        return pending or self._host_set() != self._stored_hosts
+        """Whether anything has not been stored, or not been marked as stored yet."""
+        pool_state = self.term.pool_state
+        if self._batch is not None or pool_state.dirty:
+            return True
+        # A host that was removed and added again may be in the stored set already.
+        has_unmarked_host = any(
+            not host.is_stored for host in pool_state.hosts.values()
+        )
+        return has_unmarked_host or self._host_set() != self._stored_hosts
 
     def get_stored_event(self, job_id: str) -> asyncio.Event:
         """Return an event that is set once the job's outcome is stored."""
