Show that urgent steps which no host may run reserve headroom without an end

Callers saw jobs of lower priority wait beside free hosts.

Cause: the headroom kept for urgent tasks is learned from what urgent steps hold and wait for. Steps that no host has the label or the size for, or that the advisor allows on no host, wait until their jobs are cancelled and count all the while.

No logic is changed.

--- a/tests/work/test_planner.py
+++ b/tests/work/test_planner.py
@@ -1,5 +1,7 @@
 """Tests of task placement: priority, target times, gangs, advice and preemption."""
 
+import dataclasses
+
 import pytest
 
 from siskinroad.work.effects import RequestAdvice, StartRun, StopRun
@@ -7,7 +9,7 @@
 from siskinroad.work.planner import Planner
 from siskinroad.work.pool_state import PoolState
 from siskinroad.work.records import Accepted
-from tests.work.cell import CONFIGURATION, POOL, entry, job, step
+from tests.work.cell import ADVISED, CONFIGURATION, POOL, entry, job, step
 
 
 def make_pool_state(hosts, **entries):
@@ -260,3 +262,16 @@
 def test_the_wait_of_a_long_running_task_counts_from_the_loss_of_its_run():
     # The other job has waited for longer, and both can still meet their target times.
     assert start_watch_again_beside(59.0, 60.2) == [("other", "i-0")]
+
+
+def test_urgent_steps_that_no_host_may_run_reserve_no_headroom():
+    # No host has the label, is large enough, or has a ticket. Such steps wait until
+    # their jobs are cancelled, and other work would leave two fifths of the pool idle.
+    pool_state = make_pool_state(["i-0", "i-1"])
+    pool_state.queues["advised"] = dataclasses.replace(ADVISED, priority=0)
+    add_job(pool_state, "labelled", job(step(20, label="none")), "fast")
+    add_job(pool_state, "wide", job(step(20, cpu_milli=33000)), "fast")
+    denied = add_job(pool_state, "denied", job(step(20)), "advised")
+    denied.steps[0, 0].requested_hosts.update(["i-0", "i-1"])
+    add_job(pool_state, "paper", job(step(32, cpu_milli=2000)), "slow")
+    assert len(list_starts(plan(pool_state))) == 32
