Keep headroom only for urgent steps that some host may run

Callers saw jobs of lower priority wait beside free hosts.

Cause: urgent steps that no host may run, for their label, their size or the advisor's replies, counted as urgent demand until their jobs were cancelled, and kept up to 40 % of the pool's processors free of other work.

Change: such steps do not count. A step that still waits for advice does.

--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -114,7 +114,7 @@
         waiting = sum(
             step.need.cpu_milli * step.waiting_count
             for step in planning_pass.steps
-            if step.job.queue in urgent
+            if step.job.queue in urgent and self._may_be_placed(planning_pass, step)
         )
         self.urgent_headroom.observe(urgent_used + waiting, planning_pass.now)
         capacity = planning_pass.schedulable_hosts.cpu_milli
@@ -124,6 +124,13 @@
             - self.urgent_headroom.compute_headroom(capacity, urgent_used)
         )
 
+    def _may_be_placed(self, planning_pass: PlanningPass, step: StepRun) -> bool:
+        """Return whether some host may run a step's tasks, once it has capacity."""
+        capable = planning_pass.schedulable_hosts.find_capable_hosts(step)
+        if self.pool_state.queues[step.job.queue].advice is None or step.tickets:
+            return bool(capable.hosts)
+        return not capable.names <= step.requested_hosts
+
     def _rank_steps(
         self, steps: list[StepRun], now: float, wall: float
     ) -> list[tuple[int, StepRun]]:
