Show that a success may count for another host than the one that lists it

Cause: a success is attributed to the host of the task's newest run, which is a copy's host while an older run ends, and no host at all after a takeover. Blame for failures is computed from these.

No logic is changed.

--- a/tests/work/test_run_monitor.py
+++ b/tests/work/test_run_monitor.py
@@ -404,3 +404,18 @@
     for i in range(4, 10):
         fail_three_jobs(pool_state, f"i-{i}", 3.5 + i / 10)
     assert sum(host.is_quarantined for host in pool_state.hosts.values()) == 5
+
+
+def test_a_success_counts_for_the_host_that_lists_it():
+    # The older run of a copied task succeeds; the host of the copy has shown nothing.
+    pool_state = make_pool_state(["i-0", "i-1"])
+    host, begun = start_copyable_task(pool_state, 2.0)
+    report_progress(pool_state, begun, 2.8, 20)
+    RunMonitor(pool_state, TIMING).check_runs(2.85, 2.85)
+    (copy_start,) = start_waiting(pool_state, 2.9)
+    assert copy_start.host != host.name
+    observed = []
+    pool_state.health.observe = lambda *args: observed.append(args[:3])
+    end = RunEnd(99, *begun.run.key, EndKind.DONE, "")
+    report_host(pool_state, host.name, 3.3, ended=[end])
+    assert observed == [(host.name, "c", True)]
