Count a success for the host that lists it

Cause: a success was attributed to the host of the task's newest run: to the host of a copy while the older run had succeeded, and to no host after a takeover. The blame of hosts for failed runs is computed from these outcomes.

Change: the host that lists the end is the one that the success counts for.

--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -237,7 +237,7 @@
         if end.end_kind is EndKind.DONE:
             effects = self._stop_other_runs(step, task, end.run)
             task.run = max(task.run, end.run)
-            return effects + self._complete_task(step, task, now, wall)
+            return effects + self._complete_task(host, step, task, now, wall)
         # A former owner may have used a higher number than the run that is live now.
         is_newest = end.run >= task.run and self._find_newest_run(task) is None
         if is_newest:
@@ -289,7 +289,7 @@
         )
 
     def _complete_task(
-        self, step: StepRun, task: Task, now: float, wall: float
+        self, host: Host, step: StepRun, task: Task, now: float, wall: float
     ) -> list[Effect]:
         job = step.job
         if job.is_closed:
@@ -304,7 +304,7 @@
                 each.move("done")
         job.has_started = True
         self.dirty.add(job.id)
-        self.health.observe(task.host, job.id, True, now, len(self.hosts))
+        self.health.observe(host.name, job.id, True, now, len(self.hosts))
         self._close_step_if_done(step, now)
         self._complete_job_if_done(job, wall)
         return self._stop_copies(task) if step.spec.copies else []
