Show that a lost reply to a start counts against a host that reported since

Callers saw runs lapse on hosts that answered, while many replies to starts were lost.

Cause: a start without a reply makes its host count as failing until its next report, even if it has reported since the start was sent. A failing host is asked for a report without a renewal of its lease.

No logic is changed.

--- a/tests/work/test_host_replies.py
+++ b/tests/work/test_host_replies.py
@@ -255,3 +255,32 @@
         await cell.wait_for_state(JOB_ID, "complete", seconds=5.0)
 
     run_scenario(scenario, hosts=1)
+
+
+def test_a_lost_reply_to_a_start_does_not_count_against_a_host_that_reported_since():
+    # While many replies to starts are lost, the host would otherwise be asked for most
+    # of its reports without a renewal of its lease, and what runs there would lapse.
+    async def scenario(cell):
+        host = cell.hosts.hosts["i-0"]
+        host.task_duration_s = 0.3
+        await cell.start_daemons("a")
+        await cell.submit("a", JOB_ID, job())
+        await cell.wait_for_starts(1)
+        await asyncio.sleep(0.2)
+        renew_lease = cell.hosts.renew_lease
+        has_lease = []
+
+        async def note_lease(name, address, token, acknowledged, lease_until, wait):
+            has_lease.append(lease_until is not None)
+            return await renew_lease(
+                name, address, token, acknowledged, lease_until, wait
+            )
+
+        cell.hosts.renew_lease = note_lease
+        # The first job ends, and is reported, before the second start's timeout.
+        host.unanswered_starts = 1
+        await cell.submit("a", OTHER_JOB_ID, job())
+        await cell.wait_for_state(OTHER_JOB_ID, "complete")
+        assert host.unanswered_starts == 0 and all(has_lease)
+
+    run_scenario(scenario, hosts=1)
