Trust a host that reported after a start whose reply was lost

Callers saw runs lapse on hosts that answered, while many replies to starts were lost.

Cause: each start without a reply made its host count as failing until the next report. A failing host is asked for its report without a renewal of the lease, and gets no new work, also if it had reported after the start was sent.

Change: a start that timed out does not count against a host that has reported since it was sent. A broken connection still does, as it may show a restart. The run is doubtful and the token is raised as before.

--- a/siskinroad/work/host_commands.py
+++ b/siskinroad/work/host_commands.py
@@ -147,7 +147,11 @@
             effects = self.term.pool_state.note_start_without_reply(
                 host, run, loop.time()
             )
-            host.record_failed_request()
+            # A broken connection may show a restart; a lost reply shows nothing of a
+            # host that has reported since.
+            is_reply_lost = isinstance(exc, TimeoutError) and host.reported_at > sent_at
+            if not is_reply_lost:
+                host.record_failed_request()
         else:
             host.record_reply_time(loop.time() - sent_at)
             effects = self._handle_start_reply(host, run, command, reply.rejection)
