Show that rejected starts are repeated at the same hosts without a pause

Callers saw the starts of other jobs delayed while an owner sent hundreds of starts that were rejected.

Cause: a start that a host rejects for its capacity, its lease or its form shows that the owner's view of the host is wrong. Nothing is changed in that view, so the next planning pass chooses the same host.

No logic is changed.

--- a/tests/work/test_host_replies.py
+++ b/tests/work/test_host_replies.py
@@ -3,6 +3,8 @@
 import asyncio
 import dataclasses
 
+import pytest
+
 from siskinroad.work.advice import AdviceResult
 from siskinroad.work.effects import ThrottleRun
 from siskinroad.work.host import LEASE_S
@@ -284,3 +286,31 @@
         assert host.unanswered_starts == 0 and all(has_lease)
 
     run_scenario(scenario, hosts=1)
+
+
+@pytest.mark.parametrize(
+    "rejection", [Rejection.NO_CAPACITY, Rejection.LEASE_EXPIRED, Rejection.INVALID]
+)
+def test_rejected_starts_are_not_repeated_before_the_host_reports(rejection):
+    # The hosts do not agree with what the owner knows of them: without a new report it
+    # chooses the same host again, several hundred times in these seconds.
+    async def scenario(cell):
+        for host in cell.hosts.hosts.values():
+            host.reply_delay_s = 0.02
+        await cell.start_daemons("a")
+        start = cell.hosts.start
+        rejected = []
+
+        async def reject(command):
+            await asyncio.sleep(0.02)
+            rejected.append(command)
+            return CommandReply(rejection, None, None)
+
+        cell.hosts.start = reject
+        await cell.submit("a", JOB_ID, job(step(10)))
+        await asyncio.sleep(3.0)
+        assert len(rejected) < 60
+        cell.hosts.start = start
+        await cell.wait_for_state(JOB_ID, "complete", seconds=4.0)
+
+    run_scenario(scenario)
