Give a host that rejects a start it should accept no work until its next report

Callers saw the starts of other jobs delayed while an owner sent hundreds of starts that were rejected.

Cause: a start that a host rejects for its capacity, its lease or its form shows that the owner's view of the host is wrong, but changed nothing in it. The next planning pass chose the same host, as fast as its rejections came back.

Change: such a host gets no new work until its next report, which corrects the view; starts that are still unsent are not sent. The rejection is logged with the age of the report and with what the host should have had free.

On the paused clock, with three hosts that reject every start of ten tasks for 3 s, fewer than 60 starts are sent instead of 715. Two tests, of the remembered ends and of the run numbers that the next owner skips, rejected 20 and 30 starts after one report; now the host reports after each of them, and what the tests check is the same.

--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -172,6 +172,9 @@
     replied_at, reported_at : float
         Loop time of the last reply, not positive if a request has failed since, and
         of the last report, regardless of failures since.
+    start_rejected_at : float
+        Loop time at which the host last rejected a start that it should have accepted
+        by its newest report.
     is_stored : bool
         The store holds a record that this owner uses the host.
     reply_time_s : float
@@ -208,6 +211,7 @@
     replied_at: float = -1e9
     reported_at: float = 0.0
     unanswered_renewal_at: float = -1e9
+    start_rejected_at: float = -1e9
     last_end_seen: int = 0
     last_end_stored: int = 0
     unlisted_at: float = 0.0
@@ -234,6 +238,11 @@
         """Whether the last request has failed, or no request has had a reply yet."""
         return self.replied_at <= 0
 
+    @property
+    def is_report_outdated(self) -> bool:
+        """Whether the host has rejected a start that its newest report allowed."""
+        return self.reported_at <= self.start_rejected_at
+
     def record_failed_request(self) -> None:
         """Record that a request got no reply; new work waits for the next reply."""
         self.replied_at = -1e9
@@ -309,7 +318,7 @@
         """Return whether new work may be placed on the host."""
         if not self.is_settled or not self.is_stored:
             return False
-        if self.entry.draining or self.is_quarantined:
+        if self.entry.draining or self.is_quarantined or self.is_report_outdated:
             return False
         if self.unlisted_at and now - self.unlisted_at > UNLISTED_GRACE_S:
             return False
--- a/siskinroad/work/host_commands.py
+++ b/siskinroad/work/host_commands.py
@@ -100,7 +100,8 @@
         host would reject the lower one. A host that has failed may be another
         incarnation with its own clock, so no lease is computed for it.
         """
-        lease_until_ms = None if host.is_failing else host.lease_until(now)
+        is_usable = not host.is_failing and not host.is_report_outdated
+        lease_until_ms = host.lease_until(now) if is_usable else None
         ticket = self._find_ticket(effect, now)
         if lease_until_ms is None or ticket is None:
             return None
--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -38,6 +38,11 @@
 # Number of rejected starts of a task after which its run number is stored, so that the
 # next owner skips every number that may have been used by then.
 STORED_RUN_INTERVAL = MAX_UNSTORED_RUNS // 2
+# Rejections of a start that contradict the newest report of its host: the next planning
+# pass would choose the same host for the same reasons.
+CONTRADICTING_REJECTIONS = frozenset(
+    (Rejection.NO_CAPACITY, Rejection.LEASE_EXPIRED, Rejection.INVALID)
+)
 # Seconds in quarantine of a host whose runs fail.
 FAILING_QUARANTINE_S = 6.0
 
@@ -67,8 +72,33 @@
             step = self.step(run.key[0])
             if step is not None:
                 step.tickets.pop(host.name, None)
+        if rejection in CONTRADICTING_REJECTIONS:
+            self._await_report(host, run, rejection, now)
         return self._end_run(host, run, rejection.value, now)
 
+    def _await_report(
+        self, host: Host, run: Run, rejection: Rejection, now: float
+    ) -> None:
+        """Give a host no new work until its next report."""
+        host.start_rejected_at = now
+        free = host.entry.capacity - host.used
+        log.warning(
+            "pool_state: host rejected a start that its newest report allowed; "
+            "it gets no new work until its next report",
+            extra={
+                "request": run.key[0].job,
+                "task": format_task_position(run.key[0]),
+                "run": run.key[1],
+                "host": host.name,
+                "why": rejection.value,
+                "report_age_s": round(now - host.reported_at, 2),
+                "lease_left_s": round(host.lease_expires_at - now, 2),
+                "free_cpu_milli": free.cpu_milli,
+                "need_cpu_milli": run.need.cpu_milli,
+                "runs": len(host.runs),
+            },
+        )
+
     def may_send_start(self, host: Host, run: Run) -> bool:
         """Return whether a start that is still unsent may be sent."""
         return host.runs.get(run.key) is run and run.state == "ordered"
