Show two wrong conclusions of the run monitor: a second drain, and a slow percent

Callers saw tasks restart that ran well.

Cause: the time at which a draining host may leave is kept when the host is ready again, and is over when it drains the next time. A run counts as stalled when a host reports the same whole percent for 2.5 s, which a task of more than 250 s always does.

No logic is changed.

--- a/tests/work/test_run_monitor.py
+++ b/tests/work/test_run_monitor.py
@@ -419,3 +419,28 @@
     end = RunEnd(99, *begun.run.key, EndKind.DONE, "")
     report_host(pool_state, host.name, 3.3, ended=[end])
     assert observed == [(host.name, "c", True)]
+
+
+def test_a_host_that_drains_a_second_time_is_given_its_whole_notice():
+    # It drained before, and was ready again since, such as after a restart.
+    pool_state = make_pool_state(["i-0"])
+    drain_host(pool_state, "i-0", 2.5, 1.0)
+    pool_state.add_or_update_host(entry("i-0"), 5.0)
+    report_host(pool_state, "i-0", 5.9)
+    learn_run_time(pool_state, 6.0)
+    add_job(pool_state, "saves", job(step(1, estimate=1.5, checkpoints=True)), "slow")
+    (begun,) = start_waiting(pool_state, 7.0)
+    report_host(pool_state, "i-0", 7.3, [running_row(begun, 15)])
+    assert drain_host(pool_state, "i-0", 2.5, 7.4) == []
+
+
+def test_a_long_task_that_progresses_by_a_percent_in_some_seconds_is_not_stalled():
+    # Reports give whole percents: a task of 400 s shows the same one for 4 s.
+    pool_state = make_pool_state(["i-0", "i-1"])
+    add_job(pool_state, "j", job(step(1, estimate=400.0)), "slow")
+    (begun,) = start_waiting(pool_state, 0.1)
+    run_monitor = RunMonitor(pool_state, TIMING)
+    for tick in range(1, 60):
+        now = 0.2 * tick
+        report_progress(pool_state, begun, now, int(now / 4))
+        assert run_monitor.check_runs(now, now) == []
