Forget when a host may leave once it is ready again

Callers saw tasks restart that would have ended before their host left.

Cause: the time at which a draining host may leave was kept when the host was ready again, as after a restart under its name. When it drained the next time, that time had passed, and all its runs were stopped at once.

Change: the time is kept only while the host drains.

--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -143,7 +143,9 @@
             token = self._next_tokens.pop(entry.name, first_token)
             host = Host(entry, token, self.run_index)
             self.hosts[entry.name] = host
-        if entry.draining and host.earliest_leave_at == float("inf"):
+        if not entry.draining:
+            host.earliest_leave_at = float("inf")
+        elif host.earliest_leave_at == float("inf"):
             host.earliest_leave_at = now + entry.min_stay_s
             log.info(
                 "pool_state: host is draining",
