Judge a stalled run by the time that one percent of its work takes

Callers saw long tasks restart that ran well.

Cause: hosts report progress in whole percents, and a run counted as stalled after 2.5 s with the same one. A task of more than 250 s was stopped for that on any host.

Change: a run counts as stalled after twice the time expected for one percent, and after 2.5 s at least. Long-running tasks, whose percent only tells whether they are up, keep the 2.5 s.

--- a/siskinroad/work/run_monitor.py
+++ b/siskinroad/work/run_monitor.py
@@ -26,6 +26,9 @@
 # Seconds without progress after which a run counts as stalled. Runs on a host that has
 # not replied for this long are not judged: their listed progress is too old.
 STALL_TIMEOUT_S = 2.5
+# Multiple of the time expected for one percent for which a run never counts as stalled:
+# hosts report progress in whole percents.
+STALL_PERCENTS = 2.0
 # Number of runs stalled on one host at the same time that puts it in quarantine.
 QUARANTINE_STALLED_RUNS = 2
 # Seconds in quarantine of a host whose runs stall.
@@ -122,7 +125,9 @@
         if expected_s is None:
             return ""
         stalled_s = _stalled_s(run)
-        if run.progress < 100 and stalled_s > max(COPY_STALL_S, 2 * expected_s / 100):
+        if run.progress < 100 and stalled_s > max(
+            COPY_STALL_S, STALL_PERCENTS * expected_s / 100
+        ):
             return "no progress"
         slowdown = self.pool_state.speed_estimates.slowdown(run)
         if slowdown is None or slowdown <= COPY_RATIO:
@@ -148,7 +153,15 @@
     def _is_stalled(self, run: Run) -> bool:
         if run.state != "running" or run.progress >= 100 or run.filler:
             return False
-        return _stalled_s(run) > STALL_TIMEOUT_S
+        return _stalled_s(run) > self._stall_timeout_s(run)
+
+    def _stall_timeout_s(self, run: Run) -> float:
+        """Return the seconds without progress after which a run counts as stalled."""
+        if run.long_running:
+            return STALL_TIMEOUT_S
+        ratio = self.pool_state.speed_estimates.run_time_ratio(run.queue)
+        percent_s = run.declared_s * ratio / 100
+        return max(STALL_TIMEOUT_S, STALL_PERCENTS * percent_s)
 
     def _quarantine_host(
         self, host: Host, now: float, seconds: float, reason: str
