Show that late large steps starve, and that hosts are withheld that stay full

Callers saw large tasks wait for as long as the load lasted, and others beside free capacity.

Cause: hosts are kept free only for a blocked large step that can still meet its target time, so that a late one waits until the load of small steps falls. They are chosen by what is missing there now, also where long-running tasks hold it.

No logic is changed.

--- a/tests/work/test_planner.py
+++ b/tests/work/test_planner.py
@@ -275,3 +275,60 @@
     denied.steps[0, 0].requested_hosts.update(["i-0", "i-1"])
     add_job(pool_state, "paper", job(step(32, cpu_milli=2000)), "slow")
     assert len(list_starts(plan(pool_state))) == 32
+
+
+def time_large_step_under_steady_load(age, *, long_running=False):
+    """Return the seconds until a large task is placed beside small ones, None if never.
+
+    The small tasks use 0.7 of two hosts, each for a second, and the large one needs
+    most of a host. It has waited for ``age`` seconds when the load begins.
+    """
+    pool_state = make_pool_state(["i-0", "i-1"])
+    planner = Planner(pool_state)
+    ends = []
+    for tick in range(1200):
+        now = tick / 20
+        for host in pool_state.hosts.values():
+            host.replied_at = now
+        for end_at, host, run in list(ends):
+            if end_at <= now:
+                ends.remove((end_at, host, run))
+                run.move("end")
+                pool_state._remove_run(host, run)
+        if tick % 20 in (0, 4, 8, 11, 15, 18):
+            add_job(pool_state, f"small-{tick}", job(step(cpu_milli=8000)), at=now)
+        if tick == 100:
+            spec = job(step(cpu_milli=30000, long_running=long_running))
+            large = add_job(pool_state, "large", spec, at=now - age)
+            large.steps[0, 0].ready_at = now - age
+        for effect in planner.plan(now, now):
+            if not isinstance(effect, StartRun):
+                continue
+            if effect.run.key[0].job == "large":
+                return now - 5.0
+            host = pool_state.hosts[effect.host]
+            pool_state.apply_start_reply(host, effect.run, None, now)
+            ends.append((now + 1.0, host, effect.run))
+    return None
+
+
+def test_a_large_step_in_time_is_placed_under_a_steady_load_of_small_ones():
+    assert time_large_step_under_steady_load(0.0) is not None
+
+
+def test_a_late_large_long_running_step_is_placed_under_a_steady_load():
+    assert time_large_step_under_steady_load(30.0, long_running=True) is not None
+
+
+def test_a_late_large_step_is_placed_in_the_end_under_a_steady_load():
+    assert time_large_step_under_steady_load(30.0) is not None
+
+
+def test_no_host_is_withheld_for_a_step_that_long_running_tasks_keep_out():
+    # A host is withheld so that it becomes free. These tasks do not end by themselves.
+    pool_state = make_pool_state(["i-0"])
+    add_job(pool_state, "watch", job(step(cpu_milli=8000, long_running=True)), "fast")
+    assert list_starts(plan(pool_state)) == [("watch", "i-0")]
+    add_job(pool_state, "large", job(step(cpu_milli=30000)), "fast", at=0.1)
+    add_job(pool_state, "small", job(step(cpu_milli=4000)), "slow", at=0.1)
+    assert list_starts(plan(pool_state)) == [("small", "i-0")]
