Withhold no host for a large step that long-running tasks keep out of it

Callers saw tasks wait beside free capacity.

Cause: the hosts that are kept free for a blocked large step are those where the least is missing now, also where long-running tasks hold so much that the step never fits.

Change: only hosts are chosen that fit the step once all other runs have ended.

--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -26,6 +26,7 @@
     TentativePlacement,
     compute_available_after_stops,
     compute_shortfall,
+    fits_beside_long_running,
 )
 from siskinroad.work.pool_state import PoolState
 from siskinroad.work.schedulable_hosts import SchedulableHosts, make_schedulable_hosts
@@ -204,6 +205,7 @@
         hosts = capable.hosts
         if queue.advice is not None:
             hosts = [host for host in hosts if host.name in step.tickets]
+        hosts = [host for host in hosts if fits_beside_long_running(host, step)]
         first_hosts = heapq.nsmallest(
             min(count, max_hosts),
             hosts,
--- a/siskinroad/work/planning_pass.py
+++ b/siskinroad/work/planning_pass.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from siskinroad.resources import Resources
+from siskinroad.resources import NOTHING, Resources
 from siskinroad.work.advisor_channels import ChannelTimes
 from siskinroad.work.effects import Effect
 from siskinroad.work.host import Host, Run
@@ -18,6 +18,7 @@
     "TentativePlacement",
     "compute_available_after_stops",
     "compute_shortfall",
+    "fits_beside_long_running",
     "step_allows_host",
     "task_avoids_host",
 ]
@@ -152,6 +153,12 @@
     return available
 
 
+def fits_beside_long_running(host: Host, step: StepRun) -> bool:
+    """Return whether a task fits a host once all runs that end by themselves have."""
+    lasting = (run.need for run in host.runs.values() if run.long_running)
+    return step.need.fits(host.entry.capacity - sum(lasting, start=NOTHING))
+
+
 def compute_shortfall(available: Resources, step: StepRun) -> float:
     """Return how far a host's free capacity is from fitting one task of the step.
 
