Keep a host free for a large long-running step that waits, however late it is

Callers saw a large long-running task stay away for as long as the load of small tasks lasted.

Cause: hosts are kept free only for a blocked large step that can still meet its target time. A long-running step loses nothing of its value by waiting, but was left to find a free host by chance.

Change: a blocked long-running step may withhold hosts at any time, one step in a pass as before, and only hosts that it fits once the runs that end have ended.

--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -175,7 +175,7 @@
             is_bounded=queue.priority > 0 and not step.spec.long_running,
         )
         if placement is None:
-            if not lateness:
+            if not lateness or step.spec.long_running:
                 self._exclude_hosts(planning_pass, step, queue)
             if advice is not None:
                 self.advice_requester.renew_early(planning_pass, step, advice)
@@ -190,7 +190,8 @@
         """Exclude later steps from the hosts that will fit a blocked large step first.
 
         Only one step per planning pass does so, the most urgent that can still meet
-        its target time: hosts held back for several steps would mostly be idle.
+        its target time or is long-running: hosts held back for several steps would
+        mostly be idle.
         """
         if planning_pass.excluded_hosts:
             return
