Show that jobs of a removed queue wait for good after a takeover

Callers saw accepted jobs that were neither run nor ended.

Cause: an owner keeps the settings of a queue that is removed from the configuration, but the next owner starts from the newest configuration alone. It ranks no step of a queue that it does not know, and nothing tells of that.

No logic is changed.

--- a/tests/work/cell.py
+++ b/tests/work/cell.py
@@ -67,11 +67,13 @@
         return CONFIGURATION_BY_VERSION[int(value)]
 
 
-# Pools of the second configuration; the cell's first hosts are all in POOL.
+# Pools of the second configuration; the cell's first hosts are all in POOL. The third
+# one has a single queue.
 POOLS = ("archive", POOL, "bulk")
 CONFIGURATION_BY_VERSION = {
     1: CONFIGURATION,
     2: Configuration(2, CONFIGURATION.queues, POOLS, 1 << 18),
+    3: Configuration(3, (FAST,), (POOL,), 1 << 18),
 }
 
 
--- a/tests/work/test_daemon.py
+++ b/tests/work/test_daemon.py
@@ -9,7 +9,8 @@
 from siskinroad.work.hosts import EndKind
 from siskinroad.work.model import TaskId
 from siskinroad.work.records import OWNER_KEY, job_topic
-from tests.work.cell import ADVISED, POOL, POOLS, Cell, job, step
+from siskinroad.work.store import Record
+from tests.work.cell import ADVISED, POOL, POOLS, SLOW, Cell, job, step
 
 JOB_ID = "00000000000000aa"
 
@@ -705,3 +706,19 @@
         assert owner.term.is_owner_confirmed()
 
     run_scenario(scenario)
+
+
+def test_jobs_of_a_removed_queue_complete_after_a_takeover():
+    # The queue is removed while a job of it runs, and then another daemon takes over.
+    async def scenario(cell):
+        for host in cell.hosts.hosts.values():
+            host.task_duration_s = 4.0
+        await cell.start_daemons("a", "b")
+        await cell.submit("a", JOB_ID, job(step(), step(after=(0,))), SLOW)
+        await cell.wait_for_starts(1)
+        cell.logs.append("keyed.setup", [Record("config", b"3")], None, None)
+        await asyncio.sleep(1.5)
+        await cell.kill(cell.owner())
+        await cell.wait_for_state(JOB_ID, "complete", seconds=30.0)
+
+    run_scenario(scenario)
