Run jobs of a removed queue after a takeover

Callers saw accepted jobs that were neither run nor ended.

Cause: an owner kept the settings of a queue that was removed from the configuration, but the next owner started from the newest configuration alone, and ranks no step of a queue that it does not know.

Change: a daemon keeps the newest settings of each queue that it has seen, and an owner starts with all of them. A daemon that started after the removal has never seen them: its owner logs the queue and the number of its jobs, which still wait.

--- a/siskinroad/work/claim_manager.py
+++ b/siskinroad/work/claim_manager.py
@@ -24,7 +24,7 @@
 from siskinroad.work.claim import claim_pool
 from siskinroad.work.members import Members
 from siskinroad.work.messages import Heartbeat
-from siskinroad.work.model import Configuration, HostEntry
+from siskinroad.work.model import Configuration, HostEntry, Queue
 from siskinroad.work.owner import OwnershipLostError, PoolOwner
 from siskinroad.work.records import Member, OwnerRecord
 from siskinroad.work.relay import RelayStore
@@ -97,6 +97,7 @@
         send_heartbeat: Callable[[], None],
     ) -> None:
         self.configuration: Configuration | None = None
+        self._known_queues: dict[str, Queue] = {}
         self.is_leaving = False
         self.owners: dict[str, PoolOwner] = {}
         self.check_requested = asyncio.Event()
@@ -131,6 +132,17 @@
             is_up_long_enough and self.configuration is not None and not self.is_leaving
         )
 
+    def configure(self, configuration: Configuration) -> None:
+        """Apply a configuration, here and to the owners of this daemon's pools.
+
+        Queues missing from it are kept for owners to come: accepted jobs of a removed
+        queue still run.
+        """
+        self.configuration = configuration
+        self._known_queues.update((queue.name, queue) for queue in configuration.queues)
+        for owner in self.owners.values():
+            owner.configure(configuration)
+
     def _uptime(self) -> float:
         return asyncio.get_running_loop().time() - self._started_at
 
@@ -251,7 +263,13 @@
             record,
             lambda former: self._has_live_owner(pool, former, started_at),
         )
-        owner = PoolOwner(pool, self._dependencies, inherited, self.configuration)
+        owner = PoolOwner(
+            pool,
+            self._dependencies,
+            inherited,
+            self.configuration,
+            self._known_queues,
+        )
         self.owners[pool] = owner
         self._send_heartbeat()
         # Deferred until the owner runs: before that, its tasks cannot be spawned.
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -379,9 +379,7 @@
         current = self.job_service.configuration
         if current is not None and configuration.version <= current.version:
             return
-        self.job_service.configuration = self.claim_manager.configuration = (
-            configuration
-        )
+        self.job_service.configuration = configuration
         log.info(
             "daemon: configuration applied",
             extra={
@@ -389,8 +387,7 @@
                 "queues": len(configuration.queues),
             },
         )
-        for owner in self.owners.values():
-            owner.configure(configuration)
+        self.claim_manager.configure(configuration)
 
     def _apply_host_list(
         self, items: tuple[NewestRecord, ...], is_snapshot: bool
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 
 from siskinroad.errors import SiskinroadError
 from siskinroad.work.claim import InheritedState, release_pool
@@ -19,7 +20,7 @@
 from siskinroad.work.host import LEASE_S
 from siskinroad.work.host_commands import HostCommands
 from siskinroad.work.lease_renewer import LeaseRenewer
-from siskinroad.work.model import Configuration, HostEntry
+from siskinroad.work.model import Configuration, HostEntry, Queue
 from siskinroad.work.planner import Planner
 from siskinroad.work.progress import OwnershipLostError, ProgressLog
 from siskinroad.work.records import (
@@ -66,6 +67,9 @@
     ----------
     inherited : InheritedState
         The state that the claim found in the store.
+    known_queues : dict of str to Queue
+        Newest known settings of each queue, also of those that the configuration no
+        longer has.
     """
 
     def __init__(
@@ -74,6 +78,7 @@
         dependencies: OwnerDependencies,
         inherited: InheritedState,
         configuration: Configuration,
+        known_queues: dict[str, Queue],
     ) -> None:
         self.pool = pool
         self.dependencies = dependencies
@@ -81,6 +86,7 @@
         self.term.execute_effects = self._execute_effects
         self.term.on_ownership_uncertain = self.recheck_claims
         self.pool_state = self.term.pool_state
+        self.pool_state.queues.update(known_queues)
         self.pool_state.configure(configuration)
         self.planner = Planner(self.pool_state)
         self.run_monitor = RunMonitor(self.pool_state, dependencies.timing)
@@ -132,6 +138,22 @@
             },
         )
 
+        self._log_unknown_queues()
+
+    def _log_unknown_queues(self) -> None:
+        """Log the open jobs of queues whose settings this daemon has never seen."""
+        waiting = Counter(
+            job.queue
+            for job in self.pool_state.jobs.values()
+            if not job.is_closed and job.queue not in self.pool_state.queues
+        )
+        for queue, jobs in waiting.items():
+            log.error(
+                "owner: queue of accepted jobs is in no known configuration; "
+                "they wait until one has it",
+                extra={"pool": self.pool, "queue": queue, "jobs": jobs},
+            )
+
     def _check_former_owner(self, now: float) -> None:
         """Shorten the wait for silent hosts once the former owner has stopped."""
         former = self.former
