Show that a rejected throttling makes a run count as not working

Cause: the speed of a run whose throttling was not carried out is set to -1, which the run monitor takes for 0 %.

No logic is changed.

--- a/tests/work/test_host_replies.py
+++ b/tests/work/test_host_replies.py
@@ -314,3 +314,24 @@
         await cell.wait_for_state(JOB_ID, "complete", seconds=4.0)
 
     run_scenario(scenario)
+
+
+def test_a_run_keeps_its_speed_if_its_host_rejects_a_throttling():
+    # Taken for unknown, the speed would count as none: the next command, which is to
+    # let the run work faster, would slow it down.
+    async def scenario(cell):
+        await cell.start_daemons("a")
+        await cell.submit("a", JOB_ID, job())
+        (start,) = await cell.wait_for_starts(1)
+        owner = cell.daemons["a"].owners[POOL]
+        (run,) = owner.pool_state.hosts[start.host].runs.values()
+        run.speed_percent = 50
+
+        async def reject(command, percent):
+            return CommandReply(Rejection.UNAVAILABLE, None, None)
+
+        cell.hosts.throttle = reject
+        await owner.host_commands.throttle(ThrottleRun(start.host, run, 50))
+        assert run.speed_percent == 100
+
+    run_scenario(scenario)
