Take a run's speed as before when its throttling was rejected or not answered

Callers saw best-effort tasks slowed down for seconds while processors were idle.

Cause: when a host rejected or did not answer a throttling, the run's speed was set to -1, which the run monitor took for 0 %. Its next command allowed 10 %, also where the run had worked at full speed, and each further one 10 points more.

Change: the command carries the speed that the run had, which holds again after it was rejected or not answered. After a lost reply the next decision is sent also if it is that speed, since the command may have taken effect.

A test of the command that is sent again is new.

--- a/siskinroad/work/effects.py
+++ b/siskinroad/work/effects.py
@@ -38,11 +38,16 @@
 
 @dataclass(slots=True, frozen=True)
 class ThrottleRun:
-    """Request to throttle a run to ``percent`` of its full speed."""
+    """Request to throttle a run to ``percent`` of its full speed.
+
+    ``former_percent`` is what the run was allowed before, and still is if the host
+    does not carry out the command.
+    """
 
     host: str
     run: Run
     percent: int
+    former_percent: int = 100
 
 
 @dataclass(slots=True, frozen=True)
--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -65,6 +65,8 @@
         Speculative copies of its task may run at the same time.
     speed_percent : int
         Percent of full speed that the newest throttle command allows.
+    is_speed_known : bool
+        No throttle command is without a reply, so that none may have taken effect.
     """
 
     key: RunKey
@@ -80,6 +82,7 @@
     reported_at: float = 0.0
     usage: int = 0
     speed_percent: int = 100
+    is_speed_known: bool = True
     filler: bool = False
     copies: bool = False
     tail_limit: float = 0.0
--- a/siskinroad/work/host_commands.py
+++ b/siskinroad/work/host_commands.py
@@ -252,12 +252,14 @@
                 reply = await self.term.dependencies.host_client.throttle(
                     command, effect.percent
                 )
+            effect.run.is_speed_known = True
             if reply.rejection is not None:
                 outcome = reply.rejection.value
-                effect.run.speed_percent = -1
+                effect.run.speed_percent = effect.former_percent
         except (NotSentError, OutcomeUnknownError, TimeoutError) as exc:
             outcome = f"unknown: {exc}"
-            effect.run.speed_percent = -1
+            effect.run.speed_percent = effect.former_percent
+            effect.run.is_speed_known = False
         log.info(
             "host_commands: throttle command finished",
             extra={
--- a/siskinroad/work/run_monitor.py
+++ b/siskinroad/work/run_monitor.py
@@ -247,20 +247,19 @@
         )
         if worst_tail_ratio > THROTTLE_ABOVE:
             new_percents = [
-                int(max(run.speed_percent, 0) * THROTTLE_FACTOR) for run in best_effort
+                int(run.speed_percent * THROTTLE_FACTOR) for run in best_effort
             ]
         elif worst_tail_ratio < UNTHROTTLE_BELOW:
             new_percents = [
-                min(100, max(run.speed_percent, 0) + UNTHROTTLE_STEP)
-                for run in best_effort
+                min(100, run.speed_percent + UNTHROTTLE_STEP) for run in best_effort
             ]
         else:
             return []
         effects: list[Effect] = []
         for run, percent in zip(best_effort, new_percents, strict=True):
-            if percent != run.speed_percent:
-                run.speed_percent = percent
-                effects.append(ThrottleRun(host.name, run, percent))
+            if percent != run.speed_percent or not run.is_speed_known:
+                former_percent, run.speed_percent = run.speed_percent, percent
+                effects.append(ThrottleRun(host.name, run, percent, former_percent))
         if effects:
             self._throttled_at[host.name] = now
         return effects
--- a/tests/work/test_run_monitor.py
+++ b/tests/work/test_run_monitor.py
@@ -151,6 +151,17 @@
     assert faster.percent > slower.percent
 
 
+def test_a_throttling_without_a_reply_is_sent_again():
+    # It may have taken effect, and would then last although the speed is as before.
+    pool_state = make_pool_state(["i-0"])
+    add_job(pool_state, "f", job(step(1, filler=True)), "slow")
+    (filler,) = start_waiting(pool_state, 0.2)
+    filler.run.is_speed_known = False
+    report_host(pool_state, "i-0", 1.0, [running_row(filler, 10, 4000)])
+    (again,) = RunMonitor(pool_state, TIMING).check_runs(1.0, 1.0)
+    assert isinstance(again, ThrottleRun) and again.percent == 100
+
+
 def start_copyable_task(pool_state, now):
     """Start one task whose step allows copies; return its host and its start."""
     learn_run_time(pool_state)
