--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -94,6 +94,8 @@
         Speculative copies of its task may run at the same time.
     speed_percent : int
         Percent of full speed that the newest throttle command allows.
+    is_speed_known : bool
+        No throttle command is without a reply, so that none may have taken effect.
     """
 
     key: RunKey
@@ -109,6 +111,7 @@
     reported_at: float = 0.0
     usage: int = 0
     speed_percent: int = 100
+    is_speed_known: bool = True
     filler: bool = False
     copies: bool = False
     tail_limit: float = 0.0
@@ -201,6 +204,9 @@
     replied_at, reported_at : float
         Loop time of the last reply, not positive if a request has failed since, and
         of the last report, regardless of failures since.
+    start_rejected_at : float
+        Loop time at which the host last rejected a start that it should have accepted
+        by its newest report.
     is_stored : bool
         The store holds a record that this owner uses the host.
     reply_time_s : float
@@ -211,6 +217,8 @@
         Earliest loop time at which a draining host may leave.
     is_quarantined : bool
         The host is in quarantine and gets no new work.
+    quarantined_until : float
+        Loop time at which the quarantine ends.
     used : Resources
         Sum of the needs of its runs.
     run_changes : int
@@ -235,11 +243,13 @@
     replied_at: float = -1e9
     reported_at: float = 0.0
     unanswered_renewal_at: float = -1e9
+    start_rejected_at: float = -1e9
     last_end_seen: int = 0
     last_end_stored: int = 0
     unlisted_at: float = 0.0
     earliest_leave_at: float = float("inf")
     is_quarantined: bool = False
+    quarantined_until: float = 0.0
     is_stored: bool = False
     reply_time_s: float = 0.03
     runs: dict[RunKey, Run] = field(default_factory=dict)
@@ -258,6 +268,11 @@
         """Whether the last request has failed, or no request has had a reply yet."""
         return self.replied_at <= 0
 
+    @property
+    def is_report_outdated(self) -> bool:
+        """Whether the host has rejected a start that its newest report allowed."""
+        return self.reported_at <= self.start_rejected_at
+
     def record_failed_request(self) -> None:
         """Record that a request got no reply; new work waits for the next reply."""
         self.replied_at = -1e9
@@ -333,7 +348,7 @@
         """Return whether new work may be placed on the host."""
         if not self.is_settled or not self.is_stored:
             return False
-        if self.entry.draining or self.is_quarantined:
+        if self.entry.draining or self.is_quarantined or self.is_report_outdated:
             return False
         if self.unlisted_at and now - self.unlisted_at > UNLISTED_GRACE_S:
             return False
--- a/siskinroad/work/host_commands.py
+++ b/siskinroad/work/host_commands.py
@@ -101,7 +101,8 @@
         host would reject the lower one. A host that has failed may be another
         incarnation with its own clock, so no lease is computed for it.
         """
-        lease_until_ms = None if host.is_failing else host.lease_until(now)
+        is_usable = not host.is_failing and not host.is_report_outdated
+        lease_until_ms = host.lease_until(now) if is_usable else None
         ticket = self._find_ticket(effect, now)
         if lease_until_ms is None or ticket is None:
             return None
@@ -155,7 +156,11 @@
             effects = self.term.pool_state.note_start_without_reply(
                 host, run, loop.time()
             )
-            host.record_failed_request()
+            # A broken connection may show a restart; a lost reply shows nothing of a
+            # host that has reported since.
+            is_reply_lost = isinstance(exc, TimeoutError) and host.reported_at > sent_at
+            if not is_reply_lost:
+                host.record_failed_request()
         else:
             host.record_reply_time(loop.time() - sent_at)
             effects = self._handle_start_reply(host, run, command, reply.rejection)
@@ -189,8 +194,7 @@
         if rejection is Rejection.UNAVAILABLE:
             host.record_failed_request()
         if rejection is Rejection.OTHER_INCARNATION:
-            if command.address == host.entry.address:
-                self.term.pool_state.note_host_unlisted(host.name, now)
+            # The next renewal shows whether the host has gone.
             host.record_failed_request()
         return self.term.pool_state.apply_start_reply(
             host, run, rejection, now, ticket=command.ticket
@@ -258,12 +262,14 @@
                 reply = await self.term.dependencies.host_client.throttle(
                     command, effect.percent
                 )
+            effect.run.is_speed_known = True
             if reply.rejection is not None:
                 outcome = reply.rejection.value
-                effect.run.speed_percent = -1
+                effect.run.speed_percent = effect.former_percent
         except (NotSentError, OutcomeUnknownError, TimeoutError) as exc:
             outcome = f"unknown: {exc}"
-            effect.run.speed_percent = -1
+            effect.run.speed_percent = effect.former_percent
+            effect.run.is_speed_known = False
         log.info(
             "host_commands: throttle command finished",
             extra={
--- a/siskinroad/work/host_states.py
+++ b/siskinroad/work/host_states.py
@@ -16,7 +16,8 @@
 
     ``UNSETTLED``: it has not replied under this term, or the store does not hold yet
     that this owner uses it. ``UNLISTED``: it left the live list. ``FAILING``: its last
-    request had no reply. ``SILENT``: its last reply is too old.
+    request had no reply. ``SILENT``: its last reply is too old. ``OUTDATED``: it has
+    rejected a start that its newest report allowed.
     """
 
     SCHEDULABLE = "schedulable"
@@ -26,6 +27,7 @@
     UNLISTED = "unlisted"
     FAILING = "failing"
     SILENT = "silent"
+    OUTDATED = "outdated"
 
 
 def find_host_state(host: Host, now: float) -> HostState:
@@ -42,6 +44,8 @@
         return HostState.FAILING
     if now - host.replied_at > HOST_SILENCE_S:
         return HostState.SILENT
+    if host.is_report_outdated:
+        return HostState.OUTDATED
     return HostState.SCHEDULABLE
 
 
--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -108,7 +108,8 @@
     presumed_ends : dict of int to PresumedEnd
         Runs that were ended without an end listed by their host, by run number.
     waiting_since : float
-        Loop time of the first planning pass or examination since it began to wait.
+        Loop time at which the task began to wait: when it lost its last run, or else
+        that of the first planning pass or examination that saw it.
     tally : TaskTally
         Tally of the step's tasks, which this task keeps up to date.
     """
@@ -148,6 +149,14 @@
         """Return whether the chart has ``event`` in this state."""
         return _TASK_CHART.allows(self.state, event)
 
+    def move_to_waiting(self, event: str, now: float) -> None:
+        """Apply an event after which the task waits for a host, unless abandoned."""
+        self.move(event)
+        self.waiting_since = now
+        unstamped = self.tally.unstamped
+        if unstamped and unstamped[-1] == self.id.index:
+            unstamped.pop()
+
     def make_task_progress(self) -> TaskProgress:
         """Return the task's part of the job's progress record."""
         key = self.id
@@ -239,6 +248,13 @@
             long_running=spec.long_running,
         )
 
+    @property
+    def waiting_since(self) -> float:
+        """Loop time from which the task that has waited longest waits."""
+        tasks = self.iterate_waiting()
+        longest = min((task.waiting_since for task in tasks), default=0.0)
+        return max(self.ready_at, longest)
+
     def waiting(self) -> list[Task]:
         """Return the tasks that wait for a host."""
         return [self.tasks[i] for i in self.tally.waiting]
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 
 from siskinroad.errors import SiskinroadError
 from siskinroad.work.claim import InheritedState, release_pool
@@ -19,7 +20,7 @@
 from siskinroad.work.host import LEASE_S
 from siskinroad.work.host_commands import HostCommands
 from siskinroad.work.lease_renewer import LeaseRenewer
-from siskinroad.work.model import Configuration, HostEntry
+from siskinroad.work.model import Configuration, HostEntry, Queue
 from siskinroad.work.planner import Planner
 from siskinroad.work.planning_pass import PlanningPass
 from siskinroad.work.planning_report import PlanningReport
@@ -39,6 +40,9 @@
 
 # Seconds between two checks of the claim, silent hosts, due occurrences and runs.
 TICK_INTERVAL = 0.2
+# Seconds between two checks that every listed host is known. A host that replied as
+# another incarnation was removed, and gets a call each time while it stays listed.
+RELIST_INTERVAL = 1.0
 # Seconds for which events are collected before the next planning pass.
 PLAN_DELAY = 0.004
 # Multiple of the time that a planning pass took for which the next one waits, so that a
@@ -65,6 +69,9 @@
     ----------
     inherited : InheritedState
         The state that the claim found in the store.
+    known_queues : dict of str to Queue
+        Newest known settings of each queue, also of those that the configuration no
+        longer has.
     """
 
     def __init__(
@@ -73,6 +80,7 @@
         dependencies: OwnerDependencies,
         inherited: InheritedState,
         configuration: Configuration,
+        known_queues: dict[str, Queue],
     ) -> None:
         self.pool = pool
         self.dependencies = dependencies
@@ -80,6 +88,7 @@
         self.term.execute_effects = self._execute_effects
         self.term.on_ownership_uncertain = self.recheck_claims
         self.pool_state = self.term.pool_state
+        self.pool_state.queues.update(known_queues)
         self.pool_state.configure(configuration)
         self.planner = Planner(self.pool_state)
         self.planning_report = PlanningReport(
@@ -90,6 +99,8 @@
         self.host_commands = HostCommands(self.term)
         self.lease_renewer = LeaseRenewer(self.term, self.progress)
         self._rechecked_at = -1e9
+        self._listed_hosts: dict[str, HostEntry] = {}
+        self._relisted_at = -1e9
         self.former = inherited.former
         self._are_earlier_owners_reconciled = inherited.are_earlier_owners_reconciled
         self._is_former_released = inherited.released_term >= inherited.former_term
@@ -132,6 +143,22 @@
             },
         )
 
+        self._log_unknown_queues()
+
+    def _log_unknown_queues(self) -> None:
+        """Log the open jobs of queues whose settings this daemon has never seen."""
+        waiting = Counter(
+            job.queue
+            for job in self.pool_state.jobs.values()
+            if not job.is_closed and job.queue not in self.pool_state.queues
+        )
+        for queue, jobs in waiting.items():
+            log.error(
+                "owner: queue of accepted jobs is in no known configuration; "
+                "they wait until one has it",
+                extra={"pool": self.pool, "queue": queue, "jobs": jobs},
+            )
+
     def _check_former_owner(self, now: float) -> None:
         """Shorten the wait for silent hosts once the former owner has stopped."""
         former = self.former
@@ -213,8 +240,12 @@
         self.term.plan_requested.set()
 
     def apply_host_list(self, entries: dict[str, HostEntry]) -> None:
-        """Apply the live host list."""
+        """Apply the live host list, which later changes in place.
+
+        Called again after each of these changes.
+        """
         now = asyncio.get_running_loop().time()
+        self._listed_hosts = entries
         for entry in entries.values():
             if entry.pool == self.pool:
                 self.pool_state.add_or_update_host(entry, now)
@@ -225,6 +256,26 @@
                 self.pool_state.note_host_unlisted(name, now)
         self.term.plan_requested.set()
 
+    def _add_missing_hosts(self, now: float) -> None:
+        """Add the listed hosts that were removed since the list last changed."""
+        if now - self._relisted_at < RELIST_INTERVAL:
+            return
+        self._relisted_at = now
+        for entry in self._listed_hosts.values():
+            if entry.pool != self.pool or entry.name in self.pool_state.hosts:
+                continue
+            log.info(
+                "owner: host was removed, but is still listed; adding it again",
+                extra={
+                    "host": entry.name,
+                    "pool": self.pool,
+                    "address": entry.address,
+                    "draining": entry.draining,
+                },
+            )
+            self.pool_state.add_or_update_host(entry, now)
+            self.lease_renewer.start_renewing(entry.name)
+
     # Accepted jobs
 
     def _apply_records(
@@ -315,6 +366,7 @@
             confirmed_until = self.follower.confirmed_at + OWNERSHIP_TIMEOUT_S
             self.term.owned_until = max(self.term.owned_until, confirmed_until)
             self._check_former_owner(now)
+            self._add_missing_hosts(now)
             effects = self.pool_state.expire_silent_hosts(now)
             self.pool_state.settle_tasks(now)
             self.pool_state.open_due(now, wall, EARLY_START_TIME)
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -26,6 +26,7 @@
     TentativePlacement,
     compute_available_after_stops,
     compute_shortfall,
+    fits_beside_long_running,
 )
 from siskinroad.work.pool_state import PoolState
 from siskinroad.work.schedulable_hosts import SchedulableHosts, make_schedulable_hosts
@@ -107,7 +108,7 @@
             channels,
         )
         planning_pass.non_urgent_cpu_milli = self._compute_non_urgent_cpu(planning_pass)
-        self._plan_steps(planning_pass, self._rank_steps(steps, wall))
+        self._plan_steps(planning_pass, self._rank_steps(steps, now, wall))
         self.advice_requester.request_for_next_steps(planning_pass)
         self.last_pass = planning_pass
         return planning_pass.effects
@@ -126,7 +127,7 @@
         waiting = sum(
             step.need.cpu_milli * step.waiting_count
             for step in planning_pass.steps
-            if step.job.queue in urgent
+            if step.job.queue in urgent and self._may_be_placed(planning_pass, step)
         )
         self.urgent_headroom.observe(urgent_used + waiting, planning_pass.now)
         capacity = planning_pass.schedulable_hosts.cpu_milli
@@ -136,17 +137,25 @@
             - self.urgent_headroom.compute_headroom(capacity, urgent_used)
         )
 
+    def _may_be_placed(self, planning_pass: PlanningPass, step: StepRun) -> bool:
+        """Return whether some host may run a step's tasks, once it has capacity."""
+        capable = planning_pass.schedulable_hosts.find_capable_hosts(step)
+        if self.pool_state.queues[step.job.queue].advice is None or step.tickets:
+            return bool(capable.hosts)
+        return not capable.names <= step.advice.answered
+
     def _rank_steps(
-        self, steps: list[StepRun], wall: float
+        self, steps: list[StepRun], now: float, wall: float
     ) -> list[tuple[int, StepRun]]:
         """Return the steps by priority, lateness and target time, with the lateness.
 
         Steps that can still meet their target time come first. Under overload, the
         earliest target time first would spend capacity on steps that are late anyway,
-        and so make the next ones late too.
+        and so make the next ones late too. Long-running steps are ranked by target time
+        alone: their users count every second without them, however late they are.
         """
         times: dict[str, QueueTimes] = {}
-        ranked: list[tuple[int, int, float, int]] = []
+        ranked: list[tuple[int, int, float, int, int]] = []
         for i, step in enumerate(steps):
             name = step.job.queue
             queue = self.pool_state.queues.get(name)
@@ -154,11 +163,11 @@
                 continue
             if name not in times:
                 times[name] = self.pool_state.queue_times(name)
-            lateness, target_time = _compute_lateness(step, times[name], wall)
-            step.rank = (queue.priority, lateness)
-            ranked.append((*step.rank, target_time, i))
+            lateness, target_time = _compute_lateness(step, times[name], now, wall)
+            step.rank = (queue.priority, 0 if step.spec.long_running else lateness)
+            ranked.append((*step.rank, target_time, i, lateness))
         ranked.sort()
-        return [(lateness, steps[i]) for _, lateness, _, i in ranked]
+        return [(lateness, steps[i]) for _, _, _, i, lateness in ranked]
 
     def _plan_steps(
         self, planning_pass: PlanningPass, ranked: list[tuple[int, StepRun]]
@@ -207,7 +216,7 @@
             is_bounded=queue.priority > 0 and not step.spec.long_running,
         )
         if placement is None:
-            if not lateness:
+            if not lateness or step.spec.long_running:
                 self._exclude_hosts(planning_pass, step, queue)
             if advice is not None:
                 self.advice_requester.renew_early(planning_pass, step, advice)
@@ -222,7 +231,8 @@
         """Exclude later steps from the hosts that will fit a blocked large step first.
 
         Only one step per planning pass does so, the most urgent that can still meet
-        its target time: hosts held back for several steps would mostly be idle.
+        its target time or is long-running: hosts held back for several steps would
+        mostly be idle.
         """
         if planning_pass.excluded_hosts:
             return
@@ -237,6 +247,7 @@
         hosts = capable.hosts
         if queue.advice is not None:
             hosts = [host for host in hosts if host.name in step.tickets]
+        hosts = [host for host in hosts if fits_beside_long_running(host, step)]
         first_hosts = heapq.nsmallest(
             min(count, max_hosts),
             hosts,
@@ -359,17 +370,21 @@
 
 
 def _compute_lateness(
-    step: StepRun, times: QueueTimes, wall: float
+    step: StepRun, times: QueueTimes, now: float, wall: float
 ) -> tuple[int, float]:
     """Return how late a step is, and its target time.
 
     The lateness is 0 if the step can still meet its target time, 1 if it cannot, and 2
-    if its job has no value left.
+    if its job has no value left. The allowed time of a long-running step counts from
+    when its tasks began to wait, as its job never ends by itself.
     """
     job = step.job
     remaining_s = job.remaining_times[step.number] * times.run_time_ratio
     allowed_time = times.allowed_time(job)
-    target_time = job.base_time(step.occurrence) + allowed_time
+    base_time = job.base_time(step.occurrence)
+    if step.spec.long_running:
+        base_time = max(base_time, wall - (now - step.waiting_since))
+    target_time = base_time + allowed_time
     earliest_end = wall + EARLIEST_END_FRACTION * remaining_s
     if earliest_end <= target_time:
         return 0, target_time
--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -38,6 +38,13 @@
 # Number of rejected starts of a task after which its run number is stored, so that the
 # next owner skips every number that may have been used by then.
 STORED_RUN_INTERVAL = MAX_UNSTORED_RUNS // 2
+# Rejections of a start that contradict the newest report of its host: the next planning
+# pass would choose the same host for the same reasons.
+CONTRADICTING_REJECTIONS = frozenset(
+    (Rejection.NO_CAPACITY, Rejection.LEASE_EXPIRED, Rejection.INVALID)
+)
+# Seconds in quarantine of a host whose runs fail.
+FAILING_QUARANTINE_S = 6.0
 
 log = logging.getLogger("siskinroad.pool_state")
 
@@ -78,8 +85,33 @@
         run.move("reject")
         if run.key[1] % STORED_RUN_INTERVAL == 0:
             self.dirty.add(run.key[0].job)
+        if rejection in CONTRADICTING_REJECTIONS:
+            self._await_report(host, run, rejection, now)
         return self._end_run(host, run, rejection.value, now)
 
+    def _await_report(
+        self, host: Host, run: Run, rejection: Rejection, now: float
+    ) -> None:
+        """Give a host no new work until its next report."""
+        host.start_rejected_at = now
+        free = host.entry.capacity - host.used
+        log.warning(
+            "pool_state: host rejected a start that its newest report allowed; "
+            "it gets no new work until its next report",
+            extra={
+                "request": run.key[0].job,
+                "task": format_task_position(run.key[0]),
+                "run": run.key[1],
+                "host": host.name,
+                "why": rejection.value,
+                "report_age_s": round(now - host.reported_at, 2),
+                "lease_left_s": round(host.lease_expires_at - now, 2),
+                "free_cpu_milli": free.cpu_milli,
+                "need_cpu_milli": run.need.cpu_milli,
+                "runs": len(host.runs),
+            },
+        )
+
     def _record_ticket_rejection(
         self, host: Host, run: Run, ticket: str | None, now: float
     ) -> None:
@@ -273,7 +305,7 @@
         if end.end_kind is EndKind.DONE:
             effects = self._stop_other_runs(step, task, end.run)
             task.run = max(task.run, end.run)
-            return effects + self._complete_task(step, task, now, wall)
+            return effects + self._complete_task(host, step, task, now, wall)
         # A former owner may have used a higher number than the run that is live now.
         is_newest = end.run >= task.run and self._find_newest_run(task) is None
         if is_newest:
@@ -325,7 +357,7 @@
         )
 
     def _complete_task(
-        self, step: StepRun, task: Task, now: float, wall: float
+        self, host: Host, step: StepRun, task: Task, now: float, wall: float
     ) -> list[Effect]:
         job = step.job
         if job.is_closed:
@@ -340,7 +372,7 @@
                 each.move("done")
         job.has_started = True
         self.dirty.add(job.id)
-        self.health.observe(task.host, job.id, True, now, len(self.hosts))
+        self.health.observe(host.name, job.id, True, now, len(self.hosts))
         self._close_step_if_done(step, now)
         self._complete_job_if_done(job, wall)
         return self._stop_copies(task) if step.spec.copies else []
@@ -358,7 +390,7 @@
         if task.state == "done":
             return []
         if is_newest and task.allows("free"):
-            task.move("free")
+            task.move_to_waiting("free", now)
         if end.end_kind is EndKind.FAILED and end.run not in task.failures:
             return self._record_failure(host, step, task, end.run, now, wall)
         return []
@@ -380,12 +412,7 @@
         self.dirty.add(job.id)
         verdict = self.health.observe(host.name, job.id, False, now, len(self.hosts))
         if verdict is not None and verdict.event == "eject":
-            host.is_quarantined = True
-            log.warning(
-                "pool_state: host quarantined: too many of its runs failed; "
-                "it gets no new work",
-                extra={"host": host.name},
-            )
+            self._quarantine_failing_host(host, now)
         queue = self.queues.get(job.queue)
         attempt_limit = queue.max_attempts if queue else 1
         if (
@@ -396,6 +423,17 @@
             return []
         return self._close_job(job, JobState.FAILED, wall)
 
+    def _quarantine_failing_host(self, host: Host, now: float) -> None:
+        reason = "too many of its runs failed"
+        if self.quarantine_host(host, FAILING_QUARANTINE_S, reason, now):
+            return
+        # Further failures there are counted anew.
+        self.health.remove_host(host.name)
+        log.warning(
+            "pool_state: host not quarantined, as too many others are",
+            extra={"host": host.name, "why": reason, "hosts": len(self.hosts)},
+        )
+
     def _process_running(
         self, host: Host, running: tuple[RunStatus, ...], made_at: float, now: float
     ) -> list[Effect]:
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -26,6 +26,9 @@
 # Number of newest presumed ends that are remembered of a task: starts may be rejected
 # any number of times.
 MAX_PRESUMED_ENDS = 8
+# Largest fraction of the hosts in quarantine at once, for any reason. If more of them
+# look bad, the cause is probably one that they share, and the others would be overrun.
+MAX_QUARANTINED_FRACTION = 0.5
 
 log = logging.getLogger("siskinroad.pool_state")
 
@@ -107,7 +110,7 @@
         if task.run != run.key[1] or not task.allows("free"):
             return False
         task.older_run_host = host.name
-        task.move("free")
+        task.move_to_waiting("free", now)
         log.info(
             "pool_state: task may be placed again as a speculative copy",
             extra={
@@ -140,7 +143,9 @@
             token = self._next_tokens.pop(entry.name, first_token)
             host = Host(entry, token, self.run_index)
             self.hosts[entry.name] = host
-        if entry.draining and host.earliest_leave_at == float("inf"):
+        if not entry.draining:
+            host.earliest_leave_at = float("inf")
+        elif host.earliest_leave_at == float("inf"):
             host.earliest_leave_at = now + entry.min_stay_s
             log.info(
                 "pool_state: host is draining",
@@ -235,6 +240,7 @@
         self.hosts.pop(host.name, None)
         self.forget_advice(host.name)
         self._next_tokens[host.name] = host.token + 1
+        self.health.remove_host(host.name)
         host.index = RunIndex()
 
     def expire_silent_hosts(self, now: float) -> list[Effect]:
@@ -265,6 +271,58 @@
     def _former_lease_end(self, host: Host) -> float:
         return 0.0 if host.is_settled else self.former_leases_end_at
 
+    # Quarantine
+
+    def quarantine_host(
+        self,
+        host: Host,
+        seconds: float,
+        reason: str,
+        now: float,
+        max_fraction: float = MAX_QUARANTINED_FRACTION,
+    ) -> bool:
+        """Give a host no new work for some seconds from now.
+
+        Parameters
+        ----------
+        max_fraction : float
+            Fraction of the hosts in quarantine up to which this one may be added.
+
+        Returns
+        -------
+        bool
+            False if too many others are in quarantine.
+        """
+        others = sum(
+            1 for h in self.hosts.values() if h.is_quarantined and h is not host
+        )
+        if not host.is_quarantined:
+            if others + 1 > max_fraction * len(self.hosts):
+                return False
+            log.warning(
+                "pool_state: host quarantined; it gets no new work",
+                extra={
+                    "host": host.name,
+                    "why": reason,
+                    "quarantine_s": seconds,
+                    "others": others,
+                    "hosts": len(self.hosts),
+                    "report_age_s": round(now - host.reported_at, 2),
+                },
+            )
+        host.is_quarantined = True
+        host.quarantined_until = max(host.quarantined_until, now + seconds)
+        return True
+
+    def end_quarantine(self, host: Host) -> None:
+        """Let a host get new work again, and forget how tasks ended there."""
+        host.is_quarantined = False
+        self.health.remove_host(host.name)
+        log.info(
+            "pool_state: host leaves quarantine and may get new work",
+            extra={"host": host.name},
+        )
+
     # Starts and ends of runs
 
     def _mark_begun(self, host: Host, run: Run, now: float) -> None:
@@ -290,7 +348,7 @@
         if task is None or task.run != run.key[1]:
             return []
         if task.allows("free"):
-            task.move("free")
+            task.move_to_waiting("free", now)
         if len(task.presumed_ends) >= MAX_PRESUMED_ENDS:
             del task.presumed_ends[next(iter(task.presumed_ends))]
         task.presumed_ends[run.key[1]] = PresumedEnd(reason, now)
--- a/tests/work/test_host_replies.py
+++ b/tests/work/test_host_replies.py
@@ -3,6 +3,8 @@
 import asyncio
 import dataclasses
 
+import pytest
+
 from siskinroad.work.advice import AdviceResult
 from siskinroad.work.effects import ThrottleRun
 from siskinroad.work.host import LEASE_S
@@ -205,3 +207,131 @@
         assert len(cell.hosts.starts()) == 1
 
     run_scenario(scenario)
+
+
+def test_a_host_that_rejected_one_start_as_another_incarnation_is_used_again():
+    # The host stays in the live list and replies to its renewals, so one reply from
+    # another incarnation at its address says nothing of it any more.
+    async def scenario(cell):
+        await cell.start_daemons("a")
+        start = cell.hosts.start
+        rejected = []
+
+        async def reject_once(command):
+            if not rejected:
+                rejected.append(command)
+                return CommandReply(Rejection.OTHER_INCARNATION, None, None)
+            return await start(command)
+
+        cell.hosts.start = reject_once
+        await cell.submit("a", JOB_ID, job())
+        await cell.wait_for_state(JOB_ID, "complete")
+        await asyncio.sleep(5.0)
+        await cell.submit("a", OTHER_JOB_ID, job())
+        await cell.wait_for_state(OTHER_JOB_ID, "complete")
+
+    run_scenario(scenario, hosts=1)
+
+
+def test_a_listed_host_that_was_removed_as_restarted_is_added_again():
+    # Its entry in the live list is the same as before, so the list does not change.
+    async def scenario(cell):
+        await cell.start_daemons("a")
+        reject_renewals(cell, "i-0", Rejection.OTHER_INCARNATION, 1.5)
+        await asyncio.sleep(3.0)
+        await cell.submit("a", JOB_ID, job())
+        await cell.wait_for_state(JOB_ID, "complete", seconds=5.0)
+
+    run_scenario(scenario, hosts=1)
+
+
+def test_a_host_that_was_replaced_between_two_appends_is_used():
+    # The set of used hosts in the store names it already, so nothing is to be stored.
+    async def scenario(cell):
+        await cell.start_daemons("a")
+        owner = cell.daemons["a"].owners[POOL]
+        now = asyncio.get_running_loop().time()
+        owner.pool_state.replace_host(owner.pool_state.hosts["i-0"], now)
+        owner.apply_host_list(cell.daemons["a"].hosts)
+        await cell.submit("a", JOB_ID, job())
+        await cell.wait_for_state(JOB_ID, "complete", seconds=5.0)
+
+    run_scenario(scenario, hosts=1)
+
+
+def test_a_lost_reply_to_a_start_does_not_count_against_a_host_that_reported_since():
+    # While many replies to starts are lost, the host would otherwise be asked for most
+    # of its reports without a renewal of its lease, and what runs there would lapse.
+    async def scenario(cell):
+        host = cell.hosts.hosts["i-0"]
+        host.task_duration_s = 0.3
+        await cell.start_daemons("a")
+        await cell.submit("a", JOB_ID, job())
+        await cell.wait_for_starts(1)
+        await asyncio.sleep(0.2)
+        renew_lease = cell.hosts.renew_lease
+        has_lease = []
+
+        async def note_lease(name, address, token, acknowledged, lease_until, wait):
+            has_lease.append(lease_until is not None)
+            return await renew_lease(
+                name, address, token, acknowledged, lease_until, wait
+            )
+
+        cell.hosts.renew_lease = note_lease
+        # The first job ends, and is reported, before the second start's timeout.
+        host.unanswered_starts = 1
+        await cell.submit("a", OTHER_JOB_ID, job())
+        await cell.wait_for_state(OTHER_JOB_ID, "complete")
+        assert host.unanswered_starts == 0 and all(has_lease)
+
+    run_scenario(scenario, hosts=1)
+
+
+@pytest.mark.parametrize(
+    "rejection", [Rejection.NO_CAPACITY, Rejection.LEASE_EXPIRED, Rejection.INVALID]
+)
+def test_rejected_starts_are_not_repeated_before_the_host_reports(rejection):
+    # The hosts do not agree with what the owner knows of them: without a new report it
+    # chooses the same host again, several hundred times in these seconds.
+    async def scenario(cell):
+        for host in cell.hosts.hosts.values():
+            host.reply_delay_s = 0.02
+        await cell.start_daemons("a")
+        start = cell.hosts.start
+        rejected = []
+
+        async def reject(command):
+            await asyncio.sleep(0.02)
+            rejected.append(command)
+            return CommandReply(rejection, None, None)
+
+        cell.hosts.start = reject
+        await cell.submit("a", JOB_ID, job(step(10)))
+        await asyncio.sleep(3.0)
+        assert len(rejected) < 60
+        cell.hosts.start = start
+        await cell.wait_for_state(JOB_ID, "complete", seconds=4.0)
+
+    run_scenario(scenario)
+
+
+def test_a_run_keeps_its_speed_if_its_host_rejects_a_throttling():
+    # Taken for unknown, the speed would count as none: the next command, which is to
+    # let the run work faster, would slow it down.
+    async def scenario(cell):
+        await cell.start_daemons("a")
+        await cell.submit("a", JOB_ID, job())
+        (start,) = await cell.wait_for_starts(1)
+        owner = cell.daemons["a"].owners[POOL]
+        (run,) = owner.pool_state.hosts[start.host].runs.values()
+        run.speed_percent = 50
+
+        async def reject(command, percent):
+            return CommandReply(Rejection.UNAVAILABLE, None, None)
+
+        cell.hosts.throttle = reject
+        await owner.host_commands.throttle(ThrottleRun(start.host, run, 50))
+        assert run.speed_percent == 100
+
+    run_scenario(scenario)
--- a/tests/work/test_planner.py
+++ b/tests/work/test_planner.py
@@ -1,5 +1,7 @@
 """Tests of task placement: priority, target times, gangs, advice and preemption."""
 
+import dataclasses
+
 import pytest
 
 from siskinroad.work.effects import RequestAdvice, StartRun, StopRun
@@ -7,7 +9,7 @@
 from siskinroad.work.planner import Planner
 from siskinroad.work.pool_state import PoolState
 from siskinroad.work.records import Accepted
-from tests.work.cell import CONFIGURATION, POOL, entry, job, step
+from tests.work.cell import ADVISED, CONFIGURATION, POOL, entry, job, step
 
 
 def make_pool_state(hosts, **entries):
@@ -219,3 +221,120 @@
     add_job(pool_state, "urgent", job(step(1, cpu_milli=20000)), "fast")
     add_job(pool_state, "equal", job(step(1, cpu_milli=20000)), "slow")
     assert plan(pool_state, 0.3, 0.3) == []
+
+
+def end_only_run(pool_state, now):
+    """Let the only run of the pool end without a report, as after an expired lease."""
+    ((host, run),) = [
+        (host, run) for host in pool_state.hosts.values() for run in host.runs.values()
+    ]
+    pool_state.replace_host(host, now)
+    pool_state.add_or_update_host(entry(host.name), now)
+    restarted = pool_state.hosts[host.name]
+    restarted.is_stored = True
+    report = HostReport(1000, 2, (), ())
+    pool_state.apply_report(restarted, report, restarted.token, now, now, now)
+    assert pool_state.task(run.key[0]).state == "waiting"
+
+
+def start_watch_again_beside(other_at, now):
+    """Return the starts after a long-running task of an old job has lost its run.
+
+    The job was accepted 60 s before, and the run is lost at 60 s. The host has room for
+    one task, and another job of the same queue is accepted at ``other_at``.
+    """
+    pool_state = make_pool_state(["i-0"])
+    watch = job(step(1, cpu_milli=20000, long_running=True))
+    add_job(pool_state, "watch", watch, "slow")
+    assert list_starts(plan(pool_state)) == [("watch", "i-0")]
+    end_only_run(pool_state, 60.0)
+    pool_state.hosts["i-0"].replied_at = now
+    other = job(step(1, cpu_milli=20000))
+    add_job(pool_state, "other", other, "slow", at=other_at)
+    return list_starts(plan(pool_state, now, now))
+
+
+def test_a_long_running_task_that_lost_its_run_is_not_ranked_as_without_value():
+    # Counted from the acceptance of its job, it is later than three times its allowed
+    # time, and every other step of its priority would be placed before it.
+    assert start_watch_again_beside(60.1, 60.2) == [("watch", "i-0")]
+
+
+def test_a_long_running_task_that_waits_past_its_target_time_is_placed_first():
+    # Its users count every second without it, so it never loses its value.
+    assert start_watch_again_beside(99.9, 100.0) == [("watch", "i-0")]
+
+
+def test_the_wait_of_a_long_running_task_counts_from_the_loss_of_its_run():
+    # The other job has waited for longer, and both can still meet their target times.
+    assert start_watch_again_beside(59.0, 60.2) == [("other", "i-0")]
+
+
+def test_urgent_steps_that_no_host_may_run_reserve_no_headroom():
+    # No host has the label, is large enough, or has a ticket. Such steps wait until
+    # their jobs are cancelled, and other work would leave two fifths of the pool idle.
+    pool_state = make_pool_state(["i-0", "i-1"])
+    pool_state.queues["advised"] = dataclasses.replace(ADVISED, priority=0)
+    add_job(pool_state, "labelled", job(step(20, label="none")), "fast")
+    add_job(pool_state, "wide", job(step(20, cpu_milli=33000)), "fast")
+    denied = add_job(pool_state, "denied", job(step(20)), "advised")
+    denied.steps[0, 0].advice.answered.update(["i-0", "i-1"])
+    add_job(pool_state, "paper", job(step(32, cpu_milli=2000)), "slow")
+    assert len(list_starts(plan(pool_state))) == 32
+
+
+def time_large_step_under_steady_load(age, *, long_running=False):
+    """Return the seconds until a large task is placed beside small ones, None if never.
+
+    The small tasks use 0.7 of two hosts, each for a second, and the large one needs
+    most of a host. It has waited for ``age`` seconds when the load begins.
+    """
+    pool_state = make_pool_state(["i-0", "i-1"])
+    planner = Planner(pool_state)
+    ends = []
+    for tick in range(1200):
+        now = tick / 20
+        for host in pool_state.hosts.values():
+            host.replied_at = now
+        for end_at, host, run in list(ends):
+            if end_at <= now:
+                ends.remove((end_at, host, run))
+                run.move("end")
+                pool_state._remove_run(host, run)
+        if tick % 20 in (0, 4, 8, 11, 15, 18):
+            add_job(pool_state, f"small-{tick}", job(step(cpu_milli=8000)), at=now)
+        if tick == 100:
+            spec = job(step(cpu_milli=30000, long_running=long_running))
+            large = add_job(pool_state, "large", spec, at=now - age)
+            large.steps[0, 0].ready_at = now - age
+        for effect in planner.plan(now, now):
+            if not isinstance(effect, StartRun):
+                continue
+            if effect.run.key[0].job == "large":
+                return now - 5.0
+            host = pool_state.hosts[effect.host]
+            pool_state.apply_start_reply(host, effect.run, None, now)
+            ends.append((now + 1.0, host, effect.run))
+    return None
+
+
+def test_a_large_step_in_time_is_placed_under_a_steady_load_of_small_ones():
+    assert time_large_step_under_steady_load(0.0) is not None
+
+
+def test_a_late_large_long_running_step_is_placed_under_a_steady_load():
+    assert time_large_step_under_steady_load(30.0, long_running=True) is not None
+
+
+def test_a_late_large_step_is_placed_in_the_end_under_a_steady_load():
+    assert time_large_step_under_steady_load(30.0) is not None
+
+
+def test_no_host_is_withheld_for_a_step_that_long_running_tasks_keep_out():
+    # A host is withheld so that it becomes free. These tasks do not end by themselves.
+    pool_state = make_pool_state(["i-0"])
+    add_job(pool_state, "watch", job(step(cpu_milli=8000, long_running=True)), "fast")
+    assert list_starts(plan(pool_state)) == [("watch", "i-0")]
+    add_job(pool_state, "large", job(step(cpu_milli=30000)), "fast", at=0.1)
+    add_job(pool_state, "small", job(step(cpu_milli=4000)), "slow", at=0.1)
+    assert list_starts(plan(pool_state)) == [("small", "i-0")]
--- a/tests/work/test_run_monitor.py
+++ b/tests/work/test_run_monitor.py
@@ -7,7 +7,7 @@
 from siskinroad.work.model import Timing
 from siskinroad.work.planner import Planner
 from siskinroad.work.run_monitor import RunMonitor
-from tests.work.cell import job, step
+from tests.work.cell import entry, job, step
 from tests.work.test_planner import add_job, make_pool_state
 
 TIMING = Timing(stop_grace_s=0.2)
@@ -151,6 +151,17 @@
     assert faster.percent > slower.percent
 
 
+def test_a_throttling_without_a_reply_is_sent_again():
+    # It may have taken effect, and would then last although the speed is as before.
+    pool_state = make_pool_state(["i-0"])
+    add_job(pool_state, "f", job(step(1, filler=True)), "slow")
+    (filler,) = start_waiting(pool_state, 0.2)
+    filler.run.is_speed_known = False
+    report_host(pool_state, "i-0", 1.0, [running_row(filler, 10, 4000)])
+    (again,) = RunMonitor(pool_state, TIMING).check_runs(1.0, 1.0)
+    assert isinstance(again, ThrottleRun) and again.percent == 100
+
+
 def start_copyable_task(pool_state, now):
     """Start one task whose step allows copies; return its host and its start."""
     learn_run_time(pool_state)
@@ -321,3 +332,126 @@
     apply_late_report(pool_state, begun.host, 0.6, 0.9, 3.9, [row])
     assert RunMonitor(pool_state, TIMING).check_runs(3.9, 3.9) == []
     assert begun.run.state == "running"
+
+
+def make_named_pool(count):
+    """Return a pool in which each host has its own name as a label."""
+    names = [f"i-{i}" for i in range(count)]
+    return make_pool_state(names, **{name: entry(name, rack=name) for name in names})
+
+
+def add_named_host(pool_state, name, now):
+    """List a host, under a name that may have been used before, and let it reply."""
+    pool_state.add_or_update_host(entry(name, rack=name), now)
+    host = pool_state.hosts[name]
+    host.is_stored = True
+    report = HostReport(1000 + int(now * 1000), 2, (), ())
+    pool_state.apply_report(host, report, host.token, now, now, now)
+
+
+def fail_three_jobs(pool_state, name, now):
+    """Let tasks of three jobs fail on one host; return whether it is quarantined."""
+    host = pool_state.hosts[name]
+    for _ in range(3):
+        now += 0.1
+        for each in pool_state.hosts.values():
+            each.replied_at = now
+        spec = job(step(1, label=name))
+        job_id = f"{name}-{now:.1f}"
+        add_job(pool_state, job_id, spec, "fast", at=now)
+        (begun,) = start_waiting(pool_state, now)
+        end = RunEnd(host.last_end_seen + 1, *begun.run.key, EndKind.FAILED, "")
+        report_host(pool_state, name, now + 0.05, ended=[end])
+        pool_state.cancel(job_id, now, now)
+    return host.is_quarantined
+
+
+def test_a_host_whose_tasks_keep_failing_is_quarantined_for_a_while():
+    pool_state = make_named_pool(4)
+    run_monitor = RunMonitor(pool_state, TIMING)
+    assert fail_three_jobs(pool_state, "i-0", 1.0)
+    run_monitor.check_runs(1.5, 1.5)
+    run_monitor.check_runs(6.0, 6.0)
+    assert pool_state.hosts["i-0"].is_quarantined
+    run_monitor.check_runs(8.0, 8.0)
+    assert not pool_state.hosts["i-0"].is_quarantined
+
+
+def test_hosts_that_left_in_quarantine_do_not_prevent_that_of_others():
+    # Half of the hosts failed and were replaced by others, of which one fails too.
+    pool_state = make_named_pool(4)
+    for i in range(2):
+        assert fail_three_jobs(pool_state, f"i-{i}", 1.0 + i)
+        pool_state.replace_host(pool_state.hosts[f"i-{i}"], 2.0 + i)
+        add_named_host(pool_state, f"i-{i + 4}", 2.0 + i)
+    assert fail_three_jobs(pool_state, "i-4", 5.0)
+
+
+def test_a_host_that_comes_back_under_its_name_can_be_quarantined_again():
+    pool_state = make_named_pool(4)
+    run_monitor = RunMonitor(pool_state, TIMING)
+    assert fail_three_jobs(pool_state, "i-0", 1.0)
+    run_monitor.check_runs(1.5, 1.5)
+    pool_state.replace_host(pool_state.hosts["i-0"], 2.0)
+    add_named_host(pool_state, "i-0", 3.0)
+    assert fail_three_jobs(pool_state, "i-0", 20.0)
+    run_monitor.check_runs(20.5, 20.5)
+    assert pool_state.hosts["i-0"].is_quarantined
+
+
+def test_slow_and_failing_hosts_in_quarantine_are_at_most_half_of_the_pool():
+    # Four of ten hosts stall; then others fail. If more than half look bad, the cause
+    # is probably not in the hosts.
+    pool_state = make_named_pool(10)
+    run_monitor = RunMonitor(pool_state, TIMING)
+    for i in range(4):
+        spec = job(step(2, label=f"i-{i}"))
+        add_job(pool_state, f"stalled-{i}", spec, "fast")
+    begun = start_waiting(pool_state, 0.1)
+    for now in (0.5, 1.5, 2.5, 3.5):
+        report_all(pool_state, now, begun, 5)
+    run_monitor.check_runs(3.5, 3.5)
+    assert sum(host.is_quarantined for host in pool_state.hosts.values()) == 4
+    for i in range(4, 10):
+        fail_three_jobs(pool_state, f"i-{i}", 3.5 + i / 10)
+    assert sum(host.is_quarantined for host in pool_state.hosts.values()) == 5
+
+
+def test_a_success_counts_for_the_host_that_lists_it():
+    # The older run of a copied task succeeds; the host of the copy has shown nothing.
+    pool_state = make_pool_state(["i-0", "i-1"])
+    host, begun = start_copyable_task(pool_state, 2.0)
+    report_progress(pool_state, begun, 2.8, 20)
+    RunMonitor(pool_state, TIMING).check_runs(2.85, 2.85)
+    (copy_start,) = start_waiting(pool_state, 2.9)
+    assert copy_start.host != host.name
+    observed = []
+    pool_state.health.observe = lambda *args: observed.append(args[:3])
+    end = RunEnd(99, *begun.run.key, EndKind.DONE, "")
+    report_host(pool_state, host.name, 3.3, ended=[end])
+    assert observed == [(host.name, "c", True)]
+
+
+def test_a_host_that_drains_a_second_time_is_given_its_whole_notice():
+    # It drained before, and was ready again since, such as after a restart.
+    pool_state = make_pool_state(["i-0"])
+    drain_host(pool_state, "i-0", 2.5, 1.0)
+    pool_state.add_or_update_host(entry("i-0"), 5.0)
+    report_host(pool_state, "i-0", 5.9)
+    learn_run_time(pool_state, 6.0)
+    add_job(pool_state, "saves", job(step(1, estimate=1.5, checkpoints=True)), "slow")
+    (begun,) = start_waiting(pool_state, 7.0)
+    report_host(pool_state, "i-0", 7.3, [running_row(begun, 15)])
+    assert drain_host(pool_state, "i-0", 2.5, 7.4) == []
+
+
+def test_a_long_task_that_progresses_by_a_percent_in_some_seconds_is_not_stalled():
+    # Reports give whole percents: a task of 400 s shows the same one for 4 s.
+    pool_state = make_pool_state(["i-0", "i-1"])
+    add_job(pool_state, "j", job(step(1, estimate=400.0)), "slow")
+    (begun,) = start_waiting(pool_state, 0.1)
+    run_monitor = RunMonitor(pool_state, TIMING)
+    for tick in range(1, 60):
+        now = 0.2 * tick
+        report_progress(pool_state, begun, now, int(now / 4))
+        assert run_monitor.check_runs(now, now) == []
