--- a/bench/planning_load.py
+++ b/bench/planning_load.py
@@ -5,13 +5,13 @@
 each event after the owner's delay.
 """
 
-import heapq
 import itertools
 import random
 import time
 from collections import Counter
 from dataclasses import dataclass, field, replace
 
+from bench.event_queue import EventQueue
 from siskinroad.resources import Resources
 from siskinroad.work.advisor_channels import ChannelTimes
 from siskinroad.work.effects import (
@@ -117,9 +117,7 @@
     def __init__(self, sizes=None, seed=1):
         self.sizes = sizes or LoadSizes()
         self.rng = random.Random(seed)
-        self.now = 1.0
-        self.events = []
-        self.numbers = itertools.count()
+        self.events = EventQueue()
         self.machines = {}
         self.pool_state = PoolState(POOL, 1)
         self.pool_state.is_settled = True
@@ -142,19 +140,21 @@
 
     # Events
 
+    @property
+    def now(self):
+        """Time in seconds of the event that is processed."""
+        return self.events.now
+
     def _at(self, delay, action, *args):
-        heapq.heappush(
-            self.events, (self.now + delay, next(self.numbers), action, args)
-        )
+        self.events.at(delay, self._process, action, args)
+
+    def _process(self, action, args):
+        action(*args)
+        self.note_event()
 
     def run(self, seconds):
         """Process the events of the next ``seconds``."""
-        until = self.now + seconds
-        while self.events and self.events[0][0] <= until:
-            self.now, _, action, args = heapq.heappop(self.events)
-            action(*args)
-            self.note_event()
-        self.now = until
+        self.events.run(seconds)
 
     def note_event(self):
         """Do nothing; called after each event."""
