List the states in which waiting tasks are not placed as known faults

Their states are three: no ticket is left and every host counts as asked; the last ticket is for a host that is full or at the spread limit, and other hosts' tickets were rejected; or other hosts were never asked about. A fourth was found by a small test: a host that rejects each start for room, as stale or for its lease is chosen again in each planning pass.

Change: one failing test for each state, named for it, and small tests that show it with one to three hosts.

--- a/tests/work/test_waiting_work.py
+++ b/tests/work/test_waiting_work.py
@@ -7,7 +7,18 @@
 
 import pytest
 
-from bench.waiting_work import run_seed
+from bench.faulty_hosts import HostFault
+from bench.faulty_pool import POOL
+from bench.waiting_check import CHECK_INTERVAL_S, WaitingCheck
+from bench.waiting_scenario import SERVING, URGENT, WorkSizes
+from bench.waiting_work import ModelledPool, run_seed
+from siskinroad.work.model import JobSpec, Step
+from siskinroad.work.records import Accepted
+
+JOB = "job-0"
+# Seconds until the hosts of a pool have reported, and from then on seconds to wait.
+BEGIN_S = 1.0
+OBSERVED_S = 10.0
 
 
 def check_seed(seed):
@@ -15,6 +26,102 @@
     assert not result.violations, result.describe()
 
 
+def begin_pool(hosts):
+    modelled = ModelledPool(1, WorkSizes(hosts, has_overload=False))
+    modelled.events.run(BEGIN_S)
+    return modelled
+
+
+def submit(modelled, queue, step, name=JOB, allowed=1.0):
+    spec = JobSpec("p", (step,))
+    modelled.pool.specs[name] = spec
+    modelled.pool.advisor.valid_s[name] = 2.0
+    modelled.pool.advisor.allowed_fraction[name] = allowed
+    accepted = Accepted(name, queue.name, POOL, modelled.events.now, spec)
+    modelled.submit(accepted)
+
+
+def check_no_task_waits(modelled):
+    events = modelled.events
+    check = WaitingCheck(modelled.pool, modelled.find_pool_state, events.now)
+    for _ in range(int(OBSERVED_S / CHECK_INTERVAL_S)):
+        events.run(CHECK_INTERVAL_S)
+        check.check(events.now)
+    violations = "\n".join(check.violations.values())
+    assert not violations, violations
+
+
 @pytest.mark.parametrize("seed", [1, 2, 6, 7, 8, 9, 10, 11, 12, 13, 15, 16])
 def test_a_waiting_task_is_placed_soon_after_the_end_of_overlapping_faults(seed):
     check_seed(seed)
+
+
+@pytest.mark.parametrize("seed", [0, 3, 5, 36, 128])
+def test_a_step_whose_tickets_were_all_rejected_is_asked_about_again(seed):
+    # Restarted hosts reject the tickets of their former lives, and others reject them
+    # during a fault. Every host counts as asked, so that no request follows.
+    check_seed(seed)
+
+
+@pytest.mark.parametrize("seed", [20, 122, 148, 167])
+def test_hosts_whose_tickets_were_rejected_are_asked_about_beside_a_full_one(seed):
+    # One ticket is left, for a host that is full or at the step's spread limit; the
+    # tickets of the other hosts were rejected.
+    check_seed(seed)
+
+
+@pytest.mark.parametrize("seed", [44, 71, 82])
+def test_hosts_that_were_never_asked_about_are_asked_beside_a_full_one(seed):
+    # The hosts with tickets are full or at the step's spread limit. Others have joined
+    # since the request, or were left out of it for the limit of 100 hosts.
+    check_seed(seed)
+
+
+def test_a_host_that_joins_is_asked_about_when_the_others_are_at_the_spread_limit():
+    modelled = begin_pool(hosts=1)
+    step = Step(2, cpu_milli=1000, memory_mib=500, spread=1, long_running=True)
+    submit(modelled, SERVING, step)
+    modelled.events.run(1.0)
+    modelled.pool.add_host()
+    check_no_task_waits(modelled)
+
+
+def test_a_restarted_host_is_asked_about_when_the_other_is_at_the_spread_limit():
+    modelled = begin_pool(hosts=2)
+    step = Step(2, cpu_milli=1000, memory_mib=500, spread=1, long_running=True)
+    submit(modelled, SERVING, step)
+    modelled.events.run(1.0)
+    entry = modelled.pool.hosts["h000"].entry
+    modelled.pool.crash("h000")
+    modelled.events.run(0.2)
+    modelled.pool.begin(entry)
+    check_no_task_waits(modelled)
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [HostFault.REJECTS_ROOM, HostFault.REJECTS_STALE, HostFault.REJECTS_LATE],
+)
+def test_a_host_that_rejects_every_start_does_not_keep_tasks_from_other_hosts(fault):
+    # The rejecting host is the cheapest by the owner's view in each planning pass.
+    modelled = begin_pool(hosts=3)
+    modelled.pool.hosts["h000"].faults[fault] = float("inf")
+    step = Step(1, cpu_milli=1000, memory_mib=500, estimate=1.0)
+    submit(modelled, URGENT, step)
+    check_no_task_waits(modelled)
+
+
+def test_a_host_that_rejects_tickets_does_not_keep_tasks_from_other_hosts():
+    modelled = begin_pool(hosts=3)
+    modelled.pool.hosts["h000"].faults[HostFault.REJECTS_TICKET] = float("inf")
+    step = Step(1, cpu_milli=1000, memory_mib=500, estimate=1.0)
+    submit(modelled, SERVING, step)
+    check_no_task_waits(modelled)
+
+
+def test_a_host_that_is_unavailable_does_not_keep_tasks_from_other_hosts():
+    modelled = begin_pool(hosts=3)
+    modelled.pool.hosts["h000"].faults[HostFault.REJECTS_UNAVAILABLE] = float("inf")
+    step = Step(1, cpu_milli=1000, memory_mib=500, estimate=1.0)
+    submit(modelled, URGENT, step)
+    check_no_task_waits(modelled)
