--- a/bench/waiting_work.py
+++ b/bench/waiting_work.py
@@ -9,8 +9,10 @@
 import logging
 import os
 import sys
+from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
+from functools import partial
 
 from bench.event_queue import EventQueue
 from bench.faulty_pool import FaultyPool
@@ -116,18 +118,20 @@
     return WaitingResult(seed, sizes, violations, scenario.faults, check.worst_s)
 
 
-def _run_quietly(seed: int) -> WaitingResult:
+def _run_quietly(run: Callable[[int], WaitingResult], seed: int) -> WaitingResult:
     logging.disable(logging.CRITICAL)
-    return run_seed(seed)
+    return run(seed)
 
 
-def main(seeds: int, first_seed: int) -> int:
+def main(run: Callable[[int], WaitingResult], arguments: list[str]) -> int:
     """Print each scenario in which a task waits for too long; return the exit code."""
+    given = [int(word) for word in arguments]
+    seeds, first_seed = given + [DEFAULT_SEEDS, 0][len(given) :]
     failed = []
     processes = min(MAX_PROCESSES, os.cpu_count() or 1)
     with ProcessPoolExecutor(processes) as executor:
         chosen = range(first_seed, first_seed + seeds)
-        for result in executor.map(_run_quietly, chosen):
+        for result in executor.map(partial(_run_quietly, run), chosen):
             if result.violations:
                 failed.append(result.seed)
                 print(result.describe(), flush=True)
@@ -136,5 +140,4 @@
 
 
 if __name__ == "__main__":
-    arguments = [int(word) for word in sys.argv[1:]]
-    sys.exit(main(*(arguments + [DEFAULT_SEEDS, 1][len(arguments) :])))
+    sys.exit(main(run_seed, sys.argv[1:]))
