Show a host that counts as asked although it was down at that time

The advisor names no host that is down, the host counts as asked for the rest of the step, and comes back under its name.

--- a/tests/work/test_waiting_work.py
+++ b/tests/work/test_waiting_work.py
@@ -98,6 +98,18 @@
     check_no_task_waits(modelled)
 
 
+def test_a_host_that_was_down_when_asked_about_is_asked_about_again():
+    # The advisor names no host that is down. The host comes back under its name.
+    modelled = begin_pool(hosts=2)
+    entry = modelled.pool.hosts["h000"].entry
+    modelled.pool.crash("h000")
+    step = Step(2, cpu_milli=1000, memory_mib=500, spread=1, long_running=True)
+    submit(modelled, SERVING, step)
+    modelled.events.run(1.0)
+    modelled.pool.begin(entry)
+    check_no_task_waits(modelled)
+
+
 @pytest.mark.parametrize(
     "fault",
     [HostFault.REJECTS_ROOM, HostFault.REJECTS_STALE, HostFault.REJECTS_LATE],
