--- a/tests/work/test_waiting_work.py
+++ b/tests/work/test_waiting_work.py
@@ -77,6 +77,12 @@
     check_seed(seed)
 
 
+@pytest.mark.parametrize("seed", [65, 85, 90, 137])
+def test_hosts_that_were_down_when_asked_about_are_asked_about_again(seed):
+    # Of the hosts asked about, those that the advisor allows were restarting.
+    check_seed(seed)
+
+
 def test_a_host_that_joins_is_asked_about_when_the_others_are_at_the_spread_limit():
     modelled = begin_pool(hosts=1)
     step = Step(2, cpu_milli=1000, memory_mib=500, spread=1, long_running=True)
