Keep a task off a host that rejects its start as stale

What callers saw, in a test: a task did not start while two other hosts were free.

Cause: the host that rejects each run number as stale stays the cheapest one, so every pass chooses it again: run 223 of one task after 7 s.

Change: the task avoids the host as after a failed run: 1.5 s, then only if no other fits.

Measured: test_a_host_that_rejects_every_start_does_not_keep_tasks_from_other_hosts failed before; tests/work and tests/platform pass.

--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -87,6 +87,10 @@
             self.dirty.add(run.key[0].job)
         if rejection in CONTRADICTING_REJECTIONS:
             self._await_report(host, run, rejection, now)
+        task = self.task(run.key[0])
+        if rejection is Rejection.STALE_RUN and task is not None:
+            # The next run number may be rejected there too.
+            task.avoided_hosts[host.name] = now
         return self._end_run(host, run, rejection.value, now)
 
     def _await_report(
