Queue an item under the current settings of its workload

Seen by callers: after a change of a workload's urgency, the owner stopped all deadlines, retries and preemption of a shard; what waited stayed there.

Cause: an item that fails or backs off during the change keeps the old workload. When it is queued again its lane is listed under the old urgency, and the removal of the last item takes it only from the new one. The empty lane is tried at the next tick, whose assertion fails, and the task that ticks is not restarted.

Change: an item that is queued again takes the workload of the configuration in force, and a lane is listed under the urgency of its own workload.

Evidence: test_a_lane_is_listed_once_after_its_urgency_changed_during_a_backoff failed with the AssertionError of Dispatcher._start_head and passes.

--- a/siskinroad/attempts.py
+++ b/siskinroad/attempts.py
@@ -253,8 +253,9 @@
         """Queue an item for another attempt without a backoff."""
         item.state = "waiting"
         item.backoff_until = 0.0
-        hosts = self.shard.pools[item.workload.pool].index.hosts
-        if len(item.avoid) >= len(hosts):
+        item.workload = self.shard.current_workload(item.workload)
+        state = self.shard.pools.get(item.workload.pool)
+        if state is None or len(item.avoid) >= len(state.index.hosts):
             item.avoid.clear()
         lane = self.shard.waiting.push(item, front=front)
         lane.is_blocked = False
--- a/siskinroad/queues.py
+++ b/siskinroad/queues.py
@@ -165,15 +165,17 @@
     def push(self, item: Item, *, front: bool = False) -> Lane:
         """Queue an item, last in its lane or, with ``front``, first.
 
-        Items that were checkpointed or never sent go to the front.
+        Items that were checkpointed or never sent go to the front. An item whose
+        workload has changed since it was made takes on that of its lane.
         """
         lane = self.lane(item.workload)
+        item.workload = lane.workload
         if front:
             lane.items.appendleft(item)
         else:
             lane.items.append(item)
         lane.live += 1
-        self.active[item.workload.urgency][item.workload.name] = lane
+        self.active[lane.workload.urgency][lane.workload.name] = lane
         if item.deadline < math.inf:
             self._sequence += 1
             heapq.heappush(self._deadlines, (item.deadline, self._sequence, item))
--- a/siskinroad/shard.py
+++ b/siskinroad/shard.py
@@ -169,6 +169,10 @@
         """Return the state of the pool of a host."""
         return self.pools[self.pool_of[host]]
 
+    def current_workload(self, workload: Workload) -> Workload:
+        """Return a workload as configured now, or as given if it was removed."""
+        return self.cell.workloads.get(workload.name, workload)
+
     def update_capacity(self, now: float) -> None:
         """Recompute the total capacity that shares are fractions of."""
         total = NOTHING
