Limit the time for which a task avoids a host that failed it

Seen by callers: a task that failed on a host was not started again while that host was free and the others of its pool were full, leaving or gone.

Cause: the hosts on which an item failed were excluded without a time limit, until it had failed on as many hosts as the pool has, whether these were in use or not.

Change: each exclusion lasts 30 s.

--- a/siskinroad/attempts.py
+++ b/siskinroad/attempts.py
@@ -156,7 +156,7 @@
             run.worst_end = end
             effects += self._stop_others(run, end)
             if end in (End.FAILED, End.UNKNOWN, End.REJECTED):
-                run.item.avoid.add(view.name)
+                run.item.avoid_host(view.name, now)
         if not run.hosts:
             effects += self._end_run(run, now)
         return view, effects
--- a/siskinroad/dispatch.py
+++ b/siskinroad/dispatch.py
@@ -171,21 +171,22 @@
         only_host: HostView | None,
     ) -> list[HostView] | None:
         reserved = self._reserved_for_others(state, item, now)
+        avoid = item.avoided_hosts(now)
         workload = item.workload
         if only_host is not None and workload.size == 1:
-            is_excluded = only_host.name in reserved or only_host.name in item.avoid
+            is_excluded = only_host.name in reserved or only_host.name in avoid
             return None if is_excluded else [only_host]
         if workload.size > 1:
-            parts = state.index.place_gang(need, workload.size, item.avoid, reserved)
+            parts = state.index.place_gang(need, workload.size, avoid, reserved)
             if parts is None:
                 return None
             return [view for view, count in parts for _ in range(count)]
         if (
             workload.kind == "service" and not workload.demand.accelerators
         ) or workload.long_running:
-            view = state.index.least_loaded(need, item.avoid, reserved, workload.name)
+            view = state.index.least_loaded(need, avoid, reserved, workload.name)
         else:
-            view = state.index.best_fit(need, item.avoid, reserved)
+            view = state.index.best_fit(need, avoid, reserved)
         return None if view is None else [view]
 
     def _reserved_for_others(
@@ -211,12 +212,11 @@
         state.last_planned = now
         state.reservations.pop(item.key, None)
         reserved = self._reserved_hosts(state)
+        avoid = item.avoided_hosts(now)
         hosts = [
             view
             for view in state.index.hosts.values()
-            if view.is_open
-            and view.name not in item.avoid
-            and view.name not in reserved
+            if view.is_open and view.name not in avoid and view.name not in reserved
         ]
         size = item.workload.size
         plan = plan_reservation(
--- a/siskinroad/queues.py
+++ b/siskinroad/queues.py
@@ -21,6 +21,10 @@
 # Seconds of waiting after which background work ranks as standard work. Without
 # this limit, constant standard work would starve it.
 AGING_TIME = 300.0
+# Seconds for which an item avoids a host on which it failed. With a smaller value, a
+# faulty host fails the same item again; with a larger one, an item waits longer while
+# its other hosts are full or out of use.
+AVOID_TIME = 30.0
 # Half-life of the measured rate of starts, in seconds.
 RATE_HALF_LIFE = 10.0
 # Fewest waiting items for which a waiting time is forecast. With fewer, the forecast
@@ -49,8 +53,8 @@
         Attempts among ``tries`` that never reached their host.
     state : str
         State of the ``attempt`` chart.
-    avoid : set of str
-        Hosts on which the item failed.
+    avoid : dict of str to float
+        Hosts on which the item failed, with the loop time until which it avoids them.
     payload : bytes
         Bytes passed to the host that runs the item.
     started : float
@@ -66,11 +70,19 @@
     tries: int = 0
     unsent: int = 0
     state: str = "waiting"
-    avoid: set[str] = field(default_factory=set)
+    avoid: dict[str, float] = field(default_factory=dict)
     payload: bytes = b""
     started: float = 0.0
     backoff_until: float = 0.0
 
+    def avoid_host(self, host: str, now: float) -> None:
+        """Avoid a host on which the item failed for ``AVOID_TIME`` seconds."""
+        self.avoid[host] = now + AVOID_TIME
+
+    def avoided_hosts(self, now: float) -> set[str]:
+        """Return the hosts that the item avoids at ``now``."""
+        return {host for host, until in self.avoid.items() if now < until}
+
 
 @dataclass(slots=True, eq=False)
 class Lane:
