Continue a search for a host behind the hosts that did not fit

Seen by callers: in a pool of more than 64 hosts, a request was never placed although a host was empty.

Cause: a search visits at most 64 hosts, always in the same order. While these are full in another dimension, reserved, avoided or closed, every search visits them and no other host.

Change: a search that visited 64 hosts without success records how many hosts it has visited for this need; the next one skips them and starts over at the end. The cost of a search is unchanged. At most 256 needs are kept.

--- a/siskinroad/placement.py
+++ b/siskinroad/placement.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
+from itertools import islice
 
 from siskinroad.resources import Resources
 
@@ -15,6 +16,8 @@
 MAX_PROBES = 64
 # Fitting hosts after which a search stops; the best of them is used.
 MAX_FITTING_HOSTS = 6
+# Most needs for which a search is continued; it bounds the memory of an index.
+MAX_CONTINUED_SEARCHES = 256
 # Most levels into which the free slots of hosts are divided; it bounds the memory of
 # an index of hosts with many slots.
 MAX_SLOT_LEVELS = 64
@@ -104,7 +107,8 @@
 
     There is a row of levels for each dimension. A search uses the row of the
     dimension of which the task needs the largest fraction of a host, begins at the
-    level that the task needs, and stops after ``MAX_PROBES`` hosts.
+    level that the task needs, and stops after ``MAX_PROBES`` hosts. If none of them
+    fits, the next search for the same need continues behind them.
     """
 
     def __init__(self, capacity: Resources) -> None:
@@ -114,6 +118,7 @@
         self.free_memory = 0
         self.free_accelerators = 0
         self.free_slots = 0
+        self._search_offsets: dict[Resources, int] = {}
         self._level_counts = (
             RESOURCE_LEVELS,
             RESOURCE_LEVELS,
@@ -270,10 +275,14 @@
 
         At most ``MAX_FITTING_HOSTS`` fitting hosts are compared.
         """
+        offset = self._search_offsets.pop(need, 0)
         found: list[HostView] = []
         probes = 0
+        skipped = 0
         for level in levels:
-            for host in level.values():
+            skip = min(max(offset - skipped, 0), len(level))
+            skipped += skip
+            for host in islice(level.values(), skip, None):
                 probes += 1
                 if host.fits(need) and host.name not in excluded:
                     found.append(host)
@@ -281,8 +290,18 @@
                     break
             if found or probes >= MAX_PROBES:
                 break
+        if found and offset:
+            self._continue_search_at(need, offset)
+        elif not found and probes >= MAX_PROBES:
+            self._continue_search_at(need, offset + probes)
         return min(found, key=key) if found else None
 
+    def _continue_search_at(self, need: Resources, offset: int) -> None:
+        """Let the next search for a need skip the hosts that did not fit."""
+        if len(self._search_offsets) >= MAX_CONTINUED_SEARCHES:
+            self._search_offsets.clear()
+        self._search_offsets[need] = offset
+
     def place_gang(
         self, need: Resources, size: int, avoid: set[str], reserved: set[str]
     ) -> list[tuple[HostView, int]] | None:
