Limit raised allocations to what lets an admitted item start

Seen by callers: a batch task whose demand is within its owner's quota, and a gang that fits an empty pool, were accepted and never started on an idle pool.

Cause: admission compares the declared demand with the quota and the pool. The dispatcher allocates four times the declared demand while a workload has fewer than five ended tasks, which exceeds the quota or the pool. As nothing starts, nothing is learned, and the allocation stays as it is.

Change: an estimate above the declared demand is limited to each member's part of the owner's quota and of the hosts, but not below the declared demand.

--- a/siskinroad/attempts.py
+++ b/siskinroad/attempts.py
@@ -90,7 +90,7 @@
         if view is None or (run is not None and run.attempt != name.run):
             return False
         if run is None:
-            held = self.shard.estimates.allocation(item.workload, view.capacity)
+            held = self.shard.allocation(item.workload, self.shard.pool_state(host))
             expected_end = now + self.shard.estimates.run_time(item.workload)
             run = Running(item, name.run, {}, held, now, expected_end)
             item.state = "running"
--- a/siskinroad/dispatch.py
+++ b/siskinroad/dispatch.py
@@ -126,7 +126,7 @@
         state = self.shard.pools.get(workload.pool)
         if state is None or (self.requests_only and workload.kind != "service"):
             return None
-        need = self.shard.estimates.allocation(workload, state.pool.capacity)
+        need = self.shard.allocation(workload, state)
         total_need = need.times(workload.size)
         if not self.shard.shares.within_quota(workload.owner, total_need):
             return None
@@ -272,7 +272,7 @@
 
     def _fits_on(self, state: PoolState, lane: Lane, view: HostView) -> bool:
         workload = lane.workload
-        need = self.shard.estimates.allocation(workload, state.pool.capacity)
+        need = self.shard.allocation(workload, state)
         if not view.fits(need):
             return False
         if workload.size == 1:
@@ -323,7 +323,7 @@
     state = shard.pools.get(workload.pool)
     if state is None:
         return f"no host of {workload.pool} belongs to this shard"
-    need = shard.estimates.allocation(workload, state.pool.capacity)
+    need = shard.allocation(workload, state)
     total_need = need.times(workload.size)
     if not shard.shares.within_quota(workload.owner, total_need):
         return f"{workload.owner} has used up its quota"
--- a/siskinroad/shard.py
+++ b/siskinroad/shard.py
@@ -173,6 +173,38 @@
         """Return a workload as configured now, or as given if it was removed."""
         return self.cell.workloads.get(workload.name, workload)
 
+    def allocation(self, workload: Workload, state: PoolState) -> Resources:
+        """Return the resources to allocate to each member of a workload's items.
+
+        An estimate above the declared demand is limited to what lets the item start
+        in an empty pool: each member's part of the owner's quota and of a host. An
+        item that never starts would leave its workload without samples, and the
+        estimate as it is.
+        """
+        capacity = state.pool.capacity
+        need = self.estimates.allocation(workload, capacity)
+        quota = self.shares.quota(workload.owner)
+        members_per_host = -(-workload.size // max(len(state.index.hosts), 1))
+        if members_per_host == 1 and quota == NOTHING:
+            return need
+        demand = workload.demand
+        return Resources(
+            _limit_amount(
+                need.cpu_milli,
+                demand.cpu_milli,
+                _part(quota.cpu_milli, workload.size),
+                capacity.cpu_milli // members_per_host,
+            ),
+            _limit_amount(
+                need.memory_mib,
+                demand.memory_mib,
+                _part(quota.memory_mib, workload.size),
+                capacity.memory_mib // members_per_host,
+            ),
+            need.accelerators,
+            need.slots,
+        )
+
     def update_capacity(self, now: float) -> None:
         """Recompute the total capacity that shares are fractions of."""
         total = NOTHING
@@ -209,6 +241,19 @@
         return budget
 
 
+def _part(quota: int, size: int) -> int | None:
+    """Return each member's part of a quota, or None if there is no limit."""
+    return quota // size if quota else None
+
+
+def _limit_amount(
+    estimate: int, declared: int, quota_part: int | None, host_part: int
+) -> int:
+    """Return an estimate limited to both parts, but not below the declared amount."""
+    limit = host_part if quota_part is None else min(quota_part, host_part)
+    return min(estimate, max(declared, limit))
+
+
 def _urgent_need(cell: Cell, pool: str) -> Resources:
     needs = [
         workload.demand
--- a/siskinroad/shares.py
+++ b/siskinroad/shares.py
@@ -76,6 +76,10 @@
             account.decayed_use + account.dominant_share * LOOK_AHEAD
         ) / account.owner.weight
 
+    def quota(self, name: str) -> Resources:
+        """Return an owner's quota; a dimension of 0 means no limit."""
+        return self._account(name).owner.quota
+
     def within_quota(self, name: str, need: Resources) -> bool:
         """Return whether an owner's quota allows another ``need``."""
         account = self._account(name)
