Keep the headroom within what an empty pool can leave free

Seen by callers: while urgent requests arrived, other work did not start in an empty pool, and a gang as large as its pool was accepted and never started.

Cause: the headroom is limited to half of the pool's slots, but not in the other dimensions. Eight reserved tasks of 64 processors are 512, and a pool of two hosts has 256. A gang that takes the whole pool leaves no headroom whatever the pool's state.

Change: the headroom is limited to half of the open capacity in each dimension, and to what the item leaves free of the open hosts if they are empty.

--- a/siskinroad/dispatch.py
+++ b/siskinroad/dispatch.py
@@ -31,8 +31,8 @@
 OVERDUE_FRACTION = 0.6
 # Blocked lanes that are tried again in one tick; it bounds the cost of a tick.
 MAX_UNBLOCKED_LANES = 8
-# Largest fraction of a pool's slots kept free for urgent work. A larger value could
-# keep other work from starting at all.
+# Largest fraction of a pool's open capacity kept free for urgent work, in each
+# dimension. A larger value could keep other work from starting at all.
 MAX_HEADROOM_FRACTION = 0.5
 
 
@@ -145,22 +145,18 @@
     def _leaves_headroom(
         self, state: PoolState, workload: Workload, total_need: Resources, now: float
     ) -> bool:
+        """Return whether the headroom for urgent work stays free after a start.
+
+        The headroom is less where it would keep the work from an empty pool.
+        """
         reserved_tasks = state.headroom.reserved_tasks(workload.urgency, now)
         if not reserved_tasks:
             return True
-        slots = state.pool.capacity.slots * len(state.index.hosts)
-        reserved_tasks = min(reserved_tasks, int(slots * MAX_HEADROOM_FRACTION))
-        urgent_demand = state.urgent_need
         index = state.index
-        return (
-            index.free_slots - total_need.slots >= reserved_tasks * urgent_demand.slots
-            and index.free_cpu - total_need.cpu_milli
-            >= reserved_tasks * urgent_demand.cpu_milli
-            and index.free_memory - total_need.memory_mib
-            >= reserved_tasks * urgent_demand.memory_mib
-            and index.free_accelerators - total_need.accelerators
-            >= reserved_tasks * urgent_demand.accelerators
-        )
+        total = state.pool.capacity.times(index.open_count)
+        headroom = state.urgent_need.times(reserved_tasks)
+        headroom = headroom.clip(total.scaled(MAX_HEADROOM_FRACTION))
+        return (headroom.clip(total - total_need) + total_need).fits(index.free())
 
     def _choose_hosts(
         self,
--- a/siskinroad/placement.py
+++ b/siskinroad/placement.py
@@ -114,6 +114,7 @@
     def __init__(self, capacity: Resources) -> None:
         self.capacity = capacity
         self.hosts: dict[str, HostView] = {}
+        self.open_count = 0
         self.free_cpu = 0
         self.free_memory = 0
         self.free_accelerators = 0
@@ -129,6 +130,12 @@
             [{} for _ in range(level_count + 1)] for level_count in self._level_counts
         ]
 
+    def free(self) -> Resources:
+        """Return the unallocated resources of all open hosts."""
+        return Resources(
+            self.free_cpu, self.free_memory, self.free_accelerators, self.free_slots
+        )
+
     def add(self, host: HostView) -> None:
         """Add a host, whether it is open or not."""
         self.hosts[host.name] = host
@@ -157,6 +164,7 @@
         host.levels = levels
 
     def _add_to_sums(self, host: HostView, sign: int) -> None:
+        self.open_count += sign
         self.free_cpu += sign * host.cpu
         self.free_memory += sign * host.memory
         self.free_accelerators += sign * host.accelerators
--- a/siskinroad/resources.py
+++ b/siskinroad/resources.py
@@ -54,6 +54,15 @@
             self.slots * count,
         )
 
+    def scaled(self, factor: float) -> Resources:
+        """Return this vector multiplied by ``factor``, rounded down."""
+        return Resources(
+            int(self.cpu_milli * factor),
+            int(self.memory_mib * factor),
+            int(self.accelerators * factor),
+            int(self.slots * factor),
+        )
+
     def clip(self, capacity: Resources) -> Resources:
         """Return this vector with each dimension limited to that of ``capacity``."""
         return Resources(
