Show that smaller work starves a gang of the capacity beside the headroom

The headroom is checked before hosts are reserved, so a gang that would leave less than the headroom gets no reservation, and smaller work takes each slot that ends.

--- a/tests/test_bounded_waits.py
+++ b/tests/test_bounded_waits.py
@@ -231,6 +231,28 @@
     assert started or tick_until_started(scheduler, "g/0", 1.1)
 
 
+def test_a_gang_is_not_starved_by_the_headroom():
+    """Guard against a gang that waits for capacity beside the headroom.
+
+    Smaller work leaves just the headroom free, and takes what ends beyond it.
+    """
+    scheduler = make_scheduler(2)
+    scheduler.submit(item(scheduler, "quote", "q/0", 0.0), 0.0)
+    scheduler.record_attempt_end("q/0", 0, End.DONE, 0.0)
+    submit(scheduler, "plain", 200)
+    scheduler.submit(item(scheduler, "render_small", "g/0"), 0.0)
+    now = 0.0
+    while "g/0" not in scheduler.shard.running and now < PLACEMENT_BOUND_S:
+        now += TICK_INTERVAL
+        scheduler.submit(item(scheduler, "quote", f"q/{now}", now), now)
+        scheduler.record_attempt_end(f"q/{now}", 0, End.DONE, now)
+        for key, run in list(scheduler.shard.running.items()):
+            if now - run.started >= 20.0:
+                scheduler.record_attempt_end(key, 0, End.DONE, now)
+        scheduler.tick(now)
+    assert "g/0" in scheduler.shard.running
+
+
 def test_a_reservation_ends_while_the_quota_keeps_its_item_from_starting():
     """Guard against idle hosts that are reserved for an item that may not start."""
     scheduler = make_scheduler(1)
