Reserve hosts for a gang that lacks the headroom

Seen by callers: while urgent requests arrived now and then and smaller work waited, a gang did not start until the smaller work was used up.

Cause: an item that would leave less than the headroom was turned away before hosts were reserved for it. Smaller work leaves just the headroom free and takes each slot that ends, so the gang never found its capacity and the headroom beside it.

Change: hosts are reserved for a gang although the headroom is lacking, and a gang with reserved hosts starts without headroom beside them. Single tasks are not changed.

--- a/siskinroad/dispatch.py
+++ b/siskinroad/dispatch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from siskinroad.attempts import Attempts
-from siskinroad.cell import Urgency, Workload
+from siskinroad.cell import Urgency
 from siskinroad.effects import StartTask
 from siskinroad.gangs import Reservation, plan_reservation
 from siskinroad.names import split_task
@@ -130,9 +130,12 @@
         total_need = need.times(workload.size)
         if not self.shard.shares.within_quota(workload.owner, total_need):
             return None
-        if not self._leaves_headroom(state, workload, total_need, now):
+        has_headroom = self._leaves_headroom(state, item, total_need, now)
+        if not has_headroom and workload.size == 1:
             return None
-        hosts = self._choose_hosts(state, item, need, now, only_host)
+        hosts = None
+        if has_headroom:
+            hosts = self._choose_hosts(state, item, need, now, only_host)
         if hosts is None:
             if only_host is None:
                 self._reserve_hosts(state, item, need, now)
@@ -143,15 +146,19 @@
         return self.attempts.start_attempt(item, hosts, need, now)
 
     def _leaves_headroom(
-        self, state: PoolState, workload: Workload, total_need: Resources, now: float
+        self, state: PoolState, item: Item, total_need: Resources, now: float
     ) -> bool:
         """Return whether the headroom for urgent work stays free after a start.
 
-        The headroom is less where it would keep the work from an empty pool.
+        The headroom is less where it would keep the work from an empty pool. A gang
+        with reserved hosts needs none beside them: smaller work would take it first.
         """
+        workload = item.workload
         reserved_tasks = state.headroom.reserved_tasks(workload.urgency, now)
         if not reserved_tasks:
             return True
+        if workload.size > 1 and item.key in state.reservations:
+            return True
         index = state.index
         total = state.pool.capacity.times(index.open_count)
         headroom = state.urgent_need.times(reserved_tasks)
