End the reservation of an item that may not start

Seen by callers: hosts stayed empty for an item whose owner's quota was used up, or while only requests may start, and other work waited.

Cause: an item that its quota turns away is not tried on hosts, so its reservation was neither planned again nor removed. One whose workload was moved to another pool kept its hosts in the former pool while it waited.

Change: the reservation is removed when the quota or a suspension of tasks turns the item away, and when the item no longer waits for the pool.

--- a/siskinroad/dispatch.py
+++ b/siskinroad/dispatch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from siskinroad.attempts import Attempts
-from siskinroad.cell import Urgency
+from siskinroad.cell import Urgency, Workload
 from siskinroad.effects import StartTask
 from siskinroad.gangs import Reservation, plan_reservation
 from siskinroad.names import split_task
@@ -124,11 +124,12 @@
         assert item is not None
         workload = item.workload
         state = self.shard.pools.get(workload.pool)
-        if state is None or (self.requests_only and workload.kind != "service"):
+        if state is None:
             return None
         need = self.shard.allocation(workload, state)
         total_need = need.times(workload.size)
-        if not self.shard.shares.within_quota(workload.owner, total_need):
+        if not self._may_start(workload, total_need):
+            state.reservations.pop(item.key, None)
             return None
         has_headroom = self._leaves_headroom(state, item, total_need, now)
         if not has_headroom and workload.size == 1:
@@ -145,6 +146,12 @@
         state.reservations.pop(item.key, None)
         return self.attempts.start_attempt(item, hosts, need, now)
 
+    def _may_start(self, workload: Workload, total_need: Resources) -> bool:
+        """Return whether a start is allowed, whatever capacity is free."""
+        if self.requests_only and workload.kind != "service":
+            return False
+        return self.shard.shares.within_quota(workload.owner, total_need)
+
     def _leaves_headroom(
         self, state: PoolState, item: Item, total_need: Resources, now: float
     ) -> bool:
@@ -233,18 +240,22 @@
             state.reservations[item.key] = plan
 
     def _drop_stale_reservations(self, state: PoolState) -> None:
-        """Remove reservations of items that are no longer the head of their lane.
+        """Remove reservations that no longer belong to a lane's head in this pool.
 
         Only the head of a lane is tried. The reservation of an item that failed and
-        waits behind others again would never be used and would block its hosts
-        indefinitely.
+        waits behind others again, or whose workload was moved to another pool, would
+        never be used and would block its hosts indefinitely.
         """
         for key in list(state.reservations):
             holder = self.shard.items.get(key)
-            lane = self.shard.waiting.lane(holder.workload) if holder else None
-            if lane is None or lane.head() is not holder:
+            if holder is None or not self._is_head_in(state, holder):
                 del state.reservations[key]
 
+    def _is_head_in(self, state: PoolState, item: Item) -> bool:
+        """Return whether an item is the head of its lane and waits for this pool."""
+        lane = self.shard.waiting.lane(item.workload)
+        return lane.head() is item and lane.workload.pool == state.pool.name
+
     def _reserved_hosts(self, state: PoolState) -> set[str]:
         names: set[str] = set()
         for reservation in state.reservations.values():
