Let a host's concurrency limit recover with time

Seen by callers: after requests failed on a host, it ran one task at a time for good.

Cause: only a successful request raises the limit that failed requests lower. A task in the one slot that is left keeps requests away, and a pool that has only tasks since then has none at all. Besides, the end of a request reopened a host that had been closed for its use of memory.

Change: a limit that was not changed for 5 s regains a tenth of the host's slots. The limit of a host is computed in one place, Shard.update_limit, from its state, its use of memory and the outcomes of its requests.

--- a/siskinroad/attempts.py
+++ b/siskinroad/attempts.py
@@ -216,7 +216,7 @@
             limit.record_success()
         elif end in (End.UNKNOWN, End.REJECTED, End.NOT_SENT):
             limit.record_failure(now)
-        view.limit = 1 if view.state == "probation" else limit.max_tasks
+        self.shard.update_limit(view)
 
     def _end_run(self, run: Running, now: float) -> list[Effect]:
         item = run.item
--- a/siskinroad/limits.py
+++ b/siskinroad/limits.py
@@ -19,6 +19,11 @@
 # Minimum seconds between two decreases. One event can fail many requests at
 # once, and with a smaller value it would lower the limit once for each of them.
 MIN_DECREASE_INTERVAL = 1.0
+# Seconds without a failure after which a host regains ``RECOVERED_FRACTION`` of its
+# slots. Only successful requests raise the limit otherwise, and a host whose slots hold
+# tasks gets none.
+RECOVERY_INTERVAL = 5.0
+RECOVERED_FRACTION = 0.1
 
 # Half-life of the measured rates of arrivals and of ends, in seconds.
 ARRIVAL_HALF_LIFE = 5.0
@@ -41,7 +46,8 @@
     """Concurrency limit of a host: additive increase, multiplicative decrease.
 
     A failure of the host lowers the limit, at most once in ``MIN_DECREASE_INTERVAL``
-    seconds, since one event fails many requests at once. Slow replies do not lower
+    seconds, since one event fails many requests at once. Successes raise it, and so
+    does time without a failure. Slow replies do not lower
     it: run times have a heavy tail, and treating a slow reply as a sign of overload
     starved healthy hosts.
     """
@@ -49,6 +55,7 @@
     slots: int
     limit: float = 0.0
     lowered_at: float = -1e9
+    raised_at: float = -1e9
 
     def __post_init__(self) -> None:
         self.limit = float(self.slots)
@@ -65,6 +72,18 @@
             self.lowered_at = now
         return self.max_tasks
 
+    def recover(self, now: float) -> None:
+        """Raise the limit if it was not changed for ``RECOVERY_INTERVAL`` seconds."""
+        if now - max(self.lowered_at, self.raised_at) >= RECOVERY_INTERVAL:
+            raised = self.limit + RECOVERED_FRACTION * self.slots
+            self.limit = min(raised, float(self.slots))
+            self.raised_at = now
+
+    @property
+    def is_lowered(self) -> bool:
+        """Whether the limit is below the host's slots."""
+        return self.limit < self.slots
+
     @property
     def max_tasks(self) -> int:
         """Limit as a whole number of tasks."""
--- a/siskinroad/preemption.py
+++ b/siskinroad/preemption.py
@@ -48,7 +48,6 @@
     def __init__(self, shard: Shard, attempts: Attempts) -> None:
         self.shard = shard
         self.attempts = attempts
-        self._closed_hosts: set[str] = set()
 
     def apply_usage(
         self, host: str, reports: list[UsageReport], now: float
@@ -100,12 +99,10 @@
 
     def _set_closed(self, view: HostView, is_overloaded: bool) -> None:
         if is_overloaded:
-            self._closed_hosts.add(view.name)
-            view.limit = 0
-        elif view.name in self._closed_hosts:
-            self._closed_hosts.discard(view.name)
-            limit = self.shard.limits[view.name].max_tasks
-            view.limit = 1 if view.state == "probation" else limit
+            self.shard.overloaded_hosts.add(view.name)
+        else:
+            self.shard.overloaded_hosts.discard(view.name)
+        self.shard.update_limit(view)
 
     def _runs_on(self, view: HostView) -> list[Running]:
         keys = dict.fromkeys(split_task(task)[0] for task in view.tasks)
--- a/siskinroad/scheduler.py
+++ b/siskinroad/scheduler.py
@@ -92,8 +92,7 @@
         if view.state == before:
             return []
         view.is_open = view.state in ("live", "probation")
-        limit = self.shard.limits[name].max_tasks
-        view.limit = 1 if view.state == "probation" else limit
+        self.shard.update_limit(view)
         self.shard.pool_state(name).index.refresh(view)
         self.shard.update_capacity(now)
         effects = self.lose_tasks(name, now) if view.state == "gone" else []
@@ -271,6 +270,7 @@
             effects.append(self._refuse_waiting(item, refusal))
         self.attempts.release_backed_off(now)
         self.preemption.expire_evictions(now)
+        self.shard.recover_limits(now)
         effects += self._apply_verdicts(self.shard.health.tick(now), now)
         self.shard.accounts.tick(milliseconds(now))
         self.dispatcher.unblock_some()
--- a/siskinroad/shard.py
+++ b/siskinroad/shard.py
@@ -128,6 +128,8 @@
         self.items: dict[str, Item] = {}
         self.running: dict[str, Running] = {}
         self.limits: dict[str, ConcurrencyLimit] = {}
+        self.lowered_limits: set[str] = set()
+        self.overloaded_hosts: set[str] = set()
         self.budgets: dict[str, Budget] = {}
         self.pools: dict[str, PoolState] = {}
         self.pool_of: dict[str, str] = {}
@@ -163,8 +165,30 @@
         self.pools[self.pool_of.pop(name)].index.remove(name)
         self.health.remove_host(name)
         del self.limits[name]
+        self.lowered_limits.discard(name)
+        self.overloaded_hosts.discard(name)
         self.update_capacity(now)
 
+    def update_limit(self, view: HostView) -> None:
+        """Set how many tasks a host may hold now."""
+        limit = self.limits[view.name]
+        if limit.is_lowered:
+            self.lowered_limits.add(view.name)
+        else:
+            self.lowered_limits.discard(view.name)
+        if view.name in self.overloaded_hosts:
+            view.limit = 0
+        else:
+            view.limit = 1 if view.state == "probation" else limit.max_tasks
+
+    def recover_limits(self, now: float) -> None:
+        """Raise the limits that have not been changed for some time."""
+        for name in sorted(self.lowered_limits):
+            view = self.view(name)
+            assert view is not None
+            self.limits[name].recover(now)
+            self.update_limit(view)
+
     def view(self, name: str) -> HostView | None:
         """Return the named host, or None if the shard does not have it."""
         pool = self.pool_of.get(name)
