Repeat the stop of a task that its host still reports as running

Seen by callers: a cancelled task ran to its end, and a gang with a failed member was not started again while another member ran on.

Cause: a stop that reaches the host before the start command finds no task, succeeds and has no effect. The attempt is marked as stopping and no other stop is sent.

Change: a stop is sent again, at most every 2 s, while inventories list the task as running.

Evidence: test_a_stop_that_overtook_its_start_is_sent_again failed (no outcome after 60 s) and passes.

--- a/siskinroad/attempts.py
+++ b/siskinroad/attempts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from siskinroad.cell import Urgency
 from siskinroad.charts import load_chart
 from siskinroad.effects import ControlTask, Effect, End, Finished, Refused, StartTask
@@ -26,6 +28,10 @@
 # the backoff of a batch task or gang.
 MAX_NOT_SENT = 10
 
+# Seconds after which a stop is sent again to a task that its host still reports as
+# running. With a smaller value, tasks that need time to stop get many calls.
+STOP_RETRY_INTERVAL = 2.0
+
 # Rank of each end in the order of ``End``. The end of highest rank among the members
 # of an attempt is that of the attempt.
 SEVERITY = {end: rank for rank, end in enumerate(End)}
@@ -174,6 +180,18 @@
             for member, host in run.hosts.items()
         ]
 
+    def repeat_stop(self, run: Running, member: int, now: float) -> list[Effect]:
+        """Stop a member again that runs although it was told to stop.
+
+        A stop that reaches the host before the start has no effect there.
+        """
+        repeated_at = run.stop_repeated_at.get(member, -math.inf)
+        if not run.is_stopping or now - repeated_at < STOP_RETRY_INTERVAL:
+            return []
+        run.stop_repeated_at[member] = now
+        host = run.hosts[member]
+        return [ControlTask(run.item.key, run.attempt, host, member, Control.STOP)]
+
     def _release(self, run: Running, member: int, now: float) -> HostView:
         view = self.shard.view(run.hosts.pop(member))
         assert view is not None
--- a/siskinroad/host_monitor.py
+++ b/siskinroad/host_monitor.py
@@ -321,6 +321,9 @@
         owner.run([stop])
         return False
     owner.scheduler.record_attempt_start(name.key)
+    run = owner.scheduler.shard.running[name.key]
+    now = asyncio.get_running_loop().time()
+    owner.run(owner.scheduler.attempts.repeat_stop(run, name.member, now))
     usage.append((name.key, name.member, report.usage))
     return True
 
--- a/siskinroad/shard.py
+++ b/siskinroad/shard.py
@@ -43,6 +43,8 @@
         Loop time at which its eviction began, while that is in progress.
     has_ignored_eviction : bool
         Whether an eviction was not carried out in time.
+    stop_repeated_at : dict of int to float
+        Loop time at which the stop of a member was last sent again.
     """
 
     item: Item
@@ -58,6 +60,7 @@
     evicted_at: float | None = None
     has_ignored_eviction: bool = False
     is_stopping: bool = False
+    stop_repeated_at: dict[int, float] = field(default_factory=dict)
 
     @property
     def is_evicting(self) -> bool:
