Use a host again that no longer reports that it leaves

Seen by callers: after a host had cancelled its drain, it got no work any more.

Cause: an inventory that says that the host leaves closes it. Only an entry of the platform's list opens it again, and the list is applied when it changes.

Change: an inventory without the mark opens the host, unless the platform's list says that it leaves or the configuration has removed it. In the same way the list does not open a host whose inventories say that it leaves.

Evidence: test_a_host_that_no_longer_leaves_is_used_again failed (no start in 60 s) and passes.

--- a/siskinroad/host_monitor.py
+++ b/siskinroad/host_monitor.py
@@ -79,6 +79,8 @@
         Its task leases have expired since it became silent.
     is_removed : bool
         The host is no longer in the configuration; it is forgotten once idle.
+    reports_leaving, is_listed_leaving : bool
+        Whether its last inventory and the platform's list say that it leaves.
     last_unanswered_at : float
         Loop time at which the last request that showed silence began.
     last_start_ended_at : float
@@ -111,6 +113,8 @@
     is_silent: bool = False
     leases_expired: bool = False
     is_removed: bool = False
+    reports_leaving: bool = False
+    is_listed_leaving: bool = False
     last_renewal: float = float("-inf")
     last_unanswered_at: float = float("-inf")
     last_start_ended_at: float = float("-inf")
@@ -129,6 +133,11 @@
         """Whether no task can run on the host without this owner's knowledge."""
         return self.has_answered or self.leases_expired
 
+    @property
+    def may_rejoin(self) -> bool:
+        """Whether nothing says that the host leaves or was removed."""
+        return not (self.is_removed or self.reports_leaving or self.is_listed_leaving)
+
     async def fetch_inventory(
         self, owner: MonitoredOwner, *, wait: float, renew: bool
     ) -> bool:
@@ -275,8 +284,7 @@
     requested_at: float,
 ) -> None:
     """Reconcile the scheduler's state with a host's inventory."""
-    if inventory.leaving:
-        owner.host_event(monitor.host.name, "leave")
+    _apply_leaving(owner, monitor, inventory.leaving)
     view = owner.scheduler.view(monitor.host.name)
     if view is None:
         return
@@ -303,6 +311,16 @@
     owner.run(list(controls))
 
 
+def _apply_leaving(owner: MonitoredOwner, monitor: HostMonitor, leaves: bool) -> None:
+    """Stop using a host that reports that it leaves, until it takes that back."""
+    had_reported = monitor.reports_leaving
+    monitor.reports_leaving = leaves
+    if leaves:
+        owner.host_event(monitor.host.name, "leave")
+    elif had_reported and monitor.may_rejoin:
+        owner.host_event(monitor.host.name, "rejoin")
+
+
 def _apply_running_task(
     owner: MonitoredOwner,
     monitor: HostMonitor,
--- a/siskinroad/owner.py
+++ b/siskinroad/owner.py
@@ -169,7 +169,8 @@
             monitor.host = host
             if monitor.is_removed:
                 monitor.is_removed = False
-                self.host_event(host.name, "rejoin")
+                if monitor.may_rejoin:
+                    self.host_event(host.name, "rejoin")
 
     def forget_host(self, name: str) -> bool:
         """Forget a removed host unless it still runs work; return whether it did.
--- a/siskinroad/shards.py
+++ b/siskinroad/shards.py
@@ -133,12 +133,15 @@
 
     def _apply_host_list(self, owner: ShardOwner) -> None:
         for name, monitor in owner.monitors.items():
-            match self.host_list.get(name):
+            state = self.host_list.get(name)
+            monitor.is_listed_leaving = state is HostState.LEAVING
+            match state:
                 case HostState.LEAVING:
                     owner.host_event(name, "leave")
                 case HostState.GONE:
+                    monitor.reports_leaving = False
                     owner.host_event(name, "gone")
-                case HostState.LIVE if not monitor.is_removed:
+                case HostState.LIVE if monitor.may_rejoin:
                     owner.host_event(name, "rejoin")
 
     def apply_records(self, records: list[Record]) -> None:
