Show that an unexpected error ends the takeover of a shard

One inventory that raises an unexpected error cancels the takeover's other calls. The claim stays in the state taking, in which no other daemon may replace it.

--- a/tests/test_bounded_waits.py
+++ b/tests/test_bounded_waits.py
@@ -370,6 +370,20 @@
     run_on_paused_clock(main())
 
 
+def test_an_unexpected_error_in_a_takeover_does_not_end_it():
+    """Guard against a shard that its daemon has claimed and never places work on."""
+
+    async def main():
+        shard = OwnedShard(FaultyClient, run_time_s=1.0)
+        shard.client.fails = "inventory"
+        await shard.owner.take_over()
+        shard.owner.tasks.accept(make_job())
+        await asyncio.sleep(PLACEMENT_BOUND_S)
+        assert shard.outcomes == [(JOB, 0, "done")]
+
+    run_on_paused_clock(main())
+
+
 def test_an_unexpected_error_of_a_request_answers_it():
     """Guard against a request that keeps its caller waiting and its slot in use."""
 
