Run the loops of a shard's owner again after an unexpected error

Seen by callers: after one unexpected error, the tasks of a host never ended, a shard kept no deadline and tried no blocked lane again, or a claimed shard placed nothing.

Cause: the coroutines that poll a host and that call the scheduler's tick were logged as "not restarted". An error in one of the first inventories ended the takeover, and the claim stayed in the state taking.

Change: both loops run again 1 s after an error, which is logged. A first inventory that fails is logged and left to the host's monitor. The ended tasks that a failed call was to acknowledge are acknowledged by the next one.

--- a/siskinroad/host_monitor.py
+++ b/siskinroad/host_monitor.py
@@ -165,6 +165,9 @@
             self.acked += acked
             self._apply_failure(owner, requested_at, wait, renew)
             return False
+        except Exception:
+            self.acked += acked
+            raise
         if renew:
             self.last_renewal = loop.time()
         self._mark_answered(owner)
--- a/siskinroad/owner.py
+++ b/siskinroad/owner.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from siskinroad.cell import Cell, Host
@@ -26,6 +27,9 @@
 # Shortest sleep between scheduler ticks, in seconds; the longest is ``TICK_INTERVAL``.
 # Without it, a timer that is already due would make the loop spin.
 MIN_TICK_INTERVAL = 0.01
+# Seconds after which a loop that failed with an unexpected error is run again. A
+# shorter time fills the log with an error that repeats.
+RESTART_DELAY = 1.0
 
 log = logging.getLogger("siskinroad.owner")
 
@@ -79,13 +83,43 @@
         if self.is_closed:
             return
         for monitor in self.monitors.values():
-            self.spawn(monitor_host(self, monitor))
-        self.spawn(self._tick())
+            self._spawn_monitor(monitor)
+        self.spawn(self._run_restarted("tick", self._tick))
         self.tasks.queue_unreported()
         self.resume()
 
     async def _fetch_first_inventory(self, monitor: HostMonitor) -> None:
-        await monitor.fetch_inventory(self, wait=0.0, renew=True)
+        """Fetch a host's inventory; the monitor fetches it again after an error."""
+        try:
+            await monitor.fetch_inventory(self, wait=0.0, renew=True)
+        except Exception:
+            log.exception(
+                "owner: first inventory of host %s failed; its monitor fetches another",
+                monitor.host.name,
+            )
+
+    def _spawn_monitor(self, monitor: HostMonitor) -> None:
+        run = functools.partial(monitor_host, self, monitor)
+        self.spawn(self._run_restarted(f"monitor of {monitor.host.name}", run))
+
+    async def _run_restarted(
+        self, name: str, run: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        """Run a loop to its end, and again after each unexpected error.
+
+        Nothing else ends what waits for a tick or for a host's inventory.
+        """
+        while True:
+            try:
+                return await run()
+            except Exception:
+                log.exception(
+                    "owner: %s of shard %s failed; restarted in %.0f s",
+                    name,
+                    self.shard,
+                    RESTART_DELAY,
+                )
+            await asyncio.sleep(RESTART_DELAY)
 
     def resume(self) -> None:
         """Place work again, once ownership is certain, unless a host rejected it."""
@@ -164,7 +198,7 @@
         for host in hosts:
             if host.name not in self.monitors:
                 self._add_host(host)
-                self.spawn(monitor_host(self, self.monitors[host.name]))
+                self._spawn_monitor(self.monitors[host.name])
             monitor = self.monitors[host.name]
             monitor.host = host
             if monitor.is_removed:
