Answer a request whose attempt fails with an unexpected error

Seen by callers: a request had no answer, and its slot on the host stayed in use.

Cause: an error that the request table doesn't expect ended the attempt's task before the scheduler heard of the end. Inventories do not list requests, so nothing else ends such an attempt.

Change: the error is logged, and the attempt ends with an unknown outcome.

Evidence: test_an_unexpected_error_of_a_request_answers_it failed (no answer in 60 s) and passes.

--- a/siskinroad/requests.py
+++ b/siskinroad/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from dataclasses import dataclass
 
 from siskinroad.cell import Workload
@@ -28,6 +29,8 @@
 # Reasons of refusals that are replaced by the upstream's last answer, if any.
 UPSTREAM_FAILURES = (Reason.UPSTREAM_FAILED, Reason.RETRIES_EXHAUSTED)
 
+log = logging.getLogger("siskinroad.requests")
+
 
 @dataclass(slots=True)
 class _Request:
@@ -130,6 +133,13 @@
             return End.NOT_SENT
         except OutcomeUnknownError:
             return End.UNKNOWN
+        except Exception:
+            log.exception(
+                "requests: attempt %s on host %s failed; its outcome is unknown",
+                effect.attempt,
+                host.name,
+            )
+            return End.UNKNOWN
         return End.DONE if req.answer.status < SERVER_ERROR_STATUS else End.FAILED
 
     def answer_refused(self, key: str, refusal: Refusal) -> None:
