Give back the retry that a deadline prevents

Seen by callers: requests were refused as out of retries although few were repeated.

Cause: a retry is taken from the owner's budget before it is checked against the request's deadline, and was not given back if it would come too late.

Change: it is given back.

Evidence: test_a_retry_that_comes_too_late_gives_its_budget_back failed (9.1 instead of 10.1 retries left) and passes.

--- a/siskinroad/attempts.py
+++ b/siskinroad/attempts.py
@@ -300,6 +300,8 @@
         if isinstance(decision, Retry):
             if now + decision.delay <= item.deadline:
                 return self._back_off(item, now + decision.delay)
+            if failure is not Failure.NOT_SENT:
+                budget.return_retry()
             may_have_run = failure in (Failure.UNKNOWN, Failure.FAILED)
             outcome = Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN
             decision = Refusal(Reason.DEADLINE, step="retry", outcome=outcome)
--- a/siskinroad/retries.py
+++ b/siskinroad/retries.py
@@ -63,6 +63,10 @@
         self.tokens -= 1.0
         return True
 
+    def return_retry(self) -> None:
+        """Give back a retry that was taken from the budget and not made."""
+        self.tokens = min(self.tokens + 1.0, MAX_BUDGET)
+
 
 def decide_retry(
     workload: Workload,
