Run a daemon's background loops again after an unexpected error

Seen by callers: after one unexpected error in its ownership loop, a live daemon neither claimed nor released any shard, and no other daemon took over.

Cause: the error ended the loop, which was logged as "not restarted".

Change: each loop runs again 1 s after the error, which is logged. The owner of a shard uses the same function, siskinroad.restarts.run_restarted.

Evidence: test_the_ownership_loop_continues_after_an_unexpected_error failed (no owner after 30 s) and passes.

--- a/siskinroad/entry.py
+++ b/siskinroad/entry.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import random
-from collections.abc import Coroutine
 from typing import Any
 
 from siskinroad.appender import Appender
@@ -47,6 +46,7 @@
 from siskinroad.publisher import Publisher
 from siskinroad.records import Record
 from siskinroad.request_handler import Request, RequestHandler
+from siskinroad.restarts import run_restarted
 from siskinroad.routing import Place, ShardLoad
 from siskinroad.settings import Settings
 from siskinroad.shards import OwnedShards
@@ -207,19 +207,18 @@
 
     def start(self) -> None:
         """Start the background loops of the daemon."""
-        for coro in (
-            self.appender.run(),
-            self.cell_appender.run(),
-            self.log_reader.run(),
-            self.periodic.run(),
-            self.periodic.run_host_list(),
-            self.periodic.run_digests(),
-            self.snapshotter.run(),
-            self._run_ownership(),
+        for name, run in (
+            ("appender", self.appender.run),
+            ("cell appender", self.cell_appender.run),
+            ("log reader", self.log_reader.run),
+            ("heartbeats", self.periodic.run),
+            ("host list", self.periodic.run_host_list),
+            ("digests", self.periodic.run_digests),
+            ("snapshots", self.snapshotter.run),
+            ("ownership", self._run_ownership),
         ):
-            self._tasks.append(
-                asyncio.get_running_loop().create_task(_run_logged(coro))
-            )
+            loop = run_restarted(run, f"entry: loop {name}", log)
+            self._tasks.append(asyncio.get_running_loop().create_task(loop))
 
     async def _run_ownership(self) -> None:
         while True:
@@ -420,14 +419,3 @@
             log.error(
                 "entry: revision offered by a peer is not valid, ignored: %s", exc
             )
-
-
-async def _run_logged(coro: Coroutine[Any, Any, None]) -> None:
-    """Run a background loop and log the exception that ends it, if any."""
-    try:
-        await coro
-    except asyncio.CancelledError:
-        raise
-    except Exception:
-        log.exception("entry: background loop failed; not restarted")
-        raise
--- a/siskinroad/owner.py
+++ b/siskinroad/owner.py
@@ -5,7 +5,7 @@
 import asyncio
 import functools
 import logging
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from siskinroad.cell import Cell, Host
@@ -16,6 +16,7 @@
 from siskinroad.owner_context import OwnerPorts
 from siskinroad.requests import RequestTable
 from siskinroad.resources import Resources
+from siskinroad.restarts import run_restarted
 from siskinroad.scheduler import TICK_INTERVAL, Scheduler
 from siskinroad.tasks import TaskTable
 
@@ -27,10 +28,6 @@
 # Shortest sleep between scheduler ticks, in seconds; the longest is ``TICK_INTERVAL``.
 # Without it, a timer that is already due would make the loop spin.
 MIN_TICK_INTERVAL = 0.01
-# Seconds after which a loop that failed with an unexpected error is run again. A
-# shorter time fills the log with an error that repeats.
-RESTART_DELAY = 1.0
-
 log = logging.getLogger("siskinroad.owner")
 
 
@@ -84,7 +81,7 @@
             return
         for monitor in self.monitors.values():
             self._spawn_monitor(monitor)
-        self.spawn(self._run_restarted("tick", self._tick))
+        self._spawn_loop("tick", self._tick)
         self.tasks.queue_unreported()
         self.resume()
 
@@ -100,26 +97,11 @@
 
     def _spawn_monitor(self, monitor: HostMonitor) -> None:
         run = functools.partial(monitor_host, self, monitor)
-        self.spawn(self._run_restarted(f"monitor of {monitor.host.name}", run))
-
-    async def _run_restarted(
-        self, name: str, run: Callable[[], Coroutine[Any, Any, None]]
-    ) -> None:
-        """Run a loop to its end, and again after each unexpected error.
+        self._spawn_loop(f"monitor of {monitor.host.name}", run)
 
-        Nothing else ends what waits for a tick or for a host's inventory.
-        """
-        while True:
-            try:
-                return await run()
-            except Exception:
-                log.exception(
-                    "owner: %s of shard %s failed; restarted in %.0f s",
-                    name,
-                    self.shard,
-                    RESTART_DELAY,
-                )
-            await asyncio.sleep(RESTART_DELAY)
+    def _spawn_loop(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        name = f"owner: {name} of shard {self.shard}"
+        self.spawn(run_restarted(run, name, log))
 
     def resume(self) -> None:
         """Place work again, once ownership is certain, unless a host rejected it."""
