Claim a shard again after its takeover has failed

Seen by callers: a shard that its daemon had claimed placed no work, and no other daemon replaced the claim.

Cause: an unexpected error ended the takeover's task. The claim stayed in the state taking, which ends only with the takeover or with a newer claim, and nobody claims a shard of a daemon that lives.

--- a/siskinroad/ownership.py
+++ b/siskinroad/ownership.py
@@ -194,6 +194,17 @@
         self._transition(shard_claim, "taken")
         return True
 
+    def abandon_takeover(self, shard: str, epoch: int, now: float) -> None:
+        """Record that a takeover failed, so that the shard is claimed again."""
+        shard_claim = self.shard_claims.get(shard)
+        if (
+            shard_claim is not None
+            and shard_claim.epoch == epoch
+            and shard_claim.state == "taking"
+        ):
+            self._transition(shard_claim, "lost")
+            shard_claim.retry_at = now + CLAIM_RETRY_INTERVAL
+
     # Queries
 
     def claimed_shards(self) -> list[str]:
--- a/siskinroad/shards.py
+++ b/siskinroad/shards.py
@@ -193,7 +193,7 @@
             case Append(record=record):
                 self.appender.append(record, CLAIM_APPEND_TIMEOUT)
             case TakeOverShard():
-                self._spawn(self._take_over(effect))
+                self._spawn(self._try_take_over(effect))
             case SuspendShard(shard=shard):
                 self._count_claim_event("suspend")
                 if shard in self.owners:
@@ -212,6 +212,21 @@
     def _count_claim_event(self, event: str) -> None:
         self.metrics.claims.labels(event).inc()
 
+    async def _try_take_over(self, effect: TakeOverShard) -> None:
+        """Take a shard over; after an unexpected error, let it be claimed again."""
+        try:
+            await self._take_over(effect)
+        except Exception:
+            log.exception(
+                "shards: takeover of shard %s at epoch %d failed; it is claimed again",
+                effect.shard,
+                effect.epoch,
+            )
+            owner = self.owners.get(effect.shard)
+            if owner is not None and owner.epoch == effect.epoch:
+                self._drop(effect.shard)
+            self.ownership.abandon_takeover(effect.shard, effect.epoch, self._now())
+
     async def _take_over(self, effect: TakeOverShard) -> None:
         shard = effect.shard
         hosts = self._hosts.get(shard)
