Append a release again that the appender refuses

Seen by callers: after a handover a shard had no owner while its former one lived.

Cause: the appender refuses records while 20,000 are pending. The release of a claim was appended once and its result ignored, and nobody claims the shard of a daemon that lives.

Change: a refused release is appended again every second.

Evidence: test_a_release_that_the_appender_refuses_is_appended_again failed (not released after 30 s) and passes.

--- a/siskinroad/shards.py
+++ b/siskinroad/shards.py
@@ -10,7 +10,7 @@
 
 from siskinroad.appender import Appender
 from siskinroad.cell import Cell, Host, Workload
-from siskinroad.errors import Reason, Refusal
+from siskinroad.errors import PlatformError, Reason, Refusal
 from siskinroad.idempotency import IdempotencyGuard
 from siskinroad.ledger import Ledger
 from siskinroad.messages import ShardUpdate
@@ -47,6 +47,9 @@
 # Time-out, in seconds, of records that must be stored however long the log is
 # unavailable.
 NO_TIMEOUT = float("inf")
+# Seconds after which a release that the appender refused is appended again. A shorter
+# time loads an appender that has too many records already.
+RELEASE_RETRY_INTERVAL = 1.0
 
 log = logging.getLogger("siskinroad.shards")
 
@@ -286,9 +289,21 @@
             await owner.release()
         self._drop(effect.shard)
         self._count_claim_event("release")
-        self.appender.append(ClaimReleased(effect.shard, effect.epoch), NO_TIMEOUT)
+        await self._record_release(ClaimReleased(effect.shard, effect.epoch))
         log.info("shards: released shard %s at epoch %d", effect.shard, effect.epoch)
 
+    async def _record_release(self, record: ClaimReleased) -> None:
+        """Store a release, again if the appender refuses it.
+
+        No other daemon claims the shard of a live daemon before that.
+        """
+        while True:
+            try:
+                await self.appender.append(record, NO_TIMEOUT)
+                return
+            except PlatformError:
+                await asyncio.sleep(RELEASE_RETRY_INTERVAL)
+
     def _drop(self, shard: str) -> None:
         owner = self.owners.pop(shard, None)
         if owner is None:
