Free the key of a request that is cancelled before it is sent

Seen by callers: after a caller had gone away while the log was slow, each repetition of its keyed request was refused as in progress, for good.

Cause: the intent was stored although the wait for it had been cancelled. Only a refusal by the log recorded that the request had not run.

Change: a cancellation during that wait records it too. Nothing has been sent then.

Evidence: test_a_key_is_free_after_its_request_is_cancelled_before_it_is_sent failed and passes.

--- a/siskinroad/idempotency.py
+++ b/siskinroad/idempotency.py
@@ -124,6 +124,10 @@
         except (PlatformError, TimeoutError):
             self._record_outcome(intent, NOT_RUN, None)
             raise _log_unavailable_refusal(Outcome.NOT_RUN) from None
+        except asyncio.CancelledError:
+            # The caller is gone and nothing was sent, but the intent may be stored.
+            self._record_outcome(intent, NOT_RUN, None)
+            raise
         state = self.ledger.keys.get(intent.key)
         if state is None or state.intent.daemon != self.name or state.outcome:
             raise _in_progress_refusal()
