Give each waiting item one typed reason, in the metrics and the log

Seen by callers and operators: `siskinroad explain` gave the same sentence for work kept back by the headroom and work behind others, and nothing for suspended tasks, an owner whose epoch a host rejects, hosts that a task avoids, work that fits no host since a change of the cell file, or tasks deferred by silent hosts after a takeover. No metric showed what waits, and the wait of a task that had run counted its run time.

Change: siskinroad.waits.find_wait_cause returns a WaitReason, a clause and the values that decided it; the queue and explain pages show the clause. The gauges siskinroad_waiting_items{reason} and siskinroad_longest_wait_seconds{reason} are computed when metrics are read, and are 0 for a reason that does not hold. A log line tells of a wait of more than 30 s, at most 5 lines in 10 s and one in 60 s for each workload of a shard.

--- a/siskinroad/attempts.py
+++ b/siskinroad/attempts.py
@@ -238,6 +238,7 @@
 
     def _end_run(self, run: Running, now: float) -> list[Effect]:
         item = run.item
+        item.waiting_since = now
         state = self.shard.pools[item.workload.pool]
         self._remove_run(run, state, now)
         if item.state == "stopping":
--- a/siskinroad/dispatch.py
+++ b/siskinroad/dispatch.py
@@ -12,7 +12,7 @@
 from siskinroad.resources import Resources
 from siskinroad.shard import PoolState, Shard
 
-__all__ = ["Dispatcher", "blocked_reason"]
+__all__ = ["Dispatcher"]
 
 # Seconds after which a reservation is planned again, so that it follows changed
 # estimates of when the running tasks end.
@@ -131,7 +131,7 @@
         if not self._may_start(workload, total_need):
             state.reservations.pop(item.key, None)
             return None
-        has_headroom = self._leaves_headroom(state, item, total_need, now)
+        has_headroom = self.leaves_headroom(state, item, total_need, now)
         if not has_headroom and workload.size == 1:
             return None
         hosts = None
@@ -152,7 +152,7 @@
             return False
         return self.shard.shares.within_quota(workload.owner, total_need)
 
-    def _leaves_headroom(
+    def leaves_headroom(
         self, state: PoolState, item: Item, total_need: Resources, now: float
     ) -> bool:
         """Return whether the headroom for urgent work stays free after a start.
@@ -180,7 +180,7 @@
         now: float,
         only_host: HostView | None,
     ) -> list[HostView] | None:
-        reserved = self._reserved_for_others(state, item, now)
+        reserved = self.reserved_for_others(state, item, now)
         avoid = item.avoided_hosts(now)
         workload = item.workload
         if only_host is not None and workload.size == 1:
@@ -199,9 +199,7 @@
             view = state.index.best_fit(need, avoid, reserved)
         return None if view is None else [view]
 
-    def _reserved_for_others(
-        self, state: PoolState, item: Item, now: float
-    ) -> set[str]:
+    def reserved_for_others(self, state: PoolState, item: Item, now: float) -> set[str]:
         """Return the hosts reserved for other items that the item would delay."""
         self._drop_stale_reservations(state)
         if not state.reservations or item.workload.urgency is Urgency.URGENT:
@@ -329,27 +327,3 @@
         for step in range(min(MAX_UNBLOCKED_LANES, len(blocked))):
             blocked[(self._unblock_offset + step) % len(blocked)].is_blocked = False
         self._unblock_offset += MAX_UNBLOCKED_LANES
-
-
-def blocked_reason(shard: Shard, item: Item) -> str:
-    """Return the reason for which an item waits, as a clause."""
-    workload = item.workload
-    state = shard.pools.get(workload.pool)
-    if state is None:
-        return f"no host of {workload.pool} belongs to this shard"
-    need = shard.allocation(workload, state)
-    total_need = need.times(workload.size)
-    if not shard.shares.within_quota(workload.owner, total_need):
-        return f"{workload.owner} has used up its quota"
-    open_hosts = [view for view in state.index.hosts.values() if view.is_open]
-    if not open_hosts:
-        return f"no host of {workload.pool} accepts new work"
-    fitting = sum(view.count_fitting(need) for view in open_hosts)
-    if fitting < workload.size:
-        return f"room for {fitting} of {workload.size} on {len(open_hosts)} hosts"
-    others = [key for key in state.reservations if key != item.key]
-    if others:
-        return f"hosts are reserved for {', '.join(others)}"
-    if workload.urgency is not Urgency.URGENT:
-        return "other work ranks first, or capacity is kept free for urgent work"
-    return "it starts next"
--- a/siskinroad/metrics.py
+++ b/siskinroad/metrics.py
@@ -50,6 +50,18 @@
             ("dimension",),
             registry=self.registry,
         )
+        self.waiting_items = Gauge(
+            "siskinroad_waiting_items",
+            "Requests, tasks and gangs that wait.",
+            ("reason",),
+            registry=self.registry,
+        )
+        self.longest_wait_seconds = Gauge(
+            "siskinroad_longest_wait_seconds",
+            "Longest present wait.",
+            ("reason",),
+            registry=self.registry,
+        )
         self.peer_sent_bytes = Gauge(
             "siskinroad_peer_sent_bytes",
             "Bytes sent to other daemons.",
--- a/siskinroad/operators.py
+++ b/siskinroad/operators.py
@@ -12,6 +12,7 @@
 from siskinroad.replies import json_response
 from siskinroad.settings import hash_token
 from siskinroad.status import build_report, build_status, list_queue
+from siskinroad.waits import WaitReason, WaitSummary
 
 if TYPE_CHECKING:
     from siskinroad.entry import Daemon
@@ -129,6 +130,18 @@
         for i, name in enumerate(("processors", "memory", "accelerators")):
             ratio = used[i] / capacity[i] if capacity[i] else 0.0
             metrics.packing_ratio.labels(name).set(ratio)
+        self._update_wait_gauges()
         for kind, size in daemon.peers.traffic.bytes_sent.items():
             distance = "far" if kind == "Digest" else "near"
             metrics.peer_sent_bytes.labels(kind, distance).set(size)
+
+    def _update_wait_gauges(self) -> None:
+        """Set the gauges of all reasons, also of those that no longer hold."""
+        totals = {reason: WaitSummary() for reason in WaitReason}
+        for owner in self.daemon.shards.owners.values():
+            for reason, summary in owner.waits.sum_up().items():
+                totals[reason].add(summary.count, summary.longest_s)
+        metrics = self.daemon.metrics
+        for reason, total in totals.items():
+            metrics.waiting_items.labels(reason.value).set(total.count)
+            metrics.longest_wait_seconds.labels(reason.value).set(total.longest_s)
--- a/siskinroad/owner.py
+++ b/siskinroad/owner.py
@@ -19,6 +19,7 @@
 from siskinroad.restarts import run_restarted
 from siskinroad.scheduler import TICK_INTERVAL, Scheduler
 from siskinroad.tasks import TaskTable
+from siskinroad.wait_reporter import WaitReporter
 
 __all__ = ["ShardOwner"]
 
@@ -56,6 +57,7 @@
         self.monitors: dict[str, HostMonitor] = {}
         self.requests = RequestTable(self)
         self.tasks = TaskTable(self)
+        self.waits = WaitReporter(self, self.tasks)
         self._in_flight: set[asyncio.Task[None]] = set()
         self._background_tasks: set[asyncio.Task[None]] = set()
         self.is_closed = False
@@ -165,6 +167,7 @@
             delay = self.scheduler.next_tick_time() - self.now()
             await asyncio.sleep(min(max(delay, MIN_TICK_INTERVAL), TICK_INTERVAL))
             self.run(self.scheduler.tick(self.now()))
+            self.waits.log_long_waits()
 
     def configure(self, cell: Cell, hosts: list[Host]) -> None:
         """Apply a new cell configuration: remove, add and update hosts.
--- a/siskinroad/owner_context.py
+++ b/siskinroad/owner_context.py
@@ -53,6 +53,8 @@
         The claim under which it places work; the epoch is the fencing token.
     is_closed : bool
         Whether it has stopped scheduling.
+    is_stale : bool
+        Whether a host has rejected its epoch.
     """
 
     shard: str
@@ -60,6 +62,7 @@
     ports: OwnerPorts
     scheduler: Scheduler
     is_closed: bool
+    is_stale: bool
 
     def now(self) -> float:
         """Return the event loop's time in seconds."""
--- a/siskinroad/queues.py
+++ b/siskinroad/queues.py
@@ -61,6 +61,8 @@
         Loop time of the last start.
     backoff_until : float
         Loop time at which the backoff after a failure ends; 0 outside of a backoff.
+    waiting_since : float
+        Loop time at which its present wait began, at first or after an attempt.
     """
 
     key: str
@@ -74,6 +76,10 @@
     payload: bytes = b""
     started: float = 0.0
     backoff_until: float = 0.0
+    waiting_since: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.waiting_since = self.enqueued
 
     def avoid_host(self, host: str, now: float) -> None:
         """Avoid a host on which the item failed for ``AVOID_TIME`` seconds."""
--- a/siskinroad/status.py
+++ b/siskinroad/status.py
@@ -8,7 +8,6 @@
 
 from siskinroad.accounts import Accounts, OwnerSpan
 from siskinroad.daemon_context import DaemonContext
-from siskinroad.dispatch import blocked_reason
 from siskinroad.owner import ShardOwner
 from siskinroad.queues import Item
 from siskinroad.shard import milliseconds
@@ -169,7 +168,7 @@
         lane.live,
         round(now - head.enqueued, 3),
         round(lane.expected_wait(now), 3),
-        blocked_reason(state, head) if lane.is_blocked else "",
+        owner.waits.find_cause(head).text if lane.is_blocked else "",
     )
 
 
@@ -209,17 +208,9 @@
     item = state.items.get(key)
     if item is None:
         return ""
-    waited = _loop_time() - item.enqueued
-    if owner.scheduler.is_paused:
-        reason = "it is uncertain whether this daemon still owns the hosts"
-    elif item.backoff_until > 0:
-        reason = (
-            "it failed and will be retried in "
-            f"{item.backoff_until - _loop_time():.1f} s"
-        )
-    else:
-        reason = blocked_reason(state, item)
-    return f"{key} has waited {waited:.1f} s: {reason}."
+    waited = _loop_time() - item.waiting_since
+    text = owner.waits.find_cause(item).text
+    return f"{key} has waited {waited:.1f} s: {text}."
 
 
 def build_report(daemon: DaemonContext) -> Report:
--- a/siskinroad/tasks.py
+++ b/siskinroad/tasks.py
@@ -66,6 +66,7 @@
         self.jobs: dict[str, _Job] = {}
         self._unrecorded: set[str] = set()
         self._unacked: dict[str, list[tuple[HostMonitor, str]]] = {}
+        self._deferred_since: float | None = None
 
     # Jobs
 
@@ -121,6 +122,7 @@
             monitor for monitor in owner.monitors.values() if not monitor.has_answered
         ]
         if silent:
+            self._deferred_since = owner.now()
             wait = TASK_LEASE_S + SILENT_HOST_MARGIN
             log.info(
                 "tasks: shard %s waits for %d silent hosts to answer or their task "
@@ -132,11 +134,28 @@
             )
             owner.spawn(self._queue_after_silence(silent, owner.now() + wait))
             return
+        self._deferred_since = None
         for run in list(owner.scheduler.shard.running.values()):
             owner.run(owner.scheduler.attempts.fail_partial(run))
         for job in list(self.jobs.values()):
             self._queue_job(job)
 
+    def count_deferred(self) -> int:
+        """Return the number of tasks that wait for silent hosts to be queued."""
+        if self._deferred_since is None:
+            return 0
+        items = self.owner.scheduler.shard.items
+        return sum(
+            index not in job.ended and f"{job.accepted.job}/{index}" not in items
+            for job in self.jobs.values()
+            for index in range(job.accepted.count)
+        )
+
+    def deferred_for(self) -> float:
+        """Return for how many seconds tasks have been deferred, 0 if none are."""
+        since = self._deferred_since
+        return 0.0 if since is None else self.owner.now() - since
+
     async def _queue_after_silence(
         self, silent: list[HostMonitor], deadline: float
     ) -> None:
