Show that a gang keeps a host on probation from ever recovering

A host on probation holds one task. The plan of a reservation ignores this limit, so a gang reserves the host and never fits, while the tasks whose success would end the probation are kept away.

--- a/tests/test_bounded_waits.py
+++ b/tests/test_bounded_waits.py
@@ -425,6 +425,21 @@
     run_on_paused_clock(main())
 
 
+def test_a_gang_reserves_no_host_whose_limit_is_too_low_for_it():
+    """Guard against a host on probation that runs nothing.
+
+    A gang of eight that waits for the host kept the single tasks away that would have
+    ended the probation.
+    """
+    scheduler = make_scheduler(1)
+    for event in ("eject", "probation"):
+        scheduler.host_event("h0", event, 0.0)
+    scheduler.submit(item(scheduler, "render_small", "g/0"), 0.0)
+    scheduler.tick(2.0)
+    effects = scheduler.submit(item(scheduler, "plain", "p/0", 2.0), 2.0)
+    assert len(start_effects(effects)) == 1
+
+
 def test_probation_ends_while_long_running_tasks_run():
     """Guard against a host that holds one long-running task for good.
 
