Plan reservations within the concurrency limits of the hosts

Seen by callers: on a pool with one host in use, which was on probation, nothing was placed although the host was idle.

Cause: the plan of a reservation counts the free slots of a host and not its limit. A gang of eight reserved a host that may hold one task, and its reservation was planned again every 5 s. The tasks whose success ends a probation were kept away from it.

Change: a plan counts only the tasks that a host's limit allows. A gang that does not fit within the limits reserves nothing until they rise.

--- a/siskinroad/gangs.py
+++ b/siskinroad/gangs.py
@@ -69,7 +69,7 @@
             count = min(count, self.memory // need.memory_mib)
         if need.accelerators:
             count = min(count, self.accelerators // need.accelerators)
-        return count
+        return max(count, 0)
 
 
 def plan_reservation(
@@ -95,13 +95,15 @@
     -------
     Reservation or None
         None if the item would not fit even after all tasks that are expected to end
-        have ended.
+        have ended, with the hosts' present limits.
     """
     events: list[tuple[float, int, HostView, Resources]] = []
     free: dict[str, _FreeCapacity] = {}
     counts: dict[str, int] = {}
     for host in hosts[:MAX_CANDIDATES]:
-        capacity = _FreeCapacity(host.cpu, host.memory, host.accelerators, host.slots)
+        capacity = _FreeCapacity(
+            host.cpu, host.memory, host.accelerators, host.free_tasks
+        )
         free[host.name] = capacity
         counts[host.name] = capacity.count_fitting(need)
         for task, held in host.tasks.items():
--- a/siskinroad/placement.py
+++ b/siskinroad/placement.py
@@ -79,10 +79,17 @@
             and self.capacity.slots - self.slots < self.limit
         )
 
+    @property
+    def free_tasks(self) -> int:
+        """Tasks that its limit still allows; negative if it was lowered below its use.
+
+        A limit is at most the host's slots.
+        """
+        return self.limit - (self.capacity.slots - self.slots)
+
     def count_fitting(self, need: Resources) -> int:
         """Return how many tasks fit on the host if each needs ``need``."""
-        free_tasks = min(self.slots, self.limit - (self.capacity.slots - self.slots))
-        count = free_tasks // max(need.slots, 1)
+        count = self.free_tasks // max(need.slots, 1)
         if need.cpu_milli:
             count = min(count, self.cpu // need.cpu_milli)
         if need.memory_mib:
