Change the cell file and suspend starts in the seeded test of waits

The faults of the seeded test now include changes of urgency and quota, suspended starts, hosts short of memory and tasks of 60 s. All end with the faults.

--- a/tests/test_bounded_waits.py
+++ b/tests/test_bounded_waits.py
@@ -71,9 +71,9 @@
 
 
 def configure(scheduler, hosts, now, replaced, replacement):
-    """Apply the cell with a part of its text replaced."""
+    """Apply the cell with a part of its text replaced; return the effects."""
     text = cell_text(hosts).replace(replaced, replacement, 1)
-    scheduler.configure(parse_cell(text), now)
+    return scheduler.configure(parse_cell(text), now)
 
 
 def tick_until_started(scheduler, key, now, bound_s=PLACEMENT_BOUND_S):
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -8,18 +8,32 @@
 from siskinroad.attempts import MAX_BACKOFF
 from siskinroad.effects import ControlTask, End, Finished, Refused, StartTask
 from siskinroad.health import MAX_QUARANTINE
+from siskinroad.names import split_task
 from siskinroad.preemption import EVICTION_TIMEOUT
 from siskinroad.queues import AVOID_TIME
 from siskinroad.scheduler import TICK_INTERVAL
-from siskinroad.upstreams import Control
+from siskinroad.upstreams import Control, Usage
 from siskinroad.waits import find_wait_cause
-from tests.test_bounded_waits import make_scheduler
+from tests.test_bounded_waits import configure, make_scheduler
 from tests.test_scheduler import item
 
 HOSTS = 4
-# Seconds of faults, and of each task's run time.
+# Seconds of faults, of the longest run of most tasks, and of the few long ones.
 FAULT_TIME_S = 120.0
-RUN_TIME_S = 5.0
+MAX_RUN_TIME_S = 10.0
+LONG_RUN_TIME_S = 60.0
+# Seconds between two reports of a host's usage once the faults are over.
+USAGE_INTERVAL_S = 10.0
+# Changes of the cell file, each as a part of it and its replacement.
+CHANGES = [
+    ('name = "plain"', 'name = "plain"\nurgency = "background"'),
+    (
+        'name = "paper"\nowner = "records"\nupstream = "p"\nurgency = "background"',
+        'name = "paper"\nowner = "records"\nupstream = "p"',
+    ),
+    ('name = "records"', 'name = "records"\nquota = { accelerators = 1 }'),
+    ('name = "desk"', 'name = "desk"\nquota = { cpu = 1 }'),
+]
 # Most items at the end of the faults. Each needs at most a host of eight slots.
 MAX_WAITING = 40
 WORKLOADS = ("quote", "charge", "plain", "paper", "urgent_paper", "render_small")
@@ -28,7 +42,7 @@
 EXCLUSION_BOUND_S = MAX_BACKOFF + AVOID_TIME + EVICTION_TIMEOUT
 # Seconds for the items before it to run, one host after the other, and as much for the
 # reserved hosts of a gang to drain.
-DRAIN_BOUND_S = 2 * MAX_WAITING * RUN_TIME_S
+DRAIN_BOUND_S = MAX_WAITING * MAX_RUN_TIME_S + 2 * LONG_RUN_TIME_S
 # The host that remains may be in quarantine.
 PLACEMENT_BOUND_S = MAX_QUARANTINE + EXCLUSION_BOUND_S + DRAIN_BOUND_S
 
@@ -62,7 +76,10 @@
                     pass
 
     def _start(self, effect):
-        duration_s = self.rng.uniform(0.1, 2 * RUN_TIME_S)
+        is_long = effect.item.workload.name == "paper" and self.rng.random() < 0.3
+        duration_s = (
+            LONG_RUN_TIME_S if is_long else self.rng.uniform(0.1, MAX_RUN_TIME_S)
+        )
         for member in range(len(effect.hosts)):
             end = self.now + duration_s
             self.ends[effect.item.key, member] = (end, effect.attempt)
@@ -92,6 +109,9 @@
         for (key, member), (due, _) in list(self.ends.items()):
             if due <= self.now and (key, member) in self.ends:
                 self._end(key, member, self._choose_end())
+        if self.now % USAGE_INTERVAL_S == 0 and not self.has_faults:
+            for name in self.hosts:
+                self.report_usage(name, 0.1)
         self.apply(self.scheduler.tick(self.now))
 
     def disturb(self):
@@ -101,16 +121,46 @@
             self.submitted += 1
             submitted = item(self.scheduler, name, f"{name}/{self.submitted}", self.now)
             self.apply(self.scheduler.submit(submitted, self.now))
+        if self.has_faults and self.rng.random() < 0.02:
+            self._disturb_shard()
         if self.rng.random() < 0.05:
             event = self.rng.choice(["silent", "inventory", "leave", "rejoin"])
             name = self.rng.choice(self.hosts)
             self.apply(self.scheduler.host_event(name, event, self.now))
 
+    def _disturb_shard(self):
+        match self.rng.randrange(4):
+            case 0:
+                change = self.rng.choice(CHANGES)
+                self.apply(configure(self.scheduler, HOSTS, self.now, *change))
+            case 1:
+                self.scheduler.is_paused = True
+            case 2:
+                self.scheduler.requests_only = True
+                self.scheduler.is_paused = False
+            case 3:
+                self.report_usage(self.rng.choice(self.hosts), 0.99)
+
+    def report_usage(self, host, memory_fraction):
+        """Let the tasks of a host use a fraction of its memory together."""
+        view = self.scheduler.view(host)
+        tasks = [split_task(task) for task in view.tasks]
+        memory = round(view.capacity.memory_mib * memory_fraction)
+        used = Usage(1000, memory // max(len(tasks), 1))
+        reports = [(key, member, used) for key, member in tasks]
+        self.apply(self.scheduler.apply_usage(host, reports, self.now))
+
     def end_faults(self, remaining_hosts):
-        """Let the remaining hosts answer; the others leave."""
+        """End all faults; of the hosts only the remaining ones answer."""
         self.has_faults = False
+        self.apply(configure(self.scheduler, HOSTS, self.now, "", ""))
+        self.apply(self.scheduler.resume(self.now))
+        self.set_remaining_hosts(remaining_hosts)
+
+    def set_remaining_hosts(self, names):
+        """Let the named hosts answer; the others leave."""
         for name in self.hosts:
-            events = ("rejoin", "inventory") if name in remaining_hosts else ("leave",)
+            events = ("rejoin", "inventory") if name in names else ("leave",)
             for event in events:
                 self.apply(self.scheduler.host_event(name, event, self.now))
 
@@ -150,7 +200,7 @@
         for _ in range(2):
             sim.disturb()
         sim.step()
-        sim.end_faults(sim.hosts)
+        sim.set_remaining_hosts(sim.hosts)
     views = list(sim.scheduler.shard.views())
     assert {view.state for view in views} == {"live"}
     assert all(view.limit == view.capacity.slots for view in views)
