Show that a host's rejection leaves a shard without work for good

An owner whose epoch one host rejects places nothing any more and waits for the newer claim in the log. If there is none, its own claim stays in force.

--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -123,3 +123,21 @@
         assert answer.status == 200
 
     run_on_paused_clock(main())
+
+
+def test_an_owner_that_a_host_rejects_claims_the_shard_again():
+    """Guard against an owner that a host calls superseded although nobody else claims.
+
+    Such an owner places nothing, and its claim stays in force in the log.
+    """
+
+    async def main():
+        world = World(small_cell(east=2, west=0, fencing=True), [DAEMON])
+        await world.start_and_configure()
+        daemon = world.daemons[DAEMON]
+        memory_host = world.memory_hosts["e0"]
+        memory_host.epoch = daemon.ownership.epoch(SHARD) + 1
+        await asyncio.sleep(RECOVERY_BOUND_S)
+        assert (await world.send_request(DAEMON, "quote")).status == 200
+
+    run_on_paused_clock(main())
