Release a shard whose epoch a host has rejected for 10 s

Seen by callers: a shard placed nothing after one of its hosts had rejected the owner's epoch, while the log showed no newer claim. A host that was moved or restored with the epoch of another cell is such a host.

Cause: the owner stops placing work until the log shows the newer claim, and waited for that without a limit.

Change: after 10 s without a newer claim the shard is released. It is then claimed again, with a higher epoch. A late read of a newer claim changes nothing, as a release applies only to the epoch that it names.

Evidence: test_an_owner_that_a_host_rejects_claims_the_shard_again failed (no owner after 30 s) and passes, as do the explorations of tests/test_ownership.py.

--- a/siskinroad/ownership.py
+++ b/siskinroad/ownership.py
@@ -50,6 +50,10 @@
 # Seconds after which a claim or a request for admission that has not appeared in the
 # log is appended again.
 CLAIM_RETRY_INTERVAL = 2.0
+# Seconds after a host's rejection of an epoch for which the newer claim is awaited in
+# the log. After that the shard is released, to be claimed with a higher epoch. A
+# smaller value releases it while the log is merely late.
+REJECTION_TIMEOUT = 10.0
 # Seconds for which another daemon must be the preferred owner of a shard before the
 # shard is handed over to it.
 HANDOVER_DELAY = 3.0
@@ -130,6 +134,8 @@
         Loop time from which the shard may be taken over.
     retry_at : float
         Loop time before which no further claim is made.
+    rejected_at : float or None
+        Loop time at which a host first rejected the claim's epoch.
     """
 
     state: str = "idle"
@@ -137,6 +143,7 @@
     claimed_at: float = 0.0
     takeover_at: float = 0.0
     retry_at: float = 0.0
+    rejected_at: float | None = None
 
 
 class Ownership:
@@ -205,6 +212,16 @@
             self._transition(shard_claim, "lost")
             shard_claim.retry_at = now + CLAIM_RETRY_INTERVAL
 
+    def record_rejection(self, shard: str, epoch: int, now: float) -> None:
+        """Record that a host has rejected the epoch of a claim as stale."""
+        shard_claim = self.shard_claims.get(shard)
+        if (
+            shard_claim is not None
+            and shard_claim.epoch == epoch
+            and shard_claim.rejected_at is None
+        ):
+            shard_claim.rejected_at = now
+
     # Queries
 
     def claimed_shards(self) -> list[str]:
@@ -397,6 +414,7 @@
         if claim is not None and is_mine and claim.epoch > shard_claim.epoch:
             self._transition(shard_claim, "confirmed")
             shard_claim.epoch = claim.epoch
+            shard_claim.rejected_at = None
             shard_claim.takeover_at = (
                 now
                 if self._have_replaced_holders_stopped(shard)
@@ -442,7 +460,9 @@
     ) -> list[OwnershipEffect]:
         if self._is_claim_lost(shard, shard_claim):
             return self._drop_lost_claim(shard, shard_claim, now)
-        if self._should_release(shard, now):
+        rejected_at = shard_claim.rejected_at
+        is_rejected = rejected_at is not None and now - rejected_at >= REJECTION_TIMEOUT
+        if is_rejected or self._should_release(shard, now):
             return self._release_shard(shard, shard_claim)
         is_lease_valid = now < self.lease_until(shard)
         if not is_lease_valid and shard_claim.state == "owning":
--- a/siskinroad/shards.py
+++ b/siskinroad/shards.py
@@ -188,7 +188,11 @@
 
     def tick(self) -> None:
         """Carry out the ownership decisions that are due."""
-        for effect in self.ownership.tick(self._now()):
+        now = self._now()
+        for shard, owner in self.owners.items():
+            if owner.is_stale:
+                self.ownership.record_rejection(shard, owner.epoch, now)
+        for effect in self.ownership.tick(now):
             self._carry_out(effect)
 
     def _carry_out(self, effect: OwnershipEffect) -> None:
