Show two starved gangs and tasks that a takeover never queues

Two gangs wait behind a stream of small work without a reservation, and an error after a takeover with silent hosts leaves tasks unqueued.

--- a/tests/test_bounded_waits.py
+++ b/tests/test_bounded_waits.py
@@ -45,6 +45,13 @@
 size = 8
 demand = { cpu = 2, memory_gib = 8, accelerators = 1 }
 
+[[gangs]]
+name = "wide"
+owner = "desk"
+upstream = "p"
+size = 140
+demand = { cpu = 2, memory_gib = 8, accelerators = 1 }
+
 [[gangs]]
 name = "whole"
 owner = "desk"
@@ -255,6 +262,40 @@
     assert "g/0" in scheduler.shard.running
 
 
+def run_with_small_work(scheduler, key, run_time_s=10.0):
+    """Tick while tasks end and small work waits; return whether the item starts."""
+    now = 0.0
+    while key not in scheduler.shard.running and now < PLACEMENT_BOUND_S:
+        now += TICK_INTERVAL
+        for other, run in list(scheduler.shard.running.items()):
+            if now - run.started >= run_time_s:
+                scheduler.record_attempt_end(other, 0, End.DONE, now)
+        scheduler.tick(now)
+    return key in scheduler.shard.running
+
+
+def test_a_gang_that_cannot_be_planned_lets_others_reserve_hosts():
+    """Guard against a gang that uses up each plan of its pool without success.
+
+    A host is out of use, so that the gang before the other one does not fit. Planning
+    is limited to one plan in a second.
+    """
+    scheduler = make_scheduler(3)
+    submit(scheduler, "plain", 2000)
+    scheduler.host_event("h0", "leave", 0.0)
+    scheduler.submit(item(scheduler, "whole", "w/0"), 0.0)
+    scheduler.submit(item(scheduler, "render_small", "g/0", 0.1), 0.1)
+    assert run_with_small_work(scheduler, "g/0")
+
+
+def test_a_gang_of_more_hosts_than_one_plan_considers_is_not_starved():
+    """Guard against a plan that leaves out hosts that the gang needs."""
+    scheduler = make_scheduler(160, accelerators=1)
+    submit(scheduler, "plain", 4000)
+    scheduler.submit(item(scheduler, "wide", "g/0"), 0.0)
+    assert run_with_small_work(scheduler, "g/0")
+
+
 def test_a_reservation_ends_while_the_quota_keeps_its_item_from_starting():
     """Guard against idle hosts that are reserved for an item that may not start."""
     scheduler = make_scheduler(1)
@@ -384,6 +425,30 @@
     run_on_paused_clock(main())
 
 
+def test_an_unexpected_error_after_a_silent_takeover_is_tried_again(monkeypatch):
+    """Guard against tasks that are never queued after a takeover."""
+
+    async def main():
+        shard = OwnedShard(run_time_s=1.0)
+        shard.hosts["e1"].faults.silent = True
+        shard.owner.tasks.restore([make_job()])
+        await shard.owner.take_over()
+        queue_unreported = shard.owner.tasks.queue_unreported
+        calls = []
+
+        def fail_once():
+            calls.append(1)
+            if len(calls) == 1:
+                raise ValueError("unexpected")
+            queue_unreported()
+
+        monkeypatch.setattr(shard.owner.tasks, "queue_unreported", fail_once)
+        await asyncio.sleep(PLACEMENT_BOUND_S)
+        assert shard.outcomes == [(JOB, 0, "done")]
+
+    run_on_paused_clock(main())
+
+
 def test_an_unexpected_error_of_a_request_answers_it():
     """Guard against a request that keeps its caller waiting and its slot in use."""
 
