Consider as many hosts for a reservation as a gang may need

Seen by callers: a gang of 140 on a pool of 160 hosts with one accelerator each did not start while smaller work waited.

Cause: a reservation is planned on the first 128 hosts of the pool. A gang that needs more is never given one, and smaller work takes each host that becomes free.

Change: a plan considers two hosts for each member if that is more than 128.

--- a/siskinroad/gangs.py
+++ b/siskinroad/gangs.py
@@ -18,7 +18,8 @@
 
 __all__ = ["Reservation", "plan_reservation"]
 
-# Most hosts considered for one reservation; it bounds the time of planning.
+# Hosts considered for one reservation, unless its members may need more; it bounds the
+# time of planning.
 MAX_CANDIDATES = 128
 
 
@@ -87,7 +88,8 @@
     need : Resources
         Resources to allocate to one member.
     hosts : list of HostView
-        Candidates; the first ``MAX_CANDIDATES`` are considered.
+        Candidates; the first ``MAX_CANDIDATES`` are considered, or two for each
+        member if that is more.
     expected_end : callable
         Returns the loop time at which a task is expected to end.
 
@@ -100,7 +102,7 @@
     events: list[tuple[float, int, HostView, Resources]] = []
     free: dict[str, _FreeCapacity] = {}
     counts: dict[str, int] = {}
-    for host in hosts[:MAX_CANDIDATES]:
+    for host in hosts[: max(MAX_CANDIDATES, 2 * size)]:
         capacity = _FreeCapacity(
             host.cpu, host.memory, host.accelerators, host.free_tasks
         )
