Let an item whose plan failed wait for the plans of others

Seen by callers: a gang that fits the hosts in use was not started behind another one that does not fit them, while smaller work waited.

Cause: a pool plans at most one reservation in a second. A plan that fails uses up its turn, and the item that ranks first is the first one tried in each second.

Change: after a failed plan an item waits for two seconds for each item of the pool whose plan has failed.

--- a/siskinroad/dispatch.py
+++ b/siskinroad/dispatch.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from siskinroad.attempts import Attempts
 from siskinroad.cell import Urgency, Workload
 from siskinroad.effects import StartTask
@@ -236,6 +238,17 @@
             is_aged or self._leaves_enough_unreserved(state, reserved_count)
         ):
             state.reservations[item.key] = plan
+            state.failed_plans.pop(item.key, None)
+        else:
+            self._record_failed_plan(state, item, now)
+
+    def _record_failed_plan(self, state: PoolState, item: Item, now: float) -> None:
+        """Let the other items of the pool plan before this one does so again."""
+        for key in list(state.failed_plans):
+            known = self.shard.items.get(key)
+            if known is None or known.state != "waiting":
+                del state.failed_plans[key]
+        state.failed_plans[item.key] = now
 
     def _drop_stale_reservations(self, state: PoolState) -> None:
         """Remove reservations that no longer belong to a lane's head in this pool.
@@ -269,6 +282,10 @@
         reservation = state.reservations.get(item.key)
         if reservation is not None:
             return now - reservation.planned_at >= RESERVATION_REFRESH_INTERVAL
+        failed_at = state.failed_plans.get(item.key, -math.inf)
+        others_turn = 2 * MIN_PLAN_INTERVAL * len(state.failed_plans)
+        if now - failed_at < others_turn:
+            return False
         return now - state.last_planned >= MIN_PLAN_INTERVAL
 
     def _expected_end(self, task: str, now: float) -> float:
--- a/siskinroad/shard.py
+++ b/siskinroad/shard.py
@@ -90,6 +90,8 @@
         Attempts whose eviction is in progress, by key of the item, oldest first.
     last_planned : float
         Loop time at which a reservation was last planned.
+    failed_plans : dict of str to float
+        Loop time of the last plan of a reservation that failed, by key of the item.
     underserved_since : dict of str to float
         Loop time since which an owner has lacked its fair share.
     """
@@ -99,6 +101,7 @@
     headroom: Headroom = field(default_factory=Headroom)
     reservations: dict[str, Reservation] = field(default_factory=dict)
     last_planned: float = -1e9
+    failed_plans: dict[str, float] = field(default_factory=dict)
     urgent_need: Resources = NOTHING
     evictable: dict[str, Running] = field(default_factory=dict)
     evicting: dict[str, Running] = field(default_factory=dict)
