Queue a shard's unreported tasks again after an unexpected error

Seen by callers: after a takeover with a silent host, tasks that no host reported were not started.

Cause: the coroutine that waits for silent hosts and then queues these tasks ended with an error and was not run again.

Change: it runs again 1 s after the error.

Evidence: test_an_unexpected_error_after_a_silent_takeover_is_tried_again failed (no outcome after 60 s) and passes.

--- a/siskinroad/tasks.py
+++ b/siskinroad/tasks.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 from dataclasses import dataclass, field
 
@@ -16,6 +17,7 @@
 from siskinroad.names import AttemptName, attempt_name, job_of, task_name
 from siskinroad.queues import Item
 from siskinroad.records import JobAccepted
+from siskinroad.restarts import run_restarted
 from siskinroad.scheduler import TICK_INTERVAL
 from siskinroad.upstreams import TaskStart
 
@@ -132,7 +134,11 @@
                 len(silent),
                 wait,
             )
-            owner.spawn(self._queue_after_silence(silent, owner.now() + wait))
+            queue = functools.partial(
+                self._queue_after_silence, silent, owner.now() + wait
+            )
+            name = f"tasks: wait of shard {owner.shard} for silent hosts"
+            owner.spawn(run_restarted(queue, name, log))
             return
         self._deferred_since = None
         for run in list(owner.scheduler.shard.running.values()):
