Show that a short silence ends a host's ejection but not its quarantine

A host that is ejected, falls silent and answers again is live. Its health stays in quarantine, in which failures do not count, so that nothing ejects it for up to 600 s.

--- a/tests/test_bounded_waits.py
+++ b/tests/test_bounded_waits.py
@@ -511,18 +511,40 @@
     assert len(start_effects(effects)) == 1
 
 
-def test_probation_ends_while_long_running_tasks_run():
-    """Guard against a host that holds one long-running task for good.
+def test_an_ejected_host_stays_ejected_across_a_short_silence():
+    """Guard against a faulty host that nothing ejects until its quarantine is over.
 
-    Probation ends with three tasks that succeed. A long-running task does not end.
+    The silence ended the exclusion of the host but not its quarantine, during which
+    failures count for nothing.
     """
     scheduler = make_scheduler(4)
+    eject(scheduler, "h0")
+    for event in ("silent", "inventory"):
+        scheduler.host_event("h0", event, 2.0)
+    assert scheduler.view("h0").state == "ejected"
+    scheduler.host_event("h0", "silent", 20.0)
+    scheduler.tick(40.0)
+    scheduler.host_event("h0", "inventory", 41.0)
+    assert scheduler.view("h0").state == "probation"
+
+
+def eject(scheduler, host):
+    """Eject a host for failures between 0 and 1 s."""
     for i in range(8):
         now = 0.1 * i
-        verdict = scheduler.shard.health.observe("h0", "plain", False, now, 4)
+        verdict = scheduler.shard.health.observe(host, "plain", False, now, 4)
         if verdict is not None:
-            scheduler.host_event("h0", verdict.event, now)
-    assert scheduler.view("h0").state == "ejected"
+            scheduler.host_event(host, verdict.event, now)
+    assert scheduler.view(host).state == "ejected"
+
+
+def test_probation_ends_while_long_running_tasks_run():
+    """Guard against a host that holds one long-running task for good.
+
+    Probation ends with three tasks that succeed. A long-running task does not end.
+    """
+    scheduler = make_scheduler(4)
+    eject(scheduler, "h0")
     submit(scheduler, "stand", 32, 1.0)
     for step in range(int(660 / TICK_INTERVAL)):
         scheduler.tick(1.0 + step * TICK_INTERVAL)
