Return a silent host to its quarantine when it answers again

Seen by callers: a faulty host that was ejected got its full share of work after a silence of a second, and failed it until the quarantine was over.

Cause: the chart leaves the state ejected for silent, and silent for live, while the host's health stays in quarantine. Failures in a quarantine do not count.

Change: the shard keeps the last verdict on each host, also one that comes while the host is silent. A host that would become live returns to the state of that verdict. An unused field of PoolState is removed.

Evidence: test_an_ejected_host_stays_ejected_across_a_short_silence failed and passes.

--- a/siskinroad/scheduler.py
+++ b/siskinroad/scheduler.py
@@ -85,10 +85,15 @@
     def host_event(self, name: str, event: str, now: float) -> list[Effect]:
         """Apply an event of the ``upstream`` chart to a host."""
         view = self.shard.view(name)
-        if view is None or not self._host_chart.allows(view.state, event):
+        if view is None:
+            return []
+        self.shard.record_verdict(name, event)
+        if not self._host_chart.allows(view.state, event):
             return []
         before = view.state
         view.state = self._host_chart.next_state(before, event)
+        if view.state == "live":
+            view.state = self.shard.quarantines.get(name, "live")
         if view.state == before:
             return []
         view.is_open = view.state in ("live", "probation")
--- a/siskinroad/shard.py
+++ b/siskinroad/shard.py
@@ -106,7 +106,6 @@
     evictable: dict[str, Running] = field(default_factory=dict)
     evicting: dict[str, Running] = field(default_factory=dict)
     underserved_since: dict[str, float] = field(default_factory=dict)
-    size_asked: dict[str, int] = field(default_factory=dict)
 
 
 class Shard:
@@ -134,6 +133,7 @@
         self.items: dict[str, Item] = {}
         self.running: dict[str, Running] = {}
         self.limits: dict[str, ConcurrencyLimit] = {}
+        self.quarantines: dict[str, str] = {}
         self.lowered_limits: set[str] = set()
         self.overloaded_hosts: set[str] = set()
         self.budgets: dict[str, Budget] = {}
@@ -171,10 +171,24 @@
         self.pools[self.pool_of.pop(name)].index.remove(name)
         self.health.remove_host(name)
         del self.limits[name]
+        self.quarantines.pop(name, None)
         self.lowered_limits.discard(name)
         self.overloaded_hosts.discard(name)
         self.update_capacity(now)
 
+    def record_verdict(self, name: str, event: str) -> None:
+        """Record a verdict on a host's health, also while the host is silent.
+
+        The host returns to its quarantine or probation once it answers.
+        """
+        match event:
+            case "eject":
+                self.quarantines[name] = "ejected"
+            case "probation":
+                self.quarantines[name] = "probation"
+            case "recover":
+                self.quarantines.pop(name, None)
+
     def update_limit(self, view: HostView) -> None:
         """Set how many tasks a host may hold now."""
         limit = self.limits[view.name]
