--- a/siskinroad/waits.py
+++ b/siskinroad/waits.py
@@ -84,8 +84,8 @@
     if item.backoff_until > 0:
         left_s = item.backoff_until - now
         text = f"it failed and will be retried in {left_s:.1f} s"
-        inputs = {"left_s": round(left_s, 3), "tries": item.tries}
-        return WaitCause(WaitReason.BACKOFF, text, dict(inputs))
+        inputs: dict[str, object] = {"left_s": round(left_s, 3), "tries": item.tries}
+        return WaitCause(WaitReason.BACKOFF, text, inputs)
     state = scheduler.shard.pools.get(workload.pool)
     if state is None:
         text = f"no host of {workload.pool} belongs to this shard"
@@ -101,53 +101,74 @@
 ) -> WaitCause:
     workload = item.workload
     shard = scheduler.shard
-    dispatcher = scheduler.dispatcher
     need = shard.allocation(workload, state)
     total_need = need.times(workload.size)
     if not shard.shares.within_quota(workload.owner, total_need):
-        text = f"{workload.owner} has used up its quota"
-        held = shard.shares.held(workload.owner)
-        inputs = {
-            "held_cpu_milli": held.cpu_milli,
-            "held_memory_mib": held.memory_mib,
-            "held_accelerators": held.accelerators,
-        }
-        return WaitCause(WaitReason.QUOTA, text, dict(inputs))
+        return _make_quota_cause(scheduler, workload.owner)
     free = {
         view.name: view.count_fitting(need)
         for view in state.index.hosts.values()
         if view.is_open
     }
-    hosts = {"open_hosts": len(free), "hosts": len(state.index.hosts)}
+    inputs: dict[str, object] = {
+        "open_hosts": len(free),
+        "hosts": len(state.index.hosts),
+    }
     if not free:
         text = f"no host of {workload.pool} accepts new work"
-        return WaitCause(WaitReason.NO_OPEN_HOST, text, dict(hosts))
-    inputs = {**hosts, "fitting": sum(free.values()), "size": workload.size}
-    if sum(free.values()) < workload.size:
-        text = f"room for {inputs['fitting']} of {workload.size} on {len(free)} hosts"
-        return WaitCause(WaitReason.NO_CAPACITY, text, dict(inputs))
-    avoided = item.avoided_hosts(now)
-    if _count_fitting(free, avoided) < workload.size:
-        text = f"it failed on {len(avoided)} hosts and avoids them"
-        left_s = max(item.avoid[host] for host in avoided) - now
-        return WaitCause(
-            WaitReason.HOSTS_AVOIDED, text, {**inputs, "left_s": round(left_s, 3)}
-        )
-    reserved = dispatcher.reserved_for_others(state, item, now)
-    if _count_fitting(free, avoided | reserved) < workload.size:
-        others = {key: x for key, x in state.reservations.items() if key != item.key}
-        oldest_s = now - min(x.planned_at for x in others.values())
-        text = f"hosts are reserved for {', '.join(others)}"
-        inputs["reserved_hosts"] = len(reserved)
-        return WaitCause(
-            WaitReason.HOSTS_RESERVED, text, {**inputs, "planned_s": round(oldest_s, 3)}
-        )
-    if not dispatcher.leaves_headroom(state, item, total_need, now):
+        return WaitCause(WaitReason.NO_OPEN_HOST, text, inputs)
+    fitting = sum(free.values())
+    inputs |= {"fitting": fitting, "size": workload.size}
+    if fitting < workload.size:
+        text = f"room for {fitting} of {workload.size} on {len(free)} hosts"
+        return WaitCause(WaitReason.NO_CAPACITY, text, inputs)
+    cause = _find_exclusion(scheduler, state, item, free, now)
+    if cause is not None:
+        return cause
+    if not scheduler.dispatcher.leaves_headroom(state, item, total_need, now):
         text = "capacity is kept free for urgent work"
-        return WaitCause(WaitReason.HEADROOM, text, dict(inputs))
+        return WaitCause(WaitReason.HEADROOM, text, inputs)
     if shard.waiting.lane(workload).head() is not item:
         return WaitCause(WaitReason.BEHIND_HEAD, "others of its queue are first")
-    return WaitCause(WaitReason.NEXT_PASS, "it starts next", dict(inputs))
+    return WaitCause(WaitReason.NEXT_PASS, "it starts next", inputs)
+
+
+def _make_quota_cause(scheduler: Scheduler, owner: str) -> WaitCause:
+    held = scheduler.shard.shares.held(owner)
+    inputs: dict[str, object] = {
+        "held_cpu_milli": held.cpu_milli,
+        "held_memory_mib": held.memory_mib,
+        "held_accelerators": held.accelerators,
+    }
+    return WaitCause(WaitReason.QUOTA, f"{owner} has used up its quota", inputs)
+
+
+def _find_exclusion(
+    scheduler: Scheduler,
+    state: PoolState,
+    item: Item,
+    free: dict[str, int],
+    now: float,
+) -> WaitCause | None:
+    """Return the cause if an item would fit but for hosts that it may not use."""
+    size = item.workload.size
+    avoided = item.avoided_hosts(now)
+    if _count_fitting(free, avoided) < size:
+        text = f"it failed on {len(avoided)} hosts and avoids them"
+        left_s = max(item.avoid[host] for host in avoided) - now
+        inputs: dict[str, object] = {
+            "avoided_hosts": len(avoided),
+            "left_s": round(left_s, 3),
+        }
+        return WaitCause(WaitReason.HOSTS_AVOIDED, text, inputs)
+    reserved = scheduler.dispatcher.reserved_for_others(state, item, now)
+    if _count_fitting(free, avoided | reserved) < size:
+        others = [x for key, x in state.reservations.items() if key != item.key]
+        text = f"hosts are reserved for {', '.join(x.key for x in others)}"
+        planned_s = now - min(x.planned_at for x in others)
+        inputs = {"reserved_hosts": len(reserved), "planned_s": round(planned_s, 3)}
+        return WaitCause(WaitReason.HOSTS_RESERVED, text, inputs)
+    return None
 
 
 def _count_fitting(free: dict[str, int], excluded: set[str]) -> int:
