Show in the log of a long wait when its lane was last tried

The field tried_s tells an item that no pass looks at from one that each pass turns away. The reasons behind_head, next_pass and stale_epoch have tests now.

--- a/siskinroad/dispatch.py
+++ b/siskinroad/dispatch.py
@@ -124,6 +124,7 @@
     ) -> StartTask | None:
         item = lane.head()
         assert item is not None
+        lane.tried_at = now
         workload = item.workload
         state = self.shard.pools.get(workload.pool)
         if state is None:
--- a/siskinroad/queues.py
+++ b/siskinroad/queues.py
@@ -106,6 +106,8 @@
         Loop time of the last start.
     rate_since : float
         Loop time of the first start.
+    tried_at : float or None
+        Loop time at which its head was last tried.
     """
 
     workload: Workload
@@ -115,6 +117,7 @@
     rate: float = 0.0
     rate_at: float = 0.0
     rate_since: float = 0.0
+    tried_at: float | None = None
 
     def head(self) -> Item | None:
         """Return the first item that still waits."""
--- a/siskinroad/wait_reporter.py
+++ b/siskinroad/wait_reporter.py
@@ -99,12 +99,14 @@
 
     def _log_wait(self, item: Item, now: float) -> None:
         cause = self.find_cause(item)
+        tried_at = self.owner.scheduler.shard.waiting.lane(item.workload).tried_at
         fields = {
             "id": item.key,
             "shard": self.owner.shard,
             "workload": item.workload.name,
             "reason": cause.reason.value,
             "inputs": cause.inputs,
+            "tried_s": None if tried_at is None else round(now - tried_at, 3),
             "waited_s": round(now - item.waiting_since, 3),
         }
         log.warning(
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -115,6 +115,30 @@
     assert "g/0" in cause.text
 
 
+def test_an_item_behind_another_that_starts_next_waits_for_it():
+    scheduler = make_scheduler(2)
+    head, second = (item(scheduler, "plain", f"p/{i}") for i in range(2))
+    for waiting in (head, second):
+        scheduler.shard.items[waiting.key] = waiting
+        scheduler.shard.waiting.push(waiting)
+    assert find_wait_cause(scheduler, head, 0.0).reason is WaitReason.NEXT_PASS
+    assert find_wait_cause(scheduler, second, 0.0).reason is WaitReason.BEHIND_HEAD
+
+
+def test_work_of_an_owner_that_a_host_rejects_has_this_reason():
+    async def main():
+        shard = OwnedShard()
+        await shard.owner.take_over()
+        shard.owner.mark_stale()
+        shard.owner.tasks.accept(make_job(3))
+        summaries = shard.owner.waits.sum_up()
+        assert {reason: x.count for reason, x in summaries.items()} == {
+            WaitReason.STALE_EPOCH: 3
+        }
+
+    run_on_paused_clock(main())
+
+
 def test_gauges_show_a_reason_and_return_to_zero():
     async def main():
         world = World(small_cell(east=1, west=0), ["east-1a"])
@@ -176,3 +200,4 @@
     assert record.reason == "no_open_host"
     assert record.inputs == {"open_hosts": 0, "hosts": 1}
     assert record.waited_s > LONG_WAIT
+    assert record.tried_s <= 1.0
