Explain a task that waits for silent hosts after a takeover

Seen by operators: `siskinroad explain` said of such a task that it belongs to a shard owned by this very daemon, "ask there".

Change: it tells that the hosts have to answer or their task leases to expire, and for how long the task has waited.

Evidence: the test of deferred tasks in tests/test_waits.py asks for the sentence.

--- a/siskinroad/status.py
+++ b/siskinroad/status.py
@@ -20,6 +20,7 @@
     "build_report",
     "build_status",
     "explain",
+    "explain_at_owner",
     "list_queue",
 ]
 
@@ -181,7 +182,7 @@
         Key of a request, or ``JOB/INDEX`` of a task.
     """
     for owner in daemon.shards.owners.values():
-        text = _explain_local(owner, key)
+        text = explain_at_owner(owner, key)
         if text:
             return text
     job, _, index = key.rpartition("/")
@@ -196,7 +197,8 @@
     return f"{key} belongs to shard {shard}, which {owner_name} owns; ask there."
 
 
-def _explain_local(owner: ShardOwner, key: str) -> str:
+def explain_at_owner(owner: ShardOwner, key: str) -> str:
+    """Explain where a task of one owner is; empty if the owner does not have it."""
     state = owner.scheduler.shard
     run = state.running.get(key)
     if run is not None:
@@ -206,6 +208,12 @@
             f"{key} has run on {hosts} for {seconds:.1f} s, attempt {run.item.tries}."
         )
     item = state.items.get(key)
+    if item is None and owner.tasks.is_deferred(key):
+        waited = owner.tasks.deferred_for()
+        return (
+            f"{key} has waited {waited:.1f} s: after the takeover of the shard, silent "
+            "hosts have to answer or their task leases to expire."
+        )
     if item is None:
         return ""
     waited = _loop_time() - item.waiting_since
--- a/siskinroad/tasks.py
+++ b/siskinroad/tasks.py
@@ -150,13 +150,21 @@
         """Return the number of tasks that wait for silent hosts to be queued."""
         if self._deferred_since is None:
             return 0
-        items = self.owner.scheduler.shard.items
         return sum(
-            index not in job.ended and f"{job.accepted.job}/{index}" not in items
+            self.is_deferred(f"{job.accepted.job}/{index}")
             for job in self.jobs.values()
             for index in range(job.accepted.count)
         )
 
+    def is_deferred(self, key: str) -> bool:
+        """Return whether a task waits for silent hosts to be queued."""
+        name, index = job_of(key)
+        job = self.jobs.get(name)
+        if self._deferred_since is None or job is None:
+            return False
+        is_queued = key in self.owner.scheduler.shard.items
+        return 0 <= index < job.accepted.count and not (is_queued or index in job.ended)
+
     def deferred_for(self) -> float:
         """Return for how many seconds tasks have been deferred, 0 if none are."""
         since = self._deferred_since
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -10,9 +10,10 @@
 from siskinroad.effects import End
 from siskinroad.httpd import HttpRequest
 from siskinroad.operators import OperatorApi
+from siskinroad.status import explain_at_owner
 from siskinroad.wait_reporter import LINE_INTERVAL, LONG_WAIT
 from siskinroad.waits import WaitReason, find_long_waits, find_wait_cause, sum_up_waits
-from tests.owned_shard import OwnedShard, make_job
+from tests.owned_shard import JOB, OwnedShard, make_job
 from tests.test_bounded_waits import configure, make_scheduler
 from tests.test_scheduler import item, submit
 
@@ -177,6 +178,8 @@
         summary = shard.owner.waits.sum_up()[WaitReason.SILENT_HOSTS]
         assert summary.count == 3
         assert summary.longest_s == pytest.approx(5.0)
+        assert "silent hosts" in explain_at_owner(shard.owner, f"{JOB}/0")
+        assert explain_at_owner(shard.owner, f"{JOB}/3") == ""
         await asyncio.sleep(60.0)
         assert WaitReason.SILENT_HOSTS not in shard.owner.waits.sum_up()
 
