--- a/siskinroad/attempts.py
+++ b/siskinroad/attempts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from siskinroad.cell import Urgency
 from siskinroad.charts import load_chart
 from siskinroad.effects import ControlTask, Effect, End, Finished, Refused, StartTask
@@ -26,6 +28,10 @@
 # the backoff of a batch task or gang.
 MAX_NOT_SENT = 10
 
+# Seconds after which a stop is sent again to a task that its host still reports as
+# running. With a smaller value, tasks that need time to stop get many calls.
+STOP_RETRY_INTERVAL = 2.0
+
 # Rank of each end in the order of ``End``. The end of highest rank among the members
 # of an attempt is that of the attempt.
 SEVERITY = {end: rank for rank, end in enumerate(End)}
@@ -90,7 +96,7 @@
         if view is None or (run is not None and run.attempt != name.run):
             return False
         if run is None:
-            held = self.shard.estimates.allocation(item.workload, view.capacity)
+            held = self.shard.allocation(item.workload, self.shard.pool_state(host))
             expected_end = now + self.shard.estimates.run_time(item.workload)
             run = Running(item, name.run, {}, held, now, expected_end)
             item.state = "running"
@@ -156,7 +162,7 @@
             run.worst_end = end
             effects += self._stop_others(run, end)
             if end in (End.FAILED, End.UNKNOWN, End.REJECTED):
-                run.item.avoid.add(view.name)
+                run.item.avoid_host(view.name, now)
         if not run.hosts:
             effects += self._end_run(run, now)
         return view, effects
@@ -174,6 +180,18 @@
             for member, host in run.hosts.items()
         ]
 
+    def repeat_stop(self, run: Running, member: int, now: float) -> list[Effect]:
+        """Stop a member again that runs although it was told to stop.
+
+        A stop that reaches the host before the start has no effect there.
+        """
+        repeated_at = run.stop_repeated_at.get(member, -math.inf)
+        if not run.is_stopping or now - repeated_at < STOP_RETRY_INTERVAL:
+            return []
+        run.stop_repeated_at[member] = now
+        host = run.hosts[member]
+        return [ControlTask(run.item.key, run.attempt, host, member, Control.STOP)]
+
     def _release(self, run: Running, member: int, now: float) -> HostView:
         view = self.shard.view(run.hosts.pop(member))
         assert view is not None
@@ -216,10 +234,11 @@
             limit.record_success()
         elif end in (End.UNKNOWN, End.REJECTED, End.NOT_SENT):
             limit.record_failure(now)
-        view.limit = 1 if view.state == "probation" else limit.max_tasks
+        self.shard.update_limit(view)
 
     def _end_run(self, run: Running, now: float) -> list[Effect]:
         item = run.item
+        item.waiting_since = now
         state = self.shard.pools[item.workload.pool]
         self._remove_run(run, state, now)
         if item.state == "stopping":
@@ -240,8 +259,7 @@
         del self.shard.running[run.item.key]
         state.evictable.pop(run.item.key, None)
         state.headroom.count_end(now)
-        if run.is_evicting:
-            state.eviction_count -= 1
+        state.evicting.pop(run.item.key, None)
 
     def _end_item(self, item: Item, end: End) -> list[Effect]:
         states = {End.DONE: "succeeded", End.STOPPED: "cancelled", End.FAILED: "lost"}
@@ -253,8 +271,9 @@
         """Queue an item for another attempt without a backoff."""
         item.state = "waiting"
         item.backoff_until = 0.0
-        hosts = self.shard.pools[item.workload.pool].index.hosts
-        if len(item.avoid) >= len(hosts):
+        item.workload = self.shard.current_workload(item.workload)
+        state = self.shard.pools.get(item.workload.pool)
+        if state is None or len(item.avoid) >= len(state.index.hosts):
             item.avoid.clear()
         lane = self.shard.waiting.push(item, front=front)
         lane.is_blocked = False
@@ -282,6 +301,8 @@
         if isinstance(decision, Retry):
             if now + decision.delay <= item.deadline:
                 return self._back_off(item, now + decision.delay)
+            if failure is not Failure.NOT_SENT:
+                budget.return_retry()
             may_have_run = failure in (Failure.UNKNOWN, Failure.FAILED)
             outcome = Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN
             decision = Refusal(Reason.DEADLINE, step="retry", outcome=outcome)
--- a/siskinroad/dispatch.py
+++ b/siskinroad/dispatch.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from siskinroad.attempts import Attempts
 from siskinroad.cell import Urgency, Workload
 from siskinroad.effects import StartTask
@@ -12,7 +14,7 @@
 from siskinroad.resources import Resources
 from siskinroad.shard import PoolState, Shard
 
-__all__ = ["Dispatcher", "blocked_reason"]
+__all__ = ["Dispatcher"]
 
 # Seconds after which a reservation is planned again, so that it follows changed
 # estimates of when the running tasks end.
@@ -31,8 +33,8 @@
 OVERDUE_FRACTION = 0.6
 # Blocked lanes that are tried again in one tick; it bounds the cost of a tick.
 MAX_UNBLOCKED_LANES = 8
-# Largest fraction of a pool's slots kept free for urgent work. A larger value could
-# keep other work from starting at all.
+# Largest fraction of a pool's open capacity kept free for urgent work, in each
+# dimension. A larger value could keep other work from starting at all.
 MAX_HEADROOM_FRACTION = 0.5
 
 
@@ -122,17 +124,22 @@
     ) -> StartTask | None:
         item = lane.head()
         assert item is not None
+        lane.tried_at = now
         workload = item.workload
         state = self.shard.pools.get(workload.pool)
-        if state is None or (self.requests_only and workload.kind != "service"):
+        if state is None:
             return None
-        need = self.shard.estimates.allocation(workload, state.pool.capacity)
+        need = self.shard.allocation(workload, state)
         total_need = need.times(workload.size)
-        if not self.shard.shares.within_quota(workload.owner, total_need):
+        if not self._may_start(workload, total_need):
+            state.reservations.pop(item.key, None)
             return None
-        if not self._leaves_headroom(state, workload, total_need, now):
+        has_headroom = self.leaves_headroom(state, item, total_need, now)
+        if not has_headroom and workload.size == 1:
             return None
-        hosts = self._choose_hosts(state, item, need, now, only_host)
+        hosts = None
+        if has_headroom:
+            hosts = self._choose_hosts(state, item, need, now, only_host)
         if hosts is None:
             if only_host is None:
                 self._reserve_hosts(state, item, need, now)
@@ -142,25 +149,31 @@
         state.reservations.pop(item.key, None)
         return self.attempts.start_attempt(item, hosts, need, now)
 
-    def _leaves_headroom(
-        self, state: PoolState, workload: Workload, total_need: Resources, now: float
+    def _may_start(self, workload: Workload, total_need: Resources) -> bool:
+        """Return whether a start is allowed, whatever capacity is free."""
+        if self.requests_only and workload.kind != "service":
+            return False
+        return self.shard.shares.within_quota(workload.owner, total_need)
+
+    def leaves_headroom(
+        self, state: PoolState, item: Item, total_need: Resources, now: float
     ) -> bool:
+        """Return whether the headroom for urgent work stays free after a start.
+
+        The headroom is less where it would keep the work from an empty pool. A gang
+        with reserved hosts needs none beside them: smaller work would take it first.
+        """
+        workload = item.workload
         reserved_tasks = state.headroom.reserved_tasks(workload.urgency, now)
         if not reserved_tasks:
             return True
-        slots = state.pool.capacity.slots * len(state.index.hosts)
-        reserved_tasks = min(reserved_tasks, int(slots * MAX_HEADROOM_FRACTION))
-        urgent_demand = state.urgent_need
+        if workload.size > 1 and item.key in state.reservations:
+            return True
         index = state.index
-        return (
-            index.free_slots - total_need.slots >= reserved_tasks * urgent_demand.slots
-            and index.free_cpu - total_need.cpu_milli
-            >= reserved_tasks * urgent_demand.cpu_milli
-            and index.free_memory - total_need.memory_mib
-            >= reserved_tasks * urgent_demand.memory_mib
-            and index.free_accelerators - total_need.accelerators
-            >= reserved_tasks * urgent_demand.accelerators
-        )
+        total = state.pool.capacity.times(index.open_count)
+        headroom = state.urgent_need.times(reserved_tasks)
+        headroom = headroom.clip(total.scaled(MAX_HEADROOM_FRACTION))
+        return (headroom.clip(total - total_need) + total_need).fits(index.free())
 
     def _choose_hosts(
         self,
@@ -170,27 +183,26 @@
         now: float,
         only_host: HostView | None,
     ) -> list[HostView] | None:
-        reserved = self._reserved_for_others(state, item, now)
+        reserved = self.reserved_for_others(state, item, now)
+        avoid = item.avoided_hosts(now)
         workload = item.workload
         if only_host is not None and workload.size == 1:
-            is_excluded = only_host.name in reserved or only_host.name in item.avoid
+            is_excluded = only_host.name in reserved or only_host.name in avoid
             return None if is_excluded else [only_host]
         if workload.size > 1:
-            parts = state.index.place_gang(need, workload.size, item.avoid, reserved)
+            parts = state.index.place_gang(need, workload.size, avoid, reserved)
             if parts is None:
                 return None
             return [view for view, count in parts for _ in range(count)]
         if (
             workload.kind == "service" and not workload.demand.accelerators
         ) or workload.long_running:
-            view = state.index.least_loaded(need, item.avoid, reserved, workload.name)
+            view = state.index.least_loaded(need, avoid, reserved, workload.name)
         else:
-            view = state.index.best_fit(need, item.avoid, reserved)
+            view = state.index.best_fit(need, avoid, reserved)
         return None if view is None else [view]
 
-    def _reserved_for_others(
-        self, state: PoolState, item: Item, now: float
-    ) -> set[str]:
+    def reserved_for_others(self, state: PoolState, item: Item, now: float) -> set[str]:
         """Return the hosts reserved for other items that the item would delay."""
         self._drop_stale_reservations(state)
         if not state.reservations or item.workload.urgency is Urgency.URGENT:
@@ -211,12 +223,11 @@
         state.last_planned = now
         state.reservations.pop(item.key, None)
         reserved = self._reserved_hosts(state)
+        avoid = item.avoided_hosts(now)
         hosts = [
             view
             for view in state.index.hosts.values()
-            if view.is_open
-            and view.name not in item.avoid
-            and view.name not in reserved
+            if view.is_open and view.name not in avoid and view.name not in reserved
         ]
         size = item.workload.size
         plan = plan_reservation(
@@ -228,20 +239,35 @@
             is_aged or self._leaves_enough_unreserved(state, reserved_count)
         ):
             state.reservations[item.key] = plan
+            state.failed_plans.pop(item.key, None)
+        else:
+            self._record_failed_plan(state, item, now)
+
+    def _record_failed_plan(self, state: PoolState, item: Item, now: float) -> None:
+        """Let the other items of the pool plan before this one does so again."""
+        for key in list(state.failed_plans):
+            known = self.shard.items.get(key)
+            if known is None or known.state != "waiting":
+                del state.failed_plans[key]
+        state.failed_plans[item.key] = now
 
     def _drop_stale_reservations(self, state: PoolState) -> None:
-        """Remove reservations of items that are no longer the head of their lane.
+        """Remove reservations that no longer belong to a lane's head in this pool.
 
         Only the head of a lane is tried. The reservation of an item that failed and
-        waits behind others again would never be used and would block its hosts
-        indefinitely.
+        waits behind others again, or whose workload was moved to another pool, would
+        never be used and would block its hosts indefinitely.
         """
         for key in list(state.reservations):
             holder = self.shard.items.get(key)
-            lane = self.shard.waiting.lane(holder.workload) if holder else None
-            if lane is None or lane.head() is not holder:
+            if holder is None or not self._is_head_in(state, holder):
                 del state.reservations[key]
 
+    def _is_head_in(self, state: PoolState, item: Item) -> bool:
+        """Return whether an item is the head of its lane and waits for this pool."""
+        lane = self.shard.waiting.lane(item.workload)
+        return lane.head() is item and lane.workload.pool == state.pool.name
+
     def _reserved_hosts(self, state: PoolState) -> set[str]:
         names: set[str] = set()
         for reservation in state.reservations.values():
@@ -257,6 +283,10 @@
         reservation = state.reservations.get(item.key)
         if reservation is not None:
             return now - reservation.planned_at >= RESERVATION_REFRESH_INTERVAL
+        failed_at = state.failed_plans.get(item.key, -math.inf)
+        others_turn = 2 * MIN_PLAN_INTERVAL * len(state.failed_plans)
+        if now - failed_at < others_turn:
+            return False
         return now - state.last_planned >= MIN_PLAN_INTERVAL
 
     def _expected_end(self, task: str, now: float) -> float:
@@ -272,7 +302,7 @@
 
     def _fits_on(self, state: PoolState, lane: Lane, view: HostView) -> bool:
         workload = lane.workload
-        need = self.shard.estimates.allocation(workload, state.pool.capacity)
+        need = self.shard.allocation(workload, state)
         if not view.fits(need):
             return False
         if workload.size == 1:
@@ -315,27 +345,3 @@
         for step in range(min(MAX_UNBLOCKED_LANES, len(blocked))):
             blocked[(self._unblock_offset + step) % len(blocked)].is_blocked = False
         self._unblock_offset += MAX_UNBLOCKED_LANES
-
-
-def blocked_reason(shard: Shard, item: Item) -> str:
-    """Return the reason for which an item waits, as a clause."""
-    workload = item.workload
-    state = shard.pools.get(workload.pool)
-    if state is None:
-        return f"no host of {workload.pool} belongs to this shard"
-    need = shard.estimates.allocation(workload, state.pool.capacity)
-    total_need = need.times(workload.size)
-    if not shard.shares.within_quota(workload.owner, total_need):
-        return f"{workload.owner} has used up its quota"
-    open_hosts = [view for view in state.index.hosts.values() if view.is_open]
-    if not open_hosts:
-        return f"no host of {workload.pool} accepts new work"
-    fitting = sum(view.count_fitting(need) for view in open_hosts)
-    if fitting < workload.size:
-        return f"room for {fitting} of {workload.size} on {len(open_hosts)} hosts"
-    others = [key for key in state.reservations if key != item.key]
-    if others:
-        return f"hosts are reserved for {', '.join(others)}"
-    if workload.urgency is not Urgency.URGENT:
-        return "other work ranks first, or capacity is kept free for urgent work"
-    return "it starts next"
--- a/siskinroad/gangs.py
+++ b/siskinroad/gangs.py
@@ -18,7 +18,8 @@
 
 __all__ = ["Reservation", "plan_reservation"]
 
-# Most hosts considered for one reservation; it bounds the time of planning.
+# Hosts considered for one reservation, unless its members may need more; it bounds the
+# time of planning.
 MAX_CANDIDATES = 128
 
 
@@ -69,7 +70,7 @@
             count = min(count, self.memory // need.memory_mib)
         if need.accelerators:
             count = min(count, self.accelerators // need.accelerators)
-        return count
+        return max(count, 0)
 
 
 def plan_reservation(
@@ -87,7 +88,8 @@
     need : Resources
         Resources to allocate to one member.
     hosts : list of HostView
-        Candidates; the first ``MAX_CANDIDATES`` are considered.
+        Candidates; the first ``MAX_CANDIDATES`` are considered, or two for each
+        member if that is more.
     expected_end : callable
         Returns the loop time at which a task is expected to end.
 
@@ -95,13 +97,15 @@
     -------
     Reservation or None
         None if the item would not fit even after all tasks that are expected to end
-        have ended.
+        have ended, with the hosts' present limits.
     """
     events: list[tuple[float, int, HostView, Resources]] = []
     free: dict[str, _FreeCapacity] = {}
     counts: dict[str, int] = {}
-    for host in hosts[:MAX_CANDIDATES]:
-        capacity = _FreeCapacity(host.cpu, host.memory, host.accelerators, host.slots)
+    for host in hosts[: max(MAX_CANDIDATES, 2 * size)]:
+        capacity = _FreeCapacity(
+            host.cpu, host.memory, host.accelerators, host.free_tasks
+        )
         free[host.name] = capacity
         counts[host.name] = capacity.count_fitting(need)
         for task, held in host.tasks.items():
--- a/siskinroad/owner.py
+++ b/siskinroad/owner.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from siskinroad.cell import Cell, Host
@@ -15,8 +16,10 @@
 from siskinroad.owner_context import OwnerPorts
 from siskinroad.requests import RequestTable
 from siskinroad.resources import Resources
+from siskinroad.restarts import run_restarted
 from siskinroad.scheduler import TICK_INTERVAL, Scheduler
 from siskinroad.tasks import TaskTable
+from siskinroad.wait_reporter import WaitReporter
 
 __all__ = ["ShardOwner"]
 
@@ -26,7 +29,6 @@
 # Shortest sleep between scheduler ticks, in seconds; the longest is ``TICK_INTERVAL``.
 # Without it, a timer that is already due would make the loop spin.
 MIN_TICK_INTERVAL = 0.01
-
 log = logging.getLogger("siskinroad.owner")
 
 
@@ -55,6 +57,7 @@
         self.monitors: dict[str, HostMonitor] = {}
         self.requests = RequestTable(self)
         self.tasks = TaskTable(self)
+        self.waits = WaitReporter(self, self.tasks)
         self._in_flight: set[asyncio.Task[None]] = set()
         self._background_tasks: set[asyncio.Task[None]] = set()
         self.is_closed = False
@@ -79,13 +82,28 @@
         if self.is_closed:
             return
         for monitor in self.monitors.values():
-            self.spawn(monitor_host(self, monitor))
-        self.spawn(self._tick())
+            self._spawn_monitor(monitor)
+        self._spawn_loop("tick", self._tick)
         self.tasks.queue_unreported()
         self.resume()
 
     async def _fetch_first_inventory(self, monitor: HostMonitor) -> None:
-        await monitor.fetch_inventory(self, wait=0.0, renew=True)
+        """Fetch a host's inventory; the monitor fetches it again after an error."""
+        try:
+            await monitor.fetch_inventory(self, wait=0.0, renew=True)
+        except Exception:
+            log.exception(
+                "owner: first inventory of host %s failed; its monitor fetches another",
+                monitor.host.name,
+            )
+
+    def _spawn_monitor(self, monitor: HostMonitor) -> None:
+        run = functools.partial(monitor_host, self, monitor)
+        self._spawn_loop(f"monitor of {monitor.host.name}", run)
+
+    def _spawn_loop(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        name = f"owner: {name} of shard {self.shard}"
+        self.spawn(run_restarted(run, name, log))
 
     def resume(self) -> None:
         """Place work again, once ownership is certain, unless a host rejected it."""
@@ -149,6 +167,7 @@
             delay = self.scheduler.next_tick_time() - self.now()
             await asyncio.sleep(min(max(delay, MIN_TICK_INTERVAL), TICK_INTERVAL))
             self.run(self.scheduler.tick(self.now()))
+            self.waits.log_long_waits()
 
     def configure(self, cell: Cell, hosts: list[Host]) -> None:
         """Apply a new cell configuration: remove, add and update hosts.
@@ -164,12 +183,13 @@
         for host in hosts:
             if host.name not in self.monitors:
                 self._add_host(host)
-                self.spawn(monitor_host(self, self.monitors[host.name]))
+                self._spawn_monitor(self.monitors[host.name])
             monitor = self.monitors[host.name]
             monitor.host = host
             if monitor.is_removed:
                 monitor.is_removed = False
-                self.host_event(host.name, "rejoin")
+                if monitor.may_rejoin:
+                    self.host_event(host.name, "rejoin")
 
     def forget_host(self, name: str) -> bool:
         """Forget a removed host unless it still runs work; return whether it did.
--- a/siskinroad/placement.py
+++ b/siskinroad/placement.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
+from itertools import islice
 
 from siskinroad.resources import Resources
 
@@ -15,6 +16,8 @@
 MAX_PROBES = 64
 # Fitting hosts after which a search stops; the best of them is used.
 MAX_FITTING_HOSTS = 6
+# Most needs for which a search is continued; it bounds the memory of an index.
+MAX_CONTINUED_SEARCHES = 256
 # Most levels into which the free slots of hosts are divided; it bounds the memory of
 # an index of hosts with many slots.
 MAX_SLOT_LEVELS = 64
@@ -76,10 +79,17 @@
             and self.capacity.slots - self.slots < self.limit
         )
 
+    @property
+    def free_tasks(self) -> int:
+        """Tasks that its limit still allows; negative if it was lowered below its use.
+
+        A limit is at most the host's slots.
+        """
+        return self.limit - (self.capacity.slots - self.slots)
+
     def count_fitting(self, need: Resources) -> int:
         """Return how many tasks fit on the host if each needs ``need``."""
-        free_tasks = min(self.slots, self.limit - (self.capacity.slots - self.slots))
-        count = free_tasks // max(need.slots, 1)
+        count = self.free_tasks // max(need.slots, 1)
         if need.cpu_milli:
             count = min(count, self.cpu // need.cpu_milli)
         if need.memory_mib:
@@ -104,16 +114,19 @@
 
     There is a row of levels for each dimension. A search uses the row of the
     dimension of which the task needs the largest fraction of a host, begins at the
-    level that the task needs, and stops after ``MAX_PROBES`` hosts.
+    level that the task needs, and stops after ``MAX_PROBES`` hosts. If none of them
+    fits, the next search for the same need continues behind them.
     """
 
     def __init__(self, capacity: Resources) -> None:
         self.capacity = capacity
         self.hosts: dict[str, HostView] = {}
+        self.open_count = 0
         self.free_cpu = 0
         self.free_memory = 0
         self.free_accelerators = 0
         self.free_slots = 0
+        self._search_offsets: dict[Resources, int] = {}
         self._level_counts = (
             RESOURCE_LEVELS,
             RESOURCE_LEVELS,
@@ -124,6 +137,12 @@
             [{} for _ in range(level_count + 1)] for level_count in self._level_counts
         ]
 
+    def free(self) -> Resources:
+        """Return the unallocated resources of all open hosts."""
+        return Resources(
+            self.free_cpu, self.free_memory, self.free_accelerators, self.free_slots
+        )
+
     def add(self, host: HostView) -> None:
         """Add a host, whether it is open or not."""
         self.hosts[host.name] = host
@@ -152,6 +171,7 @@
         host.levels = levels
 
     def _add_to_sums(self, host: HostView, sign: int) -> None:
+        self.open_count += sign
         self.free_cpu += sign * host.cpu
         self.free_memory += sign * host.memory
         self.free_accelerators += sign * host.accelerators
@@ -270,10 +290,14 @@
 
         At most ``MAX_FITTING_HOSTS`` fitting hosts are compared.
         """
+        offset = self._search_offsets.pop(need, 0)
         found: list[HostView] = []
         probes = 0
+        skipped = 0
         for level in levels:
-            for host in level.values():
+            skip = min(max(offset - skipped, 0), len(level))
+            skipped += skip
+            for host in islice(level.values(), skip, None):
                 probes += 1
                 if host.fits(need) and host.name not in excluded:
                     found.append(host)
@@ -281,8 +305,18 @@
                     break
             if found or probes >= MAX_PROBES:
                 break
+        if found and offset:
+            self._continue_search_at(need, offset)
+        elif not found and probes >= MAX_PROBES:
+            self._continue_search_at(need, offset + probes)
         return min(found, key=key) if found else None
 
+    def _continue_search_at(self, need: Resources, offset: int) -> None:
+        """Let the next search for a need skip the hosts that did not fit."""
+        if len(self._search_offsets) >= MAX_CONTINUED_SEARCHES:
+            self._search_offsets.clear()
+        self._search_offsets[need] = offset
+
     def place_gang(
         self, need: Resources, size: int, avoid: set[str], reserved: set[str]
     ) -> list[tuple[HostView, int]] | None:
--- a/siskinroad/queues.py
+++ b/siskinroad/queues.py
@@ -21,6 +21,10 @@
 # Seconds of waiting after which background work ranks as standard work. Without
 # this limit, constant standard work would starve it.
 AGING_TIME = 300.0
+# Seconds for which an item avoids a host on which it failed. With a smaller value, a
+# faulty host fails the same item again; with a larger one, an item waits longer while
+# its other hosts are full or out of use.
+AVOID_TIME = 30.0
 # Half-life of the measured rate of starts, in seconds.
 RATE_HALF_LIFE = 10.0
 # Fewest waiting items for which a waiting time is forecast. With fewer, the forecast
@@ -49,14 +53,16 @@
         Attempts among ``tries`` that never reached their host.
     state : str
         State of the ``attempt`` chart.
-    avoid : set of str
-        Hosts on which the item failed.
+    avoid : dict of str to float
+        Hosts on which the item failed, with the loop time until which it avoids them.
     payload : bytes
         Bytes passed to the host that runs the item.
     started : float
         Loop time of the last start.
     backoff_until : float
         Loop time at which the backoff after a failure ends; 0 outside of a backoff.
+    waiting_since : float
+        Loop time at which its present wait began, at first or after an attempt.
     """
 
     key: str
@@ -66,10 +72,22 @@
     tries: int = 0
     unsent: int = 0
     state: str = "waiting"
-    avoid: set[str] = field(default_factory=set)
+    avoid: dict[str, float] = field(default_factory=dict)
     payload: bytes = b""
     started: float = 0.0
     backoff_until: float = 0.0
+    waiting_since: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.waiting_since = self.enqueued
+
+    def avoid_host(self, host: str, now: float) -> None:
+        """Avoid a host on which the item failed for ``AVOID_TIME`` seconds."""
+        self.avoid[host] = now + AVOID_TIME
+
+    def avoided_hosts(self, now: float) -> set[str]:
+        """Return the hosts that the item avoids at ``now``."""
+        return {host for host, until in self.avoid.items() if now < until}
 
 
 @dataclass(slots=True, eq=False)
@@ -88,6 +106,8 @@
         Loop time of the last start.
     rate_since : float
         Loop time of the first start.
+    tried_at : float or None
+        Loop time at which its head was last tried.
     """
 
     workload: Workload
@@ -97,6 +117,7 @@
     rate: float = 0.0
     rate_at: float = 0.0
     rate_since: float = 0.0
+    tried_at: float | None = None
 
     def head(self) -> Item | None:
         """Return the first item that still waits."""
@@ -165,15 +186,17 @@
     def push(self, item: Item, *, front: bool = False) -> Lane:
         """Queue an item, last in its lane or, with ``front``, first.
 
-        Items that were checkpointed or never sent go to the front.
+        Items that were checkpointed or never sent go to the front. An item whose
+        workload has changed since it was made takes on that of its lane.
         """
         lane = self.lane(item.workload)
+        item.workload = lane.workload
         if front:
             lane.items.appendleft(item)
         else:
             lane.items.append(item)
         lane.live += 1
-        self.active[item.workload.urgency][item.workload.name] = lane
+        self.active[lane.workload.urgency][lane.workload.name] = lane
         if item.deadline < math.inf:
             self._sequence += 1
             heapq.heappush(self._deadlines, (item.deadline, self._sequence, item))
--- a/siskinroad/scheduler.py
+++ b/siskinroad/scheduler.py
@@ -85,15 +85,19 @@
     def host_event(self, name: str, event: str, now: float) -> list[Effect]:
         """Apply an event of the ``upstream`` chart to a host."""
         view = self.shard.view(name)
-        if view is None or not self._host_chart.allows(view.state, event):
+        if view is None:
+            return []
+        self.shard.record_verdict(name, event)
+        if not self._host_chart.allows(view.state, event):
             return []
         before = view.state
         view.state = self._host_chart.next_state(before, event)
+        if view.state == "live":
+            view.state = self.shard.quarantines.get(name, "live")
         if view.state == before:
             return []
         view.is_open = view.state in ("live", "probation")
-        limit = self.shard.limits[name].max_tasks
-        view.limit = 1 if view.state == "probation" else limit
+        self.shard.update_limit(view)
         self.shard.pool_state(name).index.refresh(view)
         self.shard.update_capacity(now)
         effects = self.lose_tasks(name, now) if view.state == "gone" else []
@@ -144,7 +148,7 @@
             return effects
         state.headroom.count_arrival(now)
         if item.state == "waiting" and not self.is_paused:
-            effects += self.preemption.preempt_for_urgent(state)
+            effects += self.preemption.preempt_for_urgent(state, now)
         return effects
 
     def _admission_refusal(self, item: Item, now: float) -> Refusal | None:
@@ -257,7 +261,7 @@
         self, host: str, reports: list[UsageReport], now: float
     ) -> list[Effect]:
         """React to a host's usage report, which lags behind the actual usage."""
-        effects = self.preemption.apply_usage(host, reports)
+        effects = self.preemption.apply_usage(host, reports, now)
         view = self.shard.view(host)
         return effects + (self._use_free_capacity(view, now) if view else [])
 
@@ -270,6 +274,8 @@
             refusal = Refusal(Reason.DEADLINE, step="queue", retry_after=1.0)
             effects.append(self._refuse_waiting(item, refusal))
         self.attempts.release_backed_off(now)
+        self.preemption.expire_evictions(now)
+        self.shard.recover_limits(now)
         effects += self._apply_verdicts(self.shard.health.tick(now), now)
         self.shard.accounts.tick(milliseconds(now))
         self.dispatcher.unblock_some()
@@ -281,7 +287,7 @@
     def _preempt(self, now: float) -> list[Effect]:
         effects: list[Effect] = []
         for state in self.shard.pools.values():
-            effects += self.preemption.preempt_for_urgent(state)
+            effects += self.preemption.preempt_for_urgent(state, now)
         return effects + self.preemption.reclaim_shares(now)
 
     def next_tick_time(self) -> float:
--- a/siskinroad/shard.py
+++ b/siskinroad/shard.py
@@ -39,6 +39,12 @@
         Highest usage reported for each member.
     worst_end : End
         The most severe end of a member so far.
+    evicted_at : float or None
+        Loop time at which its eviction began, while that is in progress.
+    has_ignored_eviction : bool
+        Whether an eviction was not carried out in time.
+    stop_repeated_at : dict of int to float
+        Loop time at which the stop of a member was last sent again.
     """
 
     item: Item
@@ -51,8 +57,15 @@
     known_members: set[int] = field(default_factory=set)
     worst_end: End = End.DONE
     is_throttled: bool = False
-    is_evicting: bool = False
+    evicted_at: float | None = None
+    has_ignored_eviction: bool = False
     is_stopping: bool = False
+    stop_repeated_at: dict[int, float] = field(default_factory=dict)
+
+    @property
+    def is_evicting(self) -> bool:
+        """Whether an eviction is in progress."""
+        return self.evicted_at is not None
 
     def record_peak_usage(self, member: int, usage: Usage) -> None:
         """Raise a member's peak usage to the reported usage where that is higher."""
@@ -73,10 +86,12 @@
         Largest demand of the urgent workloads, in each dimension.
     evictable : dict of str to Running
         Background attempts that can be checkpointed, by key of the item.
-    eviction_count : int
-        Evictions in progress.
+    evicting : dict of str to Running
+        Attempts whose eviction is in progress, by key of the item, oldest first.
     last_planned : float
         Loop time at which a reservation was last planned.
+    failed_plans : dict of str to float
+        Loop time of the last plan of a reservation that failed, by key of the item.
     underserved_since : dict of str to float
         Loop time since which an owner has lacked its fair share.
     """
@@ -86,11 +101,11 @@
     headroom: Headroom = field(default_factory=Headroom)
     reservations: dict[str, Reservation] = field(default_factory=dict)
     last_planned: float = -1e9
+    failed_plans: dict[str, float] = field(default_factory=dict)
     urgent_need: Resources = NOTHING
     evictable: dict[str, Running] = field(default_factory=dict)
-    eviction_count: int = 0
+    evicting: dict[str, Running] = field(default_factory=dict)
     underserved_since: dict[str, float] = field(default_factory=dict)
-    size_asked: dict[str, int] = field(default_factory=dict)
 
 
 class Shard:
@@ -118,6 +133,9 @@
         self.items: dict[str, Item] = {}
         self.running: dict[str, Running] = {}
         self.limits: dict[str, ConcurrencyLimit] = {}
+        self.quarantines: dict[str, str] = {}
+        self.lowered_limits: set[str] = set()
+        self.overloaded_hosts: set[str] = set()
         self.budgets: dict[str, Budget] = {}
         self.pools: dict[str, PoolState] = {}
         self.pool_of: dict[str, str] = {}
@@ -153,8 +171,44 @@
         self.pools[self.pool_of.pop(name)].index.remove(name)
         self.health.remove_host(name)
         del self.limits[name]
+        self.quarantines.pop(name, None)
+        self.lowered_limits.discard(name)
+        self.overloaded_hosts.discard(name)
         self.update_capacity(now)
 
+    def record_verdict(self, name: str, event: str) -> None:
+        """Record a verdict on a host's health, also while the host is silent.
+
+        The host returns to its quarantine or probation once it answers.
+        """
+        match event:
+            case "eject":
+                self.quarantines[name] = "ejected"
+            case "probation":
+                self.quarantines[name] = "probation"
+            case "recover":
+                self.quarantines.pop(name, None)
+
+    def update_limit(self, view: HostView) -> None:
+        """Set how many tasks a host may hold now."""
+        limit = self.limits[view.name]
+        if limit.is_lowered:
+            self.lowered_limits.add(view.name)
+        else:
+            self.lowered_limits.discard(view.name)
+        if view.name in self.overloaded_hosts:
+            view.limit = 0
+        else:
+            view.limit = 1 if view.state == "probation" else limit.max_tasks
+
+    def recover_limits(self, now: float) -> None:
+        """Raise the limits that have not been changed for some time."""
+        for name in sorted(self.lowered_limits):
+            view = self.view(name)
+            assert view is not None
+            self.limits[name].recover(now)
+            self.update_limit(view)
+
     def view(self, name: str) -> HostView | None:
         """Return the named host, or None if the shard does not have it."""
         pool = self.pool_of.get(name)
@@ -169,6 +223,42 @@
         """Return the state of the pool of a host."""
         return self.pools[self.pool_of[host]]
 
+    def current_workload(self, workload: Workload) -> Workload:
+        """Return a workload as configured now, or as given if it was removed."""
+        return self.cell.workloads.get(workload.name, workload)
+
+    def allocation(self, workload: Workload, state: PoolState) -> Resources:
+        """Return the resources to allocate to each member of a workload's items.
+
+        An estimate above the declared demand is limited to what lets the item start
+        in an empty pool: each member's part of the owner's quota and of a host. An
+        item that never starts would leave its workload without samples, and the
+        estimate as it is.
+        """
+        capacity = state.pool.capacity
+        need = self.estimates.allocation(workload, capacity)
+        quota = self.shares.quota(workload.owner)
+        members_per_host = -(-workload.size // max(len(state.index.hosts), 1))
+        if members_per_host == 1 and quota == NOTHING:
+            return need
+        demand = workload.demand
+        return Resources(
+            _limit_amount(
+                need.cpu_milli,
+                demand.cpu_milli,
+                _part(quota.cpu_milli, workload.size),
+                capacity.cpu_milli // members_per_host,
+            ),
+            _limit_amount(
+                need.memory_mib,
+                demand.memory_mib,
+                _part(quota.memory_mib, workload.size),
+                capacity.memory_mib // members_per_host,
+            ),
+            need.accelerators,
+            need.slots,
+        )
+
     def update_capacity(self, now: float) -> None:
         """Recompute the total capacity that shares are fractions of."""
         total = NOTHING
@@ -205,6 +295,19 @@
         return budget
 
 
+def _part(quota: int, size: int) -> int | None:
+    """Return each member's part of a quota, or None if there is no limit."""
+    return quota // size if quota else None
+
+
+def _limit_amount(
+    estimate: int, declared: int, quota_part: int | None, host_part: int
+) -> int:
+    """Return an estimate limited to both parts, but not below the declared amount."""
+    limit = host_part if quota_part is None else min(quota_part, host_part)
+    return min(estimate, max(declared, limit))
+
+
 def _urgent_need(cell: Cell, pool: str) -> Resources:
     needs = [
         workload.demand
--- a/siskinroad/shards.py
+++ b/siskinroad/shards.py
@@ -10,7 +10,7 @@
 
 from siskinroad.appender import Appender
 from siskinroad.cell import Cell, Host, Workload
-from siskinroad.errors import Reason, Refusal
+from siskinroad.errors import PlatformError, Reason, Refusal
 from siskinroad.idempotency import IdempotencyGuard
 from siskinroad.ledger import Ledger
 from siskinroad.messages import ShardUpdate
@@ -47,6 +47,9 @@
 # Time-out, in seconds, of records that must be stored however long the log is
 # unavailable.
 NO_TIMEOUT = float("inf")
+# Seconds after which a release that the appender refused is appended again. A shorter
+# time loads an appender that has too many records already.
+RELEASE_RETRY_INTERVAL = 1.0
 
 log = logging.getLogger("siskinroad.shards")
 
@@ -133,12 +136,15 @@
 
     def _apply_host_list(self, owner: ShardOwner) -> None:
         for name, monitor in owner.monitors.items():
-            match self.host_list.get(name):
+            state = self.host_list.get(name)
+            monitor.is_listed_leaving = state is HostState.LEAVING
+            match state:
                 case HostState.LEAVING:
                     owner.host_event(name, "leave")
                 case HostState.GONE:
+                    monitor.reports_leaving = False
                     owner.host_event(name, "gone")
-                case HostState.LIVE if not monitor.is_removed:
+                case HostState.LIVE if monitor.may_rejoin:
                     owner.host_event(name, "rejoin")
 
     def apply_records(self, records: list[Record]) -> None:
@@ -182,7 +188,11 @@
 
     def tick(self) -> None:
         """Carry out the ownership decisions that are due."""
-        for effect in self.ownership.tick(self._now()):
+        now = self._now()
+        for shard, owner in self.owners.items():
+            if owner.is_stale:
+                self.ownership.record_rejection(shard, owner.epoch, now)
+        for effect in self.ownership.tick(now):
             self._carry_out(effect)
 
     def _carry_out(self, effect: OwnershipEffect) -> None:
@@ -190,7 +200,7 @@
             case Append(record=record):
                 self.appender.append(record, CLAIM_APPEND_TIMEOUT)
             case TakeOverShard():
-                self._spawn(self._take_over(effect))
+                self._spawn(self._try_take_over(effect))
             case SuspendShard(shard=shard):
                 self._count_claim_event("suspend")
                 if shard in self.owners:
@@ -209,6 +219,21 @@
     def _count_claim_event(self, event: str) -> None:
         self.metrics.claims.labels(event).inc()
 
+    async def _try_take_over(self, effect: TakeOverShard) -> None:
+        """Take a shard over; after an unexpected error, let it be claimed again."""
+        try:
+            await self._take_over(effect)
+        except Exception:
+            log.exception(
+                "shards: takeover of shard %s at epoch %d failed; it is claimed again",
+                effect.shard,
+                effect.epoch,
+            )
+            owner = self.owners.get(effect.shard)
+            if owner is not None and owner.epoch == effect.epoch:
+                self._drop(effect.shard)
+            self.ownership.abandon_takeover(effect.shard, effect.epoch, self._now())
+
     async def _take_over(self, effect: TakeOverShard) -> None:
         shard = effect.shard
         hosts = self._hosts.get(shard)
@@ -268,9 +293,21 @@
             await owner.release()
         self._drop(effect.shard)
         self._count_claim_event("release")
-        self.appender.append(ClaimReleased(effect.shard, effect.epoch), NO_TIMEOUT)
+        await self._record_release(ClaimReleased(effect.shard, effect.epoch))
         log.info("shards: released shard %s at epoch %d", effect.shard, effect.epoch)
 
+    async def _record_release(self, record: ClaimReleased) -> None:
+        """Store a release, again if the appender refuses it.
+
+        No other daemon claims the shard of a live daemon before that.
+        """
+        while True:
+            try:
+                await self.appender.append(record, NO_TIMEOUT)
+                return
+            except PlatformError:
+                await asyncio.sleep(RELEASE_RETRY_INTERVAL)
+
     def _drop(self, shard: str) -> None:
         owner = self.owners.pop(shard, None)
         if owner is None:
--- a/siskinroad/status.py
+++ b/siskinroad/status.py
@@ -8,7 +8,6 @@
 
 from siskinroad.accounts import Accounts, OwnerSpan
 from siskinroad.daemon_context import DaemonContext
-from siskinroad.dispatch import blocked_reason
 from siskinroad.owner import ShardOwner
 from siskinroad.queues import Item
 from siskinroad.shard import milliseconds
@@ -21,6 +20,7 @@
     "build_report",
     "build_status",
     "explain",
+    "explain_at_owner",
     "list_queue",
 ]
 
@@ -169,7 +169,7 @@
         lane.live,
         round(now - head.enqueued, 3),
         round(lane.expected_wait(now), 3),
-        blocked_reason(state, head) if lane.is_blocked else "",
+        owner.waits.find_cause(head).text if lane.is_blocked else "",
     )
 
 
@@ -182,7 +182,7 @@
         Key of a request, or ``JOB/INDEX`` of a task.
     """
     for owner in daemon.shards.owners.values():
-        text = _explain_local(owner, key)
+        text = explain_at_owner(owner, key)
         if text:
             return text
     job, _, index = key.rpartition("/")
@@ -197,7 +197,8 @@
     return f"{key} belongs to shard {shard}, which {owner_name} owns; ask there."
 
 
-def _explain_local(owner: ShardOwner, key: str) -> str:
+def explain_at_owner(owner: ShardOwner, key: str) -> str:
+    """Explain where a task of one owner is; empty if the owner does not have it."""
     state = owner.scheduler.shard
     run = state.running.get(key)
     if run is not None:
@@ -207,19 +208,17 @@
             f"{key} has run on {hosts} for {seconds:.1f} s, attempt {run.item.tries}."
         )
     item = state.items.get(key)
+    if item is None and owner.tasks.is_deferred(key):
+        waited = owner.tasks.deferred_for()
+        return (
+            f"{key} has waited {waited:.1f} s: after the takeover of the shard, silent "
+            "hosts have to answer or their task leases to expire."
+        )
     if item is None:
         return ""
-    waited = _loop_time() - item.enqueued
-    if owner.scheduler.is_paused:
-        reason = "it is uncertain whether this daemon still owns the hosts"
-    elif item.backoff_until > 0:
-        reason = (
-            "it failed and will be retried in "
-            f"{item.backoff_until - _loop_time():.1f} s"
-        )
-    else:
-        reason = blocked_reason(state, item)
-    return f"{key} has waited {waited:.1f} s: {reason}."
+    waited = _loop_time() - item.waiting_since
+    text = owner.waits.find_cause(item).text
+    return f"{key} has waited {waited:.1f} s: {text}."
 
 
 def build_report(daemon: DaemonContext) -> Report:
--- a/siskinroad/tasks.py
+++ b/siskinroad/tasks.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 from dataclasses import dataclass, field
 
@@ -16,6 +17,7 @@
 from siskinroad.names import AttemptName, attempt_name, job_of, task_name
 from siskinroad.queues import Item
 from siskinroad.records import JobAccepted
+from siskinroad.restarts import run_restarted
 from siskinroad.scheduler import TICK_INTERVAL
 from siskinroad.upstreams import TaskStart
 
@@ -66,6 +68,7 @@
         self.jobs: dict[str, _Job] = {}
         self._unrecorded: set[str] = set()
         self._unacked: dict[str, list[tuple[HostMonitor, str]]] = {}
+        self._deferred_since: float | None = None
 
     # Jobs
 
@@ -121,6 +124,7 @@
             monitor for monitor in owner.monitors.values() if not monitor.has_answered
         ]
         if silent:
+            self._deferred_since = owner.now()
             wait = TASK_LEASE_S + SILENT_HOST_MARGIN
             log.info(
                 "tasks: shard %s waits for %d silent hosts to answer or their task "
@@ -130,13 +134,42 @@
                 len(silent),
                 wait,
             )
-            owner.spawn(self._queue_after_silence(silent, owner.now() + wait))
+            queue = functools.partial(
+                self._queue_after_silence, silent, owner.now() + wait
+            )
+            name = f"tasks: wait of shard {owner.shard} for silent hosts"
+            owner.spawn(run_restarted(queue, name, log))
             return
+        self._deferred_since = None
         for run in list(owner.scheduler.shard.running.values()):
             owner.run(owner.scheduler.attempts.fail_partial(run))
         for job in list(self.jobs.values()):
             self._queue_job(job)
 
+    def count_deferred(self) -> int:
+        """Return the number of tasks that wait for silent hosts to be queued."""
+        if self._deferred_since is None:
+            return 0
+        return sum(
+            self.is_deferred(f"{job.accepted.job}/{index}")
+            for job in self.jobs.values()
+            for index in range(job.accepted.count)
+        )
+
+    def is_deferred(self, key: str) -> bool:
+        """Return whether a task waits for silent hosts to be queued."""
+        name, index = job_of(key)
+        job = self.jobs.get(name)
+        if self._deferred_since is None or job is None:
+            return False
+        is_queued = key in self.owner.scheduler.shard.items
+        return 0 <= index < job.accepted.count and not (is_queued or index in job.ended)
+
+    def deferred_for(self) -> float:
+        """Return for how many seconds tasks have been deferred, 0 if none are."""
+        since = self._deferred_since
+        return 0.0 if since is None else self.owner.now() - since
+
     async def _queue_after_silence(
         self, silent: list[HostMonitor], deadline: float
     ) -> None:
