End probation after 60 s without a failure

What callers saw, in a test: a host was given one task at a time for good.

Cause: probation ends with three tasks that succeed or one that fails. The one task that a host on probation may hold can be a long-running one, which does neither.

Change: 60 s on probation without a failure end it too.

--- a/siskinroad/health.py
+++ b/siskinroad/health.py
@@ -22,6 +22,9 @@
 MAX_QUARANTINE = 600.0
 # Successes on probation after which a host counts as healthy.
 PROBATION_SUCCESSES = 3
+# Seconds on probation without a failure after which a host counts as healthy too: the
+# one long-running task that it may hold does not end.
+MAX_PROBATION = 60.0
 # Largest fraction of a pool's hosts in quarantine or on probation. A larger value
 # could take the whole pool out of service on a fault that all hosts share.
 MAX_EJECTED_FRACTION = 0.5
@@ -80,6 +83,7 @@
     blame: float = 0.0
     quarantine_time: float = FIRST_QUARANTINE
     quarantine_end: float = 0.0
+    probation_end: float = 0.0
     state: str = "good"
     successes: int = 0
 
@@ -127,6 +131,9 @@
         health.successes += 1
         if health.successes < PROBATION_SUCCESSES:
             return None
+        return self._recover(host, health)
+
+    def _recover(self, host: str, health: _HostHealth) -> Verdict:
         health.state = "good"
         health.blame = 0.0
         health.quarantine_time = FIRST_QUARANTINE
@@ -140,14 +147,17 @@
         return Verdict(host, "eject")
 
     def tick(self, now: float) -> list[Verdict]:
-        """Put the hosts whose quarantine is over on probation and return them."""
+        """End each quarantine and probation that is over; return the verdicts."""
         verdicts = []
         for host in sorted(self._quarantined):
             health = self._hosts[host]
             if health.state == "ejected" and now >= health.quarantine_end:
                 health.state = "probation"
                 health.successes = 0
+                health.probation_end = now + MAX_PROBATION
                 verdicts.append(Verdict(host, "probation"))
+            elif health.state == "probation" and now >= health.probation_end:
+                verdicts.append(self._recover(host, health))
         return verdicts
 
     def remove_host(self, host: str) -> None:
