--- a/tests/work/test_waiting_work.py
+++ b/tests/work/test_waiting_work.py
@@ -10,8 +10,14 @@
 from bench.faulty_hosts import HostFault
 from bench.faulty_pool import POOL
 from bench.waiting_check import CHECK_INTERVAL_S, WaitingCheck
-from bench.waiting_scenario import SERVING, URGENT, WorkSizes
-from bench.waiting_work import ModelledPool, run_seed
+from bench.waiting_scenario import (
+    LASTING,
+    LEASE_LIMIT_S,
+    SERVING,
+    URGENT,
+    WorkSizes,
+)
+from bench.waiting_work import TAKEOVER_S, ModelledPool, run_seed
 from siskinroad.work.model import JobSpec, Step
 from siskinroad.work.records import Accepted
 
@@ -143,3 +149,19 @@
     step = Step(1, cpu_milli=1000, memory_mib=500, estimate=1.0)
     submit(modelled, URGENT, step)
     check_no_task_waits(modelled)
+
+
+@pytest.mark.parametrize("queue", [URGENT, SERVING, LASTING])
+def test_a_task_of_a_host_that_left_is_placed_after_a_takeover(queue):
+    # The owner dies together with the host; the next one knows neither run nor end.
+    modelled = begin_pool(hosts=3)
+    step = Step(1, cpu_milli=1000, memory_mib=500, long_running=True)
+    submit(modelled, queue, step)
+    modelled.events.run(1.0)
+    (name,) = [name for name, host in modelled.pool.hosts.items() if host.runs]
+    modelled.take_over()
+    modelled.pool.crash(name)
+    modelled.pool.unlist_host(name)
+    modelled.events.run(LEASE_LIMIT_S + TAKEOVER_S)
+    check_no_task_waits(modelled)
+    assert any(host.runs for host in modelled.pool.hosts.values())
