Require a ticket for each start on a queue with advice in the scenarios

Cause: the hosts of the scenarios accepted a start without any ticket.

Change: a start of a job that needs advice is rejected unless its ticket holds.

--- a/bench/faulty_hosts.py
+++ b/bench/faulty_hosts.py
@@ -223,7 +223,7 @@
     Attributes
     ----------
     valid_s : dict of str to float
-        Seconds for which the tickets of each job are valid.
+        Seconds for which the tickets of each job are valid; other jobs need none.
     allowed_fraction : dict of str to float
         Fraction of the hosts that each job may use.
     failing_until, slow_until : float
@@ -236,7 +236,7 @@
         self.allowed_fraction: dict[str, float] = {}
         self.failing_until = 0.0
         self.slow_until = 0.0
-        self._tickets: dict[str, tuple[str, FaultyHost, float]] = {}
+        self._tickets: dict[str, tuple[FaultyHost, float]] = {}
 
     def allows(self, step: tuple[str, int, int], name: str) -> bool:
         """Return whether a step may use a host."""
@@ -258,10 +258,12 @@
                 continue
             tickets[name] = f"{step}/{name}/{host.incarnation_ms}/{now:.3f}"
             until = now + self.valid_s.get(step[0], 2.0)
-            self._tickets[tickets[name]] = (name, host, until)
+            self._tickets[tickets[name]] = (host, until)
         return tickets
 
-    def is_valid(self, ticket: str, host: FaultyHost, now: float) -> bool:
-        """Return whether a ticket holds for this life of a host."""
-        _, ticket_host, until = self._tickets.get(ticket, ("", None, 0.0))
+    def allows_start(self, job: str, ticket: str, host: FaultyHost, now: float) -> bool:
+        """Return whether a job needs no ticket, or this one holds for a host's life."""
+        if job not in self.valid_s:
+            return True
+        ticket_host, until = self._tickets.get(ticket, (None, 0.0))
         return ticket_host is host and now <= until
--- a/bench/faulty_pool.py
+++ b/bench/faulty_pool.py
@@ -168,8 +168,8 @@
             return Rejection.OTHER_INCARNATION
         now = self.now()
         spec = self.find_spec(command.task)
-        is_valid = not command.ticket or self.advisor.is_valid(
-            command.ticket, host, now
+        is_valid = self.advisor.allows_start(
+            command.task.job, command.ticket, host, now
         )
         rejection = host.start(command, spec, is_valid, now)
         run = host.runs.get(command.task)
--- a/tests/work/test_waiting_work.py
+++ b/tests/work/test_waiting_work.py
@@ -38,13 +38,12 @@
     return modelled
 
 
-def submit(modelled, queue, step, name=JOB, allowed=1.0):
+def submit(modelled, queue, step):
     spec = JobSpec("p", (step,))
-    modelled.pool.specs[name] = spec
-    modelled.pool.advisor.valid_s[name] = 2.0
-    modelled.pool.advisor.allowed_fraction[name] = allowed
-    accepted = Accepted(name, queue.name, POOL, modelled.events.now, spec)
-    modelled.submit(accepted)
+    modelled.pool.specs[JOB] = spec
+    if queue.advice is not None:
+        modelled.pool.advisor.valid_s[JOB] = queue.advice.valid_s
+    modelled.submit(Accepted(JOB, queue.name, POOL, modelled.events.now, spec))
 
 
 def check_no_task_waits(modelled):
