Count the demand for a host by the steps that a pass plans

Cause: the cost of placing a task holds the demand of the other steps for the host.

With fewer waiting steps, nothing changes.

--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -187,6 +187,7 @@
             count = MAX_STEPS_PER_PASS - len(first)
             planning_pass.deferred_steps = {step.key for _, step in rest[count:]}
             plannable = first + rest[:count]
+            planning_pass.planned_steps = [step for _, step in plannable]
         for lateness, step in plannable:
             step.planned_at = planning_pass.now
             self._plan_step(planning_pass, step, lateness)
--- a/siskinroad/work/planning_pass.py
+++ b/siskinroad/work/planning_pass.py
@@ -39,6 +39,8 @@
         Those that may fit a waiting task.
     steps : list of StepRun
         Ready steps with waiting tasks, in the order in which they became ready.
+    planned_steps : list of StepRun or None
+        Those that this pass plans; None for all of them.
     non_urgent_cpu_milli : float
         Thousandths of a processor still available to steps that are not urgent.
     excluded_hosts : set of str
@@ -61,6 +63,7 @@
     open_hosts: OpenHosts
     steps: list[StepRun]
     channels: ChannelTimes | None = None
+    planned_steps: list[StepRun] | None = None
     non_urgent_cpu_milli: float = 0.0
     excluded_hosts: set[str] = field(default_factory=set)
     renewed_steps: int = 0
@@ -86,7 +89,7 @@
         return self.channels is None or self.channels.has_free(duration)
 
     def find_demand(self, host: Host) -> float:
-        """Return the demand of the waiting steps for a host, in whole hosts.
+        """Return the demand of the planned steps for a host, in whole hosts.
 
         A step's demand is spread evenly over the hosts that it may use, so that a step
         with a single allowed host counts in full there. The demand of a host is
@@ -110,9 +113,8 @@
 
     def _spread_over_hosts(self) -> list[tuple[StepRun, float]]:
         """Return the steps with tickets, each with its tasks for one allowed host."""
-        counts = [
-            (step, self.schedulable_hosts.count(step.tickets)) for step in self.steps
-        ]
+        steps = self.steps if self.planned_steps is None else self.planned_steps
+        counts = [(step, self.schedulable_hosts.count(step.tickets)) for step in steps]
         return [(step, step.waiting_count / n) for step, n in counts if n]
 
 
