Show that steps wait for a short channel although their requests are long

Cause: whether a step is planned, and whether a blocked one is examined, depends on a channel that takes a call about one host. Where a call about one host is short and one about many is long, a step waits while the channels for short calls are busy.

No logic is changed.

--- a/tests/work/test_overload.py
+++ b/tests/work/test_overload.py
@@ -14,7 +14,7 @@
 from bench.planning_load import ADVISED, CONFIGURATION, LoadSizes, PlanningLoad
 from siskinroad.resources import Resources
 from siskinroad.work.advisor_channels import ChannelTimes
-from siskinroad.work.effects import StartRun
+from siskinroad.work.effects import RequestAdvice, StartRun
 from siskinroad.work.host import Host
 from siskinroad.work.model import Advice, JobSpec, Step
 from siskinroad.work.owner import PLAN_DELAY, PLAN_REST_FACTOR
@@ -82,6 +82,22 @@
     assert starts == ["valid"]
 
 
+@pytest.mark.parametrize("is_renewal", [False, True])
+def test_a_step_requests_advice_on_a_free_channel_for_long_calls(is_renewal):
+    # Short calls have channels of their own; the step's request is a long one.
+    names = [f"i-{i:03}" for i in range(100)]
+    pool_state = make_pool_state(names)
+    advised = replace(ADVISED, advice=Advice(0.02, 0.002, 1.5))
+    pool_state.configure(replace(CONFIGURATION, queues=(advised,)))
+    spec = job(step(100, gang=True, spread=1))
+    waiting = add_job(pool_state, "waiting", spec, "advised")
+    if is_renewal:
+        give_tickets(waiting, *names, until=0.1)
+    planner = Planner(pool_state)
+    effects = planner.plan(0.2, 0.2, ChannelTimes([10.0], [0.0, 0.0]))
+    assert [len(e.hosts) for e in effects if isinstance(e, RequestAdvice)] == [100]
+
+
 @pytest.mark.parametrize("steps", [50, 400])
 def test_steps_that_no_channel_serves_cost_a_pass_no_examination_of_hosts(steps):
     # Each pass predicted when every host of every such step would have free capacity,
