Count a channel for long calls as free for a step whose request is long

Callers may see steps wait for advice while the channels for long calls are free.

Cause: a pass leaves out a step without usable tickets when no channel takes a call about one host. Such a call is short where the time for one host is below 0.08 s, though the step's first request, or a gang's renewal, names up to 100 hosts and is long. With the channels for short calls busy or failing (one of three daemons has such a channel), no long call was made either. Before the bound of the pass, the channel was chosen by the true length of the call.

Change: the step is planned, and a blocked one examined, if a channel takes the shortest or the longest call. The bounds on steps for one pass hold as before.

--- a/siskinroad/work/advice_requester.py
+++ b/siskinroad/work/advice_requester.py
@@ -93,7 +93,7 @@
         return (
             step.is_advice_pending
             or step.advice.newest_valid_until - TICKET_MARGIN > planning_pass.now
-            or planning_pass.has_free_channel(advice.duration(1))
+            or _has_free_channel(planning_pass, advice)
         )
 
     def check_or_request_advice(
@@ -188,7 +188,7 @@
         examined_s = planning_pass.now - step.advice.examined_at
         if is_crowded and examined_s < EXAMINATION_INTERVAL_S - ROUNDING_S:
             return False
-        return planning_pass.has_free_channel(advice.duration(1))
+        return _has_free_channel(planning_pass, advice)
 
     def _renew_before_capacity(
         self, planning_pass: PlanningPass, step: StepRun, advice: Advice
@@ -385,6 +385,17 @@
     return not step_advice.is_reservation_over
 
 
+def _has_free_channel(planning_pass: PlanningPass, advice: Advice) -> bool:
+    """Return whether a channel takes the shortest or the longest call of a step.
+
+    How many hosts a request names is known only once it is made, and short and long
+    calls have channels of their own.
+    """
+    return planning_pass.has_free_channel(
+        advice.duration(1)
+    ) or planning_pass.has_free_channel(advice.duration(MAX_HOSTS_PER_CALL))
+
+
 def _assign_channel(planning_pass: PlanningPass, duration: float) -> bool:
     """Return whether a call may be made now, and count it against its channel."""
     channels = planning_pass.channels
