Show that steps planned in their turn do not keep their order

Cause: a pass that cannot take all steps adds those that were planned longest ago, and plans them in the order of that time, whatever their priority and lateness.

No logic is changed.

--- a/tests/work/test_overload.py
+++ b/tests/work/test_overload.py
@@ -59,14 +59,20 @@
     return pool_state
 
 
+def fill_host(pool_state, name):
+    """Let a host run one task of an urgent job that takes all of it."""
+    filling = add_job(pool_state, f"fill-{name}", job(step(1, cpu_milli=32000)))
+    step_run = filling.steps[0, 0]
+    task = step_run.tasks[0]
+    task.move("order")
+    host = pool_state.hosts[name]
+    host.add_run(step_run.make_run(task, 1, host.token, 0.0))
+
+
 def fill_hosts(pool_state):
     """Let each host run one task of an urgent job that takes all of it."""
-    for name, host in pool_state.hosts.items():
-        filling = add_job(pool_state, f"fill-{name}", job(step(1, cpu_milli=32000)))
-        step_run = filling.steps[0, 0]
-        task = step_run.tasks[0]
-        task.move("order")
-        host.add_run(step_run.make_run(task, 1, host.token, 0.0))
+    for name in pool_state.hosts:
+        fill_host(pool_state, name)
 
 
 def test_a_step_that_gets_no_advisor_channel_reserves_no_capacity():
@@ -126,6 +132,29 @@
     assert all(each.planned_at >= 1.0 for each in steps)
 
 
+def test_steps_planned_in_their_turn_keep_their_order():
+    # The batch steps were planned longer ago than the urgent one, as a pass that cannot
+    # take all steps picks them. The others have tickets for a full host only.
+    pool_state = make_pool_state(["i-0", "i-1"])
+    need = {"cpu_milli": 30000}
+    for number in range(MAX_STEPS_PER_PASS):
+        blocked = add_job(pool_state, f"blocked-{number}", job(step(**need)), "advised")
+        give_tickets(blocked, "i-1")
+        blocked.steps[0, 0].planned_at = 0.05
+    urgent = add_job(pool_state, "urgent", job(step(**need)), "advised", at=0.01)
+    give_tickets(urgent, "i-0")
+    urgent.steps[0, 0].planned_at = 0.04
+    batch = add_job(pool_state, "batch", job(step(**need)), "slow")
+    batch.steps[0, 0].planned_at = 0.03
+    fill_host(pool_state, "i-1")
+    starts = [
+        e.run.key[0].job
+        for e in Planner(pool_state).plan(0.1, 0.1)
+        if isinstance(e, StartRun)
+    ]
+    assert starts == ["urgent"]
+
+
 def test_a_step_that_is_left_to_the_next_passes_has_a_reason_of_its_own():
     pool_state = make_backlog(3, 2 * MAX_STEPS_PER_PASS, tickets_until=100.0)
     fill_hosts(pool_state)
