Plan the steps that get their turn in the order of their urgency

Callers may see urgent work wait while a batch task starts on the host that it needs.

Cause: a pass that cannot take all steps adds those that were planned longest ago. They were planned in the order of that time, so that a step of low priority or without value took capacity from a more urgent one in the same pass.

Change: the time decides only which steps get their turn; they are planned in the usual order.

--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -183,10 +183,11 @@
         if len(plannable) > MAX_STEPS_PER_PASS:
             first = plannable[: MAX_STEPS_PER_PASS // 2]
             rest = plannable[MAX_STEPS_PER_PASS // 2 :]
-            rest.sort(key=lambda item: item[1].planned_at)
+            turns = sorted(rest, key=lambda item: item[1].planned_at)
             count = MAX_STEPS_PER_PASS - len(first)
-            planning_pass.deferred_steps = {step.key for _, step in rest[count:]}
-            plannable = first + rest[:count]
+            deferred = {step.key for _, step in turns[count:]}
+            planning_pass.deferred_steps = deferred
+            plannable = first + [i for i in rest if i[1].key not in deferred]
         for lateness, step in plannable:
             step.planned_at = planning_pass.now
             self._plan_step(planning_pass, step, lateness)
