Show that a host is withheld for a step that its spread keeps off it

Cause: the choice of hosts to withhold for a blocked large step does not regard how many of its tasks may run on one host. A long-running step is never late, and its tasks there do not end, so that the host is withheld for good.

No logic is changed.

--- a/tests/work/test_planner.py
+++ b/tests/work/test_planner.py
@@ -338,3 +338,16 @@
     add_job(pool_state, "large", job(step(cpu_milli=30000)), "fast", at=0.1)
     add_job(pool_state, "small", job(step(cpu_milli=4000)), "slow", at=0.1)
     assert list_starts(plan(pool_state)) == [("small", "i-0")]
+
+
+def test_a_step_withholds_no_host_that_its_spread_does_not_let_it_use():
+    # A long-running step is never late: what it withholds, it withholds for good.
+    pool_state = make_pool_state(["i-0"])
+    spec = job(step(2, cpu_milli=16000, spread=1, long_running=True))
+    add_job(pool_state, "lasting", spec, "fast")
+    planner = Planner(pool_state)
+    for start in planner.plan(0.1, 0.1):
+        host = pool_state.hosts[start.host]
+        pool_state.apply_start_reply(host, start.run, None, 0.1)
+    add_job(pool_state, "small", job(step(1, cpu_milli=1000)), "slow")
+    assert list_starts(planner.plan(0.2, 0.2)) == [("small", "i-0")]
