Withhold no host on which a step's spread allows no further task

Callers may see work wait for good beside a host with free capacity.

Cause: for a blocked large step, hosts are withheld from later steps, and less urgent runs there are preempted, without regard to its spread. A long-running step is never late and its tasks do not end, so a host that already has as many of them as the spread allows was withheld for as long as the step had a waiting task.

Change: such hosts are left out of the choice.

--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -27,6 +27,7 @@
     compute_available_after_stops,
     compute_shortfall,
     fits_beside_long_running,
+    step_allows_host,
 )
 from siskinroad.work.pool_state import PoolState
 from siskinroad.work.schedulable_hosts import SchedulableHosts, make_schedulable_hosts
@@ -248,7 +249,13 @@
         hosts = capable.hosts
         if queue.advice is not None:
             hosts = [host for host in hosts if host.name in step.tickets]
-        hosts = [host for host in hosts if fits_beside_long_running(host, step)]
+        nothing = TentativePlacement()
+        hosts = [
+            host
+            for host in hosts
+            if fits_beside_long_running(host, step)
+            and step_allows_host(step, host, nothing)
+        ]
         first_hosts = heapq.nsmallest(
             min(count, max_hosts),
             hosts,
