Show that small tasks keep a large step out while advisor channels are busy

Cause: a pass leaves out a step without usable tickets while no channel is free. Then no host is withheld for a large step either, and small tasks fill each gap before it fits.

No logic is changed.

--- a/tests/work/test_overload.py
+++ b/tests/work/test_overload.py
@@ -6,6 +6,7 @@
 never ends.
 """
 
+import random
 from collections import Counter
 from dataclasses import replace
 
@@ -16,12 +17,18 @@
 from siskinroad.work.advisor_channels import ChannelTimes
 from siskinroad.work.effects import RequestAdvice, StartRun
 from siskinroad.work.host import Host
+from siskinroad.work.hosts import EndKind, HostReport, RunEnd, RunStatus
 from siskinroad.work.model import Advice, JobSpec, Step
 from siskinroad.work.owner import PLAN_DELAY, PLAN_REST_FACTOR
 from siskinroad.work.planner import MAX_STEPS_PER_PASS, Planner
 from siskinroad.work.wait_reasons import WaitExaminer, WaitReason
 from tests.work.cell import job, step
-from tests.work.test_planner import add_job, give_tickets, make_pool_state
+from tests.work.test_planner import (
+    add_job,
+    answer_advice,
+    give_tickets,
+    make_pool_state,
+)
 
 # Seconds of an owner's processor for one examination of a host.
 EXAMINATION_S = 2e-6
@@ -243,3 +250,96 @@
     limit_s = 2 * load.compute_full_pool_s()
     load.run(limit_s)
     assert load.count_waiting() == 0, f"after {limit_s:.1f} s"
+
+
+class SmallTasksLoad:
+    """Hosts that small tasks without advice fill, beside busy advisor channels.
+
+    Attributes
+    ----------
+    now : float
+        Loop time of the next pass; there is one each ``PASS_S`` seconds.
+    """
+
+    PASS_S = 0.02
+    ADVICE_S = 0.1
+
+    def __init__(self, hosts, seed):
+        self.names = [f"i-{i}" for i in range(hosts)]
+        self.pool_state = make_pool_state(self.names)
+        self.planner = Planner(self.pool_state)
+        self.now = 0.1
+        self._rng = random.Random(seed)
+        self._ends = []
+        self._requests = []
+        self._end_count = 0
+
+    def play_pass(self, channels):
+        """Report, submit small tasks, plan once; return the jobs that start."""
+        self._submit()
+        self._answer()
+        for name in self.names:
+            self._report(name)
+        started = []
+        for effect in self.planner.plan(self.now, self.now, channels):
+            match effect:
+                case StartRun():
+                    host = self.pool_state.hosts[effect.host]
+                    self.pool_state.apply_start_reply(host, effect.run, None, self.now)
+                    run_s = effect.run.declared_s * self._rng.uniform(0.7, 1.3)
+                    self._ends.append((self.now + run_s, host.name, effect.run.key))
+                    started.append(effect.run.key[0].job)
+                case RequestAdvice():
+                    self._requests.append((self.now + self.ADVICE_S, effect))
+        self.now += self.PASS_S
+        return started
+
+    def _submit(self):
+        ready = self.pool_state.ready.values()
+        waiting = sum(s.waiting_count for s in ready if s.job.queue == "slow")
+        for _ in range(8 - waiting):
+            name = f"small-{len(self.pool_state.jobs)}"
+            spec = job(step(1, cpu_milli=8000, estimate=0.8))
+            add_job(self.pool_state, name, spec, "slow", at=self.now)
+
+    def _answer(self):
+        due = [each for each in self._requests if each[0] <= self.now]
+        self._requests = [each for each in self._requests if each[0] > self.now]
+        for _, request in due:
+            until = self.now + 1.5
+            answer_advice(self.pool_state, request, set(self.names), until)
+
+    def _report(self, name):
+        host = self.pool_state.hosts[name]
+        due = [e for e in self._ends if e[0] <= self.now and e[1] == name]
+        self._ends = [e for e in self._ends if e not in due]
+        ended = []
+        for _, _, (task, run) in due:
+            self._end_count += 1
+            ended.append(RunEnd(self._end_count, task, run, EndKind.DONE, ""))
+        over = {key for _, _, key in due}
+        running = tuple(
+            RunStatus(*key, "", 5, 0) for key in host.runs if key not in over
+        )
+        report = HostReport(1000 + int(self.now * 1000), 1, running, tuple(ended))
+        self.pool_state.apply_report(
+            host, report, host.token, self.now, self.now, self.now
+        )
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_hosts_are_withheld_for_a_large_step_while_channels_are_busy(seed):
+    # The channels take a call in every second pass. The step has to start as long before
+    # its target time as it runs.
+    load = SmallTasksLoad(4, seed)
+    while load.now < 3.0:
+        load.play_pass(make_busy_channels())
+    spec = job(step(1, cpu_milli=30000, estimate=4.0))
+    large = add_job(load.pool_state, "large", spec, "advised", at=load.now)
+    give_tickets(large, *load.names, until=load.now)
+    limit = load.pool_state.target_time(large) - 4.0
+    started = []
+    while load.now < limit and "large" not in started:
+        started += load.play_pass(make_busy_channels())
+        started += load.play_pass(ChannelTimes([0.0], [0.0]))
+    assert "large" in started, f"not started by {limit:.1f} s"
