Withhold hosts for a large step in every pass, channel or not

Callers may see a large or gang step, in time, wait until it is late beside small tasks.

Cause: a pass leaves out a step without usable tickets while no advisor channel is free. In such a pass no host was withheld for a blocked large step, and tasks that need no advice filled the capacity that had become free. With the channels busy in every second pass, the step never fitted. Before the bound of the pass, hosts were withheld in each.

Change: the first large step that a pass would leave out, and for which hosts may be withheld, is planned all the same. It is one step, so the pass stays bounded, and nothing is withheld or reserved for it where it already fits.

--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -178,9 +178,7 @@
         Half of a pass that cannot take all steps is for the first ones, half for those
         that were planned longest ago, so that each step gets its turn.
         """
-        plannable = [
-            item for item in ranked if self._is_plannable(planning_pass, item[1])
-        ]
+        plannable = self._find_plannable(planning_pass, ranked)
         if len(plannable) > MAX_STEPS_PER_PASS:
             first = plannable[: MAX_STEPS_PER_PASS // 2]
             rest = plannable[MAX_STEPS_PER_PASS // 2 :]
@@ -193,10 +191,30 @@
             step.planned_at = planning_pass.now
             self._plan_step(planning_pass, step, lateness)
 
-    def _is_plannable(self, planning_pass: PlanningPass, step: StepRun) -> bool:
+    def _find_plannable(
+        self, planning_pass: PlanningPass, ranked: list[tuple[int, StepRun]]
+    ) -> list[tuple[int, StepRun]]:
+        """Return the steps that could start a task or request advice in this pass.
+
+        The first large step of the others is added: only one has hosts withheld for it,
+        and these would fill up in each pass without a free channel.
+        """
+        plannable: list[tuple[int, StepRun]] = []
+        has_large = False
+        for lateness, step in ranked:
+            if step.spec.gang and step.waiting_count < len(step.tasks):
+                continue
+            if not self._may_use_hosts(planning_pass, step):
+                if has_large or not self._may_exclude_hosts(
+                    planning_pass, step, lateness
+                ):
+                    continue
+                has_large = True
+            plannable.append((lateness, step))
+        return plannable
+
+    def _may_use_hosts(self, planning_pass: PlanningPass, step: StepRun) -> bool:
         """Return whether a step could start a task or request advice in this pass."""
-        if step.spec.gang and step.waiting_count < len(step.tasks):
-            return False
         advice = self.pool_state.queues[step.job.queue].advice
         if advice is None:
             return True
@@ -218,7 +236,7 @@
             is_bounded=queue.priority > 0 and not step.spec.long_running,
         )
         if placement is None:
-            if not lateness or step.spec.long_running:
+            if self._may_exclude_hosts(planning_pass, step, lateness):
                 self._exclude_hosts(planning_pass, step, queue)
             if advice is not None:
                 self.advice_requester.renew_early(planning_pass, step, advice)
@@ -227,6 +245,15 @@
 
     # Capacity for blocked steps
 
+    def _may_exclude_hosts(
+        self, planning_pass: PlanningPass, step: StepRun, lateness: int
+    ) -> bool:
+        """Return whether hosts may be withheld for a step if it is blocked."""
+        if planning_pass.excluded_hosts or (lateness and not step.spec.long_running):
+            return False
+        capable = planning_pass.schedulable_hosts.find_capable_hosts(step)
+        return step.spec.gang or capable.has_large
+
     def _exclude_hosts(
         self, planning_pass: PlanningPass, step: StepRun, queue: Queue
     ) -> None:
@@ -236,12 +263,8 @@
         its target time or is long-running: hosts held back for several steps would
         mostly be idle.
         """
-        if planning_pass.excluded_hosts:
-            return
         schedulable_hosts = planning_pass.schedulable_hosts
         capable = schedulable_hosts.find_capable_hosts(step)
-        if not step.spec.gang and not capable.has_large:
-            return
         count = step.waiting_count
         max_hosts = max(1, int(len(schedulable_hosts.hosts) * MAX_EXCLUDED_FRACTION))
         if step.spec.gang and count > max_hosts:
--- a/tests/work/test_overload.py
+++ b/tests/work/test_overload.py
@@ -329,8 +329,8 @@
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_hosts_are_withheld_for_a_large_step_while_channels_are_busy(seed):
-    # The channels take a call in every second pass. The step has to start as long before
-    # its target time as it runs.
+    # The channels take a call in every second pass. The step has to start as long
+    # before its target time as it runs.
     load = SmallTasksLoad(4, seed)
     while load.now < 3.0:
         load.play_pass(make_busy_channels())
