Show that placing a step examines each host for every waiting step

Cause: the cost of a host counts the demand of all waiting steps with a ticket for it, also of those that cannot start anything in the pass.

No logic is changed.

--- a/tests/work/test_overload.py
+++ b/tests/work/test_overload.py
@@ -125,6 +125,20 @@
     assert examinations.total() <= 12 * 126 + 10 * steps
 
 
+@pytest.mark.parametrize("steps", [50, 400])
+def test_placing_a_step_costs_no_examination_of_hosts_for_each_that_waits(steps):
+    # The cost of each host counts the demand of every waiting step with a ticket for it.
+    pool_state = make_backlog(126, steps, tickets_until=0.1)
+    valid = add_job(pool_state, "valid", job(step(1, cpu_milli=9000)), "advised")
+    give_tickets(valid, *pool_state.hosts, until=100.0)
+    for host in pool_state.hosts.values():
+        host.__class__ = CountedHost
+    examinations.clear()
+    effects = Planner(pool_state).plan(0.2, 0.2, make_busy_channels())
+    assert [e.run.key[0].job for e in effects if isinstance(e, StartRun)] == ["valid"]
+    assert examinations.total() <= 30 * 126 + 10 * steps
+
+
 def test_each_of_many_waiting_steps_gets_its_turn_in_a_few_passes():
     # The first steps of the order are planned in each pass; if they stay blocked, those
     # after them would never be planned.
