Sum the demand for each host by need, not by step

Callers may see a pool whose owner has little processor start tasks late.

Cause: as soon as a pass places one task, it examines each allowed host once for every waiting step with a ticket for it, also for the steps that it leaves out. The cost of a pass still grew with the backlog times the hosts.

Change: the tasks for each host are added up by need; a host is examined once for each different need. The demand is the same but for rounding.

--- a/siskinroad/work/planning_pass.py
+++ b/siskinroad/work/planning_pass.py
@@ -68,7 +68,7 @@
     examined_steps: int = 0
     deferred_steps: set[tuple[str, int, int]] = field(default_factory=set)
     effects: list[Effect] = field(default_factory=list)
-    _spread_demand: list[tuple[StepRun, float]] | None = None
+    _spread_demand: dict[Resources, dict[str, float]] | None = None
     _demand: dict[Host, float] = field(default_factory=dict)
 
     def exclude_host(self, host: Host) -> None:
@@ -102,18 +102,24 @@
             self._spread_demand = self._spread_over_hosts()
         name = host.name
         demand = 0.0
-        for step, tasks_per_host in self._spread_demand:
-            if name in step.tickets:
-                share = self.schedulable_hosts.compute_share(step.need, host)
-                demand += tasks_per_host * share
+        for need, tasks_by_host in self._spread_demand.items():
+            tasks = tasks_by_host.get(name)
+            if tasks:
+                demand += tasks * self.schedulable_hosts.compute_share(need, host)
         return demand
 
-    def _spread_over_hosts(self) -> list[tuple[StepRun, float]]:
-        """Return the steps with tickets, each with its tasks for one allowed host."""
-        counts = [
-            (step, self.schedulable_hosts.count(step.tickets)) for step in self.steps
-        ]
-        return [(step, step.waiting_count / n) for step, n in counts if n]
+    def _spread_over_hosts(self) -> dict[Resources, dict[str, float]]:
+        """Return the tasks of all steps for each allowed host, by their need."""
+        spread: dict[Resources, dict[str, float]] = {}
+        for step in self.steps:
+            count = self.schedulable_hosts.count(step.tickets)
+            if not count:
+                continue
+            tasks_per_host = step.waiting_count / count
+            tasks_by_host = spread.setdefault(step.need, {})
+            for name in step.tickets:
+                tasks_by_host[name] = tasks_by_host.get(name, 0.0) + tasks_per_host
+        return spread
 
 
 @dataclass(slots=True)
--- a/tests/work/test_overload.py
+++ b/tests/work/test_overload.py
@@ -127,7 +127,7 @@
 
 @pytest.mark.parametrize("steps", [50, 400])
 def test_placing_a_step_costs_no_examination_of_hosts_for_each_that_waits(steps):
-    # The cost of each host counts the demand of every waiting step with a ticket for it.
+    # The cost of a host counts the demand of every waiting step with a ticket for it.
     pool_state = make_backlog(126, steps, tickets_until=0.1)
     valid = add_job(pool_state, "valid", job(step(1, cpu_milli=9000)), "advised")
     give_tickets(valid, *pool_state.hosts, until=100.0)
