Show that an item which avoids the only open host blocks its queue

Cause: an item avoids the hosts on which it failed, until these are as many as the pool has, open or not. At the head of its queue, it keeps all items behind it waiting.

No logic is changed.

--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -325,3 +325,20 @@
         scheduler.record_attempt_end(key, 0, End.DONE, 4.0, 4.0, Usage(2000, 8192))
     scheduler.tick(5.0)
     assert len(scheduler.shard.running) == 3
+
+
+def test_an_item_that_avoids_the_only_open_host_does_not_block_its_queue():
+    # It avoids the host where it failed; the other host takes no work.
+    scheduler = make_scheduler(2)
+    (start,) = start_effects(submit(scheduler, "plain", 1))
+    (failed_on,) = start.hosts
+    scheduler.record_attempt_end(start.item.key, 0, End.FAILED, 1.0)
+    (other,) = {"h0", "h1"} - {failed_on}
+    scheduler.host_event(other, "silent", 1.0)
+    started = []
+    for second in range(2, 60):
+        if second == 10:
+            late = item(scheduler, "plain", "plain/late", 10.0)
+            started += start_effects(scheduler.submit(late, 10.0))
+        started += start_effects(scheduler.tick(float(second)))
+    assert {each.item.key for each in started} == {"plain/0", "plain/late"}
