Let an item use the open hosts again when it avoids all of them

Callers of the cell file's way may see a whole queue stand still beside a free host.

Cause: an item avoids each host on which it failed, and forgot them only when queued again while they were as many as all hosts of the pool, also those that are silent, ejected or leaving. With every open host avoided, the head of a queue kept all items behind it waiting until another host opened: an exclusion without an end.

Change: when no host is found for an item and it avoids every open one, it forgets them and is tried again.

--- a/siskinroad/dispatch.py
+++ b/siskinroad/dispatch.py
@@ -133,6 +133,8 @@
         if not self._leaves_headroom(state, workload, total_need, now):
             return None
         hosts = self._choose_hosts(state, item, need, now, only_host)
+        if hosts is None and only_host is None and _forget_avoided(state, item):
+            hosts = self._choose_hosts(state, item, need, now, None)
         if hosts is None:
             if only_host is None:
                 self._reserve_hosts(state, item, need, now)
@@ -317,6 +319,18 @@
         self._unblock_offset += MAX_UNBLOCKED_LANES
 
 
+def _forget_avoided(state: PoolState, item: Item) -> bool:
+    """Let an item use all hosts again if it avoids every open one.
+
+    Otherwise it would block its lane until another host opens.
+    """
+    open_names = {view.name for view in state.index.hosts.values() if view.is_open}
+    if not open_names or not open_names <= item.avoid:
+        return False
+    item.avoid.clear()
+    return True
+
+
 def blocked_reason(shard: Shard, item: Item) -> str:
     """Return the reason for which an item waits, as a clause."""
     workload = item.workload
