Show that a gang which cannot be placed withholds hosts for good

Cause: hosts are withheld for a blocked gang without regard to whether its allowed hosts could ever hold all its tasks. A long-running gang is never late.

Change: one test that fails for this, listed as known. No logic is changed.

--- a/tests/work/test_planner.py
+++ b/tests/work/test_planner.py
@@ -351,3 +351,14 @@
         pool_state.apply_start_reply(host, start.run, None, 0.1)
     add_job(pool_state, "small", job(step(1, cpu_milli=1000)), "slow")
     assert list_starts(planner.plan(0.2, 0.2)) == [("small", "i-0")]
+
+
+def test_a_gang_that_its_allowed_hosts_cannot_hold_withholds_none():
+    # A long-running gang is never late: what it withholds, it withholds for good.
+    names = ["i-0", "i-1", "i-2", "i-3"]
+    pool_state = make_pool_state(names)
+    spec = job(step(2, cpu_milli=20000, gang=True, long_running=True))
+    gang = add_job(pool_state, "gang", spec, "advised")
+    gang.steps[0, 0].advice.record_answer(names, {"i-0": "t"}, 100.0)
+    add_job(pool_state, "single", job(step(4, cpu_milli=32000)), "slow")
+    assert len(list_starts(plan(pool_state))) == 4
