Withhold no host for a gang that its allowed hosts cannot hold

Callers may see work wait beside free hosts while a gang waits that cannot be placed.

Cause: up to half the pool is withheld for the most urgent blocked gang, as far as it has tickets for hosts, also where these could not hold all its tasks once all other work had ended. A long-running gang is never late, so that this had no end.

Change: nothing is withheld in that case. The tasks that fit are counted with regard to long-running runs and the spread, as far as the size of the gang.

--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -24,6 +24,7 @@
 from siskinroad.work.planning_pass import (
     PlanningPass,
     TentativePlacement,
+    can_hold_all,
     compute_available_after_stops,
     compute_shortfall,
     fits_beside_long_running,
@@ -279,6 +280,8 @@
             if fits_beside_long_running(host, step)
             and step_allows_host(step, host, nothing)
         ]
+        if step.spec.gang and not can_hold_all(hosts, step):
+            return
         first_hosts = heapq.nsmallest(
             min(count, max_hosts),
             hosts,
--- a/siskinroad/work/planning_pass.py
+++ b/siskinroad/work/planning_pass.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from siskinroad.resources import NOTHING, Resources
@@ -16,6 +17,7 @@
 __all__ = [
     "PlanningPass",
     "TentativePlacement",
+    "can_hold_all",
     "compute_available_after_stops",
     "compute_shortfall",
     "fits_beside_long_running",
@@ -177,6 +179,22 @@
     return step.need.fits(host.entry.capacity - sum(lasting, start=NOTHING))
 
 
+def can_hold_all(hosts: Iterable[Host], step: StepRun) -> bool:
+    """Return whether hosts fit a step's waiting tasks once other work has ended."""
+    missing = step.waiting_count
+    for host in hosts:
+        lasting = (run.need for run in host.runs.values() if run.long_running)
+        free = host.entry.capacity - sum(lasting, start=NOTHING)
+        placement = TentativePlacement()
+        while step.need.fits(free) and step_allows_host(step, host, placement):
+            free = free - step.need
+            placement.counts[host.name] = placement.counts.get(host.name, 0) + 1
+            missing -= 1
+            if not missing:
+                return True
+    return False
+
+
 def compute_shortfall(available: Resources, step: StepRun) -> float:
     """Return how far a host's free capacity is from fitting one task of the step.
 
