--- a/siskinroad/work/planning_pass.py
+++ b/siskinroad/work/planning_pass.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from siskinroad.resources import NOTHING, Resources
@@ -16,6 +17,7 @@
 __all__ = [
     "PlanningPass",
     "TentativePlacement",
+    "can_hold_all",
     "compute_available_after_stops",
     "compute_shortfall",
     "fits_beside_long_running",
@@ -71,7 +73,7 @@
     examined_steps: int = 0
     deferred_steps: set[tuple[str, int, int]] = field(default_factory=set)
     effects: list[Effect] = field(default_factory=list)
-    _spread_demand: list[tuple[StepRun, float]] | None = None
+    _spread_demand: dict[Resources, dict[str, float]] | None = None
     _demand: dict[Host, float] = field(default_factory=dict)
 
     def exclude_host(self, host: Host) -> None:
@@ -105,17 +107,25 @@
             self._spread_demand = self._spread_over_hosts()
         name = host.name
         demand = 0.0
-        for step, tasks_per_host in self._spread_demand:
-            if name in step.tickets:
-                share = self.schedulable_hosts.compute_share(step.need, host)
-                demand += tasks_per_host * share
+        for need, tasks_by_host in self._spread_demand.items():
+            tasks = tasks_by_host.get(name)
+            if tasks:
+                demand += tasks * self.schedulable_hosts.compute_share(need, host)
         return demand
 
-    def _spread_over_hosts(self) -> list[tuple[StepRun, float]]:
-        """Return the steps with tickets, each with its tasks for one allowed host."""
+    def _spread_over_hosts(self) -> dict[Resources, dict[str, float]]:
+        """Return the tasks of the steps for each allowed host, by their need."""
+        spread: dict[Resources, dict[str, float]] = {}
         steps = self.steps if self.planned_steps is None else self.planned_steps
-        counts = [(step, self.schedulable_hosts.count(step.tickets)) for step in steps]
-        return [(step, step.waiting_count / n) for step, n in counts if n]
+        for step in steps:
+            count = self.schedulable_hosts.count(step.tickets)
+            if not count:
+                continue
+            tasks_per_host = step.waiting_count / count
+            tasks_by_host = spread.setdefault(step.need, {})
+            for name in step.tickets:
+                tasks_by_host[name] = tasks_by_host.get(name, 0.0) + tasks_per_host
+        return spread
 
 
 @dataclass(slots=True)
@@ -173,6 +183,22 @@
     return step.need.fits(host.entry.capacity - sum(lasting, start=NOTHING))
 
 
+def can_hold_all(hosts: Iterable[Host], step: StepRun) -> bool:
+    """Return whether hosts fit a step's waiting tasks once other work has ended."""
+    missing = step.waiting_count
+    for host in hosts:
+        lasting = (run.need for run in host.runs.values() if run.long_running)
+        free = host.entry.capacity - sum(lasting, start=NOTHING)
+        placement = TentativePlacement()
+        while step.need.fits(free) and step_allows_host(step, host, placement):
+            free = free - step.need
+            placement.counts[host.name] = placement.counts.get(host.name, 0) + 1
+            missing -= 1
+            if not missing:
+                return True
+    return False
+
+
 def compute_shortfall(available: Resources, step: StepRun) -> float:
     """Return how far a host's free capacity is from fitting one task of the step.
 
--- a/siskinroad/work/wait_tracker.py
+++ b/siskinroad/work/wait_tracker.py
@@ -13,7 +13,7 @@
 
 # Largest number of steps that one examination looks at. It bounds the time for which
 # the event loop is blocked.
-MAX_EXAMINED_STEPS = 400
+MAX_EXAMINED_STEPS = 100
 
 WaitKey = tuple[tuple[str, int, int], WaitReason]
 
