Let a new step's turn count from when it became ready

What callers saw, in a test: older waiting steps were never planned while new ones arrived.

Cause: in a pass that cannot plan all steps, half of it is for those planned longest ago, and a step that was never planned counted as the oldest. With 32 new steps in each pass, others got no turn.

Change: a step's turn counts from when it was planned or became ready.

Measured: test_new_steps_do_not_keep_older_ones_from_their_turn failed before.

--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -220,6 +220,11 @@
         self.need = self.spec.need
         self.tickets = self.advice.tickets
 
+    @property
+    def last_turn_at(self) -> float:
+        """Loop time at which the step was last planned, or became ready."""
+        return max(self.planned_at, self.ready_at)
+
     @property
     def waiting_count(self) -> int:
         """Number of tasks that wait for a host."""
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -183,7 +183,7 @@
         if len(plannable) > MAX_STEPS_PER_PASS:
             first = plannable[: MAX_STEPS_PER_PASS // 2]
             rest = plannable[MAX_STEPS_PER_PASS // 2 :]
-            turns = sorted(rest, key=lambda item: item[1].planned_at)
+            turns = sorted(rest, key=lambda item: item[1].last_turn_at)
             count = MAX_STEPS_PER_PASS - len(first)
             deferred = {step.key for _, step in turns[count:]}
             planning_pass.deferred_steps = deferred
--- a/tests/work/test_overload.py
+++ b/tests/work/test_overload.py
@@ -21,8 +21,9 @@
 from siskinroad.work.model import Advice, JobSpec, Step
 from siskinroad.work.owner import PLAN_DELAY, PLAN_REST_FACTOR
 from siskinroad.work.planner import MAX_STEPS_PER_PASS, Planner
+from siskinroad.work.records import Accepted
 from siskinroad.work.wait_reasons import WaitExaminer, WaitReason
-from tests.work.cell import job, step
+from tests.work.cell import POOL, job, step
 from tests.work.test_planner import (
     add_job,
     answer_advice,
@@ -176,6 +177,24 @@
     assert starts == ["urgent"]
 
 
+def test_new_steps_do_not_keep_older_ones_from_their_turn():
+    # In each pass, as many steps are new as get their turn.
+    pool_state = make_backlog(3, 2 * MAX_STEPS_PER_PASS, tickets_until=100.0)
+    fill_hosts(pool_state)
+    old = [each for each in pool_state.ready.values() if each.waiting_count]
+    planner = Planner(pool_state)
+    for i in range(10):
+        now = 1.0 + 0.01 * i
+        for number in range(MAX_STEPS_PER_PASS):
+            name = f"new-{i}-{number}"
+            spec = job(step(8, cpu_milli=9000))
+            accepted = Accepted(name, "advised", POOL, now, spec)
+            pool_state.accept(accepted, now, now, is_new=True)
+            give_tickets(pool_state.jobs[name], "i-000")
+        planner.plan(now, now, None)
+    assert all(each.planned_at >= 1.0 for each in old)
+
+
 def test_a_step_that_is_left_to_the_next_passes_has_a_reason_of_its_own():
     pool_state = make_backlog(3, 2 * MAX_STEPS_PER_PASS, tickets_until=100.0)
     fill_hosts(pool_state)
