Give a step without tickets that a pass left out the reason deferred

Cause: a step that waits for its first advice and was left to the next passes had the reason advice_not_requested, which stands for a fault of the owner.

Change: both reasons that stand for a fault give way to deferred.

--- a/siskinroad/work/wait_reasons.py
+++ b/siskinroad/work/wait_reasons.py
@@ -109,7 +109,7 @@
         # The pass is over, so that this assignment has no effect on any request.
         if channels is not None and not channels.assign(advice.duration(unasked)):
             return WaitReason.ADVICE_NO_CHANNEL
-        return WaitReason.ADVICE_NOT_REQUESTED
+        return self._find_unplanned_reason(step, WaitReason.ADVICE_NOT_REQUESTED)
 
     def _check_capacity(
         self, step: StepRun, queue: Queue, tasks: list[Task]
@@ -205,9 +205,14 @@
             if step.is_advice_pending:
                 return WaitReason.ADVICE_PENDING
             return WaitReason.TICKETS_STALE
-        if step.key in self._pass.deferred_steps:
-            return WaitReason.DEFERRED
-        return WaitReason.UNEXPLAINED
+        return self._find_unplanned_reason(step, WaitReason.UNEXPLAINED)
+
+    def _find_unplanned_reason(
+        self, step: StepRun, otherwise: WaitReason
+    ) -> WaitReason:
+        """Return that the pass left the step out, or else the given reason."""
+        is_deferred = step.key in self._pass.deferred_steps
+        return WaitReason.DEFERRED if is_deferred else otherwise
 
 
 def _fits_step(
