Bound the exponent of an advisor channel's backoff

What callers would have seen: the owner of a pool ends, and another daemon claims it, each time a channel has failed some thousand times in a row.

Cause: the doubled backoff is computed as a float before its limit applies, and a power of two beyond 1023 does not fit one. The exception would leave the owner's task group.

Change: the exponent is bounded.

Measured: test_a_channel_may_fail_any_number_of_times failed before.

--- a/siskinroad/work/advisor_channel.py
+++ b/siskinroad/work/advisor_channel.py
@@ -113,8 +113,7 @@
         if began_at >= self.failed_at:
             self.failures += 1
             self.failed_at = now
-            backoff_s = FIRST_BACKOFF_S * 2 ** (self.failures - 1)
-            self.retry_at = now + min(MAX_BACKOFF_S, backoff_s)
+            self.retry_at = now + _compute_backoff_s(self.failures)
         log.warning(
             "advisor_channels: advisor call failed; "
             "other channels are preferred until the next attempt",
@@ -146,3 +145,9 @@
             },
         )
         self.retry_at = now
+
+
+def _compute_backoff_s(failures: int) -> float:
+    """Return the seconds without calls after so many failures in a row."""
+    # The exponent is bounded, as an advisor may fail for any number of calls.
+    return min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2.0 ** min(failures - 1, 10))
--- a/tests/work/test_advisor_channel.py
+++ b/tests/work/test_advisor_channel.py
@@ -62,3 +62,11 @@
     assert channel.backlog(17.6) > MAX_CHANNEL_BACKLOG
     channel.record_report(0.0, 17.7)
     assert channel.backlog(17.7) == MAX_CHANNEL_BACKLOG
+
+
+def test_a_channel_may_fail_any_number_of_times():
+    # The doubled backoff is beyond the largest number long before the bound applies.
+    channel = AdvisorChannel("a")
+    for i in range(2000):
+        fail_call(channel, 10.0 * i, 10.0 * i + 1.0)
+    assert channel.backlog(19991.0 + MAX_BACKOFF_S) == MAX_CHANNEL_BACKLOG
