--- a/siskinroad/work/advice_requester.py
+++ b/siskinroad/work/advice_requester.py
@@ -157,7 +157,7 @@
             capacity = step.need.times(placement.counts[host.name])
             host.reserved[step.key] = Reservation(capacity, until, step.rank)
 
-    def renew_early(
+    def request_for_blocked_step(
         self, planning_pass: PlanningPass, step: StepRun, advice: Advice
     ) -> None:
         """Request advice for a blocked step if capacity would otherwise stay unused.
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -241,7 +241,9 @@
             if self._may_exclude_hosts(planning_pass, step, lateness):
                 self._exclude_hosts(planning_pass, step, queue)
             if advice is not None:
-                self.advice_requester.renew_early(planning_pass, step, advice)
+                self.advice_requester.request_for_blocked_step(
+                    planning_pass, step, advice
+                )
             return
         self._start_tasks(planning_pass, step, placement, queue)
 
--- a/tests/work/test_wait_reasons.py
+++ b/tests/work/test_wait_reasons.py
@@ -126,7 +126,7 @@
     # Nobody asks about the other host, as while the advisor's channels are busy.
     requester = planner.advice_requester
     monkeypatch.setattr(requester, "check_or_request_advice", lambda *args: True)
-    monkeypatch.setattr(requester, "renew_early", lambda *args: None)
+    monkeypatch.setattr(requester, "request_for_blocked_step", lambda *args: None)
     reasons = find_reasons(pool_state, one, planner=planner)
     assert reasons == {WaitReason.TICKETED_HOSTS_FULL: 1}
     one.steps[0, 0].is_advice_pending = True
