--- a/tests/work/test_planner.py
+++ b/tests/work/test_planner.py
@@ -6,9 +6,11 @@
 
 from siskinroad.work.effects import RequestAdvice, StartRun, StopRun
 from siskinroad.work.hosts import HostReport
+from siskinroad.work.model import Timing
 from siskinroad.work.planner import Planner
-from siskinroad.work.pool_state import PoolState
+from siskinroad.work.pool_state import FAILING_QUARANTINE_S, PoolState
 from siskinroad.work.records import Accepted
+from siskinroad.work.run_monitor import RunMonitor
 from tests.work.cell import ADVISED, CONFIGURATION, POOL, entry, job, step
 
 
@@ -362,3 +364,23 @@
     gang.steps[0, 0].advice.record_answer(names, {"i-0": "t"}, 100.0)
     add_job(pool_state, "single", job(step(4, cpu_milli=32000)), "slow")
     assert len(list_starts(plan(pool_state))) == 4
+
+
+def test_a_step_whose_only_allowed_host_is_quarantined_is_placed_within_three_seconds():
+    # The users count a job as lost whose tasks do not run for 3 s beside capacity for
+    # them. The host has failed tasks of other jobs, perhaps through their own fault.
+    pool_state = make_pool_state(["i-0", "i-1", "i-2"])
+    bound = add_job(pool_state, "bound", job(step(1)), "advised")
+    give_tickets(bound, "i-0")
+    bound.steps[0, 0].advice.answered.update(["i-1", "i-2"])
+    host = pool_state.hosts["i-0"]
+    assert pool_state.quarantine_host(host, FAILING_QUARANTINE_S, "failures", 0.1)
+    monitor = RunMonitor(pool_state, Timing())
+    planner = Planner(pool_state)
+    starts = []
+    for i in range(15):
+        now = 0.2 + 0.2 * i
+        host.replied_at = host.reported_at = now
+        monitor.check_runs(now, now)
+        starts += list_starts(planner.plan(now, now))
+    assert starts == [("bound", "i-0")]
