Let a step use a quarantined host if it may run nowhere else

Cause: a quarantine keeps all work off a host for 6 s or more.

Change: 2 s after the quarantine began, or a run last failed there, such a step may use the host; other steps stay off it. The pause keeps attempts of one task apart, so that a failing host does not use them up.

New tests: other steps stay off the host, an unasked quarantined host is asked about, attempts are 2 s apart.

--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -219,6 +219,8 @@
         The host is in quarantine and gets no new work.
     quarantined_until : float
         Loop time at which the quarantine ends.
+    quarantine_evidence_at : float
+        Loop time at which the quarantine began, or a run last failed during it.
     used : Resources
         Sum of the needs of its runs.
     run_changes : int
@@ -250,6 +252,7 @@
     earliest_leave_at: float = float("inf")
     is_quarantined: bool = False
     quarantined_until: float = 0.0
+    quarantine_evidence_at: float = 0.0
     is_stored: bool = False
     reply_time_s: float = 0.03
     runs: dict[RunKey, Run] = field(default_factory=dict)
@@ -346,9 +349,13 @@
 
     def is_schedulable(self, now: float) -> bool:
         """Return whether new work may be placed on the host."""
+        return not self.is_quarantined and self.is_usable(now)
+
+    def is_usable(self, now: float) -> bool:
+        """Return whether nothing but a quarantine would keep new work off the host."""
         if not self.is_settled or not self.is_stored:
             return False
-        if self.entry.draining or self.is_quarantined or self.is_report_outdated:
+        if self.entry.draining or self.is_report_outdated:
             return False
         if self.unlisted_at and now - self.unlisted_at > UNLISTED_GRACE_S:
             return False
--- a/siskinroad/work/open_hosts.py
+++ b/siskinroad/work/open_hosts.py
@@ -13,6 +13,7 @@
 from siskinroad.work.host import Host
 from siskinroad.work.job import StepRun
 from siskinroad.work.schedulable_hosts import SchedulableHosts
+from siskinroad.work.sole_hosts import SoleHosts
 
 __all__ = ["OpenHosts", "make_open_hosts"]
 
@@ -31,10 +32,13 @@
         Capacity that no run holds; reservations are not deducted.
     smallest_need : Resources
         Smallest amount of each resource that a waiting task needs.
+    sole_hosts : SoleHosts
+        Hosts among them that only some steps may use.
     """
 
     free: dict[Host, Resources]
     smallest_need: Resources
+    sole_hosts: SoleHosts
     _hosts: SchedulableHosts
     _unfit_needs: dict[str, list[Resources]] = field(default_factory=dict)
 
@@ -68,6 +72,8 @@
                 fitting = [host for host in fitting if host.name in step.tickets]
         candidates: dict[Host, Resources] = {}
         for host in fitting:
+            if not self.sole_hosts.allow(step, host):
+                continue
             available = self.free[host]
             if host.reserved:
                 available = host.free_capacity(step.key, now, step.rank)
@@ -89,6 +95,7 @@
             host
             for host in fitting
             if host.name in names
+            and self.sole_hosts.allow(step, host)
             and (
                 not host.reserved
                 or need.fits(host.free_capacity(step.key, now, step.rank))
@@ -125,10 +132,21 @@
         self._unfit_needs[label] = [*smallest, need]
 
 
-def make_open_hosts(hosts: SchedulableHosts, steps: list[StepRun]) -> OpenHosts:
-    """Return the hosts that may fit a task of one of the waiting steps."""
+def make_open_hosts(
+    hosts: SchedulableHosts,
+    steps: list[StepRun],
+    sole_hosts: SoleHosts | None = None,
+) -> OpenHosts:
+    """Return the hosts that may fit a task of one of the waiting steps.
+
+    Parameters
+    ----------
+    sole_hosts : SoleHosts, optional
+        Hosts among them that only some steps may use; none by default.
+    """
+    sole_hosts = sole_hosts or SoleHosts()
     if not steps:
-        return OpenHosts({}, Resources(), hosts)
+        return OpenHosts({}, Resources(), sole_hosts, hosts)
     needs = {step.need for step in steps}
     cpu_milli = min(need.cpu_milli for need in needs)
     memory_mib = min(need.memory_mib for need in needs)
@@ -146,4 +164,4 @@
             and capacity.accelerators - used.accelerators >= accelerators
         ):
             free[host] = capacity - used
-    return OpenHosts(free, smallest_need, hosts)
+    return OpenHosts(free, smallest_need, sole_hosts, hosts)
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -33,6 +33,7 @@
 from siskinroad.work.pool_state import PoolState
 from siskinroad.work.schedulable_hosts import SchedulableHosts, make_schedulable_hosts
 
+from siskinroad.work.sole_hosts import find_sole_hosts
 __all__ = ["Planner"]
 
 # Least fraction of its predicted time in which a step may reach the end of its job.
@@ -75,7 +76,8 @@
         self.last_pass: PlanningPass | None = None
         self.urgent_headroom = UrgentHeadroom()
         self.advice_requester = AdviceRequester(pool_state)
-        self._schedulable_hosts: SchedulableHosts | None = None
+        self._late_step_turns = LateStepTurns()
+        self._usual_hosts: SchedulableHosts | None = None
 
     def plan(
         self, now: float, wall: float, channels: ChannelTimes | None = None
@@ -99,13 +101,19 @@
         for step in steps:
             if step.tally.unstamped:
                 step.stamp_waits(now)
-        self._schedulable_hosts = make_schedulable_hosts(hosts, self._schedulable_hosts)
+        self._usual_hosts = make_schedulable_hosts(hosts, self._usual_hosts)
+        sole_hosts = find_sole_hosts(
+            pool_state.hosts.values(), self._usual_hosts, steps, pool_state.queues, now
+        )
+        schedulable_hosts = self._usual_hosts
+        if sole_hosts.hosts:
+            schedulable_hosts = make_schedulable_hosts(hosts + sole_hosts.hosts, None)
         planning_pass = PlanningPass(
             pool_state,
             now,
             wall,
-            self._schedulable_hosts,
-            make_open_hosts(self._schedulable_hosts, steps),
+            schedulable_hosts,
+            make_open_hosts(schedulable_hosts, steps, sole_hosts),
             steps,
             channels,
         )
@@ -302,11 +310,13 @@
         """Stop less urgent runs on a host, to resume from a checkpoint elsewhere.
 
         Stops only as many as the step needs to fit, and only runs that would hold
+        sole_hosts = planning_pass.open_hosts.sole_hosts
         their resources for clearly longer than a stop takes.
         """
         if not self._has_less_urgent_runs(host, queue):
             return
         available = compute_available_after_stops(host, step, planning_pass.now)
+            and sole_hosts.allow(step, host)
         if step.need.fits(available):
             return
         chosen: list[Run] = []
--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -413,6 +413,8 @@
         for each in tasks:
             each.failures.add(run)
         task.avoided_hosts[host.name] = now
+        if host.is_quarantined:
+            host.quarantine_evidence_at = now
         self.dirty.add(job.id)
         verdict = self.health.observe(host.name, job.id, False, now, len(self.hosts))
         if verdict is not None and verdict.event == "eject":
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -310,6 +310,7 @@
                     "report_age_s": round(now - host.reported_at, 2),
                 },
             )
+            host.quarantine_evidence_at = now
         host.is_quarantined = True
         host.quarantined_until = max(host.quarantined_until, now + seconds)
         return True
--- /dev/null
+++ b/siskinroad/work/sole_hosts.py
@@ -0,0 +1,106 @@
+"""Quarantined hosts for the steps that no other host may run.
+
+A quarantine keeps work off a host that fails, stalls or slows down what runs there. The
+advisor or a label may allow a step that host only. Such a step may use the host after a
+pause, so that its tasks do not wait beside free capacity until the quarantine ends, and
+do not use up their attempts there either. Other steps stay off the host.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from siskinroad.work.host import Host
+from siskinroad.work.job import StepRun
+from siskinroad.work.model import Queue
+from siskinroad.work.schedulable_hosts import SchedulableHosts
+
+__all__ = ["SoleHosts", "find_sole_hosts"]
+
+# Seconds without work of a quarantined host, counted from the beginning of its
+# quarantine or from the last run that failed there. Callers take a job of which no task
+# runs for 3 s beside free capacity for lost.
+SOLE_HOST_PAUSE_S = 2.0
+
+StepKey = tuple[str, int, int]
+
+
+@dataclass(slots=True, frozen=True)
+class SoleHosts:
+    """Quarantined hosts, each with the steps that may use it nevertheless.
+
+    Attributes
+    ----------
+    hosts : list of Host
+        These hosts.
+    steps_by_host : dict of str to set of tuple
+        Keys of the steps that may use a host, by the host's name.
+    """
+
+    hosts: list[Host] = field(default_factory=list)
+    steps_by_host: dict[str, set[StepKey]] = field(default_factory=dict)
+
+    def allow(self, step: StepRun, host: Host) -> bool:
+        """Return whether a step may use a host, as far as quarantine matters."""
+        steps = self.steps_by_host.get(host.name)
+        return steps is None or step.key in steps
+
+
+def find_sole_hosts(
+    hosts: Iterable[Host],
+    usual_hosts: SchedulableHosts,
+    steps: Iterable[StepRun],
+    queues: Mapping[str, Queue],
+    now: float,
+) -> SoleHosts:
+    """Return the quarantined hosts that some waiting steps may use.
+
+    Parameters
+    ----------
+    hosts : iterable of Host
+        All hosts of the pool.
+    usual_hosts : SchedulableHosts
+        Hosts that any step may use.
+    """
+    rested = [host for host in hosts if _may_be_used(host, now)]
+    if not rested:
+        return SoleHosts()
+    steps_by_host: dict[str, set[StepKey]] = {}
+    for step in steps:
+        queue = queues.get(step.job.queue)
+        if queue is None or _has_other_host(step, usual_hosts, queue):
+            continue
+        for host in rested:
+            if _is_allowed(step, host, queue):
+                steps_by_host.setdefault(host.name, set()).add(step.key)
+    return SoleHosts([h for h in rested if h.name in steps_by_host], steps_by_host)
+
+
+def _may_be_used(host: Host, now: float) -> bool:
+    return (
+        host.is_quarantined
+        and now - host.quarantine_evidence_at >= SOLE_HOST_PAUSE_S
+        and host.is_usable(now)
+    )
+
+
+def _has_other_host(step: StepRun, usual_hosts: SchedulableHosts, queue: Queue) -> bool:
+    """Return whether a host that is not in quarantine may run a step's tasks."""
+    names = usual_hosts.find_capable_hosts(step).names
+    if queue.advice is None:
+        return bool(names)
+    return not names <= step.advice.answered or not names.isdisjoint(step.tickets)
+
+
+def _is_allowed(step: StepRun, host: Host, queue: Queue) -> bool:
+    """Return whether a host may run a step's tasks, or its advice is not known yet."""
+    spec = step.spec
+    if spec.label and spec.label not in host.entry.labels:
+        return False
+    if not step.need.fits(host.entry.capacity):
+        return False
+    name = host.name
+    return (
+        queue.advice is None or name in step.tickets or name not in step.advice.answered
+    )
--- a/siskinroad/work/wait_reasons.py
+++ b/siskinroad/work/wait_reasons.py
@@ -114,7 +114,12 @@
     def _check_capacity(
         self, step: StepRun, queue: Queue, tasks: list[Task]
     ) -> dict[WaitReason, list[Task]]:
-        fitting = self._find_fitting(step)
+        sole_hosts = self._pass.open_hosts.sole_hosts
+        fitting = {
+            host: unused
+            for host, unused in self._find_fitting(step).items()
+            if sole_hosts.allow(step, host)
+        }
         free = fitting
         if queue.advice is not None:
             free = {h: r for h, r in fitting.items() if h.name in step.tickets}
--- a/tests/work/test_planner.py
+++ b/tests/work/test_planner.py
@@ -5,7 +5,7 @@
 import pytest
 
 from siskinroad.work.effects import RequestAdvice, StartRun, StopRun
-from siskinroad.work.hosts import HostReport
+from siskinroad.work.hosts import EndKind, HostReport, RunEnd
 from siskinroad.work.model import Timing
 from siskinroad.work.planner import Planner
 from siskinroad.work.pool_state import FAILING_QUARANTINE_S, PoolState
@@ -366,15 +366,21 @@
     assert len(list_starts(plan(pool_state))) == 4
 
 
-def test_a_step_whose_only_allowed_host_is_quarantined_is_placed_within_three_seconds():
-    # The users count a job as lost whose tasks do not run for 3 s beside capacity for
-    # them. The host has failed tasks of other jobs, perhaps through their own fault.
+def make_pool_with_quarantined_host():
+    """Return a pool of three hosts, and a job that is allowed on a quarantined one."""
     pool_state = make_pool_state(["i-0", "i-1", "i-2"])
     bound = add_job(pool_state, "bound", job(step(1)), "advised")
     give_tickets(bound, "i-0")
     bound.steps[0, 0].advice.answered.update(["i-1", "i-2"])
     host = pool_state.hosts["i-0"]
     assert pool_state.quarantine_host(host, FAILING_QUARANTINE_S, "failures", 0.1)
+    return pool_state, bound, host
+
+
+def test_a_step_whose_only_allowed_host_is_quarantined_is_placed_within_three_seconds():
+    # The users count a job as lost whose tasks do not run for 3 s beside capacity for
+    # them. The host has failed tasks of other jobs, perhaps through their own fault.
+    pool_state, _, host = make_pool_with_quarantined_host()
     monitor = RunMonitor(pool_state, Timing())
     planner = Planner(pool_state)
     starts = []
@@ -384,3 +390,46 @@
         monitor.check_runs(now, now)
         starts += list_starts(planner.plan(now, now))
     assert starts == [("bound", "i-0")]
+
+
+def test_steps_with_other_hosts_stay_off_a_quarantined_host():
+    # Otherwise one step that is allowed there only would end the quarantine for all.
+    pool_state, _, host = make_pool_with_quarantined_host()
+    for other in pool_state.hosts.values():
+        other.replied_at = 3.0
+    add_job(pool_state, "paper", job(step(40, cpu_milli=2000)), "slow")
+    starts = list_starts(plan(pool_state, 3.0, 3.0))
+    assert [job for job, name in starts if name == host.name] == ["bound"]
+    assert len(starts) == 33
+
+
+def test_a_quarantined_host_is_asked_about_if_no_other_may_run_the_step():
+    # The step was asked about the others only, and none of them may run it.
+    pool_state, bound, host = make_pool_with_quarantined_host()
+    bound.steps[0, 0].advice.forget_host(host.name)
+    for other in pool_state.hosts.values():
+        other.replied_at = 3.0
+    (request,) = plan(pool_state, 3.0, 3.0)
+    assert isinstance(request, RequestAdvice) and request.hosts == (host.name,)
+
+
+def test_attempts_on_a_quarantined_host_are_two_seconds_apart():
+    # A job that may run nowhere else would use up its attempts while the host fails.
+    pool_state, _, host = make_pool_with_quarantined_host()
+    planner = Planner(pool_state)
+    starts = []
+    for i in range(40):
+        now = 0.2 + 0.2 * i
+        host.replied_at = host.reported_at = now
+        pool_state.quarantine_host(host, FAILING_QUARANTINE_S, "failures", now)
+        for start in planner.plan(now, now):
+            if not isinstance(start, StartRun):
+                continue
+            starts.append(now)
+            pool_state.apply_start_reply(host, start.run, None, now)
+            (number,) = (run for _, run in host.runs)
+            end = RunEnd(len(starts), start.run.key[0], number, EndKind.FAILED, "")
+            report = HostReport(1000 + i, 1, (), (end,))
+            pool_state.apply_report(host, report, host.token, now, now, now)
+    assert len(starts) == 3
+    assert min(b - a for a, b in zip(starts, starts[1:], strict=False)) >= 2.0
