Tell the time of the failure in tests with a quarantined only host

Cause: three tests quarantined a pool's only host without the time of the failure, to keep a task waiting for seconds. Since such a host is lent to steps that may run nowhere else, 2 s after its last failure, the task is placed.

Change: the tests say when a run failed there. What they check is unchanged.

--- a/tests/work/test_wait_log.py
+++ b/tests/work/test_wait_log.py
@@ -71,6 +71,7 @@
     add_job(pool_state, "one", job())
     host = pool_state.hosts["i-0"]
     host.is_quarantined = True
+    host.quarantine_evidence_at = 3.0
     lines.examine(1.0)
     (line,) = lines.examine(4.0)
     assert line.reason == "no_schedulable_host"
--- a/tests/work/test_wait_tracker.py
+++ b/tests/work/test_wait_tracker.py
@@ -42,6 +42,12 @@
     pool_state._end_run(host, run, "lapsed", now)
 
 
+def quarantine(host, failed_at):
+    """Quarantine the pool's only host, which gets no work for 2 s after a failure."""
+    host.is_quarantined = True
+    host.quarantine_evidence_at = failed_at
+
+
 def test_a_wait_counts_from_the_pass_that_first_finds_the_task():
     pool_state = make_pool_state(["i-0"])
     waits = Waits(pool_state)
@@ -58,12 +64,12 @@
     lasting = add_job(pool_state, "lasting", job(step(1, long_running=True)))
     assert waits.plan_and_examine(1.0) == []
     end_run(pool_state, 20.0)
-    pool_state.hosts["i-0"].is_quarantined = True
+    quarantine(pool_state.hosts["i-0"], failed_at=20.0)
     assert [w.waiting_since for w in waits.plan_and_examine(20.1)] == [20.0]
     pool_state.hosts["i-0"].is_quarantined = False
     assert waits.plan_and_examine(21.0) == []
     end_run(pool_state, 30.0)
-    pool_state.hosts["i-0"].is_quarantined = True
+    quarantine(pool_state.hosts["i-0"], failed_at=32.0)
     waits.plan_and_examine(30.2)
     (wait,) = waits.plan_and_examine(33.0)
     assert wait.waiting_since == 30.0
@@ -75,7 +81,7 @@
     waits = Waits(pool_state)
     add_job(pool_state, "large", job(step(1, cpu_milli=32000)))
     host = pool_state.hosts["i-0"]
-    host.is_quarantined = True
+    quarantine(host, failed_at=1.0)
     waits.plan_and_examine(1.0)
     (wait,) = waits.plan_and_examine(2.0)
     assert (wait.reason, wait.reason_since) == (WaitReason.NO_SCHEDULABLE_HOST, 1.0)
