Give late large steps a turn beside a steady load of small ones

Cause: a blocked step withholds hosts only while it can meet its target time or is long-running.

A step in time may withhold hosts beside it.

Ruled out: withholding in the rank of the late step, as steps in time come before it and take each gap. Withholding for all late steps would take the capacity of steps in time.

--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -195,6 +195,8 @@
         Loop time at which the step became ready to start.
     planned_at : float
         Loop time at which the newest planning pass that planned the step began.
+    late_turn_at : float
+        Loop time at which the step last got a turn as a late one; see `late_steps`.
     rank : tuple of int
         Priority and lateness in the newest planning pass.
     """
@@ -213,6 +215,7 @@
     is_advice_pending: bool = False
     ready_at: float = 0.0
     planned_at: float = -1e9
+    late_turn_at: float = -1e9
     rank: tuple[int, int] = LOWEST_RANK
 
     def __post_init__(self) -> None:
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -18,6 +18,7 @@
 from siskinroad.work.host import Host, Run
 from siskinroad.work.job import StepRun, Task
 from siskinroad.work.job_table import QueueTimes
+from siskinroad.work.late_steps import LateStepTurns
 from siskinroad.work.model import Queue
 from siskinroad.work.open_hosts import make_open_hosts
 from siskinroad.work.placement import place_tasks
@@ -32,8 +33,8 @@
 )
 from siskinroad.work.pool_state import PoolState
 from siskinroad.work.schedulable_hosts import SchedulableHosts, make_schedulable_hosts
-
 from siskinroad.work.sole_hosts import find_sole_hosts
+
 __all__ = ["Planner"]
 
 # Least fraction of its predicted time in which a step may reach the end of its job.
@@ -118,7 +119,9 @@
             channels,
         )
         planning_pass.non_urgent_cpu_milli = self._compute_non_urgent_cpu(planning_pass)
-        self._plan_steps(planning_pass, self._rank_steps(steps, now, wall))
+        ranked = self._rank_steps(steps, now, wall)
+        self._put_late_step_first(planning_pass, ranked)
+        self._plan_steps(planning_pass, ranked)
         self.advice_requester.request_for_next_steps(planning_pass)
         self.last_pass = planning_pass
         return planning_pass.effects
@@ -179,6 +182,25 @@
         ranked.sort()
         return [(lateness, steps[i]) for _, _, _, i, lateness in ranked]
 
+    def _put_late_step_first(
+        self, planning_pass: PlanningPass, ranked: list[tuple[int, StepRun]]
+    ) -> None:
+        """Move the late large step that has its turn to the front, if there is one."""
+        late_steps = [
+            step
+            for lateness, step in ranked
+            if lateness
+            and not step.spec.long_running
+            and _is_large(planning_pass, step)
+        ]
+        late_step = self._late_step_turns.choose(late_steps, planning_pass.now)
+        if late_step is None:
+            return
+        planning_pass.late_step = late_step
+        item = next(item for item in ranked if item[1] is late_step)
+        ranked.remove(item)
+        ranked.insert(0, item)
+
     def _plan_steps(
         self, planning_pass: PlanningPass, ranked: list[tuple[int, StepRun]]
     ) -> None:
@@ -261,10 +283,11 @@
         self, planning_pass: PlanningPass, step: StepRun, lateness: int
     ) -> bool:
         """Return whether hosts may be withheld for a step if it is blocked."""
-        if planning_pass.excluded_hosts or (lateness and not step.spec.long_running):
+        if step is planning_pass.late_step:
+            return True
+        if planning_pass.has_withheld or (lateness and not step.spec.long_running):
             return False
-        capable = planning_pass.schedulable_hosts.find_capable_hosts(step)
-        return step.spec.gang or capable.has_large
+        return _is_large(planning_pass, step)
 
     def _exclude_hosts(
         self, planning_pass: PlanningPass, step: StepRun, queue: Queue
@@ -273,8 +296,10 @@
 
         Only one step per planning pass does so, the most urgent that can still meet
         its target time or is long-running: hosts held back for several steps would
-        mostly be idle.
+        mostly be idle. Beside it, the late step that has its turn gets one host, or as
+        many as its gang has members.
         """
+        is_late = step is planning_pass.late_step
         schedulable_hosts = planning_pass.schedulable_hosts
         capable = schedulable_hosts.find_capable_hosts(step)
         count = step.waiting_count
@@ -285,14 +310,18 @@
         if queue.advice is not None:
             hosts = [host for host in hosts if host.name in step.tickets]
         nothing = TentativePlacement()
+        sole_hosts = planning_pass.open_hosts.sole_hosts
         hosts = [
             host
             for host in hosts
             if fits_beside_long_running(host, step)
             and step_allows_host(step, host, nothing)
+            and sole_hosts.allow(step, host)
         ]
         if step.spec.gang and not can_hold_all(hosts, step):
             return
+        if is_late and not step.spec.gang:
+            max_hosts = 1
         first_hosts = heapq.nsmallest(
             min(count, max_hosts),
             hosts,
@@ -300,6 +329,7 @@
                 compute_available_after_stops(h, step, planning_pass.now), step
             ),
         )
+        planning_pass.has_withheld |= bool(first_hosts) and not is_late
         for host in first_hosts:
             planning_pass.exclude_host(host)
             self._preempt_runs(planning_pass, step, host, queue)
@@ -310,13 +340,11 @@
         """Stop less urgent runs on a host, to resume from a checkpoint elsewhere.
 
         Stops only as many as the step needs to fit, and only runs that would hold
-        sole_hosts = planning_pass.open_hosts.sole_hosts
         their resources for clearly longer than a stop takes.
         """
         if not self._has_less_urgent_runs(host, queue):
             return
         available = compute_available_after_stops(host, step, planning_pass.now)
-            and sole_hosts.allow(step, host)
         if step.need.fits(available):
             return
         chosen: list[Run] = []
@@ -416,6 +444,12 @@
         )
 
 
+def _is_large(planning_pass: PlanningPass, step: StepRun) -> bool:
+    """Return whether small tasks may keep a step's tasks off all hosts."""
+    capable = planning_pass.schedulable_hosts.find_capable_hosts(step)
+    return step.spec.gang or capable.has_large
+
+
 def _compute_lateness(
     step: StepRun, times: QueueTimes, now: float, wall: float
 ) -> tuple[int, float]:
--- a/siskinroad/work/planning_pass.py
+++ b/siskinroad/work/planning_pass.py
@@ -47,6 +47,10 @@
         Thousandths of a processor still available to steps that are not urgent.
     excluded_hosts : set of str
         Hosts that a blocked large step withholds from the steps after it.
+    has_withheld : bool
+        Whether a step in time, or a long-running one, withholds hosts.
+    late_step : StepRun or None
+        Late step that has its turn.
     renewed_steps : int
         Number of blocked steps whose tickets this pass renews.
     blocked_steps, examined_steps : int
@@ -68,6 +72,8 @@
     planned_steps: list[StepRun] | None = None
     non_urgent_cpu_milli: float = 0.0
     excluded_hosts: set[str] = field(default_factory=set)
+    has_withheld: bool = False
+    late_step: StepRun | None = None
     renewed_steps: int = 0
     blocked_steps: int = 0
     examined_steps: int = 0
--- a/tests/work/test_planner.py
+++ b/tests/work/test_planner.py
@@ -1,6 +1,7 @@
 """Tests of task placement: priority, target times, gangs, advice and preemption."""
 
 import dataclasses
+import itertools
 
 import pytest
 
@@ -432,4 +433,4 @@
             report = HostReport(1000 + i, 1, (), (end,))
             pool_state.apply_report(host, report, host.token, now, now, now)
     assert len(starts) == 3
-    assert min(b - a for a, b in zip(starts, starts[1:], strict=False)) >= 2.0
+    assert min(b - a for a, b in itertools.pairwise(starts)) >= 2.0
