Send heartbeats through aggregators in cells of more than 13 daemons

Change: a daemon sends its heartbeat to two aggregators of its data centre and to the owners; aggregators send digests of what changed and of who was alive. Owners, claimants and leaving daemons still send theirs to all, so that a lost owner is noticed as before. A digest shows nobody dead and no owner. An aggregator is one for as long as it is named; one that sends no digest for 1 s is replaced. Smaller cells, and peers of an earlier version, get every heartbeat as before.

Ruled out: a longer interval in large cells (a dead candidate for a claim would be waited for); heartbeats of owners through aggregators (their death at the same moment would hide it).

--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -15,6 +15,7 @@
 from siskinroad.work.advisor_channels import AdvisorChannels
 from siskinroad.work.claim_manager import ClaimManager
 from siskinroad.work.follower import Follower
+from siskinroad.work.heartbeat_routes import DIGEST_INTERVAL, HeartbeatRoutes
 from siskinroad.work.job_service import JobService
 from siskinroad.work.job_writer import JobWriter
 from siskinroad.work.loop_delay import LoopDelay
@@ -26,6 +27,7 @@
 from siskinroad.work.messages import (
     AdviceReply,
     AdviceRequest,
+    Digest,
     Heartbeat,
     Hello,
     JobReply,
@@ -52,6 +54,10 @@
 
 __all__ = ["WorkDaemon"]
 
+# Least seconds between two heartbeats that follow new members, and between two digests
+# that follow news: a start of all daemons brings many in a short time.
+MIN_HEARTBEAT_INTERVAL = 0.05
+MIN_DIGEST_INTERVAL = 0.05
 # Seconds between two attempts to store this daemon's member record.
 REGISTRATION_RETRY_INTERVAL = 0.3
 # Seconds between two checks, while draining, whether a silent store answers again.
@@ -104,6 +110,9 @@
         self.members = Members(member.node, member.incarnation)
         self.hosts: dict[str, HostEntry] = {}
         self._register_address = register_address
+        self.heartbeat_routes = HeartbeatRoutes(member, self.members)
+        self._heartbeat_requested = asyncio.Event()
+        self._digest_requested = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._suspend_detector = SuspendDetector()
         self._background_tasks: set[asyncio.Task[None]] = set()
@@ -204,6 +213,7 @@
             self.hosts_follower.run(),
             self.store_probe.run(),
             self._run_heartbeats(),
+            self._run_digests(),
             self.claim_manager.run(),
         ):
             task = asyncio.get_running_loop().create_task(_run_and_log_error(coro))
@@ -302,9 +312,13 @@
             "daemon: registered a new member or a new incarnation",
             extra={"peer": member.node, "incarnation": member.incarnation},
         )
-        self.peers.send(member.node, self._make_heartbeat())
+        if self.heartbeat_routes.is_large:
+            self._heartbeat_requested.set()
+        else:
+            self.peers.send(member.node, self._make_heartbeat())
 
     def _on_connected(self, peer: str) -> None:
+        self.heartbeat_routes.note_connected(peer)
         own = self.member
         self.peers.send(
             peer,
@@ -327,8 +341,28 @@
                 else HEARTBEAT_INTERVAL
             )
             due_at = loop.time() + interval
-            await asyncio.sleep(interval)
-            self.loop_delay.record(due_at, loop.time())
+            await asyncio.sleep(min(interval, MIN_HEARTBEAT_INTERVAL))
+            try:
+                async with asyncio.timeout_at(due_at):
+                    await self._heartbeat_requested.wait()
+            except TimeoutError:
+                self.loop_delay.record(due_at, loop.time())
+            self._heartbeat_requested.clear()
+
+    async def _run_digests(self) -> None:
+        """Send digests while other daemons name this one as their aggregator."""
+        loop = asyncio.get_running_loop()
+        while True:
+            digests = self.heartbeat_routes.make_digests(loop.time())
+            for nodes, digest in digests:
+                self.peers.send_to_all(nodes, digest)
+            await asyncio.sleep(MIN_DIGEST_INTERVAL)
+            try:
+                async with asyncio.timeout(DIGEST_INTERVAL - MIN_DIGEST_INTERVAL):
+                    await self._digest_requested.wait()
+            except TimeoutError:
+                pass
+            self._digest_requested.clear()
 
     def _make_heartbeat(self) -> Heartbeat:
         now = asyncio.get_running_loop().time()
@@ -344,12 +378,15 @@
             round(self.advisor_channels.backlog(now), 2),
             self.claim_manager.claiming,
             self.processor,
+            self.heartbeat_routes.aggregators,
         )
 
     def _send_heartbeats(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self.heartbeat_routes.choose_aggregators(now)
         heartbeat = self._make_heartbeat()
-        for node in self.members.other_members():
-            self.peers.send(node, heartbeat)
+        recipients = self.heartbeat_routes.list_recipients(heartbeat, now)
+        self.peers.send_to_all(recipients, heartbeat)
 
     def _on_store_recovered(self) -> None:
         log.warning("daemon: store answers again; restarting pending reads")
@@ -429,6 +466,8 @@
         now = asyncio.get_running_loop().time()
         match msg:
             case Heartbeat():
+                if self.heartbeat_routes.note_heartbeat(msg, now):
+                    self._digest_requested.set()
                 self.members.record_heartbeat(msg, now)
                 self.advisor_channels.record_backlog(msg.node, msg.backlog, now)
                 # What another daemon has begun to claim may make this one the next
@@ -436,6 +475,8 @@
                 if msg.is_leaving or msg.claiming:
                     self.claim_manager.check_requested.set()
                 self._check_for_later_terms(msg)
+            case Digest():
+                self._apply_digest(msg, now)
             case Hello():
                 self._register_member(
                     Member(
@@ -457,6 +498,16 @@
             case RelayRequest():
                 self._reply_when_done(peer, self.store.serve(msg))
 
+    def _apply_digest(self, digest: Digest, now: float) -> None:
+        news = self.heartbeat_routes.apply_digest(digest, now)
+        for heartbeat in news:
+            self._check_for_later_terms(heartbeat)
+        if news:
+            # They may make this daemon the best one for a pool without an owner.
+            self.claim_manager.check_requested.set()
+        if news and self.heartbeat_routes.is_aggregator(now):
+            self._digest_requested.set()
+
     def _check_for_later_terms(self, heartbeat: Heartbeat) -> None:
         """Make an owner recheck its claim if a peer reports a later term."""
         for pool, term in heartbeat.owned:
@@ -474,13 +525,14 @@
             self._run_in_background(self._check_peer(peer))
 
     async def _check_peer(self, peer: str) -> None:
-        last_heartbeat = self.members.last_heartbeats.get(peer)
+        heard_at = self.members.find_direct_at(peer)
         reach = await self.peers.probe(peer)
         if (
             reach is not Reachability.REFUSES
-            or self.members.last_heartbeats.get(peer) != last_heartbeat
+            or self.members.find_direct_at(peer) != heard_at
         ):
             return
+        last_heartbeat = self.members.last_heartbeats.get(peer)
         now = asyncio.get_running_loop().time()
         owned = last_heartbeat.heartbeat.owned if last_heartbeat is not None else ()
         log.warning(
--- a/siskinroad/work/members.py
+++ b/siskinroad/work/members.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from siskinroad.work.messages import Heartbeat
+from siskinroad.work.messages import MAX_STORE_AGE, Heartbeat
 from siskinroad.work.records import Member
 
 __all__ = [
@@ -15,6 +15,8 @@
     "OWNER_HEARTBEAT_INTERVAL",
     "OWNER_HEARTBEAT_TIMEOUT",
     "Members",
+    "has_news",
+    "rank_node",
 ]
 
 # Seconds between two heartbeats of a daemon, and seconds without one after which it is
@@ -24,17 +26,27 @@
 HEARTBEAT_TIMEOUT = 2.0
 OWNER_HEARTBEAT_INTERVAL = 0.2
 OWNER_HEARTBEAT_TIMEOUT = 0.75
-# Seconds without a reply from the store after which a daemon claims no pool and writes
-# no jobs of unowned pools, so that daemons which reach the store do.
-MAX_STORE_AGE = 2.5
 
 
 @dataclass(slots=True)
 class _LastHeartbeat:
-    """Newest heartbeat of a daemon and the loop time of its receipt."""
+    """Newest heartbeat of a daemon, and when it showed that the daemon was alive.
+
+    Attributes
+    ----------
+    received_at : float
+        Loop time at which the daemon was last alive, by itself or by a digest.
+    direct_at : float
+        Loop time at which a heartbeat came from the daemon itself. Only that shows
+        which pools it owns or claims.
+    content_at : float
+        Loop time from which the heartbeat's content is.
+    """
 
     heartbeat: Heartbeat
     received_at: float
+    direct_at: float
+    content_at: float
 
 
 @dataclass(slots=True)
@@ -63,6 +75,7 @@
     last_heartbeats: dict[str, _LastHeartbeat] = field(default_factory=dict)
     pool_sizes: Mapping[str, int] = field(default_factory=dict)
     released_at: dict[str, float] = field(default_factory=dict)
+    _ended_at: dict[str, float] = field(default_factory=dict)
 
     def add_member(self, member: Member) -> bool:
         """Add a member listed in the store; return whether it is new."""
@@ -86,7 +99,64 @@
                 if pool not in still_owned:
                     self.released_at[pool] = now
         if previous is None or previous.heartbeat.incarnation <= heartbeat.incarnation:
-            self.last_heartbeats[heartbeat.node] = _LastHeartbeat(heartbeat, now)
+            self.last_heartbeats[heartbeat.node] = _LastHeartbeat(
+                heartbeat, now, now, now
+            )
+
+    def record_indirect(self, heartbeat: Heartbeat, heard_at: float) -> bool:
+        """Apply a heartbeat from a digest; return whether its content is newer.
+
+        Parameters
+        ----------
+        heard_at : float
+            Loop time at which the aggregator received it.
+        """
+        node = heartbeat.node
+        if heard_at <= self._ended_at.get(node, -1e9):
+            return False
+        previous = self.last_heartbeats.get(node)
+        if previous is None or previous.heartbeat.incarnation < heartbeat.incarnation:
+            self.last_heartbeats[node] = _LastHeartbeat(
+                heartbeat, heard_at, -1e9, heard_at
+            )
+            return True
+        if previous.heartbeat.incarnation > heartbeat.incarnation:
+            return False
+        if previous.content_at >= heard_at:
+            return False
+        is_new = has_news(previous.heartbeat, heartbeat)
+        previous.heartbeat = heartbeat
+        previous.content_at = heard_at
+        previous.received_at = max(previous.received_at, heard_at)
+        return is_new
+
+    def note_alive(self, heard_at: Mapping[str, float], silent: set[str]) -> None:
+        """Note which daemons were alive, by a digest.
+
+        Parameters
+        ----------
+        heard_at : Mapping of str to float
+            Loop time since which the daemons of a data centre were heard of.
+        silent : set of str
+            Those that were not.
+        """
+        for node, last_heartbeat in self.last_heartbeats.items():
+            member = self.known.get(node)
+            if member is None or node in silent:
+                continue
+            at = heard_at.get(member.data_centre)
+            if at is not None and at > last_heartbeat.received_at:
+                last_heartbeat.received_at = at
+
+    def find_direct_at(self, node: str) -> float | None:
+        """Return the loop time of a daemon's newest own heartbeat, or None."""
+        last_heartbeat = self.last_heartbeats.get(node)
+        return last_heartbeat.direct_at if last_heartbeat is not None else None
+
+    def owns_pool(self, node: str) -> bool:
+        """Return whether a daemon owns or claims a pool, by its newest heartbeat."""
+        last_heartbeat = self.last_heartbeats.get(node)
+        return last_heartbeat is not None and bool(_pools(last_heartbeat.heartbeat))
 
     def note_ended(self, node: str, now: float) -> None:
         """Note that a daemon's process seems to have ended.
@@ -95,6 +165,7 @@
         renews leases; its next heartbeat makes it a live daemon again.
         """
         previous = self.last_heartbeats.pop(node, None)
+        self._ended_at[node] = now
         for pool, _ in previous.heartbeat.owned if previous is not None else ():
             self.released_at[pool] = now
 
@@ -134,7 +205,7 @@
         """Return the live daemon that owns a pool under the highest term, or None."""
         best: tuple[int, str] | None = None
         for node, last_heartbeat in self.last_heartbeats.items():
-            if now - last_heartbeat.received_at > OWNER_HEARTBEAT_TIMEOUT:
+            if now - last_heartbeat.direct_at > OWNER_HEARTBEAT_TIMEOUT:
                 continue
             for name, term in last_heartbeat.heartbeat.owned:
                 if name == pool and (best is None or (term, node) > best):
@@ -149,7 +220,7 @@
         """
         for node in self.live_members(now):
             last_heartbeat = self.last_heartbeats[node]
-            is_fresh = now - last_heartbeat.received_at <= OWNER_HEARTBEAT_TIMEOUT
+            is_fresh = now - last_heartbeat.direct_at <= OWNER_HEARTBEAT_TIMEOUT
             if is_fresh and pool in last_heartbeat.heartbeat.claiming:
                 return node
         return None
@@ -175,7 +246,7 @@
         if is_eligible or not writers:
             writers.append(own)
         if _is_mixed(writers):
-            return min(writers, key=lambda each: _rank(pool, each.node)).node
+            return min(writers, key=lambda each: rank_node(pool, each.node)).node
         able = [each for each in writers if each.can_claim]
         return self._choose_claimant(pool, able or writers).node
 
@@ -242,7 +313,7 @@
         return [
             last_heartbeat.heartbeat
             for last_heartbeat in found
-            if now - last_heartbeat.received_at <= OWNER_HEARTBEAT_TIMEOUT
+            if now - last_heartbeat.direct_at <= OWNER_HEARTBEAT_TIMEOUT
             or not _pools(last_heartbeat.heartbeat)
         ]
 
@@ -251,13 +322,13 @@
         if _is_mixed(candidates):
             return min(
                 candidates,
-                key=lambda each: (len(_pools(each)), _rank(pool, each.node)),
+                key=lambda each: (len(_pools(each)), rank_node(pool, each.node)),
             )
         return min(
             candidates,
             key=lambda each: (
                 -self._processor_per_host(pool, each),
-                _rank(pool, each.node),
+                rank_node(pool, each.node),
             ),
         )
 
@@ -267,6 +338,23 @@
         return heartbeat.processor / sum(self.pool_size(each) for each in pools)
 
 
+def has_news(former: Heartbeat, heartbeat: Heartbeat) -> bool:
+    """Return whether others must soon know of what has changed since a heartbeat."""
+    return _summarize(former) != _summarize(heartbeat)
+
+
+def _summarize(heartbeat: Heartbeat) -> tuple[object, ...]:
+    return (
+        heartbeat.incarnation,
+        heartbeat.owned,
+        heartbeat.reaches_store,
+        heartbeat.is_leaving,
+        heartbeat.can_claim,
+        heartbeat.claiming,
+        heartbeat.processor,
+    )
+
+
 def _pools(heartbeat: Heartbeat) -> set[str]:
     """Return the pools that a daemon owns or is claiming."""
     return {pool for pool, _ in heartbeat.owned} | set(heartbeat.claiming)
@@ -277,5 +365,6 @@
     return any(each.processor <= 0.0 for each in heartbeats)
 
 
-def _rank(pool: str, node: str) -> bytes:
-    return hashlib.blake2b(f"{pool}\0{node}".encode(), digest_size=8).digest()
+def rank_node(subject: str, node: str) -> bytes:
+    """Return a daemon's rank for a pool or data centre, the same on all daemons."""
+    return hashlib.blake2b(f"{subject}\0{node}".encode(), digest_size=8).digest()
--- a/siskinroad/work/messages.py
+++ b/siskinroad/work/messages.py
@@ -10,25 +10,33 @@
 
 __all__ = [
     "CODEC",
+    "MAX_STORE_AGE",
     "AdviceReply",
     "AdviceRequest",
+    "Digest",
     "Heartbeat",
     "Hello",
     "JobReply",
     "JobRequest",
+    "MemberNews",
     "Message",
     "RelayReply",
     "RelayRequest",
     "SubmitOutcome",
     "SubmitReply",
     "SubmitRequest",
+    "ZoneNews",
     "decode",
     "encode",
 ]
 
+# Seconds without a reply from the store after which a daemon claims no pool and writes
+# no jobs of unowned pools, so that daemons which reach the store do.
+MAX_STORE_AGE = 2.5
+
 
 class Heartbeat(msgspec.Struct, tag="beat", frozen=True, array_like=True):
-    """Heartbeat that every daemon sends to every other one.
+    """Heartbeat of a daemon, for the recipients that `heartbeat_routes` chooses.
 
     Attributes
     ----------
@@ -47,6 +55,9 @@
     processor : float
         Speed of the sender's processor, in whole cores of the usual speed; 0 if it is
         unknown, as for a sender of an earlier version.
+    aggregators : tuple of str or None
+        Daemons from which the sender expects digests. None if it expects a heartbeat
+        from every daemon, as in a small cell and in an earlier version.
     """
 
     node: str
@@ -58,6 +69,44 @@
     backlog: float = 0.0
     claiming: tuple[str, ...] = ()
     processor: float = 0.0
+    aggregators: tuple[str, ...] | None = None
+
+    @property
+    def reaches_store(self) -> bool:
+        """Whether the store has replied to the sender recently."""
+        return self.store_age <= MAX_STORE_AGE
+
+
+class MemberNews(msgspec.Struct, frozen=True, array_like=True):
+    """A heartbeat in a digest, and the seconds since its aggregator received it."""
+
+    age: float
+    heartbeat: Heartbeat
+
+
+class ZoneNews(msgspec.Struct, frozen=True, array_like=True):
+    """What an aggregator knows of the daemons of one data centre.
+
+    Attributes
+    ----------
+    silent_after : float
+        The aggregator has heard from every daemon of the data centre within this many
+        seconds, but for those in ``silent``.
+    news : tuple of MemberNews
+        Heartbeats that have changed, and a few others.
+    """
+
+    data_centre: str
+    silent_after: float
+    silent: tuple[str, ...]
+    news: tuple[MemberNews, ...]
+
+
+class Digest(msgspec.Struct, tag="digest", frozen=True, array_like=True):
+    """Digest of heartbeats that an aggregator sends instead of passing each one on."""
+
+    node: str
+    zones: tuple[ZoneNews, ...]
 
 
 class Hello(msgspec.Struct, tag="hello", frozen=True, array_like=True):
@@ -180,6 +229,7 @@
 
 Message = (
     Heartbeat
+    | Digest
     | Hello
     | JobRequest
     | JobReply
