Refuse no repeated submit of a job that was accepted

Cause: while the store was silent, or when no host could hold a job, a submit was refused as not run without a look at what is known of the job.

Change: before such a refusal the pool's owner is asked whether it knows the job, also from records that it has stored or sent and not yet read. A known job is confirmed; if an append is unresolved, or no owner answers, the reply is that the outcome is unknown, with a time to come back.

Measured: the five tests of tests/work/test_repeated_submits.py failed before and pass; tests/work/test_daemon.py passes. Open: a job that another daemon stored directly, which its owner has not read when the store falls silent, can still be refused.

--- a/siskinroad/work/job_service.py
+++ b/siskinroad/work/job_service.py
@@ -15,6 +15,7 @@
 from siskinroad.errors import SiskinroadError
 from siskinroad.fair_timeout import let_loop_poll
 from siskinroad.resources import Resources
+from siskinroad.work.job import JobState
 from siskinroad.work.job_writer import JobWriter
 from siskinroad.work.messages import JobReply, JobRequest, SubmitOutcome
 from siskinroad.work.model import Configuration, JobSpec, Queue
@@ -147,21 +148,45 @@
         """Store a job; it is accepted once it is stored."""
         unfit_reason = self._describe_unfit_step(queue, spec)
         if unfit_reason:
-            return self._log_reply(
-                job, "submit", CallerReply(ReplyKind.NEVER, reason=unfit_reason)
-            )
+            refusal = CallerReply(ReplyKind.NEVER, reason=unfit_reason)
+            return await self._refuse_unless_accepted(queue, job, refusal, deadline)
         if self._store_age_s() > STORE_SILENCE_LIMIT:
             # A late loop has not read the answers yet that have arrived.
             await let_loop_poll()
         if self._store_age_s() > STORE_SILENCE_LIMIT:
-            reply = _refuse_for_now("store_silent", self._store_age_s())
-            return self._log_reply(job, "submit", reply, queue)
+            refusal = _refuse_for_now("store_silent", self._store_age_s())
+            return await self._refuse_unless_accepted(queue, job, refusal, deadline)
         accepted = Accepted(job, queue.name, queue.pool, self._wall(), spec)
         append_deadline = deadline - DEADLINE_MARGIN
         outcome = await self._job_writer.store(
             queue.pool, record_of(accepted), append_deadline
         )
         reply = self._make_submit_reply(outcome)
+        if reply.kind is ReplyKind.NOT_NOW:
+            return await self._refuse_unless_accepted(queue, job, reply, deadline)
+        return self._log_reply(job, "submit", reply, queue)
+
+    async def _refuse_unless_accepted(
+        self, queue: Queue, job: str, refusal: CallerReply, deadline: float
+    ) -> CallerReply:
+        """Reply to a submit that cannot be stored now, or never could.
+
+        The caller may have submitted the job before and lost the answer. A refusal says
+        that the job has not run, so it is sent only if the pool's owner does not know
+        of the job, and has no record of it underway.
+        """
+        reply = await self._request_owner(queue.pool, "recall", job, deadline)
+        match reply.kind:
+            case ReplyKind.OK:
+                reply = CallerReply(ReplyKind.OK)
+            case ReplyKind.NO_JOB:
+                reply = refusal
+            case _:
+                reply = CallerReply(
+                    ReplyKind.UNKNOWN,
+                    reason=reply.reason,
+                    retry_after=refusal.retry_after or reply.retry_after,
+                )
         return self._log_reply(job, "submit", reply, queue)
 
     def _describe_unfit_step(self, queue: Queue, spec: JobSpec) -> str:
@@ -251,6 +276,8 @@
             match msg.verb:
                 case "show":
                     return JobReply(msg.id, "", owner.show(msg.subject) or "", 0)
+                case "recall":
+                    return self._recall(msg, owner)
                 case "cancel":
                     is_known = await owner.cancel(msg.subject, timeout)
                     return JobReply(msg.id, "", "cancelled" if is_known else "", 0)
@@ -264,6 +291,21 @@
             return JobReply(msg.id, "owner_unsure", "", 0)
         return JobReply(msg.id, "unknown_verb", "", 0)
 
+    def _recall(self, msg: JobRequest, owner: PoolOwner) -> JobReply:
+        """Answer whether a job was accepted, without fresh records.
+
+        While the store is down, nothing is accepted that this daemon does not know.
+        """
+        job = owner.pool_state.jobs.get(msg.subject)
+        if job is not None:
+            return JobReply(msg.id, "", job.shown_state(), 0)
+        match self._job_writer.recall(msg.subject):
+            case SubmitOutcome.STORED:
+                return JobReply(msg.id, "", JobState.QUEUED, 0)
+            case SubmitOutcome.UNKNOWN:
+                return JobReply(msg.id, "append_unresolved", "", 0)
+        return JobReply(msg.id, "", "", 0)
+
     def _log_reply(
         self, subject: str, verb: str, reply: CallerReply, queue: Queue | None = None
     ) -> CallerReply:
--- a/siskinroad/work/job_writer.py
+++ b/siskinroad/work/job_writer.py
@@ -33,6 +33,9 @@
 DIRECT_APPEND_TIME = 0.6
 # Seconds of the job writer's time that are reserved for returning the reply.
 REPLY_MARGIN = 0.15
+# Number of newest records whose outcome is remembered: those of an outage and of some
+# minutes before it, which callers may submit again.
+REMEMBERED_OUTCOMES = 20_000
 
 log = logging.getLogger("siskinroad.job_writer")
 
@@ -70,6 +73,7 @@
         self._last_store_answer_at = last_store_answer_at
         self._metrics = metrics
         self._batchers: dict[str, Batcher] = {}
+        self._outcomes: dict[str, SubmitOutcome] = {}
 
     async def store(self, pool: str, record: Record, deadline: float) -> SubmitOutcome:
         """Store a record through the job writer, or directly if that does not answer.
@@ -124,14 +128,32 @@
         if batcher is None:
             batcher = Batcher(self._store, job_topic(pool), self._last_store_answer_at)
             self._batchers[pool] = batcher
+        former = self.recall(record.key)
+        self._remember(record.key, former or SubmitOutcome.UNKNOWN)
         try:
             await batcher.put(record, deadline)
         except StoreUnavailableError as exc:
+            if former is None:
+                self._outcomes.pop(record.key, None)
             return self._note_not_stored(SubmitOutcome.NOT_DONE, pool, record, exc)
         except StoreUnknownError as exc:
             return self._note_not_stored(SubmitOutcome.UNKNOWN, pool, record, exc)
+        self._remember(record.key, SubmitOutcome.STORED)
         return SubmitOutcome.STORED
 
+    def recall(self, key: str) -> SubmitOutcome | None:
+        """Return whether a record that this daemon sent is, or may be, in the store.
+
+        Returns None for a record that it has not sent, or not lately.
+        """
+        return self._outcomes.get(key)
+
+    def _remember(self, key: str, outcome: SubmitOutcome) -> None:
+        self._outcomes.pop(key, None)
+        self._outcomes[key] = outcome
+        if len(self._outcomes) > REMEMBERED_OUTCOMES:
+            del self._outcomes[next(iter(self._outcomes))]
+
     def _note_not_stored(
         self, outcome: SubmitOutcome, pool: str, record: Record, exc: SiskinroadError
     ) -> SubmitOutcome:
--- a/siskinroad/work/messages.py
+++ b/siskinroad/work/messages.py
@@ -126,9 +126,10 @@
 class JobRequest(msgspec.Struct, tag="job?", frozen=True, array_like=True):
     """Request to a pool's owner about a job or a queue.
 
-    ``verb`` is ``show`` for a job's state, ``cancel`` to cancel a job, or ``pending``
-    for the number of a queue's accepted jobs that have not started. ``subject`` names
-    the job or queue.
+    ``verb`` is ``show`` for a job's state, ``recall`` for whether a job was accepted
+    as far as the owner knows, ``cancel`` to cancel a job, or ``pending`` for the number
+    of a queue's accepted jobs that have not started. ``subject`` names the job or
+    queue.
     """
 
     id: int
