Renew the tickets of more hosts where they cost little

Cause: a renewal of tickets named the chosen hosts and two others.

Change: a renewal names as many allowed hosts as add a quarter of the call's fixed time at most, those with the most free processor first.

--- a/siskinroad/work/advice_requester.py
+++ b/siskinroad/work/advice_requester.py
@@ -19,6 +19,7 @@
 
 from __future__ import annotations
 
+import heapq
 import logging
 from collections.abc import Iterable
 
@@ -32,12 +33,16 @@
 from siskinroad.work.pool_state import PoolState
 from siskinroad.work.step_advice import TICKET_MARGIN
 
-__all__ = ["AdviceRequester"]
+__all__ = ["AdviceRequester", "count_spare_hosts"]
 
 # Largest number of hosts in one advisor call, a limit of the platform's interface.
 MAX_HOSTS_PER_CALL = 100
-# Extra hosts in a renewal of tickets, beyond those whose tickets expire.
+# Least number of extra hosts in a renewal of tickets, beyond those whose tickets expire,
+# and the largest part of a call's fixed time that more of them may add. Other hosts may
+# have capacity when the answer arrives than when it was requested: without tickets for
+# them, one renewal follows another.
 SPARE_HOSTS = 2
+MAX_SPARE_TIME_FRACTION = 0.25
 # Seconds for which capacity stays reserved beyond the expected duration of the call.
 RESERVATION_MARGIN = 0.3
 # Seconds for which capacity may stay reserved for a step without any answer of the
@@ -147,7 +152,7 @@
 
         Without a request, which a later pass makes, the capacity is left to others.
         """
-        names = self._add_spare_hosts(step, hosts)
+        names = self._add_spare_hosts(step, hosts, advice)
         if not step.is_advice_pending:
             self._request_advice(planning_pass, step, advice, names)
         if not step.is_advice_pending or not _may_reserve(step, planning_pass.now):
@@ -205,7 +210,7 @@
         stale = self.find_hosts_with_stale_tickets(step, hosts, at)
         if not stale:
             return
-        names = self._add_spare_hosts(step, stale)
+        names = self._add_spare_hosts(step, stale, advice)
         if at - planning_pass.now <= advice.duration(len(names)) + EARLY_REQUEST_MARGIN:
             planning_pass.renewed_steps += 1
             self._request_advice(planning_pass, step, advice, names)
@@ -324,8 +329,10 @@
                 return False
         return True
 
-    def _add_spare_hosts(self, step: StepRun, hosts: Iterable[Host]) -> list[str]:
-        """Return the names of ``hosts`` and of a few others with tickets.
+    def _add_spare_hosts(
+        self, step: StepRun, hosts: Iterable[Host], advice: Advice
+    ) -> list[str]:
+        """Return the names of ``hosts`` and of others with tickets, the freest first.
 
         If one call cannot name all of them, the tickets that expire first are renewed.
         """
@@ -334,11 +341,11 @@
             tickets = step.tickets
             by_expiry = sorted(names, key=lambda n: (tickets[n].valid_until, n))
             names = set(by_expiry[:MAX_HOSTS_PER_CALL])
-        spare = [
-            n for n in step.tickets if n not in names and n in self.pool_state.hosts
-        ]
-        count = min(SPARE_HOSTS, MAX_HOSTS_PER_CALL - len(names))
-        return [*sorted(names), *spare[:count]]
+        count = min(count_spare_hosts(advice), MAX_HOSTS_PER_CALL - len(names))
+        known = self.pool_state.hosts
+        others = [known[n] for n in step.tickets if n not in names and n in known]
+        spare = heapq.nlargest(count, others, key=_compute_free_cpu)
+        return [*sorted(names), *(host.name for host in spare)]
 
     def _request_advice(
         self,
@@ -364,6 +371,19 @@
         planning_pass.effects.append(RequestAdvice(step.key, tuple(hosts), duration))
 
 
+def count_spare_hosts(advice: Advice) -> int:
+    """Return the number of extra hosts that a renewal of tickets may name."""
+    if advice.per_host <= 0.0:
+        return MAX_HOSTS_PER_CALL
+    affordable = int(MAX_SPARE_TIME_FRACTION * advice.base / advice.per_host)
+    return min(MAX_HOSTS_PER_CALL, max(SPARE_HOSTS, affordable))
+
+
+def _compute_free_cpu(host: Host) -> int:
+    """Return the thousandths of a processor that no run holds on a host."""
+    return host.entry.capacity.cpu_milli - host.used.cpu_milli
+
+
 def _may_reserve(step: StepRun, now: float) -> bool:
     """Return whether capacity may be reserved until the advisor answers."""
     step_advice = step.advice
