--- a/siskinroad/work/advice_requester.py
+++ b/siskinroad/work/advice_requester.py
@@ -37,7 +37,7 @@
 
 # Largest number of hosts in one advisor call, a limit of the platform's interface.
 MAX_HOSTS_PER_CALL = 100
-# Least number of extra hosts in a renewal of tickets, beyond those whose tickets expire,
+# Least number of extra hosts in a renewal of tickets, beyond those that expire,
 # and the largest part of a call's fixed time that more of them may add. Other hosts may
 # have capacity when the answer arrives than when it was requested: without tickets for
 # them, one renewal follows another.
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -58,6 +58,8 @@
 # that follow news: a start of all daemons brings many in a short time.
 MIN_HEARTBEAT_INTERVAL = 0.05
 MIN_DIGEST_INTERVAL = 0.05
+# Seconds before a background loop that has failed is started again.
+LOOP_RESTART_PAUSE = 0.5
 # Seconds between two attempts to store this daemon's member record.
 REGISTRATION_RETRY_INTERVAL = 0.3
 # Seconds between two checks, while draining, whether a silent store answers again.
@@ -206,17 +208,17 @@
 
     def start(self) -> None:
         """Start the daemon's background loops."""
-        for coro in (
-            self._run_registration(),
-            self.configuration_follower.run(),
-            self.members_follower.run(),
-            self.hosts_follower.run(),
-            self.store_probe.run(),
-            self._run_heartbeats(),
-            self._run_digests(),
-            self.claim_manager.run(),
+        for run in (
+            self._run_registration,
+            self.configuration_follower.run,
+            self.members_follower.run,
+            self.hosts_follower.run,
+            self.store_probe.run,
+            self._run_heartbeats,
+            self._run_digests,
+            self.claim_manager.run,
         ):
-            task = asyncio.get_running_loop().create_task(_run_and_log_error(coro))
+            task = asyncio.get_running_loop().create_task(_run_until_done(run))
             self._tasks.append(task)
 
     async def drain(self, store_wait: float = 0.0) -> None:
@@ -353,9 +355,7 @@
         """Send digests while other daemons name this one as their aggregator."""
         loop = asyncio.get_running_loop()
         while True:
-            digests = self.heartbeat_routes.make_digests(loop.time())
-            for nodes, digest in digests:
-                self.peers.send_to_all(nodes, digest)
+            self._send_digests(loop.time())
             await asyncio.sleep(MIN_DIGEST_INTERVAL)
             try:
                 async with asyncio.timeout(DIGEST_INTERVAL - MIN_DIGEST_INTERVAL):
@@ -364,6 +364,10 @@
                 pass
             self._digest_requested.clear()
 
+    def _send_digests(self, now: float) -> None:
+        for nodes, digest in self.heartbeat_routes.make_digests(now):
+            self.peers.send_to_all(nodes, digest)
+
     def _make_heartbeat(self) -> Heartbeat:
         now = asyncio.get_running_loop().time()
         owned = tuple((pool, owner.term.number) for pool, owner in self.owners.items())
@@ -560,6 +564,24 @@
         self._run_in_background(send())
 
 
+async def _run_until_done(run: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    """Run a background loop, and start it again after an unexpected error.
+
+    Without the loop, the daemon would go on without its live list or its heartbeats.
+    """
+    while True:
+        try:
+            await run()
+        except Exception:
+            log.exception(
+                "daemon: background loop failed; starting it again",
+                extra={"loop": run.__qualname__, "pause_s": LOOP_RESTART_PAUSE},
+            )
+            await asyncio.sleep(LOOP_RESTART_PAUSE)
+            continue
+        return
+
+
 async def _run_and_log_error(coro: Coroutine[Any, Any, None]) -> None:
     """Run a background task; log and reraise an exception that ends it."""
     try:
