Find a queue in a time that does not grow with the routes

Change: a configuration indexes its queues by virtual host and prefix and looks up each different length of prefix once; a pass looks only at queues in use.

--- a/siskinroad/work/model.py
+++ b/siskinroad/work/model.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -183,22 +183,34 @@
     queues: tuple[Queue, ...]
     pools: tuple[str, ...]
     max_body: int
+    _queues_by_prefix: dict[tuple[str, str], Queue] = field(
+        init=False, repr=False, compare=False, default_factory=dict
+    )
+    _prefix_lengths: dict[str, list[int]] = field(
+        init=False, repr=False, compare=False, default_factory=dict
+    )
+
+    def __post_init__(self) -> None:
+        lengths: dict[str, set[int]] = {}
+        for queue in self.queues:
+            self._queues_by_prefix.setdefault((queue.virtual_host, queue.prefix), queue)
+            lengths.setdefault(queue.virtual_host, set()).add(len(queue.prefix))
+        for virtual_host, known in lengths.items():
+            self._prefix_lengths[virtual_host] = sorted(known, reverse=True)
 
     def find_queue(self, virtual_host: str, path: str) -> Queue | None:
-        """Return the queue with the longest prefix that matches ``path``."""
-        best: Queue | None = None
-        for queue in self.queues:
-            if queue.virtual_host != virtual_host:
-                continue
-            if not path.startswith(queue.prefix):
-                continue
-            if best is None or len(queue.prefix) > len(best.prefix):
-                best = queue
-        return best
+        """Return the queue with the longest prefix that matches ``path``.
 
-    def queue(self, name: str) -> Queue | None:
-        """Return a queue by its name."""
-        return next((q for q in self.queues if q.name == name), None)
+        The time grows with the different lengths of prefixes, not with the queues:
+        operators may have thousands.
+        """
+        for length in self._prefix_lengths.get(virtual_host, ()):
+            if length > len(path):
+                continue
+            queue = self._queues_by_prefix.get((virtual_host, path[:length]))
+            if queue is not None:
+                return queue
+        return None
 
 
 @dataclass(slots=True, frozen=True)
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -128,19 +128,18 @@
 
     def _compute_non_urgent_cpu(self, planning_pass: PlanningPass) -> float:
         """Return the thousandths of a processor left to steps that are not urgent."""
-        queues = self.pool_state.queues.values()
-        urgent = {queue.name for queue in queues if queue.priority == 0}
         used = 0
         urgent_used = 0
         for host in planning_pass.schedulable_hosts.hosts:
             used += host.used.cpu_milli
             for name, use in host.queue_uses.items():
-                if name in urgent:
+                if self._is_urgent(name):
                     urgent_used += use.cpu_milli
         waiting = sum(
             step.need.cpu_milli * step.waiting_count
             for step in planning_pass.steps
-            if step.job.queue in urgent and self._may_be_placed(planning_pass, step)
+            if self._is_urgent(step.job.queue)
+            and self._may_be_placed(planning_pass, step)
         )
         self.urgent_headroom.observe(urgent_used + waiting, planning_pass.now)
         capacity = planning_pass.schedulable_hosts.cpu_milli
@@ -150,6 +149,10 @@
             - self.urgent_headroom.compute_headroom(capacity, urgent_used)
         )
 
+    def _is_urgent(self, queue_name: str) -> bool:
+        queue = self.pool_state.queues.get(queue_name)
+        return queue is not None and queue.priority == 0
+
     def _may_be_placed(self, planning_pass: PlanningPass, step: StepRun) -> bool:
         """Return whether some host may run a step's tasks, once it has capacity."""
         capable = planning_pass.schedulable_hosts.find_capable_hosts(step)
