Move heartbeats, digests and the member list out of the daemon

Change: siskinroad/work/membership.py sends and receives heartbeats and digests and keeps the member list; the daemon wires it and acts on claims. No change of behaviour is meant, but one: news in a digest prompts a check of claims only if a daemon leaves or claims, as a heartbeat does; others wait for the next check.

--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -9,21 +9,15 @@
 from typing import Any
 
 from siskinroad.errors import SiskinroadError
-from siskinroad.peers import PeerTransport, Reachability
+from siskinroad.peers import PeerTransport
 from siskinroad.resources import Resources
-from siskinroad.suspend_detector import SuspendDetector
 from siskinroad.work.advisor_channels import AdvisorChannels
 from siskinroad.work.claim_manager import ClaimManager
 from siskinroad.work.follower import Follower
-from siskinroad.work.heartbeat_routes import DIGEST_INTERVAL, HeartbeatRoutes
 from siskinroad.work.job_service import JobService
 from siskinroad.work.job_writer import JobWriter
 from siskinroad.work.loop_delay import LoopDelay
-from siskinroad.work.members import (
-    HEARTBEAT_INTERVAL,
-    OWNER_HEARTBEAT_INTERVAL,
-    Members,
-)
+from siskinroad.work.membership import Membership
 from siskinroad.work.messages import (
     AdviceReply,
     AdviceRequest,
@@ -43,7 +37,6 @@
 from siskinroad.work.records import (
     MEMBERS_TOPIC,
     Member,
-    decode_stored,
     record_of,
 )
 from siskinroad.work.relay import RelayStore
@@ -54,10 +47,6 @@
 
 __all__ = ["WorkDaemon"]
 
-# Least seconds between two heartbeats that follow new members, and between two digests
-# that follow news: a start of all daemons brings many in a short time.
-MIN_HEARTBEAT_INTERVAL = 0.05
-MIN_DIGEST_INTERVAL = 0.05
 # Seconds before a background loop that has failed is started again.
 LOOP_RESTART_PAUSE = 0.5
 # Seconds between two attempts to store this daemon's member record.
@@ -109,14 +98,12 @@
         self.wall = wall
         self.metrics = WorkMetrics()
         self.loop_delay = LoopDelay(self.metrics.loop_delay.observe)
-        self.members = Members(member.node, member.incarnation)
+        self.membership = Membership(
+            member, peers, register_address, self._make_heartbeat, self.loop_delay
+        )
+        self.members = self.membership.members
         self.hosts: dict[str, HostEntry] = {}
-        self._register_address = register_address
-        self.heartbeat_routes = HeartbeatRoutes(member, self.members)
-        self._heartbeat_requested = asyncio.Event()
-        self._digest_requested = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
-        self._suspend_detector = SuspendDetector()
         self._background_tasks: set[asyncio.Task[None]] = set()
         now = asyncio.get_running_loop().time
         self.peer_calls = PeerCalls(peers, member.incarnation << 20)
@@ -158,7 +145,7 @@
             self.dependencies,
             self.hosts,
             self._make_heartbeat,
-            self._send_heartbeats,
+            self.membership.send_heartbeats,
         )
         self.owners = self.claim_manager.owners
         self.job_writer = JobWriter(
@@ -182,8 +169,10 @@
             lambda: self.store.last_answer_at,
         )
         peers.receiver = self._receive
-        peers.connected = self._on_connected
         peers.disconnected = self._on_disconnected
+        self.membership.on_suspended = self._on_suspended
+        self.membership.on_heartbeat = self._on_heartbeat
+        self.membership.on_ended = self.claim_manager.check_requested.set
         decoder = platform_clients.decoder
         self.configuration_follower = Follower(
             self.store, decoder.configuration_topic, self._apply_configurations
@@ -195,7 +184,10 @@
             read_pause=HOST_LIST_READ_INTERVAL,
         )
         self.members_follower = Follower(
-            self.store, MEMBERS_TOPIC, self._apply_members, wait=MEMBERS_READ_WAIT
+            self.store,
+            MEMBERS_TOPIC,
+            self.membership.apply_members,
+            wait=MEMBERS_READ_WAIT,
         )
 
     @property
@@ -215,7 +207,7 @@
             self.hosts_follower.run,
             self.store_probe.run,
             self._run_heartbeats,
-            self._run_digests,
+            self.membership.run_digests,
             self.claim_manager.run,
         ):
             task = asyncio.get_running_loop().create_task(_run_until_done(run))
@@ -232,7 +224,7 @@
             expire.
         """
         self.claim_manager.is_leaving = True
-        self._send_heartbeats()
+        self.membership.send_heartbeats()
         try:
             async with asyncio.timeout(store_wait):
                 while self.claim_manager.pools and not await self._is_store_reachable():
@@ -284,89 +276,8 @@
                 continue
             return
 
-    def _apply_members(
-        self, items: tuple[NewestRecord, ...], is_snapshot: bool
-    ) -> None:
-        if is_snapshot:
-            self.members.remove_unlisted({item.key for item in items})
-        for item in items:
-            if item.value:
-                self._apply_member_record(item)
-
-    def _apply_member_record(self, item: NewestRecord) -> None:
-        try:
-            member = decode_stored(item.value)
-        except SiskinroadError as exc:
-            log.error(
-                "daemon: member record cannot be decoded; ignoring it",
-                extra={"error": str(exc)},
-            )
-            return
-        if isinstance(member, Member):
-            self._register_member(member)
-
-    def _register_member(self, member: Member) -> None:
-        """Register a member found in the store or introduced by its own message."""
-        if member.node == self.member.node or not self.members.add_member(member):
-            return
-        self._register_address(member)
-        log.info(
-            "daemon: registered a new member or a new incarnation",
-            extra={"peer": member.node, "incarnation": member.incarnation},
-        )
-        if self.heartbeat_routes.is_large:
-            self._heartbeat_requested.set()
-        else:
-            self.peers.send(member.node, self._make_heartbeat())
-
-    def _on_connected(self, peer: str) -> None:
-        self.heartbeat_routes.note_connected(peer)
-        own = self.member
-        self.peers.send(
-            peer,
-            Hello(own.node, own.incarnation, own.address, own.data_centre, own.region),
-        )
-
     async def _run_heartbeats(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            if self._suspend_detector.take_suspended_s():
-                log.warning(
-                    "daemon: process was suspended; owners must confirm their claims"
-                )
-                for owner in self.owners.values():
-                    owner.revoke_confirmation()
-            self._send_heartbeats()
-            interval = (
-                OWNER_HEARTBEAT_INTERVAL
-                if self.claim_manager.pools
-                else HEARTBEAT_INTERVAL
-            )
-            due_at = loop.time() + interval
-            await asyncio.sleep(min(interval, MIN_HEARTBEAT_INTERVAL))
-            try:
-                async with asyncio.timeout_at(due_at):
-                    await self._heartbeat_requested.wait()
-            except TimeoutError:
-                self.loop_delay.record(due_at, loop.time())
-            self._heartbeat_requested.clear()
-
-    async def _run_digests(self) -> None:
-        """Send digests while other daemons name this one as their aggregator."""
-        loop = asyncio.get_running_loop()
-        while True:
-            self._send_digests(loop.time())
-            await asyncio.sleep(MIN_DIGEST_INTERVAL)
-            try:
-                async with asyncio.timeout(DIGEST_INTERVAL - MIN_DIGEST_INTERVAL):
-                    await self._digest_requested.wait()
-            except TimeoutError:
-                pass
-            self._digest_requested.clear()
-
-    def _send_digests(self, now: float) -> None:
-        for nodes, digest in self.heartbeat_routes.make_digests(now):
-            self.peers.send_to_all(nodes, digest)
+        await self.membership.run_heartbeats(lambda: bool(self.claim_manager.pools))
 
     def _make_heartbeat(self) -> Heartbeat:
         now = asyncio.get_running_loop().time()
@@ -382,16 +293,9 @@
             round(self.advisor_channels.backlog(now), 2),
             self.claim_manager.claiming,
             self.processor,
-            self.heartbeat_routes.aggregators,
+            self.membership.routes.aggregators,
         )
 
-    def _send_heartbeats(self) -> None:
-        now = asyncio.get_running_loop().time()
-        self.heartbeat_routes.choose_aggregators(now)
-        heartbeat = self._make_heartbeat()
-        recipients = self.heartbeat_routes.list_recipients(heartbeat, now)
-        self.peers.send_to_all(recipients, heartbeat)
-
     def _on_store_recovered(self) -> None:
         log.warning("daemon: store answers again; restarting pending reads")
         self.claim_manager.note_store_recovered()
@@ -470,27 +374,12 @@
         now = asyncio.get_running_loop().time()
         match msg:
             case Heartbeat():
-                if self.heartbeat_routes.note_heartbeat(msg, now):
-                    self._digest_requested.set()
-                self.members.record_heartbeat(msg, now)
                 self.advisor_channels.record_backlog(msg.node, msg.backlog, now)
-                # What another daemon has begun to claim may make this one the next
-                # best for the other pools.
-                if msg.is_leaving or msg.claiming:
-                    self.claim_manager.check_requested.set()
-                self._check_for_later_terms(msg)
+                self.membership.apply_heartbeat(msg, now)
             case Digest():
-                self._apply_digest(msg, now)
+                self.membership.apply_digest(msg, now)
             case Hello():
-                self._register_member(
-                    Member(
-                        msg.node,
-                        msg.incarnation,
-                        msg.address,
-                        msg.data_centre,
-                        msg.region,
-                    )
-                )
+                self.membership.apply_hello(msg)
             case JobReply() | AdviceReply() | RelayReply() | SubmitReply():
                 self.peer_calls.handle_reply(msg.id, msg)
             case SubmitRequest():
@@ -502,18 +391,19 @@
             case RelayRequest():
                 self._reply_when_done(peer, self.store.serve(msg))
 
-    def _apply_digest(self, digest: Digest, now: float) -> None:
-        news = self.heartbeat_routes.apply_digest(digest, now)
-        for heartbeat in news:
-            self._check_for_later_terms(heartbeat)
-        if news:
-            # They may make this daemon the best one for a pool without an owner.
-            self.claim_manager.check_requested.set()
-        if news and self.heartbeat_routes.is_aggregator(now):
-            self._digest_requested.set()
+    def _on_suspended(self) -> None:
+        log.warning("daemon: process was suspended; owners must confirm their claims")
+        for owner in self.owners.values():
+            owner.revoke_confirmation()
+
+    def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Check claims: make an owner recheck its own if a peer has a later term.
 
-    def _check_for_later_terms(self, heartbeat: Heartbeat) -> None:
-        """Make an owner recheck its claim if a peer reports a later term."""
+        What another daemon has begun to claim may make this one the next best for the
+        other pools.
+        """
+        if heartbeat.is_leaving or heartbeat.claiming:
+            self.claim_manager.check_requested.set()
         for pool, term in heartbeat.owned:
             owner = self.owners.get(pool)
             if owner is not None and term > owner.term.number:
@@ -526,31 +416,7 @@
         heartbeats time out.
         """
         if peer in self.members.last_heartbeats:
-            self._run_in_background(self._check_peer(peer))
-
-    async def _check_peer(self, peer: str) -> None:
-        heard_at = self.members.find_direct_at(peer)
-        reach = await self.peers.probe(peer)
-        if (
-            reach is not Reachability.REFUSES
-            or self.members.find_direct_at(peer) != heard_at
-        ):
-            return
-        last_heartbeat = self.members.last_heartbeats.get(peer)
-        now = asyncio.get_running_loop().time()
-        owned = last_heartbeat.heartbeat.owned if last_heartbeat is not None else ()
-        log.warning(
-            "daemon: peer refuses connections; its process has ended",
-            extra={
-                "peer": peer,
-                "silent_s": round(now - last_heartbeat.received_at, 2)
-                if last_heartbeat
-                else None,
-                "pools": [pool for pool, _ in owned],
-            },
-        )
-        self.members.note_ended(peer, now)
-        self.claim_manager.check_requested.set()
+            self._run_in_background(self.membership.check_peer(peer))
 
     def _run_in_background(self, coro: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(_run_and_log_error(coro))
--- a/tests/work/test_background_loops.py
+++ b/tests/work/test_background_loops.py
@@ -22,8 +22,8 @@
 @pytest.mark.parametrize(
     "find_method",
     [
-        lambda daemon: (daemon, "_send_heartbeats"),
-        lambda daemon: (daemon, "_send_digests"),
+        lambda daemon: (daemon.membership, "send_heartbeats"),
+        lambda daemon: (daemon.membership, "send_digests"),
         lambda daemon: (daemon.claim_manager, "_pools_by_size"),
         lambda daemon: (daemon.hosts_follower, "_apply"),
         lambda daemon: (daemon.configuration_follower, "_apply"),
--- a/tests/work/test_heartbeat_routes.py
+++ b/tests/work/test_heartbeat_routes.py
@@ -273,7 +273,7 @@
     async def scenario(cell):
         aggregators = set()
         for daemon in cell.daemons.values():
-            aggregators.update(daemon.heartbeat_routes.aggregators)
+            aggregators.update(daemon.membership.routes.aggregators)
         aggregators -= {"n0", "n1"}
         assert aggregators
         assert await measure_takeover_s(cell, aggregators) < 1.5
@@ -289,7 +289,7 @@
 def test_a_lost_owner_is_replaced_in_time_while_an_aggregator_is_cut_off_one_way():
     async def scenario(cell):
         daemon = next(iter(cell.daemons.values()))
-        (aggregator, *_) = daemon.heartbeat_routes.aggregators
+        (aggregator, *_) = daemon.membership.routes.aggregators
         for name in cell.daemons:
             cell.network.faults.cut.add((aggregator, name))
         await asyncio.sleep(2.0)
