Log the choice of aggregators, turns of late steps and use of quarantined hosts

Cause: three new decisions changed what a daemon does and left no line. Change: one line each, with the inputs that decided. Measured: the tests of these modules pass; no decision is changed.

--- a/siskinroad/work/heartbeat_routes.py
+++ b/siskinroad/work/heartbeat_routes.py
@@ -18,6 +18,7 @@
 
 from __future__ import annotations
 
+import logging
 from dataclasses import dataclass, field
 
 import msgspec
@@ -53,6 +54,8 @@
 # although its connection was never lost.
 REPEATED_HEARTBEATS = 1
 
+log = logging.getLogger("siskinroad.heartbeat_routes")
+
 
 @dataclass(slots=True)
 class _Named:
@@ -111,6 +114,15 @@
         for node, named in list(self._named.items()):
             if now - max(named.since, named.digest_at) > AGGREGATOR_TIMEOUT:
                 self._paused_until[node] = now + AGGREGATOR_PAUSE
+                log.info(
+                    "heartbeat_routes: aggregator sends no digest; naming another one",
+                    extra={
+                        "peer": node,
+                        "named_s": round(now - named.since, 2),
+                        "silent_s": round(now - named.digest_at, 2),
+                        "pause_s": AGGREGATOR_PAUSE,
+                    },
+                )
         chosen = [
             node
             for node in self._list_by_rank(self.member.data_centre, now)
--- a/siskinroad/work/late_steps.py
+++ b/siskinroad/work/late_steps.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -22,6 +23,8 @@
 # Seconds between the end of a turn and the next one.
 PAUSE_S = 10.0
 
+log = logging.getLogger("siskinroad.late_steps")
+
 
 @dataclass(slots=True)
 class LateStepTurns:
@@ -50,4 +53,14 @@
         # A step that was not placed in its turn stands behind the others.
         self._step = min(waiting, key=lambda s: (s.late_turn_at, s.waiting_since))
         self._step.late_turn_at = self._began_at = now
+        log.info(
+            "late_steps: late large step gets its turn; it is planned first",
+            extra={
+                "request": self._step.job.id,
+                "step": f"{self._step.occurrence}.{self._step.number}",
+                "waited_s": round(now - self._step.waiting_since, 2),
+                "waiting": self._step.waiting_count,
+                "late_steps": len(waiting),
+            },
+        )
         return self._step
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -438,6 +438,18 @@
         host: Host,
         run_number: int,
     ) -> None:
+        if host.is_quarantined:
+            log.info(
+                "planner: task placed on a quarantined host; no other may run it",
+                extra={
+                    "request": step.job.id,
+                    "task": f"{step.occurrence}.{step.number}.{task.id.index}",
+                    "host": host.name,
+                    "quarantine_left_s": round(
+                        host.quarantined_until - planning_pass.now, 2
+                    ),
+                },
+            )
         run = step.make_run(task, run_number, host.token, planning_pass.now)
         task.run = run_number
         task.host = host.name
