Count ended jobs by queue, data centre and result

Cause: the share of jobs in time, by kind and by data centre, could be had from log lines only. Change: siskinroad_jobs_ended_total{queue,data_centre,result}, counted by the owner against its own target times; an accepted job's record names the data centre that took it, and a record without one is read as before.

--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -158,7 +158,7 @@
             self.metrics,
         )
         self.job_service = JobService(
-            member.node,
+            member,
             self.job_writer,
             self.peer_calls,
             self.owners,
--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -296,6 +296,8 @@
         Numbers of the steps that depend directly on each step.
     opened_occurrences : int
         Number of occurrences whose steps exist.
+    data_centre : str
+        Data centre in which a caller submitted the job; empty if it is unknown.
     has_started : bool
         Whether any task has started.
     """
@@ -311,6 +313,7 @@
     successors: tuple[tuple[int, ...], ...] = ()
     steps: dict[tuple[int, int], StepRun] = field(default_factory=dict)
     opened_occurrences: int = 0
+    data_centre: str = ""
     outcome: str = ""
     outcome_at: float = 0.0
     stored_outcome: str = ""
@@ -407,6 +410,7 @@
 def make_job(accepted: Accepted) -> Job:
     """Return a new job that has not started, made from its accepted record."""
     job = Job(accepted.job, accepted.queue, accepted.pool, accepted.spec, accepted.at)
+    job.data_centre = accepted.data_centre
     steps = accepted.spec.steps
     job.remaining_times = _longest_chains(steps, [step.estimate for step in steps])
     job.longest_time = max(job.remaining_times)
--- a/siskinroad/work/job_service.py
+++ b/siskinroad/work/job_service.py
@@ -21,7 +21,7 @@
 from siskinroad.work.model import Configuration, JobSpec, Queue
 from siskinroad.work.owner import PoolOwner
 from siskinroad.work.peer_calls import PeerCalls
-from siskinroad.work.records import Accepted, Cancelled, record_of
+from siskinroad.work.records import Accepted, Cancelled, Member, record_of
 from siskinroad.work.workmetrics import WorkMetrics
 
 __all__ = ["CallerReply", "JobService", "ReplyKind"]
@@ -96,8 +96,8 @@
 
     Parameters
     ----------
-    node : str
-        This daemon's name.
+    member : Member
+        This daemon.
     owners : dict of str to PoolOwner
         The pools that this daemon owns.
     find_owner : callable
@@ -110,7 +110,7 @@
 
     def __init__(
         self,
-        node: str,
+        member: Member,
         job_writer: JobWriter,
         peer_calls: PeerCalls,
         owners: dict[str, PoolOwner],
@@ -122,7 +122,8 @@
     ) -> None:
         self.configuration: Configuration | None = None
         self.configuration_at = 0.0
-        self._node = node
+        self._node = member.node
+        self._data_centre = member.data_centre
         self._job_writer = job_writer
         self._peer_calls = peer_calls
         self._owners = owners
@@ -156,7 +157,9 @@
         if self._store_age_s() > STORE_SILENCE_LIMIT:
             refusal = _refuse_for_now("store_silent", self._store_age_s())
             return await self._refuse_unless_accepted(queue, job, refusal, deadline)
-        accepted = Accepted(job, queue.name, queue.pool, self._wall(), spec)
+        accepted = Accepted(
+            job, queue.name, queue.pool, self._wall(), spec, self._data_centre
+        )
         append_deadline = deadline - DEADLINE_MARGIN
         outcome = await self._job_writer.store(
             queue.pool, record_of(accepted), append_deadline
--- a/siskinroad/work/job_table.py
+++ b/siskinroad/work/job_table.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from siskinroad.health import Health
@@ -77,6 +78,9 @@
     is_settled : bool
         Every run of former owners has been reconciled, so none can be running
         without this owner's knowledge.
+    observe_result : callable
+        Receives each job that ends, with its result: whether it was complete in time,
+        or how it ended otherwise.
     """
 
     def __init__(self, pool: str, term: int) -> None:
@@ -92,6 +96,7 @@
         self.health = Health()
         self.speed_estimates = SpeedEstimates()
         self.is_settled = False
+        self.observe_result: Callable[[Job, str], None] = lambda job, result: None
 
     def configure(self, configuration: Configuration) -> None:
         """Apply a configuration; queues missing from it keep their last settings."""
@@ -252,15 +257,19 @@
         job.outcome_at = wall
         self.dirty.add(job.id)
         self._remove_ready_steps(job)
+        late_s = wall - self.target_time(job, job.opened_occurrences - 1)
+        result = outcome
+        if outcome == JobState.COMPLETE:
+            result = "in_time" if late_s <= 0 else "late"
+        self.observe_result(job, result)
         log.info(
             "pool_state: job %s",
             outcome,
             extra={
                 "request": job.id,
                 "queue": job.queue,
+                "data_centre": job.data_centre,
                 "age_s": round(wall - job.accepted_at, 3),
-                "late_s": round(
-                    wall - self.target_time(job, job.opened_occurrences - 1), 3
-                ),
+                "late_s": round(late_s, 3),
             },
         )
--- a/siskinroad/work/records.py
+++ b/siskinroad/work/records.py
@@ -40,13 +40,18 @@
 
 
 class Accepted(msgspec.Struct, tag="job", frozen=True, omit_defaults=True):
-    """A submitted job, accepted once this is stored; ``at`` is Unix time in seconds."""
+    """A submitted job, accepted once this is stored; ``at`` is Unix time in seconds.
+
+    ``data_centre`` is that of the daemon that took the job from its caller; it is empty
+    in records of earlier versions.
+    """
 
     job: str
     queue: str
     pool: str
     at: float
     spec: JobSpec
+    data_centre: str = ""
 
 
 class Cancelled(msgspec.Struct, tag="cancel", frozen=True):
--- a/siskinroad/work/term.py
+++ b/siskinroad/work/term.py
@@ -82,6 +82,9 @@
         self.pool_state.observe_late_end = lambda end_kind: metrics.late_ends.labels(
             end_kind
         ).inc()
+        self.pool_state.observe_result = lambda job, result: metrics.jobs_ended.labels(
+            job.queue, job.data_centre, result
+        ).inc()
         self.owned_until = -1e9
         self.plan_requested = asyncio.Event()
         self.flush_requested = asyncio.Event()
--- a/siskinroad/work/workmetrics.py
+++ b/siskinroad/work/workmetrics.py
@@ -49,6 +49,12 @@
             ("reason",),
             registry=reg,
         )
+        self.jobs_ended = Counter(
+            "siskinroad_jobs_ended",
+            "Jobs by queue, by the data centre that took them, and by their result.",
+            ("queue", "data_centre", "result"),
+            registry=reg,
+        )
         self.late_ends = Counter(
             "siskinroad_late_ends",
             "Ends listed for runs that were ended without one.",
