Tell in digests for how long a daemon has been silent

Cause: a digest left out a daemon that its aggregator had not heard from for 0.8 s, so that its other peers knew it as alive for less time than by heartbeats: with a fifth of all messages lost, a live daemon of a large cell counted as dead for moments.

Change: a digest gives the silence in seconds. A daemon counts as dead 2 s after its last heartbeat, as in a small cell.

Measured: test_lost_messages_leave_a_large_cell_its_owner_and_members failed before and passes.

--- a/siskinroad/work/heartbeat_routes.py
+++ b/siskinroad/work/heartbeat_routes.py
@@ -42,10 +42,12 @@
 AGGREGATORS = 2
 # Seconds between two digests of an aggregator.
 DIGEST_INTERVAL = 0.3
-# Seconds without a heartbeat after which an aggregator no longer tells that a daemon of
-# its own data centre is alive, and the same for what it knows from other aggregators.
+# Seconds without a heartbeat from which a digest tells for how long a daemon of the
+# aggregator's own data centre has been silent, and the same for other data centres.
 SILENT_AFTER = HEARTBEAT_INTERVAL + 0.2
 RELAYED_SILENT_AFTER = SILENT_AFTER + DIGEST_INTERVAL + 0.2
+# Seconds that a digest tells of a daemon that has been silent for longer, or for good.
+LONGEST_SILENCE = 60.0
 # Seconds without a digest from a named aggregator after which another one is named, and
 # seconds for which it is not named again.
 AGGREGATOR_TIMEOUT = 1.0
@@ -257,22 +259,21 @@
     ) -> ZoneNews:
         is_own = data_centre == self.member.data_centre
         silent_after = SILENT_AFTER if is_own else RELAYED_SILENT_AFTER
-        silent = []
+        silent = {}
         news = []
         for node, member in self.members.known.items():
             if member.data_centre != data_centre or node == self.member.node:
                 continue
             last_heartbeat = self.members.last_heartbeats.get(node)
-            if (
-                last_heartbeat is None
-                or now - last_heartbeat.received_at > silent_after
-            ):
-                silent.append(node)
+            heard_at = last_heartbeat.received_at if last_heartbeat else -1e9
+            if now - heard_at > silent_after:
+                silent[node] = round(min(now - heard_at, LONGEST_SILENCE), 2)
+            if last_heartbeat is None or now - heard_at > HEARTBEAT_TIMEOUT:
                 continue
             if node in names:
                 age = round(max(0.0, now - last_heartbeat.content_at), 3)
                 news.append(MemberNews(age, _shorten(last_heartbeat.heartbeat)))
-        return ZoneNews(data_centre, silent_after, tuple(silent), tuple(news))
+        return ZoneNews(data_centre, silent_after, silent, tuple(news))
 
     def note_connected(self, node: str) -> None:
         """Note a new connection to a daemon, which may have missed digests."""
@@ -294,7 +295,11 @@
                     news.append(heartbeat)
         self.members.note_alive(
             {zone.data_centre: now - zone.silent_after for zone in digest.zones},
-            {node for zone in digest.zones for node in zone.silent},
+            {
+                node: now - silent_s
+                for zone in digest.zones
+                for node, silent_s in zone.silent.items()
+            },
         )
         return news
 
--- a/siskinroad/work/members.py
+++ b/siskinroad/work/members.py
@@ -130,21 +130,23 @@
         previous.received_at = max(previous.received_at, heard_at)
         return is_new
 
-    def note_alive(self, heard_at: Mapping[str, float], silent: set[str]) -> None:
+    def note_alive(
+        self, heard_at: Mapping[str, float], silent_since: Mapping[str, float]
+    ) -> None:
         """Note which daemons were alive, by a digest.
 
         Parameters
         ----------
         heard_at : Mapping of str to float
             Loop time since which the daemons of a data centre were heard of.
-        silent : set of str
-            Those that were not.
+        silent_since : Mapping of str to float
+            Loop time at which each of those was that were not.
         """
         for node, last_heartbeat in self.last_heartbeats.items():
             member = self.known.get(node)
-            if member is None or node in silent:
+            if member is None:
                 continue
-            at = heard_at.get(member.data_centre)
+            at = silent_since.get(node, heard_at.get(member.data_centre))
             if at is not None and at > last_heartbeat.received_at:
                 last_heartbeat.received_at = at
 
--- a/siskinroad/work/messages.py
+++ b/siskinroad/work/messages.py
@@ -92,13 +92,15 @@
     silent_after : float
         The aggregator has heard from every daemon of the data centre within this many
         seconds, but for those in ``silent``.
+    silent : dict of str to float
+        Seconds since the aggregator heard from each of these.
     news : tuple of MemberNews
         Heartbeats that have changed, and a few others.
     """
 
     data_centre: str
     silent_after: float
-    silent: tuple[str, ...]
+    silent: dict[str, float]
     news: tuple[MemberNews, ...]
 
 
