--- a/siskinroad/codec.py
+++ b/siskinroad/codec.py
@@ -10,7 +10,10 @@
 
 from siskinroad.errors import ProtocolError
 
-__all__ = ["Codec", "msgpack_codec"]
+__all__ = ["DECODE_ERRORS", "Codec", "msgpack_codec"]
+
+# What msgspec raises for malformed input; the second one for deeply nested input.
+DECODE_ERRORS = (msgspec.MsgspecError, RecursionError)
 
 
 @dataclass(slots=True, frozen=True)
@@ -33,7 +36,7 @@
     def decode(data: bytes, peer: str = "") -> Any:
         try:
             return decoder.decode(data)
-        except (msgspec.MsgspecError, RecursionError) as exc:
+        except DECODE_ERRORS as exc:
             raise ProtocolError(str(exc), step="peers.decode", peer=peer) from exc
 
     return Codec(encoder.encode, decode)
--- a/siskinroad/configuration.py
+++ b/siskinroad/configuration.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from siskinroad.cell import Cell, digest, moved_hosts, parse_cell
+from siskinroad.codec import DECODE_ERRORS
 from siskinroad.deltas import apply_delta, make_delta
 from siskinroad.errors import ConfigError, Problem, ProtocolError
 from siskinroad.records import CellRevision, Record, SnapshotPart
@@ -156,6 +157,6 @@
     """
     try:
         return msgspec.msgpack.decode(data, type=RevisionText)
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         text = f"cannot decode configuration snapshot: {exc}"
         raise ProtocolError(text, step="configuration.snapshot") from exc
--- a/siskinroad/ledger.py
+++ b/siskinroad/ledger.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from siskinroad.codec import DECODE_ERRORS
 from siskinroad.errors import ProtocolError
 from siskinroad.records import (
     ClaimMade,
@@ -226,7 +227,7 @@
     def _restore(self, data: bytes, as_of: int) -> None:
         try:
             saved = msgspec.msgpack.decode(data, type=_LedgerSnapshot)
-        except msgspec.MsgspecError as exc:
+        except DECODE_ERRORS as exc:
             text = f"cannot decode ledger snapshot: {exc}"
             raise ProtocolError(text, step="ledger.snapshot") from exc
         self.claims, self.replaced = saved.claims, saved.replaced
--- a/siskinroad/platform_http.py
+++ b/siskinroad/platform_http.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from siskinroad.codec import DECODE_ERRORS
 from siskinroad.errors import (
     LogTrimmedError,
     NotSentError,
@@ -88,7 +89,7 @@
 def _decode_body(response: ClientResponse, reply_type: type[_T], step: str) -> _T:
     try:
         return msgspec.json.decode(response.body, type=reply_type)
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         raise PlatformError(
             f"reply cannot be decoded: {exc}", step=f"platform.{step}"
         ) from exc
--- a/siskinroad/porcelain.py
+++ b/siskinroad/porcelain.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from siskinroad.cell import Cell, parse_cell
+from siskinroad.codec import DECODE_ERRORS
 from siskinroad.errors import (
     ConfigError,
     ConflictError,
@@ -207,7 +208,7 @@
 
     try:
         return asyncio.run(main())
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         raise SiskinroadError(
             "response body is not valid JSON", step=target, peer=at
         ) from exc
--- a/siskinroad/records.py
+++ b/siskinroad/records.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from siskinroad.codec import DECODE_ERRORS
 from siskinroad.deltas import Delta
 from siskinroad.errors import ProtocolError
 
@@ -201,7 +202,7 @@
             raise ProtocolError(text, step="records.decode")
         batch = _BATCH.decode(data)
         return batch.writer, [_RECORD.decode(raw) for raw in batch.records]
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         raise ProtocolError(f"damaged record: {exc}", step="records.decode") from exc
 
 
--- a/siskinroad/upstreams_http.py
+++ b/siskinroad/upstreams_http.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from siskinroad.cell import Host
+from siskinroad.codec import DECODE_ERRORS
 from siskinroad.errors import (
     OutcomeUnknownError,
     Reason,
@@ -110,7 +111,7 @@
         _expect_ok(response, host)
         try:
             return msgspec.json.decode(response.body, type=Inventory)
-        except msgspec.MsgspecError as exc:
+        except DECODE_ERRORS as exc:
             raise OutcomeUnknownError(
                 f"inventory cannot be decoded: {exc}", step="inventory", peer=host.name
             ) from exc
--- a/siskinroad/work/job_table.py
+++ b/siskinroad/work/job_table.py
@@ -21,6 +21,9 @@
 # Number of hosts assumed for each advice request when the time of a job is estimated,
 # as the platform's documentation specifies.
 HOSTS_PER_ADVICE_REQUEST = 30
+# Most occurrences of one job that are opened at once: a job may be submitted long after
+# the first of them were due.
+MAX_OPENED_AT_ONCE = 100
 
 log = logging.getLogger("siskinroad.pool_state")
 
@@ -143,7 +146,8 @@
         for job_id in list(self.scheduled_jobs):
             job = self.jobs[job_id]
             due = job.opened_occurrences
-            while due < job.spec.occurrences and job.spec.due(due) <= wall + max_lead:
+            last = min(job.spec.occurrences, due + MAX_OPENED_AT_ONCE)
+            while due < last and job.spec.due(due) <= wall + max_lead:
                 due += 1
             self.open_occurrences(job, due - 1, now)
 
--- a/siskinroad/work/records.py
+++ b/siskinroad/work/records.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from siskinroad.codec import DECODE_ERRORS
 from siskinroad.errors import ProtocolError
 from siskinroad.work.model import JobSpec
 from siskinroad.work.store import Record
@@ -167,7 +168,7 @@
     """
     try:
         return _DECODER.decode(value)
-    except (msgspec.MsgspecError, RecursionError) as exc:
+    except DECODE_ERRORS as exc:
         raise ProtocolError(str(exc), step="records.unpack") from exc
 
 
