--- a/siskinroad/http_client.py
+++ b/siskinroad/http_client.py
@@ -24,6 +24,8 @@
 # Seconds to open a connection. A larger value delays the error for an unreachable peer;
 # a smaller one gives false errors on slow links.
 CONNECT_TIMEOUT = 1.0
+# Highest port number of TCP.
+MAX_PORT = 65535
 # Heads of requests kept for reuse; a head repeats with the peer, the target and the
 # length of the body.
 MAX_REQUEST_HEADS = 1024
@@ -131,7 +133,8 @@
                     peer=address,
                 ) from None
             raise OutcomeUnknownError("no answer", step="http", peer=address) from None
-        except (OSError, h11.ProtocolError, EOFError) as exc:
+        except (OSError, h11.ProtocolError, EOFError, ValueError) as exc:
+            # A ValueError is of an address that is none.
             _abort(conn)
             if not is_sent:
                 raise NotSentError(str(exc), step="http", peer=address) from exc
@@ -160,12 +163,12 @@
         self, address: str, peer: _PeerPool, deadline: float
     ) -> ClientConnection:
         loop = asyncio.get_running_loop()
-        ip, _, port = address.rpartition(":")
+        ip, port = _split_address(address)
         generation = peer.generation
         limit_s = min(deadline - loop.time(), CONNECT_TIMEOUT)
         async with FairTimeout(limit_s):
             _, conn = await loop.create_connection(
-                lambda: ClientConnection(generation), ip, int(port)
+                lambda: ClientConnection(generation), ip, port
             )
         self.opened += 1
         return conn
@@ -179,6 +182,21 @@
             peer.generation += 1
 
 
+def _split_address(address: str) -> tuple[str, int]:
+    """Return the host and the port of an address.
+
+    Raises
+    ------
+    ValueError
+        If the address has no port number.
+    """
+    ip, _, port = address.rpartition(":")
+    number = int(port)
+    if not ip or not 0 < number <= MAX_PORT:
+        raise ValueError(f"expected an address with a port, got {address!r}")
+    return ip, number
+
+
 def _make_head(
     method: str,
     target: str,
--- a/tests/platform/test_fuzz.py
+++ b/tests/platform/test_fuzz.py
@@ -16,8 +16,13 @@
 from siskinroad_platform.store import PlatformStore, encode_records
 from siskinroad_platform.wire import PlatformDecoder, decode_job, decode_report
 
-from siskinroad.errors import ConfigError, ProtocolError, SiskinroadError
-from siskinroad.http_client import ClientResponse
+from siskinroad.errors import (
+    ConfigError,
+    NotSentError,
+    ProtocolError,
+    SiskinroadError,
+)
+from siskinroad.http_client import ClientResponse, HttpPool
 from siskinroad.httpd import HttpRequest
 from siskinroad.work import messages
 from siskinroad.work.records import Accepted, decode_stored, encode_stored
@@ -232,3 +237,43 @@
     body = JOB | {"repeat_count": 10**12, "start_at_ms": 0, "interval_ms": 0}
     with pytest.raises(ProtocolError):
         decode_job(msgspec.json.encode(body))
+
+
+ODD_ADDRESSES = (
+    "nonsense",
+    "10.0.0.1",
+    "10.0.0.1:",
+    "10.0.0.1:x",
+    "10.0.0.1:99999",
+    "10.0.0.1:0",
+    "10.0.0.1:-1",
+    "10.0.0.1:" + "9" * 5000,
+    "10.0.0.1:\u0663",
+    "10.0.0.999:80",
+    "a:b:c",
+    ":80",
+    "",
+    "10.0.0.1:80\r\nx: y",
+)
+
+
+@pytest.mark.parametrize("address", ODD_ADDRESSES, ids=range(len(ODD_ADDRESSES)))
+def test_an_entry_of_another_writer_with_an_odd_address_names_no_host(address):
+    # The first renewal of its lease would end the owner of the pool.
+    entry = msgspec.json.encode(server_entry(address))
+    assert PlatformDecoder().decode_host("i-1", entry) is None
+
+
+@pytest.mark.parametrize("address", ["nonsense", "127.0.0.1:99999", "127.0.0.1:-1", ""])
+def test_a_request_to_an_odd_address_is_not_sent(address):
+    async def main():
+        with pytest.raises(NotSentError):
+            await HttpPool().request(address, "GET", "/")
+
+    asyncio.run(main())
+
+
+def test_a_host_of_negative_capacity_is_not_used():
+    entry = server_entry("10.0.0.1:80", cpu=-1)
+    body = msgspec.json.encode(entry)
+    assert PlatformDecoder().decode_host("i-1", body) is None
