Send no stop and no throttling before the claim is confirmed

Cause: starts and renewals are sent only while the owner's claim is confirmed; stops and throttlings were sent at once.

Change: a stop waits until the claim is confirmed, as long as the owner runs; a throttling is left to the monitor's next decision.

Measured: tests/work/test_unconfirmed_owner.py: stop and throttle failed before, and the stop that is sent after confirmation; start passed before too. All pass now, with the tests of daemons, hosts' replies and the run monitor.

--- a/siskinroad/work/host_commands.py
+++ b/siskinroad/work/host_commands.py
@@ -201,12 +201,19 @@
         )
 
     async def stop(self, effect: StopRun) -> None:
-        """Send a stop, repeated until it is answered or the run has ended."""
+        """Send a stop, repeated until it is answered or the run has ended.
+
+        An owner that was paused may have lost the pool meanwhile: the stop waits until
+        its claim is confirmed.
+        """
         task, run_number = effect.run.key
         while True:
             host = self.term.pool_state.hosts.get(effect.host)
             if host is None:
                 return
+            if not self.term.is_owner_confirmed():
+                await asyncio.sleep(STOP_RETRY_INTERVAL)
+                continue
             async with self._get_semaphore(host.name):
                 if effect.run.state == "over":
                     return
@@ -255,6 +262,9 @@
         host = self.term.pool_state.hosts.get(effect.host)
         if host is None:
             return
+        if not self.term.is_owner_confirmed():
+            effect.run.speed_percent = effect.former_percent
+            return
         outcome = "sent"
         try:
             async with self._get_semaphore(host.name), FairTimeout(COMMAND_TIMEOUT):
