--- a/tests/work/test_cell_troubles.py
+++ b/tests/work/test_cell_troubles.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
+import pytest
+
 from siskinroad.work.store import Record
-from tests.work.cell import POOL, job
+from tests.work.cell import POOL, job, step
 from tests.work.test_daemon import JOB_ID, run_scenario
 from tests.work.test_heartbeat_routes import run_large_cell
 
@@ -77,3 +79,51 @@
                 assert daemon.members.owner(POOL, now) == cell.owner()
 
     run_large_cell(scenario)
+
+
+@pytest.mark.parametrize("all_die", [False, True])
+def test_hosts_that_leave_or_have_left_get_no_work_after_a_restart(all_die):
+    # The next owner knows them from the store, from records of before they left.
+    async def scenario(cell):
+        await cell.start_daemons("a", "b")
+        await cell.submit("a", JOB_ID, job(step(24, cpu_milli=4000)))
+        await cell.wait_for_state(JOB_ID, "complete")
+        cell.drain("i-0")
+        cell.unlist("i-1")
+        await asyncio.sleep(4.0)
+        names = ["a", "b"] if all_die else [cell.owner()]
+        for name in names:
+            await cell.kill(name)
+        await cell.start_daemons("c")
+        await cell.wait_for_owner()
+        began = asyncio.get_running_loop().time()
+        await cell.submit("c", "00000000000000bb", job(step(24, cpu_milli=4000)))
+        await cell.wait_for_state("00000000000000bb", "complete")
+        later = {start.host for start in cell.hosts.starts() if start.at >= began}
+        assert later == {"i-2"}
+
+    run_scenario(scenario)
+
+
+def test_the_former_owner_starts_nothing_once_a_planned_handover_has_begun():
+    # Both act on the same hosts around it, and each start must go out once.
+    async def scenario(cell):
+        await cell.start_daemons("a", "b", "c")
+        for number in range(40):
+            name = f"{number:016x}"
+            await cell.submit("a", name, job(step(4, cpu_milli=2000, estimate=0.3)))
+            if number in (10, 25):
+                owner = cell.owner()
+                leaving = cell.daemons[owner]
+                tokens = {h.entry.name: h.token for h in cell.hosts.hosts.values()}
+                await leaving.drain()
+                assert leaving.owners == {}
+                await cell.wait_for_owner()
+                assert cell.owner() != owner
+                for host in cell.hosts.hosts.values():
+                    assert host.token > tokens[host.entry.name]
+        for number in range(40):
+            await cell.wait_for_state(f"{number:016x}", "complete")
+        assert len(cell.hosts.starts()) == 160
+
+    run_scenario(scenario)
