Split the planner and the pool state by their jobs

Change: run_end_table applies the ends that hosts list; host_withholder chooses the hosts that a blocked large step withholds, and the runs preempted there. No change of behaviour. Measured: the 109 tests of planner, pool state, turns, renewals and run monitor pass.

--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -1,36 +1,27 @@
 """Scheduler that places the waiting tasks of a pool on its hosts.
 
 Steps are ordered by priority and then by target time, so that short urgent steps do
-not queue behind long wide ones. Single tasks would fill every gap before a gang fits:
-one blocked large step therefore excludes later steps from the hosts that will fit it
-first, and preempts less urgent runs there that can resume from a checkpoint.
+not queue behind long wide ones. `host_withholder` keeps hosts for a blocked large step,
+`late_steps` gives late ones their turn.
 """
 
 from __future__ import annotations
 
-import heapq
 import logging
 
 from siskinroad.work.advice_requester import AdviceRequester
 from siskinroad.work.advisor_channels import ChannelTimes
 from siskinroad.work.effects import Effect, StartRun
 from siskinroad.work.headroom import UrgentHeadroom
-from siskinroad.work.host import Host, Run
+from siskinroad.work.host import Host
+from siskinroad.work.host_withholder import HostWithholder, is_large
 from siskinroad.work.job import StepRun, Task
 from siskinroad.work.job_table import QueueTimes
 from siskinroad.work.late_steps import LateStepTurns
 from siskinroad.work.model import Queue
 from siskinroad.work.open_hosts import make_open_hosts
 from siskinroad.work.placement import place_tasks
-from siskinroad.work.planning_pass import (
-    PlanningPass,
-    TentativePlacement,
-    can_hold_all,
-    compute_available_after_stops,
-    compute_shortfall,
-    fits_beside_long_running,
-    step_allows_host,
-)
+from siskinroad.work.planning_pass import PlanningPass, TentativePlacement
 from siskinroad.work.pool_state import PoolState
 from siskinroad.work.schedulable_hosts import SchedulableHosts, make_schedulable_hosts
 from siskinroad.work.sole_hosts import find_sole_hosts
@@ -44,16 +35,9 @@
 # A job has no value left for its users once it has taken this multiple of its allowed
 # time.
 WORTHLESS_FACTOR = 3.0
-# Largest fraction of a pool's hosts from which a blocked step may exclude later steps.
-MAX_EXCLUDED_FRACTION = 0.5
-# Remaining seconds of work up to which a run is not preempted: stopping it and starting
-# it from its checkpoint take nearly as long.
-MIN_PREEMPTIBLE_S = 1.5
 # Largest number of steps for which one planning pass looks for hosts. A pass that takes
 # as long as a ticket is valid would start nothing any more.
 MAX_STEPS_PER_PASS = 64
-# Highest run number that may be preempted; it bounds how often one task is stopped.
-MAX_PREEMPTIBLE_RUN = 4
 
 log = logging.getLogger("siskinroad.planner")
 
@@ -77,6 +61,7 @@
         self.last_pass: PlanningPass | None = None
         self.urgent_headroom = UrgentHeadroom()
         self.advice_requester = AdviceRequester(pool_state)
+        self.host_withholder = HostWithholder(pool_state)
         self._late_step_turns = LateStepTurns()
         self._usual_hosts: SchedulableHosts | None = None
 
@@ -198,9 +183,7 @@
         late_steps = [
             step
             for lateness, step in ranked
-            if lateness
-            and not step.spec.long_running
-            and _is_large(planning_pass, step)
+            if lateness and not step.spec.long_running and is_large(planning_pass, step)
         ]
         late_step = self._late_step_turns.choose(late_steps, planning_pass.now)
         if late_step is None:
@@ -246,7 +229,7 @@
             if step.spec.gang and step.waiting_count < len(step.tasks):
                 continue
             if not self._may_use_hosts(planning_pass, step):
-                if has_large or not self._may_exclude_hosts(
+                if has_large or not self.host_withholder.may_withhold(
                     planning_pass, step, lateness
                 ):
                     continue
@@ -277,8 +260,8 @@
             is_bounded=queue.priority > 0 and not step.spec.long_running,
         )
         if placement is None:
-            if self._may_exclude_hosts(planning_pass, step, lateness):
-                self._exclude_hosts(planning_pass, step, queue)
+            if self.host_withholder.may_withhold(planning_pass, step, lateness):
+                self.host_withholder.withhold(planning_pass, step, queue)
             if advice is not None:
                 self.advice_requester.request_for_blocked_step(
                     planning_pass, step, advice
@@ -286,117 +269,6 @@
             return
         self._start_tasks(planning_pass, step, placement, queue)
 
-    # Capacity for blocked steps
-
-    def _may_exclude_hosts(
-        self, planning_pass: PlanningPass, step: StepRun, lateness: int
-    ) -> bool:
-        """Return whether hosts may be withheld for a step if it is blocked."""
-        if step is planning_pass.late_step:
-            return True
-        if planning_pass.has_withheld or (lateness and not step.spec.long_running):
-            return False
-        return _is_large(planning_pass, step)
-
-    def _exclude_hosts(
-        self, planning_pass: PlanningPass, step: StepRun, queue: Queue
-    ) -> None:
-        """Exclude later steps from the hosts that will fit a blocked large step first.
-
-        Only one step per planning pass does so, the most urgent that can still meet
-        its target time or is long-running: hosts held back for several steps would
-        mostly be idle. Beside it, the late step that has its turn gets one host, or as
-        many as its gang has members.
-        """
-        is_late = step is planning_pass.late_step
-        schedulable_hosts = planning_pass.schedulable_hosts
-        capable = schedulable_hosts.find_capable_hosts(step)
-        count = step.waiting_count
-        max_hosts = max(1, int(len(schedulable_hosts.hosts) * MAX_EXCLUDED_FRACTION))
-        if step.spec.gang and count > max_hosts:
-            return
-        hosts = capable.hosts
-        if queue.advice is not None:
-            hosts = [host for host in hosts if host.name in step.tickets]
-        nothing = TentativePlacement()
-        sole_hosts = planning_pass.open_hosts.sole_hosts
-        hosts = [
-            host
-            for host in hosts
-            if fits_beside_long_running(host, step)
-            and step_allows_host(step, host, nothing)
-            and sole_hosts.allow(step, host)
-        ]
-        if step.spec.gang and not can_hold_all(hosts, step):
-            return
-        if is_late and not step.spec.gang:
-            max_hosts = 1
-        first_hosts = heapq.nsmallest(
-            min(count, max_hosts),
-            hosts,
-            key=lambda h: compute_shortfall(
-                compute_available_after_stops(h, step, planning_pass.now), step
-            ),
-        )
-        planning_pass.has_withheld |= bool(first_hosts) and not is_late
-        for host in first_hosts:
-            planning_pass.exclude_host(host)
-            self._preempt_runs(planning_pass, step, host, queue)
-
-    def _preempt_runs(
-        self, planning_pass: PlanningPass, step: StepRun, host: Host, queue: Queue
-    ) -> None:
-        """Stop less urgent runs on a host, to resume from a checkpoint elsewhere.
-
-        Stops only as many as the step needs to fit, and only runs that would hold
-        their resources for clearly longer than a stop takes.
-        """
-        if not self._has_less_urgent_runs(host, queue):
-            return
-        available = compute_available_after_stops(host, step, planning_pass.now)
-        if step.need.fits(available):
-            return
-        chosen: list[Run] = []
-        runs = [
-            r
-            for r in host.runs.values()
-            if self._is_preemptible(planning_pass, r, queue)
-        ]
-        for run in sorted(runs, key=lambda r: r.begun_at, reverse=True):
-            if step.need.fits(available):
-                break
-            available = available + run.need
-            chosen.append(run)
-        if not step.need.fits(available):
-            return
-        for run in chosen:
-            planning_pass.effects += self.pool_state.stop(host, run, "preempted")
-
-    def _has_less_urgent_runs(self, host: Host, queue: Queue) -> bool:
-        queues = self.pool_state.queues
-        return any(
-            name in queues and queues[name].priority > queue.priority
-            for name in host.queue_uses
-        )
-
-    def _is_preemptible(
-        self, planning_pass: PlanningPass, run: Run, queue: Queue
-    ) -> bool:
-        other = self.pool_state.queues.get(run.queue)
-        step = self.pool_state.step(run.key[0])
-        if other is None or step is None or other.priority <= queue.priority:
-            return False
-        spec = step.spec
-        if not spec.checkpoints or spec.gang or spec.long_running:
-            return False
-        remaining_s = run.declared_s * (100 - run.progress) / 100
-        is_below_run_limit = run.key[1] <= MAX_PREEMPTIBLE_RUN
-        return (
-            run.state == "running"
-            and is_below_run_limit
-            and remaining_s > MIN_PREEMPTIBLE_S
-        )
-
     # Start commands
 
     def _start_tasks(
@@ -465,12 +337,6 @@
         )
 
 
-def _is_large(planning_pass: PlanningPass, step: StepRun) -> bool:
-    """Return whether small tasks may keep a step's tasks off all hosts."""
-    capable = planning_pass.schedulable_hosts.find_capable_hosts(step)
-    return step.spec.gang or capable.has_large
-
-
 def _compute_lateness(
     step: StepRun, times: QueueTimes, now: float, wall: float
 ) -> tuple[int, float]:
--- a/tests/work/test_planner.py
+++ b/tests/work/test_planner.py
@@ -9,8 +9,9 @@
 from siskinroad.work.hosts import EndKind, HostReport, RunEnd
 from siskinroad.work.model import Timing
 from siskinroad.work.planner import Planner
-from siskinroad.work.pool_state import FAILING_QUARANTINE_S, PoolState
+from siskinroad.work.pool_state import PoolState
 from siskinroad.work.records import Accepted
+from siskinroad.work.run_end_table import FAILING_QUARANTINE_S
 from siskinroad.work.run_monitor import RunMonitor
 from tests.work.cell import ADVISED, CONFIGURATION, POOL, entry, job, step
 
