--- a/bench/membership.py
+++ b/bench/membership.py
@@ -53,9 +53,9 @@
     """One daemon of the simulated cell."""
 
     def __init__(self, number: int) -> None:
-        name = f"edge-zone{number % DATA_CENTRES}-{number}"
-        zone = f"zone{number % DATA_CENTRES}"
-        self.member = Member(name, 1, f"10.0.0.{number}:7380", zone, "r")
+        name = f"entry-{number % DATA_CENTRES}-{number}"
+        data_centre = f"dc{number % DATA_CENTRES}"
+        self.member = Member(name, 1, f"10.0.0.{number}:7380", data_centre, "r")
         self.members = Members(name, 1)
         self.routes = HeartbeatRoutes(self.member, self.members)
         self.owned = ((f"pool-{number}", 1),) if number < OWNERS else ()
@@ -149,7 +149,7 @@
     b.receiver = count
     a.open()
     b.open()
-    msg = Hello("a", 1, "address", "zone", "region")
+    msg = Hello("a", 1, "address", "data centre", "region")
     while not received:
         a.send("b", msg)
         await asyncio.sleep(0.01)
--- a/siskinroad/work/heartbeat_routes.py
+++ b/siskinroad/work/heartbeat_routes.py
@@ -30,7 +30,7 @@
     has_news,
     rank_node,
 )
-from siskinroad.work.messages import Digest, Heartbeat, MemberNews, ZoneNews
+from siskinroad.work.messages import DataCentreNews, Digest, Heartbeat, MemberNews
 from siskinroad.work.records import Member
 
 __all__ = ["DIGEST_INTERVAL", "HeartbeatRoutes"]
@@ -121,7 +121,7 @@
                     extra={
                         "peer": node,
                         "named_s": round(now - named.since, 2),
-                        "silent_s": round(now - named.digest_at, 2),
+                        "silent_s": round(now - max(named.since, named.digest_at), 2),
                         "pause_s": AGGREGATOR_PAUSE,
                     },
                 )
@@ -207,8 +207,8 @@
             self._digest_peers.clear()
             self._changed.clear()
             return []
-        zones = {member.data_centre for member in self.members.known.values()}
-        own_zone = self.member.data_centre
+        data_centres = {member.data_centre for member in self.members.known.values()}
+        own = self.member.data_centre
         repeated = self._changed | self._choose_repeated()
         digests = []
         for is_known in (True, False):
@@ -216,11 +216,13 @@
             subscribers = self._select(self._subscribers, is_known)
             if subscribers:
                 digests.append(
-                    (subscribers, self._make_digest(sorted(zones), names, now))
+                    (subscribers, self._make_digest(sorted(data_centres), names, now))
                 )
-            remote = self._select(self._list_remote(zones - {own_zone}, now), is_known)
+            remote = self._select(
+                self._list_remote(data_centres - {own}, now), is_known
+            )
             if remote:
-                digests.append((remote, self._make_digest([own_zone], names, now)))
+                digests.append((remote, self._make_digest([own], names, now)))
         self._digest_peers = {node for nodes, _ in digests for node in nodes}
         self._changed.clear()
         return digests
@@ -251,12 +253,12 @@
     ) -> Digest:
         return Digest(
             self.member.node,
-            tuple(self._make_zone_news(zone, names, now) for zone in data_centres),
+            tuple(self._make_news(name, names, now) for name in data_centres),
         )
 
-    def _make_zone_news(
+    def _make_news(
         self, data_centre: str, names: set[str], now: float
-    ) -> ZoneNews:
+    ) -> DataCentreNews:
         is_own = data_centre == self.member.data_centre
         silent_after = SILENT_AFTER if is_own else RELAYED_SILENT_AFTER
         silent = {}
@@ -273,7 +275,7 @@
             if node in names:
                 age = round(max(0.0, now - last_heartbeat.content_at), 3)
                 news.append(MemberNews(age, _shorten(last_heartbeat.heartbeat)))
-        return ZoneNews(data_centre, silent_after, silent, tuple(news))
+        return DataCentreNews(data_centre, silent_after, silent, tuple(news))
 
     def note_connected(self, node: str) -> None:
         """Note a new connection to a daemon, which may have missed digests."""
@@ -285,20 +287,23 @@
         if named is not None:
             named.digest_at = now
         news = []
-        for zone in digest.zones:
-            for item in zone.news:
+        for data_centre in digest.data_centres:
+            for item in data_centre.news:
                 heartbeat = item.heartbeat
                 if heartbeat.node == self.member.node:
                     continue
-                if self.members.record_indirect(heartbeat, now - item.age):
+                if self.members.record_indirect(heartbeat, now - max(0.0, item.age)):
                     self._changed.add(heartbeat.node)
                     news.append(heartbeat)
         self.members.note_alive(
-            {zone.data_centre: now - zone.silent_after for zone in digest.zones},
             {
-                node: now - silent_s
-                for zone in digest.zones
-                for node, silent_s in zone.silent.items()
+                each.data_centre: now - max(0.0, each.silent_after)
+                for each in digest.data_centres
+            },
+            {
+                node: now - max(0.0, silent_s)
+                for each in digest.data_centres
+                for node, silent_s in each.silent.items()
             },
         )
         return news
--- a/siskinroad/work/messages.py
+++ b/siskinroad/work/messages.py
@@ -13,6 +13,7 @@
     "MAX_STORE_AGE",
     "AdviceReply",
     "AdviceRequest",
+    "DataCentreNews",
     "Digest",
     "Heartbeat",
     "Hello",
@@ -25,7 +26,6 @@
     "SubmitOutcome",
     "SubmitReply",
     "SubmitRequest",
-    "ZoneNews",
     "decode",
     "encode",
 ]
@@ -84,7 +84,7 @@
     heartbeat: Heartbeat
 
 
-class ZoneNews(msgspec.Struct, frozen=True, array_like=True):
+class DataCentreNews(msgspec.Struct, frozen=True, array_like=True):
     """What an aggregator knows of the daemons of one data centre.
 
     Attributes
@@ -108,7 +108,7 @@
     """Digest of heartbeats that an aggregator sends instead of passing each one on."""
 
     node: str
-    zones: tuple[ZoneNews, ...]
+    data_centres: tuple[DataCentreNews, ...]
 
 
 class Hello(msgspec.Struct, tag="hello", frozen=True, array_like=True):
--- a/tests/work/test_heartbeat_routes.py
+++ b/tests/work/test_heartbeat_routes.py
@@ -12,15 +12,17 @@
     HeartbeatRoutes,
 )
 from siskinroad.work.members import HEARTBEAT_TIMEOUT, Members
-from siskinroad.work.messages import Heartbeat
+from siskinroad.work.messages import DataCentreNews, Digest, Heartbeat, MemberNews
 from siskinroad.work.records import Member
 from tests.work.cell import POOL, Cell, job
 
-ZONES = ("z0", "z1", "z2")
+DATA_CENTRES = ("d0", "d1", "d2")
 
 
 def make_member(number):
-    return Member(f"n{number}", 1, f"n{number}:1", ZONES[number % len(ZONES)], "r")
+    return Member(
+        f"n{number}", 1, f"n{number}:1", DATA_CENTRES[number % len(DATA_CENTRES)], "r"
+    )
 
 
 def make_routes(number, size):
@@ -54,8 +56,8 @@
     return routes.list_recipients(own, now)
 
 
-def find_zone_news(digest, zone):
-    return next(news for news in digest.zones if news.data_centre == zone)
+def find_news(digest, data_centre):
+    return next(news for news in digest.data_centres if news.data_centre == data_centre)
 
 
 def test_small_cells_send_heartbeats_to_every_daemon():
@@ -128,8 +130,8 @@
     receive(routes, heartbeat("n3", aggregators=("n0",)), 10.0)
     (own_nodes, own), (other_nodes, other) = routes.make_digests(10.1)
     assert own_nodes == ["n3"]
-    assert [news.data_centre for news in own.zones] == list(ZONES)
-    assert [news.data_centre for news in other.zones] == ["z0"]
+    assert [news.data_centre for news in own.data_centres] == list(DATA_CENTRES)
+    assert [news.data_centre for news in other.data_centres] == ["d0"]
     assert len(other_nodes) == 4
     assert all(int(node[1:]) % 3 for node in other_nodes)
 
@@ -201,7 +203,7 @@
     receive(routes, heartbeat("n12", aggregators=("n0",)), 10.2)
     by_node = {n: digest for nodes, digest in routes.make_digests(10.3) for n in nodes}
     told = {
-        node: {item.heartbeat.node for item in find_zone_news(by_node[node], "z0").news}
+        node: {item.heartbeat.node for item in find_news(by_node[node], "d0").news}
         for node in ("n3", "n12")
     }
     assert {"n9", "n12"} <= told["n3"]
@@ -215,12 +217,24 @@
         now = 10.0 + silent_s
         receive(routes, heartbeat("n3", aggregators=("n0",)), now)
         ((_, digest), _) = routes.make_digests(now)
-        news = find_zone_news(digest, "z0")
+        news = find_news(digest, "d0")
         assert news.silent["n9"] == pytest.approx(silent_s, abs=0.01)
         assert "n3" not in news.silent
     assert "n9" not in [item.heartbeat.node for item in news.news]
 
 
+@pytest.mark.parametrize("age", [-60.0, float("nan")])
+def test_a_digest_from_the_future_keeps_nobody_alive(age):
+    # A wrong age must not make a daemon count as alive for longer than a heartbeat.
+    news = MemberNews(age, heartbeat("n9"))
+    digest = Digest("n0", (DataCentreNews("d0", age, {"n6": age}, (news,)),))
+    routes = make_routes(12, 30)
+    receive(routes, heartbeat("n6"), 9.0)
+    routes.apply_digest(digest, 10.0)
+    for name in ("n6", "n9"):
+        assert not routes.members.is_alive(name, 10.0 + HEARTBEAT_TIMEOUT + 0.1)
+
+
 # Whole daemons
 
 
