Let a digest not replace what a daemon has said itself

Cause: a digest may arrive later than a newer heartbeat from the daemon itself, and replaced its content: a pool that its owner had just released seemed owned again for up to 0.75 s. Change: the content of a digest counts only for daemons that this one has not heard of directly for 2 s. Measured: test_a_late_digest_does_not_replace_what_the_daemon_itself_has_said failed before and passes.

--- a/siskinroad/work/members.py
+++ b/siskinroad/work/members.py
@@ -106,6 +106,9 @@
     def record_indirect(self, heartbeat: Heartbeat, heard_at: float) -> bool:
         """Apply a heartbeat from a digest; return whether its content is newer.
 
+        It may have been on its way for longer than a later one that came from the
+        daemon itself, so its content counts only if none has come for a while.
+
         Parameters
         ----------
         heard_at : float
@@ -122,7 +125,8 @@
             return True
         if previous.heartbeat.incarnation > heartbeat.incarnation:
             return False
-        if previous.content_at >= heard_at:
+        is_heard_directly = heard_at - previous.direct_at <= HEARTBEAT_TIMEOUT
+        if is_heard_directly or previous.content_at >= heard_at:
             return False
         is_new = has_news(previous.heartbeat, heartbeat)
         previous.heartbeat = heartbeat
--- a/tests/work/test_heartbeat_routes.py
+++ b/tests/work/test_heartbeat_routes.py
@@ -173,6 +173,17 @@
     assert routes.members.claimant(POOL, 10.3) is None
 
 
+def test_a_late_digest_does_not_replace_what_the_daemon_itself_has_said():
+    # It would return a pool to the owner that has just released it.
+    digest = make_digest_of("n0", heartbeat("n9", owned=((POOL, 4),)))
+    routes = make_routes(12, 30)
+    receive(routes, heartbeat("n9", owned=((POOL, 4),)), 10.0)
+    receive(routes, heartbeat("n9", is_leaving=True), 10.2)
+    routes.apply_digest(digest, 10.5)
+    assert routes.members.owner(POOL, 10.6) is None
+    assert routes.members.was_released(POOL, 10.6)
+
+
 def test_a_digest_does_not_bring_back_an_ended_daemon():
     # Its port refuses connections, which a digest that is on its way does not know.
     digest = make_digest_of("n0", heartbeat("n9"))
