Log and count how old the configuration is on which a reply rests

Cause: a refusal for a queue that does not exist named the version, but not when the daemon last knew that this was the newest.

Change: ConfigurationReader, moved out of the daemon, knows that time. Replies, refusals and each applied version log it; two metrics give version and age. No decision changes.

--- /dev/null
+++ b/siskinroad/work/configuration_reader.py
@@ -0,0 +1,81 @@
+"""Reader of the operators' configuration, which keeps the newest version in force."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from siskinroad.work.follower import Follower
+from siskinroad.work.model import Configuration
+from siskinroad.work.platform_clients import Decoder
+from siskinroad.work.store import NewestRecord, Store
+
+__all__ = ["ConfigurationReader"]
+
+log = logging.getLogger("siskinroad.daemon")
+
+
+class ConfigurationReader:
+    """Reader of the configuration; a version in force is only replaced by a newer one.
+
+    Parameters
+    ----------
+    on_activated : callable
+        Called with each version that comes into force.
+
+    Attributes
+    ----------
+    configuration : Configuration or None
+        The configuration in force; None before the first one was read.
+    follower : Follower
+        Reader of the topic that holds the configuration.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        decoder: Decoder,
+        on_activated: Callable[[Configuration], None],
+    ) -> None:
+        self.configuration: Configuration | None = None
+        self.follower = Follower(store, decoder.configuration_topic, self._apply)
+        self._decoder = decoder
+        self._on_activated = on_activated
+        self._started_at = asyncio.get_running_loop().time()
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 if there is none."""
+        return self.configuration.version if self.configuration is not None else 0
+
+    def age_s(self) -> float:
+        """Return the seconds since the configuration was the newest for certain.
+
+        Every version that was stored before then is in force. Until the first read it
+        is the time since the start.
+        """
+        known_at = max(self.follower.confirmed_at, self._started_at)
+        return asyncio.get_running_loop().time() - known_at
+
+    def _apply(self, items: tuple[NewestRecord, ...], is_snapshot: bool) -> None:
+        for item in items:
+            configuration = self._decoder.decode_configuration(item.key, item.value)
+            if configuration is not None:
+                self._activate(configuration)
+
+    def _activate(self, configuration: Configuration) -> None:
+        if configuration.version <= self.version and self.configuration is not None:
+            return
+        former_version, former_age_s = self.version, self.age_s()
+        self.configuration = configuration
+        log.info(
+            "daemon: configuration applied",
+            extra={
+                "version": configuration.version,
+                "queues": len(configuration.queues),
+                "former": former_version,
+                "former_age_s": round(former_age_s, 2),
+            },
+        )
+        self._on_activated(configuration)
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -13,6 +13,7 @@
 from siskinroad.resources import Resources
 from siskinroad.work.advisor_channels import AdvisorChannels
 from siskinroad.work.claim_manager import ClaimManager
+from siskinroad.work.configuration_reader import ConfigurationReader
 from siskinroad.work.follower import Follower
 from siskinroad.work.job_service import JobService
 from siskinroad.work.job_writer import JobWriter
@@ -31,7 +32,7 @@
     SubmitReply,
     SubmitRequest,
 )
-from siskinroad.work.model import Configuration, HostEntry, Timing
+from siskinroad.work.model import HostEntry, Timing
 from siskinroad.work.peer_calls import PeerCalls
 from siskinroad.work.platform_clients import PlatformClients
 from siskinroad.work.records import (
@@ -157,8 +158,18 @@
             lambda: self.store.last_answer_at,
             self.metrics,
         )
+        decoder = platform_clients.decoder
+        self.configuration_reader = ConfigurationReader(
+            self.store, decoder, self.claim_manager.configure
+        )
+        self.configuration_follower = self.configuration_reader.follower
+        self.metrics.configuration_version.set_function(
+            lambda: self.configuration_reader.version
+        )
+        self.metrics.configuration_age.set_function(self.configuration_reader.age_s)
         self.job_service = JobService(
             member,
+            self.configuration_reader,
             self.job_writer,
             self.peer_calls,
             self.owners,
@@ -173,10 +184,6 @@
         self.membership.on_suspended = self._on_suspended
         self.membership.on_heartbeat = self._on_heartbeat
         self.membership.on_ended = self.claim_manager.check_requested.set
-        decoder = platform_clients.decoder
-        self.configuration_follower = Follower(
-            self.store, decoder.configuration_topic, self._apply_configurations
-        )
         self.hosts_follower = Follower(
             self.store,
             decoder.hosts_topic,
@@ -194,7 +201,7 @@
     def is_ready(self) -> bool:
         """Whether this daemon should receive requests from callers."""
         return (
-            self.job_service.configuration is not None
+            self.configuration_reader.configuration is not None
             and not self.claim_manager.is_leaving
         )
 
@@ -308,31 +315,7 @@
         for follower in followers:
             follower.restart_read()
 
-    # Configuration and hosts
-
-    def _apply_configurations(
-        self, items: tuple[NewestRecord, ...], is_snapshot: bool
-    ) -> None:
-        for item in items:
-            configuration = self.platform_clients.decoder.decode_configuration(
-                item.key, item.value
-            )
-            if configuration is not None:
-                self._activate_configuration(configuration)
-
-    def _activate_configuration(self, configuration: Configuration) -> None:
-        current = self.job_service.configuration
-        if current is not None and configuration.version <= current.version:
-            return
-        self.job_service.configuration = configuration
-        log.info(
-            "daemon: configuration applied",
-            extra={
-                "version": configuration.version,
-                "queues": len(configuration.queues),
-            },
-        )
-        self.claim_manager.configure(configuration)
+    # Hosts
 
     def _apply_host_list(
         self, items: tuple[NewestRecord, ...], is_snapshot: bool
--- a/siskinroad/work/job_service.py
+++ b/siskinroad/work/job_service.py
@@ -15,6 +15,7 @@
 from siskinroad.errors import SiskinroadError
 from siskinroad.fair_timeout import let_loop_poll
 from siskinroad.resources import Resources
+from siskinroad.work.configuration_reader import ConfigurationReader
 from siskinroad.work.job import JobState
 from siskinroad.work.job_writer import JobWriter
 from siskinroad.work.messages import JobReply, JobRequest, SubmitOutcome
@@ -98,6 +99,8 @@
     ----------
     member : Member
         This daemon.
+    configuration_reader : ConfigurationReader
+        Source of the configuration in force.
     owners : dict of str to PoolOwner
         The pools that this daemon owns.
     find_owner : callable
@@ -111,6 +114,7 @@
     def __init__(
         self,
         member: Member,
+        configuration_reader: ConfigurationReader,
         job_writer: JobWriter,
         peer_calls: PeerCalls,
         owners: dict[str, PoolOwner],
@@ -120,8 +124,7 @@
         wall: Callable[[], float],
         last_store_answer_at: Callable[[], float],
     ) -> None:
-        self.configuration: Configuration | None = None
-        self.configuration_at = 0.0
+        self._configuration_reader = configuration_reader
         self._node = member.node
         self._data_centre = member.data_centre
         self._job_writer = job_writer
@@ -133,6 +136,16 @@
         self._wall = wall
         self._last_store_answer_at = last_store_answer_at
 
+    @property
+    def configuration(self) -> Configuration | None:
+        """The configuration in force; None before the first one was read."""
+        return self._configuration_reader.configuration
+
+    def describe_configuration(self) -> dict[str, float]:
+        """Return the version in force and its age in seconds, for log lines."""
+        reader = self._configuration_reader
+        return {"version": reader.version, "version_age_s": round(reader.age_s(), 2)}
+
     def _store_age_s(self) -> float:
         return asyncio.get_running_loop().time() - self._last_store_answer_at()
 
@@ -320,7 +333,7 @@
                 "request": subject,
                 "verb": verb,
                 "queue": queue.name if queue else None,
-                "version": self.configuration.version if self.configuration else None,
+                **self.describe_configuration(),
                 "store_age_s": round(self._store_age_s(), 1),
                 "owner": self._find_owner(queue.pool) if queue else None,
                 "outcome": reply.kind.value,
--- a/siskinroad/work/workmetrics.py
+++ b/siskinroad/work/workmetrics.py
@@ -97,6 +97,16 @@
             ("pool",),
             registry=reg,
         )
+        self.configuration_version = Gauge(
+            "siskinroad_configuration_version",
+            "Version of the configuration in force.",
+            registry=reg,
+        )
+        self.configuration_age = Gauge(
+            "siskinroad_configuration_age_seconds",
+            "Seconds since the configuration was the newest for certain.",
+            registry=reg,
+        )
         self.latency = Histogram(
             "siskinroad_caller_seconds",
             "Time to answer.",
--- a/tests/work/test_repeated_submits.py
+++ b/tests/work/test_repeated_submits.py
@@ -83,7 +83,7 @@
         cell.start("a")
         await asyncio.sleep(3.0)
         daemon = cell.daemons["a"]
-        daemon.job_service.configuration = CONFIGURATION
+        daemon.configuration_reader.configuration = CONFIGURATION
         reply = await cell.submit("a", JOB_ID, job())
         assert reply.kind is ReplyKind.UNKNOWN
         assert reply.retry_after > 0
