--- a/tests/work/cell.py
+++ b/tests/work/cell.py
@@ -68,12 +68,13 @@
 
 
 # Pools of the second configuration; the cell's first hosts are all in POOL. The third
-# one has a single queue.
+# one has a single queue, the fourth one all of them again.
 POOLS = ("archive", POOL, "bulk")
 CONFIGURATION_BY_VERSION = {
     1: CONFIGURATION,
     2: Configuration(2, CONFIGURATION.queues, POOLS, 1 << 18),
     3: Configuration(3, (FAST,), (POOL,), 1 << 18),
+    4: Configuration(4, CONFIGURATION.queues, (POOL,), 1 << 18),
 }
 
 
