Split the encoding of relayed store calls from the relaying store

Cause: relay.py held the wire types of a call, their conversions in both directions and the choice of the way, 369 lines; each call passed its own closure and type.

Change: relay_codec.py has the calls as values, make_call, and the decoding of answers. A relayed call or result that cannot be decoded, of any kind, counts as not done or unknown as before. No decision changes.

--- a/siskinroad/work/messages.py
+++ b/siskinroad/work/messages.py
@@ -210,7 +210,7 @@
 class RelayRequest(msgspec.Struct, tag="relay?", frozen=True, array_like=True):
     """Request to make a store call for a sender that cannot reach the store.
 
-    ``call`` is the call in the encoding of ``RelayStore``, ``timeout`` in seconds.
+    ``call`` is the call in the encoding of ``relay_codec``, ``timeout`` in seconds.
     """
 
     id: int
--- a/siskinroad/work/relay.py
+++ b/siskinroad/work/relay.py
@@ -12,19 +12,27 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from collections.abc import Callable
 
-import msgspec
-
-from siskinroad.errors import SiskinroadError
+from siskinroad.errors import ProtocolError, SiskinroadError
 from siskinroad.work.messages import RelayReply, RelayRequest
 from siskinroad.work.peer_calls import PeerCalls
+from siskinroad.work.relay_codec import (
+    AppendCall,
+    NewestCall,
+    ReadCall,
+    StoreAnswer,
+    StoreCall,
+    decode_answer,
+    decode_call,
+    encode_call,
+    execute_encoded,
+    make_call,
+)
 from siskinroad.work.store import (
     Fence,
     FencedError,
     NewestPage,
-    NewestRecord,
     OffsetMismatchError,
     ReadResult,
     Record,
@@ -45,62 +53,6 @@
 RELAY_ALLOWANCE = 0.3
 
 log = logging.getLogger("siskinroad.relay")
-T = TypeVar("T")
-A = TypeVar("A")
-
-
-class _Append(msgspec.Struct, tag="append", frozen=True):
-    topic: str
-    records: list[Record]
-    at: int | None
-    fence: tuple[str, int, int] | None
-
-
-class _Read(msgspec.Struct, tag="read", frozen=True):
-    topic: str
-    start: int
-    wait: float
-
-
-class _Newest(msgspec.Struct, tag="newest", frozen=True):
-    topic: str
-    after: str
-
-
-class _Offset(msgspec.Struct, tag="offset", frozen=True):
-    offset: int
-
-
-class _Records(msgspec.Struct, tag="records", frozen=True):
-    start: int
-    records: tuple[Record, ...]
-    end: int
-
-
-class _Page(msgspec.Struct, tag="page", frozen=True):
-    items: tuple[NewestRecord, ...]
-    more: bool
-    end: int
-
-
-class _OffsetMismatch(msgspec.Struct, tag="moved", frozen=True):
-    end: int
-
-
-class _Fenced(msgspec.Struct, tag="fenced", frozen=True):
-    pass
-
-
-class _Trimmed(msgspec.Struct, tag="trimmed", frozen=True):
-    first: int
-
-
-_StoreCall = _Append | _Read | _Newest
-_StoreResult = _Offset | _Records | _Page | _OffsetMismatch | _Fenced | _Trimmed
-
-_ENCODE = msgspec.msgpack.Encoder().encode
-_CALL_DECODER = msgspec.msgpack.Decoder(_StoreCall)
-_RESULT_DECODER = msgspec.msgpack.Decoder(_StoreResult)
 
 
 class RelayStore(Store):
@@ -158,66 +110,41 @@
     ) -> int:
         """Append records; see the base class."""
         fence_fields = (fence.producer, fence.epoch, fence.sequence) if fence else None
-        call = _Append(topic, records, at, fence_fields)
-        result = await self._call_store(
-            call,
-            timeout,
-            lambda: self.direct.append(
-                topic, records, at=at, fence=fence, timeout=timeout
-            ),
-            _Offset,
-            is_repeatable=fence is not None,
-        )
-        return result.offset if isinstance(result, _Offset) else result
+        call = AppendCall(topic, records, at, fence_fields)
+        offset = await self._call_store(call, timeout, is_repeatable=fence is not None)
+        assert isinstance(offset, int)
+        return offset
 
     async def read(
         self, topic: str, start: int, *, wait: float, timeout: float = 1.0
     ) -> ReadResult:
         """Read records; see the base class."""
-        result = await self._call_store(
-            _Read(topic, start, wait),
-            timeout,
-            lambda: self.direct.read(topic, start, wait=wait, timeout=timeout),
-            _Records,
-            is_repeatable=True,
-        )
-        if isinstance(result, _Records):
-            return ReadResult(result.start, result.records, result.end)
+        call = ReadCall(topic, start, wait)
+        result = await self._call_store(call, timeout, is_repeatable=True)
+        assert isinstance(result, ReadResult)
         return result
 
     async def newest(
         self, topic: str, after: str = "", *, timeout: float = 1.0
     ) -> NewestPage:
         """Return the newest record of each key; see the base class."""
-        result = await self._call_store(
-            _Newest(topic, after),
-            timeout,
-            lambda: self.direct.newest(topic, after, timeout=timeout),
-            _Page,
-            is_repeatable=True,
-        )
-        if isinstance(result, _Page):
-            return NewestPage(result.items, result.more, result.end)
-        return result
+        call = NewestCall(topic, after)
+        page = await self._call_store(call, timeout, is_repeatable=True)
+        assert isinstance(page, NewestPage)
+        return page
 
     async def close(self) -> None:
         """Close the connections to the store."""
         await self.direct.close()
 
     async def _call_store(
-        self,
-        call: _StoreCall,
-        timeout: float,
-        direct: Callable[[], Awaitable[T]],
-        result_type: type[A],
-        *,
-        is_repeatable: bool,
-    ) -> T | A:
+        self, call: StoreCall, timeout: float, *, is_repeatable: bool
+    ) -> StoreAnswer:
         relay_peers = self._relay_peers()
         unknown_outcome: SiskinroadError | None = None
         if not relay_peers or not self._direct_failed:
             try:
-                return await self._call_direct(direct)
+                return await self._call_direct(call, timeout)
             except StoreUnavailableError:
                 if not relay_peers:
                     raise
@@ -226,15 +153,15 @@
                     raise
                 unknown_outcome = exc
         elif is_repeatable:
-            self._probe_direct(direct)
+            self._probe_direct(call, timeout)
         return await self._call_through_peer(
-            call, timeout, result_type, relay_peers, unknown_outcome
+            call, timeout, relay_peers, unknown_outcome
         )
 
-    async def _call_direct(self, direct: Callable[[], Awaitable[T]]) -> T:
+    async def _call_direct(self, call: StoreCall, timeout: float) -> StoreAnswer:
         """Make a direct call and record whether the store answered it."""
         try:
-            result = await direct()
+            answer = await make_call(self.direct, call, timeout)
         except (OffsetMismatchError, FencedError, TrimmedError):
             self.record_direct_answer()
             raise
@@ -242,7 +169,7 @@
             self._direct_failed = True
             raise
         self.record_direct_answer()
-        return result
+        return answer
 
     def record_direct_answer(self) -> None:
         """Record a direct reply of the store; call ``on_recovered`` after an outage."""
@@ -253,7 +180,7 @@
         if previous_answer_at > 0 and now - previous_answer_at > SILENCE_TIMEOUT:
             self.on_recovered()
 
-    def _probe_direct(self, direct: Callable[[], Awaitable[T]]) -> None:
+    def _probe_direct(self, call: StoreCall, timeout: float) -> None:
         """Start a direct call in the background to detect that the store answers again.
 
         The same call is relayed too, so it must be harmless to repeat; the probe's
@@ -266,7 +193,7 @@
 
         async def probe() -> None:
             try:
-                await self._call_direct(direct)
+                await self._call_direct(call, timeout)
             except SiskinroadError as exc:
                 log.debug(
                     "relay: direct store call still fails", extra={"error": str(exc)}
@@ -278,19 +205,18 @@
 
     async def _call_through_peer(
         self,
-        call: _StoreCall,
+        call: StoreCall,
         timeout: float,
-        result_type: type[A],
         relay_peers: list[str],
         unknown_outcome: SiskinroadError | None,
-    ) -> A:
+    ) -> StoreAnswer:
         self._relay_index += 1
         self.relayed_calls += 1
         relay_peer = relay_peers[self._relay_index % len(relay_peers)]
-        data = _ENCODE(call)
+        data = encode_call(call)
         log.info(
             "relay: direct store calls fail; sending the call through a peer",
-            extra={"peer": relay_peer, "call": type(call).__name__.strip("_").lower()},
+            extra={"peer": relay_peer, "call": call.__struct_config__.tag},
         )
         try:
             reply = await self._peer_calls.request(
@@ -310,24 +236,10 @@
         if reply.outcome != "answered":
             raise StoreUnknownError(reply.outcome, step="relay", peer=relay_peer)
         self.relayed_answer_at = asyncio.get_running_loop().time()
-        result = _RESULT_DECODER.decode(reply.result)
-        match result:
-            case _OffsetMismatch(end=end):
-                raise OffsetMismatchError(end)
-            case _Fenced():
-                raise FencedError(
-                    "append has a lower epoch than the store has seen",
-                    step="store.append",
-                )
-            case _Trimmed(first=first):
-                raise TrimmedError(first)
-        if not isinstance(result, result_type):
-            raise StoreUnknownError(
-                "relayed reply does not match the type of the call",
-                step="relay",
-                peer=relay_peer,
-            )
-        return result
+        try:
+            return decode_answer(call, reply.result)
+        except ProtocolError as exc:
+            raise StoreUnknownError(str(exc), step="relay", peer=relay_peer) from exc
 
     async def serve(self, msg: RelayRequest) -> RelayReply:
         """Carry out another daemon's store call.
@@ -335,35 +247,11 @@
         The call is made directly and never relayed further.
         """
         try:
-            call = _CALL_DECODER.decode(msg.call)
-            result = await self._execute(call, msg.timeout)
-        except (StoreUnavailableError, msgspec.MsgspecError):
+            call = decode_call(msg.call)
+            result = await execute_encoded(self.direct, call, msg.timeout)
+        except (StoreUnavailableError, ProtocolError):
             return RelayReply(msg.id, "not done", b"")
         except StoreUnknownError:
             return RelayReply(msg.id, "unknown", b"")
         self.record_direct_answer()
-        return RelayReply(msg.id, "answered", _ENCODE(result))
-
-    async def _execute(self, call: _StoreCall, timeout: float) -> _StoreResult:
-        try:
-            match call:
-                case _Append(topic=topic, records=records, at=at, fence=fence_fields):
-                    fence = Fence(*fence_fields) if fence_fields else None
-                    offset = await self.direct.append(
-                        topic, records, at=at, fence=fence, timeout=timeout
-                    )
-                    return _Offset(offset)
-                case _Read(topic=topic, start=start, wait=wait):
-                    result = await self.direct.read(
-                        topic, start, wait=wait, timeout=timeout
-                    )
-                    return _Records(result.start, result.records, result.end)
-                case _Newest(topic=topic, after=after):
-                    page = await self.direct.newest(topic, after, timeout=timeout)
-                    return _Page(page.items, page.more, page.end)
-        except OffsetMismatchError as exc:
-            return _OffsetMismatch(exc.end)
-        except FencedError:
-            return _Fenced()
-        except TrimmedError as exc:
-            return _Trimmed(exc.first)
+        return RelayReply(msg.id, "answered", result)
