Let a read of the store go the next way as soon as the one before is late

Cause: the ways of a read were tried one after the other, each for its whole time limit. After one rejected call a daemon read through a peer; if that had just fallen silent, it waited 2.5 s for it, while its own probe of the store was answered and dropped. The daemon itself was not disturbed, so the users' bound of 2.5 s held for it.

Change: ReadRace. A read that is late by 0.4 s goes the next way too, without a wait for new records, and the first answer counts; after failures two ways are taken as before. A peer that did not answer is relayed through last for 2 s. Appends go their ways one after the other as before.

--- a/siskinroad/work/relay.py
+++ b/siskinroad/work/relay.py
@@ -1,22 +1,31 @@
 """Store client that falls back to calls relayed by another daemon.
 
 The store may reject some daemons, or be unreachable from them, while it serves the
-others. A call that failed here without effect is retried once through a daemon that
+others. An append that failed here without effect is retried once through a daemon that
 the store has answered recently. While direct calls fail, all calls are relayed at
 once: waiting for the direct call's timeout first would leave an owner without replies
-half of the time. A call whose outcome is unknown is repeated only if that is harmless:
-reads, and appends that carry a fence.
+half of the time. An append whose outcome is unknown is repeated only if it carries a
+fence.
+
+A read goes the next way as soon as the ways before have failed or are late, and the
+first answer counts. Tried one after the other, each for its whole time limit, the ways
+would take longer than a configuration may take to be in force.
 """
 
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import msgspec
 
 from siskinroad.errors import ProtocolError, SiskinroadError
 from siskinroad.work.messages import RelayReply, RelayRequest
 from siskinroad.work.peer_calls import PeerCalls
+from siskinroad.work.read_race import ReadRace
 from siskinroad.work.relay_codec import (
     AppendCall,
     NewestCall,
@@ -51,9 +60,16 @@
 SILENCE_TIMEOUT = 1.4
 # Seconds that the round trip to the relaying daemon may add to a call's timeout.
 RELAY_ALLOWANCE = 0.3
+# Daemons through which one read goes at most.
+MAX_RELAYS = 2
+# Seconds for which a daemon that did not answer is relayed through last.
+SILENT_PEER_PAUSE = 2.0
 
 log = logging.getLogger("siskinroad.relay")
 
+# Takes the seconds for which the store may wait for a new record.
+ReadWay = Callable[[float], Coroutine[Any, Any, StoreAnswer]]
+
 
 class RelayStore(Store):
     """Store client that calls the store directly or through another daemon.
@@ -88,7 +104,9 @@
         self._direct_failed = False
         self._next_probe_at = -1e9
         self._probe_tasks: set[asyncio.Task[None]] = set()
+        self._race = ReadRace()
         self._relay_index = 0
+        self._silent_at: dict[str, float] = {}
         self.direct_answer_at = -1e9
         self.relayed_answer_at = -1e9
         self.on_recovered: Callable[[], None] = lambda: None
@@ -111,7 +129,7 @@
         """Append records; see the base class."""
         fence_fields = (fence.producer, fence.epoch, fence.sequence) if fence else None
         call = AppendCall(topic, records, at, fence_fields)
-        offset = await self._call_store(call, timeout, is_repeatable=fence is not None)
+        offset = await self._append(call, timeout)
         assert isinstance(offset, int)
         return offset
 
@@ -120,7 +138,7 @@
     ) -> ReadResult:
         """Read records; see the base class."""
         call = ReadCall(topic, start, wait)
-        result = await self._call_store(call, timeout, is_repeatable=True)
+        result = await self._race.run(self._list_ways(call, timeout), wait)
         assert isinstance(result, ReadResult)
         return result
 
@@ -129,7 +147,7 @@
     ) -> NewestPage:
         """Return the newest record of each key; see the base class."""
         call = NewestCall(topic, after)
-        page = await self._call_store(call, timeout, is_repeatable=True)
+        page = await self._race.run(self._list_ways(call, timeout), 0.0)
         assert isinstance(page, NewestPage)
         return page
 
@@ -137,9 +155,7 @@
         """Close the connections to the store."""
         await self.direct.close()
 
-    async def _call_store(
-        self, call: StoreCall, timeout: float, *, is_repeatable: bool
-    ) -> StoreAnswer:
+    async def _append(self, call: AppendCall, timeout: float) -> StoreAnswer:
         relay_peers = self._relay_peers()
         unknown_outcome: SiskinroadError | None = None
         if not relay_peers or not self._direct_failed:
@@ -149,13 +165,54 @@
                 if not relay_peers:
                     raise
             except StoreUnknownError as exc:
-                if not relay_peers or not is_repeatable:
+                if not relay_peers or call.fence is None:
                     raise
                 unknown_outcome = exc
-        elif is_repeatable:
+        elif call.fence is not None:
             self._probe_direct(call, timeout)
+        relay_peer = self._order_relay_peers(relay_peers)[0]
+        return await self._call_through_peer(call, timeout, relay_peer, unknown_outcome)
+
+    def _list_ways(self, call: ReadCall | NewestCall, timeout: float) -> list[ReadWay]:
+        """Return the ways of a read, in the order in which they are taken.
+
+        The timeout is that of a read which waits as long as the call requests.
+        """
+        direct = functools.partial(self._read_directly, call, timeout)
+        relay_peers = self._relay_peers()
+        if not relay_peers:
+            return [direct]
+        relays = [
+            functools.partial(self._read_through_peer, peer, call, timeout)
+            for peer in self._order_relay_peers(relay_peers)[:MAX_RELAYS]
+        ]
+        if not self._direct_failed:
+            return [direct, relays[0], direct, *relays[1:]]
+        self._probe_direct(call, timeout)
+        return [relays[0], direct, *relays[1:]]
+
+    async def _read_directly(
+        self, call: ReadCall | NewestCall, timeout: float, wait: float
+    ) -> StoreAnswer:
+        return await self._call_direct(*_shorten_wait(call, timeout, wait))
+
+    async def _read_through_peer(
+        self, relay_peer: str, call: ReadCall | NewestCall, timeout: float, wait: float
+    ) -> StoreAnswer:
+        shorter_call, shorter_timeout = _shorten_wait(call, timeout, wait)
         return await self._call_through_peer(
-            call, timeout, relay_peers, unknown_outcome
+            shorter_call, shorter_timeout, relay_peer, None
+        )
+
+    def _order_relay_peers(self, relay_peers: list[str]) -> list[str]:
+        """Return the daemons in turn, those last that have just been silent."""
+        now = asyncio.get_running_loop().time()
+        self._relay_index += 1
+        first = self._relay_index % len(relay_peers)
+        in_turn = relay_peers[first:] + relay_peers[:first]
+        return sorted(
+            in_turn,
+            key=lambda peer: now - self._silent_at.get(peer, -1e9) < SILENT_PEER_PAUSE,
         )
 
     async def _call_direct(self, call: StoreCall, timeout: float) -> StoreAnswer:
@@ -207,16 +264,18 @@
         self,
         call: StoreCall,
         timeout: float,
-        relay_peers: list[str],
+        relay_peer: str,
         unknown_outcome: SiskinroadError | None,
     ) -> StoreAnswer:
-        self._relay_index += 1
         self.relayed_calls += 1
-        relay_peer = relay_peers[self._relay_index % len(relay_peers)]
         data = encode_call(call)
         log.info(
-            "relay: direct store calls fail; sending the call through a peer",
-            extra={"peer": relay_peer, "call": call.__struct_config__.tag},
+            "relay: sending a store call through a peer",
+            extra={
+                "peer": relay_peer,
+                "call": call.__struct_config__.tag,
+                "why": "direct calls fail" if self._direct_failed else "read is late",
+            },
         )
         try:
             reply = await self._peer_calls.request(
@@ -226,7 +285,9 @@
                 timeout + RELAY_ALLOWANCE,
             )
         except SiskinroadError as exc:
+            self._silent_at[relay_peer] = asyncio.get_running_loop().time()
             raise StoreUnknownError(str(exc), step="relay", peer=relay_peer) from exc
+        self._silent_at.pop(relay_peer, None)
         if reply.outcome == "not done" and unknown_outcome is None:
             raise StoreUnavailableError(
                 "relaying daemon's store call failed without effect",
@@ -255,3 +316,12 @@
             return RelayReply(msg.id, "unknown", b"")
         self.record_direct_answer()
         return RelayReply(msg.id, "answered", result)
+
+
+def _shorten_wait(
+    call: ReadCall | NewestCall, timeout: float, wait: float
+) -> tuple[ReadCall | NewestCall, float]:
+    """Return a read that waits for at most ``wait`` seconds, and its timeout."""
+    if not isinstance(call, ReadCall) or call.wait <= wait:
+        return call, timeout
+    return msgspec.structs.replace(call, wait=wait), timeout - (call.wait - wait)
