Say that a queue does not exist only by a confirmed configuration

Callers of a queue that had been added were told by a daemon that it does not exist (404), as only an older configuration allows: such a caller does not ask again. Cause: the daemon looked the queue up in whatever version it held, however long ago it had last read to the end of the configuration. The reader knew the time; nobody asked.

Change: a version counts as the newest for 2 s after a read to the end. With an older one, a request for an unknown queue waits up to 0.5 s for the next read, and is then refused for now (503, reason configuration_unconfirmed) with a time to come back. The same holds where a shorter prefix matches and the rest names no job.

As every version that was stored before the read's start is in force, no delay of the reads, from any cause, makes such a reply false.

--- a/siskinroad/work/configuration_reader.py
+++ b/siskinroad/work/configuration_reader.py
@@ -13,6 +13,11 @@
 
 __all__ = ["ConfigurationReader"]
 
+# Seconds for which a version counts as the newest after a read up to the topic's end.
+# The platform counts a version as in force everywhere 2.5 s after it was stored; a read
+# is held open for up to a second.
+CONFIRMED_LIMIT_S = 2.0
+
 log = logging.getLogger("siskinroad.daemon")
 
 
@@ -58,6 +63,20 @@
         known_at = max(self.follower.confirmed_at, self._started_at)
         return asyncio.get_running_loop().time() - known_at
 
+    def is_confirmed(self) -> bool:
+        """Return whether the version in force was the newest recently."""
+        return self.age_s() <= CONFIRMED_LIMIT_S and self.follower.confirmed_at >= 0
+
+    async def wait_until_confirmed(self, timeout: float) -> bool:
+        """Wait for the next read up to the topic's end; return ``is_confirmed``."""
+        try:
+            async with asyncio.timeout(timeout):
+                while not self.is_confirmed():
+                    await self.follower.confirmed.wait()
+        except TimeoutError:
+            pass
+        return self.is_confirmed()
+
     def _apply(self, items: tuple[NewestRecord, ...], is_snapshot: bool) -> None:
         for item in items:
             configuration = self._decoder.decode_configuration(item.key, item.value)
--- a/siskinroad/work/job_service.py
+++ b/siskinroad/work/job_service.py
@@ -38,6 +38,9 @@
 OWNER_RETRY_PAUSE = 0.15
 # Seconds of a caller's deadline that are reserved for returning the reply.
 DEADLINE_MARGIN = 0.15
+# Seconds for which a request for an unknown queue waits until the configuration in
+# force is known to be the newest.
+CONFIRMATION_WAIT = 0.5
 # Least seconds after which a caller should retry: about the time of a takeover.
 MIN_RETRY_AFTER = 1.0
 # The retry time as a fraction of the outage's age so far, and its maximum in seconds.
@@ -149,12 +152,48 @@
     def _store_age_s(self) -> float:
         return asyncio.get_running_loop().time() - self._last_store_answer_at()
 
-    def find_queue(self, virtual_host: str, path: str) -> Queue | CallerReply:
-        """Return the queue that serves a request, or the refusal if there is none."""
-        if self.configuration is None:
+    async def find_queue(
+        self,
+        virtual_host: str,
+        path: str,
+        deadline: float,
+        is_subject: Callable[[str], bool],
+    ) -> Queue | CallerReply:
+        """Return the queue that serves a request, or the refusal if there is none.
+
+        That a queue does not exist is said only by a version of the configuration that
+        was the newest recently: a caller does not ask again after such a reply.
+
+        Parameters
+        ----------
+        is_subject : callable
+            Returns whether a path names something of a queue, given what follows the
+            queue's prefix.
+        """
+        reader = self._configuration_reader
+        queue = self._look_up_queue(virtual_host, path, is_subject)
+        if queue is None and not reader.is_confirmed():
+            now = asyncio.get_running_loop().time()
+            wait_s = min(CONFIRMATION_WAIT, deadline - DEADLINE_MARGIN - now)
+            await reader.wait_until_confirmed(max(0.0, wait_s))
+            queue = self._look_up_queue(virtual_host, path, is_subject)
+        if queue is not None:
+            return queue
+        if reader.configuration is None:
             return _refuse_for_now("no_configuration")
+        if not reader.is_confirmed():
+            return _refuse_for_now("configuration_unconfirmed", reader.age_s())
+        return CallerReply(ReplyKind.NO_QUEUE, reason="no_queue")
+
+    def _look_up_queue(
+        self, virtual_host: str, path: str, is_subject: Callable[[str], bool]
+    ) -> Queue | None:
+        if self.configuration is None:
+            return None
         queue = self.configuration.find_queue(virtual_host, path)
-        return queue or CallerReply(ReplyKind.NO_QUEUE, reason="no_queue")
+        if queue is None or not is_subject(path[len(queue.prefix) :]):
+            return None
+        return queue
 
     async def submit(
         self, queue: Queue, job: str, spec: JobSpec, deadline: float
