Let a host that is listed while its owner stops raise no error in the daemon

Cause: a task group that is being cancelled takes no further tasks. An owner in that state raised its RuntimeError into the daemon's reader of the live list, which ended and was started again after 0.5 s; the coroutine was never awaited. Seen as a warning of the test run.

Change: Term.spawn closes the coroutine, as without a group.

--- a/siskinroad/work/term.py
+++ b/siskinroad/work/term.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
@@ -24,6 +25,8 @@
 # not know that the former owner is dead.
 OWNERSHIP_TIMEOUT_S = 10.0
 
+log = logging.getLogger("siskinroad.owner")
+
 
 @dataclass(slots=True, frozen=True)
 class OwnerDependencies:
@@ -97,8 +100,18 @@
         return asyncio.get_running_loop().time() < self.owned_until
 
     def spawn(self, coro: Coroutine[Any, Any, None]) -> asyncio.Task[None] | None:
-        """Run a coroutine in the owner's task group; close it if there is none."""
-        if self.group is None:
-            coro.close()
-            return None
-        return self.group.create_task(coro)
+        """Run a coroutine in the owner's task group; close it if that has ended.
+
+        A group that is being cancelled takes no further tasks, while the daemon still
+        tells the owner of hosts.
+        """
+        if self.group is not None:
+            try:
+                return self.group.create_task(coro)
+            except RuntimeError as exc:
+                log.debug(
+                    "owner: stopping; call not made",
+                    extra={"pool": self.pool, "error": str(exc)},
+                )
+        coro.close()
+        return None
