Get a newer configuration from the daemons that have it in force

A daemon learned of a version in one way only, by its own reads of the store.

Cause: daemons told each other nothing of the version that they have.

Change: heartbeats and digests name the sender's version, at the end of the message, so that earlier versions of the program ignore it. A daemon that hears of a newer one waits 0.1 s for its own read and then gets the record from that peer, and from another one if it does not answer. A version never replaces a newer one.

The test of a larger daemon without a configuration keeps it from the peers' records too; it asserts what it did.

--- a/siskinroad/work/configuration_reader.py
+++ b/siskinroad/work/configuration_reader.py
@@ -9,7 +9,7 @@
 from siskinroad.work.follower import Follower
 from siskinroad.work.model import Configuration
 from siskinroad.work.platform_clients import Decoder
-from siskinroad.work.store import NewestRecord, Store
+from siskinroad.work.store import NewestRecord, Record, Store
 
 __all__ = ["ConfigurationReader"]
 
@@ -33,6 +33,8 @@
     ----------
     configuration : Configuration or None
         The configuration in force; None before the first one was read.
+    record : Record
+        The record that holds it; empty before the first one was read.
     follower : Follower
         Reader of the topic that holds the configuration.
     """
@@ -44,6 +46,7 @@
         on_activated: Callable[[Configuration], None],
     ) -> None:
         self.configuration: Configuration | None = None
+        self.record = Record("", b"")
         self.follower = Follower(store, decoder.configuration_topic, self._apply)
         self._decoder = decoder
         self._on_activated = on_activated
@@ -79,15 +82,18 @@
 
     def _apply(self, items: tuple[NewestRecord, ...], is_snapshot: bool) -> None:
         for item in items:
-            configuration = self._decoder.decode_configuration(item.key, item.value)
-            if configuration is not None:
-                self._activate(configuration)
+            self.apply_record(Record(item.key, item.value))
 
-    def _activate(self, configuration: Configuration) -> None:
-        if configuration.version <= self.version and self.configuration is not None:
+    def apply_record(self, record: Record) -> None:
+        """Put the configuration that a record holds into force, if it is newer."""
+        configuration = self._decoder.decode_configuration(record.key, record.value)
+        if configuration is None:
+            return
+        if self.configuration is not None and configuration.version <= self.version:
             return
         former_version, former_age_s = self.version, self.age_s()
         self.configuration = configuration
+        self.record = record
         log.info(
             "daemon: configuration applied",
             extra={
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -13,6 +13,7 @@
 from siskinroad.resources import Resources
 from siskinroad.work.advisor_channels import AdvisorChannels
 from siskinroad.work.claim_manager import ClaimManager
+from siskinroad.work.configuration_exchange import ConfigurationExchange
 from siskinroad.work.configuration_reader import ConfigurationReader
 from siskinroad.work.follower import Follower
 from siskinroad.work.job_service import JobService
@@ -22,6 +23,8 @@
 from siskinroad.work.messages import (
     AdviceReply,
     AdviceRequest,
+    ConfigurationReply,
+    ConfigurationRequest,
     Digest,
     Heartbeat,
     Hello,
@@ -163,6 +166,12 @@
             self.store, decoder, self.claim_manager.configure
         )
         self.configuration_follower = self.configuration_reader.follower
+        self.configuration_exchange = ConfigurationExchange(
+            self.configuration_reader, self.peer_calls
+        )
+        self.membership.routes.find_configuration_version = lambda: (
+            self.configuration_reader.version
+        )
         self.metrics.configuration_version.set_function(
             lambda: self.configuration_reader.version
         )
@@ -210,6 +219,7 @@
         for run in (
             self._run_registration,
             self.configuration_follower.run,
+            self.configuration_exchange.run,
             self.members_follower.run,
             self.hosts_follower.run,
             self.store_probe.run,
@@ -301,6 +311,7 @@
             self.claim_manager.claiming,
             self.processor,
             self.membership.routes.aggregators,
+            self.configuration_reader.version,
         )
 
     def _on_store_recovered(self) -> None:
@@ -359,11 +370,25 @@
             case Heartbeat():
                 self.advisor_channels.record_backlog(msg.node, msg.backlog, now)
                 self.membership.apply_heartbeat(msg, now)
+                self.configuration_exchange.note_version(
+                    msg.node, msg.configuration_version
+                )
             case Digest():
+                self.configuration_exchange.note_version(
+                    msg.node, msg.configuration_version
+                )
                 self.membership.apply_digest(msg, now)
             case Hello():
                 self.membership.apply_hello(msg)
-            case JobReply() | AdviceReply() | RelayReply() | SubmitReply():
+            case ConfigurationRequest():
+                self.peers.send(peer, self.configuration_exchange.serve(msg))
+            case (
+                JobReply()
+                | AdviceReply()
+                | RelayReply()
+                | SubmitReply()
+                | ConfigurationReply()
+            ):
                 self.peer_calls.handle_reply(msg.id, msg)
             case SubmitRequest():
                 self._reply_when_done(peer, self.job_writer.accept(msg))
--- a/siskinroad/work/heartbeat_routes.py
+++ b/siskinroad/work/heartbeat_routes.py
@@ -19,6 +19,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -85,10 +86,13 @@
         This daemon.
     members : Members
         The daemons of the cell, as this one knows them.
+    find_configuration_version : callable
+        Returns the version of the configuration that this daemon has in force.
     """
 
     member: Member
     members: Members
+    find_configuration_version: Callable[[], int] = lambda: 0
     _named: dict[str, _Named] = field(default_factory=dict)
     _paused_until: dict[str, float] = field(default_factory=dict)
     _subscribers: dict[str, float] = field(default_factory=dict)
@@ -254,6 +258,7 @@
         return Digest(
             self.member.node,
             tuple(self._make_news(name, names, now) for name in data_centres),
+            self.find_configuration_version(),
         )
 
     def _make_news(
--- a/siskinroad/work/messages.py
+++ b/siskinroad/work/messages.py
@@ -13,6 +13,8 @@
     "MAX_STORE_AGE",
     "AdviceReply",
     "AdviceRequest",
+    "ConfigurationReply",
+    "ConfigurationRequest",
     "DataCentreNews",
     "Digest",
     "Heartbeat",
@@ -58,6 +60,9 @@
     aggregators : tuple of str or None
         Daemons from which the sender expects digests. None if it expects a heartbeat
         from every daemon, as in a small cell and in an earlier version.
+    configuration_version : int
+        Version of the configuration that the sender has in force; 0 if it has none, and
+        for a sender of an earlier version.
     """
 
     node: str
@@ -70,6 +75,7 @@
     claiming: tuple[str, ...] = ()
     processor: float = 0.0
     aggregators: tuple[str, ...] | None = None
+    configuration_version: int = 0
 
     @property
     def reaches_store(self) -> bool:
@@ -105,10 +111,14 @@
 
 
 class Digest(msgspec.Struct, tag="digest", frozen=True, array_like=True):
-    """Digest of heartbeats that an aggregator sends instead of passing each one on."""
+    """Digest of heartbeats that an aggregator sends instead of passing each one on.
+
+    ``configuration_version`` is that of the aggregator itself, as in its heartbeat.
+    """
 
     node: str
     data_centres: tuple[DataCentreNews, ...]
+    configuration_version: int = 0
 
 
 class Hello(msgspec.Struct, tag="hello", frozen=True, array_like=True):
@@ -230,6 +240,20 @@
     result: bytes
 
 
+class ConfigurationRequest(msgspec.Struct, tag="config?", frozen=True, array_like=True):
+    """Request for the configuration that the receiver has in force."""
+
+    id: int
+
+
+class ConfigurationReply(msgspec.Struct, tag="config!", frozen=True, array_like=True):
+    """Reply to a ``ConfigurationRequest``: the record as it stands in the store."""
+
+    id: int
+    key: str
+    value: bytes
+
+
 Message = (
     Heartbeat
     | Digest
@@ -242,6 +266,8 @@
     | RelayReply
     | SubmitRequest
     | SubmitReply
+    | ConfigurationRequest
+    | ConfigurationReply
 )
 
 CODEC = msgpack_codec(Message)
--- a/tests/work/test_daemon.py
+++ b/tests/work/test_daemon.py
@@ -189,7 +189,7 @@
         cell.start("c", 1.1)
         await asyncio.sleep(3.0)
         starting = cell.start("b", 2.1)
-        starting.configuration_follower._apply = lambda items, is_snapshot: None
+        starting.configuration_reader.apply_record = lambda record: None
         cell.start("a", 0.5)
         await asyncio.sleep(3.0)
         await cell.kill("c")
