Refuse nothing as missing by a configuration before one that cannot be decoded

Cause: a record of the configuration that could not be decoded was passed over, and the version before it counted as the newest, with no end to it: a queue that only the newer one has was refused as one that does not exist.

Change: the decoder raises ProtocolError, the reader keeps the present version and counts it as unconfirmed until a newer one comes into force. Known queues are served.

Result: the new test fails without the change: the error of the decoder ends the reader's loop again and again, and the next version is not in force in time. Two tests of the decoder expect the error where they expected no configuration.

--- a/siskinroad/work/configuration_reader.py
+++ b/siskinroad/work/configuration_reader.py
@@ -6,6 +6,7 @@
 import logging
 from collections.abc import Callable
 
+from siskinroad.errors import ProtocolError
 from siskinroad.work.follower import Follower
 from siskinroad.work.model import Configuration
 from siskinroad.work.platform_clients import Decoder
@@ -49,6 +50,7 @@
         self.record = Record("", b"")
         self.follower = Follower(store, decoder.configuration_topic, self._apply)
         self._decoder = decoder
+        self._is_newest_undecodable = False
         self._on_activated = on_activated
         self._started_at = asyncio.get_running_loop().time()
 
@@ -68,7 +70,9 @@
 
     def is_confirmed(self) -> bool:
         """Return whether the version in force was the newest recently."""
-        return self.age_s() <= CONFIRMED_LIMIT_S and self.follower.confirmed_at >= 0
+        if self._is_newest_undecodable or self.follower.confirmed_at < 0:
+            return False
+        return self.age_s() <= CONFIRMED_LIMIT_S
 
     async def wait_until_confirmed(self, timeout: float) -> bool:
         """Wait for the next read up to the topic's end; return ``is_confirmed``."""
@@ -86,11 +90,21 @@
 
     def apply_record(self, record: Record) -> None:
         """Put the configuration that a record holds into force, if it is newer."""
-        configuration = self._decoder.decode_configuration(record.key, record.value)
+        try:
+            configuration = self._decoder.decode_configuration(record.key, record.value)
+        except ProtocolError as exc:
+            self._is_newest_undecodable = True
+            log.error(
+                "daemon: configuration could not be decoded; keeping the present one, "
+                "and refusing nothing by it as missing",
+                extra={"version": self.version, "error": str(exc)},
+            )
+            return
         if configuration is None:
             return
         if self.configuration is not None and configuration.version <= self.version:
             return
+        self._is_newest_undecodable = False
         former_version, former_age_s = self.version, self.age_s()
         self.configuration = configuration
         self.record = record
--- a/siskinroad/work/platform_clients.py
+++ b/siskinroad/work/platform_clients.py
@@ -31,7 +31,13 @@
 
     @abstractmethod
     def decode_configuration(self, key: str, value: bytes) -> Configuration | None:
-        """Return the configuration; None if the record holds none."""
+        """Return the configuration; None if the record holds none.
+
+        Raises
+        ------
+        ProtocolError
+            If the record holds one that cannot be decoded.
+        """
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/platform/test_fuzz.py
+++ b/tests/platform/test_fuzz.py
@@ -144,7 +144,7 @@
         (
             lambda data: PlatformDecoder().decode_configuration("config", data),
             msgspec.json.encode(CONFIG),
-            (),
+            ProtocolError,
         ),
         (messages.decode, messages.encode(LATER), ProtocolError),
         (
--- a/tests/platform/test_late_configuration.py
+++ b/tests/platform/test_late_configuration.py
@@ -5,7 +5,7 @@
 from siskinroad_platform.callers import CallerHandler
 
 from siskinroad.httpd import HttpRequest
-from siskinroad.work.store import StoreUnavailableError
+from siskinroad.work.store import Record, StoreUnavailableError
 from tests.work.test_cell_troubles import put_configuration
 from tests.work.test_daemon import run_scenario
 
@@ -94,3 +94,20 @@
         assert cell.daemons["a"].job_service.configuration.version == ONE_QUEUE
 
     run_scenario(scenario)
+
+
+def test_queue_of_a_version_that_cannot_be_decoded_is_refused_as_missing():
+    async def scenario(cell):
+        await cell.start_daemons("a", "b")
+        cell.logs.append("keyed.setup", [Record("config", b"{")], None, None)
+        await asyncio.sleep(APPLY_LIMIT_S)
+        for daemon in cell.daemons.values():
+            assert await count_pending(daemon, "/slow/") == 503
+            assert await count_pending(daemon, "/fast/") == 200
+        put_configuration(cell, ALL_QUEUES)
+        await asyncio.sleep(APPLY_LIMIT_S)
+        for daemon in cell.daemons.values():
+            assert await count_pending(daemon, "/slow/") == 200
+            assert await count_pending(daemon, "/none/") == 404
+
+    run_scenario(scenario, configuration=ONE_QUEUE)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -85,7 +85,8 @@
     # The callers of the decoders handle ProtocolError and no other exception.
     decoder = PlatformDecoder()
     assert decoder.decode_host("i", data) is None
-    assert decoder.decode_configuration("config", data) is None
+    with pytest.raises(ProtocolError):
+        decoder.decode_configuration("config", data or b"{")
     with pytest.raises(ProtocolError):
         decode_job(data)
     with pytest.raises(ProtocolError):
--- a/tests/work/cell.py
+++ b/tests/work/cell.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from siskinroad.errors import ProtocolError
 from siskinroad.peers import MemoryNetwork
 from siskinroad.resources import Resources
 from siskinroad.work import messages
@@ -64,6 +65,8 @@
         return entry(key, fields["draining"], capacity, pool=fields["pool"])
 
     def decode_configuration(self, key, value):
+        if not value.isdigit():
+            raise ProtocolError("expected a version", step="test")
         return CONFIGURATION_BY_VERSION[int(value)]
 
 
