Log and count hosts that have lost their runs, with the youngest of these

Cause: a run that is lost with its host was one log line among those of its neighbours. Whose fault a crash was could not be told: no line gave the crash, the time since which the host fails, or how old the runs were.

Change: one line and one count for each host that answers as another incarnation; a host keeps since when its requests fail. No decision changes.

--- a/bench/owner_model.py
+++ b/bench/owner_model.py
@@ -288,12 +288,12 @@
                 else pool_state.note_start_not_sent
             )
             effects = note(host, run, now)
-            host.record_failed_request()
+            host.record_failed_request(self.now)
         else:
             if reply is Rejection.UNAVAILABLE:
-                host.record_failed_request()
+                host.record_failed_request(self.now)
             if reply is Rejection.OTHER_INCARNATION:
-                host.record_failed_request()
+                host.record_failed_request(self.now)
             effects = pool_state.apply_start_reply(
                 host, run, reply, now, ticket=command.ticket
             )
@@ -394,7 +394,7 @@
 
     def _note_no_report(self, renewal: _Renewal) -> None:
         host = renewal.host
-        host.record_failed_request()
+        host.record_failed_request(self.now)
         host.unanswered_renewal_at = max(host.unanswered_renewal_at, renewal.sent_at)
 
     def _apply_rejection(self, renewal: _Renewal, rejection: Rejection) -> None:
--- a/bench/planning_load.py
+++ b/bench/planning_load.py
@@ -231,7 +231,7 @@
         if host is None:
             return
         if self.now < machine.silent_until:
-            host.record_failed_request()
+            host.record_failed_request(self.now)
             return
         running = tuple(
             RunStatus(
--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -209,6 +209,9 @@
         by its newest report.
     is_stored : bool
         The store holds a record that this owner uses the host.
+    failing_since : float
+        Loop time of the first failed request since the last reply; of an earlier one
+        while the host replies.
     reply_time_s : float
         Smoothed time in seconds that the host takes to reply to a command.
     unlisted_at : float
@@ -243,6 +246,7 @@
     clock_read_at: float = 0.0
     lease_expires_at: float = 0.0
     replied_at: float = -1e9
+    failing_since: float = -1e9
     reported_at: float = 0.0
     unanswered_renewal_at: float = -1e9
     start_rejected_at: float = -1e9
@@ -276,10 +280,17 @@
         """Whether the host has rejected a start that its newest report allowed."""
         return self.reported_at <= self.start_rejected_at
 
-    def record_failed_request(self) -> None:
+    def record_failed_request(self, now: float) -> None:
         """Record that a request got no reply; new work waits for the next reply."""
+        if not self.is_failing:
+            self.failing_since = now
         self.replied_at = -1e9
 
+    def run_age_at_loss(self, run: Run, now: float) -> float:
+        """Return for how many seconds a run of a lost host had run, at the most."""
+        lost_at = self.failing_since if self.is_failing else now
+        return max(0.0, lost_at - (run.begun_at or run.commanded_at))
+
     def add_run(self, run: Run) -> None:
         """Add a run and allocate its resources."""
         self.runs[run.key] = run
--- a/siskinroad/work/host_commands.py
+++ b/siskinroad/work/host_commands.py
@@ -40,7 +40,7 @@
     since then, a further one does not show that another daemon owns the pool.
     """
     if host.rejected_token == host.token:
-        host.record_failed_request()
+        host.record_failed_request(asyncio.get_running_loop().time())
         return
     host.rejected_token = host.token
     log.warning(
@@ -48,7 +48,7 @@
         "it has accepted another owner's higher one",
         extra={"host": host.name, "pool": term.pool, "token": host.token},
     )
-    host.record_failed_request()
+    host.record_failed_request(asyncio.get_running_loop().time())
     term.on_ownership_uncertain()
 
 
@@ -149,7 +149,7 @@
         except NotSentError as exc:
             outcome = f"not sent: {exc}"
             effects = self.term.pool_state.note_start_not_sent(host, run, loop.time())
-            host.record_failed_request()
+            host.record_failed_request(asyncio.get_running_loop().time())
         except (OutcomeUnknownError, TimeoutError) as exc:
             outcome = f"unknown: {exc}"
             host.record_reply_time(loop.time() - sent_at)
@@ -160,7 +160,7 @@
             # host that has reported since.
             is_reply_lost = isinstance(exc, TimeoutError) and host.reported_at > sent_at
             if not is_reply_lost:
-                host.record_failed_request()
+                host.record_failed_request(asyncio.get_running_loop().time())
         else:
             host.record_reply_time(loop.time() - sent_at)
             effects = self._handle_start_reply(host, run, command, reply.rejection)
@@ -192,10 +192,10 @@
         if rejection is Rejection.FENCED and command.token >= host.token:
             report_higher_token(self.term, host)
         if rejection is Rejection.UNAVAILABLE:
-            host.record_failed_request()
+            host.record_failed_request(asyncio.get_running_loop().time())
         if rejection is Rejection.OTHER_INCARNATION:
             # The next renewal shows whether the host has gone.
-            host.record_failed_request()
+            host.record_failed_request(asyncio.get_running_loop().time())
         return self.term.pool_state.apply_start_reply(
             host, run, rejection, now, ticket=command.ticket
         )
--- a/siskinroad/work/lease_renewer.py
+++ b/siskinroad/work/lease_renewer.py
@@ -216,7 +216,7 @@
 def _note_no_report(call: _Renewal) -> None:
     """Note that a renewal brought no report and granted no lease."""
     host = call.host
-    host.record_failed_request()
+    host.record_failed_request(asyncio.get_running_loop().time())
     host.unanswered_renewal_at = max(host.unanswered_renewal_at, call.sent_at)
 
 
--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -244,10 +244,13 @@
             extra={"host": host.name, "void_tickets": tickets},
         )
         effects: list[Effect] = []
-        for run in list(host.runs.values()):
-            is_accepted = run.state in ("running", "stopping")
-            if not is_accepted or run.commanded_at >= sent_at:
-                continue
+        lost = [
+            run
+            for run in host.runs.values()
+            if run.state in ("running", "stopping") and run.commanded_at < sent_at
+        ]
+        self._log_lost_runs(host, lost, "host restarted", now)
+        for run in lost:
             run.move("lapse")
             effects += self._end_run(host, run, "host restarted", now)
         host.last_end_seen = host.last_end_stored = 0
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -26,6 +26,8 @@
 # Number of newest presumed ends that are remembered of a task: starts may be rejected
 # any number of times.
 MAX_PRESUMED_ENDS = 8
+# Number of the youngest lost runs that a log line names.
+MAX_NAMED = 4
 # Largest fraction of the hosts in quarantine at once, for any reason. If more of them
 # look bad, the cause is probably one that they share, and the others would be overrun.
 MAX_QUARANTINED_FRACTION = 0.5
@@ -55,6 +57,8 @@
     observe_presumed_end, observe_late_end : callable
         Receive the reason of each end that no host has listed, and the kind of each
         end that a host lists after that.
+    observe_lost_host : callable
+        Receives the reason of each loss of all runs of a host.
     """
 
     def __init__(self, pool: str, term: int) -> None:
@@ -67,6 +71,7 @@
         self.loop_delay_s = 0.0
         self.observe_presumed_end: Callable[[str], None] = lambda reason: None
         self.observe_late_end: Callable[[str], None] = lambda end_kind: None
+        self.observe_lost_host: Callable[[str], None] = lambda reason: None
 
     # Stopping runs
 
@@ -224,13 +229,33 @@
     def replace_host(self, host: Host, now: float) -> list[Effect]:
         """End all runs of a host whose address now serves another incarnation."""
         effects: list[Effect] = []
-        for run in list(host.runs.values()):
+        runs = list(host.runs.values())
+        self._log_lost_runs(host, runs, "host replaced", now)
+        for run in runs:
             run.move("lapse")
             effects += self._end_run(host, run, "host replaced", now)
         self._remove_host(host)
         self.former_owner_hosts.discard(host.name)
         return effects
 
+    def _log_lost_runs(
+        self, host: Host, runs: list[Run], reason: str, now: float
+    ) -> None:
+        """Log and count the loss of a host's runs, the youngest of them by name."""
+        self.observe_lost_host(reason)
+        ages = sorted((host.run_age_at_loss(run, now), format_run(run)) for run in runs)
+        log.warning(
+            "pool_state: host has lost its runs",
+            extra={
+                "host": host.name,
+                "why": reason,
+                "runs": len(runs),
+                "youngest": [f"{name} {age:.2f} s" for age, name in ages[:MAX_NAMED]],
+                "failing_s": round(now - host.failing_since, 2),
+                "draining": host.entry.draining,
+            },
+        )
+
     def _remove_host(self, host: Host) -> None:
         """Remove a host without runs; a late report of it changes no index.
 
@@ -384,3 +409,9 @@
 def format_task_position(key: TaskId) -> str:
     """Return a task's position in its job as ``occurrence.step.index``, for logs."""
     return f"{key.occurrence}.{key.step}.{key.index}"
+
+
+def format_run(run: Run) -> str:
+    """Return a run's job, position in the job and number, for logs."""
+    task, number = run.key
+    return f"{task.job}.{format_task_position(task)}#{number}"
--- a/siskinroad/work/workmetrics.py
+++ b/siskinroad/work/workmetrics.py
@@ -49,6 +49,12 @@
             ("reason",),
             registry=reg,
         )
+        self.lost_hosts = Counter(
+            "siskinroad_hosts_lost",
+            "Hosts that answered as another incarnation, without their runs.",
+            ("reason",),
+            registry=reg,
+        )
         self.jobs_ended = Counter(
             "siskinroad_jobs_ended",
             "Jobs by queue, by the data centre that took them, and by their result.",
--- a/tests/work/test_host_states.py
+++ b/tests/work/test_host_states.py
@@ -40,7 +40,7 @@
         (set_draining, HostState.DRAINING),
         (lambda host: setattr(host, "is_quarantined", True), HostState.QUARANTINED),
         (lambda host: setattr(host, "unlisted_at", 1.0), HostState.UNLISTED),
-        (lambda host: host.record_failed_request(), HostState.FAILING),
+        (lambda host: host.record_failed_request(NOW), HostState.FAILING),
         (set_silent, HostState.SILENT),
     ],
 )
--- a/tests/work/test_pool_state.py
+++ b/tests/work/test_pool_state.py
@@ -330,7 +330,7 @@
     lost = pool_state.hosts[first.host]
     pool_state.apply_start_reply(lost, first.run, None, 0.1)
     lost.lease_expires_at = lost.unanswered_renewal_at = 4.0
-    lost.record_failed_request()
+    lost.record_failed_request(4.0)
     pool_state.expire_silent_hosts(4.1)
     (other,) = (host for host in pool_state.hosts if host != first.host)
     send_report(pool_state, other, 4.1, clock=5000)
@@ -467,7 +467,7 @@
     for host, start in zip(lost, first, strict=True):
         pool_state.apply_start_reply(host, start.run, None, 0.1)
         host.lease_expires_at = host.unanswered_renewal_at = 4.0
-        host.record_failed_request()
+        host.record_failed_request(4.0)
     pool_state.expire_silent_hosts(4.1)
     for name in set(pool_state.hosts) - {host.name for host in lost}:
         send_report(pool_state, name, 4.1, clock=5000)
