--- a/siskinroad/work/hosts_memory.py
+++ b/siskinroad/work/hosts_memory.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from siskinroad.errors import OutcomeUnknownError
+from siskinroad.errors import NotSentError, OutcomeUnknownError
 from siskinroad.resources import Resources
 from siskinroad.work.advice import AdviceResult, Advisor
 from siskinroad.work.hosts import (
@@ -83,6 +84,19 @@
         Highest run number started or stopped, by task.
     last_end_number : int
         Number of the latest end; 0 before the first.
+    crashing_tasks : set of TaskId
+        Tasks that crash the host ``crash_delay_s`` after their start.
+    down_s : float
+        Seconds for which a crashed host refuses connections. It then answers as another
+        incarnation, with no memory of the former one.
+    down_until : float
+        Loop time until which it does.
+    is_replaced : bool
+        Another host answers at the address.
+    crash_times : list of float
+        Loop times of the crashes.
+    on_crash : callable
+        Called with the host at each crash.
     """
 
     entry: HostEntry
@@ -101,6 +115,28 @@
     last_run: dict[TaskId, int] = field(default_factory=dict)
     starts: list[ExecutedStart] = field(default_factory=list)
     last_end_number: int = 0
+    crashing_tasks: set[TaskId] = field(default_factory=set)
+    crash_delay_s: float = 0.01
+    down_s: float = 3.2
+    down_until: float = -1e9
+    is_replaced: bool = False
+    crash_times: list[float] = field(default_factory=list)
+    on_crash: Callable[[MemoryHost], None] = lambda host: None
+
+    def crash(self) -> None:
+        """Lose all runs and ends, and refuse connections for ``down_s`` seconds."""
+        now = asyncio.get_running_loop().time()
+        if now < self.down_until:
+            return
+        self.advance()
+        self.down_until = now + self.down_s
+        self.incarnation_ms += 1
+        self.token = self.lease_until = self.last_end_number = 0
+        self.runs.clear()
+        self.ends.clear()
+        self.last_run.clear()
+        self.crash_times.append(now)
+        self.on_crash(self)
 
     def clock(self) -> int:
         """Return the host's own clock in milliseconds."""
@@ -152,8 +188,15 @@
             self.entry.name, command.task, command.run, loop.time(), command.checkpoint
         )
         self.starts.append(start)
+        if command.task in self.crashing_tasks:
+            loop.call_later(self.crash_delay_s, self._crash_by, command)
         return None
 
+    def _crash_by(self, command: StartCommand) -> None:
+        run = self.runs.get(command.task)
+        if run is not None and run.run == command.run:
+            self.crash()
+
     def stop(self, command: HostCommand) -> Rejection | None:
         """Stop a run; reject its start if that arrives later."""
         self.advance()
@@ -197,6 +240,10 @@
         host = self.hosts.get(name)
         await asyncio.sleep(host.reply_delay_s if host is not None else 0.001)
         host = self.hosts.get(name)
+        if host is not None and host.is_replaced:
+            return None
+        if host is not None and asyncio.get_running_loop().time() < host.down_until:
+            raise NotSentError("connection refused", step="hosts", peer=name)
         if host is not None and host.is_silent:
             await asyncio.sleep(NO_REPLY_TIME)
             raise OutcomeUnknownError("host did not reply", step="hosts", peer=name)
@@ -254,8 +301,13 @@
         if lease_until is not None:
             memory_host.lease_until = max(memory_host.lease_until, lease_until)
         deadline = asyncio.get_running_loop().time() + wait
+        incarnation_ms = memory_host.incarnation_ms
         while not memory_host.ends and asyncio.get_running_loop().time() < deadline:
             await asyncio.sleep(0.02)
+            if memory_host.incarnation_ms != incarnation_ms:
+                raise OutcomeUnknownError(
+                    "connection closed by the peer", step="hosts", peer=host
+                )
             memory_host.advance()
         now = asyncio.get_running_loop().time()
         running = tuple(
--- a/tests/work/cell.py
+++ b/tests/work/cell.py
@@ -106,6 +106,10 @@
         self.hosts.add(MemoryHost(entry(name, pool=pool), **fields))
         self.logs.append("keyed.list", [host_record(name, pool=pool)], None, None)
 
+    def relist(self, name, **fields):
+        """List a host again with other fields; it runs on."""
+        self.logs.append("keyed.list", [host_record(name, **fields)], None, None)
+
     def drain(self, name):
         self.logs.append("keyed.list", [host_record(name, True)], None, None)
 
