Use no run number twice when owners die one after the other

Cause: after a takeover the numbers of a task's runs go on 8 above the highest stored one, for what the former owner did not store. An owner that dies before it has stored anything itself leaves the same number behind, and its successor used the same ones again: run 9 was started twice. Where a host keeps a late start of the first run 9, the second one is taken for it.

Change: 8 numbers are skipped for each term, not once.

Two tests of a former run with a higher number than the successor's use 73 and 80 for 9 and 12, as the first number now depends on the term; they check the same.

--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -20,8 +20,9 @@
 # Number of host tokens reserved for each term. A term that raised a token more often
 # would reach the tokens of the next term, and hosts could no longer fence it.
 TOKENS_PER_TERM = 1 << 20
-# Largest number of run numbers that a former owner may have used for one task without
-# storing them. They are skipped after a takeover, so that no run number is used twice.
+# Largest number of run numbers that an owner may have used for one task without storing
+# them. They are skipped after a takeover, for each former owner, as several may have
+# died one after the other: no run number is used twice.
 MAX_UNSTORED_RUNS = 8
 # Number of newest presumed ends that are remembered of a task: starts may be rejected
 # any number of times.
@@ -198,12 +199,13 @@
         if unsettled_hosts and now < self.former_leases_end_at:
             return False
         self.is_settled = True
+        first_run = MAX_UNSTORED_RUNS * (self.term - 1)
         count = 0
         for job in self.jobs.values():
             for step in job.steps.values():
                 for task in step.tasks:
                     if task.state == "unsettled":
-                        task.run += MAX_UNSTORED_RUNS
+                        task.run = max(task.run, first_run) + MAX_UNSTORED_RUNS
                         task.move("settle")
                         count += 1
         log.info(
--- a/tests/work/test_hard_cases.py
+++ b/tests/work/test_hard_cases.py
@@ -60,6 +60,27 @@
     run_scenario(scenario)
 
 
+def test_owners_that_die_one_after_the_other_use_a_run_number_twice():
+    # Neither stores the number of the run that it has started.
+    async def scenario(cell):
+        await cell.start_daemons("a", "b", "c", "d")
+        for host in cell.hosts.hosts.values():
+            host.task_duration_s = 60.0
+        await cell.submit("a", JOB_ID, job())
+        for _ in range(2):
+            starts = len(cell.hosts.starts())
+            await cell.wait_for_starts(starts + 1)
+            for host in cell.hosts.hosts.values():
+                host.crash()
+            await cell.kill(cell.owner(), loses_power=True)
+        for host in cell.hosts.hosts.values():
+            host.task_duration_s = 1.0
+        await cell.wait_for_state(JOB_ID, "complete", 40.0)
+        assert len(cell.hosts.starts()) == 3
+
+    run_scenario(scenario)
+
+
 def test_failing_host_is_distinguished_from_failing_job():
     failing_job = "00000000000000ff"
 
--- a/tests/work/test_pool_state.py
+++ b/tests/work/test_pool_state.py
@@ -498,6 +498,11 @@
     assert pool_state.task(TASK).state == "waiting"
 
 
+# Number of the first run of the owner of term 9, and a higher one of a former owner.
+NEXT_RUN = 73
+FORMER_RUN = 80
+
+
 def place_below_a_former_run(pool_state):
     """Let the next owner place a task under a lower number than the former one used.
 
@@ -511,17 +516,17 @@
     (start,) = plan_starts(next_owner, 6.1)
     host = next_owner.hosts["i-1"]
     next_owner.apply_start_reply(host, start.run, None, 6.2)
-    assert (start.host, start.run.key[1]) == ("i-1", 9)
+    assert (start.host, start.run.key[1]) == ("i-1", NEXT_RUN)
     return next_owner, start
 
 
 def test_a_former_run_with_a_higher_number_does_not_free_a_task_that_runs():
     pool_state = make_pool_state(job(), ("i-0", "i-1"))
     next_owner, _ = place_below_a_former_run(pool_state)
-    lapsed = RunEnd(1, TASK, 12, EndKind.LEASE_EXPIRED, "")
+    lapsed = RunEnd(1, TASK, FORMER_RUN, EndKind.LEASE_EXPIRED, "")
     send_report(next_owner, "i-0", 6.5, ended=[lapsed])
     assert not plan_starts(next_owner, 6.6)
-    done = RunEnd(1, TASK, 9, EndKind.DONE, "")
+    done = RunEnd(1, TASK, NEXT_RUN, EndKind.DONE, "")
     send_report(next_owner, "i-1", 7.0, ended=[done], clock=2000)
     assert next_owner.task(TASK).state == "done"
 
@@ -529,7 +534,7 @@
 def test_a_run_is_stopped_when_a_former_one_with_a_higher_number_is_done():
     pool_state = make_pool_state(job(), ("i-0", "i-1"))
     next_owner, start = place_below_a_former_run(pool_state)
-    done = RunEnd(1, TASK, 12, EndKind.DONE, "")
+    done = RunEnd(1, TASK, FORMER_RUN, EndKind.DONE, "")
     effects = send_report(next_owner, "i-0", 6.5, ended=[done])
     assert [e.run for e in effects if isinstance(e, StopRun)] == [start.run]
 
