Give up a task that crashes its hosts, told from its neighbours by trials

Cause: a run that is lost with its host counted for no task. The end had no listed evidence, and only listed ends that say failed were counted.

Change: a host that answers as another incarnation has crashed under the tasks whose runs it has lost, unless it was leaving; a lapsed one counts when that is known. The crashes are stored with the progress. A task whose run had just begun starts again on trial, where no run has begun for 0.4 s and none is started for 0.4 s; if that host crashes too, and no other at the same moment, its job is shown as failed. One that goes on is cleared. After four crashes a task is given up in any case. No speculative copy once a crash is known; one beside a silent host is on trial.

--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -82,6 +82,9 @@
     queue, declared_s, long_running
         The task's queue, its declared run time in seconds, and whether it runs until
         its job is cancelled.
+    trial_s : float
+        Seconds for which no other run is started on the host, as its task is suspected
+        of crashing hosts; 0 for other tasks.
     progress_at_begin : int
         Percent of progress that the checkpoint already had.
     progress_changed_at, reported_at : float
@@ -119,6 +122,7 @@
     declared_s: float = 0.0
     long_running: bool = False
     progress_at_begin: int = 0
+    trial_s: float = 0.0
 
     def move(self, event: str) -> None:
         """Apply an event of the ``run`` chart."""
@@ -224,6 +228,8 @@
         Loop time at which the quarantine ends.
     quarantine_evidence_at : float
         Loop time at which the quarantine began, or a run last failed during it.
+    trial_until : float
+        Loop time until which no run is started beside one that is on trial.
     used : Resources
         Sum of the needs of its runs.
     run_changes : int
@@ -258,6 +264,7 @@
     quarantined_until: float = 0.0
     quarantine_evidence_at: float = 0.0
     is_stored: bool = False
+    trial_until: float = -1e9
     reply_time_s: float = 0.03
     runs: dict[RunKey, Run] = field(default_factory=dict)
     used: Resources = NOTHING
@@ -304,6 +311,8 @@
     def remove_run(self, run: Run) -> None:
         """Remove a run and free its resources."""
         del self.runs[run.key]
+        if run.trial_s:
+            self.trial_until = -1e9
         self.used = self.used - run.need
         self.run_changes += 1
         use = self.queue_uses[run.queue]
@@ -313,6 +322,11 @@
             del self.queue_uses[run.queue]
         self.index.remove(self, run)
 
+    def begin_trial(self, run: Run, seconds: float, now: float) -> None:
+        """Put a run on trial: nothing else is started here for some seconds."""
+        run.trial_s = seconds
+        self.trial_until = now + seconds
+
     def reply_timeout_s(self) -> float:
         """Return the timeout in seconds for a reply of the host.
 
@@ -368,6 +382,8 @@
             return False
         if self.entry.draining or self.is_report_outdated:
             return False
+        if now < self.trial_until:
+            return False
         if self.unlisted_at and now - self.unlisted_at > UNLISTED_GRACE_S:
             return False
         return now - self.replied_at <= HOST_SILENCE_S
--- a/siskinroad/work/host_states.py
+++ b/siskinroad/work/host_states.py
@@ -28,6 +28,7 @@
     FAILING = "failing"
     SILENT = "silent"
     OUTDATED = "outdated"
+    TRIAL = "trial"
 
 
 def find_host_state(host: Host, now: float) -> HostState:
@@ -46,6 +47,8 @@
         return HostState.SILENT
     if host.is_report_outdated:
         return HostState.OUTDATED
+    if now < host.trial_until:
+        return HostState.TRIAL
     return HostState.SCHEDULABLE
 
 
--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -8,6 +8,7 @@
 
 from siskinroad.charts import load_chart
 from siskinroad.resources import Resources
+from siskinroad.work.crash_record import CrashRecord
 from siskinroad.work.host import LOWEST_RANK, Run
 from siskinroad.work.model import JobSpec, Step, TaskId
 from siskinroad.work.records import Accepted, Progress, TaskProgress
@@ -112,6 +113,8 @@
         that of the first planning pass or examination that saw it.
     tally : TaskTally
         Tally of the step's tasks, which this task keeps up to date.
+    crashes : CrashRecord
+        Crashes of hosts under the task.
     """
 
     id: TaskId
@@ -125,6 +128,7 @@
     older_run_host: str = ""
     presumed_ends: dict[int, PresumedEnd] = field(default_factory=dict)
     waiting_since: float = 0.0
+    crashes: CrashRecord = field(default_factory=CrashRecord)
 
     def __post_init__(self) -> None:
         self.tally.add(self.id.index, self.state)
@@ -168,6 +172,7 @@
             self.run,
             tuple(sorted(self.failures)),
             self.checkpoint,
+            self.crashes.notes,
         )
 
 
@@ -402,6 +407,7 @@
             task.run = task_progress.run
             task.failures = set(task_progress.failed_runs)
             task.checkpoint = task_progress.checkpoint
+            task.crashes.notes = task_progress.crashes
             self.has_started = True
             if task_progress.done:
                 task.move("done")
--- a/siskinroad/work/placement.py
+++ b/siskinroad/work/placement.py
@@ -5,6 +5,7 @@
 import heapq
 
 from siskinroad.resources import Resources
+from siskinroad.work.crash_record import is_quiet
 from siskinroad.work.host import Host
 from siskinroad.work.job import StepRun, Task
 from siskinroad.work.planning_pass import (
@@ -86,6 +87,7 @@
             self._ticketed_hosts = planning_pass.schedulable_hosts.count(step.tickets)
         self._costs: dict[Host, Cost] = {}
         self._heap: list[tuple[Cost, int]] = []
+        self._trial_hosts: set[Host] = set()
 
     def place(self, cpu_milli: float) -> TentativePlacement:
         """Place tasks until none fits, or ``cpu_milli`` processors are used."""
@@ -105,6 +107,8 @@
         return self._placement
 
     def _choose_host(self, task: Task) -> Host | None:
+        if task.crashes.needs_trial:
+            return self._choose_for_trial(task)
         if task.avoided_hosts or task.older_run_host:
             return self._choose_for_failed(task)
         while self._heap:
@@ -129,8 +133,38 @@
             default=None,
         )
 
+    def _choose_for_trial(self, task: Task) -> Host | None:
+        """Return the host with the fewest runs that a crash would take; None if none.
+
+        The members of a gang are on trial together, and may share a host.
+        """
+        if not self._pass.may_try(task):
+            return None
+        now = self._pass.now
+        positions = self._pass.schedulable_hosts.positions
+        counts = self._placement.counts
+        is_gang = self._step.spec.gang
+        return min(
+            (
+                host
+                for host in self._costs
+                if not task_avoids_host(task, host, now)
+                and (is_gang or not counts.get(host.name))
+            ),
+            key=lambda host: (
+                host.name in task.crashes.hosts,
+                not is_quiet(host, now),
+                len(host.runs),
+                self._costs[host],
+                positions[host.name],
+            ),
+            default=None,
+        )
+
     def _place(self, task: Task, host: Host) -> None:
         placement = self._placement
+        if task.crashes.needs_trial and not self._step.spec.gang:
+            self._trial_hosts.add(host)
         self._available[host] = self._available[host] - self._step.need
         placement.counts[host.name] = placement.counts.get(host.name, 0) + 1
         placement.chosen.append((task, host))
@@ -149,6 +183,8 @@
     def _enter(self, host: Host) -> None:
         """Enter a host with its present cost, unless it fits no further task."""
         self._costs.pop(host, None)
+        if host in self._trial_hosts:
+            return
         available = self._available[host]
         if not self._step.need.fits(available):
             return
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -21,7 +21,11 @@
 from siskinroad.work.model import Queue
 from siskinroad.work.open_hosts import make_open_hosts
 from siskinroad.work.placement import place_tasks
-from siskinroad.work.planning_pass import PlanningPass, TentativePlacement
+from siskinroad.work.planning_pass import (
+    MAX_TRIAL_FRACTION,
+    PlanningPass,
+    TentativePlacement,
+)
 from siskinroad.work.pool_state import PoolState
 from siskinroad.work.schedulable_hosts import SchedulableHosts, make_schedulable_hosts
 from siskinroad.work.sole_hosts import find_sole_hosts
@@ -78,9 +82,12 @@
             When the advisor channels are free; None if they always are.
         """
         pool_state = self.pool_state
+        given_up = pool_state.give_up_crashing_tasks(wall)
         hosts: list[Host] = []
+        trials = 0
         quarantined: list[Host] = []
         for host in pool_state.hosts.values():
+            trials += now < host.trial_until
             if host.is_quarantined:
                 quarantined.append(host)
             elif host.is_usable(now):
@@ -109,6 +116,9 @@
             steps,
             channels,
         )
+        planning_pass.effects += given_up
+        max_trials = max(1, int(MAX_TRIAL_FRACTION * len(pool_state.hosts)))
+        planning_pass.trial_hosts = max_trials - trials
         planning_pass.non_urgent_cpu_milli = self._compute_non_urgent_cpu(planning_pass)
         ranked = self._rank_steps(steps, now, wall)
         self._put_late_step_first(planning_pass, ranked)
@@ -329,6 +339,8 @@
         host.reserved.pop(step.key, None)
         planning_pass.non_urgent_cpu_milli -= step.need.cpu_milli
         planning_pass.add_run(host, run)
+        if task.crashes.needs_trial:
+            planning_pass.begin_trial(host, run)
         step.runs_by_host[host.name] = step.runs_by_host.get(host.name, 0) + 1
         ticket = step.tickets.get(host.name, ("", 0.0))[0]
         payload = step.job.spec.payload
--- a/siskinroad/work/planning_pass.py
+++ b/siskinroad/work/planning_pass.py
@@ -7,6 +7,7 @@
 
 from siskinroad.resources import NOTHING, Resources
 from siskinroad.work.advisor_channels import ChannelTimes
+from siskinroad.work.crash_record import TRIAL_S, is_quiet
 from siskinroad.work.effects import Effect
 from siskinroad.work.host import Host, Run
 from siskinroad.work.job import StepRun, Task
@@ -15,6 +16,7 @@
 from siskinroad.work.schedulable_hosts import SchedulableHosts
 
 __all__ = [
+    "MAX_TRIAL_FRACTION",
     "PlanningPass",
     "TentativePlacement",
     "can_hold_all",
@@ -27,6 +29,11 @@
 
 # Seconds for which a task is not placed again on a host where it failed.
 AVOID_FAILED_HOST_S = 1.5
+# Seconds for which a task on trial waits for a quiet host. Callers take a job of which
+# no task runs for 3 s beside free capacity for lost.
+TRIAL_PATIENCE_S = 1.5
+# Fraction of the hosts that may have a run on trial at once, with nothing else started.
+MAX_TRIAL_FRACTION = 0.34
 
 
 @dataclass(slots=True)
@@ -56,6 +63,8 @@
     blocked_steps, examined_steps : int
         Number of steps that no host with a ticket fits, and for how many of these this
         pass has predicted free capacity.
+    trial_hosts : int
+        Number of further hosts on which a run may be put on trial.
     deferred_steps : set of tuple
         Keys of the steps that are left to the next passes.
     channels : ChannelTimes or None
@@ -71,6 +80,7 @@
     channels: ChannelTimes | None = None
     planned_steps: list[StepRun] | None = None
     non_urgent_cpu_milli: float = 0.0
+    trial_hosts: int = 0
     excluded_hosts: set[str] = field(default_factory=set)
     has_withheld: bool = False
     late_step: StepRun | None = None
@@ -87,6 +97,17 @@
         self.excluded_hosts.add(host.name)
         self.open_hosts.exclude(host)
 
+    def may_try(self, task: Task) -> bool:
+        """Return whether a task that needs a trial may get one now."""
+        is_impatient = self.now - task.waiting_since > TRIAL_PATIENCE_S
+        return self.trial_hosts > 0 or is_impatient
+
+    def begin_trial(self, host: Host, run: Run) -> None:
+        """Put a run that has been added on trial; start nothing else on its host."""
+        host.begin_trial(run, TRIAL_S, self.now)
+        self.trial_hosts -= 1
+        self.open_hosts.exclude(host)
+
     def add_run(self, host: Host, run: Run) -> None:
         """Allocate a host's capacity to a run that is being started."""
         host.add_run(run)
@@ -155,10 +176,14 @@
 
     A task is kept off a host where it failed for ``AVOID_FAILED_HOST_S`` only: the host
     may be the only one that is allowed or has free capacity. A speculative copy never
-    goes to the host of the older run.
+    goes to the host of the older run. A task on trial goes to a quiet host, unless it
+    has waited for one for ``TRIAL_PATIENCE_S``.
     """
     if host.name == task.older_run_host:
         return True
+    is_patient = now - task.waiting_since <= TRIAL_PATIENCE_S
+    if task.crashes.needs_trial and is_patient and not is_quiet(host, now):
+        return True
     failed_at = task.avoided_hosts.get(host.name)
     return failed_at is not None and now - failed_at < AVOID_FAILED_HOST_S
 
--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -197,6 +197,7 @@
             return self._process_ends(host, report.ended, now, wall)
         if is_other:
             effects += self._handle_restart(host, sent_at, now)
+        self.crash_tracker.note_report(host, report.incarnation_ms, now)
         host.incarnation_ms = report.incarnation_ms
         host.clock, host.clock_read_at = report.clock, now
         host.replied_at = host.reported_at = now
@@ -249,7 +250,7 @@
             for run in host.runs.values()
             if run.state in ("running", "stopping") and run.commanded_at < sent_at
         ]
-        self._log_lost_runs(host, lost, "host restarted", now)
+        self.crash_tracker.record_crash(host, lost, "host restarted", now)
         for run in lost:
             run.move("lapse")
             effects += self._end_run(host, run, "host restarted", now)
@@ -278,6 +279,8 @@
             run.reported_at = max(run.reported_at, made_at)
             run.usage = status.usage
             task = self.task(status.task)
+            if task is not None and status.run == task.run:
+                self.crash_tracker.note_survival(task, run, made_at)
             if task is not None and status.checkpoint and status.run == task.run:
                 task.checkpoint = status.checkpoint
         return effects
--- a/siskinroad/work/records.py
+++ b/siskinroad/work/records.py
@@ -11,6 +11,7 @@
 
 from siskinroad.codec import DECODE_ERRORS
 from siskinroad.errors import ProtocolError
+from siskinroad.work.crash_record import CrashNote
 from siskinroad.work.model import JobSpec
 from siskinroad.work.store import Record
 
@@ -96,7 +97,8 @@
 
     ``failed_runs`` lists the runs that failed through the task's own fault. With their
     numbers stored, an end that a host reports again to another owner is not counted
-    twice, in whatever order the ends arrive.
+    twice, in whatever order the ends arrive. ``crashes`` are the crashes of hosts under
+    the task; records of earlier versions have none.
     """
 
     occurrence: int
@@ -106,6 +108,7 @@
     run: int
     failed_runs: tuple[int, ...]
     checkpoint: str
+    crashes: tuple[CrashNote, ...] = ()
 
 
 class Progress(msgspec.Struct, tag="progress", frozen=True, omit_defaults=True):
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -9,6 +9,8 @@
 import logging
 from collections.abc import Callable, Iterable
 
+from siskinroad.work.crash_record import TRIAL_S
+from siskinroad.work.crash_tracker import CrashTracker
 from siskinroad.work.effects import Effect, ReconcileHost, StopRun
 from siskinroad.work.host import Host, Run, RunIndex
 from siskinroad.work.job import Job, JobState, PresumedEnd, Task
@@ -27,8 +29,6 @@
 # Number of newest presumed ends that are remembered of a task: starts may be rejected
 # any number of times.
 MAX_PRESUMED_ENDS = 8
-# Number of the youngest lost runs that a log line names.
-MAX_NAMED = 4
 # Largest fraction of the hosts in quarantine at once, for any reason. If more of them
 # look bad, the cause is probably one that they share, and the others would be overrun.
 MAX_QUARANTINED_FRACTION = 0.5
@@ -58,8 +58,8 @@
     observe_presumed_end, observe_late_end : callable
         Receive the reason of each end that no host has listed, and the kind of each
         end that a host lists after that.
-    observe_lost_host : callable
-        Receives the reason of each loss of all runs of a host.
+    crash_tracker : CrashTracker
+        Tracker of the hosts that crash, and of the tasks that may be the cause.
     """
 
     def __init__(self, pool: str, term: int) -> None:
@@ -72,7 +72,7 @@
         self.loop_delay_s = 0.0
         self.observe_presumed_end: Callable[[str], None] = lambda reason: None
         self.observe_late_end: Callable[[str], None] = lambda end_kind: None
-        self.observe_lost_host: Callable[[str], None] = lambda reason: None
+        self.crash_tracker = CrashTracker(self.hosts, self.step, self.dirty.add)
 
     # Stopping runs
 
@@ -91,6 +91,25 @@
                     task.move("abandon")
         return self._stop_runs(job.id, f"job {outcome}")
 
+    def give_up_crashing_tasks(self, wall: float) -> list[Effect]:
+        """Fail the jobs of tasks that have crashed their hosts."""
+        effects: list[Effect] = []
+        for step, task in self.crash_tracker.causes:
+            if step.job.is_closed or task.state == "done":
+                continue
+            log.warning(
+                "pool_state: task given up, as hosts crashed under it",
+                extra={
+                    "request": step.job.id,
+                    "task": format_task_position(task.id),
+                    "hosts": [note.host for note in task.crashes.notes],
+                    "runs": task.run,
+                },
+            )
+            effects += self._close_job(step.job, JobState.FAILED, wall)
+        self.crash_tracker.causes.clear()
+        return effects
+
     def _stop_runs(self, job_id: str, reason: str) -> list[Effect]:
         effects: list[Effect] = []
         for host, run in self.run_index.find_runs(job_id):
@@ -115,6 +134,11 @@
             return False
         if task.run != run.key[1] or not task.allows("free"):
             return False
+        if task.crashes.notes:
+            # A copy would crash a further host before the first crash is known.
+            return False
+        if host.is_failing and host.run_age_at_loss(run, now) <= TRIAL_S:
+            task.crashes.is_suspected = True
         task.older_run_host = host.name
         task.move_to_waiting("free", now)
         log.info(
@@ -143,6 +167,7 @@
 
     def add_or_update_host(self, entry: HostEntry, now: float = 0.0) -> None:
         """Add or update a host from its entry in the live list."""
+        self.crash_tracker.note_listed(entry, now)
         host = self.hosts.get(entry.name)
         if host is None:
             first_token = self.term * TOKENS_PER_TERM
@@ -232,7 +257,7 @@
         """End all runs of a host whose address now serves another incarnation."""
         effects: list[Effect] = []
         runs = list(host.runs.values())
-        self._log_lost_runs(host, runs, "host replaced", now)
+        self.crash_tracker.record_crash(host, runs, "host replaced", now)
         for run in runs:
             run.move("lapse")
             effects += self._end_run(host, run, "host replaced", now)
@@ -240,24 +265,6 @@
         self.former_owner_hosts.discard(host.name)
         return effects
 
-    def _log_lost_runs(
-        self, host: Host, runs: list[Run], reason: str, now: float
-    ) -> None:
-        """Log and count the loss of a host's runs, the youngest of them by name."""
-        self.observe_lost_host(reason)
-        ages = sorted((host.run_age_at_loss(run, now), format_run(run)) for run in runs)
-        log.warning(
-            "pool_state: host has lost its runs",
-            extra={
-                "host": host.name,
-                "why": reason,
-                "runs": len(runs),
-                "youngest": [f"{name} {age:.2f} s" for age, name in ages[:MAX_NAMED]],
-                "failing_s": round(now - host.failing_since, 2),
-                "draining": host.entry.draining,
-            },
-        )
-
     def _remove_host(self, host: Host) -> None:
         """Remove a host without runs; a late report of it changes no index.
 
@@ -288,6 +295,7 @@
                         "loop_delay_s": round(self.loop_delay_s, 3),
                     },
                 )
+            self.crash_tracker.record_lapse(host, now)
             for run in list(host.runs.values()):
                 run.move("lapse")
                 effects += self._end_run(host, run, "lapsed", now)
@@ -411,9 +419,3 @@
 def format_task_position(key: TaskId) -> str:
     """Return a task's position in its job as ``occurrence.step.index``, for logs."""
     return f"{key.occurrence}.{key.step}.{key.index}"
-
-
-def format_run(run: Run) -> str:
-    """Return a run's job, position in the job and number, for logs."""
-    task, number = run.key
-    return f"{task.job}.{format_task_position(task)}#{number}"
--- a/siskinroad/work/term.py
+++ b/siskinroad/work/term.py
@@ -85,9 +85,9 @@
         self.pool_state.observe_late_end = lambda end_kind: metrics.late_ends.labels(
             end_kind
         ).inc()
-        self.pool_state.observe_lost_host = lambda reason: metrics.lost_hosts.labels(
-            reason
-        ).inc()
+        self.pool_state.crash_tracker.observe_lost_host = lambda reason: (
+            metrics.lost_hosts.labels(reason).inc()
+        )
         self.pool_state.observe_result = lambda job, result: metrics.jobs_ended.labels(
             job.queue, job.data_centre, result
         ).inc()
--- a/siskinroad/work/wait_reasons.py
+++ b/siskinroad/work/wait_reasons.py
@@ -34,7 +34,9 @@
     ticket for none of them. ``TICKETED_HOSTS_FULL``: only hosts without a ticket have
     free capacity, and no request is pending. ``TICKETS_STALE``: hosts with free
     capacity have tickets that have expired or are about to, and no request is pending.
-    ``DEFERRED``: the step is left to the next passes, as too many steps wait.
+    ``AWAITS_TRIAL``: hosts have crashed under the task, and none is quiet enough for
+    its next start. ``DEFERRED``: the step is left to the next passes, as too many steps
+    wait.
     ``UNEXPLAINED``: none of the checks fails; the planner should have placed the task.
     ``NOT_EXAMINED``: more steps wait than are examined at once.
     """
@@ -56,6 +58,7 @@
     SPREAD = "spread"
     URGENT_HEADROOM = "urgent_headroom"
     AVOIDS_FAILED_HOST = "avoids_failed_host"
+    AWAITS_TRIAL = "awaits_trial"
     TICKETS_STALE = "tickets_stale"
     DEFERRED = "deferred"
     UNEXPLAINED = "unexplained"
@@ -193,12 +196,14 @@
                 if not any(task_avoids_host(task, host, now) for task in tasks)
             }
             if not _fits_step(step, allowed):
-                reason = WaitReason.AVOIDS_FAILED_HOST
+                reason = _find_avoidance_reason(tasks[0])
             return {reason: tasks}
         reasons: dict[WaitReason, list[Task]] = {}
         for task in tasks:
             avoids_all = all(task_avoids_host(task, host, now) for host in free)
-            own_reason = WaitReason.AVOIDS_FAILED_HOST if avoids_all else reason
+            if task.crashes.needs_trial and not self._pass.may_try(task):
+                avoids_all = True
+            own_reason = _find_avoidance_reason(task) if avoids_all else reason
             reasons.setdefault(own_reason, []).append(task)
         return reasons
 
@@ -246,6 +251,12 @@
     return False
 
 
+def _find_avoidance_reason(task: Task) -> WaitReason:
+    if task.crashes.needs_trial:
+        return WaitReason.AWAITS_TRIAL
+    return WaitReason.AVOIDS_FAILED_HOST
+
+
 def _has_stale_ticket(step: StepRun, hosts: Iterable[Host], now: float) -> bool:
     """Return whether a ticket for one of the hosts can no longer be used."""
     return any(step.tickets[h.name][1] - TICKET_MARGIN <= now for h in hosts)
--- a/tests/work/cell.py
+++ b/tests/work/cell.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 import msgspec
 
@@ -62,7 +63,8 @@
             return None
         fields = msgspec.json.decode(value)
         capacity = Resources(*fields["room"])
-        return entry(key, fields["draining"], capacity, pool=fields["pool"])
+        listed = entry(key, fields["draining"], capacity, pool=fields["pool"])
+        return replace(listed, address=fields["address"] or key)
 
     def decode_configuration(self, key, value):
         if not value.isdigit():
@@ -81,9 +83,9 @@
 }
 
 
-def host_record(name, draining=False, capacity=HOST_CAPACITY, pool=POOL):
+def host_record(name, draining=False, capacity=HOST_CAPACITY, pool=POOL, address=""):
     parts = [capacity.cpu_milli, capacity.memory_mib, capacity.accelerators, 0]
-    fields = {"draining": draining, "room": parts, "pool": pool}
+    fields = {"draining": draining, "room": parts, "pool": pool, "address": address}
     return Record(name, msgspec.json.encode(fields))
 
 
@@ -102,9 +104,10 @@
         for i in range(hosts):
             self.add_host(f"i-{i}")
 
-    def add_host(self, name, pool=POOL, **fields):
+    def add_host(self, name, pool=POOL, address="", **fields):
         self.hosts.add(MemoryHost(entry(name, pool=pool), **fields))
-        self.logs.append("keyed.list", [host_record(name, pool=pool)], None, None)
+        record = host_record(name, pool=pool, address=address)
+        self.logs.append("keyed.list", [record], None, None)
 
     def relist(self, name, **fields):
         """List a host again with other fields; it runs on."""
--- a/tests/work/test_crashing_tasks.py
+++ b/tests/work/test_crashing_tasks.py
@@ -27,6 +27,7 @@
 def set_deadly(cell, *tasks, returns="restarted", down_s=3.2):
     """Let tasks crash every host, which returns with its name or with a new one."""
     names = (f"n-{i}" for i in itertools.count())
+    addresses = {name: name for name in cell.hosts.hosts}
 
     def replace_host(host):
         name = host.entry.name
@@ -36,8 +37,10 @@
 
     def bring_new_host(host):
         host.is_replaced = True
-        cell.add_host(next(names))
-        prepare(list(cell.hosts.hosts.values())[-1])
+        cell.add_host(next(names), address=addresses[host.entry.name])
+        new_host = list(cell.hosts.hosts.values())[-1]
+        addresses[new_host.entry.name] = addresses[host.entry.name]
+        prepare(new_host)
 
     def prepare(host):
         host.crashing_tasks = set(tasks)
