--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -342,3 +342,16 @@
             started += start_effects(scheduler.submit(late, 10.0))
         started += start_effects(scheduler.tick(float(second)))
     assert {each.item.key for each in started} == {"plain/0", "plain/late"}
+
+
+def test_task_that_takes_host_after_host_with_it_is_started_without_end():
+    # Each host is gone soon after the start, alone of all hosts.
+    scheduler = make_scheduler(8)
+    starts = start_effects(submit(scheduler, "plain", 1))
+    for now in range(1, 8):
+        run = scheduler.shard.running.get("plain/0")
+        if run is None:
+            break
+        starts += start_effects(scheduler.host_event(run.hosts[0], "gone", float(now)))
+    # Two starts are allowed after three hosts have crashed under a task.
+    assert len(starts) <= 5
