Refuse no job for good that fits a host whose capacity has only shrunk

Callers were told that no host could ever hold their job (429) while the capacity of a host was smaller for a time. Cause: a submit was compared with the capacities that the hosts list at that moment.

Change: it is compared with the largest capacity that each host has had since it was listed. The job is accepted and waits. The live list of a daemon is a module of its own (host_list), taken out of the daemon.

--- a/siskinroad/resources.py
+++ b/siskinroad/resources.py
@@ -72,6 +72,15 @@
             min(self.slots, capacity.slots),
         )
 
+    def union(self, other: Resources) -> Resources:
+        """Return the larger amount of each resource."""
+        return Resources(
+            max(self.cpu_milli, other.cpu_milli),
+            max(self.memory_mib, other.memory_mib),
+            max(self.accelerators, other.accelerators),
+            max(self.slots, other.slots),
+        )
+
     def fits(self, capacity: Resources) -> bool:
         """Return whether no dimension exceeds that of ``capacity``."""
         return (
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -4,18 +4,17 @@
 
 import asyncio
 import logging
-from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import Any
 
 from siskinroad.errors import SiskinroadError
 from siskinroad.peers import PeerTransport
-from siskinroad.resources import Resources
 from siskinroad.work.advisor_channels import AdvisorChannels
 from siskinroad.work.claim_manager import ClaimManager
 from siskinroad.work.configuration_exchange import ConfigurationExchange
 from siskinroad.work.configuration_reader import ConfigurationReader
 from siskinroad.work.follower import Follower
+from siskinroad.work.host_list import HostList
 from siskinroad.work.job_service import JobService
 from siskinroad.work.job_writer import JobWriter
 from siskinroad.work.loop_delay import LoopDelay
@@ -35,7 +34,7 @@
     SubmitReply,
     SubmitRequest,
 )
-from siskinroad.work.model import HostEntry, Timing
+from siskinroad.work.model import Timing
 from siskinroad.work.peer_calls import PeerCalls
 from siskinroad.work.platform_clients import PlatformClients
 from siskinroad.work.records import (
@@ -106,7 +105,8 @@
             member, peers, register_address, self._make_heartbeat, self.loop_delay
         )
         self.members = self.membership.members
-        self.hosts: dict[str, HostEntry] = {}
+        self.host_list = HostList(platform_clients.decoder)
+        self.hosts = self.host_list.entries
         self._tasks: list[asyncio.Task[None]] = []
         self._background_tasks: set[asyncio.Task[None]] = set()
         now = asyncio.get_running_loop().time
@@ -183,7 +183,7 @@
             self.peer_calls,
             self.owners,
             self._find_owner,
-            self._list_capacities,
+            self.host_list.list_capacities,
             self.metrics,
             wall,
             lambda: self.store.last_answer_at,
@@ -331,15 +331,8 @@
     def _apply_host_list(
         self, items: tuple[NewestRecord, ...], is_snapshot: bool
     ) -> None:
-        if is_snapshot:
-            self.hosts.clear()
-        for item in items:
-            entry = self.platform_clients.decoder.decode_host(item.key, item.value)
-            if entry is None:
-                self.hosts.pop(item.key, None)
-            else:
-                self.hosts[item.key] = entry
-        self.members.pool_sizes = Counter(entry.pool for entry in self.hosts.values())
+        self.host_list.apply(items, is_snapshot)
+        self.members.pool_sizes = self.host_list.count_by_pool()
         for owner in self.owners.values():
             owner.apply_host_list(self.hosts)
 
@@ -359,9 +352,6 @@
         now = asyncio.get_running_loop().time()
         return self.members.job_writer(pool, now, self._make_heartbeat())
 
-    def _list_capacities(self, pool: str) -> list[Resources]:
-        return [e.capacity for e in self.hosts.values() if e.pool == pool]
-
     # Messages
 
     def _receive(self, peer: str, msg: Any) -> None:
--- a/siskinroad/work/job_service.py
+++ b/siskinroad/work/job_service.py
@@ -109,7 +109,7 @@
     find_owner : callable
         Returns the daemon that owns a pool, or None.
     list_capacities : callable
-        Returns the capacities of a pool's listed hosts.
+        Returns the largest capacity that each listed host of a pool has had.
     last_store_answer_at : callable
         Returns the loop time of the store's last answer, direct or relayed.
     """
--- a/tests/work/test_crashing_tasks.py
+++ b/tests/work/test_crashing_tasks.py
@@ -277,3 +277,21 @@
         await cell.wait_for_state(other, "complete")
 
     run_scenario(scenario, hosts=1)
+
+
+def test_job_that_fits_only_the_former_capacity_of_a_host_is_refused_for_good():
+    async def scenario(cell):
+        await cell.start_daemons("a")
+        full = entry("i-0").capacity
+        cell.relist("i-0", capacity=type(full)(8000, full.memory_mib, 8, 0))
+        await asyncio.sleep(1.0)
+        reply = await cell.submit("a", JOB_ID, job(step(1, cpu_milli=16000)))
+        assert reply.kind == "ok"
+        await asyncio.sleep(2.0)
+        assert not cell.hosts.starts()
+        cell.relist("i-0")
+        await cell.wait_for_state(JOB_ID, "complete")
+        reply = await cell.submit("a", JOB_ID[:-1] + "b", job(step(1, cpu_milli=64000)))
+        assert reply.kind == "never"
+
+    run_scenario(scenario, hosts=1)
