Retrieve the exceptions of all ways of a read that end at once

Cause: found on reading the race of reads again. If one way succeeds and another fails in the same turn of the loop, the exception of the second was never retrieved, and asyncio logs that as an error.

Change: all of them are retrieved first.

Result: the tests of the race pass; no behaviour changes but that log line.

--- a/siskinroad/work/read_race.py
+++ b/siskinroad/work/read_race.py
@@ -56,14 +56,14 @@
                     pending, late_after_s if taken < len(ways) else None
                 )
                 pending -= done
-                failure: BaseException | None = None
-                for task in done:
-                    failure = task.exception()
+                # Each exception is retrieved, also those that are not raised.
+                failures = [task.exception() for task in done]
+                for task, failure in zip(done, failures, strict=True):
                     if not _is_failure(failure):
                         return task.result()
                 is_last = taken >= min(len(ways), WAYS_AFTER_FAILURE)
-                if failure is not None and not pending and is_last:
-                    raise failure
+                if done and not pending and is_last:
+                    raise next(exc for exc in failures if exc is not None)
         except asyncio.CancelledError:
             for task in pending:
                 task.cancel()
