Take only runs that were lost during their trial for shown causes of a crash

Cause: found on reading the crash tracker again. A start in flight at the moment of the crash has an age of zero and counted as on trial, so a second such crash gave its task up. A long-running task that was on trial once explained every later silence of its host, and its end ended the trial of another one. Lapsed losses were kept for good.

--- a/siskinroad/work/crash_tracker.py
+++ b/siskinroad/work/crash_tracker.py
@@ -45,6 +45,11 @@
     run: Run
     age_s: float
 
+    @property
+    def is_on_trial(self) -> bool:
+        """Whether the run was lost during its trial."""
+        return self.run.trial_s > 0 and self.age_s <= self.run.trial_s
+
 
 @dataclass(slots=True, frozen=True)
 class _Loss:
@@ -119,9 +124,14 @@
         It has not necessarily crashed: its next incarnation, or another host at its
         address, will show.
         """
-        if host.runs and not host.entry.draining:
-            loss = _make_loss(host, host.runs.values(), now)
-            self._lapsed[host.entry.address] = loss
+        if not host.runs or host.entry.draining:
+            return
+        self._lapsed = {
+            address: loss
+            for address, loss in self._lapsed.items()
+            if now - loss.noted_at <= MEMORY_S
+        }
+        self._lapsed[host.entry.address] = _make_loss(host, host.runs.values(), now)
 
     def note_report(self, host: Host, incarnation_ms: int, now: float) -> None:
         """Note which incarnation of a host has reported."""
@@ -147,10 +157,9 @@
             self._note_lapsed_crash(loss, now)
 
     def _note_lapsed_crash(self, loss: _Loss, now: float) -> None:
-        if now - loss.noted_at <= MEMORY_S:
-            self.observe_lost_host("lapsed")
-            _log_loss(loss, "lapsed", False, now)
-            self._blame_runs(loss, now)
+        self.observe_lost_host("lapsed")
+        _log_loss(loss, "lapsed", False, now)
+        self._blame_runs(loss, now)
 
     def note_survival(self, task: Task, run: Run, reported_at: float) -> None:
         """Note that a run of a task goes on."""
@@ -163,7 +172,7 @@
     def _blame_runs(self, loss: _Loss, now: float) -> None:
         is_alone = not self._has_coincidence(loss)
         main_suspect = self._find_main_suspect(loss)
-        if not any(lost.run.trial_s for lost in loss.runs):
+        if not any(lost.is_on_trial for lost in loss.runs):
             self._unexplained.append((loss.at, loss.host))
         while self._unexplained and now - self._unexplained[0][0] > MEMORY_S:
             self._unexplained.popleft()
@@ -192,7 +201,7 @@
             for host in self._hosts.values()
             if host.name != loss.host
             and host.is_failing
-            and not any(run.trial_s for run in host.runs.values())
+            and not _has_run_on_trial(host)
         ]
         return any(abs(at - loss.at) <= COINCIDENCE_S for at in others)
 
@@ -208,7 +217,7 @@
         task = step.job.task(lost.run.key[0])
         if task is None or task.state == "done":
             return
-        is_on_trial = lost.age_s <= lost.run.trial_s and _is_youngest(lost, loss.runs)
+        is_on_trial = lost.is_on_trial and _is_youngest(lost, loss.runs)
         is_cause_shown = is_on_trial or lost.run is main_suspect
         for each in step.tasks if step.spec.gang else [task]:
             each.crashes.add(loss.host, is_young=lost.age_s <= TRIAL_S)
@@ -247,6 +256,14 @@
         return suspects[0][0]
 
 
+def _has_run_on_trial(host: Host) -> bool:
+    """Return whether a host that does not reply has a run on trial."""
+    run = host.runs.get(host.trial_run) if host.trial_run is not None else None
+    if run is None:
+        return False
+    return host.run_age_at_loss(run, host.failing_since) <= run.trial_s
+
+
 def _make_loss(host: Host, runs: Iterable[Run], now: float) -> _Loss:
     lost = [_LostRun(run, host.run_age_at_loss(run, now)) for run in runs]
     lost.sort(key=lambda each: each.age_s)
--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -228,8 +228,9 @@
         Loop time at which the quarantine ends.
     quarantine_evidence_at : float
         Loop time at which the quarantine began, or a run last failed during it.
-    trial_until : float
-        Loop time until which no run is started beside one that is on trial.
+    trial_run, trial_until : tuple or None, float
+        Key of the newest run on trial, and the loop time until which no run is started
+        beside it.
     used : Resources
         Sum of the needs of its runs.
     run_changes : int
@@ -264,6 +265,7 @@
     quarantined_until: float = 0.0
     quarantine_evidence_at: float = 0.0
     is_stored: bool = False
+    trial_run: RunKey | None = None
     trial_until: float = -1e9
     reply_time_s: float = 0.03
     runs: dict[RunKey, Run] = field(default_factory=dict)
@@ -311,7 +313,8 @@
     def remove_run(self, run: Run) -> None:
         """Remove a run and free its resources."""
         del self.runs[run.key]
-        if run.trial_s:
+        if self.trial_run == run.key:
+            self.trial_run = None
             self.trial_until = -1e9
         self.used = self.used - run.need
         self.run_changes += 1
@@ -325,6 +328,7 @@
     def begin_trial(self, run: Run, seconds: float, now: float) -> None:
         """Put a run on trial: nothing else is started here for some seconds."""
         run.trial_s = seconds
+        self.trial_run = run.key
         self.trial_until = now + seconds
 
     def reply_timeout_s(self) -> float:
--- /dev/null
+++ b/tests/work/test_crash_tracker.py
@@ -0,0 +1,107 @@
+"""What a crash shows of the tasks whose runs it takes, without I/O."""
+
+from siskinroad.work.crash_record import TRIAL_S
+from siskinroad.work.crash_tracker import CrashTracker
+from siskinroad.work.host import Host, Run
+from siskinroad.work.job import make_job
+from siskinroad.work.records import Accepted
+from tests.work.cell import POOL, entry, job, step
+
+
+class Pool:
+    """Hosts, and one job of as many tasks as the tests use."""
+
+    def __init__(self, hosts=4, tasks=4):
+        self.hosts = {
+            name: Host(entry(name), 1) for name in map("i-{}".format, range(hosts))
+        }
+        spec = job(step(tasks))
+        self.job = make_job(Accepted("j", "fast", POOL, 0.0, spec))
+        (self.step,) = self.job.open_occurrence(is_settled=True)
+        self.changed = []
+        self.tracker = CrashTracker(
+            self.hosts, lambda task: self.step, self.changed.append
+        )
+
+    def start(self, host, index, at, *, is_on_trial=False):
+        task = self.step.tasks[index]
+        task.run += 1
+        run = Run((task.id, task.run), self.step.need, 1, at, self.step.key)
+        run.begun_at = at
+        self.hosts[host].add_run(run)
+        if is_on_trial:
+            self.hosts[host].begin_trial(run, TRIAL_S, at)
+        return run
+
+    def crash(self, name, at):
+        """Let a host fail, and answer as another incarnation three seconds later."""
+        host = self.hosts[name]
+        host.replied_at = at - 0.1
+        host.record_failed_request(at)
+        self.tracker.record_crash(host, list(host.runs.values()), "test", at + 3.0)
+        for run in list(host.runs.values()):
+            host.remove_run(run)
+        host.replied_at = at + 3.0
+
+    def causes(self):
+        return [task.id.index for _, task in self.tracker.causes]
+
+
+def test_a_start_in_flight_at_the_crash_is_no_trial():
+    # Its age is zero, as the host failed before the start was answered.
+    pool = Pool()
+    for host, at in (("i-0", 10.0), ("i-1", 14.0)):
+        pool.start(host, 0, at)
+        pool.crash(host, at)
+    assert pool.causes() == []
+    pool.start("i-2", 0, 20.0, is_on_trial=True)
+    pool.crash("i-2", 20.05)
+    assert pool.causes() == [0]
+
+
+def test_a_run_that_was_on_trial_long_ago_explains_no_crash():
+    # Two hosts are lost at once; one has a run that was on trial once.
+    pool = Pool()
+    pool.start("i-0", 0, 10.0)
+    pool.crash("i-0", 10.1)
+    pool.start("i-1", 1, 5.0, is_on_trial=True)
+    pool.start("i-2", 0, 20.0, is_on_trial=True)
+    other = pool.hosts["i-1"]
+    other.replied_at = 19.0
+    other.record_failed_request(20.1)
+    pool.crash("i-2", 20.1)
+    assert pool.causes() == []
+
+
+def test_the_end_of_an_earlier_trial_does_not_end_a_later_one():
+    pool = Pool()
+    first = pool.start("i-0", 0, 10.0, is_on_trial=True)
+    pool.start("i-0", 1, 20.0, is_on_trial=True)
+    host = pool.hosts["i-0"]
+    host.remove_run(first)
+    assert host.trial_until == 20.0 + TRIAL_S
+
+
+def test_neighbours_of_the_run_on_trial_are_not_given_up():
+    pool = Pool()
+    for index in range(3):
+        pool.start("i-0", index, 10.0)
+    pool.crash("i-0", 10.1)
+    pool.start("i-1", 1, 12.0)
+    pool.start("i-1", 0, 20.0, is_on_trial=True)
+    pool.crash("i-1", 20.1)
+    assert pool.causes() == [0]
+
+
+def test_a_lapsed_host_that_reports_again_has_not_crashed():
+    pool = Pool()
+    host = pool.hosts["i-0"]
+    host.incarnation_ms = 7
+    pool.start("i-0", 0, 10.0)
+    pool.tracker.record_lapse(host, 15.0)
+    pool.tracker.note_report(host, 7, 16.0)
+    pool.tracker.note_listed(entry("i-9"), 17.0)
+    assert not pool.step.tasks[0].crashes.notes
+    pool.tracker.record_lapse(host, 20.0)
+    pool.tracker.note_report(host, 8, 21.0)
+    assert len(pool.step.tasks[0].crashes.notes) == 1
