Let a task whose trial ended in silence wait until its host has shown itself

Cause: a host that is down for longer than its lease (4.4 s) is only lapsed when its runs are started again, and a lapse counted for nothing until the host was back.

Change: a run that was lost soon after its start with a silent host puts its task on trial; if it was on trial, the task waits 2 s at most for the host to show what happened.

The new test of the tracker fails without the change. tests/work passes.

--- a/siskinroad/work/crash_record.py
+++ b/siskinroad/work/crash_record.py
@@ -29,6 +29,9 @@
 TRIAL_S = 0.4
 # Seconds after which a run that goes on clears its task of all earlier crashes.
 SURVIVAL_S = 10.0
+# Seconds for which a task waits whose run on trial was lost with a silent host. Most
+# hosts that have crashed are back by then, and show that they have.
+HOLD_S = 2.0
 # Crashed hosts, by different names, from which a task may be given up. The platform
 # allows that after two crashes.
 MIN_HOSTS = 2
@@ -56,10 +59,13 @@
         The crashes, in the order in which they became known.
     is_suspected : bool
         Whether a host that does not reply may have crashed under the task.
+    held_until : float
+        Loop time until which the task waits to be cleared or given up.
     """
 
     notes: tuple[CrashNote, ...] = ()
     is_suspected: bool = False
+    held_until: float = -1e9
 
     @property
     def needs_trial(self) -> bool:
@@ -80,6 +86,13 @@
         """Add a crash."""
         self.notes = (*self.notes, CrashNote(host, is_young))
         self.is_suspected = False
+        self.held_until = -1e9
+
+    def suspect(self, now: float, *, is_on_trial: bool) -> None:
+        """Note a run that was lost soon after its start with a host that is silent."""
+        self.is_suspected = True
+        if is_on_trial:
+            self.held_until = now + HOLD_S
 
     def note_survival(self, age_s: float) -> bool:
         """Note the age of a run that goes on; return whether the record has changed."""
--- a/siskinroad/work/crash_tracker.py
+++ b/siskinroad/work/crash_tracker.py
@@ -131,7 +131,13 @@
             for address, loss in self._lapsed.items()
             if now - loss.noted_at <= MEMORY_S
         }
-        self._lapsed[host.entry.address] = _make_loss(host, host.runs.values(), now)
+        loss = _make_loss(host, host.runs.values(), now)
+        self._lapsed[host.entry.address] = loss
+        for lost in loss.runs:
+            step = self._find_step(lost.run.key[0])
+            task = step.job.task(lost.run.key[0]) if step is not None else None
+            if task is not None and lost.age_s <= TRIAL_S:
+                task.crashes.suspect(now, is_on_trial=lost.is_on_trial)
 
     def note_report(self, host: Host, incarnation_ms: int, now: float) -> None:
         """Note which incarnation of a host has reported."""
--- a/siskinroad/work/planning_pass.py
+++ b/siskinroad/work/planning_pass.py
@@ -177,10 +177,12 @@
     A task is kept off a host where it failed for ``AVOID_FAILED_HOST_S`` only: the host
     may be the only one that is allowed or has free capacity. A speculative copy never
     goes to the host of the older run. A task on trial goes to a quiet host, unless it
-    has waited for one for ``TRIAL_PATIENCE_S``.
+    has waited for one for ``TRIAL_PATIENCE_S``, and to none while it is held.
     """
     if host.name == task.older_run_host:
         return True
+    if now < task.crashes.held_until:
+        return True
     is_patient = now - task.waiting_since <= TRIAL_PATIENCE_S
     if task.crashes.needs_trial and is_patient and not is_quiet(host, now):
         return True
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -138,7 +138,7 @@
             # A copy would crash a further host before the first crash is known.
             return False
         if host.is_failing and host.run_age_at_loss(run, now) <= TRIAL_S:
-            task.crashes.is_suspected = True
+            task.crashes.suspect(now, is_on_trial=False)
         task.older_run_host = host.name
         task.move_to_waiting("free", now)
         log.info(
--- a/tests/work/test_crash_tracker.py
+++ b/tests/work/test_crash_tracker.py
@@ -1,9 +1,12 @@
 """What a crash shows of the tasks whose runs it takes, without I/O."""
 
+from dataclasses import replace
+
 from siskinroad.work.crash_record import TRIAL_S
 from siskinroad.work.crash_tracker import CrashTracker
 from siskinroad.work.host import Host, Run
 from siskinroad.work.job import make_job
+from siskinroad.work.planning_pass import task_avoids_host
 from siskinroad.work.records import Accepted
 from tests.work.cell import POOL, entry, job, step
 
@@ -105,3 +108,24 @@
     pool.tracker.record_lapse(host, 20.0)
     pool.tracker.note_report(host, 8, 21.0)
     assert len(pool.step.tasks[0].crashes.notes) == 1
+
+
+def test_a_task_whose_trial_ended_in_silence_waits_for_the_host():
+    # The host is down for longer than its lease: each start would crash a further one
+    # before the crash before it is known.
+    pool = Pool()
+    task = pool.step.tasks[0]
+    pool.start("i-0", 0, 10.0)
+    pool.hosts["i-0"].replied_at = 9.9
+    pool.hosts["i-0"].record_failed_request(10.1)
+    pool.tracker.record_lapse(pool.hosts["i-0"], 14.5)
+    assert task.crashes.needs_trial
+    assert not task_avoids_host(task, pool.hosts["i-1"], 14.6)
+    pool.start("i-1", 0, 14.6, is_on_trial=True)
+    pool.hosts["i-1"].replied_at = 14.5
+    pool.hosts["i-1"].record_failed_request(14.7)
+    pool.tracker.record_lapse(pool.hosts["i-1"], 19.1)
+    assert task_avoids_host(task, pool.hosts["i-2"], 19.2)
+    pool.tracker.note_listed(replace(entry("i-9"), address="i-1"), 20.0)
+    assert task.crashes.notes
+    assert not task_avoids_host(task, pool.hosts["i-2"], 20.1)
--- a/tests/work/test_crashing_tasks.py
+++ b/tests/work/test_crashing_tasks.py
@@ -25,7 +25,11 @@
 
 
 def set_deadly(cell, *tasks, returns="restarted", down_s=3.2):
-    """Let tasks crash every host, which returns with its name or with a new one."""
+    """Let tasks crash every host, which returns with its name or with a new one.
+
+    Return the set of these tasks, to which more may be added.
+    """
+    crashing = set(tasks)
     names = (f"n-{i}" for i in itertools.count())
     addresses = {name: name for name in cell.hosts.hosts}
 
@@ -43,13 +47,14 @@
         prepare(new_host)
 
     def prepare(host):
-        host.crashing_tasks = set(tasks)
+        host.crashing_tasks = crashing
         host.down_s = down_s
         if returns == "replaced":
             host.on_crash = replace_host
 
     for host in list(cell.hosts.hosts.values()):
         prepare(host)
+    return crashing
 
 
 def keep_busy(cell, seconds, pause=0.15):
