Count no loss as a coincidence that a trial has explained before it lapsed

Cause: two tasks that crash their hosts at the same moment, with hosts that are down for longer than their leases, kept each other from being shown as causes: the runs on trial were gone from the other host by then, so its silence seemed to have no cause of its own.

Change: the tracker remembers which losses a run on trial has explained.

--- a/siskinroad/work/crash_tracker.py
+++ b/siskinroad/work/crash_tracker.py
@@ -102,6 +102,8 @@
         self._find_step = find_step
         self._mark_changed = mark_changed
         self._lapsed: dict[str, _Loss] = {}
+        # When hosts were lost that had a run on trial, and the others.
+        self._explained: dict[str, float] = {}
         self._unexplained: deque[tuple[float, str]] = deque()
 
     def record_crash(
@@ -133,6 +135,7 @@
         }
         loss = _make_loss(host, host.runs.values(), now)
         self._lapsed[host.entry.address] = loss
+        self._note_explained(loss, now)
         for lost in loss.runs:
             step = self._find_step(lost.run.key[0])
             task = step.job.task(lost.run.key[0]) if step is not None else None
@@ -178,7 +181,7 @@
     def _blame_runs(self, loss: _Loss, now: float) -> None:
         is_alone = not self._has_coincidence(loss)
         main_suspect = self._find_main_suspect(loss)
-        if not any(lost.is_on_trial for lost in loss.runs):
+        if not self._note_explained(loss, now):
             self._unexplained.append((loss.at, loss.host))
         while self._unexplained and now - self._unexplained[0][0] > MEMORY_S:
             self._unexplained.popleft()
@@ -196,6 +199,16 @@
                 loss, lost, step, is_alone=is_alone, main_suspect=main_suspect
             )
 
+    def _note_explained(self, loss: _Loss, now: float) -> bool:
+        """Note a loss that a run on trial explains; return whether one does."""
+        if not any(lost.is_on_trial for lost in loss.runs):
+            return False
+        self._explained = {
+            host: at for host, at in self._explained.items() if now - at <= MEMORY_S
+        }
+        self._explained[loss.host] = loss.at
+        return True
+
     def _has_coincidence(self, loss: _Loss) -> bool:
         """Return whether another host was lost, or fell silent, at the same time.
 
@@ -208,6 +221,7 @@
             if host.name != loss.host
             and host.is_failing
             and not _has_run_on_trial(host)
+            and self._explained.get(host.name) != host.failing_since
         ]
         return any(abs(at - loss.at) <= COINCIDENCE_S for at in others)
 
--- a/tests/work/test_crash_tracker.py
+++ b/tests/work/test_crash_tracker.py
@@ -129,3 +129,21 @@
     pool.tracker.note_listed(replace(entry("i-9"), address="i-1"), 20.0)
     assert task.crashes.notes
     assert not task_avoids_host(task, pool.hosts["i-2"], 20.1)
+
+
+def test_two_trials_that_end_in_silence_at_once_show_both_causes():
+    # Their hosts are down for longer than their leases, so that no run is left there.
+    pool = Pool(hosts=6)
+    for host, index in (("i-0", 0), ("i-1", 1)):
+        pool.start(host, index, 10.0)
+        pool.crash(host, 10.0 + index)
+    for host, index in (("i-2", 0), ("i-3", 1)):
+        pool.start(host, index, 20.0, is_on_trial=True)
+        pool.hosts[host].replied_at = 19.9
+        pool.hosts[host].record_failed_request(20.05)
+        pool.tracker.record_lapse(pool.hosts[host], 24.5)
+        for run in list(pool.hosts[host].runs.values()):
+            pool.hosts[host].remove_run(run)
+    for host in ("i-2", "i-3"):
+        pool.tracker.note_listed(replace(entry("n"), address=host), 26.0)
+    assert pool.causes() == [0, 1]
