Let no request wait for a newer configuration than the ones after it get

Cause: since the refusal by unconfirmed versions, a request for an unknown queue waited up to 0.5 s for the next read and was then served by version 8. Another one, sent 0.41 s after it, had been served by version 4, as the daemon had no newer one then.

Change: such a request is refused for now at once.

Result: the new test failed before, with a wait of 0.5 s where 0.25 s are allowed.

--- a/siskinroad/work/configuration_reader.py
+++ b/siskinroad/work/configuration_reader.py
@@ -74,16 +74,6 @@
             return False
         return self.age_s() <= CONFIRMED_LIMIT_S
 
-    async def wait_until_confirmed(self, timeout: float) -> bool:
-        """Wait for the next read up to the topic's end; return ``is_confirmed``."""
-        try:
-            async with asyncio.timeout(timeout):
-                while not self.is_confirmed():
-                    await self.follower.confirmed.wait()
-        except TimeoutError:
-            pass
-        return self.is_confirmed()
-
     def _apply(self, items: tuple[NewestRecord, ...], is_snapshot: bool) -> None:
         for item in items:
             self.apply_record(Record(item.key, item.value))
--- a/siskinroad/work/follower.py
+++ b/siskinroad/work/follower.py
@@ -60,8 +60,6 @@
         Loop time at which the last successful read up to the topic's end was
         sent: every record appended before then has been applied. Negative before
         the first, and if the owner of the follower has revoked it.
-    confirmed : asyncio.Event
-        Set, and replaced by a new event, at each successful read up to the topic's end.
     """
 
     def __init__(
@@ -77,7 +75,6 @@
         self.topic = topic
         self.next_offset = -1
         self.confirmed_at = -1e9
-        self.confirmed = asyncio.Event()
         self.is_reachable = True
         self._apply = apply
         self._wait = wait
@@ -163,10 +160,7 @@
         if result.items or result.is_snapshot:
             self._apply(result.items, result.is_snapshot)
         self.next_offset = result.next_offset
-        if result.confirmed_at != self.confirmed_at:
-            self.confirmed_at = result.confirmed_at
-            self.confirmed.set()
-            self.confirmed = asyncio.Event()
+        self.confirmed_at = result.confirmed_at
 
     def _reject_stale(self, end: int) -> None:
         """Raise if a reply is older than what has already been read."""
--- a/siskinroad/work/job_service.py
+++ b/siskinroad/work/job_service.py
@@ -38,9 +38,6 @@
 OWNER_RETRY_PAUSE = 0.15
 # Seconds of a caller's deadline that are reserved for returning the reply.
 DEADLINE_MARGIN = 0.15
-# Seconds for which a request for an unknown queue waits until the configuration in
-# force is known to be the newest.
-CONFIRMATION_WAIT = 0.5
 # Least seconds after which a caller should retry: about the time of a takeover.
 MIN_RETRY_AFTER = 1.0
 # The retry time as a fraction of the outage's age so far, and its maximum in seconds.
@@ -152,17 +149,15 @@
     def _store_age_s(self) -> float:
         return asyncio.get_running_loop().time() - self._last_store_answer_at()
 
-    async def find_queue(
-        self,
-        virtual_host: str,
-        path: str,
-        deadline: float,
-        is_subject: Callable[[str], bool],
+    def find_queue(
+        self, virtual_host: str, path: str, is_subject: Callable[[str], bool]
     ) -> Queue | CallerReply:
         """Return the queue that serves a request, or the refusal if there is none.
 
         That a queue does not exist is said only by a version of the configuration that
-        was the newest recently: a caller does not ask again after such a reply.
+        was the newest recently: a caller does not ask again after such a reply. A
+        request does not wait until this is known, as it would be served by a newer
+        version than requests that come after it.
 
         Parameters
         ----------
@@ -172,11 +167,6 @@
         """
         reader = self._configuration_reader
         queue = self._look_up_queue(virtual_host, path, is_subject)
-        if queue is None and not reader.is_confirmed():
-            now = asyncio.get_running_loop().time()
-            wait_s = min(CONFIRMATION_WAIT, deadline - DEADLINE_MARGIN - now)
-            await reader.wait_until_confirmed(max(0.0, wait_s))
-            queue = self._look_up_queue(virtual_host, path, is_subject)
         if queue is not None:
             return queue
         if reader.configuration is None:
--- a/tests/platform/test_late_configuration.py
+++ b/tests/platform/test_late_configuration.py
@@ -11,6 +11,8 @@
 
 # Seconds after which the users count a version as in force at every daemon.
 APPLY_LIMIT_S = 2.5
+# Seconds for which a request may be served by an older version than one before it.
+ROLLBACK_LIMIT_S = 0.25
 # Version 1 has the queues /fast/, /slow/ and /advised/, version 3 only the first.
 ONE_QUEUE, ALL_QUEUES = 3, 4
 
@@ -111,3 +113,19 @@
             assert await count_pending(daemon, "/none/") == 404
 
     run_scenario(scenario, configuration=ONE_QUEUE)
+
+
+def test_request_is_served_by_a_newer_version_than_requests_that_come_after_it():
+    # It is for a queue that only the newer version has, and waited for that version.
+    async def scenario(cell):
+        cell.start("a")
+        await asyncio.sleep(3.0)
+        daemon = cell.daemons["a"]
+        cell.logs.faults.cut.add("a")
+        put_configuration(cell, ALL_QUEUES)
+        await asyncio.sleep(APPLY_LIMIT_S)
+        began = asyncio.get_running_loop().time()
+        assert await count_pending(daemon, "/slow/") == 503
+        assert asyncio.get_running_loop().time() - began < ROLLBACK_LIMIT_S
+
+    run_scenario(scenario, configuration=ONE_QUEUE)
