Add client accounts to the configuration of the users' platform

Cause: nothing on the platform's way reads the accounts that a configuration holds, so keys, limits and shares have nothing to rest on.

A configuration without accounts has None, and nothing else changes. A job's record and job name the account.

--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -303,6 +303,8 @@
         Number of occurrences whose steps exist.
     data_centre : str
         Data centre in which a caller submitted the job; empty if it is unknown.
+    account : str
+        Client account for which the job runs; empty if there is none.
     has_started : bool
         Whether any task has started.
     """
@@ -319,6 +321,7 @@
     steps: dict[tuple[int, int], StepRun] = field(default_factory=dict)
     opened_occurrences: int = 0
     data_centre: str = ""
+    account: str = ""
     outcome: str = ""
     outcome_at: float = 0.0
     stored_outcome: str = ""
@@ -417,6 +420,7 @@
     """Return a new job that has not started, made from its accepted record."""
     job = Job(accepted.job, accepted.queue, accepted.pool, accepted.spec, accepted.at)
     job.data_centre = accepted.data_centre
+    job.account = accepted.account
     steps = accepted.spec.steps
     job.remaining_times = _longest_chains(steps, [step.estimate for step in steps])
     job.longest_time = max(job.remaining_times)
--- a/siskinroad/work/model.py
+++ b/siskinroad/work/model.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from siskinroad.resources import Resources
+from siskinroad.work.client_accounts import AccountDirectory
 
 __all__ = [
     "Advice",
@@ -161,6 +162,8 @@
         Multiple of the job's expected duration that its target time allows.
     target : float
         Seconds that the target time allows in addition.
+    is_public : bool
+        Callers need no key of a client account.
     """
 
     name: str
@@ -173,16 +176,27 @@
     target: float
     timeout: float
     advice: Advice | None
+    is_public: bool = False
 
 
 @dataclass(slots=True, frozen=True)
 class Configuration:
-    """One version of the operators' configuration; ``max_body`` is in bytes."""
+    """One version of the operators' configuration.
+
+    Attributes
+    ----------
+    max_body : int
+        Largest body of a caller's request in bytes.
+    accounts : AccountDirectory or None
+        Client accounts; None if the deployment has none, so that no request needs a
+        key and nothing is limited or shared by account.
+    """
 
     version: int
     queues: tuple[Queue, ...]
     pools: tuple[str, ...]
     max_body: int
+    accounts: AccountDirectory | None = None
     _queues_by_prefix: dict[tuple[str, str], Queue] = field(
         init=False, repr=False, compare=False, default_factory=dict
     )
--- a/siskinroad/work/records.py
+++ b/siskinroad/work/records.py
@@ -45,7 +45,8 @@
     """A submitted job, accepted once this is stored; ``at`` is Unix time in seconds.
 
     ``data_centre`` is that of the daemon that took the job from its caller; it is empty
-    in records of earlier versions.
+    in records of earlier versions. ``account`` names the client account for which the
+    job runs; it is empty if the caller needed no key.
     """
 
     job: str
@@ -54,6 +55,7 @@
     at: float
     spec: JobSpec
     data_centre: str = ""
+    account: str = ""
 
 
 class Cancelled(msgspec.Struct, tag="cancel", frozen=True):
