Admit callers by the keys of client accounts

Cause: nothing read `Authorization`, so a request ran with an unknown key, or with one that was taken away (untouched: ROUTE, CONFIG).

Change: the daemon that takes a request checks its key against the configuration in force (`key_check`): 401 for an unknown key by a confirmed version, 503 by an unconfirmed one, 403 for another account's job. Where the settings ask for it, a key counts only while the newest read of the configuration was sent within the revocation limit; a read from before a suspension never counts, which also closes a gap in the confirmation of an owner's claims. Without accounts nothing changes.

--- a/siskinroad/work/configuration_reader.py
+++ b/siskinroad/work/configuration_reader.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 
 from siskinroad.errors import ProtocolError
@@ -68,6 +69,24 @@
         known_at = max(self.follower.confirmed_at, self._started_at)
         return asyncio.get_running_loop().time() - known_at
 
+    def confirmed_age_s(self) -> float:
+        """Return the seconds since the sending of the newest read up to the end.
+
+        Infinite before the first one, and after a suspension until one was sent since.
+        """
+        confirmed_at = self.follower.confirmed_at
+        if confirmed_at < 0.0:
+            return math.inf
+        return asyncio.get_running_loop().time() - confirmed_at
+
+    def distrust_earlier_reads(self) -> None:
+        """Count no read that was sent before now, and read again at once.
+
+        Called after a suspension, which the loop's clock does not count.
+        """
+        self.follower.revoke_confirmation()
+        self.follower.restart_read()
+
     def is_confirmed(self) -> bool:
         """Return whether the version in force was the newest recently."""
         if self._is_newest_undecodable or self.follower.confirmed_at < 0:
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -17,6 +17,7 @@
 from siskinroad.work.host_list import HostList
 from siskinroad.work.job_service import JobService
 from siskinroad.work.job_writer import JobWriter
+from siskinroad.work.key_check import KeyCheck, KeyLimits
 from siskinroad.work.loop_delay import LoopDelay
 from siskinroad.work.membership import Membership
 from siskinroad.work.messages import (
@@ -82,6 +83,9 @@
     processor : float
         Speed of this daemon's processor, in whole cores of the usual speed; 0 if it
         is unknown.
+    key_limits : KeyLimits, optional
+        Limits on the use of callers' keys; by default none that needs a recent
+        configuration.
     """
 
     def __init__(
@@ -93,6 +97,7 @@
         timing: Timing,
         wall: Callable[[], float],
         processor: float = 0.0,
+        key_limits: KeyLimits | None = None,
     ) -> None:
         self.member = member
         self.processor = processor
@@ -176,9 +181,15 @@
             lambda: self.configuration_reader.version
         )
         self.metrics.configuration_age.set_function(self.configuration_reader.age_s)
+        self.key_check = KeyCheck(
+            self.configuration_reader,
+            key_limits or KeyLimits(),
+            lambda outcome: self.metrics.key_checks.labels(outcome.value).inc(),
+        )
         self.job_service = JobService(
             member,
             self.configuration_reader,
+            self.key_check,
             self.job_writer,
             self.peer_calls,
             self.owners,
--- a/siskinroad/work/follower.py
+++ b/siskinroad/work/follower.py
@@ -59,7 +59,7 @@
     confirmed_at : float
         Loop time at which the last successful read up to the topic's end was
         sent: every record appended before then has been applied. Negative before
-        the first, and if the owner of the follower has revoked it.
+        the first, and after ``revoke_confirmation``.
     """
 
     def __init__(
@@ -80,6 +80,16 @@
         self._wait = wait
         self._spacing = read_pause
         self._read_timeout: asyncio.Timeout | None = None
+        self._revoked_at = -1e9
+
+    def revoke_confirmation(self) -> None:
+        """Let no read confirm that was sent before now.
+
+        The loop's clock does not count a suspension, so a read that was sent before one
+        seems newer than it is.
+        """
+        self._revoked_at = asyncio.get_running_loop().time()
+        self.confirmed_at = -1e9
 
     def restart_read(self) -> None:
         """Abandon the pending read and read again at once.
@@ -160,7 +170,8 @@
         if result.items or result.is_snapshot:
             self._apply(result.items, result.is_snapshot)
         self.next_offset = result.next_offset
-        self.confirmed_at = result.confirmed_at
+        if result.confirmed_at >= self._revoked_at:
+            self.confirmed_at = result.confirmed_at
 
     def _reject_stale(self, end: int) -> None:
         """Raise if a reply is older than what has already been read."""
--- a/siskinroad/work/job_service.py
+++ b/siskinroad/work/job_service.py
@@ -12,12 +12,15 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+import msgspec
+
 from siskinroad.errors import SiskinroadError
 from siskinroad.fair_timeout import let_loop_poll
 from siskinroad.resources import Resources
 from siskinroad.work.configuration_reader import ConfigurationReader
 from siskinroad.work.job import JobState
 from siskinroad.work.job_writer import JobWriter
+from siskinroad.work.key_check import ANONYMOUS, Caller, KeyCheck, KeyOutcome
 from siskinroad.work.messages import JobReply, JobRequest, SubmitOutcome
 from siskinroad.work.model import Configuration, JobSpec, Queue
 from siskinroad.work.owner import PoolOwner
@@ -56,6 +59,8 @@
     NOT_NOW = "not_now"
     NEVER = "never"
     UNKNOWN = "unknown"
+    NO_KEY = "no_key"
+    OTHER_ACCOUNT = "other_account"
 
 
 @dataclass(slots=True, frozen=True)
@@ -109,12 +114,15 @@
         Returns the largest capacity that each listed host of a pool has had.
     last_store_answer_at : callable
         Returns the loop time of the store's last answer, direct or relayed.
+    key_check : KeyCheck
+        Check of callers' keys.
     """
 
     def __init__(
         self,
         member: Member,
         configuration_reader: ConfigurationReader,
+        key_check: KeyCheck,
         job_writer: JobWriter,
         peer_calls: PeerCalls,
         owners: dict[str, PoolOwner],
@@ -125,6 +133,7 @@
         last_store_answer_at: Callable[[], float],
     ) -> None:
         self._configuration_reader = configuration_reader
+        self._key_check = key_check
         self._node = member.node
         self._data_centre = member.data_centre
         self._job_writer = job_writer
@@ -185,8 +194,28 @@
             return None
         return queue
 
+    def identify(self, queue: Queue, key: str) -> Caller | CallerReply:
+        """Return the caller that a key stands for, or the refusal of the request."""
+        outcome, caller = self._key_check.identify(queue, key)
+        refusal = self._make_key_refusal(outcome)
+        return caller if refusal is None else refusal
+
+    def _make_key_refusal(self, outcome: KeyOutcome) -> CallerReply | None:
+        match outcome:
+            case KeyOutcome.NOT_NEEDED | KeyOutcome.ADMITTED:
+                return None
+            case KeyOutcome.UNKNOWN_KEY:
+                return CallerReply(ReplyKind.NO_KEY, reason=outcome.value)
+        age_s = self._configuration_reader.age_s()
+        return _refuse_for_now(outcome.value, age_s)
+
     async def submit(
-        self, queue: Queue, job: str, spec: JobSpec, deadline: float
+        self,
+        queue: Queue,
+        job: str,
+        spec: JobSpec,
+        deadline: float,
+        caller: Caller = ANONYMOUS,
     ) -> CallerReply:
         """Store a job; it is accepted once it is stored."""
         unfit_reason = self._describe_unfit_step(queue, spec)
@@ -199,8 +228,17 @@
         if self._store_age_s() > STORE_SILENCE_LIMIT:
             refusal = _refuse_for_now("store_silent", self._store_age_s())
             return await self._refuse_unless_accepted(queue, job, refusal, deadline)
+        key_refusal = self._make_key_refusal(self._key_check.recheck(queue, caller))
+        if key_refusal is not None:
+            return self._log_reply(job, "submit", key_refusal, queue)
         accepted = Accepted(
-            job, queue.name, queue.pool, self._wall(), spec, self._data_centre
+            job,
+            queue.name,
+            queue.pool,
+            self._wall(),
+            spec,
+            self._data_centre,
+            caller.account,
         )
         append_deadline = deadline - DEADLINE_MARGIN
         outcome = await self._job_writer.store(
@@ -252,14 +290,22 @@
             case SubmitOutcome.UNKNOWN:
                 return CallerReply(ReplyKind.UNKNOWN, reason="store_did_not_answer")
 
-    async def show(self, queue: Queue, job: str, deadline: float) -> CallerReply:
+    async def show(
+        self, queue: Queue, job: str, deadline: float, caller: Caller = ANONYMOUS
+    ) -> CallerReply:
         """Return a job's state."""
-        reply = await self._request_owner(queue.pool, "show", job, deadline)
+        reply = await self._request_owner(
+            queue.pool, "show", job, deadline, caller.account
+        )
         return self._log_reply(job, "show", reply, queue)
 
-    async def cancel(self, queue: Queue, job: str, deadline: float) -> CallerReply:
+    async def cancel(
+        self, queue: Queue, job: str, deadline: float, caller: Caller = ANONYMOUS
+    ) -> CallerReply:
         """Cancel a job, through the store if its owner cannot be reached."""
-        reply = await self._request_owner(queue.pool, "cancel", job, deadline)
+        reply = await self._request_owner(
+            queue.pool, "cancel", job, deadline, caller.account
+        )
         if reply.kind is ReplyKind.NOT_NOW:
             record = record_of(Cancelled(job, self._wall()))
             append_deadline = deadline - DEADLINE_MARGIN
@@ -273,7 +319,7 @@
         return self._log_reply(queue.name, "pending", reply, queue)
 
     async def _request_owner(
-        self, pool: str, verb: str, subject: str, deadline: float
+        self, pool: str, verb: str, subject: str, deadline: float, account: str = ""
     ) -> CallerReply:
         loop = asyncio.get_running_loop()
         reason = "no_owner"
@@ -285,7 +331,8 @@
                 await asyncio.sleep(min(OWNER_RETRY_PAUSE, remaining_s / 2))
                 self._metrics.retries.labels("owner").inc()
             owner_reply = await self._request_owner_once(
-                pool, verb, subject, min(OWNER_REQUEST_TIMEOUT, remaining_s)
+                JobRequest(0, pool, verb, subject, account),
+                min(OWNER_REQUEST_TIMEOUT, remaining_s),
             )
             if owner_reply is not None and not owner_reply.unknown_reason:
                 return _convert_owner_reply(verb, owner_reply)
@@ -294,18 +341,19 @@
         return _refuse_for_now(reason)
 
     async def _request_owner_once(
-        self, pool: str, verb: str, subject: str, timeout: float
+        self, msg: JobRequest, timeout: float
     ) -> JobReply | None:
-        node = self._find_owner(pool)
+        node = self._find_owner(msg.pool)
         if node is None:
             return None
         if node == self._node:
-            return await self.handle_request(
-                JobRequest(0, pool, verb, subject), timeout
-            )
+            return await self.handle_request(msg, timeout)
         try:
             return await self._peer_calls.request(
-                node, lambda n: JobRequest(n, pool, verb, subject), JobReply, timeout
+                node,
+                lambda n: msgspec.structs.replace(msg, id=n),
+                JobReply,
+                timeout,
             )
         except SiskinroadError:
             return JobReply(0, "owner_silent", "", 0)
@@ -317,6 +365,8 @@
         owner = self._owners.get(msg.pool)
         if owner is None:
             return JobReply(msg.id, "not_owner", "", 0)
+        if _is_other_account(owner, msg):
+            return JobReply(msg.id, "", "", 0, is_other_account=True)
         try:
             match msg.verb:
                 case "show":
@@ -373,7 +423,17 @@
         return reply
 
 
+def _is_other_account(owner: PoolOwner, msg: JobRequest) -> bool:
+    """Return whether a job that the request names belongs to another account."""
+    if not msg.account or msg.verb not in ("show", "cancel"):
+        return False
+    job = owner.pool_state.jobs.get(msg.subject)
+    return job is not None and job.account not in ("", msg.account)
+
+
 def _convert_owner_reply(verb: str, owner_reply: JobReply) -> CallerReply:
+    if owner_reply.is_other_account:
+        return CallerReply(ReplyKind.OTHER_ACCOUNT, reason="other_account")
     if verb == "pending":
         return CallerReply(ReplyKind.OK, pending=owner_reply.pending)
     if not owner_reply.state:
--- a/siskinroad/work/messages.py
+++ b/siskinroad/work/messages.py
@@ -141,26 +141,30 @@
     ``verb`` is ``show`` for a job's state, ``recall`` for whether a job was accepted
     as far as the owner knows, ``cancel`` to cancel a job, or ``pending`` for the number
     of a queue's accepted jobs that have not started. ``subject`` names the job or
-    queue.
+    queue. ``account`` is the client account for which the caller acts, empty if it acts
+    for none.
     """
 
     id: int
     pool: str
     verb: str
     subject: str
+    account: str = ""
 
 
 class JobReply(msgspec.Struct, tag="job!", frozen=True, array_like=True):
     """Reply to a ``JobRequest``.
 
     ``state`` is empty if there is no such job. ``unknown_reason`` is the reason why the
-    sender cannot tell; it is empty if it can.
+    sender cannot tell; it is empty if it can. ``is_other_account`` tells that the job
+    belongs to another client account than the caller's, so that nothing was done.
     """
 
     id: int
     unknown_reason: str
     state: str
     pending: int
+    is_other_account: bool = False
 
 
 class SubmitOutcome(StrEnum):
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -218,7 +218,7 @@
     def revoke_confirmation(self) -> None:
         """Stop acting until the claim is confirmed again, as after a suspension."""
         self.term.owned_until = -1e9
-        self.follower.confirmed_at = -1e9
+        self.follower.revoke_confirmation()
 
     def recheck_claims(self) -> None:
         """Reread the claims now, and stop acting until they are confirmed.
--- a/siskinroad/work/workmetrics.py
+++ b/siskinroad/work/workmetrics.py
@@ -25,6 +25,12 @@
         self.refusals = Counter(
             "siskinroad_caller_refusals", "Refusals.", ("verb", "reason"), registry=reg
         )
+        self.key_checks = Counter(
+            "siskinroad_key_checks",
+            "Checks of callers' keys.",
+            ("outcome",),
+            registry=reg,
+        )
         self.retries = Counter(
             "siskinroad_work_retries", "Calls tried again.", ("reason",), registry=reg
         )
