Place a step on a withheld host if it may use no other

Change: after 1.5 s such a step may use the withheld hosts. Ruled out: a step with any other allowed host, and a step that has just begun to wait, leave them to the large one.

Result: tests/work/test_withheld_hosts.py fails without it and passes with it; the planner's, overload and wait-reason tests pass.

--- a/siskinroad/work/placement.py
+++ b/siskinroad/work/placement.py
@@ -49,6 +49,8 @@
     candidates = planning_pass.open_hosts.find_candidates(
         step, planning_pass.now, needs_ticket=needs_ticket
     )
+    if not candidates:
+        candidates = planning_pass.find_withheld_hosts(step, needs_ticket=needs_ticket)
     if not candidates:
         return None
     placer = _Placer(planning_pass, step, candidates, needs_ticket=needs_ticket)
--- a/siskinroad/work/planning_pass.py
+++ b/siskinroad/work/planning_pass.py
@@ -32,6 +32,9 @@
 # Seconds for which a task on trial waits for a quiet host. Callers take a job of which
 # no task runs for 3 s beside free capacity for lost.
 TRIAL_PATIENCE_S = 1.5
+# Seconds for which a step that may use withheld hosts only leaves them to the blocked
+# large step. With more, callers would take its job for lost.
+WITHHELD_PATIENCE_S = 1.5
 # Fraction of the hosts that may have a run on trial at once, with nothing else started.
 MAX_TRIAL_FRACTION = 0.34
 
@@ -97,6 +100,32 @@
         self.excluded_hosts.add(host.name)
         self.open_hosts.exclude(host)
 
+    def find_withheld_hosts(
+        self, step: StepRun, *, needs_ticket: bool
+    ) -> dict[Host, Resources]:
+        """Return the withheld hosts that fit a task of a step that may use no others.
+
+        The blocked step withholds them in each pass, so that the other one would wait
+        beside their free capacity for good. None until it has waited for a while.
+        """
+        if not self.excluded_hosts:
+            return {}
+        if self.now - step.waiting_since < WITHHELD_PATIENCE_S:
+            return {}
+        names = self.schedulable_hosts.find_capable_hosts(step).names
+        if needs_ticket:
+            names = names & step.tickets.keys()
+        if not names or not names <= self.excluded_hosts:
+            return {}
+        hosts = self.schedulable_hosts.find_hosts(names)
+        free = {h: h.free_capacity(step.key, self.now, step.rank) for h in hosts}
+        return {
+            host: available
+            for host, available in free.items()
+            if step.need.fits(available)
+            and self.open_hosts.sole_hosts.allow(step, host)
+        }
+
     def may_try(self, task: Task) -> bool:
         """Return whether a task that needs a trial may get one now."""
         is_impatient = self.now - task.waiting_since > TRIAL_PATIENCE_S
