Cancel a job whose record its owner has not read yet

Cause: the owner answered a cancel of an unknown job with "no such job" if it had read the records up to the end within 2.5 s. A stored cancellation that is read before its job was forgotten by a live owner.

Early cancellations are remembered for 30 s, for appends that take effect late.

--- a/siskinroad/work/follower.py
+++ b/siskinroad/work/follower.py
@@ -81,6 +81,9 @@
         self._spacing = read_pause
         self._read_timeout: asyncio.Timeout | None = None
         self._revoked_at = -1e9
+        self._waiter_count = 0
+        self._is_read_held = False
+        self._read_done = asyncio.Event()
 
     def revoke_confirmation(self) -> None:
         """Let no read confirm that was sent before now.
@@ -100,6 +103,34 @@
         if self._read_timeout is not None and not self._read_timeout.expired():
             self._read_timeout.reschedule(-1)
 
+    async def confirm(self, timeout: float) -> None:
+        """Return once a read that was sent after this call has reached the end.
+
+        Parameters
+        ----------
+        timeout : float
+            Longest wait in seconds.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If no such read has succeeded within the time.
+        """
+        called_at = asyncio.get_running_loop().time()
+        if self._is_read_held:
+            self.restart_read()
+        self._waiter_count += 1
+        try:
+            async with asyncio.timeout(timeout):
+                while self.confirmed_at < called_at:
+                    await self._read_done.wait()
+        except TimeoutError:
+            raise StoreUnavailableError(
+                f"no read up to the topic's end within {timeout:.2f} s", step="follow"
+            ) from None
+        finally:
+            self._waiter_count -= 1
+
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         pause = FIRST_RETRY_PAUSE
@@ -155,10 +186,15 @@
 
     async def _read_later_records(self) -> _FetchResult:
         sent_at = asyncio.get_running_loop().time()
-        wait = self._wait if self.confirmed_at >= 0 else 0.0
-        result = await self.store.read(
-            self.topic, self.next_offset, wait=wait, timeout=wait + REPLY_TIMEOUT
-        )
+        may_be_held = self.confirmed_at >= 0 and not self._waiter_count
+        wait = self._wait if may_be_held else 0.0
+        self._is_read_held = may_be_held
+        try:
+            result = await self.store.read(
+                self.topic, self.next_offset, wait=wait, timeout=wait + REPLY_TIMEOUT
+            )
+        finally:
+            self._is_read_held = False
         self._reject_stale(result.end)
         is_at_end = result.next_offset >= result.end
         confirmed_at = sent_at if is_at_end else self.confirmed_at
@@ -172,6 +208,8 @@
         self.next_offset = result.next_offset
         if result.confirmed_at >= self._revoked_at:
             self.confirmed_at = result.confirmed_at
+        self._read_done.set()
+        self._read_done = asyncio.Event()
 
     def _reject_stale(self, end: int) -> None:
         """Raise if a reply is older than what has already been read."""
--- a/siskinroad/work/job_table.py
+++ b/siskinroad/work/job_table.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -21,6 +22,10 @@
 # Number of hosts assumed for each advice request when the time of a job is estimated,
 # as the platform's documentation specifies.
 HOSTS_PER_ADVICE_REQUEST = 30
+# Seconds for which a cancellation of an unknown job is remembered: an append without an
+# answer may take effect some seconds later. Most of them that are remembered.
+EARLY_CANCEL_MEMORY_S = 30.0
+MAX_EARLY_CANCELS = 10_000
 # Most occurrences of one job that are opened at once: a job may be submitted long after
 # the first of them were due.
 MAX_OPENED_AT_ONCE = 100
@@ -99,6 +104,7 @@
         self.health = Health()
         self.speed_estimates = SpeedEstimates()
         self.is_settled = False
+        self._early_cancels: dict[str, float] = {}
         self.observe_result: Callable[[Job, str], None] = lambda job, result: None
 
     def configure(self, configuration: Configuration) -> None:
@@ -128,6 +134,18 @@
         self._collect_ready_steps(job, now)
         return job
 
+    def note_early_cancel(self, job_id: str, now: float) -> None:
+        """Remember the cancellation of a job whose record has not been read."""
+        self._early_cancels.pop(job_id, None)
+        self._early_cancels[job_id] = now
+        if len(self._early_cancels) > MAX_EARLY_CANCELS:
+            del self._early_cancels[next(iter(self._early_cancels))]
+
+    def take_early_cancel(self, job_id: str, now: float) -> bool:
+        """Return whether a job was cancelled shortly before its record was read."""
+        cancelled_at = self._early_cancels.pop(job_id, -math.inf)
+        return now - cancelled_at <= EARLY_CANCEL_MEMORY_S
+
     def restore(self, progress: Progress, now: float) -> None:
         """Apply the stored progress of an accepted job."""
         job = self.jobs.get(progress.job)
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -58,6 +58,8 @@
 # Seconds since the last confirmed read after which the owner no longer states that
 # a job does not exist.
 MAX_RECORD_AGE = 2.5
+# Fraction of a cancel's time limit for reading the record of an unknown job.
+RECORD_WAIT_FRACTION = 0.6
 
 log = logging.getLogger("siskinroad.owner")
 
@@ -328,7 +330,11 @@
                             "age_s": round(wall - stored.at, 3),
                         },
                     )
+                if self.pool_state.take_early_cancel(job, now):
+                    self._execute_effects(self.pool_state.cancel(job, now, wall))
             case Cancelled(job=job):
+                if job not in self.pool_state.jobs:
+                    self.pool_state.note_early_cancel(job, now)
                 self._execute_effects(self.pool_state.cancel(job, now, wall))
                 self.term.flush_requested.set()
 
@@ -429,10 +435,13 @@
         ------
         StoreUnknownError
             The job is cancelled, but that is not stored yet.
+        StoreUnavailableError
+            The newest records cannot be read, so that the job may exist.
         """
+        if job_id not in self.pool_state.jobs:
+            await self._await_record(job_id, timeout * RECORD_WAIT_FRACTION)
         job = self.pool_state.jobs.get(job_id)
         if job is None:
-            self._require_fresh_records()
             return False
         if job.stored_outcome:
             return True
@@ -451,6 +460,19 @@
             ) from None
         return True
 
+    async def _await_record(self, job_id: str, timeout: float) -> None:
+        """Read all records that were stored before a cancel of an unknown job.
+
+        The job may have been accepted a moment ago, or may still be by an append
+        without an answer. It is not started once its record is read.
+        """
+        self.pool_state.note_early_cancel(job_id, asyncio.get_running_loop().time())
+        log.info(
+            "owner: unknown job is to be cancelled; reading the newest records",
+            extra={"request": job_id, "pool": self.pool},
+        )
+        await self.follower.confirm(timeout)
+
     def count_pending(self, queue: str) -> int:
         """Return the number of accepted jobs of a queue that have not started."""
         self._require_fresh_records()
