Stop resumable runs of lower priority for urgent steps of a burst

Cause: in a burst of short urgent steps the pool is 97% used, a third of it by long tasks that can resume from a checkpoint and may wait for many seconds.

--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -93,6 +93,9 @@
         self.pool_state.queues.update(known_queues)
         self.pool_state.configure(configuration)
         self.planner = Planner(self.pool_state)
+        self.planner.room_maker.observe = lambda queue: (
+            dependencies.metrics.stopped_for_urgent.labels(queue).inc()
+        )
         self.planning_report = PlanningReport(
             self.term, asyncio.get_running_loop().time()
         )
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -18,6 +18,7 @@
 from siskinroad.work.job import StepRun, Task
 from siskinroad.work.job_table import QueueTimes
 from siskinroad.work.late_steps import LateStepTurns
+from siskinroad.work.making_room import RoomMaker
 from siskinroad.work.model import Queue
 from siskinroad.work.open_hosts import make_open_hosts
 from siskinroad.work.placement import place_tasks
@@ -66,6 +67,7 @@
         self.urgent_headroom = UrgentHeadroom()
         self.advice_requester = AdviceRequester(pool_state)
         self.host_withholder = HostWithholder(pool_state)
+        self.room_maker = RoomMaker(pool_state)
         self._late_step_turns = LateStepTurns()
         self._usual_hosts: SchedulableHosts | None = None
 
@@ -123,6 +125,7 @@
         ranked = self._rank_steps(steps, now, wall)
         self._put_late_step_first(planning_pass, ranked)
         self._plan_steps(planning_pass, ranked)
+        planning_pass.effects += self.room_maker.make_room(planning_pass, ranked)
         self.advice_requester.request_for_next_steps(planning_pass)
         self.last_pass = planning_pass
         return planning_pass.effects
--- a/siskinroad/work/workmetrics.py
+++ b/siskinroad/work/workmetrics.py
@@ -31,6 +31,12 @@
             ("outcome",),
             registry=reg,
         )
+        self.stopped_for_urgent = Counter(
+            "siskinroad_runs_stopped_for_urgent",
+            "Runs stopped so that urgent steps start in time, by their queue.",
+            ("queue",),
+            registry=reg,
+        )
         self.retries = Counter(
             "siskinroad_work_retries", "Calls tried again.", ("reason",), registry=reg
         )
