Rank waiting steps by what is owed to their accounts

In a burst beside one account that sends several times its usual, all accounts became late together: steps were ranked by priority, lateness and target time alone. With client accounts configured, jobs beyond an account's rate now follow the others of their priority, late steps go by the time that they still need, and those of no use any more follow all other work, with turns that keep each queue from waiting for ever. Without accounts the order is the same as before.

--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -305,6 +305,8 @@
         Data centre in which a caller submitted the job; empty if it is unknown.
     account : str
         Client account for which the job runs; empty if there is none.
+    is_excess : bool or None
+        The job came beyond the rate owed to its account; None until it is judged.
     has_started : bool
         Whether any task has started.
     """
@@ -322,6 +324,7 @@
     opened_occurrences: int = 0
     data_centre: str = ""
     account: str = ""
+    is_excess: bool | None = None
     outcome: str = ""
     outcome_at: float = 0.0
     stored_outcome: str = ""
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -1,7 +1,6 @@
 """Scheduler that places the waiting tasks of a pool on its hosts.
 
-Steps are ordered by priority and then by target time, so that short urgent steps do
-not queue behind long wide ones. `host_withholder` keeps hosts for a blocked large step,
+`waiting_order` ranks the steps. `host_withholder` keeps hosts for a blocked large step,
 `late_steps` gives late ones their turn.
 """
 
@@ -16,7 +15,6 @@
 from siskinroad.work.host import Host
 from siskinroad.work.host_withholder import HostWithholder, is_large
 from siskinroad.work.job import StepRun, Task
-from siskinroad.work.job_table import QueueTimes
 from siskinroad.work.late_steps import LateStepTurns
 from siskinroad.work.model import Queue
 from siskinroad.work.open_hosts import make_open_hosts
@@ -29,16 +27,10 @@
 from siskinroad.work.pool_state import PoolState
 from siskinroad.work.schedulable_hosts import SchedulableHosts, make_schedulable_hosts
 from siskinroad.work.sole_hosts import find_sole_hosts
+from siskinroad.work.waiting_order import RankedStep, WaitingOrder
 
 __all__ = ["Planner"]
 
-# Least fraction of its predicted time in which a step may reach the end of its job.
-# Declared times are rough: a larger value counts steps as late that can still meet
-# their target time.
-EARLIEST_END_FRACTION = 0.8
-# A job has no value left for its users once it has taken this multiple of its allowed
-# time.
-WORTHLESS_FACTOR = 3.0
 # Largest number of steps for which one planning pass looks for hosts. A pass that takes
 # as long as a ticket is valid would start nothing any more.
 MAX_STEPS_PER_PASS = 64
@@ -66,6 +58,7 @@
         self.urgent_headroom = UrgentHeadroom()
         self.advice_requester = AdviceRequester(pool_state)
         self.host_withholder = HostWithholder(pool_state)
+        self.waiting_order = WaitingOrder(pool_state)
         self._late_step_turns = LateStepTurns()
         self._usual_hosts: SchedulableHosts | None = None
 
@@ -120,7 +113,11 @@
         max_trials = max(1, int(MAX_TRIAL_FRACTION * len(pool_state.hosts)))
         planning_pass.trial_hosts = max_trials - trials
         planning_pass.non_urgent_cpu_milli = self._compute_non_urgent_cpu(planning_pass)
-        ranked = self._rank_steps(steps, now, wall)
+        cpu_milli = schedulable_hosts.cpu_milli
+        ranked = self.waiting_order.rank(steps, now, wall, cpu_milli)
+        planning_pass.behind_others = {
+            each.step.key for each in ranked if each.is_behind_others
+        }
         self._put_late_step_first(planning_pass, ranked)
         self._plan_steps(planning_pass, ranked)
         self.advice_requester.request_for_next_steps(planning_pass)
@@ -161,50 +158,27 @@
             return bool(capable.hosts)
         return not capable.names <= step.advice.answered
 
-    def _rank_steps(
-        self, steps: list[StepRun], now: float, wall: float
-    ) -> list[tuple[int, StepRun]]:
-        """Return the steps by priority, lateness and target time, with the lateness.
-
-        Steps that can still meet their target time come first. Under overload, the
-        earliest target time first would spend capacity on steps that are late anyway,
-        and so make the next ones late too. Long-running steps are ranked by target time
-        alone: their users count every second without them, however late they are.
-        """
-        times: dict[str, QueueTimes] = {}
-        ranked: list[tuple[int, int, float, int, int]] = []
-        for i, step in enumerate(steps):
-            name = step.job.queue
-            queue = self.pool_state.queues.get(name)
-            if queue is None:
-                continue
-            if name not in times:
-                times[name] = self.pool_state.queue_times(name)
-            lateness, target_time = _compute_lateness(step, times[name], now, wall)
-            step.rank = (queue.priority, 0 if step.spec.long_running else lateness)
-            ranked.append((*step.rank, target_time, i, lateness))
-        ranked.sort()
-        return [(lateness, steps[i]) for _, _, _, i, lateness in ranked]
-
     def _put_late_step_first(
-        self, planning_pass: PlanningPass, ranked: list[tuple[int, StepRun]]
+        self, planning_pass: PlanningPass, ranked: list[RankedStep]
     ) -> None:
         """Move the late large step that has its turn to the front, if there is one."""
         late_steps = [
-            step
-            for lateness, step in ranked
-            if lateness and not step.spec.long_running and is_large(planning_pass, step)
+            each.step
+            for each in ranked
+            if each.lateness
+            and not each.step.spec.long_running
+            and is_large(planning_pass, each.step)
         ]
         late_step = self._late_step_turns.choose(late_steps, planning_pass.now)
         if late_step is None:
             return
         planning_pass.late_step = late_step
-        item = next(item for item in ranked if item[1] is late_step)
+        item = next(item for item in ranked if item.step is late_step)
         ranked.remove(item)
         ranked.insert(0, item)
 
     def _plan_steps(
-        self, planning_pass: PlanningPass, ranked: list[tuple[int, StepRun]]
+        self, planning_pass: PlanningPass, ranked: list[RankedStep]
     ) -> None:
         """Plan the steps in their order, up to the largest number for one pass.
 
@@ -215,36 +189,37 @@
         if len(plannable) > MAX_STEPS_PER_PASS:
             first = plannable[: MAX_STEPS_PER_PASS // 2]
             rest = plannable[MAX_STEPS_PER_PASS // 2 :]
-            turns = sorted(rest, key=lambda item: item[1].last_turn_at)
+            turns = sorted(rest, key=lambda item: item.step.last_turn_at)
             count = MAX_STEPS_PER_PASS - len(first)
-            deferred = {step.key for _, step in turns[count:]}
+            deferred = {each.step.key for each in turns[count:]}
             planning_pass.deferred_steps = deferred
-            plannable = first + [i for i in rest if i[1].key not in deferred]
-            planning_pass.planned_steps = [step for _, step in plannable]
-        for lateness, step in plannable:
-            step.planned_at = planning_pass.now
-            self._plan_step(planning_pass, step, lateness)
+            plannable = first + [i for i in rest if i.step.key not in deferred]
+            planning_pass.planned_steps = [each.step for each in plannable]
+        for each in plannable:
+            each.step.planned_at = planning_pass.now
+            self._plan_step(planning_pass, each.step, each.lateness)
 
     def _find_plannable(
-        self, planning_pass: PlanningPass, ranked: list[tuple[int, StepRun]]
-    ) -> list[tuple[int, StepRun]]:
+        self, planning_pass: PlanningPass, ranked: list[RankedStep]
+    ) -> list[RankedStep]:
         """Return the steps that could start a task or request advice in this pass.
 
         The first large step of the others is added: only one has hosts withheld for it,
         and these would fill up in each pass without a free channel.
         """
-        plannable: list[tuple[int, StepRun]] = []
+        plannable: list[RankedStep] = []
         has_large = False
-        for lateness, step in ranked:
+        for each in ranked:
+            step = each.step
             if step.spec.gang and step.waiting_count < len(step.tasks):
                 continue
             if not self._may_use_hosts(planning_pass, step):
                 if has_large or not self.host_withholder.may_withhold(
-                    planning_pass, step, lateness
+                    planning_pass, step, each.lateness
                 ):
                     continue
                 has_large = True
-            plannable.append((lateness, step))
+            plannable.append(each)
         return plannable
 
     def _may_use_hosts(self, planning_pass: PlanningPass, step: StepRun) -> bool:
@@ -347,26 +322,3 @@
         planning_pass.effects.append(
             StartRun(host.name, run, payload, task.checkpoint, ticket)
         )
-
-
-def _compute_lateness(
-    step: StepRun, times: QueueTimes, now: float, wall: float
-) -> tuple[int, float]:
-    """Return how late a step is, and its target time.
-
-    The lateness is 0 if the step can still meet its target time, 1 if it cannot, and 2
-    if its job has no value left. The allowed time of a long-running step counts from
-    when its tasks began to wait, as its job never ends by itself.
-    """
-    job = step.job
-    remaining_s = job.remaining_times[step.number] * times.run_time_ratio
-    allowed_time = times.allowed_time(job)
-    base_time = job.base_time(step.occurrence)
-    if step.spec.long_running:
-        base_time = max(base_time, wall - (now - step.waiting_since))
-    target_time = base_time + allowed_time
-    earliest_end = wall + EARLIEST_END_FRACTION * remaining_s
-    if earliest_end <= target_time:
-        return 0, target_time
-    worthless_at = target_time + (WORTHLESS_FACTOR - 1) * allowed_time
-    return (1 if earliest_end < worthless_at else 2), target_time
