--- a/siskinroad/work/account_rates.py
+++ b/siskinroad/work/account_rates.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -19,14 +20,26 @@
 # pause. Jobs that come at random at the owed rate would often count as beyond it.
 BURST_S = 1.0
 BURST_JOBS = 1.0
+# Seconds between two log lines about one account.
+LOG_INTERVAL_S = 5.0
+
+log = logging.getLogger("siskinroad.account_rates")
 
 
 @dataclass(slots=True)
 class _Allowance:
-    """Jobs that an account may still send at once, at a Unix time in seconds."""
+    """Jobs that an account may still send at once, at a Unix time in seconds.
+
+    Attributes
+    ----------
+    excess_jobs : int
+        Jobs beyond the rate since the last log line.
+    """
 
     jobs: float
     at: float
+    excess_jobs: int = 0
+    logged_at: float = -1e9
 
 
 @dataclass(slots=True)
@@ -60,6 +73,26 @@
         allowance.jobs = min(most, allowance.jobs + elapsed_s * owner.weight)
         allowance.at = max(allowance.at, job.accepted_at)
         if allowance.jobs < 1.0:
+            _log_excess(job, owner, allowance)
             return True
         allowance.jobs -= 1.0
         return False
+
+
+def _log_excess(job: Job, owner: Owner, allowance: _Allowance) -> None:
+    """Log at most each ``LOG_INTERVAL_S`` that an account is beyond its rate."""
+    allowance.excess_jobs += 1
+    if job.accepted_at - allowance.logged_at < LOG_INTERVAL_S:
+        return
+    log.info(
+        "account_rates: account sends more than is owed to it; "
+        "these jobs follow those of others",
+        extra={
+            "request": job.id,
+            "account": owner.name,
+            "owed_per_s": owner.weight,
+            "excess_jobs": allowance.excess_jobs,
+        },
+    )
+    allowance.logged_at = job.accepted_at
+    allowance.excess_jobs = 0
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -115,10 +115,8 @@
         planning_pass.non_urgent_cpu_milli = self._compute_non_urgent_cpu(planning_pass)
         cpu_milli = schedulable_hosts.cpu_milli
         ranked = self.waiting_order.rank(steps, now, wall, cpu_milli)
-        planning_pass.behind_others = {
-            each.step.key for each in ranked if each.is_behind_others
-        }
         self._put_late_step_first(planning_pass, ranked)
+        planning_pass.ranked = ranked
         self._plan_steps(planning_pass, ranked)
         self.advice_requester.request_for_next_steps(planning_pass)
         self.last_pass = planning_pass
--- a/siskinroad/work/planning_pass.py
+++ b/siskinroad/work/planning_pass.py
@@ -14,6 +14,7 @@
 from siskinroad.work.open_hosts import OpenHosts
 from siskinroad.work.pool_state import PoolState
 from siskinroad.work.schedulable_hosts import SchedulableHosts
+from siskinroad.work.waiting_order import RankedStep
 
 __all__ = [
     "MAX_TRIAL_FRACTION",
@@ -67,8 +68,8 @@
         Number of further hosts on which a run may be put on trial.
     deferred_steps : set of tuple
         Keys of the steps that are left to the next passes.
-    behind_others : set of tuple
-        Keys of the steps that stand behind those of other client accounts.
+    ranked : list of RankedStep
+        The waiting steps in the order in which they are planned.
     channels : ChannelTimes or None
         When the advisor channels are free; None if they always are.
     """
@@ -90,7 +91,7 @@
     blocked_steps: int = 0
     examined_steps: int = 0
     deferred_steps: set[tuple[str, int, int]] = field(default_factory=set)
-    behind_others: set[tuple[str, int, int]] = field(default_factory=set)
+    ranked: list[RankedStep] = field(default_factory=list)
     effects: list[Effect] = field(default_factory=list)
     _spread_demand: dict[Resources, dict[str, float]] | None = None
     _demand: dict[Host, float] = field(default_factory=dict)
--- a/siskinroad/work/planning_report.py
+++ b/siskinroad/work/planning_report.py
@@ -19,6 +19,7 @@
 from siskinroad.work.wait_log import WaitLog, sum_held_cpu
 from siskinroad.work.wait_reasons import WaitReason
 from siskinroad.work.wait_tracker import StepWait, WaitTracker
+from siskinroad.work.waiting_order import Place, RankedStep, find_place
 
 __all__ = ["PlanningReport"]
 
@@ -86,6 +87,8 @@
         oldest_report_s = find_oldest_report_s(hosts, now)
         self._set_wait_metrics(counts, _find_longest_waits(waits, now))
         self._set_host_metrics(states, oldest_report_s)
+        places = Counter(find_place(each) for each in _list_ranked(planning_pass))
+        self._set_place_metrics(places)
         self._wait_log.write(now, waits, planning_pass)
         log.info(
             "owner: summary",
@@ -99,6 +102,7 @@
                 else 0,
                 "hosts": {state.value: n for state, n in states.items()},
                 "oldest_report_s": round(oldest_report_s, 2),
+                "places": {place.value: n for place, n in places.items()},
                 **self._describe_use(),
                 **self._describe_period(now, period_s),
                 **self._describe_channels(now),
@@ -109,6 +113,7 @@
         """Reset the pool's gauges at the end of the term."""
         self._set_wait_metrics(Counter(), {})
         self._set_host_metrics(Counter(), 0.0)
+        self._set_place_metrics(Counter())
 
     def _set_wait_metrics(
         self, counts: Counter[WaitReason], longest_waits: dict[WaitReason, float]
@@ -120,6 +125,13 @@
             longest_s = longest_waits.get(reason, 0.0)
             metrics.longest_wait.labels(pool, reason.value).set(longest_s)
 
+    def _set_place_metrics(self, places: Counter[Place]) -> None:
+        metrics = self._term.dependencies.metrics
+        for place in Place:
+            metrics.waiting_steps.labels(self._term.pool, place.value).set(
+                places[place]
+            )
+
     def _set_host_metrics(
         self, states: Counter[HostState], oldest_report_s: float
     ) -> None:
@@ -166,6 +178,11 @@
         }
 
 
+def _list_ranked(planning_pass: PlanningPass | None) -> list[RankedStep]:
+    """Return the steps that the newest pass has ranked; none without a pass."""
+    return [] if planning_pass is None else planning_pass.ranked
+
+
 def _find_longest_waits(waits: list[StepWait], now: float) -> dict[WaitReason, float]:
     """Return the longest wait in seconds for each reason; ``waits`` are sorted."""
     longest: dict[WaitReason, float] = {}
--- a/siskinroad/work/wait_reasons.py
+++ b/siskinroad/work/wait_reasons.py
@@ -37,6 +37,9 @@
     ``AWAITS_TRIAL``: hosts have crashed under the task, and none is quiet enough for
     its next start. ``DEFERRED``: the step is left to the next passes, as too many steps
     wait.
+    ``ACCOUNT_SHARE``: there is room for the task or its request only once the steps of
+    other client accounts have theirs, as its account has sent or uses more than its
+    share.
     ``UNEXPLAINED``: none of the checks fails; the planner should have placed the task.
     ``NOT_EXAMINED``: more steps wait than are examined at once.
     """
@@ -61,10 +64,23 @@
     AWAITS_TRIAL = "awaits_trial"
     TICKETS_STALE = "tickets_stale"
     DEFERRED = "deferred"
+    ACCOUNT_SHARE = "account_share"
     UNEXPLAINED = "unexplained"
     NOT_EXAMINED = "not_examined"
 
 
+# Reasons that the steps planned first may be the cause of.
+_SHORTAGES = frozenset(
+    (
+        WaitReason.ADVICE_NO_CHANNEL,
+        WaitReason.NO_CAPACITY,
+        WaitReason.TICKETED_HOSTS_FULL,
+        WaitReason.RESERVED,
+        WaitReason.DEFERRED,
+    )
+)
+
+
 class WaitExaminer:
     """Examiner of the steps that still wait at the end of a planning pass.
 
@@ -80,9 +96,25 @@
     def __init__(self, planning_pass: PlanningPass) -> None:
         self._pass = planning_pass
         self._fitting: dict[tuple[Resources, str], dict[Host, Resources]] = {}
+        self._behind_others = {
+            ranked.step.key
+            for ranked in planning_pass.ranked
+            if ranked.is_behind_others
+        }
 
     def find_reasons(self, step: StepRun) -> dict[WaitReason, list[Task]]:
         """Return the waiting tasks of a ready step by their reason."""
+        reasons = self._find_first_reasons(step)
+        if step.key not in self._behind_others:
+            return reasons
+        found: dict[WaitReason, list[Task]] = {}
+        for reason, tasks in reasons.items():
+            cause = WaitReason.ACCOUNT_SHARE if reason in _SHORTAGES else reason
+            found.setdefault(cause, []).extend(tasks)
+        return found
+
+    def _find_first_reasons(self, step: StepRun) -> dict[WaitReason, list[Task]]:
+        """Return the waiting tasks by the first check that fails."""
         tasks = step.waiting()
         queue = self._pass.pool_state.queues.get(step.job.queue)
         if queue is None:
--- a/siskinroad/work/waiting_order.py
+++ b/siskinroad/work/waiting_order.py
@@ -13,14 +13,21 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from enum import IntEnum
+from enum import IntEnum, StrEnum
 
 from siskinroad.work.account_rates import AccountRates
 from siskinroad.work.floor_turns import FloorTurns
 from siskinroad.work.job import StepRun
 from siskinroad.work.job_table import JobTable, QueueTimes
 
-__all__ = ["Lateness", "RankedStep", "ShareRank", "WaitingOrder", "find_cause"]
+__all__ = [
+    "Lateness",
+    "Place",
+    "RankedStep",
+    "ShareRank",
+    "WaitingOrder",
+    "find_place",
+]
 
 # Least fraction of its predicted time in which a step may reach the end of its job.
 # Declared times are rough: a larger value counts steps as late that can still meet
@@ -49,6 +56,17 @@
     NO_USE = 2
 
 
+class Place(StrEnum):
+    """Why a step has its place in the order; a label of a metric."""
+
+    IN_TIME = "in_time"
+    LATE = "late"
+    OVER_SHARE = "over_share"
+    BEYOND_RATE = "beyond_rate"
+    NO_USE = "no_use"
+    FLOOR_TURN = "floor_turn"
+
+
 @dataclass(slots=True, frozen=True)
 class RankedStep:
     """Step in its place in the order, with why it has it.
@@ -230,17 +248,17 @@
             yield i, step, _compute_step_times(step, queue_times[name], now, wall)
 
 
-def find_cause(ranked: RankedStep) -> str:
-    """Return why a step has its place, as a label of a metric."""
+def find_place(ranked: RankedStep) -> Place:
+    """Return why a step has its place, the strongest of several reasons."""
     if ranked.has_floor_turn:
-        return "floor_turn"
+        return Place.FLOOR_TURN
     if ranked.lateness is Lateness.NO_USE:
-        return "no_use"
+        return Place.NO_USE
     if ranked.is_excess:
-        return "beyond_rate"
+        return Place.BEYOND_RATE
     if ranked.is_over_share:
-        return "over_share"
-    return "late" if ranked.lateness is Lateness.LATE else "in_time"
+        return Place.OVER_SHARE
+    return Place.LATE if ranked.lateness else Place.IN_TIME
 
 
 def _compute_step_times(
--- a/siskinroad/work/workmetrics.py
+++ b/siskinroad/work/workmetrics.py
@@ -97,6 +97,12 @@
             ("pool", "reason"),
             registry=reg,
         )
+        self.waiting_steps = Gauge(
+            "siskinroad_waiting_steps",
+            "Waiting steps of an owned pool by why they have their place.",
+            ("pool", "place"),
+            registry=reg,
+        )
         self.hosts = Gauge(
             "siskinroad_hosts",
             "Hosts of an owned pool by state.",
