--- a/bench/burst_load.py
+++ b/bench/burst_load.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+import random
 from collections import Counter
 from dataclasses import dataclass
 
@@ -82,6 +83,8 @@
 
     def __init__(self, sizes: BurstSizes | None = None, seed: int = 1) -> None:
         self.burst = sizes or BurstSizes()
+        # Apart from the load's own, so that two orders get the same arrivals.
+        self.arrivals = random.Random(seed)
         super().__init__(NO_OTHER_LOAD, seed)
         parts = [1 / (1 + i) for i in range(self.burst.accounts)]
         self.parts = {f"a{i:02}": x / sum(parts) for i, x in enumerate(parts)}
@@ -143,7 +146,7 @@
 
     def _await_next(self, queue: str) -> None:
         total = sum(self._rate(queue, account) for account in self.parts)
-        self._at(self.rng.expovariate(total), self._arrive_from, queue)
+        self._at(self.arrivals.expovariate(total), self._arrive_from, queue)
 
     def _arrive_from(self, queue: str) -> None:
         self._await_next(queue)
@@ -151,7 +154,7 @@
             return
         names = list(self.parts)
         rates = [self._rate(queue, name) for name in names]
-        (account,) = self.rng.choices(names, rates)
+        (account,) = self.arrivals.choices(names, rates)
         spec = self._make_spec(queue)
         name = f"{queue}-{next(self.job_numbers)}"
         accepted = Accepted(name, queue, POOL, self.now, spec)
@@ -171,7 +174,7 @@
         return True
 
     def _make_spec(self, queue: str) -> JobSpec:
-        rng = self.rng
+        rng = self.arrivals
         is_urgent = queue == "urgent"
         width = _draw(rng, 9.5, 0.8, 57) if is_urgent else _draw(rng, 18, 0.6, 88)
         step = Step(
@@ -228,7 +231,7 @@
         return "late" if took_s <= OF_USE_FACTOR * allowed_s else "never"
 
 
-def _draw(rng, mean: float, spread: float, largest: float) -> float:
+def _draw(rng: random.Random, mean: float, spread: float, largest: float) -> float:
     """Return a log-normal value with a mean, a relative spread and an upper bound."""
     sigma = math.sqrt(math.log(1 + spread**2))
     return min(largest, rng.lognormvariate(math.log(mean) - sigma**2 / 2, sigma))
