--- a/siskinroad/work/job_table.py
+++ b/siskinroad/work/job_table.py
@@ -290,6 +290,8 @@
             extra={
                 "request": job.id,
                 "queue": job.queue,
+                "account": job.account,
+                "is_excess": job.is_excess,
                 "data_centre": job.data_centre,
                 "age_s": round(wall - job.accepted_at, 3),
                 "late_s": round(late_s, 3),
