Hold what client accounts have running within their limits

Cause: nothing counted what the runs of an account hold, so any start was allowed.

Each owner counts by account what its pool holds, and starts nothing beyond the part of the limit that its pool has. The limits are divided between the pools; owners lend each other what they do not need, and store a loan before they answer.

--- /dev/null
+++ b/siskinroad/work/account_use.py
@@ -0,0 +1,183 @@
+"""What each client account holds and waits for in one pool.
+
+Load pattern: accounts of very different size start and end thousands of short tasks a
+minute. Held amounts are kept up to date as runs come and go, so that the check of a
+start takes the same time however many accounts and runs there are.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from siskinroad.resources import NOTHING, Resources
+from siskinroad.shares import Shares
+from siskinroad.work.client_accounts import AccountDirectory
+
+__all__ = ["UNLIMITED", "AccountUse", "divide"]
+
+# Amount of a dimension in which an account has no limit.
+UNLIMITED = 1 << 60
+
+
+class AccountUse:
+    """Runs and demand of each client account in one pool.
+
+    Runs count from their order until they are over, whatever their state: ordered,
+    doubtful, stopping, withdrawn, speculative copies and members of gangs. Runs that
+    belong to no account are not counted.
+
+    Attributes
+    ----------
+    find_part : callable
+        Returns the part of an account's limit that this pool may use, at a loop time;
+        ``UNLIMITED`` in a dimension without limit, None for an account of which no
+        limit is known.
+    find_limit : callable
+        Returns the whole limit of an account.
+    find_unsettled : callable
+        Returns the largest amount by account that runs of former owners may hold
+        without this owner's knowledge.
+    demand : dict of str to Resources
+        Needs of the waiting tasks by account, from the newest planning pass.
+    is_blocked : callable
+        Returns whether an account may start nothing in this pool for now.
+    held_back : dict of str to Resources
+        Need of the most urgent step of each account that the newest planning pass held
+        back for its limit; of all members of a gang.
+    """
+
+    def __init__(self) -> None:
+        self._shares = Shares()
+        self._now = 0.0
+        self.find_part: Callable[[str, float], Resources | None] = _find_no_part
+        self.find_limit: Callable[[str], Resources | None] = lambda account: None
+        self.find_unsettled: Callable[[], dict[str, Resources]] = dict
+        self.demand: dict[str, Resources] = {}
+        self.is_blocked: Callable[[str], bool] = lambda account: False
+        self.held_back: dict[str, Resources] = {}
+        self.names: set[str] = set()
+
+    def set_accounts(self, accounts: AccountDirectory) -> None:
+        """Apply the accounts of a configuration; removed ones keep their weight."""
+        self._shares.set_owners(accounts.owners())
+        self.names = set(accounts.by_name)
+
+    def advance(self, now: float) -> None:
+        """Set the loop time in seconds at which the next changes count as made."""
+        self._now = max(self._now, now)
+
+    def set_total(self, total: Resources, now: float) -> None:
+        """Set the capacity of the pool, which shares are fractions of."""
+        if total != self._shares.total:
+            self._shares.set_total(total, now)
+
+    @property
+    def total(self) -> Resources:
+        """Capacity of the pool."""
+        return self._shares.total
+
+    def add(self, account: str, need: Resources) -> None:
+        """Count a run of an account that a host may carry out."""
+        if account:
+            self._shares.change_allocation(account, need, 1, self._now)
+
+    def remove(self, account: str, need: Resources) -> None:
+        """Count a run of an account no more, as it is over."""
+        if account:
+            self._shares.change_allocation(account, need, -1, self._now)
+
+    def held(self, account: str) -> Resources:
+        """Return what the known runs of an account hold."""
+        return self._shares.held(account)
+
+    def occupied(self, account: str) -> Resources:
+        """Return what an account holds, with all that unsettled tasks may hold."""
+        return self.held(account) + self.find_unsettled().get(account, NOTHING)
+
+    def wanted(self, account: str) -> Resources:
+        """Return what an account would hold if its tasks had all that the pool has."""
+        demand = self.demand.get(account, NOTHING)
+        total = self.total.union(self.held(account))
+        return (self.held(account) + demand).clip(total)
+
+    def rank(self, account: str, now: float) -> float:
+        """Return the rank of an account by its share; the lowest goes first."""
+        return self._shares.rank(account, now)
+
+    def count_startable(
+        self, account: str, need: Resources, count: int, *, is_gang: bool = False
+    ) -> int:
+        """Return how many of ``count`` tasks the account may start now.
+
+        A gang may be started as a whole or not at all. Something that is larger than
+        the whole limit may run alone, if no more than one of its tasks is beyond it.
+        """
+        if not account:
+            return count
+        if self.is_blocked(account):
+            return 0
+        part = self.find_part(account, self._now)
+        if part is None:
+            # Accepted work must not wait for ever for a limit that nobody knows.
+            is_alone = self.occupied(account) == NOTHING
+            return count if is_alone and (is_gang or count == 1) else int(is_alone)
+        allowed = self.count_allowed(account, need, count, part)
+        if allowed < count and (is_gang or not allowed):
+            is_alone = self.occupied(account) == NOTHING
+            needed = count if is_gang else 1
+            limit = self.find_limit(account) if is_alone else None
+            if limit is not None and _is_oversized(limit, part, need, needed):
+                return needed
+            return 0
+        return allowed
+
+    def count_allowed(
+        self, account: str, need: Resources, count: int, part: Resources
+    ) -> int:
+        """Return how many of ``count`` tasks fit into a part of the account's limit.
+
+        Parameters
+        ----------
+        need : Resources
+            What one task holds.
+        part : Resources
+            The most that the account may hold in this pool.
+        """
+        occupied = self.occupied(account)
+        return min(
+            count,
+            divide(part.cpu_milli - occupied.cpu_milli, need.cpu_milli),
+            divide(part.memory_mib - occupied.memory_mib, need.memory_mib),
+            divide(part.accelerators - occupied.accelerators, need.accelerators),
+        )
+
+    def accounts(self) -> Iterable[str]:
+        """Return the accounts that are configured or wait for something."""
+        return self.names | self.demand.keys()
+
+
+def _find_no_part(account: str, now: float) -> Resources | None:
+    return None
+
+
+def _is_oversized(
+    limit: Resources, part: Resources, need: Resources, count: int
+) -> bool:
+    """Return whether tasks exceed a whole limit, which is all here, by one at most."""
+    free = (
+        (part.cpu_milli, limit.cpu_milli, need.cpu_milli),
+        (part.memory_mib, limit.memory_mib, need.memory_mib),
+        (part.accelerators, limit.accelerators, need.accelerators),
+    )
+    return all(
+        not limited or (has >= limited and needed * (count - 1) <= limited)
+        for has, limited, needed in free
+        if needed
+    )
+
+
+def divide(free: int, need: int) -> int:
+    """Return how many tasks fit into what is free of one dimension."""
+    if need <= 0:
+        return UNLIMITED
+    return max(0, free) // need
--- a/siskinroad/work/claim.py
+++ b/siskinroad/work/claim.py
@@ -19,6 +19,7 @@
     Accepted,
     Cancelled,
     HostSet,
+    Loans,
     OwnerRecord,
     Progress,
     Released,
@@ -88,6 +89,7 @@
     cancelled: dict[str, Cancelled] = field(default_factory=dict)
     progress: dict[str, Progress] = field(default_factory=dict)
     hosts: HostSet | None = None
+    loans: dict[str, Loans] = field(default_factory=dict)
 
     @property
     def are_earlier_owners_reconciled(self) -> bool:
@@ -116,6 +118,8 @@
                 self.progress[job] = stored
             case HostSet():
                 self.hosts = stored
+            case Loans(account=account):
+                self.loans[account] = stored
 
 
 def apply_records(
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -9,6 +9,8 @@
 
 from siskinroad.errors import SiskinroadError
 from siskinroad.peers import PeerTransport
+from siskinroad.work.account_exchange import AccountExchange, refuse_loan
+from siskinroad.work.account_peers import AccountPeers, PoolOwnerAddress
 from siskinroad.work.advisor_channels import AdvisorChannels
 from siskinroad.work.claim_manager import ClaimManager
 from siskinroad.work.configuration_exchange import ConfigurationExchange
@@ -30,12 +32,14 @@
     Hello,
     JobReply,
     JobRequest,
+    LoanReply,
+    LoanRequest,
     RelayReply,
     RelayRequest,
     SubmitReply,
     SubmitRequest,
 )
-from siskinroad.work.model import Timing
+from siskinroad.work.model import Configuration, Timing
 from siskinroad.work.peer_calls import PeerCalls
 from siskinroad.work.platform_clients import PlatformClients
 from siskinroad.work.records import (
@@ -145,6 +149,9 @@
             wall,
             self.members.has_later_incarnation,
             self.loop_delay,
+            account_peers=AccountPeers(
+                self.peer_calls, self._find_pool_owner, self._find_own_account_exchange
+            ),
         )
         self.claim_manager = ClaimManager(
             member,
@@ -168,7 +175,7 @@
         )
         decoder = platform_clients.decoder
         self.configuration_reader = ConfigurationReader(
-            self.store, decoder, self.claim_manager.configure
+            self.store, decoder, self._configure
         )
         self.configuration_follower = self.configuration_reader.follower
         self.configuration_exchange = ConfigurationExchange(
@@ -217,6 +224,11 @@
             wait=MEMBERS_READ_WAIT,
         )
 
+    def _configure(self, configuration: Configuration) -> None:
+        now = asyncio.get_running_loop().time()
+        self.dependencies.account_limits.apply(configuration, now)
+        self.claim_manager.configure(configuration)
+
     @property
     def is_ready(self) -> bool:
         """Whether this daemon should receive requests from callers."""
@@ -353,6 +365,24 @@
             return self.member.node
         return self.members.owner(pool, asyncio.get_running_loop().time())
 
+    def _find_pool_owner(self, pool: str) -> PoolOwnerAddress | None:
+        """Return the other daemon that owns a pool, with the term that it announces."""
+        node = self.members.owner(pool, asyncio.get_running_loop().time())
+        if node is None:
+            return None
+        owned = dict(self.members.last_heartbeats[node].heartbeat.owned)
+        return PoolOwnerAddress(node, owned[pool])
+
+    def _find_own_account_exchange(self, pool: str) -> AccountExchange | None:
+        owner = self.owners.get(pool)
+        return owner.account_exchange if owner is not None else None
+
+    async def _serve_loan(self, msg: LoanRequest) -> LoanReply:
+        exchange = self._find_own_account_exchange(msg.lender)
+        if exchange is None:
+            return refuse_loan(msg)
+        return await exchange.serve(msg)
+
     def _find_job_writer(self, pool: str) -> str:
         """Return the pool's job writer, which may be this daemon."""
         owner = self._find_owner(pool)
@@ -397,6 +427,8 @@
                 self._reply_when_done(peer, self.job_service.handle_request(msg))
             case AdviceRequest():
                 self._reply_when_done(peer, self.advisor_channels.serve(msg))
+            case LoanRequest():
+                self._reply_when_done(peer, self._serve_loan(msg))
             case RelayRequest():
                 self._reply_when_done(peer, self.store.serve(msg))
 
--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -7,6 +7,7 @@
 
 from siskinroad.charts import load_chart
 from siskinroad.resources import NOTHING, Resources
+from siskinroad.work.account_use import AccountUse
 from siskinroad.work.model import HostEntry, TaskId
 
 __all__ = [
@@ -82,6 +83,9 @@
     queue, declared_s, long_running
         The task's queue, its declared run time in seconds, and whether it runs until
         its job is cancelled.
+    account, account_need : str, Resources
+        Client account for which the task runs, empty if there is none, and what the run
+        counts of the account's limit.
     trial_s : float
         Seconds for which no other run is started on the host, as its task is suspected
         of crashing hosts; 0 for other tasks.
@@ -123,6 +127,8 @@
     long_running: bool = False
     progress_at_begin: int = 0
     trial_s: float = 0.0
+    account: str = ""
+    account_need: Resources = NOTHING
 
     def move(self, event: str) -> None:
         """Apply an event of the ``run`` chart."""
@@ -157,19 +163,26 @@
     ----------
     by_job : dict of str to dict
         The runs of each job by host and key, with their hosts.
+    account_use : AccountUse or None
+        Use of the client accounts, kept up to date too; None if there are none.
     """
 
     by_job: dict[str, dict[tuple[str, RunKey], tuple[Host, Run]]] = field(
         default_factory=dict
     )
+    account_use: AccountUse | None = None
 
     def add(self, host: Host, run: Run) -> None:
         """Add a run of a host."""
+        if self.account_use is not None:
+            self.account_use.add(run.account, run.account_need)
         runs = self.by_job.setdefault(run.key[0].job, {})
         runs[host.name, run.key] = (host, run)
 
     def remove(self, host: Host, run: Run) -> None:
         """Remove a run of a host."""
+        if self.account_use is not None:
+            self.account_use.remove(run.account, run.account_need)
         job = run.key[0].job
         runs = self.by_job[job]
         del runs[host.name, run.key]
--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -188,6 +188,8 @@
         Job id, occurrence number and step number.
     need : Resources
         Resources that one task allocates.
+    account_need : Resources
+        What one task counts of its account's limit, also if it is best-effort.
     runs_by_host : dict of str to int
         Number of the step's runs that occupy capacity on each host.
     advice : StepAdvice
@@ -214,6 +216,7 @@
     tally: TaskTally
     key: tuple[str, int, int] = field(init=False)
     need: Resources = field(init=False)
+    account_need: Resources = field(init=False)
     runs_by_host: dict[str, int] = field(default_factory=dict)
     advice: StepAdvice = field(default_factory=StepAdvice)
     tickets: dict[str, Ticket] = field(init=False)
@@ -226,6 +229,9 @@
     def __post_init__(self) -> None:
         self.key = (self.job.id, self.occurrence, self.number)
         self.need = self.spec.need
+        self.account_need = Resources(
+            self.spec.cpu_milli, self.spec.memory_mib, self.spec.accelerators
+        )
         self.tickets = self.advice.tickets
 
     @property
@@ -259,6 +265,8 @@
             queue=self.job.queue,
             declared_s=spec.estimate,
             long_running=spec.long_running,
+            account=self.job.account,
+            account_need=self.account_need,
         )
 
     @property
--- a/siskinroad/work/messages.py
+++ b/siskinroad/work/messages.py
@@ -21,6 +21,10 @@
     "Hello",
     "JobReply",
     "JobRequest",
+    "LoanAnswer",
+    "LoanAsk",
+    "LoanReply",
+    "LoanRequest",
     "MemberNews",
     "Message",
     "RelayReply",
@@ -258,6 +262,90 @@
     value: bytes
 
 
+class LoanAsk(msgspec.Struct, frozen=True, array_like=True):
+    """What the owner of one pool says and asks about one client account.
+
+    All amounts are thousandths of the account's limit, of processors, of memory and of
+    accelerators.
+
+    Attributes
+    ----------
+    keeps : tuple of int
+        What the sender still counts on, or has in use, of what the receiver lent.
+    wants : tuple of int
+        What the sender would use besides, if the receiver can do without it.
+    is_first : bool
+        Whether the sender's pool has nothing running of the account.
+    """
+
+    account: str
+    keeps: tuple[int, int, int]
+    wants: tuple[int, int, int]
+    is_first: bool = False
+
+
+class LoanRequest(msgspec.Struct, tag="loan?", frozen=True, array_like=True):
+    """Request of the owner of one pool to that of another for parts of limits.
+
+    Attributes
+    ----------
+    pool, term : str, int
+        The sender's pool and term.
+    lender, lender_term : str, int
+        The receiver's pool and term; an owner of another term does not answer.
+    number : int
+        Number of the sender's newest reply to the receiver's pool.
+    """
+
+    id: int
+    pool: str
+    term: int
+    lender: str
+    lender_term: int
+    number: int
+    asks: tuple[LoanAsk, ...]
+
+
+class LoanAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """What a lender answers about one client account.
+
+    Attributes
+    ----------
+    lent : tuple of int
+        All that the lender has lent the asking pool; stored before it is sent.
+    keeps : tuple of int
+        What the lender still counts on, or has in use, of what the asking pool lent.
+    is_within : bool
+        Whether the runs in the lender's pool are within its part.
+    """
+
+    account: str
+    lent: tuple[int, int, int]
+    keeps: tuple[int, int, int]
+    is_within: bool
+
+
+class LoanReply(msgspec.Struct, tag="loan!", frozen=True, array_like=True):
+    """Reply to a ``LoanRequest``.
+
+    Attributes
+    ----------
+    term : int
+        The lender's term; 0 if it cannot answer now.
+    seen : int
+        Number in the request if the lender will use no reply up to it any more that it
+        has not used yet; negative if it may.
+    version : int
+        Version of the configuration that the lender has in force.
+    """
+
+    id: int
+    term: int
+    seen: int
+    version: int
+    answers: tuple[LoanAnswer, ...]
+
+
 Message = (
     Heartbeat
     | Digest
@@ -272,6 +360,8 @@
     | SubmitReply
     | ConfigurationRequest
     | ConfigurationReply
+    | LoanRequest
+    | LoanReply
 )
 
 CODEC = msgpack_codec(Message)
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -7,6 +7,7 @@
 from collections import Counter
 
 from siskinroad.errors import SiskinroadError
+from siskinroad.work.account_exchange import AccountExchange
 from siskinroad.work.claim import InheritedState, release_pool
 from siskinroad.work.effects import (
     Effect,
@@ -89,13 +90,17 @@
         self.term.on_ownership_uncertain = self.recheck_claims
         self.pool_state = self.term.pool_state
         self.pool_state.queues.update(known_queues)
+        self.progress = ProgressLog(self.term, inherited.hosts)
+        self.account_exchange = AccountExchange(
+            self.term, self.progress, inherited.loans
+        )
         self.pool_state.configure(configuration)
+        self.account_exchange.configure()
         self.planner = Planner(self.pool_state)
         self.planning_report = PlanningReport(
             self.term, asyncio.get_running_loop().time()
         )
         self.run_monitor = RunMonitor(self.pool_state, dependencies.timing)
-        self.progress = ProgressLog(self.term, inherited.hosts)
         self.host_commands = HostCommands(self.term)
         self.lease_renewer = LeaseRenewer(self.term, self.progress)
         self._rechecked_at = -1e9
@@ -131,6 +136,9 @@
             pool_state.restore(progress, now)
         for job_id in inherited.cancelled:
             pool_state.cancel(job_id, now, wall)
+        if pool_state.account_use is not None:
+            # What former owners may have started counts from the first pass on.
+            pool_state.open_due(now, wall, EARLY_START_TIME)
         self.term.owned_until = inherited.claimed_at + OWNERSHIP_TIMEOUT_S
         log.info(
             "owner: term started",
@@ -188,11 +196,13 @@
                 group.create_task(self._run_planning())
                 group.create_task(self.progress.run())
                 group.create_task(self._run_ticks())
+                group.create_task(self.account_exchange.run())
         except* OwnershipLostError as excs:
             raise excs.exceptions[0] from None
         finally:
             self.term.group = None
             self.planning_report.close()
+            self.account_exchange.close()
 
     async def release(self) -> None:
         """Store the remaining progress, then release the pool; call after ``run``."""
@@ -237,6 +247,7 @@
     def configure(self, configuration: Configuration) -> None:
         """Apply a configuration."""
         self.pool_state.configure(configuration)
+        self.account_exchange.configure()
         self.term.plan_requested.set()
 
     def apply_host_list(self, entries: dict[str, HostEntry]) -> None:
@@ -355,6 +366,7 @@
         took_s = asyncio.get_running_loop().time() - now
         self.planning_report.record_pass(took_s, effects)
         self._execute_effects(effects)
+        self.account_exchange.note_pass()
 
     async def _run_ticks(self) -> None:
         loop = asyncio.get_running_loop()
--- a/siskinroad/work/placement.py
+++ b/siskinroad/work/placement.py
@@ -26,7 +26,12 @@
 
 
 def place_tasks(
-    planning_pass: PlanningPass, step: StepRun, *, needs_ticket: bool, is_bounded: bool
+    planning_pass: PlanningPass,
+    step: StepRun,
+    *,
+    needs_ticket: bool,
+    is_bounded: bool,
+    max_tasks: int | None = None,
 ) -> TentativePlacement | None:
     """Choose a host for each waiting task, or for as many as fit.
 
@@ -37,6 +42,8 @@
     is_bounded : bool
         Whether the step may use only the processors left to steps that are not
         urgent.
+    max_tasks : int, optional
+        Largest number of tasks to place; by default all.
 
     Returns
     -------
@@ -54,7 +61,7 @@
     if not candidates:
         return None
     placer = _Placer(planning_pass, step, candidates, needs_ticket=needs_ticket)
-    placement = placer.place(cpu_milli)
+    placement = placer.place(cpu_milli, max_tasks)
     if len(placement.chosen) < (step.waiting_count if step.spec.gang else 1):
         return None
     return placement
@@ -91,7 +98,9 @@
         self._heap: list[tuple[Cost, int]] = []
         self._trial_hosts: set[Host] = set()
 
-    def place(self, cpu_milli: float) -> TentativePlacement:
+    def place(
+        self, cpu_milli: float, max_tasks: int | None = None
+    ) -> TentativePlacement:
         """Place tasks until none fits, or ``cpu_milli`` processors are used."""
         need = self._step.need
         is_gang = self._step.spec.gang
@@ -99,6 +108,8 @@
         for task in self._step.iterate_waiting():
             if need.cpu_milli > cpu_milli:
                 break
+            if len(self._placement.chosen) == max_tasks:
+                break
             host = self._choose_host(task)
             if host is None:
                 if is_gang or not self._costs:
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -29,6 +29,7 @@
 from siskinroad.work.pool_state import PoolState
 from siskinroad.work.schedulable_hosts import SchedulableHosts, make_schedulable_hosts
 from siskinroad.work.sole_hosts import find_sole_hosts
+from siskinroad.work.start_limits import StartLimits, count_startable
 
 __all__ = ["Planner"]
 
@@ -100,6 +101,8 @@
         for step in steps:
             if step.tally.unstamped:
                 step.stamp_waits(now)
+        limits = StartLimits(pool_state, now, wall)
+        steps = limits.leave_out_limited(steps)
         self._usual_hosts = make_schedulable_hosts(hosts, self._usual_hosts)
         sole_hosts = find_sole_hosts(
             quarantined, self._usual_hosts, steps, pool_state.queues, now
@@ -117,6 +120,7 @@
             channels,
         )
         planning_pass.effects += given_up
+        planning_pass.limited_steps = limits.limited_steps
         max_trials = max(1, int(MAX_TRIAL_FRACTION * len(pool_state.hosts)))
         planning_pass.trial_hosts = max_trials - trials
         planning_pass.non_urgent_cpu_milli = self._compute_non_urgent_cpu(planning_pass)
@@ -259,6 +263,11 @@
     ) -> None:
         queue = self.pool_state.queues[step.job.queue]
         advice = queue.advice
+        max_tasks = count_startable(self.pool_state.account_use, step)
+        if not max_tasks:
+            # Steps before it in this pass have taken what its account's limit left.
+            planning_pass.limited_steps.add(step.key)
+            return
         if advice is not None and not self.advice_requester.check_or_request_advice(
             planning_pass, step, advice
         ):
@@ -268,6 +277,7 @@
             step,
             needs_ticket=advice is not None,
             is_bounded=queue.priority > 0 and not step.spec.long_running,
+            max_tasks=max_tasks,
         )
         if placement is None:
             if self.host_withholder.may_withhold(planning_pass, step, lateness):
--- a/siskinroad/work/planning_pass.py
+++ b/siskinroad/work/planning_pass.py
@@ -70,6 +70,8 @@
         Number of further hosts on which a run may be put on trial.
     deferred_steps : set of tuple
         Keys of the steps that are left to the next passes.
+    limited_steps : set of tuple
+        Keys of the steps of which the limits of their accounts allow no task.
     channels : ChannelTimes or None
         When the advisor channels are free; None if they always are.
     """
@@ -91,6 +93,7 @@
     blocked_steps: int = 0
     examined_steps: int = 0
     deferred_steps: set[tuple[str, int, int]] = field(default_factory=set)
+    limited_steps: set[tuple[str, int, int]] = field(default_factory=set)
     effects: list[Effect] = field(default_factory=list)
     _spread_demand: dict[Resources, dict[str, float]] | None = None
     _demand: dict[Host, float] = field(default_factory=dict)
--- a/siskinroad/work/progress.py
+++ b/siskinroad/work/progress.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import logging
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from siskinroad.errors import SiskinroadError
 from siskinroad.work.claim import PROGRESS_PRODUCER
 from siskinroad.work.job import Job
-from siskinroad.work.records import HostSet, progress_topic, record_of
+from siskinroad.work.records import HostSet, Loans, progress_topic, record_of
 from siskinroad.work.store import (
     Fence,
     FencedError,
@@ -45,6 +46,7 @@
     outcomes: tuple[tuple[Job, str], ...]
     hosts: HostSet
     ends_seen: tuple[tuple[str, int, int], ...]
+    loans: tuple[Loans, ...] = ()
 
 
 class ProgressLog:
@@ -54,6 +56,8 @@
     ----------
     flushed : asyncio.Event
         Set, and replaced by a new event, each time a batch has been stored.
+    on_loans_stored : callable
+        Receives the loans of an account once they are stored, and no newer ones wait.
     """
 
     def __init__(self, term: Term, hosts: HostSet | None) -> None:
@@ -63,12 +67,15 @@
         self._sequence = 0
         self._batch: _Batch | None = None
         self._stored_events: dict[str, asyncio.Event] = {}
+        self.on_loans_stored: Callable[[Loans], None] = lambda loans: None
+        self._unstored_loans: dict[str, Loans] = {}
+        self._storing_loans: dict[str, list[asyncio.Future[None]]] = {}
 
     @property
     def has_unstored_changes(self) -> bool:
         """Whether anything has not been stored, or not been marked as stored yet."""
         pool_state = self.term.pool_state
-        if self._batch is not None or pool_state.dirty:
+        if self._batch is not None or pool_state.dirty or self._unstored_loans:
             return True
         # A host that was removed and added again may be in the stored set already.
         has_unmarked_host = any(
@@ -81,6 +88,26 @@
         self.term.flush_requested.set()
         return self._stored_events.setdefault(job_id, asyncio.Event())
 
+    @property
+    def is_storing_loans(self) -> bool:
+        """Whether some loan still waits to be stored, as while the store is silent."""
+        return bool(self._storing_loans)
+
+    async def store_loans(self, loans: Iterable[Loans]) -> None:
+        """Store the loans of accounts; return once they, or newer ones, are stored."""
+        futures: list[asyncio.Future[None]] = []
+        for each in loans:
+            self._unstored_loans[each.account] = each
+            fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            self._storing_loans.setdefault(each.account, []).append(fut)
+            futures.append(fut)
+        self.term.flush_requested.set()
+        await asyncio.gather(*futures)
+
+    def note_loans(self, loans: Loans) -> None:
+        """Store the loans of an account with the next batch."""
+        self._unstored_loans[loans.account] = loans
+
     async def run(self) -> None:
         """Store every change, in batches, until cancelled.
 
@@ -151,6 +178,9 @@
         hosts = self._host_set()
         if hosts != self._stored_hosts:
             records.append(record_of(hosts))
+        loans = tuple(self._unstored_loans.values())
+        self._unstored_loans.clear()
+        records += map(record_of, loans)
         ends_seen: tuple[tuple[str, int, int], ...] = ()
         if not self.term.pool_state.dirty:
             known = self.term.pool_state.hosts.values()
@@ -158,13 +188,19 @@
                 (host.name, host.incarnation_ms, host.last_end_seen) for host in known
             )
         outcomes = tuple((job, job.outcome) for job in jobs)
-        return _Batch(tuple(records), outcomes, hosts, ends_seen)
+        return _Batch(tuple(records), outcomes, hosts, ends_seen, loans)
 
     def _mark_stored(self, batch: _Batch) -> None:
         self._stored_hosts = batch.hosts
         for name in batch.hosts.names:
             if name in self.term.pool_state.hosts:
                 self.term.pool_state.hosts[name].is_stored = True
+        for each in batch.loans:
+            if each.account not in self._unstored_loans:
+                self.on_loans_stored(each)
+                for fut in self._storing_loans.pop(each.account, ()):
+                    if not fut.done():
+                        fut.set_result(None)
         for job, outcome in batch.outcomes:
             job.stored_outcome = outcome
             stored_event = self._stored_events.pop(job.id, None)
--- a/siskinroad/work/records.py
+++ b/siskinroad/work/records.py
@@ -21,6 +21,7 @@
     "Accepted",
     "Cancelled",
     "HostSet",
+    "Loans",
     "Member",
     "OwnerRecord",
     "Progress",
@@ -38,6 +39,7 @@
 OWNER_KEY = "@owner"
 RELEASED_KEY = "@released"
 HOSTS_KEY = "@hosts"
+LOANS_PREFIX = "@loans "
 CANCEL_SUFFIX = "!"
 
 
@@ -142,7 +144,20 @@
     settled: bool
 
 
-Stored = Accepted | Cancelled | OwnerRecord | Released | Member | Progress | HostSet
+class Loans(msgspec.Struct, tag="loans", frozen=True):
+    """Parts of one client account's limit that the pool's owner has lent.
+
+    ``lent`` has the thousandths of the limit by borrowing pool: of processors, of
+    memory and of accelerators.
+    """
+
+    account: str
+    lent: dict[str, tuple[int, int, int]]
+
+
+Stored = (
+    Accepted | Cancelled | OwnerRecord | Released | Member | Progress | HostSet | Loans
+)
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Stored)
@@ -190,6 +205,8 @@
             key = RELEASED_KEY
         case HostSet():
             key = HOSTS_KEY
+        case Loans(account=account):
+            key = LOANS_PREFIX + account
         case Member(node=node):
             key = node
     return Record(key, encode_stored(stored))
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -9,13 +9,15 @@
 import logging
 from collections.abc import Callable, Iterable
 
+from siskinroad.resources import NOTHING, Resources
+from siskinroad.work.account_use import AccountUse
 from siskinroad.work.crash_record import TRIAL_S
 from siskinroad.work.crash_tracker import CrashTracker
 from siskinroad.work.effects import Effect, ReconcileHost, StopRun
 from siskinroad.work.host import Host, Run, RunIndex
 from siskinroad.work.job import Job, JobState, PresumedEnd, Task
 from siskinroad.work.job_table import JobTable
-from siskinroad.work.model import HostEntry, TaskId
+from siskinroad.work.model import Configuration, HostEntry, TaskId
 
 __all__ = ["RunTable", "format_task_position"]
 
@@ -29,6 +31,9 @@
 # Number of newest presumed ends that are remembered of a task: starts may be rejected
 # any number of times.
 MAX_PRESUMED_ENDS = 8
+# Seconds after the end of a job by which all its runs are over: a cut off host ends
+# them with its lease.
+CLOSED_JOB_RUN_S = 10.0
 # Largest fraction of the hosts in quarantine at once, for any reason. If more of them
 # look bad, the cause is probably one that they share, and the others would be overrun.
 MAX_QUARANTINED_FRACTION = 0.5
@@ -60,6 +65,8 @@
         end that a host lists after that.
     crash_tracker : CrashTracker
         Tracker of the hosts that crash, and of the tasks that may be the cause.
+    account_use : AccountUse or None
+        What the client accounts hold; None if the deployment has none.
     """
 
     def __init__(self, pool: str, term: int) -> None:
@@ -73,6 +80,69 @@
         self.observe_presumed_end: Callable[[str], None] = lambda reason: None
         self.observe_late_end: Callable[[str], None] = lambda end_kind: None
         self.crash_tracker = CrashTracker(self.hosts, self.step, self.dirty.add)
+        self.account_use: AccountUse | None = None
+        self._unsettled_use: dict[str, Resources] = {}
+
+    # Client accounts
+
+    def configure(self, configuration: Configuration) -> None:
+        """Apply a configuration; count by account once it has client accounts."""
+        super().configure(configuration)
+        if configuration.accounts is None:
+            self.account_use = self.run_index.account_use = None
+            return
+        if self.account_use is None:
+            self.account_use = self.run_index.account_use = AccountUse()
+            self.account_use.find_unsettled = lambda: self._unsettled_use
+            for runs in self.run_index.by_job.values():
+                for _, run in runs.values():
+                    self.account_use.add(run.account, run.account_need)
+        self.account_use.set_accounts(configuration.accounts)
+
+    def update_account_use(self, now: float, wall: float) -> None:
+        """Bring up to date what accounts hold; call before a planning pass."""
+        use = self.account_use
+        if use is None:
+            return
+        use.advance(now)
+        capacities = [host.entry.capacity for host in self.hosts.values()]
+        use.set_total(
+            Resources(
+                sum(c.cpu_milli for c in capacities),
+                sum(c.memory_mib for c in capacities),
+                sum(c.accelerators for c in capacities),
+            ),
+            now,
+        )
+        if not self.is_settled:
+            self._unsettled_use = self._sum_unsettled(wall)
+        elif self._unsettled_use:
+            self._unsettled_use = {}
+
+    def _sum_unsettled(self, wall: float) -> dict[str, Resources]:
+        """Return the most that unknown runs of former owners hold, by account.
+
+        Each unsettled task may have a run; with speculative copies, each task may have
+        one more than is known. Those of a closed job are stopped, which takes a while.
+        """
+        unknown: dict[str, Resources] = {}
+        for job in self.jobs.values():
+            if not job.account:
+                continue
+            if job.is_closed and wall - job.outcome_at > CLOSED_JOB_RUN_S:
+                continue
+            is_complete = job.outcome == JobState.COMPLETE
+            for step in job.steps.values():
+                may_run = sum(
+                    task.state in ("unsettled", "abandoned") and not is_complete
+                    for task in step.tasks
+                )
+                if step.spec.copies:
+                    may_run += len(step.tasks)
+                if may_run:
+                    need = step.account_need.times(may_run)
+                    unknown[job.account] = unknown.get(job.account, NOTHING) + need
+        return unknown
 
     # Stopping runs
 
--- a/siskinroad/work/term.py
+++ b/siskinroad/work/term.py
@@ -5,9 +5,11 @@
 import asyncio
 import logging
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
+from siskinroad.work.account_limits import AccountLimits
+from siskinroad.work.account_peers import AccountPeers
 from siskinroad.work.advisor_channels import AdvisorChannels
 from siskinroad.work.effects import Effect
 from siskinroad.work.hosts import HostClient
@@ -42,6 +44,10 @@
         Returns whether a later incarnation of a daemon than the one given is known.
     loop_delay : LoopDelay
         Recent delays of the daemon's event loop.
+    account_limits : AccountLimits
+        Limits of the client accounts that the daemon has seen.
+    account_peers : AccountPeers or None
+        Way to the owners of the other pools; None if there is none.
     """
 
     node: str
@@ -54,6 +60,8 @@
     wall: Callable[[], float]
     has_later_incarnation: Callable[[str, int], bool]
     loop_delay: LoopDelay
+    account_limits: AccountLimits = field(default_factory=AccountLimits)
+    account_peers: AccountPeers | None = None
 
 
 class Term:
--- a/siskinroad/work/wait_reasons.py
+++ b/siskinroad/work/wait_reasons.py
@@ -20,6 +20,7 @@
     step_allows_host,
     task_avoids_host,
 )
+from siskinroad.work.start_limits import count_startable
 from siskinroad.work.step_advice import TICKET_MARGIN
 
 __all__ = ["WaitExaminer", "WaitReason"]
@@ -36,7 +37,8 @@
     capacity have tickets that have expired or are about to, and no request is pending.
     ``AWAITS_TRIAL``: hosts have crashed under the task, and none is quiet enough for
     its next start. ``DEFERRED``: the step is left to the next passes, as too many steps
-    wait.
+    wait. ``ACCOUNT_LIMIT``: another task would exceed what the job's client account may
+    have running in this pool.
     ``UNEXPLAINED``: none of the checks fails; the planner should have placed the task.
     ``NOT_EXAMINED``: more steps wait than are examined at once.
     """
@@ -45,6 +47,7 @@
     UNSETTLED = "unsettled"
     NO_QUEUE = "no_queue"
     GANG_INCOMPLETE = "gang_incomplete"
+    ACCOUNT_LIMIT = "account_limit"
     NO_SCHEDULABLE_HOST = "no_schedulable_host"
     NO_CAPABLE_HOST = "no_capable_host"
     ADVICE_PENDING = "advice_pending"
@@ -89,6 +92,10 @@
             return {WaitReason.NO_QUEUE: tasks}
         if step.spec.gang and len(tasks) < len(step.tasks):
             return {WaitReason.GANG_INCOMPLETE: tasks}
+        if step.key in self._pass.limited_steps or not count_startable(
+            self._pass.pool_state.account_use, step
+        ):
+            return {WaitReason.ACCOUNT_LIMIT: tasks}
         reason = self._check_hosts(step, queue.advice)
         if reason is not None:
             return {reason: tasks}
--- a/siskinroad/work/workmetrics.py
+++ b/siskinroad/work/workmetrics.py
@@ -119,6 +119,30 @@
             "Seconds since the configuration was the newest for certain.",
             registry=reg,
         )
+        self.account_held = Gauge(
+            "siskinroad_account_held",
+            "What an account has running in an owned pool.",
+            ("pool", "account", "resource"),
+            registry=reg,
+        )
+        self.account_part = Gauge(
+            "siskinroad_account_part",
+            "What an account may have running in an owned pool.",
+            ("pool", "account", "resource"),
+            registry=reg,
+        )
+        self.account_waiting = Gauge(
+            "siskinroad_account_waiting",
+            "Needs of an account's waiting tasks in an owned pool.",
+            ("pool", "account", "resource"),
+            registry=reg,
+        )
+        self.account_loans = Counter(
+            "siskinroad_account_loans",
+            "Answers about parts of accounts' limits.",
+            ("outcome",),
+            registry=reg,
+        )
         self.latency = Histogram(
             "siskinroad_caller_seconds",
             "Time to answer.",
