--- a/siskinroad/work/account_exchange.py
+++ b/siskinroad/work/account_exchange.py
@@ -131,6 +131,7 @@
         address = peers.find(lender) if peers is not None else None
         if peers is None or address is None:
             return
+        self.parts.note_term(lender, address.term)
         now = asyncio.get_running_loop().time()
         asks = self._make_asks(lender, now)
         if not asks:
--- a/siskinroad/work/account_parts.py
+++ b/siskinroad/work/account_parts.py
@@ -117,9 +117,9 @@
         self._divisions: dict[str, _Division] = {}
         self._newest_requests: dict[str, tuple[int, int]] = {}
         self._numbers: dict[str, int] = {}
-        self._lender_terms: dict[str, int] = {}
+        self._owner_terms: dict[str, int] = {}
         self._outstanding: set[str] = set()
-        self._confirmed: dict[str, dict[str, int]] = {}
+        self._confirmed: dict[str, dict[str, tuple[int, int]]] = {}
         for account, loans in inherited.items():
             lent = dict(loans.lent)
             self._divisions[account] = _Division(lent, dict(lent))
@@ -142,11 +142,13 @@
 
     def is_blocked(self, account: str) -> bool:
         """Return whether another pool may be above its part of a lowered limit."""
-        version = self.limits.lowered.get(account)
-        if version is None:
+        if account not in self.limits.lowered:
             return False
-        confirmed = self._confirmed.get(account, {})
-        return any(confirmed.get(pool, 0) < version for pool in self.other_pools())
+        return any(self._must_confirm(account, pool) for pool in self.other_pools())
+
+    def note_term(self, pool: str, term: int) -> None:
+        """Note the term of another pool's owner; it may be at an earlier version."""
+        self._owner_terms[pool] = max(term, self._owner_terms.get(pool, 0))
 
     def lent(self, account: str) -> dict[str, Amounts]:
         """Return what is lent of an account's limit, by the borrowing pool."""
@@ -265,7 +267,8 @@
         version = self.limits.lowered.get(account)
         if version is None:
             return False
-        return self._confirmed.get(account, {}).get(pool, 0) < version
+        confirmed = self._confirmed.get(account, {}).get(pool, (0, 0))
+        return confirmed < (self._owner_terms.get(pool, 0), version)
 
     def apply_reply(self, lender: str, lender_term: int, reply: LoanReply) -> list[str]:
         """Apply the answer to this owner's newest request to another pool's owner.
@@ -273,9 +276,9 @@
         Returns the accounts whose loans to that pool have become smaller, so that they
         should be stored.
         """
-        if reply.term != lender_term or reply.term < self._lender_terms.get(lender, 0):
+        if reply.term != lender_term or reply.term < self._owner_terms.get(lender, 0):
             return []
-        self._lender_terms[lender] = reply.term
+        self.note_term(lender, reply.term)
         is_newest = reply.seen == self._numbers.get(lender, 0)
         last_term = self._newest_requests.get(lender, (0, 0))[0]
         changed = []
@@ -284,7 +287,8 @@
             division.counted[lender] = answer.lent
             if answer.is_within:
                 confirmed = self._confirmed.setdefault(answer.account, {})
-                confirmed[lender] = max(reply.version, confirmed.get(lender, 0))
+                stamp = (reply.term, reply.version)
+                confirmed[lender] = max(stamp, confirmed.get(lender, stamp))
             lent = division.lent.get(lender, NO_AMOUNTS)
             left = _smaller(lent, answer.keeps)
             if is_newest and reply.term >= last_term and left != lent:
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -419,6 +419,7 @@
                 | RelayReply()
                 | SubmitReply()
                 | ConfigurationReply()
+                | LoanReply()
             ):
                 self.peer_calls.handle_reply(msg.id, msg)
             case SubmitRequest():
