--- a/tests/work/test_account_exchange.py
+++ b/tests/work/test_account_exchange.py
@@ -103,7 +103,9 @@
 
     async def run_in_cell():
         cell = AccountCell()
-        await cell.start_daemons("a", "b", "c", "d")
+        for name in "abcd":
+            cell.start(name, processor=1.0)
+        await asyncio.sleep(3.0)
         for _ in range(100):
             if cell.owner(POOL) and cell.owner(ARCHIVE):
                 break
@@ -165,11 +167,11 @@
     """The lender's owner, the borrower's, and both at once."""
 
     async def scenario(cell):
-        cell.accept("many", 30)
+        cell.accept("many", 100)
         await asyncio.sleep(delay)
         for name in {cell.owner(pool) for pool in pools}:
             await cell.kill(name, loses_power=True)
-        cell.accept("other", 30, ARCHIVED)
+        cell.accept("other", 100, ARCHIVED)
         await cell.watch(25.0)
         assert cell.highest == MOST_TASKS
         assert cell.count_running("i") and cell.count_running("x")
@@ -208,8 +210,8 @@
     async def scenario(cell):
         cell.accept("many", 5)
         await cell.watch(FIRST_TASK_S)
+        # The owner's read is under way, so that it learns of this job.
         cell.accept("more", 60)
-        await asyncio.sleep(0.01)
         cell.logs.faults.is_silent = True
         cell.configure(12)
         await cell.watch(7.0)
