--- a/siskinroad/work/account_parts.py
+++ b/siskinroad/work/account_parts.py
@@ -75,6 +75,8 @@
     recalled : dict of str to tuple
         Loop time until which nothing is started on some of the loan of a pool, and how
         much of it that is.
+    useless : dict of str to Amounts
+        1 for each dimension of which a lender's pool has no capacity.
     yields_since, yields_until : float
         Loop time from which and until which nothing is started at all.
     """
@@ -83,6 +85,7 @@
     stored: dict[str, Amounts] = field(default_factory=dict)
     counted: dict[str, Amounts] = field(default_factory=dict)
     recalled: dict[str, tuple[float, Amounts]] = field(default_factory=dict)
+    useless: dict[str, Amounts] = field(default_factory=dict)
     yields_since: float = -1e9
     yields_until: float = -1e9
 
@@ -231,9 +234,7 @@
             division = self._divisions.get(account)
             if division is None or division.counted.get(lender) in (None, NO_AMOUNTS):
                 continue
-            needs = self._find_needs(account)
-            needed = needs.occupied.union(needs.wanted)
-            keeps = self._excess(account, lender, needed, now)
+            keeps = self._needed_loan(account, lender, now)
             counted = division.counted[lender]
             if _smaller(counted, keeps) == counted:
                 continue
@@ -243,12 +244,21 @@
 
     def has_unneeded(self, account: str, lender: str, now: float) -> bool:
         """Return whether more is counted on of a lender's loan than is needed."""
-        needs = self._find_needs(account)
-        needed = needs.occupied.union(needs.wanted)
-        keeps = self._excess(account, lender, needed, now)
+        keeps = self._needed_loan(account, lender, now)
         counted = self.counted(account).get(lender, NO_AMOUNTS)
         return _smaller(counted, keeps) != counted
 
+    def _needed_loan(self, account: str, lender: str, now: float) -> Amounts:
+        """Return what is needed of a lender's loan, or is of no use to the lender."""
+        needs = self._find_needs(account)
+        needed = needs.occupied.union(needs.wanted)
+        division = self._divisions.get(account, _Division())
+        useless = division.useless.get(lender, NO_AMOUNTS)
+        return _larger(
+            self._excess(account, lender, needed, now),
+            _multiply(division.counted.get(lender, NO_AMOUNTS), useless),
+        )
+
     def _excess(
         self, account: str, lender: str, held: Resources, now: float
     ) -> Amounts:
@@ -285,6 +295,7 @@
         for answer in reply.answers:
             division = self._divisions.setdefault(answer.account, _Division())
             division.counted[lender] = answer.lent
+            division.useless[lender] = answer.useless
             if answer.is_within:
                 confirmed = self._confirmed.setdefault(answer.account, {})
                 stamp = (reply.term, reply.version)
@@ -341,13 +352,15 @@
             division.counted.get(borrower, NO_AMOUNTS),
             self._excess(account, borrower, needs.occupied, now),
         )
+        useless = _find_useless(needs.total)
         if may_lend:
             spare = self._find_spare(division, borrower, ask, needs, limit, now)
             granted = _smaller(spare, wants)
-            granted = _larger(granted, _where_unusable(spare, needs.total, limit))
+            granted = _larger(granted, _multiply(spare, useless))
             lent = division.lent[borrower] = _add(lent, granted)
         part = _apply_shares(limit, self._usable(division, now))
-        return LoanAnswer(account, lent, keeps, needs.occupied.fits(part))
+        is_within = needs.occupied.fits(part)
+        return LoanAnswer(account, lent, keeps, is_within, useless)
 
     def _return_loan(
         self,
@@ -472,14 +485,14 @@
     return max(0, needed - has)
 
 
-def _where_unusable(spare: Amounts, total: Resources, limit: Resources) -> Amounts:
-    """Return the spare of the dimensions of which the pool has no capacity at all."""
+def _find_useless(total: Resources) -> Amounts:
+    """Return 1 for each dimension of which a pool with hosts has no capacity."""
     if not _is_held(total):
         return NO_AMOUNTS
     return (
-        0 if total.cpu_milli or not limit.cpu_milli else spare[0],
-        0 if total.memory_mib or not limit.memory_mib else spare[1],
-        0 if total.accelerators or not limit.accelerators else spare[2],
+        int(not total.cpu_milli),
+        int(not total.memory_mib),
+        int(not total.accelerators),
     )
 
 
@@ -496,6 +509,10 @@
     return (a[0] + b[0], a[1] + b[1], a[2] + b[2])
 
 
+def _multiply(a: Amounts, b: Amounts) -> Amounts:
+    return (a[0] * b[0], a[1] * b[1], a[2] * b[2])
+
+
 def _subtract(a: Amounts, b: Amounts) -> Amounts:
     return (a[0] - b[0], a[1] - b[1], a[2] - b[2])
 
--- a/siskinroad/work/messages.py
+++ b/siskinroad/work/messages.py
@@ -317,12 +317,15 @@
         What the lender still counts on, or has in use, of what the asking pool lent.
     is_within : bool
         Whether the runs in the lender's pool are within its part.
+    useless : tuple of int
+        1 for each kind of resource of which the lender's pool has none.
     """
 
     account: str
     lent: tuple[int, int, int]
     keeps: tuple[int, int, int]
     is_within: bool
+    useless: tuple[int, int, int] = (0, 0, 0)
 
 
 class LoanReply(msgspec.Struct, tag="loan!", frozen=True, array_like=True):
