--- a/siskinroad/work/account_limits.py
+++ b/siskinroad/work/account_limits.py
@@ -62,10 +62,14 @@
                 self.lowered[name] = configuration.version
             self.by_name[name] = limit
 
+    def is_settling(self, now: float) -> bool:
+        """Return whether shares do not grow for now, after a change of the pools."""
+        return now < self._shares_hold_from
+
     def share(self, pool: str, now: float) -> int:
         """Return the equal share of a pool in thousandths of each limit."""
         share = self._shares.get(pool, 0)
-        if now < self._shares_hold_from:
+        if self.is_settling(now):
             return min(share, self._former_shares.get(pool, 0))
         return share
 
--- a/siskinroad/work/account_parts.py
+++ b/siskinroad/work/account_parts.py
@@ -118,6 +118,9 @@
         self.limits = limits
         self._find_needs = find_needs
         self._divisions: dict[str, _Division] = {}
+        # Parts that hold until a message or a new version, for a fast check of starts.
+        self._known_parts: dict[str, Resources] = {}
+        self._known_version = 0
         self._newest_requests: dict[str, tuple[int, int]] = {}
         self._numbers: dict[str, int] = {}
         self._owner_terms: dict[str, int] = {}
@@ -135,13 +138,22 @@
 
     def part(self, account: str, now: float) -> Resources | None:
         """Return what the account may have running in this pool; None if unknown."""
+        if self._known_version != self.limits.version:
+            self._known_version = self.limits.version
+            self._known_parts.clear()
+        known = self._known_parts.get(account)
+        if known is not None:
+            return known
         limit = self.limits.by_name.get(account)
         if limit is None:
             return None
         division = self._divisions.get(account)
         if division is not None and now < division.yields_until:
             return _apply_shares(limit, NO_AMOUNTS)
-        return _apply_shares(limit, self._usable(division, now))
+        part = _apply_shares(limit, self._usable(division, now))
+        if not self.limits.is_settling(now) and not _is_recalled(division, now):
+            self._known_parts[account] = part
+        return part
 
     def is_blocked(self, account: str) -> bool:
         """Return whether another pool may be above its part of a lowered limit."""
@@ -239,6 +251,7 @@
             if _smaller(counted, keeps) == counted:
                 continue
             division.counted[lender] = _smaller(counted, keeps)
+            self._known_parts.pop(account, None)
             asks.append(LoanAsk(account, keeps, NO_AMOUNTS))
         return asks
 
@@ -295,6 +308,7 @@
         for answer in reply.answers:
             division = self._divisions.setdefault(answer.account, _Division())
             division.counted[lender] = answer.lent
+            self._known_parts.pop(answer.account, None)
             division.useless[lender] = answer.useless
             if answer.is_within:
                 confirmed = self._confirmed.setdefault(answer.account, {})
@@ -340,6 +354,7 @@
         self, borrower: str, ask: LoanAsk, now: float, *, may_lend: bool
     ) -> LoanAnswer:
         account = ask.account
+        self._known_parts.pop(account, None)
         division = self._divisions.setdefault(account, _Division())
         lent = _smaller(division.lent.get(borrower, NO_AMOUNTS), ask.keeps)
         division.lent[borrower] = lent
@@ -458,6 +473,13 @@
     return usable
 
 
+def _is_recalled(division: _Division | None, now: float) -> bool:
+    """Return whether nothing is started on some loan for now."""
+    if division is None:
+        return False
+    return any(now < until for until, _ in division.recalled.values())
+
+
 def _apply_shares(limit: Resources, amounts: Amounts) -> Resources:
     """Return the part of a limit, rounded down; unlimited where there is no limit."""
     cpu, memory, accelerators = amounts
--- a/siskinroad/work/account_use.py
+++ b/siskinroad/work/account_use.py
@@ -92,7 +92,9 @@
 
     def occupied(self, account: str) -> Resources:
         """Return what an account holds, with all that unsettled tasks may hold."""
-        return self.held(account) + self.find_unsettled().get(account, NOTHING)
+        unsettled = self.find_unsettled().get(account)
+        held = self._shares.held(account)
+        return held if unsettled is None else held + unsettled
 
     def wanted(self, account: str) -> Resources:
         """Return what an account would hold if its tasks had all that the pool has."""
