--- a/siskinroad/work/account_exchange.py
+++ b/siskinroad/work/account_exchange.py
@@ -94,7 +94,7 @@
             nothing = Resources()
             return AccountNeeds(nothing, nothing, nothing)
         occupied = use.occupied(account)
-        first = use.held_back.get(account) if occupied == Resources() else None
+        first = use.first_needs.get(account) if occupied == Resources() else None
         return AccountNeeds(occupied, use.wanted(account), use.total, first)
 
     # As a borrower
--- a/siskinroad/work/account_use.py
+++ b/siskinroad/work/account_use.py
@@ -41,9 +41,11 @@
         Needs of the waiting tasks by account, from the newest planning pass.
     is_blocked : callable
         Returns whether an account may start nothing in this pool for now.
-    held_back : dict of str to Resources
-        Need of the most urgent step of each account that the newest planning pass held
-        back for its limit; of all members of a gang.
+    held_back : set of str
+        Accounts of which the newest planning pass held a step back for the limit.
+    first_needs : dict of str to Resources
+        Need of the first such step, of all members of a gang, of each account that had
+        nothing running then.
     """
 
     def __init__(self) -> None:
@@ -54,7 +56,8 @@
         self.find_unsettled: Callable[[], dict[str, Resources]] = dict
         self.demand: dict[str, Resources] = {}
         self.is_blocked: Callable[[str], bool] = lambda account: False
-        self.held_back: dict[str, Resources] = {}
+        self.held_back: set[str] = set()
+        self.first_needs: dict[str, Resources] = {}
         self.names: set[str] = set()
 
     def set_accounts(self, accounts: AccountDirectory) -> None:
--- a/siskinroad/work/start_limits.py
+++ b/siskinroad/work/start_limits.py
@@ -36,6 +36,7 @@
             return steps
         demand: dict[str, Resources] = {}
         use.held_back.clear()
+        use.first_needs.clear()
         allowed: list[StepRun] = []
         for step in steps:
             account = step.job.account
@@ -48,8 +49,10 @@
                 allowed.append(step)
                 continue
             self.limited_steps.add(step.key)
-            first = waiting if step.spec.gang else step.account_need
-            use.held_back.setdefault(account, first)
+            use.held_back.add(account)
+            if use.occupied(account) == NOTHING:
+                first = waiting if step.spec.gang else step.account_need
+                use.first_needs.setdefault(account, first)
         use.demand = demand
         return allowed
 
--- a/tests/work/test_account_exchange.py
+++ b/tests/work/test_account_exchange.py
@@ -21,6 +21,9 @@
 LIMIT = Resources(40_000, 0, 0, 0)
 MOST_TASKS = 10
 LOWERED_TASKS = 2
+# Seconds within which a gang starts that needs most of the limit: the other pool's runs
+# last 5 s, and it holds back its starts for half of the time.
+WIDE_GANG_S = 20.0
 # Seconds within which a new configuration is applied everywhere.
 CONFIGURATION_S = 4.0
 # Seconds within which the first task of a waiting job must run although its part of
@@ -158,6 +161,19 @@
     run(scenario)
 
 
+def test_a_gang_wider_than_its_pool_s_share_starts_beside_constant_demand():
+    async def scenario(cell):
+        cell.accept("many", 100)
+        await cell.watch(2.0)
+        at = asyncio.get_running_loop().time()
+        spec = job(step(8, gang=True, estimate=5.0))
+        accepted = Accepted("gang", ARCHIVED.name, ARCHIVE, at, spec, account="a")
+        cell.logs.append(job_topic(ARCHIVE), [record_of(accepted)], None, None)
+        await cell.wait_until(lambda: cell.count_running("x") == 8, WIDE_GANG_S)
+
+    run(scenario)
+
+
 def test_a_part_that_is_not_needed_any_more_goes_back():
     async def scenario(cell):
         cell.accept("many", 10)
