--- a/siskinroad/work/account_exchange.py
+++ b/siskinroad/work/account_exchange.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+from bisect import bisect_left
 
 from siskinroad.errors import OutcomeUnknownError
 from siskinroad.resources import Resources
@@ -62,7 +63,8 @@
         )
         progress.on_loans_stored = self.parts.note_stored
         self._wake = asyncio.Event()
-        self._unused_since: dict[str, float] = {}
+        self._unused_since: dict[tuple[str, str], float] = {}
+        self._first_account: dict[str, str] = {}
         self._metrics_at = -1e9
         self._labelled: set[str] = set()
 
@@ -158,8 +160,14 @@
         use = self._term.pool_state.account_use
         if use is None:
             return []
-        accounts = sorted(use.demand.keys() | self.parts.limits.lowered.keys())
+        blocked = filter(self.parts.is_blocked, self.parts.limits.lowered)
+        accounts = sorted(use.demand.keys() | set(blocked))
+        # Accounts that no request had place for are the first ones of the next.
+        first = bisect_left(accounts, self._first_account.get(lender, ""))
+        accounts = accounts[first:] + accounts[:first]
         asks = self.parts.make_asks(lender, accounts, now)
+        left_out = asks[MAX_ASKS:]
+        self._first_account[lender] = left_out[0].account if left_out else ""
         asked = {ask.account for ask in asks}
         idle = [a for a in self._find_idle(lender, now) if a not in asked]
         return (asks + self.parts.give_back(lender, idle, now))[:MAX_ASKS]
@@ -168,9 +176,10 @@
         """Return the accounts whose borrowed parts have been unneeded for a while."""
         idle = []
         for account in self.parts.borrowing_accounts(lender):
+            key = (lender, account)
             if not self.parts.has_unneeded(account, lender, now):
-                self._unused_since.pop(account, None)
-            elif now - self._unused_since.setdefault(account, now) >= IDLE_TIME:
+                self._unused_since.pop(key, None)
+            elif now - self._unused_since.setdefault(key, now) >= IDLE_TIME:
                 idle.append(account)
         return idle
 
--- a/tests/work/test_claim.py
+++ b/tests/work/test_claim.py
@@ -9,6 +9,7 @@
 from siskinroad.work.records import (
     Accepted,
     HostSet,
+    Loans,
     OwnerRecord,
     job_topic,
     progress_topic,
@@ -126,3 +127,18 @@
         assert list(inherited.accepted) == ["j1"]
 
     run_on_paused_clock(scenario())
+
+
+def test_a_claim_reads_the_loans_of_the_former_owner():
+    async def scenario():
+        store = MemoryStore(MemoryLogs())
+        first = await claim_pool(store, POOL, OWNER_A)
+        fence = Fence(PROGRESS_PRODUCER, first.term, 1)
+        for amount in (100, 300):
+            record = record_of(Loans("a", {"other": (amount, 0, 0)}))
+            await store.append(progress_topic(POOL), [record])
+        await store.append(progress_topic(POOL), [record], fence=fence)
+        second = await claim_pool(store, POOL, OWNER_B)
+        assert second.loans == {"a": Loans("a", {"other": (300, 0, 0)})}
+
+    run_on_paused_clock(scenario())
