--- a/siskinroad/work/planning_pass.py
+++ b/siskinroad/work/planning_pass.py
@@ -73,6 +73,8 @@
         Keys of the steps that are left to the next passes.
     ranked : list of RankedStep
         The waiting steps in the order in which they are planned.
+    limited_steps : set of tuple
+        Keys of the steps of which the limits of their accounts allow no task.
     channels : ChannelTimes or None
         When the advisor channels are free; None if they always are.
     """
@@ -95,6 +97,7 @@
     examined_steps: int = 0
     deferred_steps: set[tuple[str, int, int]] = field(default_factory=set)
     ranked: list[RankedStep] = field(default_factory=list)
+    limited_steps: set[tuple[str, int, int]] = field(default_factory=set)
     effects: list[Effect] = field(default_factory=list)
     _spread_demand: dict[Resources, dict[str, float]] | None = None
     _demand: dict[Host, float] = field(default_factory=dict)
