--- a/siskinroad/work/account_exchange.py
+++ b/siskinroad/work/account_exchange.py
@@ -13,7 +13,8 @@
 
 from siskinroad.errors import OutcomeUnknownError
 from siskinroad.resources import Resources
-from siskinroad.work.account_parts import NO_AMOUNTS, AccountNeeds, AccountParts
+from siskinroad.work.account_amounts import NO_AMOUNTS
+from siskinroad.work.account_parts import AccountNeeds, AccountParts
 from siskinroad.work.account_use import UNLIMITED
 from siskinroad.work.messages import LoanAsk, LoanReply, LoanRequest
 from siskinroad.work.progress import ProgressLog
--- a/siskinroad/work/account_parts.py
+++ b/siskinroad/work/account_parts.py
@@ -18,16 +18,26 @@
 from dataclasses import dataclass, field
 
 from siskinroad.resources import Resources
+from siskinroad.work.account_amounts import (
+    NO_AMOUNTS,
+    Amounts,
+    add,
+    apply_shares,
+    at_least_nothing,
+    find_useless,
+    lack,
+    larger,
+    multiply,
+    smaller,
+    subtract,
+    subtract_to_nothing,
+)
 from siskinroad.work.account_limits import WHOLE, AccountLimits
-from siskinroad.work.account_use import UNLIMITED
 from siskinroad.work.messages import LoanAnswer, LoanAsk, LoanReply, LoanRequest
 from siskinroad.work.records import Loans
 
-__all__ = ["NO_AMOUNTS", "AccountNeeds", "AccountParts", "Amounts"]
+__all__ = ["AccountNeeds", "AccountParts"]
 
-# Thousandths of a limit: of processors, of memory, of accelerators.
-Amounts = tuple[int, int, int]
-NO_AMOUNTS: Amounts = (0, 0, 0)
 # Number of no answer: what is said beside it may be older than the newest one.
 NOT_SEEN = -1
 # Seconds after a request of the lender in which the borrower starts nothing on its
@@ -149,8 +159,8 @@
             return None
         division = self._divisions.get(account)
         if division is not None and now < division.yields_until:
-            return _apply_shares(limit, NO_AMOUNTS)
-        part = _apply_shares(limit, self._usable(division, now))
+            return apply_shares(limit, NO_AMOUNTS)
+        part = apply_shares(limit, self._usable(division, now))
         if not self.limits.is_settling(now) and not _is_recalled(division, now):
             self._known_parts[account] = part
         return part
@@ -180,11 +190,11 @@
         share = self.limits.share(self.pool, now)
         own = (share, share, share)
         for lent in division.lent.values() if division else ():
-            own = _subtract(own, lent)
-        return _at_least_nothing(own)
+            own = subtract(own, lent)
+        return at_least_nothing(own)
 
     def _usable(self, division: _Division | None, now: float) -> Amounts:
-        return _add(self._own(division, now), _sum_usable_loans(division, now))
+        return add(self._own(division, now), _sum_usable_loans(division, now))
 
     # As a borrower
 
@@ -229,14 +239,14 @@
         counted = division.counted.get(lender, NO_AMOUNTS) if division else NO_AMOUNTS
         has = self._own(division, now)
         for borrowed in division.counted.values() if division else ():
-            has = _add(has, borrowed)
-        wants = _lack(limit, needs.wanted, has)
+            has = add(has, borrowed)
+        wants = lack(limit, needs.wanted, has)
         if needs.first is not None:
-            wants = _larger(wants, _lack(limit, needs.first, has))
+            wants = larger(wants, lack(limit, needs.first, has))
         must_confirm = self._must_confirm(account, lender)
         if wants == NO_AMOUNTS and not must_confirm:
             return None
-        keeps = _larger(counted, self._excess(account, lender, needs.occupied, now))
+        keeps = larger(counted, self._excess(account, lender, needs.occupied, now))
         return LoanAsk(account, keeps, wants, needs.first is not None)
 
     def give_back(self, lender: str, accounts: list[str], now: float) -> list[LoanAsk]:
@@ -248,9 +258,9 @@
                 continue
             keeps = self._needed_loan(account, lender, now)
             counted = division.counted[lender]
-            if _smaller(counted, keeps) == counted:
+            if smaller(counted, keeps) == counted:
                 continue
-            division.counted[lender] = _smaller(counted, keeps)
+            division.counted[lender] = smaller(counted, keeps)
             self._known_parts.pop(account, None)
             asks.append(LoanAsk(account, keeps, NO_AMOUNTS))
         return asks
@@ -259,7 +269,7 @@
         """Return whether more is counted on of a lender's loan than is needed."""
         keeps = self._needed_loan(account, lender, now)
         counted = self.counted(account).get(lender, NO_AMOUNTS)
-        return _smaller(counted, keeps) != counted
+        return smaller(counted, keeps) != counted
 
     def _needed_loan(self, account: str, lender: str, now: float) -> Amounts:
         """Return what is needed of a lender's loan, or is of no use to the lender."""
@@ -267,9 +277,9 @@
         needed = needs.occupied.union(needs.wanted)
         division = self._divisions.get(account, _Division())
         useless = division.useless.get(lender, NO_AMOUNTS)
-        return _larger(
+        return larger(
             self._excess(account, lender, needed, now),
-            _multiply(division.counted.get(lender, NO_AMOUNTS), useless),
+            multiply(division.counted.get(lender, NO_AMOUNTS), useless),
         )
 
     def _excess(
@@ -283,8 +293,8 @@
         has = self._own(division, now)
         for other, borrowed in division.counted.items() if division else ():
             if other != lender:
-                has = _add(has, borrowed)
-        return _lack(limit, held, has)
+                has = add(has, borrowed)
+        return lack(limit, held, has)
 
     def _must_confirm(self, account: str, pool: str) -> bool:
         version = self.limits.lowered.get(account)
@@ -315,7 +325,7 @@
                 stamp = (reply.term, reply.version)
                 confirmed[lender] = max(stamp, confirmed.get(lender, stamp))
             lent = division.lent.get(lender, NO_AMOUNTS)
-            left = _smaller(lent, answer.keeps)
+            left = smaller(lent, answer.keeps)
             if is_newest and reply.term >= last_term and left != lent:
                 division.lent[lender] = left
                 changed.append(answer.account)
@@ -356,24 +366,24 @@
         account = ask.account
         self._known_parts.pop(account, None)
         division = self._divisions.setdefault(account, _Division())
-        lent = _smaller(division.lent.get(borrower, NO_AMOUNTS), ask.keeps)
+        lent = smaller(division.lent.get(borrower, NO_AMOUNTS), ask.keeps)
         division.lent[borrower] = lent
         limit = self.limits.by_name.get(account)
         if limit is None:
             return LoanAnswer(account, lent, (WHOLE, WHOLE, WHOLE), False)
         needs = self._find_needs(account)
         wants = self._return_loan(division, borrower, ask, needs, now)
-        keeps = _larger(
+        keeps = larger(
             division.counted.get(borrower, NO_AMOUNTS),
             self._excess(account, borrower, needs.occupied, now),
         )
-        useless = _find_useless(needs.total)
+        useless = find_useless(needs.total)
         if may_lend:
             spare = self._find_spare(division, borrower, ask, needs, limit, now)
-            granted = _smaller(spare, wants)
-            granted = _larger(granted, _multiply(spare, useless))
-            lent = division.lent[borrower] = _add(lent, granted)
-        part = _apply_shares(limit, self._usable(division, now))
+            granted = smaller(spare, wants)
+            granted = larger(granted, multiply(spare, useless))
+            lent = division.lent[borrower] = add(lent, granted)
+        part = apply_shares(limit, self._usable(division, now))
         is_within = needs.occupied.fits(part)
         return LoanAnswer(account, lent, keeps, is_within, useless)
 
@@ -391,13 +401,13 @@
             return ask.wants
         if needs.first is not None and not _goes_first(ask, lender, self.pool):
             # The first task of a job gathers parts; the lender has its turn after it.
-            return _subtract_to_nothing(ask.wants, counted)
+            return subtract_to_nothing(ask.wants, counted)
         in_use = self._excess(ask.account, lender, needs.occupied, now)
-        left = _subtract_to_nothing(counted, ask.wants)
-        kept = _larger(left, _smaller(in_use, counted))
+        left = subtract_to_nothing(counted, ask.wants)
+        kept = larger(left, smaller(in_use, counted))
         division.counted[lender] = kept
-        division.recalled[lender] = (now + RECALL_S, _subtract(kept, left))
-        return _subtract_to_nothing(ask.wants, counted)
+        division.recalled[lender] = (now + RECALL_S, subtract(kept, left))
+        return subtract_to_nothing(ask.wants, counted)
 
     def _find_spare(
         self,
@@ -417,7 +427,7 @@
             needed = needs.occupied
             self._yield(division, now)
         has_besides = _sum_usable_loans(division, now)
-        return _subtract_to_nothing(own, _lack(limit, needed, has_besides))
+        return subtract_to_nothing(own, lack(limit, needed, has_besides))
 
     def _yield(self, division: _Division, now: float) -> None:
         """Start nothing for a while, so that another pool can start its first task."""
@@ -433,7 +443,7 @@
             division = self._divisions[account]
             lent = division.lent.get(borrower, NO_AMOUNTS)
             stored = division.stored.get(borrower, NO_AMOUNTS)
-            if _larger(lent, stored) != stored:
+            if larger(lent, stored) != stored:
                 missing.append(account)
         return missing
 
@@ -443,7 +453,7 @@
         lent = {p: lent for p, lent in division.lent.items() if lent != NO_AMOUNTS}
         # As soon as the record is on its way, the store may hold no more than this.
         division.stored = {
-            pool: _smaller(stored, lent.get(pool, NO_AMOUNTS))
+            pool: smaller(stored, lent.get(pool, NO_AMOUNTS))
             for pool, stored in division.stored.items()
         }
         return Loans(account, lent)
@@ -468,8 +478,8 @@
         assert division is not None
         until, recalled = division.recalled.get(lender, (-1e9, NO_AMOUNTS))
         if now < until:
-            counted = _subtract_to_nothing(counted, recalled)
-        usable = _add(usable, counted)
+            counted = subtract_to_nothing(counted, recalled)
+        usable = add(usable, counted)
     return usable
 
 
@@ -480,76 +490,6 @@
     return any(now < until for until, _ in division.recalled.values())
 
 
-def _apply_shares(limit: Resources, amounts: Amounts) -> Resources:
-    """Return the part of a limit, rounded down; unlimited where there is no limit."""
-    cpu, memory, accelerators = amounts
-    return Resources(
-        limit.cpu_milli * cpu // WHOLE if limit.cpu_milli else UNLIMITED,
-        limit.memory_mib * memory // WHOLE if limit.memory_mib else UNLIMITED,
-        limit.accelerators * accelerators // WHOLE if limit.accelerators else UNLIMITED,
-        UNLIMITED,
-    )
-
-
-def _lack(limit: Resources, held: Resources, has: Amounts) -> Amounts:
-    """Return the thousandths that an amount takes beyond ``has``, rounded up."""
-    return (
-        _lack_of(limit.cpu_milli, held.cpu_milli, has[0]),
-        _lack_of(limit.memory_mib, held.memory_mib, has[1]),
-        _lack_of(limit.accelerators, held.accelerators, has[2]),
-    )
-
-
-def _lack_of(limit: int, held: int, has: int) -> int:
-    if not limit:
-        return 0
-    needed = min(WHOLE, -(-held * WHOLE // limit))
-    return max(0, needed - has)
-
-
-def _find_useless(total: Resources) -> Amounts:
-    """Return 1 for each dimension of which a pool with hosts has no capacity."""
-    if not _is_held(total):
-        return NO_AMOUNTS
-    return (
-        int(not total.cpu_milli),
-        int(not total.memory_mib),
-        int(not total.accelerators),
-    )
-
-
-def _is_held(held: Resources) -> bool:
-    return bool(held.cpu_milli or held.memory_mib or held.accelerators)
-
-
 def _goes_first(ask: LoanAsk, pool: str, own_pool: str) -> bool:
     """Return whether another pool's first task goes before one of this pool."""
     return ask.is_first and pool < own_pool
-
-
-def _add(a: Amounts, b: Amounts) -> Amounts:
-    return (a[0] + b[0], a[1] + b[1], a[2] + b[2])
-
-
-def _multiply(a: Amounts, b: Amounts) -> Amounts:
-    return (a[0] * b[0], a[1] * b[1], a[2] * b[2])
-
-
-def _subtract(a: Amounts, b: Amounts) -> Amounts:
-    return (a[0] - b[0], a[1] - b[1], a[2] - b[2])
-
-
-def _at_least_nothing(a: Amounts) -> Amounts:
-    return (max(0, a[0]), max(0, a[1]), max(0, a[2]))
-
-
-def _subtract_to_nothing(a: Amounts, b: Amounts) -> Amounts:
-    return _at_least_nothing(_subtract(a, b))
-
-
-def _smaller(a: Amounts, b: Amounts) -> Amounts:
-    return (min(a[0], b[0]), min(a[1], b[1]), min(a[2], b[2]))
-
-
-def _larger(a: Amounts, b: Amounts) -> Amounts:
-    return (max(a[0], b[0]), max(a[1], b[1]), max(a[2], b[2]))
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -9,7 +9,7 @@
 import logging
 from collections.abc import Callable, Iterable
 
-from siskinroad.resources import NOTHING, Resources
+from siskinroad.resources import Resources
 from siskinroad.work.account_use import AccountUse
 from siskinroad.work.crash_record import TRIAL_S
 from siskinroad.work.crash_tracker import CrashTracker
@@ -18,6 +18,7 @@
 from siskinroad.work.job import Job, JobState, PresumedEnd, Task
 from siskinroad.work.job_table import JobTable
 from siskinroad.work.model import Configuration, HostEntry, TaskId
+from siskinroad.work.unsettled_use import sum_unsettled
 
 __all__ = ["RunTable", "format_task_position"]
 
@@ -31,9 +32,6 @@
 # Number of newest presumed ends that are remembered of a task: starts may be rejected
 # any number of times.
 MAX_PRESUMED_ENDS = 8
-# Seconds after the end of a job by which all its runs are over: a cut off host ends
-# them with its lease.
-CLOSED_JOB_RUN_S = 10.0
 # Largest fraction of the hosts in quarantine at once, for any reason. If more of them
 # look bad, the cause is probably one that they share, and the others would be overrun.
 MAX_QUARANTINED_FRACTION = 0.5
@@ -115,35 +113,10 @@
             now,
         )
         if not self.is_settled:
-            self._unsettled_use = self._sum_unsettled(wall)
+            self._unsettled_use = sum_unsettled(self.jobs.values(), wall)
         elif self._unsettled_use:
             self._unsettled_use = {}
 
-    def _sum_unsettled(self, wall: float) -> dict[str, Resources]:
-        """Return the most that unknown runs of former owners hold, by account.
-
-        Each unsettled task may have a run; with speculative copies, each task may have
-        one more than is known. Those of a closed job are stopped, which takes a while.
-        """
-        unknown: dict[str, Resources] = {}
-        for job in self.jobs.values():
-            if not job.account:
-                continue
-            if job.is_closed and wall - job.outcome_at > CLOSED_JOB_RUN_S:
-                continue
-            is_complete = job.outcome == JobState.COMPLETE
-            for step in job.steps.values():
-                may_run = sum(
-                    task.state in ("unsettled", "abandoned") and not is_complete
-                    for task in step.tasks
-                )
-                if step.spec.copies:
-                    may_run += len(step.tasks)
-                if may_run:
-                    need = step.account_need.times(may_run)
-                    unknown[job.account] = unknown.get(job.account, NOTHING) + need
-        return unknown
-
     # Stopping runs
 
     def cancel(self, job_id: str, now: float, wall: float) -> list[Effect]:
