Refuse truly with little time left, and go on at once when the store is back

After a silence, an append that was sent during it held up its topic for up to two seconds after the store's return, and so did the time limit of a probe.

- The margin for returning a reply is at most a quarter of the time that is left.
- Appends that were open for 0.2 s when the store answers again after an outage end as unknown at once, and their callers repeat them: ends, jobs, claims.
- A silent store is probed four times a second, as the design says; so far the next probe waited for the time limit of the one before.
- The retry time of a refusal leaves the caller another try before its deadline, is spread by a hash of the job's id, and is shorter for urgent queues.

--- a/siskinroad/work/job_service.py
+++ b/siskinroad/work/job_service.py
@@ -26,6 +26,8 @@
 from siskinroad.work.owner import PoolOwner
 from siskinroad.work.peer_calls import PeerCalls
 from siskinroad.work.records import Accepted, Cancelled, Member, record_of
+from siskinroad.work.reply_margin import reply_margin
+from siskinroad.work.retry_times import choose_retry_time
 from siskinroad.work.workmetrics import WorkMetrics
 
 __all__ = ["CallerReply", "JobService", "ReplyKind"]
@@ -39,8 +41,6 @@
 OWNER_REQUEST_TIMEOUT = 0.7
 OWNER_REQUEST_ATTEMPTS = 2
 OWNER_RETRY_PAUSE = 0.15
-# Seconds of a caller's deadline that are reserved for returning the reply.
-DEADLINE_MARGIN = 0.15
 # Least seconds after which a caller should retry: about the time of a takeover.
 MIN_RETRY_AFTER = 1.0
 # The retry time as a fraction of the outage's age so far, and its maximum in seconds.
@@ -226,7 +226,7 @@
             # A late loop has not read the answers yet that have arrived.
             await let_loop_poll()
         if self._store_age_s() > STORE_SILENCE_LIMIT:
-            refusal = _refuse_for_now("store_silent", self._store_age_s())
+            refusal = self._refuse_unstored("store_silent", queue, job, deadline)
             return await self._refuse_unless_accepted(queue, job, refusal, deadline)
         key_refusal = self._make_key_refusal(self._key_check.recheck(queue, caller))
         if key_refusal is not None:
@@ -240,13 +240,13 @@
             self._data_centre,
             caller.account,
         )
-        append_deadline = deadline - DEADLINE_MARGIN
         outcome = await self._job_writer.store(
-            queue.pool, record_of(accepted), append_deadline
+            queue.pool, record_of(accepted), _leave_reply_margin(deadline)
         )
         reply = self._make_submit_reply(outcome)
         if reply.kind is ReplyKind.NOT_NOW:
-            return await self._refuse_unless_accepted(queue, job, reply, deadline)
+            refusal = self._refuse_unstored("store_unavailable", queue, job, deadline)
+            return await self._refuse_unless_accepted(queue, job, refusal, deadline)
         return self._log_reply(job, "submit", reply, queue)
 
     async def _refuse_unless_accepted(
@@ -281,6 +281,16 @@
                 return f"no host can hold a task of step {i}"
         return ""
 
+    def _refuse_unstored(
+        self, reason: str, queue: Queue, job: str, deadline: float
+    ) -> CallerReply:
+        """Refuse a submit that the store cannot take now."""
+        remaining_s = deadline - asyncio.get_running_loop().time()
+        retry_after = choose_retry_time(
+            self._store_age_s(), remaining_s, queue.target, job
+        )
+        return CallerReply(ReplyKind.NOT_NOW, reason=reason, retry_after=retry_after)
+
     def _make_submit_reply(self, outcome: SubmitOutcome) -> CallerReply:
         match outcome:
             case SubmitOutcome.STORED:
@@ -308,8 +318,9 @@
         )
         if reply.kind is ReplyKind.NOT_NOW:
             record = record_of(Cancelled(job, self._wall()))
-            append_deadline = deadline - DEADLINE_MARGIN
-            outcome = await self._job_writer.store(queue.pool, record, append_deadline)
+            outcome = await self._job_writer.store(
+                queue.pool, record, _leave_reply_margin(deadline)
+            )
             reply = self._make_submit_reply(outcome)
         return self._log_reply(job, "cancel", reply, queue)
 
@@ -323,8 +334,9 @@
     ) -> CallerReply:
         loop = asyncio.get_running_loop()
         reason = "no_owner"
+        owner_deadline = _leave_reply_margin(deadline)
         for attempt in range(OWNER_REQUEST_ATTEMPTS):
-            remaining_s = deadline - DEADLINE_MARGIN - loop.time()
+            remaining_s = owner_deadline - loop.time()
             if remaining_s <= 0.02:
                 break
             if attempt:
@@ -431,6 +443,11 @@
     return job is not None and job.account not in ("", msg.account)
 
 
+def _leave_reply_margin(deadline: float) -> float:
+    """Return the loop time by which a reply must be ready to meet a deadline."""
+    return deadline - reply_margin(deadline - asyncio.get_running_loop().time())
+
+
 def _convert_owner_reply(verb: str, owner_reply: JobReply) -> CallerReply:
     if owner_reply.is_other_account:
         return CallerReply(ReplyKind.OTHER_ACCOUNT, reason="other_account")
--- a/siskinroad/work/job_writer.py
+++ b/siskinroad/work/job_writer.py
@@ -18,6 +18,7 @@
 from siskinroad.work.messages import SubmitOutcome, SubmitReply, SubmitRequest
 from siskinroad.work.peer_calls import PeerCalls
 from siskinroad.work.records import job_topic
+from siskinroad.work.reply_margin import reply_margin
 from siskinroad.work.store import (
     Record,
     Store,
@@ -31,8 +32,6 @@
 # Seconds of the caller's time that are reserved for storing a job directly if the
 # job writer does not answer; the job writer has the rest.
 DIRECT_APPEND_TIME = 0.6
-# Seconds of the job writer's time that are reserved for returning the reply.
-REPLY_MARGIN = 0.15
 # Number of newest records whose outcome is remembered: those of an outage and of some
 # minutes before it, which callers may submit again.
 REMEMBERED_OUTCOMES = 20_000
@@ -118,7 +117,8 @@
 
     async def accept(self, msg: SubmitRequest) -> SubmitReply:
         """Store a job on behalf of another daemon."""
-        deadline = asyncio.get_running_loop().time() + msg.remaining_s - REPLY_MARGIN
+        time_s = msg.remaining_s - reply_margin(msg.remaining_s)
+        deadline = asyncio.get_running_loop().time() + time_s
         record = Record(msg.key, msg.value)
         return SubmitReply(msg.id, await self.append(msg.pool, record, deadline))
 
--- /dev/null
+++ b/siskinroad/work/open_appends.py
@@ -0,0 +1,59 @@
+"""Appends without an answer, which end once the store has answered after an outage.
+
+An append that was sent while the store was silent is never answered. Its time limit
+would otherwise hold up all records of its topic for seconds after the store's return.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from siskinroad.work.store import StoreUnknownError
+
+__all__ = ["OpenAppends"]
+
+# Seconds for which an append has been open before it is ended: a younger one may have
+# reached the store after its return.
+MIN_OPEN_TIME = 0.2
+
+
+class OpenAppends:
+    """The appends of one daemon that have no answer yet."""
+
+    def __init__(self) -> None:
+        self._sent_at: dict[asyncio.Timeout, float] = {}
+
+    @asynccontextmanager
+    async def track(self) -> AsyncIterator[None]:
+        """Track the append that the body makes.
+
+        Raises
+        ------
+        StoreUnknownError
+            If the append was ended; it may still take effect.
+        """
+        timeout = asyncio.timeout(None)
+        try:
+            async with timeout:
+                self._sent_at[timeout] = asyncio.get_running_loop().time()
+                yield
+        except TimeoutError as exc:
+            raise StoreUnknownError(
+                "append not answered, while the store answers again", step="relay"
+            ) from exc
+        finally:
+            self._sent_at.pop(timeout, None)
+
+    def end_old(self) -> int:
+        """End the appends that have been open for some time; return their number."""
+        now = asyncio.get_running_loop().time()
+        old = [
+            timeout
+            for timeout, sent_at in self._sent_at.items()
+            if now - sent_at >= MIN_OPEN_TIME and not timeout.expired()
+        ]
+        for timeout in old:
+            timeout.reschedule(now)
+        return len(old)
--- a/siskinroad/work/relay.py
+++ b/siskinroad/work/relay.py
@@ -24,6 +24,7 @@
 
 from siskinroad.errors import ProtocolError, SiskinroadError
 from siskinroad.work.messages import RelayReply, RelayRequest
+from siskinroad.work.open_appends import OpenAppends
 from siskinroad.work.peer_calls import PeerCalls
 from siskinroad.work.read_race import ReadRace
 from siskinroad.work.relay_codec import (
@@ -105,6 +106,7 @@
         self._next_probe_at = -1e9
         self._probe_tasks: set[asyncio.Task[None]] = set()
         self._race = ReadRace()
+        self._open_appends = OpenAppends()
         self._relay_index = 0
         self._silent_at: dict[str, float] = {}
         self.direct_answer_at = -1e9
@@ -129,7 +131,8 @@
         """Append records; see the base class."""
         fence_fields = (fence.producer, fence.epoch, fence.sequence) if fence else None
         call = AppendCall(topic, records, at, fence_fields)
-        offset = await self._append(call, timeout)
+        async with self._open_appends.track():
+            offset = await self._append(call, timeout)
         assert isinstance(offset, int)
         return offset
 
@@ -235,7 +238,15 @@
         previous_answer_at = self.direct_answer_at
         self.direct_answer_at = now
         if previous_answer_at > 0 and now - previous_answer_at > SILENCE_TIMEOUT:
-            self.on_recovered()
+            self._note_recovered(now - previous_answer_at)
+
+    def _note_recovered(self, silent_s: float) -> None:
+        ended = self._open_appends.end_old()
+        log.warning(
+            "relay: store answers direct calls again; ending the open appends",
+            extra={"silent_s": round(silent_s, 2), "appends": ended},
+        )
+        self.on_recovered()
 
     def _probe_direct(self, call: StoreCall, timeout: float) -> None:
         """Start a direct call in the background to detect that the store answers again.
--- a/siskinroad/work/store_probe.py
+++ b/siskinroad/work/store_probe.py
@@ -2,6 +2,8 @@
 
 When an outage ends, every daemon may still be waiting for replies to requests sent
 during it, and callers are refused until one reply arrives. Short probes end that wait.
+A probe of a silent store is never answered, so the next one is sent beside it: waiting
+for its time limit would delay the news of the store's return.
 """
 
 from __future__ import annotations
@@ -51,14 +53,21 @@
         self._topic = topic
         self._direct_answer_at = direct_answer_at
         self._on_answer = on_answer
+        self._probes: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         """Probe the store whenever it is silent, until cancelled."""
         loop = asyncio.get_running_loop()
-        while True:
-            await asyncio.sleep(PROBE_INTERVAL)
-            if loop.time() - self._direct_answer_at() >= SILENCE_LIMIT:
-                await self._probe()
+        try:
+            while True:
+                await asyncio.sleep(PROBE_INTERVAL)
+                if loop.time() - self._direct_answer_at() >= SILENCE_LIMIT:
+                    probe = loop.create_task(self._probe())
+                    self._probes.add(probe)
+                    probe.add_done_callback(self._probes.discard)
+        finally:
+            for probe in self._probes:
+                probe.cancel()
 
     async def _probe(self) -> None:
         try:
--- /dev/null
+++ b/tests/work/test_store_outages.py
@@ -0,0 +1,204 @@
+"""The seconds without the store: what callers are told, and how work goes on after it.
+
+Callers try again within their deadline of three seconds, as those of the traced days:
+after the time that they are told, but after 0.35 of the remaining time at most.
+"""
+
+import asyncio
+
+import pytest
+
+from bench.clock import run_on_paused_clock
+from siskinroad.work.job_service import ReplyKind
+from siskinroad.work.open_appends import OpenAppends
+from siskinroad.work.retry_times import choose_retry_time
+from siskinroad.work.store import StoreUnknownError
+from siskinroad.work.store_memory import MemoryLogs, MemoryStore
+from siskinroad.work.store_probe import StoreProbe
+from tests.work.cell import FAST, POOL, job
+from tests.work.test_daemon import JOB_ID, run_scenario
+
+# Seconds after the store's return within which all is as before: the users' target.
+RECOVERY_TIME = 2.0
+# Seconds for which callers try, the longest part of the remaining time between two of
+# their tries, and the number of these.
+CALLER_TIME = 3.0
+LONGEST_PAUSE = 0.35
+TRIES = 5
+
+
+async def call(cell, job_id, names):
+    """Submit as a caller; return the kinds of all replies."""
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + CALLER_TIME
+    kinds = []
+    for i in range(TRIES):
+        service = cell.daemons[names[i % len(names)]].job_service
+        reply = await service.submit(FAST, job_id, job(), deadline)
+        kinds.append(reply.kind)
+        remaining_s = deadline - loop.time()
+        if reply.kind is ReplyKind.OK or remaining_s <= 0:
+            break
+        await asyncio.sleep(min(reply.retry_after or 0.2, LONGEST_PAUSE * remaining_s))
+    return kinds
+
+
+@pytest.mark.parametrize("remaining_s", [0.25, 0.17, 0.12])
+@pytest.mark.parametrize("fault", ["is_unavailable", "is_silent"])
+def test_a_last_try_with_little_time_left_is_refused_and_not_unknown(
+    fault, remaining_s
+):
+    async def scenario(cell):
+        await cell.start_daemons("a", "b", "c")
+        setattr(cell.logs.faults, fault, True)
+        await asyncio.sleep(3.0)
+        for name, daemon in cell.daemons.items():
+            deadline = cell.deadline(remaining_s)
+            reply = await daemon.job_service.submit(FAST, JOB_ID, job(), deadline)
+            assert reply.kind is ReplyKind.NOT_NOW, name
+            assert asyncio.get_running_loop().time() < deadline
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("fault", ["is_unavailable", "is_silent"])
+def test_callers_with_time_left_at_the_return_are_served(fault):
+    # Twenty callers a second come during an outage of five seconds. Those whose time
+    # ends later than the recovery time after the return must all be served.
+    async def scenario(cell):
+        loop = asyncio.get_running_loop()
+        await cell.start_daemons("a", "b", "c")
+        names = tuple(cell.daemons)
+        setattr(cell.logs.faults, fault, True)
+        returned_at = loop.time() + 5.0
+        loop.call_at(returned_at, setattr, cell.logs.faults, fault, False)
+        calls = []
+        while loop.time() < returned_at + 4.0:
+            job_id = f"{len(calls):016x}"
+            calls.append((loop.time(), asyncio.create_task(call(cell, job_id, names))))
+            await asyncio.sleep(0.05)
+        for began, task in calls:
+            kinds = await task
+            if began + CALLER_TIME > returned_at + RECOVERY_TIME:
+                assert kinds[-1] is ReplyKind.OK, began - returned_at
+            if began > returned_at + RECOVERY_TIME:
+                assert kinds == [ReplyKind.OK], began - returned_at
+
+    run_scenario(scenario, hosts=8)
+
+
+@pytest.mark.parametrize("early_s", [0.05, 0.25, 0.5, 1.0, 1.5, 1.9])
+def test_ends_in_an_outage_are_shown_soon_after_it(early_s):
+    # The append of the job's end is sent that much before the return of the store.
+    async def scenario(cell):
+        await cell.start_daemons("a", "b")
+        await cell.submit("a", JOB_ID, job())
+        await cell.wait_for_starts(1)
+        await asyncio.sleep(0.8)
+        cell.logs.faults.is_silent = True
+        owner = cell.daemons[cell.owner()].owners[POOL]
+        jobs = owner.pool_state.jobs
+        while not jobs[JOB_ID].outcome:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(2.0 - early_s + 0.2)
+        cell.logs.faults.is_silent = False
+        assert await cell.wait_for_state(JOB_ID, "complete") < RECOVERY_TIME
+
+    run_scenario(scenario)
+
+
+def test_an_append_whose_answer_was_lost_is_confirmed_and_never_refused():
+    # It takes effect after the store's return, while its caller tries again.
+    async def scenario(cell):
+        await cell.start_daemons("a", "b", "c")
+        cell.logs.faults.lost_replies = 1
+        cell.logs.faults.late_append_delay = 2.5
+        names = tuple(cell.daemons)
+        first = asyncio.create_task(call(cell, JOB_ID, names))
+        await asyncio.sleep(0.01)
+        cell.logs.faults.is_silent = True
+        await asyncio.sleep(2.0)
+        cell.logs.faults.is_silent = False
+        kinds = await first
+        assert ReplyKind.NOT_NOW not in kinds
+        await cell.wait_for_state(JOB_ID, "complete")
+        assert (await cell.submit("b", JOB_ID, job())).kind is ReplyKind.OK
+
+    run_scenario(scenario)
+
+
+def test_an_owner_that_dies_in_an_outage_denies_no_job_and_is_replaced_soon():
+    async def scenario(cell):
+        loop = asyncio.get_running_loop()
+        await cell.start_daemons("a", "b", "c")
+        await cell.submit("a", JOB_ID, job())
+        await cell.wait_for_state(JOB_ID, "complete")
+        cell.logs.faults.is_silent = True
+        await asyncio.sleep(2.5)
+        await cell.kill(cell.owner())
+        names = tuple(cell.daemons)
+        assert ReplyKind.NOT_NOW not in await call(cell, JOB_ID, names)
+        cell.logs.faults.is_silent = False
+        returned_at = loop.time()
+        await asyncio.sleep(RECOVERY_TIME)
+        assert await call(cell, "00000000000000bb", names) == [ReplyKind.OK]
+        starts = await cell.wait_for_starts(2)
+        assert starts[-1].at < returned_at + RECOVERY_TIME + 1.0
+
+    run_scenario(scenario)
+
+
+def test_a_silent_store_is_probed_four_times_a_second():
+    async def scenario():
+        logs = MemoryLogs()
+        logs.faults.is_silent = True
+        store = MemoryStore(logs)
+        answers = []
+        probe = StoreProbe(store, "t", lambda: -10.0, lambda: answers.append(1))
+        task = asyncio.create_task(probe.run())
+        await asyncio.sleep(5.05)
+        logs.faults.is_silent = False
+        await asyncio.sleep(0.25)
+        assert answers
+        task.cancel()
+
+    run_on_paused_clock(scenario())
+
+
+def test_only_old_appends_end_at_the_return_of_the_store():
+    async def scenario():
+        appends = OpenAppends()
+        outcomes = []
+
+        async def append(name, seconds):
+            try:
+                async with appends.track():
+                    await asyncio.sleep(seconds)
+                outcomes.append((name, "stored"))
+            except StoreUnknownError:
+                outcomes.append((name, "unknown"))
+
+        old = asyncio.create_task(append("old", 2.0))
+        await asyncio.sleep(1.0)
+        new = asyncio.create_task(append("new", 0.1))
+        await asyncio.sleep(0.05)
+        assert appends.end_old() == 1
+        await asyncio.gather(old, new)
+        assert outcomes == [("old", "unknown"), ("new", "stored")]
+        assert appends.end_old() == 0
+
+    run_on_paused_clock(scenario())
+
+
+def test_a_retry_time_leaves_another_try_and_spreads_callers():
+    for outage_s in (0.0, 1.0, 5.0, 60.0):
+        for remaining_s in (3.0, 10.0, 30.0):
+            times = [
+                choose_retry_time(outage_s, remaining_s, 8.0, f"{i:016x}")
+                for i in range(200)
+            ]
+            assert max(times) < remaining_s
+            assert min(times) >= 1.0
+    assert max(times) - min(times) > 1.0
+    urgent = choose_retry_time(60.0, 30.0, 0.4, JOB_ID)
+    assert urgent < choose_retry_time(60.0, 30.0, 8.0, JOB_ID)
