--- a/tests/test_peers_zmq.py
+++ b/tests/test_peers_zmq.py
@@ -153,3 +153,48 @@
         await b.close()
 
     asyncio.run(main())
+
+
+async def open_middlebox(target):
+    """Forward connections to ``target``; those in the returned set go silent."""
+    host, _, port = target.rpartition(":")
+    connections, silent = set(), set()
+
+    async def forward(connection, reader, writer):
+        while data := await reader.read(65536):
+            if connection not in silent:
+                writer.write(data)
+
+    async def accept(reader, writer):
+        connections.add(writer)
+        out_reader, out_writer = await asyncio.open_connection(host, int(port))
+        await asyncio.gather(
+            forward(writer, reader, out_writer),
+            forward(writer, out_reader, writer),
+            return_exceptions=True,
+        )
+
+    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    return server, address, connections, silent
+
+
+def test_a_connection_that_goes_silent_for_good_is_replaced():
+    """Its bytes are lost without an end of the connection; a new one works."""
+
+    async def main():
+        address_a, address_b = free_addresses(2)
+        server, middlebox, connections, silent = await open_middlebox(address_b)
+        a, _ = open_transport("a", address_a, (Peer("b", middlebox, "d", "r", ""),))
+        b, received = open_transport("b", address_b, (Peer("a", address_a, "d", "r"),))
+        assert await send_until_received(received, a, "b")
+        silent.update(connections)
+        await asyncio.sleep(0.1)
+        received.clear()
+        assert await send_until_received(received, a, "b")
+        assert len(connections) > len(silent)
+        await a.close()
+        await b.close()
+        server.close()
+
+    asyncio.run(main())
