Let a submit that cannot come back wait for the store, and use its short time

Cause: a caller with less than a second left is told to come back in a second.

- Such a submit waits 0.4 of its remaining time, with nothing sent, and is stored at the store's first answer; at least half of the time is left to ask another daemon.
All others are refused at once as before.
- The job writer has all of a remaining time of 0.6 s or less.

Measured: the tests of both fail before.

--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -177,6 +177,7 @@
         self.membership.routes.find_configuration_version = lambda: (
             self.configuration_reader.version
         )
+        self.metrics.ended_appends.set_function(lambda: self.store.ended_appends)
         self.metrics.configuration_version.set_function(
             lambda: self.configuration_reader.version
         )
--- a/siskinroad/work/job_service.py
+++ b/siskinroad/work/job_service.py
@@ -27,7 +27,7 @@
 from siskinroad.work.peer_calls import PeerCalls
 from siskinroad.work.records import Accepted, Cancelled, Member, record_of
 from siskinroad.work.reply_margin import reply_margin
-from siskinroad.work.retry_times import choose_retry_time
+from siskinroad.work.retry_times import choose_retry_time, choose_store_wait
 from siskinroad.work.workmetrics import WorkMetrics
 
 __all__ = ["CallerReply", "JobService", "ReplyKind"]
@@ -36,6 +36,8 @@
 # silent store is probed every quarter of a second, so recovery is noticed soon; a
 # smaller limit would also refuse work while the store is merely slow.
 STORE_SILENCE_LIMIT = 2.0
+# Seconds between two looks whether the store is back, for a submit that waits.
+STORE_WAIT_INTERVAL = 0.03
 # Seconds for one request to a pool's owner, the number of attempts, and the seconds
 # between them.
 OWNER_REQUEST_TIMEOUT = 0.7
@@ -222,10 +224,7 @@
         if unfit_reason:
             refusal = CallerReply(ReplyKind.NEVER, reason=unfit_reason)
             return await self._refuse_unless_accepted(queue, job, refusal, deadline)
-        if self._store_age_s() > STORE_SILENCE_LIMIT:
-            # A late loop has not read the answers yet that have arrived.
-            await let_loop_poll()
-        if self._store_age_s() > STORE_SILENCE_LIMIT:
+        if not await self._wait_for_store(job, deadline):
             refusal = self._refuse_unstored("store_silent", queue, job, deadline)
             return await self._refuse_unless_accepted(queue, job, refusal, deadline)
         key_refusal = self._make_key_refusal(self._key_check.recheck(queue, caller))
@@ -249,6 +248,39 @@
             return await self._refuse_unless_accepted(queue, job, refusal, deadline)
         return self._log_reply(job, "submit", reply, queue)
 
+    async def _wait_for_store(self, job: str, deadline: float) -> bool:
+        """Return whether the store answers, after a wait where that serves the caller.
+
+        Nothing is sent meanwhile; the store probe finds out when the store is back.
+        """
+        if self._store_age_s() <= STORE_SILENCE_LIMIT:
+            return True
+        # A late loop has not read the answers yet that have arrived.
+        await let_loop_poll()
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        wait_s = choose_store_wait(deadline - began)
+        while self._store_age_s() > STORE_SILENCE_LIMIT:
+            left_s = began + wait_s - loop.time()
+            if left_s <= 0:
+                break
+            await asyncio.sleep(min(STORE_WAIT_INTERVAL, left_s))
+        is_back = self._store_age_s() <= STORE_SILENCE_LIMIT
+        if wait_s:
+            outcome = "back" if is_back else "silent"
+            self._metrics.store_waits.labels(outcome).inc()
+            log.info(
+                "job_service: submit waited for the store, as its caller cannot return",
+                extra={
+                    "request": job,
+                    "remaining_s": round(deadline - began, 2),
+                    "waited_s": round(loop.time() - began, 2),
+                    "store_age_s": round(self._store_age_s(), 2),
+                    "outcome": outcome,
+                },
+            )
+        return is_back
+
     async def _refuse_unless_accepted(
         self, queue: Queue, job: str, refusal: CallerReply, deadline: float
     ) -> CallerReply:
--- a/siskinroad/work/job_writer.py
+++ b/siskinroad/work/job_writer.py
@@ -30,7 +30,7 @@
 __all__ = ["JobWriter"]
 
 # Seconds of the caller's time that are reserved for storing a job directly if the
-# job writer does not answer; the job writer has the rest.
+# job writer does not answer; the job writer has the rest, and all of a shorter time.
 DIRECT_APPEND_TIME = 0.6
 # Number of newest records whose outcome is remembered: those of an outage and of some
 # minutes before it, which callers may submit again.
@@ -84,6 +84,8 @@
         outcome = await self._submit_to_job_writer(pool, record, deadline)
         if outcome is not None:
             return outcome
+        if asyncio.get_running_loop().time() >= deadline:
+            return SubmitOutcome.UNKNOWN
         direct = await self.append(pool, record, deadline)
         # The job writer may still store the record even if the direct append failed.
         is_stored = direct is SubmitOutcome.STORED
@@ -97,7 +99,8 @@
         if node == self._node:
             return await self.append(pool, record, deadline)
         remaining_s = deadline - asyncio.get_running_loop().time()
-        remaining_s = max(remaining_s - DIRECT_APPEND_TIME, remaining_s / 2)
+        if remaining_s > DIRECT_APPEND_TIME:
+            remaining_s = max(remaining_s - DIRECT_APPEND_TIME, remaining_s / 2)
         try:
             reply = await self._peer_calls.request(
                 node,
--- a/siskinroad/work/relay.py
+++ b/siskinroad/work/relay.py
@@ -94,6 +94,8 @@
         Called at the first direct reply after an outage.
     relayed_calls : int
         Number of calls sent through another daemon.
+    ended_appends : int
+        Number of open appends that were ended at the store's return.
     """
 
     def __init__(
@@ -113,6 +115,7 @@
         self.relayed_answer_at = -1e9
         self.on_recovered: Callable[[], None] = lambda: None
         self.relayed_calls = 0
+        self.ended_appends = 0
 
     @property
     def last_answer_at(self) -> float:
@@ -246,6 +249,7 @@
             "relay: store answers direct calls again; ending the open appends",
             extra={"silent_s": round(silent_s, 2), "appends": ended},
         )
+        self.ended_appends += ended
         self.on_recovered()
 
     def _probe_direct(self, call: StoreCall, timeout: float) -> None:
--- a/siskinroad/work/retry_times.py
+++ b/siskinroad/work/retry_times.py
@@ -5,13 +5,17 @@
 its job, and callers who all come back at once are a second burst. So the time leaves
 room for one more try before the deadline, and is spread by a hash of the job's id;
 where there is room, jobs that may wait longer come back later.
+
+A caller whose deadline is nearer than the least retry time would not come back. Its
+submit waits for a part of the time that is left, in which the store may answer; half of
+it remains for a try at another daemon.
 """
 
 from __future__ import annotations
 
 import zlib
 
-__all__ = ["choose_retry_time"]
+__all__ = ["choose_retry_time", "choose_store_wait"]
 
 # Least seconds after which a caller should retry: about the time of a takeover.
 MIN_RETRY_TIME = 1.0
@@ -24,6 +28,9 @@
 ALLOWED_SHARE = 0.5
 # Largest part of a retry time by which it is shortened to spread callers.
 SPREAD = 0.5
+# Part of the remaining time for which a submit waits that could not come back. With the
+# question to the owner before a refusal, it leaves the caller half.
+WAIT_SHARE = 0.4
 
 
 def choose_retry_time(
@@ -50,3 +57,16 @@
     )
     part = zlib.crc32(job.encode()) / 2**32
     return max(MIN_RETRY_TIME, longest_s * (1.0 - SPREAD * part))
+
+
+def choose_store_wait(remaining_s: float) -> float:
+    """Return for how many seconds a submit should wait for the store to answer.
+
+    Parameters
+    ----------
+    remaining_s : float
+        Seconds until the caller's deadline.
+    """
+    if remaining_s >= MIN_RETRY_TIME:
+        return 0.0
+    return max(0.0, remaining_s * WAIT_SHARE)
--- a/siskinroad/work/workmetrics.py
+++ b/siskinroad/work/workmetrics.py
@@ -34,6 +34,17 @@
         self.retries = Counter(
             "siskinroad_work_retries", "Calls tried again.", ("reason",), registry=reg
         )
+        self.store_waits = Counter(
+            "siskinroad_submit_store_waits",
+            "Submits that waited for the store, by whether it came back.",
+            ("outcome",),
+            registry=reg,
+        )
+        self.ended_appends = Gauge(
+            "siskinroad_ended_appends",
+            "Appends without an answer that were repeated at the store's return.",
+            registry=reg,
+        )
         self.starts = Counter(
             "siskinroad_starts", "Starts sent.", ("outcome",), registry=reg
         )
--- a/tests/work/test_store_outages.py
+++ b/tests/work/test_store_outages.py
@@ -9,12 +9,16 @@
 import pytest
 
 from bench.clock import run_on_paused_clock
+from siskinroad.errors import OutcomeUnknownError
 from siskinroad.work.job_service import ReplyKind
+from siskinroad.work.job_writer import JobWriter
+from siskinroad.work.messages import SubmitOutcome, SubmitReply
 from siskinroad.work.open_appends import OpenAppends
 from siskinroad.work.retry_times import choose_retry_time
-from siskinroad.work.store import StoreUnknownError
+from siskinroad.work.store import Record, StoreUnknownError
 from siskinroad.work.store_memory import MemoryLogs, MemoryStore
 from siskinroad.work.store_probe import StoreProbe
+from siskinroad.work.workmetrics import WorkMetrics
 from tests.work.cell import FAST, POOL, job
 from tests.work.test_daemon import JOB_ID, run_scenario
 
@@ -87,6 +91,48 @@
     run_scenario(scenario, hosts=8)
 
 
+@pytest.mark.parametrize("remaining_s", [0.9, 0.65, 0.25])
+def test_a_submit_that_cannot_come_back_is_stored_at_the_return(remaining_s):
+    # The store is back within the time for which the submit waits.
+    async def scenario(cell):
+        await cell.start_daemons("a", "b", "c")
+        cell.logs.faults.is_unavailable = True
+        await asyncio.sleep(3.0)
+        submits = [
+            asyncio.create_task(
+                daemon.job_service.submit(
+                    FAST, f"{i:016x}", job(), cell.deadline(remaining_s)
+                )
+            )
+            for i, daemon in enumerate(cell.daemons.values())
+        ]
+        await asyncio.sleep(0.05)
+        cell.logs.faults.is_unavailable = False
+        for daemon in cell.daemons.values():
+            daemon.store.record_direct_answer()
+        for submit in submits:
+            assert (await submit).kind is ReplyKind.OK
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("remaining_s", [3.0, 1.2, 0.9, 0.65, 0.25])
+def test_a_refusal_leaves_the_caller_half_of_its_time(remaining_s):
+    # A caller that can come back is told so at once, any other in time for a last try.
+    async def scenario(cell):
+        await cell.start_daemons("a", "b", "c")
+        cell.logs.faults.is_silent = True
+        await asyncio.sleep(3.0)
+        for daemon in cell.daemons.values():
+            deadline = cell.deadline(remaining_s)
+            reply = await daemon.job_service.submit(FAST, JOB_ID, job(), deadline)
+            left_s = deadline - asyncio.get_running_loop().time()
+            assert reply.kind is ReplyKind.NOT_NOW
+            assert left_s > (0.9 if remaining_s > 1.0 else 0.5) * remaining_s
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("early_s", [0.05, 0.25, 0.5, 1.0, 1.5, 1.9])
 def test_ends_in_an_outage_are_shown_soon_after_it(early_s):
     # The append of the job's end is sent that much before the return of the store.
@@ -107,6 +153,40 @@
     run_scenario(scenario)
 
 
+class SlowPeerCalls:
+    """Requests to a job writer that answers after a time."""
+
+    def __init__(self, answer_s):
+        self.answer_s = answer_s
+
+    async def request(self, peer, make_request, reply_type, timeout, keep_waiting):
+        if self.answer_s > timeout:
+            await asyncio.sleep(timeout)
+            raise OutcomeUnknownError("no reply", step="test")
+        await asyncio.sleep(self.answer_s)
+        return SubmitReply(1, SubmitOutcome.STORED)
+
+
+def test_the_job_writer_has_all_of_a_time_too_short_for_two():
+    async def scenario():
+        logs = MemoryLogs()
+        logs.faults.is_silent = True
+        writer = JobWriter(
+            "a",
+            MemoryStore(logs),
+            SlowPeerCalls(answer_s=0.15),
+            lambda pool: "b",
+            lambda node: True,
+            lambda: 0.0,
+            WorkMetrics(),
+        )
+        deadline = asyncio.get_running_loop().time() + 0.2
+        outcome = await writer.store(POOL, Record(JOB_ID, b"x"), deadline)
+        assert outcome is SubmitOutcome.STORED
+
+    run_on_paused_clock(scenario())
+
+
 def test_an_append_whose_answer_was_lost_is_confirmed_and_never_refused():
     # It takes effect after the store's return, while its caller tries again.
     async def scenario(cell):
