--- a/siskinroad/work/relay.py
+++ b/siskinroad/work/relay.py
@@ -23,6 +23,7 @@
 import msgspec
 
 from siskinroad.errors import ProtocolError, SiskinroadError
+from siskinroad.fair_timeout import FairTimer
 from siskinroad.work.messages import RelayReply, RelayRequest
 from siskinroad.work.open_appends import OpenAppends
 from siskinroad.work.peer_calls import PeerCalls
@@ -244,13 +245,17 @@
             self._note_recovered(now - previous_answer_at)
 
     def _note_recovered(self, silent_s: float) -> None:
+        # After a suspension, answers of open appends may have arrived unread.
+        FairTimer(0.0, lambda: self._end_open_appends(silent_s))
+        self.on_recovered()
+
+    def _end_open_appends(self, silent_s: float) -> None:
         ended = self._open_appends.end_old()
+        self.ended_appends += ended
         log.warning(
             "relay: store answers direct calls again; ending the open appends",
             extra={"silent_s": round(silent_s, 2), "appends": ended},
         )
-        self.ended_appends += ended
-        self.on_recovered()
 
     def _probe_direct(self, call: StoreCall, timeout: float) -> None:
         """Start a direct call in the background to detect that the store answers again.
--- a/tests/work/test_store_outages.py
+++ b/tests/work/test_store_outages.py
@@ -14,6 +14,7 @@
 from siskinroad.work.job_writer import JobWriter
 from siskinroad.work.messages import SubmitOutcome, SubmitReply
 from siskinroad.work.open_appends import OpenAppends
+from siskinroad.work.relay import RelayStore
 from siskinroad.work.retry_times import choose_retry_time
 from siskinroad.work.store import Record, StoreUnknownError
 from siskinroad.work.store_memory import MemoryLogs, MemoryStore
@@ -270,6 +271,33 @@
     run_on_paused_clock(scenario())
 
 
+def test_an_append_answered_during_a_suspension_is_not_ended():
+    # The loop reads the answer of another call first, and that of the append later.
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        direct = MemoryStore(MemoryLogs())
+        store = RelayStore(direct, None, list)
+        await store.read("t", 0, wait=0.0)
+        answered = loop.create_future()
+
+        async def append_late(topic, records, **fields):
+            await answered
+            return 0
+
+        direct.append = append_late
+        append = asyncio.create_task(store.append("t", [Record("k", b"x")]))
+        await asyncio.sleep(0.1)
+        loop._clock_selector.now += 3.0
+        store.record_direct_answer()
+        for _ in range(3):
+            await asyncio.sleep(0)
+        answered.set_result(None)
+        assert await append == 0
+        assert store.ended_appends == 0
+
+    run_on_paused_clock(scenario())
+
+
 def test_a_retry_time_leaves_another_try_and_spreads_callers():
     for outage_s in (0.0, 1.0, 5.0, 60.0):
         for remaining_s in (3.0, 10.0, 30.0):
