--- a/siskinroad/work/making_room.py
+++ b/siskinroad/work/making_room.py
@@ -23,6 +23,7 @@
     step_allows_host,
 )
 from siskinroad.work.pool_state import PoolState
+from siskinroad.work.waiting_order import Lateness, RankedStep
 
 __all__ = ["RoomMaker"]
 
@@ -34,6 +35,9 @@
 # Seconds of work that a run must have left: a stop and a restart take nearly as long as
 # a shorter rest.
 MIN_REMAINING_S = 1.5
+# Seconds that the job of a stopped run must have left to its target time, beyond its
+# work: a burst and a restart may take that long.
+MIN_SLACK_S = 6.0
 # Seconds for which a task that was stopped for another one is not stopped again, and
 # its highest run number.
 STOP_PAUSE_S = 30.0
@@ -80,16 +84,8 @@
         self._checked_at = -1e9
         self._stopped_at: dict[TaskId, float] = {}
 
-    def make_room(
-        self, planning_pass: PlanningPass, ranked: list[tuple[int, StepRun]]
-    ) -> list[Effect]:
-        """Return stops for the urgent steps that this pass could not place.
-
-        Parameters
-        ----------
-        ranked : list of tuple
-            Lateness and step, in the order of the pass.
-        """
+    def make_room(self, planning_pass: PlanningPass) -> list[Effect]:
+        """Return stops for the urgent steps that this pass could not place."""
         now = planning_pass.now
         configuration = self.pool_state.configuration
         if configuration is None or configuration.accounts is None:
@@ -97,7 +93,8 @@
         if now - self._checked_at < CHECK_INTERVAL_S:
             return []
         self._checked_at = now
-        steps = [s for lateness, s in ranked if self._needs_room(s, lateness, now)]
+        ranked = planning_pass.ranked
+        steps = [each.step for each in ranked if self._needs_room(each, now)]
         if not steps:
             return []
         self._forget_old_stops(now)
@@ -107,9 +104,12 @@
             effects += self._make_room_for(planning_pass, step, rooms)
         return effects
 
-    def _needs_room(self, step: StepRun, lateness: int, now: float) -> bool:
+    def _needs_room(self, ranked: RankedStep, now: float) -> bool:
+        step = ranked.step
         queue = self.pool_state.queues.get(step.job.queue)
-        if queue is None or queue.priority > 0 or lateness:
+        if queue is None or queue.priority > 0:
+            return False
+        if ranked.lateness is not Lateness.IN_TIME or ranked.is_behind_others:
             return False
         if step.spec.gang or step.spec.long_running or not step.waiting_count:
             return False
@@ -143,7 +143,7 @@
         for run in host.runs.values():
             if run.state in ("stopping", "withdrawn"):
                 ending = ending + run.need
-            elif self._may_stop(run):
+            elif self._may_stop(run, planning_pass.wall):
                 remaining.append((estimates.remaining_s(run, planning_pass.now), run))
         room.free = room.free + ending
         remaining = [(s, r) for s, r in remaining if s > MIN_REMAINING_S]
@@ -151,7 +151,7 @@
         room.runs = [run for _, run in remaining]
         return room
 
-    def _may_stop(self, run: Run) -> bool:
+    def _may_stop(self, run: Run, wall: float) -> bool:
         if run.state != "running" or run.long_running or run.filler:
             return False
         queue = self.pool_state.queues.get(run.queue)
@@ -160,7 +160,16 @@
         step = self.pool_state.step(run.key[0])
         if step is None or step.spec.gang or not step.spec.checkpoints:
             return False
-        return run.key[0] not in self._stopped_at
+        if run.key[0] in self._stopped_at:
+            return False
+        return self._find_slack_s(step, wall) >= MIN_SLACK_S
+
+    def _find_slack_s(self, step: StepRun, wall: float) -> float:
+        """Return the seconds by which a step may wait and begin anew in time."""
+        times = self.pool_state.queue_times(step.job.queue)
+        remaining_s = step.job.remaining_times[step.number] * times.run_time_ratio
+        target_time = self.pool_state.target_time(step.job, step.occurrence)
+        return target_time - wall - remaining_s
 
     def _make_room_for(
         self, planning_pass: PlanningPass, step: StepRun, rooms: dict[str, _Room]
