--- a/siskinroad/work/relay.py
+++ b/siskinroad/work/relay.py
@@ -23,7 +23,9 @@
 import msgspec
 
 from siskinroad.errors import ProtocolError, SiskinroadError
+from siskinroad.fair_timeout import FairTimer
 from siskinroad.work.messages import RelayReply, RelayRequest
+from siskinroad.work.open_appends import OpenAppends
 from siskinroad.work.peer_calls import PeerCalls
 from siskinroad.work.read_race import ReadRace
 from siskinroad.work.relay_codec import (
@@ -93,6 +95,8 @@
         Called at the first direct reply after an outage.
     relayed_calls : int
         Number of calls sent through another daemon.
+    ended_appends : int
+        Number of open appends that were ended at the store's return.
     """
 
     def __init__(
@@ -105,12 +109,14 @@
         self._next_probe_at = -1e9
         self._probe_tasks: set[asyncio.Task[None]] = set()
         self._race = ReadRace()
+        self._open_appends = OpenAppends()
         self._relay_index = 0
         self._silent_at: dict[str, float] = {}
         self.direct_answer_at = -1e9
         self.relayed_answer_at = -1e9
         self.on_recovered: Callable[[], None] = lambda: None
         self.relayed_calls = 0
+        self.ended_appends = 0
 
     @property
     def last_answer_at(self) -> float:
@@ -129,7 +135,8 @@
         """Append records; see the base class."""
         fence_fields = (fence.producer, fence.epoch, fence.sequence) if fence else None
         call = AppendCall(topic, records, at, fence_fields)
-        offset = await self._append(call, timeout)
+        async with self._open_appends.track():
+            offset = await self._append(call, timeout)
         assert isinstance(offset, int)
         return offset
 
@@ -235,7 +242,20 @@
         previous_answer_at = self.direct_answer_at
         self.direct_answer_at = now
         if previous_answer_at > 0 and now - previous_answer_at > SILENCE_TIMEOUT:
-            self.on_recovered()
+            self._note_recovered(now - previous_answer_at)
+
+    def _note_recovered(self, silent_s: float) -> None:
+        # After a suspension, answers of open appends may have arrived unread.
+        FairTimer(0.0, lambda: self._end_open_appends(silent_s))
+        self.on_recovered()
+
+    def _end_open_appends(self, silent_s: float) -> None:
+        ended = self._open_appends.end_old()
+        self.ended_appends += ended
+        log.warning(
+            "relay: store answers direct calls again; ending the open appends",
+            extra={"silent_s": round(silent_s, 2), "appends": ended},
+        )
 
     def _probe_direct(self, call: StoreCall, timeout: float) -> None:
         """Start a direct call in the background to detect that the store answers again.
