Leave free room to urgent steps that are owed before others fill it

Small tasks beyond the rate of their account filled each gap that was too small for the waiting tasks of others. Jobs are counted in a sliding window of 1 s.

--- a/bench/burst_load.py
+++ b/bench/burst_load.py
@@ -110,7 +110,7 @@
         )
 
     def _weight(self, usual_per_s: float) -> float:
-        return usual_per_s * self.burst.weight_factor
+        return max(1.0, round(usual_per_s * self.burst.weight_factor))
 
     def _add_host(self, number: int) -> None:
         name = f"h{number:04}"
--- a/siskinroad/work/account_rates.py
+++ b/siskinroad/work/account_rates.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -16,10 +17,8 @@
 
 __all__ = ["AccountRates"]
 
-# Seconds at the owed rate, and further jobs, that an account may send at once after a
-# pause. Jobs that come at random at the owed rate would often count as beyond it.
-BURST_S = 1.0
-BURST_JOBS = 1.0
+# Seconds of the sliding window in which the jobs of an account are counted.
+WINDOW_S = 1.0
 # Seconds between two log lines about one account.
 LOG_INTERVAL_S = 5.0
 
@@ -27,17 +26,18 @@
 
 
 @dataclass(slots=True)
-class _Allowance:
-    """Jobs that an account may still send at once, at a Unix time in seconds.
+class _RecentJobs:
+    """Owed jobs of an account in the window.
 
     Attributes
     ----------
+    owed_at : deque of float
+        Unix times in seconds at which they were accepted.
     excess_jobs : int
         Jobs beyond the rate since the last log line.
     """
 
-    jobs: float
-    at: float
+    owed_at: deque[float] = field(default_factory=deque)
     excess_jobs: int = 0
     logged_at: float = -1e9
 
@@ -51,7 +51,7 @@
     the open ones again, and counts none of those that are done.
     """
 
-    _allowances: dict[str, _Allowance] = field(default_factory=dict)
+    _recent: dict[str, _RecentJobs] = field(default_factory=dict)
 
     def judge(self, jobs: Iterable[Job], owners: Mapping[str, Owner]) -> None:
         """Mark those of the jobs that are new, in the order of their acceptance."""
@@ -64,25 +64,21 @@
         """Return whether a job is beyond the rate, and count it if it is not."""
         if owner.weight <= 0:
             return False
-        most = owner.weight * BURST_S + BURST_JOBS
-        allowance = self._allowances.get(owner.name)
-        if allowance is None:
-            allowance = _Allowance(most, job.accepted_at)
-            self._allowances[owner.name] = allowance
-        elapsed_s = max(0.0, job.accepted_at - allowance.at)
-        allowance.jobs = min(most, allowance.jobs + elapsed_s * owner.weight)
-        allowance.at = max(allowance.at, job.accepted_at)
-        if allowance.jobs < 1.0:
-            _log_excess(job, owner, allowance)
+        recent = self._recent.setdefault(owner.name, _RecentJobs())
+        owed_at = recent.owed_at
+        while owed_at and owed_at[0] <= job.accepted_at - WINDOW_S:
+            owed_at.popleft()
+        if len(owed_at) >= max(1.0, owner.weight * WINDOW_S):
+            _log_excess(job, owner, recent)
             return True
-        allowance.jobs -= 1.0
+        owed_at.append(job.accepted_at)
         return False
 
 
-def _log_excess(job: Job, owner: Owner, allowance: _Allowance) -> None:
+def _log_excess(job: Job, owner: Owner, recent: _RecentJobs) -> None:
     """Log at most each ``LOG_INTERVAL_S`` that an account is beyond its rate."""
-    allowance.excess_jobs += 1
-    if job.accepted_at - allowance.logged_at < LOG_INTERVAL_S:
+    recent.excess_jobs += 1
+    if job.accepted_at - recent.logged_at < LOG_INTERVAL_S:
         return
     log.info(
         "account_rates: account sends more than is owed to it; "
@@ -91,8 +87,8 @@
             "request": job.id,
             "account": owner.name,
             "owed_per_s": owner.weight,
-            "excess_jobs": allowance.excess_jobs,
+            "excess_jobs": recent.excess_jobs,
         },
     )
-    allowance.logged_at = job.accepted_at
-    allowance.excess_jobs = 0
+    recent.logged_at = job.accepted_at
+    recent.excess_jobs = 0
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -27,7 +27,7 @@
 from siskinroad.work.pool_state import PoolState
 from siskinroad.work.schedulable_hosts import SchedulableHosts, make_schedulable_hosts
 from siskinroad.work.sole_hosts import find_sole_hosts
-from siskinroad.work.waiting_order import RankedStep, WaitingOrder
+from siskinroad.work.waiting_order import Lateness, RankedStep, WaitingOrder
 
 __all__ = ["Planner"]
 
@@ -115,6 +115,7 @@
         planning_pass.non_urgent_cpu_milli = self._compute_non_urgent_cpu(planning_pass)
         cpu_milli = schedulable_hosts.cpu_milli
         ranked = self.waiting_order.rank(steps, now, wall, cpu_milli)
+        planning_pass.excess_cpu_milli = self._compute_excess_cpu(planning_pass, ranked)
         self._put_late_step_first(planning_pass, ranked)
         planning_pass.ranked = ranked
         self._plan_steps(planning_pass, ranked)
@@ -145,6 +146,38 @@
             - self.urgent_headroom.compute_headroom(capacity, urgent_used)
         )
 
+    def _compute_excess_cpu(
+        self, planning_pass: PlanningPass, ranked: list[RankedStep]
+    ) -> float:
+        """Return the thousandths of a processor for urgent work that is not owed.
+
+        Steps that are owed and of use have the first call on what is free, also on gaps
+        that fit none of their tasks yet: small tasks beyond the rate of their account
+        would fill each gap as soon as it opens.
+        """
+        if not any(each.is_excess for each in ranked):
+            return float("inf")
+        owed = sum(
+            each.step.need.cpu_milli * each.step.waiting_count
+            for each in ranked
+            if not each.is_excess
+            and each.lateness is not Lateness.NO_USE
+            and self._is_urgent(each.step.job.queue)
+            and self._may_be_placed(planning_pass, each.step)
+        )
+        hosts = planning_pass.schedulable_hosts
+        used = sum(host.used.cpu_milli for host in hosts.hosts)
+        return hosts.cpu_milli - used - owed
+
+    def _must_leave_room(self, planning_pass: PlanningPass, ranked: RankedStep) -> bool:
+        """Return whether what is free is left to steps that are owed."""
+        return (
+            ranked.is_excess
+            and not ranked.has_floor_turn
+            and self._is_urgent(ranked.step.job.queue)
+            and ranked.step.need.cpu_milli > planning_pass.excess_cpu_milli
+        )
+
     def _is_urgent(self, queue_name: str) -> bool:
         queue = self.pool_state.queues.get(queue_name)
         return queue is not None and queue.priority == 0
@@ -195,7 +228,13 @@
             planning_pass.planned_steps = [each.step for each in plannable]
         for each in plannable:
             each.step.planned_at = planning_pass.now
+            if self._must_leave_room(planning_pass, each):
+                continue
+            waiting_count = each.step.waiting_count
             self._plan_step(planning_pass, each.step, each.lateness)
+            if each.is_excess:
+                started = waiting_count - each.step.waiting_count
+                planning_pass.excess_cpu_milli -= each.step.need.cpu_milli * started
 
     def _find_plannable(
         self, planning_pass: PlanningPass, ranked: list[RankedStep]
--- a/siskinroad/work/planning_pass.py
+++ b/siskinroad/work/planning_pass.py
@@ -56,6 +56,9 @@
         Those that this pass plans; None for all of them.
     non_urgent_cpu_milli : float
         Thousandths of a processor still available to steps that are not urgent.
+    excess_cpu_milli : float
+        Thousandths of a processor available to urgent steps beyond the rate owed to
+        their account; the rest is for those that are owed and wait.
     excluded_hosts : set of str
         Hosts that a blocked large step withholds from the steps after it.
     has_withheld : bool
@@ -86,6 +89,7 @@
     channels: ChannelTimes | None = None
     planned_steps: list[StepRun] | None = None
     non_urgent_cpu_milli: float = 0.0
+    excess_cpu_milli: float = float("inf")
     trial_hosts: int = 0
     excluded_hosts: set[str] = field(default_factory=set)
     has_withheld: bool = False
--- a/siskinroad/work/wait_reasons.py
+++ b/siskinroad/work/wait_reasons.py
@@ -69,7 +69,7 @@
     NOT_EXAMINED = "not_examined"
 
 
-# Reasons that the steps planned first may be the cause of.
+# Reasons that the steps planned first, or the room left to them, may be the cause of.
 _SHORTAGES = frozenset(
     (
         WaitReason.ADVICE_NO_CHANNEL,
@@ -77,6 +77,9 @@
         WaitReason.TICKETED_HOSTS_FULL,
         WaitReason.RESERVED,
         WaitReason.DEFERRED,
+        WaitReason.TICKETS_STALE,
+        WaitReason.ADVICE_NOT_REQUESTED,
+        WaitReason.UNEXPLAINED,
     )
 )
 
