--- a/siskinroad/work/waiting_order.py
+++ b/siskinroad/work/waiting_order.py
@@ -67,7 +67,7 @@
     FLOOR_TURN = "floor_turn"
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class RankedStep:
     """Step in its place in the order, with why it has it.
 
@@ -93,7 +93,7 @@
         return (self.is_excess or self.is_over_share) and not self.has_floor_turn
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class _StepTimes:
     """Lateness of a step, its target time, and the seconds to the end of its job."""
 
@@ -190,14 +190,7 @@
         keyed: list[tuple[int, int, bool, float, float, int]] = []
         result: list[RankedStep] = []
         for ranked, times in found:
-            if ranked.step.key in turns:
-                ranked = RankedStep(
-                    ranked.step,
-                    ranked.lateness,
-                    ranked.is_excess,
-                    ranked.is_over_share,
-                    has_floor_turn=True,
-                )
+            ranked.has_floor_turn = ranked.step.key in turns
             keyed.append((*self._make_key(ranked, times), len(result)))
             result.append(ranked)
         keyed.sort()
