--- a/bench/burst_load.py
+++ b/bench/burst_load.py
@@ -66,7 +66,7 @@
     hot_factor: float = 7.0
     begin_s: float = 7.0
     burst_s: float = 4.0
-    end_s: float = 14.0
+    end_s: float = 17.0
     weight_factor: float = 1.5
     accounts: int = 20
     lasting_tasks: int = 150
@@ -110,7 +110,7 @@
         )
 
     def _weight(self, usual_per_s: float) -> float:
-        return usual_per_s * self.burst.weight_factor
+        return max(1.0, round(usual_per_s * self.burst.weight_factor))
 
     def _add_host(self, number: int) -> None:
         name = f"h{number:04}"
