Turn jobs away for load by a forecast of their end

Cause: every job was accepted once it was stored. In a burst beside one account that sends five to seven times its usual, all became late together, and some accepted jobs were never done.

Change: the owner of a pool sums its load five times a second, forecasts when a submitted job would end, and checks each forecast against what came true. As the pool's job writer it turns away, before anything is stored, what cannot end while it is of use, late work that makes less urgent work late, and jobs of an account over its weight while the pool is short. Callers are told to return spread over the room to come, and a job that returns counts from its first submission. Only where the settings file asks for it; a job beside free room, one with occurrences or lasting tasks, and a repeat of an accepted one are never turned away.

Ruled out: the forecast in heartbeats (every daemon would refuse by the same old numbers at once), and asking for it (two more messages a job). Judging a returned job by its return was tried: it took the place of jobs that could be in time.

--- a/siskinroad/work/advisor_channels.py
+++ b/siskinroad/work/advisor_channels.py
@@ -67,6 +67,14 @@
         channels = self._long if duration >= LONG_CALL_THRESHOLD else self._short
         return not channels or min(channels) <= MAX_CHANNEL_BACKLOG
 
+    def measure(self, duration: float) -> tuple[int, float]:
+        """Return the number of channels for a call, and the seconds until one is free.
+
+        Without any channel for calls of this length, there is no limit.
+        """
+        channels = self._long if duration >= LONG_CALL_THRESHOLD else self._short
+        return max(1, len(channels)), max(0.0, min(channels, default=0.0))
+
     def assign(self, duration: float) -> bool:
         """Assign a call of ``duration`` seconds to a channel if one is free.
 
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -9,6 +9,7 @@
 
 from siskinroad.errors import SiskinroadError
 from siskinroad.peers import PeerTransport
+from siskinroad.work.admission import LoadRefusal
 from siskinroad.work.advisor_channels import AdvisorChannels
 from siskinroad.work.claim_manager import ClaimManager
 from siskinroad.work.configuration_exchange import ConfigurationExchange
@@ -16,7 +17,7 @@
 from siskinroad.work.follower import Follower
 from siskinroad.work.host_list import HostList
 from siskinroad.work.job_service import JobService
-from siskinroad.work.job_writer import JobWriter
+from siskinroad.work.job_writer import JobRefusedError, JobWriter
 from siskinroad.work.key_check import KeyCheck, KeyLimits
 from siskinroad.work.loop_delay import LoopDelay
 from siskinroad.work.membership import Membership
@@ -40,11 +41,13 @@
 from siskinroad.work.platform_clients import PlatformClients
 from siskinroad.work.records import (
     MEMBERS_TOPIC,
+    Accepted,
     Member,
+    decode_stored,
     record_of,
 )
 from siskinroad.work.relay import RelayStore
-from siskinroad.work.store import NewestRecord
+from siskinroad.work.store import NewestRecord, Record
 from siskinroad.work.store_probe import StoreProbe
 from siskinroad.work.term import OwnerDependencies
 from siskinroad.work.workmetrics import WorkMetrics
@@ -86,6 +89,8 @@
     key_limits : KeyLimits, optional
         Limits on the use of callers' keys; by default none that needs a recent
         configuration.
+    sheds_load : bool
+        Whether jobs may be turned away for load.
     """
 
     def __init__(
@@ -98,6 +103,7 @@
         wall: Callable[[], float],
         processor: float = 0.0,
         key_limits: KeyLimits | None = None,
+        sheds_load: bool = False,
     ) -> None:
         self.member = member
         self.processor = processor
@@ -145,6 +151,7 @@
             wall,
             self.members.has_later_incarnation,
             self.loop_delay,
+            sheds_load,
         )
         self.claim_manager = ClaimManager(
             member,
@@ -166,6 +173,7 @@
             lambda: self.store.last_answer_at,
             self.metrics,
         )
+        self.job_writer.admit = self._admit
         decoder = platform_clients.decoder
         self.configuration_reader = ConfigurationReader(
             self.store, decoder, self.claim_manager.configure
@@ -363,6 +371,33 @@
         now = asyncio.get_running_loop().time()
         return self.members.job_writer(pool, now, self._make_heartbeat())
 
+    def _admit(self, pool: str, record: Record) -> Record:
+        """Return a submitted record as the pool's owner here lets it be stored.
+
+        Raises
+        ------
+        JobRefusedError
+            The owner turns the job away for load.
+        """
+        owner = self.owners.get(pool)
+        if owner is None or owner.admission_gate is None:
+            return record
+        try:
+            accepted = decode_stored(record.value)
+        except SiskinroadError as exc:
+            log.error(
+                "daemon: submitted record cannot be decoded; not turned away for load",
+                extra={"request": record.key, "pool": pool, "error": str(exc)},
+            )
+            return record
+        if not isinstance(accepted, Accepted):
+            return record
+        match owner.admit(accepted):
+            case LoadRefusal(reason=reason, retry_after_s=retry_after_s):
+                raise JobRefusedError(reason.value, retry_after_s)
+            case Accepted() as admitted:
+                return record if admitted is accepted else record_of(admitted)
+
     # Messages
 
     def _receive(self, peer: str, msg: Any) -> None:
--- a/siskinroad/work/job_service.py
+++ b/siskinroad/work/job_service.py
@@ -19,7 +19,7 @@
 from siskinroad.resources import Resources
 from siskinroad.work.configuration_reader import ConfigurationReader
 from siskinroad.work.job import JobState
-from siskinroad.work.job_writer import JobWriter
+from siskinroad.work.job_writer import JobRefusedError, JobWriter
 from siskinroad.work.key_check import ANONYMOUS, Caller, KeyCheck, KeyOutcome
 from siskinroad.work.messages import JobReply, JobRequest, SubmitOutcome
 from siskinroad.work.model import Configuration, JobSpec, Queue
@@ -241,9 +241,16 @@
             caller.account,
         )
         append_deadline = deadline - DEADLINE_MARGIN
-        outcome = await self._job_writer.store(
-            queue.pool, record_of(accepted), append_deadline
-        )
+        try:
+            outcome = await self._job_writer.store(
+                queue.pool, record_of(accepted), append_deadline
+            )
+        except JobRefusedError as exc:
+            # Its owner, which refuses it, does not know of the job.
+            refusal = CallerReply(
+                ReplyKind.NOT_NOW, reason=exc.reason, retry_after=exc.retry_after_s
+            )
+            return self._log_reply(job, "submit", refusal, queue)
         reply = self._make_submit_reply(outcome)
         if reply.kind is ReplyKind.NOT_NOW:
             return await self._refuse_unless_accepted(queue, job, reply, deadline)
--- a/siskinroad/work/job_writer.py
+++ b/siskinroad/work/job_writer.py
@@ -26,7 +26,7 @@
 )
 from siskinroad.work.workmetrics import WorkMetrics
 
-__all__ = ["JobWriter"]
+__all__ = ["JobRefusedError", "JobWriter"]
 
 # Seconds of the caller's time that are reserved for storing a job directly if the
 # job writer does not answer; the job writer has the rest.
@@ -40,6 +40,23 @@
 log = logging.getLogger("siskinroad.job_writer")
 
 
+class JobRefusedError(SiskinroadError):
+    """The pool's owner has turned a job away for load; nothing is stored.
+
+    Attributes
+    ----------
+    reason : str
+        Why the job was turned away.
+    retry_after_s : float
+        Seconds after which the caller should return.
+    """
+
+    def __init__(self, reason: str, retry_after_s: float) -> None:
+        super().__init__(reason, step="admission")
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
 class JobWriter:
     """The component that appends records to the pools' job topics.
 
@@ -53,6 +70,12 @@
         Returns whether a heartbeat of a daemon was received recently.
     last_store_answer_at : callable
         Returns the loop time of the store's last answer, direct or relayed.
+
+    Attributes
+    ----------
+    admit : callable
+        Returns the record to be stored for a new one, as a pool's owner on this daemon
+        has it; raises ``JobRefusedError`` if the owner turns it away for load.
     """
 
     def __init__(
@@ -74,6 +97,7 @@
         self._metrics = metrics
         self._batchers: dict[str, Batcher] = {}
         self._outcomes: dict[str, SubmitOutcome] = {}
+        self.admit: Callable[[str, Record], Record] = lambda pool, record: record
 
     async def store(self, pool: str, record: Record, deadline: float) -> SubmitOutcome:
         """Store a record through the job writer, or directly if that does not answer.
@@ -81,6 +105,11 @@
         Storing a record twice is harmless, as its key is unique. It is not stored
         directly where the job writer reports failure, because a slow partition
         would become slower.
+
+        Raises
+        ------
+        JobRefusedError
+            The pool's owner has turned the job away; it is not stored.
         """
         outcome = await self._submit_to_job_writer(pool, record, deadline)
         if outcome is not None:
@@ -96,6 +125,7 @@
         """Return the outcome from the job writer; None if it does not answer."""
         node = self._find_job_writer(pool)
         if node == self._node:
+            record = self._admit_if_new(pool, record)
             return await self.append(pool, record, deadline)
         remaining_s = deadline - asyncio.get_running_loop().time()
         remaining_s = max(remaining_s - DIRECT_APPEND_TIME, remaining_s / 2)
@@ -114,12 +144,27 @@
                 extra={"request": record.key, "peer": node, "error": str(exc)},
             )
             return None
+        if reply.refusal:
+            raise JobRefusedError(reply.refusal, reply.retry_after_s)
         return reply.outcome
 
+    def _admit_if_new(self, pool: str, record: Record) -> Record:
+        """Return what to store; one that may be stored already is never turned away."""
+        if self.recall(record.key) is not None:
+            return record
+        return self.admit(pool, record)
+
     async def accept(self, msg: SubmitRequest) -> SubmitReply:
-        """Store a job on behalf of another daemon."""
+        """Store a job on behalf of another daemon, or turn it away."""
         deadline = asyncio.get_running_loop().time() + msg.remaining_s - REPLY_MARGIN
         record = Record(msg.key, msg.value)
+        try:
+            record = self._admit_if_new(msg.pool, record)
+        except JobRefusedError as exc:
+            # An earlier version of the sender reads only that nothing is stored.
+            return SubmitReply(
+                msg.id, SubmitOutcome.NOT_DONE, exc.reason, exc.retry_after_s
+            )
         return SubmitReply(msg.id, await self.append(msg.pool, record, deadline))
 
     async def append(self, pool: str, record: Record, deadline: float) -> SubmitOutcome:
--- a/siskinroad/work/messages.py
+++ b/siskinroad/work/messages.py
@@ -189,10 +189,21 @@
 
 
 class SubmitReply(msgspec.Struct, tag="submit!", frozen=True, array_like=True):
-    """Reply to a ``SubmitRequest``."""
+    """Reply to a ``SubmitRequest``.
+
+    Attributes
+    ----------
+    refusal : str
+        Why the pool's owner has turned the job away for load, and so not stored it;
+        empty if it has not.
+    retry_after_s : float
+        Seconds after which the caller of a job that was turned away should return.
+    """
 
     id: int
     outcome: SubmitOutcome
+    refusal: str = ""
+    retry_after_s: float = 0.0
 
 
 class AdviceRequest(msgspec.Struct, tag="advice?", frozen=True, array_like=True):
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -7,6 +7,8 @@
 from collections import Counter
 
 from siskinroad.errors import SiskinroadError
+from siskinroad.work.admission import LoadRefusal
+from siskinroad.work.admission_gate import AdmissionGate
 from siskinroad.work.claim import InheritedState, release_pool
 from siskinroad.work.effects import (
     Effect,
@@ -91,6 +93,9 @@
         self.pool_state.queues.update(known_queues)
         self.pool_state.configure(configuration)
         self.planner = Planner(self.pool_state)
+        self.admission_gate: AdmissionGate | None = None
+        if dependencies.sheds_load:
+            self.admission_gate = AdmissionGate(self.term, self.planner)
         self.planning_report = PlanningReport(
             self.term, asyncio.get_running_loop().time()
         )
@@ -372,6 +377,9 @@
             self.pool_state.open_due(now, wall, EARLY_START_TIME)
             effects += self.run_monitor.check_runs(now, wall)
             self._execute_effects(effects)
+            if self.admission_gate is not None:
+                channels = self.dependencies.advisor_channels.channel_times(now)
+                self.admission_gate.refresh_if_due(now, wall, channels)
             if self.progress.has_unstored_changes:
                 self.term.flush_requested.set()
             self.term.plan_requested.set()
@@ -451,6 +459,20 @@
             ) from None
         return True
 
+    def admit(self, accepted: Accepted) -> Accepted | LoadRefusal:
+        """Return a job as it may be stored, or why it is turned away for load.
+
+        An owner whose claim or records are not fresh turns nothing away: the job may
+        have been accepted by another owner or through another daemon.
+        """
+        loop = asyncio.get_running_loop()
+        age_s = loop.time() - self.follower.confirmed_at
+        if self.admission_gate is None or not self.term.is_owner_confirmed():
+            return accepted
+        if age_s > MAX_RECORD_AGE:
+            return accepted
+        return self.admission_gate.decide(accepted, loop.time())
+
     def count_pending(self, queue: str) -> int:
         """Return the number of accepted jobs of a queue that have not started."""
         self._require_fresh_records()
--- a/siskinroad/work/term.py
+++ b/siskinroad/work/term.py
@@ -42,6 +42,8 @@
         Returns whether a later incarnation of a daemon than the one given is known.
     loop_delay : LoopDelay
         Recent delays of the daemon's event loop.
+    sheds_load : bool
+        Whether an owner may turn jobs away for load.
     """
 
     node: str
@@ -54,6 +56,7 @@
     wall: Callable[[], float]
     has_later_incarnation: Callable[[str, int], bool]
     loop_delay: LoopDelay
+    sheds_load: bool = False
 
 
 class Term:
--- a/siskinroad/work/workmetrics.py
+++ b/siskinroad/work/workmetrics.py
@@ -67,6 +67,24 @@
             ("queue", "data_centre", "result"),
             registry=reg,
         )
+        self.turned_away = Counter(
+            "siskinroad_jobs_turned_away",
+            "Jobs turned away for load by their pool's owner.",
+            ("queue", "account", "reason"),
+            registry=reg,
+        )
+        self.forecast_error = Gauge(
+            "siskinroad_forecast_error_seconds",
+            "Mean distance between the forecast and the actual end of a job.",
+            ("queue",),
+            registry=reg,
+        )
+        self.forecast_trusted = Gauge(
+            "siskinroad_forecast_trusted",
+            "1 if jobs may be turned away on the forecast of their queue.",
+            ("queue",),
+            registry=reg,
+        )
         self.late_ends = Counter(
             "siskinroad_late_ends",
             "Ends listed for runs that were ended without one.",
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -48,6 +48,14 @@
     assert parse_platform_settings(without_table, "s").processor == 0.0
 
 
+def test_load_is_shed_only_where_the_file_asks_for_it():
+    assert not parse_platform_settings(SETTINGS, "s").sheds_load
+    others = 'invariants = ["base", "sched"]\n' + SETTINGS
+    assert not parse_platform_settings(others, "s").sheds_load
+    asked = 'invariants = ["base", "pressure"]\n' + SETTINGS
+    assert parse_platform_settings(asked, "s").sheds_load
+
+
 @pytest.mark.parametrize(
     ("old", "new", "place"),
     [
--- a/tests/work/cell.py
+++ b/tests/work/cell.py
@@ -99,6 +99,7 @@
         self.advisor = MemoryAdvisor()
         self.daemons = {}
         self.incarnations = 0
+        self.sheds_load = False
         version = str(configuration).encode()
         self.logs.append("keyed.setup", [Record("config", version)], None, None)
         for i in range(hosts):
@@ -134,6 +135,7 @@
             Timing(status_retention_s=120.0),
             lambda: asyncio.get_running_loop().time(),
             processor,
+            sheds_load=self.sheds_load,
         )
         daemon.start()
         self.daemons[name] = daemon
