Look at the hosts once more before a job is turned away

Cause: the summary of the load is up to 0.2 s old.

Change: what would be turned away is checked against the hosts and the waiting steps as they are. The time to drain what is ahead has a module of its own.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -15,6 +15,7 @@
 from bench.clock import run_on_paused_clock
 from siskinroad.resources import Resources
 from siskinroad.work.admission import Admission
+from siskinroad.work.forecast_check import MIN_SAMPLES
 from siskinroad.work.hosts import HostReport
 from siskinroad.work.job import make_job
 from siskinroad.work.load_forecast import LoadForecast
@@ -68,6 +69,9 @@
     for _ in range(SUMMARIES):
         forecast.refresh(hosts, 0.0, {}, (), 0.1, 0.1)
     summary_s = (time.process_time() - began) / SUMMARIES
+    for queue in QUEUES:
+        # Jobs are turned away only on a forecast that has proved right.
+        forecast.check.accuracy(queue.name).samples = MIN_SAMPLES
     admission = Admission(pool_state, forecast)
     submitted = [_make_accepted(jobs + n) for n in range(DECISIONS)]
     took_s = []
--- a/siskinroad/work/admission.py
+++ b/siskinroad/work/admission.py
@@ -122,7 +122,7 @@
         if forecast is None or _is_exempt(job):
             return self._accept(queue, job, forecast, is_over_weight, now)
         reason = self._find_reason(job, forecast, is_over_weight, now)
-        if reason is None:
+        if reason is None or self._forecast.has_room_now(queue, forecast):
             return self._accept(queue, job, forecast, is_over_weight, now)
         return self._refuse(queue, job, forecast, reason, is_over_weight, now)
 
--- a/siskinroad/work/load_forecast.py
+++ b/siskinroad/work/load_forecast.py
@@ -16,11 +16,11 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
 from siskinroad.work.advisor_silence import AdvisorSilence
+from siskinroad.work.drain_time import MIN_CAPACITY_FRACTION, compute_drain_s
 from siskinroad.work.forecast_check import ForecastCheck, ForecastRecord
 from siskinroad.work.host import Host
 from siskinroad.work.job import Job
@@ -29,6 +29,7 @@
     Held,
     LoadSummary,
     Work,
+    count_free,
     summarize_load,
 )
 from siskinroad.work.model import Queue
@@ -38,8 +39,6 @@
 
 # Seconds over which the rate of arriving work is measured.
 ARRIVAL_PERIOD_S = 2.0
-# Least fraction of the pool that a class is assumed to get beside more urgent work.
-MIN_CAPACITY_FRACTION = 0.05
 # Seconds after which an accepted job that was not read is taken as not stored.
 MAX_STORE_TIME_S = 5.0
 # Fraction of the pool that one step may fill at once; a wider one runs in waves.
@@ -137,6 +136,7 @@
         self._arrivals: dict[int, float] = {}
         self._advisor_silence = AdvisorSilence(pool_state)
         self._number = 0
+        self._hosts: list[Host] = []
         self._unread: dict[str, _UnreadJob] = {}
 
     def refresh(
@@ -163,10 +163,11 @@
         self._number += 1
         self._advisor_room = advisor_room
         self._advisor_silence.refresh(now)
+        self._hosts = list(hosts)
         self.summary = summarize_load(
             self._number,
             self._pool_state,
-            hosts,
+            self._hosts,
             headroom_cpu,
             over_weight_jobs,
             now,
@@ -254,6 +255,23 @@
             record,
         )
 
+    def has_room_now(self, queue: Queue, forecast: Forecast) -> bool:
+        """Return whether capacity is free for a job beside all that waits by now.
+
+        Work may have been done since the summary; asked before a job is turned away.
+        """
+        cpu, accelerators = count_free(self._pool_state, self._hosts)
+        if forecast.work.cpu > cpu:
+            return False
+        for name, unread in self._unread.items():
+            if name not in self._pool_state.jobs:
+                cpu -= unread.work.cpu
+                accelerators -= unread.work.accelerators
+        if queue.priority and self.summary is not None:
+            cpu -= self.summary.headroom_cpu
+        work = forecast.work
+        return work.cpu <= cpu and work.accelerators <= accelerators
+
     def note_accepted(
         self, queue: Queue, job: Job, forecast: Forecast, *, is_over_weight: bool
     ) -> None:
@@ -307,7 +325,9 @@
         capacity = self._class_capacity(summary, queue.priority, is_late=is_late)
         cpu_s, accelerator_s = self._ahead(summary, queue.priority, is_late=is_late)
         used_cpu = max(room.cpu - room.free_cpu, 1.0)
-        wait_s = _drain_s(cpu_s, capacity, self._less_urgent(summary, queue.priority))
+        wait_s = compute_drain_s(
+            cpu_s, capacity, self._less_urgent(summary, queue.priority)
+        )
         wait_s += room.cpu_rest_s * min(1.0, first.cpu / used_cpu)
         if not first.accelerators:
             return wait_s
@@ -372,32 +392,6 @@
         return False
 
 
-def _drain_s(work_s: float, capacity: float, held: Held) -> float:
-    """Return the seconds in which a class works through what is ahead of it.
-
-    Less urgent runs hold a part of its capacity, which comes free at a steady rate.
-
-    Parameters
-    ----------
-    work_s : float
-        Processor-seconds ahead.
-    capacity : float
-        Processors once the less urgent runs have ended.
-    """
-    least = capacity * MIN_CAPACITY_FRACTION
-    begin = max(least, capacity - held.cpu)
-    gained = capacity - begin
-    if gained <= 0 or held.rest_cpu_s <= 0:
-        return work_s / capacity
-    # Runs that end evenly over this time have half of it left on average.
-    period_s = 2 * held.rest_cpu_s / held.cpu
-    done_s = (begin + gained / 2) * period_s
-    if work_s >= done_s:
-        return period_s + (work_s - done_s) / capacity
-    slope = gained / period_s
-    return (math.sqrt(begin**2 + 2 * slope * work_s) - begin) / slope
-
-
 def _measure_job(job: Job, run_time_ratio: float) -> tuple[Work, Work]:
     """Return the work of a job, and that of the steps that come first."""
     work, first = Work(), Work()
--- a/siskinroad/work/load_summary.py
+++ b/siskinroad/work/load_summary.py
@@ -31,6 +31,7 @@
     "Room",
     "WaitingLoad",
     "Work",
+    "count_free",
     "sample_steps",
     "summarize_load",
 ]
@@ -38,6 +39,8 @@
 # Multiple of a job's allowed time until which its result is of use to its caller.
 USEFUL_TIME_FACTOR = 3.0
 MILLI = 0.001
+# Most ready steps that are looked through for one decision.
+MAX_LIVE_STEPS = 500
 # Most steps that one summary examines.
 MAX_EXAMINED_STEPS = 5000
 
@@ -241,6 +244,29 @@
     return room
 
 
+def count_free(pool_state: PoolState, hosts: Iterable[Host]) -> tuple[float, float]:
+    """Return the processors and accelerators free beside all that waits right now.
+
+    Negative as soon as more waits than is free; with more than ``MAX_LIVE_STEPS`` ready
+    steps, which take too long to look through, nothing counts as free.
+    """
+    if len(pool_state.ready) > MAX_LIVE_STEPS:
+        return -1.0, -1.0
+    cpu_milli = accelerators = 0
+    for host in hosts:
+        capacity, used = host.entry.capacity, host.used
+        cpu_milli += max(0, capacity.cpu_milli - used.cpu_milli)
+        accelerators += max(0, capacity.accelerators - used.accelerators)
+    for step in pool_state.ready.values():
+        count = step.waiting_count
+        if count:
+            cpu_milli -= step.need.cpu_milli * count
+            accelerators -= step.need.accelerators * count
+            if cpu_milli < 0 or accelerators < 0:
+                break
+    return cpu_milli * MILLI, float(accelerators)
+
+
 class _WaitingAdder:
     """Adder of waiting steps to a summary, with what they have in common kept."""
 
