--- a/siskinroad/work/term.py
+++ b/siskinroad/work/term.py
@@ -48,6 +48,8 @@
         Limits of the client accounts that the daemon has seen.
     account_peers : AccountPeers or None
         Way to the owners of the other pools; None if there is none.
+    sheds_load : bool
+        Whether an owner may turn jobs away for load.
     """
 
     node: str
@@ -62,6 +64,7 @@
     loop_delay: LoopDelay
     account_limits: AccountLimits = field(default_factory=AccountLimits)
     account_peers: AccountPeers | None = None
+    sheds_load: bool = False
 
 
 class Term:
