Let work of an uneven pool go to fast or slow hosts by the time it has left

Cause: placement takes the smallest gap, so urgent short tasks start on hosts that take twice as long as others that are free, and wide tasks with time left hold the fast ones.

Change: host_speeds learns from ends how fast a host is against the median host; speed_preference says which hosts a step takes first; placement orders by it after the tickets. Without a clearly slower or faster host the order is that of before. The ratio of a queue and the speed of a host are told apart.

--- a/siskinroad/work/advice_requester.py
+++ b/siskinroad/work/advice_requester.py
@@ -325,7 +325,7 @@
             run = host.runs.get((task.id, task.run)) if host is not None else None
             if run is None or run.state != "running":
                 return False
-            if speed_estimates.remaining_s(run, now) > limit_s:
+            if speed_estimates.remaining_s(run, now, task.host) > limit_s:
                 return False
         return True
 
--- /dev/null
+++ b/siskinroad/work/host_speeds.py
@@ -0,0 +1,181 @@
+"""Learned speeds of a pool's hosts, from the run times of their tasks.
+
+Load pattern: some hosts of a pool are constantly slower than the others, and a few in a
+hundred tasks take many times as long as their like on any host. A host is judged by the
+median of its newest run times, each relative to what its queue's tasks take on a
+typical host, so that no single long task or job decides. Hosts of nearly the same speed
+count as equal: until a host is clearly slower or faster than the median host, nothing
+changes. What is known of a host ends with its incarnation and grows old.
+
+Nothing here does I/O. Loop times are passed as ``now`` in seconds.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+import statistics
+from collections import deque
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+__all__ = ["HostSpeeds", "SpeedSample"]
+
+# Newest run times by which a host is judged.
+MAX_SAMPLES = 9
+# Run times, and jobs that they come from, before a host is judged: the declared time of
+# a single job may be far off.
+MIN_SAMPLES = 5
+MIN_JOBS = 3
+# Seconds after which a run time counts no more, so that a host which gets no work is
+# tried again.
+MAX_SAMPLE_AGE_S = 20.0
+# Ratio to the median host from which a host counts as slower or faster. Tasks of one
+# queue differ by about a third, and hosts of one make by a quarter.
+UNEVEN_RATIO = 1.5
+# Hosts that must be judged before they are compared.
+MIN_HOSTS = 4
+# Seconds between two comparisons of the hosts.
+COMPARE_INTERVAL_S = 0.25
+
+log = logging.getLogger("siskinroad.host_speeds")
+
+
+@dataclass(slots=True, frozen=True)
+class SpeedSample:
+    """Run time of one task on a host.
+
+    Attributes
+    ----------
+    ratio : float
+        Ratio to the time that tasks of its queue take on a typical host.
+    at : float
+        Loop time in seconds at which the run ended.
+    """
+
+    job: str
+    ratio: float
+    at: float
+
+
+@dataclass(slots=True)
+class _HostSamples:
+    """Newest run times of one incarnation of a host."""
+
+    incarnation_ms: int
+    samples: deque[SpeedSample] = field(
+        default_factory=lambda: deque(maxlen=MAX_SAMPLES)
+    )
+
+    def find_median(self, now: float) -> float | None:
+        """Return the median of the newest ratios; None without enough of them."""
+        recent = [s for s in self.samples if now - s.at <= MAX_SAMPLE_AGE_S]
+        if len(recent) < MIN_SAMPLES or len({s.job for s in recent}) < MIN_JOBS:
+            return None
+        return statistics.median(sample.ratio for sample in recent)
+
+
+class HostSpeeds:
+    """Learned speeds of the hosts of one pool.
+
+    Attributes
+    ----------
+    slowdowns : dict of str to float
+        Ratio of run times on a host to those on the median host, of the hosts that are
+        clearly slower (above 1) or faster (below 1); others are missing.
+    largest_slowdown : float
+        Largest of these ratios, or 1.
+    """
+
+    def __init__(self) -> None:
+        self.slowdowns: dict[str, float] = {}
+        self.largest_slowdown = 1.0
+        self._hosts: dict[str, _HostSamples] = {}
+        self._compared_at = -1e9
+
+    def record_run(self, host: str, incarnation_ms: int, sample: SpeedSample) -> None:
+        """Add the run time of a successful run; forget earlier incarnations."""
+        known = self._hosts.get(host)
+        if known is None or known.incarnation_ms != incarnation_ms:
+            self._hosts[host] = known = _HostSamples(incarnation_ms)
+            self.slowdowns.pop(host, None)
+        known.samples.append(sample)
+
+    def remove_host(self, host: str) -> None:
+        """Forget a host that was removed, restarted or replaced."""
+        self._hosts.pop(host, None)
+        self.slowdowns.pop(host, None)
+
+    def slowdown(self, host: str) -> float:
+        """Return the ratio of run times on a host to those on the median host."""
+        return self.slowdowns.get(host, 1.0)
+
+    def speed_class(self, host: str) -> int:
+        """Return a host's slowdown in powers of two, so that noise orders no hosts.
+
+        It is 0 for a typical host, negative for a faster one.
+        """
+        slowdown = self.slowdowns.get(host)
+        if slowdown is None:
+            return 0
+        exponent = max(1, round(abs(math.log2(slowdown))))
+        return exponent if slowdown > 1.0 else -exponent
+
+    def compare_if_due(self, now: float) -> None:
+        """Compare the hosts, if the last comparison is old enough."""
+        if now - self._compared_at < COMPARE_INTERVAL_S:
+            return
+        self._compared_at = now
+        slowdowns = _compare(
+            (name, samples.find_median(now)) for name, samples in self._hosts.items()
+        )
+        self._log_changes(slowdowns, now)
+        self.slowdowns = slowdowns
+        self.largest_slowdown = max(1.0, max(slowdowns.values(), default=1.0))
+
+    def count_by_bucket(self, bounds: Iterable[float]) -> dict[float, int]:
+        """Return the number of hosts up to each slowdown, beyond the bound before."""
+        counts = dict.fromkeys(bounds, 0)
+        for name in self._hosts:
+            slowdown = self.slowdown(name)
+            bound = next((b for b in counts if slowdown <= b), None)
+            if bound is not None:
+                counts[bound] += 1
+        return counts
+
+    def _log_changes(self, slowdowns: Mapping[str, float], now: float) -> None:
+        """Log the hosts that have come to count as slower, faster or typical."""
+        for name in slowdowns.keys() ^ self.slowdowns.keys():
+            known = self._hosts.get(name)
+            samples = known.samples if known is not None else ()
+            oldest_s = now - samples[0].at if samples else 0.0
+            log.info(
+                "host_speeds: host counts as %s",
+                _describe(slowdowns.get(name, 1.0)),
+                extra={
+                    "host": name,
+                    "slowdown": round(slowdowns.get(name, 1.0), 2),
+                    "samples": len(samples),
+                    "oldest_sample_s": round(oldest_s, 2),
+                },
+            )
+
+
+def _compare(medians: Iterable[tuple[str, float | None]]) -> dict[str, float]:
+    """Return the slowdowns of the hosts that clearly differ from the median host."""
+    known = {name: median for name, median in medians if median is not None}
+    if len(known) < MIN_HOSTS:
+        return {}
+    typical = statistics.median(known.values())
+    slowdowns: dict[str, float] = {}
+    for name, median in known.items():
+        ratio = median / typical
+        if not 1 / UNEVEN_RATIO < ratio < UNEVEN_RATIO:
+            slowdowns[name] = ratio
+    return slowdowns
+
+
+def _describe(slowdown: float) -> str:
+    if slowdown > 1.0:
+        return "slower"
+    return "faster" if slowdown < 1.0 else "typical"
--- a/siskinroad/work/placement.py
+++ b/siskinroad/work/placement.py
@@ -14,6 +14,10 @@
     step_allows_host,
     task_avoids_host,
 )
+from siskinroad.work.speed_preference import (
+    SpeedPreference,
+    choose_speed_preference,
+)
 from siskinroad.work.step_advice import TICKET_MARGIN
 
 __all__ = ["place_tasks"]
@@ -63,6 +67,7 @@
 
     With the same rack penalty, hosts with a usable ticket come first: a step that chose
     by capacity alone could renew tickets again and again, each time for other hosts.
+    Among these, the speed of the hosts decides if it is uneven; `speed_preference`.
 
     Placing a task changes only the cost of its own host, so the hosts are kept in a
     heap by cost, and only the changed one is entered again.
@@ -88,6 +93,8 @@
         self._costs: dict[Host, Cost] = {}
         self._heap: list[tuple[Cost, int]] = []
         self._trial_hosts: set[Host] = set()
+        self._host_speeds = planning_pass.pool_state.speed_estimates.host_speeds
+        self._speed_preference = choose_speed_preference(planning_pass, step)
 
     def place(self, cpu_milli: float) -> TentativePlacement:
         """Place tasks until none fits, or ``cpu_milli`` processors are used."""
@@ -193,7 +200,8 @@
         cost: Cost = ()
         if self._has_choice:
             rack_penalty, *others = self._compute_cost(host, available)
-            cost = (rack_penalty, self._has_stale_ticket(host), *others)
+            speed_cost = self._compute_speed_cost(host)
+            cost = (rack_penalty, self._has_stale_ticket(host), speed_cost, *others)
         self._costs[host] = cost
         position = self._pass.schedulable_hosts.positions[host.name]
         heapq.heappush(self._heap, (cost, position))
@@ -204,6 +212,16 @@
         valid_until = self._step.tickets[host.name].valid_until
         return valid_until - TICKET_MARGIN <= self._pass.now
 
+    def _compute_speed_cost(self, host: Host) -> int:
+        """Return the cost of a host's speed; the same everywhere without a choice."""
+        match self._speed_preference:
+            case SpeedPreference.NONE:
+                return 0
+            case SpeedPreference.FAST:
+                return self._host_speeds.speed_class(host.name)
+            case SpeedPreference.SLOW:
+                return -self._host_speeds.speed_class(host.name)
+
     def _compute_cost(self, host: Host, available: Resources) -> Cost:
         """Return the cost of placing a task on a host, as a tuple; the lowest wins.
 
--- a/siskinroad/work/run_end_table.py
+++ b/siskinroad/work/run_end_table.py
@@ -40,6 +40,7 @@
         self, host: Host, end: RunEnd, now: float, wall: float
     ) -> list[Effect]:
         run = host.runs.get((end.task, end.run))
+        step = self.step(end.task)
         if run is not None:
             run.move("end")
             self._remove_run(host, run)
@@ -48,10 +49,9 @@
                 and run.begun_at
                 and not run.progress_at_begin
             ):
-                self.speed_estimates.record_run(
-                    run.queue, run.declared_s, now - run.begun_at
+                self.speed_estimates.record_end(
+                    host, run, now, is_of_host=_tells_host_speed(host, step)
                 )
-        step = self.step(end.task)
         task = step.job.task(end.task) if step else None
         if step is None or task is None:
             return []
@@ -64,6 +64,8 @@
                 "host": host.name,
                 "how": end.end_kind.value,
                 "run_s": round(now - run.begun_at, 2) if run and run.begun_at else None,
+                "declared_s": run.declared_s if run else None,
+                "slowdown": self.speed_estimates.host_speeds.slowdown(host.name),
             },
         )
         if end.run in task.presumed_ends:
@@ -203,3 +205,13 @@
             "pool_state: host not quarantined, as too many others are",
             extra={"host": host.name, "why": reason, "hosts": len(self.hosts)},
         )
+
+
+def _tells_host_speed(host: Host, step: StepRun | None) -> bool:
+    """Return whether the time of a step's run depends on no other host and no link.
+
+    The members of a gang wait for each other, and a task away from its data for these.
+    """
+    if step is None or step.spec.gang:
+        return False
+    return not step.spec.data_rack or step.spec.data_rack == host.entry.rack
--- a/siskinroad/work/run_ends.py
+++ b/siskinroad/work/run_ends.py
@@ -63,6 +63,9 @@
 
     def _compute_ends(self, host: Host, now: float) -> list[tuple[float, Resources]]:
         remaining_s = self._speed_estimates.remaining_s
-        ends = [(now + remaining_s(run, now), run.need) for run in host.runs.values()]
+        ends = [
+            (now + remaining_s(run, now, host.name), run.need)
+            for run in host.runs.values()
+        ]
         ends.sort(key=lambda end: end[0])
         return ends
--- a/siskinroad/work/run_monitor.py
+++ b/siskinroad/work/run_monitor.py
@@ -89,6 +89,7 @@
 
     def check_runs(self, now: float, wall: float) -> list[Effect]:
         """Check every host and return the commands that stop or throttle its runs."""
+        self.pool_state.speed_estimates.host_speeds.compare_if_due(now)
         effects: list[Effect] = []
         for host in list(self.pool_state.hosts.values()):
             if host.runs:
@@ -212,14 +213,14 @@
             step = self.pool_state.step(run.key[0])
             if run.state != "running" or step is None:
                 continue
-            if self._should_stop_before_leave(run, step, stay_s, now):
+            if self._should_stop_before_leave(host, run, step, stay_s, now):
                 effects += self.pool_state.stop(
                     host, run, "host leaves before the run ends"
                 )
         return effects
 
     def _should_stop_before_leave(
-        self, run: Run, step: StepRun, stay_s: float, now: float
+        self, host: Host, run: Run, step: StepRun, stay_s: float, now: float
     ) -> bool:
         """Return whether to stop a run when its host leaves in ``stay_s`` seconds."""
         if step.spec.long_running:
@@ -229,7 +230,8 @@
             if step.spec.checkpoints
             else stay_s + LEAVE_OVERSTAY_S
         )
-        return self.pool_state.speed_estimates.remaining_s(run, now) > limit_s
+        remaining_s = self.pool_state.speed_estimates.remaining_s(run, now, host.name)
+        return remaining_s > limit_s
 
     def _throttle_best_effort(self, host: Host, now: float) -> list[Effect]:
         """Throttle best-effort tasks by the response tails of the tasks beside them."""
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -275,6 +275,7 @@
         self.forget_advice(host.name)
         self._next_tokens[host.name] = host.token + 1
         self.health.remove_host(host.name)
+        self.speed_estimates.host_speeds.remove_host(host.name)
         host.index = RunIndex()
 
     def expire_silent_hosts(self, now: float) -> list[Effect]:
--- a/siskinroad/work/speed_estimates.py
+++ b/siskinroad/work/speed_estimates.py
@@ -1,7 +1,8 @@
 """Estimates of run times and host speeds, from the progress and ends of runs.
 
 Declared run times are off by a factor that is much the same for all tasks of a queue.
-The factor is learned per queue; a remaining deviation is attributed to the host.
+The factor is learned per queue, as it is on a host of typical speed; a remaining
+deviation is attributed to the host, whose lasting speed `host_speeds` learns.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from siskinroad.work.host import Host, Run
+from siskinroad.work.host_speeds import HostSpeeds, SpeedSample
 
 __all__ = ["SpeedEstimates", "extrapolate_total_s"]
 
@@ -37,9 +39,40 @@
 
 @dataclass(slots=True)
 class SpeedEstimates:
-    """Learned ratios of actual to declared run times, by queue."""
+    """Learned ratios of actual to declared run times, by queue, and speeds of hosts.
+
+    Attributes
+    ----------
+    host_speeds : HostSpeeds
+        Learned speeds of the pool's hosts.
+    """
 
     queues: dict[str, _QueueRatio] = field(default_factory=dict)
+    host_speeds: HostSpeeds = field(default_factory=HostSpeeds)
+
+    def record_end(self, host: Host, run: Run, now: float, *, is_of_host: bool) -> None:
+        """Add a successful run to the ratio of its queue and the speed of its host.
+
+        The speed of the host is taken out of the ratio of the queue, so that a queue
+        whose tasks go to slow hosts doesn't make these seem fast.
+
+        Parameters
+        ----------
+        is_of_host : bool
+            Whether the run time tells the speed of the host, not that of other hosts
+            or of a link.
+        """
+        seconds = now - run.begun_at
+        if not is_of_host or run.long_running or run.filler:
+            self.record_run(run.queue, run.declared_s, seconds)
+            return
+        expected_s = self.expected_s(run.queue, run.declared_s)
+        slowdown = self.host_speeds.slowdown(host.name)
+        self.record_run(run.queue, run.declared_s, seconds / slowdown)
+        if expected_s is None or seconds <= 0:
+            return
+        sample = SpeedSample(run.key[0].job, seconds / expected_s, now)
+        self.host_speeds.record_run(host.name, host.incarnation_ms, sample)
 
     def record_run(self, queue: str, declared_s: float, seconds: float) -> None:
         """Add the run time of a successful run to the ratio of its queue."""
@@ -78,21 +111,21 @@
         total_s = extrapolate_total_s(run)
         return None if total_s is None else total_s / expected_s
 
-    def remaining_s(self, run: Run, now: float) -> float:
+    def remaining_s(self, run: Run, now: float, host: str = "") -> float:
         """Return the estimated seconds until a run ends.
 
-        Extrapolates the run's progress; before that is possible, uses the declared time
-        and the ratio of the queue. Infinite for a long-running task, and for one
-        without a declared time that cannot be extrapolated yet.
+        Extrapolates the run's progress; before that is possible, uses the declared
+        time, the ratio of the queue and the speed of ``host``. Infinite for a
+        long-running task, and for one without a declared time that cannot be
+        extrapolated yet.
         """
         if run.long_running:
             return float("inf")
         total_s = extrapolate_total_s(run)
         if total_s is None:
             declared_remaining_s = run.declared_s * (100 - run.progress_at_begin) / 100
-            total_s = declared_remaining_s * self.run_time_ratio(run.queue) or float(
-                "inf"
-            )
+            ratio = self.run_time_ratio(run.queue) * self.host_speeds.slowdown(host)
+            total_s = declared_remaining_s * ratio or float("inf")
         begun_at = run.begun_at or now
         return max(0.0, total_s - (now - begun_at))
 
