Judge a host by the medians of its newest jobs, and tell its speed from its queue's

Change: runs on hosts that differ teach the queue nothing; a host counts as typical again only below 1.3.

--- a/siskinroad/work/host_speeds.py
+++ b/siskinroad/work/host_speeds.py
@@ -2,7 +2,7 @@
 
 Load pattern: some hosts of a pool are constantly slower than the others, and a few in a
 hundred tasks take many times as long as their like on any host. A host is judged by the
-median of its newest run times, each relative to what its queue's tasks take on a
+median of its newest jobs' run times, relative to what their queues' tasks take on a
 typical host, so that no single long task or job decides. Hosts of nearly the same speed
 count as equal: until a host is clearly slower or faster than the median host, nothing
 changes. What is known of a host ends with its incarnation and grows old.
@@ -22,7 +22,7 @@
 __all__ = ["HostSpeeds", "SpeedSample"]
 
 # Newest run times by which a host is judged.
-MAX_SAMPLES = 9
+MAX_SAMPLES = 18
 # Run times, and jobs that they come from, before a host is judged: the declared time of
 # a single job may be far off.
 MIN_SAMPLES = 5
@@ -30,13 +30,15 @@
 # Seconds after which a run time counts no more, so that a host which gets no work is
 # tried again.
 MAX_SAMPLE_AGE_S = 20.0
-# Ratio to the median host from which a host counts as slower or faster. Tasks of one
-# queue differ by about a third, and hosts of one make by a quarter.
+# Ratio to the median host from which a host counts as slower or faster, and below which
+# it no longer does. Tasks of one queue differ by about a third, and hosts of one make
+# by a quarter.
 UNEVEN_RATIO = 1.5
+EVEN_RATIO = 1.3
 # Hosts that must be judged before they are compared.
 MIN_HOSTS = 4
 # Seconds between two comparisons of the hosts.
-COMPARE_INTERVAL_S = 0.25
+COMPARE_INTERVAL_S = 0.5
 
 log = logging.getLogger("siskinroad.host_speeds")
 
@@ -68,11 +70,16 @@
     )
 
     def find_median(self, now: float) -> float | None:
-        """Return the median of the newest ratios; None without enough of them."""
-        recent = [s for s in self.samples if now - s.at <= MAX_SAMPLE_AGE_S]
-        if len(recent) < MIN_SAMPLES or len({s.job for s in recent}) < MIN_JOBS:
+        """Return the median ratio of the newest jobs; None without enough of them."""
+        by_job: dict[str, list[float]] = {}
+        count = 0
+        for sample in self.samples:
+            if now - sample.at <= MAX_SAMPLE_AGE_S:
+                by_job.setdefault(sample.job, []).append(sample.ratio)
+                count += 1
+        if count < MIN_SAMPLES or len(by_job) < MIN_JOBS:
             return None
-        return statistics.median(sample.ratio for sample in recent)
+        return statistics.median(map(statistics.median, by_job.values()))
 
 
 class HostSpeeds:
@@ -91,6 +98,7 @@
         self.slowdowns: dict[str, float] = {}
         self.largest_slowdown = 1.0
         self._hosts: dict[str, _HostSamples] = {}
+        self._ratios: dict[str, float] = {}
         self._compared_at = -1e9
 
     def record_run(self, host: str, incarnation_ms: int, sample: SpeedSample) -> None:
@@ -110,6 +118,17 @@
         """Return the ratio of run times on a host to those on the median host."""
         return self.slowdowns.get(host, 1.0)
 
+    def typical_s(self, host: str, seconds: float) -> float | None:
+        """Return what a run on a host would have taken on the median host.
+
+        Returns None for a host that is clearly slower or faster: what its tasks would
+        take elsewhere is then only as certain as its own slowdown. In an even pool,
+        this is the run time itself.
+        """
+        if host in self.slowdowns:
+            return None
+        return seconds / self._ratios.get(host, 1.0) if self.slowdowns else seconds
+
     def speed_class(self, host: str) -> int:
         """Return a host's slowdown in powers of two, so that noise orders no hosts.
 
@@ -126,9 +145,14 @@
         if now - self._compared_at < COMPARE_INTERVAL_S:
             return
         self._compared_at = now
-        slowdowns = _compare(
+        self._ratios = _compare(
             (name, samples.find_median(now)) for name, samples in self._hosts.items()
         )
+        slowdowns = {
+            name: ratio
+            for name, ratio in self._ratios.items()
+            if _is_uneven(ratio, EVEN_RATIO if name in self.slowdowns else UNEVEN_RATIO)
+        }
         self._log_changes(slowdowns, now)
         self.slowdowns = slowdowns
         self.largest_slowdown = max(1.0, max(slowdowns.values(), default=1.0))
@@ -162,17 +186,16 @@
 
 
 def _compare(medians: Iterable[tuple[str, float | None]]) -> dict[str, float]:
-    """Return the slowdowns of the hosts that clearly differ from the median host."""
+    """Return the ratio to the median host of each host that can be judged."""
     known = {name: median for name, median in medians if median is not None}
     if len(known) < MIN_HOSTS:
         return {}
     typical = statistics.median(known.values())
-    slowdowns: dict[str, float] = {}
-    for name, median in known.items():
-        ratio = median / typical
-        if not 1 / UNEVEN_RATIO < ratio < UNEVEN_RATIO:
-            slowdowns[name] = ratio
-    return slowdowns
+    return {name: median / typical for name, median in known.items()}
+
+
+def _is_uneven(ratio: float, limit: float) -> bool:
+    return not 1 / limit < ratio < limit
 
 
 def _describe(slowdown: float) -> str:
--- a/siskinroad/work/speed_estimates.py
+++ b/siskinroad/work/speed_estimates.py
@@ -53,8 +53,8 @@
     def record_end(self, host: Host, run: Run, now: float, *, is_of_host: bool) -> None:
         """Add a successful run to the ratio of its queue and the speed of its host.
 
-        The speed of the host is taken out of the ratio of the queue, so that a queue
-        whose tasks go to slow hosts doesn't make these seem fast.
+        The speed of the host is taken out of the ratio of the queue. Otherwise a queue
+        whose tasks go to slow hosts would make these seem typical.
 
         Parameters
         ----------
@@ -67,8 +67,9 @@
             self.record_run(run.queue, run.declared_s, seconds)
             return
         expected_s = self.expected_s(run.queue, run.declared_s)
-        slowdown = self.host_speeds.slowdown(host.name)
-        self.record_run(run.queue, run.declared_s, seconds / slowdown)
+        typical_s = self.host_speeds.typical_s(host.name, seconds)
+        if typical_s is not None:
+            self.record_run(run.queue, run.declared_s, typical_s)
         if expected_s is None or seconds <= 0:
             return
         sample = SpeedSample(run.key[0].job, seconds / expected_s, now)
