--- a/siskinroad/work/run_end_table.py
+++ b/siskinroad/work/run_end_table.py
@@ -143,6 +143,7 @@
         job.has_started = True
         self.dirty.add(job.id)
         self.health.observe(host.name, job.id, True, now, len(self.hosts))
+        self.failing_hosts.record_success(host.name, job.queue, now)
         self._close_step_if_done(step, now)
         self._complete_job_if_done(job, wall)
         return self._stop_copies(task) if step.spec.copies else []
@@ -183,7 +184,10 @@
             host.quarantine_evidence_at = now
         self.dirty.add(job.id)
         verdict = self.health.observe(host.name, job.id, False, now, len(self.hosts))
-        if verdict is not None and verdict.event == "eject":
+        is_failing = self.failing_hosts.record_failure(
+            host.name, job.queue, job.id, now
+        )
+        if is_failing or (verdict is not None and verdict.event == "eject"):
             self._quarantine_failing_host(host, now)
         queue = self.queues.get(job.queue)
         attempt_limit = queue.max_attempts if queue else 1
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -12,6 +12,7 @@
 from siskinroad.work.crash_record import TRIAL_S
 from siskinroad.work.crash_tracker import CrashTracker
 from siskinroad.work.effects import Effect, ReconcileHost, StopRun
+from siskinroad.work.failing_hosts import FailingHosts
 from siskinroad.work.host import Host, Run, RunIndex
 from siskinroad.work.job import Job, JobState, PresumedEnd, Task
 from siskinroad.work.job_table import JobTable
@@ -60,6 +61,8 @@
         end that a host lists after that.
     crash_tracker : CrashTracker
         Tracker of the hosts that crash, and of the tasks that may be the cause.
+    failing_hosts : FailingHosts
+        Recognition of hosts that fail nearly all that they start.
     """
 
     def __init__(self, pool: str, term: int) -> None:
@@ -73,6 +76,7 @@
         self.observe_presumed_end: Callable[[str], None] = lambda reason: None
         self.observe_late_end: Callable[[str], None] = lambda end_kind: None
         self.crash_tracker = CrashTracker(self.hosts, self.step, self.dirty.add)
+        self.failing_hosts = FailingHosts()
 
     # Stopping runs
 
@@ -275,6 +279,7 @@
         self.forget_advice(host.name)
         self._next_tokens[host.name] = host.token + 1
         self.health.remove_host(host.name)
+        self.failing_hosts.remove_host(host.name)
         self.speed_estimates.host_speeds.remove_host(host.name)
         host.index = RunIndex()
 
@@ -355,6 +360,7 @@
         """Let a host get new work again, and forget how tasks ended there."""
         host.is_quarantined = False
         self.health.remove_host(host.name)
+        self.failing_hosts.remove_host(host.name)
         log.info(
             "pool_state: host leaves quarantine and may get new work",
             extra={"host": host.name},
