Learn a new owner's host speeds sooner, ask advice about preferred hosts first

Cause: the fast quarter was known only 10 s after the first traffic and 8 s after a change of owner; a pool of more than 100 hosts asked about the first 100.

Change: three runs of two jobs suffice for a host that differs by 1.8; hosts of the preferred speed are asked about first; metrics of learned speeds, copies and stops.

--- a/siskinroad/work/advice_requester.py
+++ b/siskinroad/work/advice_requester.py
@@ -31,6 +31,7 @@
 from siskinroad.work.placement import place_tasks
 from siskinroad.work.planning_pass import PlanningPass, TentativePlacement
 from siskinroad.work.pool_state import PoolState
+from siskinroad.work.speed_preference import order_by_preference
 from siskinroad.work.step_advice import TICKET_MARGIN
 
 __all__ = ["AdviceRequester", "count_spare_hosts"]
@@ -125,12 +126,16 @@
     def _choose_hosts(
         self, planning_pass: PlanningPass, step: StepRun, names: set[str]
     ) -> list[str]:
-        """Return the names for one call: hosts with capacity first if some are left."""
+        """Return the names for one call: hosts with capacity first if some are left.
+
+        Among these, the hosts come first that the step prefers for their speed.
+        """
         hosts = planning_pass.schedulable_hosts.find_hosts(names)
         if len(hosts) > MAX_HOSTS_PER_CALL:
             now = planning_pass.now
             with_capacity = planning_pass.open_hosts.find_among(names, step, now)
-            hosts = list(dict.fromkeys([*with_capacity, *hosts]))
+            preferred = order_by_preference(planning_pass, step, with_capacity)
+            hosts = list(dict.fromkeys([*preferred, *hosts]))
         return [host.name for host in hosts[:MAX_HOSTS_PER_CALL]]
 
     def find_hosts_with_stale_tickets(
--- a/siskinroad/work/failing_hosts.py
+++ b/siskinroad/work/failing_hosts.py
@@ -1,7 +1,7 @@
 """Recognition of hosts that fail nearly all that they start.
 
-Load pattern: many hosts of a pool begin to fail what runs there, perhaps most of them at
-once, while others still complete the same work. `siskinroad.health` compares the
+Load pattern: many hosts of a pool begin to fail what runs there, perhaps most of them
+at once, while others still complete the same work. `siskinroad.health` compares the
 failures of one job by host, and so finds nobody to blame once a job fails on most of
 them. Here a host is judged by its own newest ends, over several jobs, as long as work
 of the same queue succeeds elsewhere: a queue that succeeds nowhere blames no host.
--- a/siskinroad/work/host_speeds.py
+++ b/siskinroad/work/host_speeds.py
@@ -27,6 +27,11 @@
 # a single job may be far off.
 MIN_SAMPLES = 5
 MIN_JOBS = 3
+# The same for a host that differs by more than ``EARLY_RATIO``. A new owner has learned
+# nothing, and has the work of its predecessor to start.
+EARLY_SAMPLES = 3
+EARLY_JOBS = 2
+EARLY_RATIO = 1.8
 # Seconds after which a run time counts no more, so that a host which gets no work is
 # tried again.
 MAX_SAMPLE_AGE_S = 20.0
@@ -60,6 +65,14 @@
     at: float
 
 
+@dataclass(slots=True, frozen=True)
+class _Median:
+    """Median ratio of a host's newest jobs; ``is_early`` if there are few of them."""
+
+    ratio: float
+    is_early: bool
+
+
 @dataclass(slots=True)
 class _HostSamples:
     """Newest run times of one incarnation of a host."""
@@ -69,7 +82,7 @@
         default_factory=lambda: deque(maxlen=MAX_SAMPLES)
     )
 
-    def find_median(self, now: float) -> float | None:
+    def find_median(self, now: float) -> _Median | None:
         """Return the median ratio of the newest jobs; None without enough of them."""
         by_job: dict[str, list[float]] = {}
         count = 0
@@ -77,9 +90,12 @@
             if now - sample.at <= MAX_SAMPLE_AGE_S:
                 by_job.setdefault(sample.job, []).append(sample.ratio)
                 count += 1
-        if count < MIN_SAMPLES or len(by_job) < MIN_JOBS:
+        if count < EARLY_SAMPLES or len(by_job) < EARLY_JOBS:
             return None
-        return statistics.median(map(statistics.median, by_job.values()))
+        is_early = count < MIN_SAMPLES or len(by_job) < MIN_JOBS
+        return _Median(
+            statistics.median(map(statistics.median, by_job.values())), is_early
+        )
 
 
 class HostSpeeds:
@@ -145,20 +161,29 @@
         if now - self._compared_at < COMPARE_INTERVAL_S:
             return
         self._compared_at = now
-        self._ratios = _compare(
-            (name, samples.find_median(now)) for name, samples in self._hosts.items()
-        )
+        medians = {
+            name: median
+            for name, samples in self._hosts.items()
+            if (median := samples.find_median(now)) is not None
+        }
+        self._ratios = _compare(medians)
         slowdowns = {
             name: ratio
             for name, ratio in self._ratios.items()
-            if _is_uneven(ratio, EVEN_RATIO if name in self.slowdowns else UNEVEN_RATIO)
+            if _is_uneven(ratio, self._find_limit(name, medians[name]))
         }
         self._log_changes(slowdowns, now)
         self.slowdowns = slowdowns
         self.largest_slowdown = max(1.0, max(slowdowns.values(), default=1.0))
 
+    def _find_limit(self, host: str, median: _Median) -> float:
+        """Return the ratio from which a host counts as slower or faster."""
+        if host in self.slowdowns:
+            return EVEN_RATIO
+        return EARLY_RATIO if median.is_early else UNEVEN_RATIO
+
     def count_by_bucket(self, bounds: Iterable[float]) -> dict[float, int]:
-        """Return the number of hosts up to each slowdown, beyond the bound before."""
+        """Return the number of known hosts up to each bound, above the one before."""
         counts = dict.fromkeys(bounds, 0)
         for name in self._hosts:
             slowdown = self.slowdown(name)
@@ -185,13 +210,12 @@
             )
 
 
-def _compare(medians: Iterable[tuple[str, float | None]]) -> dict[str, float]:
+def _compare(medians: Mapping[str, _Median]) -> dict[str, float]:
     """Return the ratio to the median host of each host that can be judged."""
-    known = {name: median for name, median in medians if median is not None}
-    if len(known) < MIN_HOSTS:
+    if len(medians) < MIN_HOSTS:
         return {}
-    typical = statistics.median(known.values())
-    return {name: median / typical for name, median in known.items()}
+    typical = statistics.median(median.ratio for median in medians.values())
+    return {name: median.ratio / typical for name, median in medians.items()}
 
 
 def _is_uneven(ratio: float, limit: float) -> bool:
--- a/siskinroad/work/placement.py
+++ b/siskinroad/work/placement.py
@@ -15,8 +15,8 @@
     task_avoids_host,
 )
 from siskinroad.work.speed_preference import (
-    SpeedPreference,
     choose_speed_preference,
+    compute_speed_cost,
 )
 from siskinroad.work.step_advice import TICKET_MARGIN
 
@@ -200,7 +200,9 @@
         cost: Cost = ()
         if self._has_choice:
             rack_penalty, *others = self._compute_cost(host, available)
-            speed_cost = self._compute_speed_cost(host)
+            speed_cost = compute_speed_cost(
+                self._speed_preference, self._host_speeds, host.name
+            )
             cost = (rack_penalty, self._has_stale_ticket(host), speed_cost, *others)
         self._costs[host] = cost
         position = self._pass.schedulable_hosts.positions[host.name]
@@ -212,16 +214,6 @@
         valid_until = self._step.tickets[host.name].valid_until
         return valid_until - TICKET_MARGIN <= self._pass.now
 
-    def _compute_speed_cost(self, host: Host) -> int:
-        """Return the cost of a host's speed; the same everywhere without a choice."""
-        match self._speed_preference:
-            case SpeedPreference.NONE:
-                return 0
-            case SpeedPreference.FAST:
-                return self._host_speeds.speed_class(host.name)
-            case SpeedPreference.SLOW:
-                return -self._host_speeds.speed_class(host.name)
-
     def _compute_cost(self, host: Host, available: Resources) -> Cost:
         """Return the cost of placing a task on a host, as a tuple; the lowest wins.
 
--- a/siskinroad/work/planning_report.py
+++ b/siskinroad/work/planning_report.py
@@ -19,6 +19,7 @@
 from siskinroad.work.wait_log import WaitLog, sum_held_cpu
 from siskinroad.work.wait_reasons import WaitReason
 from siskinroad.work.wait_tracker import StepWait, WaitTracker
+from siskinroad.work.workmetrics import SLOWDOWN_BOUNDS
 
 __all__ = ["PlanningReport"]
 
@@ -128,6 +129,9 @@
         for state in HostState:
             metrics.hosts.labels(pool, state.value).set(states[state])
         metrics.oldest_report.labels(pool).set(oldest_report_s)
+        speeds = self._term.pool_state.speed_estimates.host_speeds
+        for bound, count in speeds.count_by_bucket(SLOWDOWN_BOUNDS).items():
+            metrics.host_slowdowns.labels(pool, str(bound)).set(count)
 
     def _describe_use(self) -> dict[str, object]:
         hosts = self._term.pool_state.hosts.values()
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -59,6 +59,9 @@
     observe_presumed_end, observe_late_end : callable
         Receive the reason of each end that no host has listed, and the kind of each
         end that a host lists after that.
+    observe_copy, observe_stop : callable
+        Receive the reason of each speculative copy that is allowed, and of each stop of
+        a run.
     crash_tracker : CrashTracker
         Tracker of the hosts that crash, and of the tasks that may be the cause.
     failing_hosts : FailingHosts
@@ -75,6 +78,8 @@
         self.loop_delay_s = 0.0
         self.observe_presumed_end: Callable[[str], None] = lambda reason: None
         self.observe_late_end: Callable[[str], None] = lambda end_kind: None
+        self.observe_copy: Callable[[str], None] = lambda reason: None
+        self.observe_stop: Callable[[str], None] = lambda reason: None
         self.crash_tracker = CrashTracker(self.hosts, self.step, self.dirty.add)
         self.failing_hosts = FailingHosts()
 
@@ -125,6 +130,7 @@
         if run.state in ("stopping", "withdrawn"):
             return []
         run.move("stop")
+        self.observe_stop(reason)
         return [StopRun(host.name, run, reason)]
 
     def allow_copy(self, host: Host, run: Run, reason: str, now: float) -> bool:
@@ -145,6 +151,7 @@
             task.crashes.suspect(now, is_on_trial=False)
         task.older_run_host = host.name
         task.move_to_waiting("free", now)
+        self.observe_copy(reason)
         log.info(
             "pool_state: task may be placed again as a speculative copy",
             extra={
--- a/siskinroad/work/speed_preference.py
+++ b/siskinroad/work/speed_preference.py
@@ -12,10 +12,17 @@
 
 from enum import Enum, auto
 
+from siskinroad.work.host import Host
+from siskinroad.work.host_speeds import HostSpeeds
 from siskinroad.work.job import StepRun
 from siskinroad.work.planning_pass import PlanningPass
 
-__all__ = ["SpeedPreference", "choose_speed_preference"]
+__all__ = [
+    "SpeedPreference",
+    "choose_speed_preference",
+    "compute_speed_cost",
+    "order_by_preference",
+]
 
 # Ratio of the time of a step's longest task to the expected one: tasks of one step
 # differ by a third, and all must end.
@@ -51,6 +58,30 @@
     return SpeedPreference.FAST
 
 
+def compute_speed_cost(
+    preference: SpeedPreference, speeds: HostSpeeds, host: str
+) -> int:
+    """Return the cost of a host's speed; the lowest is preferred."""
+    match preference:
+        case SpeedPreference.NONE:
+            return 0
+        case SpeedPreference.FAST:
+            return speeds.speed_class(host)
+        case SpeedPreference.SLOW:
+            return -speeds.speed_class(host)
+
+
+def order_by_preference(
+    planning_pass: PlanningPass, step: StepRun, hosts: list[Host]
+) -> list[Host]:
+    """Return the hosts, those first that the step prefers, else in their order."""
+    preference = choose_speed_preference(planning_pass, step)
+    if preference is SpeedPreference.NONE:
+        return hosts
+    speeds = planning_pass.pool_state.speed_estimates.host_speeds
+    return sorted(hosts, key=lambda h: compute_speed_cost(preference, speeds, h.name))
+
+
 def _has_time_left(planning_pass: PlanningPass, step: StepRun, slowdown: float) -> bool:
     """Return whether a job meets its target time on the slowest hosts, if at all.
 
--- a/siskinroad/work/term.py
+++ b/siskinroad/work/term.py
@@ -85,6 +85,12 @@
         self.pool_state.observe_late_end = lambda end_kind: metrics.late_ends.labels(
             end_kind
         ).inc()
+        self.pool_state.observe_copy = lambda reason: metrics.copies.labels(
+            reason
+        ).inc()
+        self.pool_state.observe_stop = lambda reason: metrics.stopped_runs.labels(
+            reason
+        ).inc()
         self.pool_state.crash_tracker.observe_lost_host = lambda reason: (
             metrics.lost_hosts.labels(reason).inc()
         )
--- a/siskinroad/work/workmetrics.py
+++ b/siskinroad/work/workmetrics.py
@@ -5,12 +5,14 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
-__all__ = ["WorkMetrics"]
+__all__ = ["SLOWDOWN_BOUNDS", "WorkMetrics"]
 
 # Upper bounds of the buckets of reply times and loop delays, in seconds.
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
 # Upper bounds of the buckets of the durations of planning passes, in seconds.
 PASS_BUCKETS_S = (0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0)
+# Upper bounds of the buckets of learned slowdowns of hosts.
+SLOWDOWN_BOUNDS = (0.5, 0.75, 0.99, 1.0, 1.5, 2.0, 4.0, float("inf"))
 
 
 class WorkMetrics:
@@ -49,6 +51,25 @@
             ("reason",),
             registry=reg,
         )
+        self.copies = Counter(
+            "siskinroad_speculative_copies",
+            "Speculative copies allowed.",
+            ("reason",),
+            registry=reg,
+        )
+        self.stopped_runs = Counter(
+            "siskinroad_runs_stopped",
+            "Runs stopped by their owner.",
+            ("reason",),
+            registry=reg,
+        )
+        self.host_slowdowns = Gauge(
+            "siskinroad_host_slowdowns",
+            "Hosts of an owned pool by their run times against the median host, up to"
+            " the bound.",
+            ("pool", "bound"),
+            registry=reg,
+        )
         self.lost_hosts = Counter(
             "siskinroad_hosts_lost",
             "Hosts that answered as another incarnation, without their runs.",
