Give a host whose runs failed a single run first when it is back

Cause: after 6 s a host that failed all its runs got as much work again as fits.

Change: its first run is alone there for up to 2 s; if that fails, the host is out again at once.

--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -40,6 +40,10 @@
 # Seconds for which a host that still replies may be used after it left the live list.
 UNLISTED_GRACE_S = 2.5
 
+# Seconds for which the first run of a host whose runs have failed is alone there, unless
+# it ends before. Callers take a job without a run beside free capacity for lost in 3 s.
+PROBATION_S = 2.0
+
 _RUN_CHART = load_chart("run")
 
 # The task of a run and the run's number.
@@ -231,6 +235,10 @@
     trial_run, trial_until : tuple or None, float
         Key of the newest run on trial, and the loop time until which no run is started
         beside it.
+    needs_probation : bool
+        Its runs have failed, so that it gets a single run first when it is back.
+    probation_run : tuple or None
+        Key of that run.
     used : Resources
         Sum of the needs of its runs.
     run_changes : int
@@ -267,6 +275,8 @@
     is_stored: bool = False
     trial_run: RunKey | None = None
     trial_until: float = -1e9
+    needs_probation: bool = False
+    probation_run: RunKey | None = None
     reply_time_s: float = 0.03
     runs: dict[RunKey, Run] = field(default_factory=dict)
     used: Resources = NOTHING
@@ -331,6 +341,12 @@
         self.trial_run = run.key
         self.trial_until = now + seconds
 
+    def begin_probation(self, run: Run, now: float) -> None:
+        """Start nothing beside the first run of a host whose runs have failed."""
+        self.needs_probation = False
+        self.probation_run = self.trial_run = run.key
+        self.trial_until = now + PROBATION_S
+
     def reply_timeout_s(self) -> float:
         """Return the timeout in seconds for a reply of the host.
 
--- a/siskinroad/work/placement.py
+++ b/siskinroad/work/placement.py
@@ -172,6 +172,8 @@
         placement = self._placement
         if task.crashes.needs_trial and not self._step.spec.gang:
             self._trial_hosts.add(host)
+        if host.needs_probation:
+            self._trial_hosts.add(host)
         self._available[host] = self._available[host] - self._step.need
         placement.counts[host.name] = placement.counts.get(host.name, 0) + 1
         placement.chosen.append((task, host))
--- a/siskinroad/work/planning_pass.py
+++ b/siskinroad/work/planning_pass.py
@@ -112,6 +112,9 @@
         """Allocate a host's capacity to a run that is being started."""
         host.add_run(run)
         self.open_hosts.take(host)
+        if host.needs_probation:
+            host.begin_probation(run, self.now)
+            self.open_hosts.exclude(host)
 
     def has_free_channel(self, duration: float) -> bool:
         """Return whether an advisor channel takes a call of ``duration`` seconds."""
--- a/siskinroad/work/run_end_table.py
+++ b/siskinroad/work/run_end_table.py
@@ -187,6 +187,7 @@
         is_failing = self.failing_hosts.record_failure(
             host.name, job.queue, job.id, now
         )
+        is_failing |= host.probation_run == (task.id, run)
         if is_failing or (verdict is not None and verdict.event == "eject"):
             self._quarantine_failing_host(host, now)
         queue = self.queues.get(job.queue)
@@ -202,6 +203,7 @@
     def _quarantine_failing_host(self, host: Host, now: float) -> None:
         reason = "too many of its runs failed"
         if self.quarantine_host(host, FAILING_QUARANTINE_S, reason, now):
+            host.needs_probation = True
             return
         # Further failures there are counted anew.
         self.health.remove_host(host.name)
