--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -40,8 +40,8 @@
 # Seconds for which a host that still replies may be used after it left the live list.
 UNLISTED_GRACE_S = 2.5
 
-# Seconds for which the first run of a host whose runs have failed is alone there, unless
-# it ends before. Callers take a job without a run beside free capacity for lost in 3 s.
+# Seconds for which the first run of a host whose runs failed is alone there, unless it
+# ends before. Callers take a job without a run beside free capacity for lost in 3 s.
 PROBATION_S = 2.0
 
 _RUN_CHART = load_chart("run")
