Count no pool as uneven by chance, and test that even hosts get the same work

Cause: on hosts that differ by a quarter, a few seemed faster at times, so that work went elsewhere than before.

Change: an eighth of the judged hosts, and three, must differ by 1.6 to one side; a single host counts from 2.5.

--- a/siskinroad/work/host_speeds.py
+++ b/siskinroad/work/host_speeds.py
@@ -36,12 +36,21 @@
 # tried again.
 MAX_SAMPLE_AGE_S = 20.0
 # Ratio to the median host from which a host counts as slower or faster, and below which
-# it no longer does. Tasks of one queue differ by about a third, and hosts of one make
-# by a quarter.
-UNEVEN_RATIO = 1.5
+# it no longer does. Tasks of one queue differ by about a third, and the fastest and the
+# slowest host of one make by little more than a half.
+UNEVEN_RATIO = 1.6
 EVEN_RATIO = 1.3
-# Hosts that must be judged before they are compared.
+# Fraction and number of the judged hosts that must be slower, or faster, before any
+# counts as that: chance makes a few of many hosts seem so. Once they do, half of the
+# fraction suffices.
+UNEVEN_FRACTION = 0.125
+MIN_UNEVEN_HOSTS = 3
+# Ratio from which a host counts as slower or faster also without others.
+SINGLE_RATIO = 2.5
+# Number of hosts, and fraction of those with any run, that must be judged before they
+# are compared.
 MIN_HOSTS = 4
+MIN_JUDGED_FRACTION = 0.5
 # Seconds between two comparisons of the hosts.
 COMPARE_INTERVAL_S = 0.5
 
@@ -115,6 +124,8 @@
         self.largest_slowdown = 1.0
         self._hosts: dict[str, _HostSamples] = {}
         self._ratios: dict[str, float] = {}
+        self._suspected: frozenset[str] = frozenset()
+        self._is_pool_uneven = False
         self._compared_at = -1e9
 
     def record_run(self, host: str, incarnation_ms: int, sample: SpeedSample) -> None:
@@ -166,19 +177,38 @@
             for name, samples in self._hosts.items()
             if (median := samples.find_median(now)) is not None
         }
-        self._ratios = _compare(medians)
-        slowdowns = {
+        least = max(MIN_HOSTS, MIN_JUDGED_FRACTION * len(self._hosts))
+        self._ratios = _compare(medians) if len(medians) >= least else {}
+        suspected = {
             name: ratio
             for name, ratio in self._ratios.items()
             if _is_uneven(ratio, self._find_limit(name, medians[name]))
         }
+        self._suspected = frozenset(suspected)
+        self._is_pool_uneven = self._has_enough(suspected.values())
+        slowdowns = {
+            name: ratio
+            for name, ratio in suspected.items()
+            if self._is_pool_uneven
+            or (_is_uneven(ratio, SINGLE_RATIO) and not medians[name].is_early)
+        }
         self._log_changes(slowdowns, now)
         self.slowdowns = slowdowns
         self.largest_slowdown = max(1.0, max(slowdowns.values(), default=1.0))
 
+    def _has_enough(self, ratios: Iterable[float]) -> bool:
+        """Return whether enough hosts are slower, or faster, for an uneven pool."""
+        slower = faster = 0
+        for ratio in ratios:
+            slower += ratio > 1.0
+            faster += ratio < 1.0
+        fraction = UNEVEN_FRACTION / 2 if self._is_pool_uneven else UNEVEN_FRACTION
+        least = max(fraction * len(self._ratios), MIN_UNEVEN_HOSTS)
+        return max(slower, faster) >= least
+
     def _find_limit(self, host: str, median: _Median) -> float:
         """Return the ratio from which a host counts as slower or faster."""
-        if host in self.slowdowns:
+        if host in self._suspected:
             return EVEN_RATIO
         return EARLY_RATIO if median.is_early else UNEVEN_RATIO
 
@@ -212,8 +242,6 @@
 
 def _compare(medians: Mapping[str, _Median]) -> dict[str, float]:
     """Return the ratio to the median host of each host that can be judged."""
-    if len(medians) < MIN_HOSTS:
-        return {}
     typical = statistics.median(median.ratio for median in medians.values())
     return {name: median.ratio / typical for name, median in medians.items()}
 
--- a/tests/work/test_uneven_hosts.py
+++ b/tests/work/test_uneven_hosts.py
@@ -36,6 +36,15 @@
     assert sum(after.late["slow"]) <= sum(before.late["slow"])
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_hosts_that_are_about_equally_fast_get_the_same_work_as_before(seed):
+    factors = [(0.8, 1.0, 1.25)[i % 3] for i in range(32)]
+    before, after = (
+        Replay(seed, factors, learns=learns).run(40.0) for learns in (False, True)
+    )
+    assert after.starts == before.starts
+
+
 def test_the_slowest_hundredth_of_urgent_runs_is_down_by_a_third():
     for seed in (1, 2, 3):
         before, after = replay_both(seed)
