--- a/siskinroad/work/placement.py
+++ b/siskinroad/work/placement.py
@@ -14,6 +14,10 @@
     step_allows_host,
     task_avoids_host,
 )
+from siskinroad.work.speed_preference import (
+    choose_speed_preference,
+    compute_speed_cost,
+)
 from siskinroad.work.step_advice import TICKET_MARGIN
 
 __all__ = ["place_tasks"]
@@ -72,6 +76,7 @@
 
     With the same rack penalty, hosts with a usable ticket come first: a step that chose
     by capacity alone could renew tickets again and again, each time for other hosts.
+    Among these, the speed of the hosts decides if it is uneven; `speed_preference`.
 
     Placing a task changes only the cost of its own host, so the hosts are kept in a
     heap by cost, and only the changed one is entered again.
@@ -97,6 +102,8 @@
         self._costs: dict[Host, Cost] = {}
         self._heap: list[tuple[Cost, int]] = []
         self._trial_hosts: set[Host] = set()
+        self._host_speeds = planning_pass.pool_state.speed_estimates.host_speeds
+        self._speed_preference = choose_speed_preference(planning_pass, step)
 
     def place(
         self, cpu_milli: float, max_tasks: int | None = None
@@ -178,6 +185,8 @@
         placement = self._placement
         if task.crashes.needs_trial and not self._step.spec.gang:
             self._trial_hosts.add(host)
+        if host.needs_probation:
+            self._trial_hosts.add(host)
         self._available[host] = self._available[host] - self._step.need
         placement.counts[host.name] = placement.counts.get(host.name, 0) + 1
         placement.chosen.append((task, host))
@@ -206,7 +215,10 @@
         cost: Cost = ()
         if self._has_choice:
             rack_penalty, *others = self._compute_cost(host, available)
-            cost = (rack_penalty, self._has_stale_ticket(host), *others)
+            speed_cost = compute_speed_cost(
+                self._speed_preference, self._host_speeds, host.name
+            )
+            cost = (rack_penalty, self._has_stale_ticket(host), speed_cost, *others)
         self._costs[host] = cost
         position = self._pass.schedulable_hosts.positions[host.name]
         heapq.heappush(self._heap, (cost, position))
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -14,6 +14,7 @@
 from siskinroad.work.crash_record import TRIAL_S
 from siskinroad.work.crash_tracker import CrashTracker
 from siskinroad.work.effects import Effect, ReconcileHost, StopRun
+from siskinroad.work.failing_hosts import FailingHosts
 from siskinroad.work.host import Host, Run, RunIndex
 from siskinroad.work.job import Job, JobState, PresumedEnd, Task
 from siskinroad.work.job_table import JobTable
@@ -61,10 +62,15 @@
     observe_presumed_end, observe_late_end : callable
         Receive the reason of each end that no host has listed, and the kind of each
         end that a host lists after that.
+    observe_copy, observe_stop : callable
+        Receive the reason of each speculative copy that is allowed, and of each stop of
+        a run.
     crash_tracker : CrashTracker
         Tracker of the hosts that crash, and of the tasks that may be the cause.
     account_use : AccountUse or None
         What the client accounts hold; None if the deployment has none.
+    failing_hosts : FailingHosts
+        Recognition of hosts that fail nearly all that they start.
     """
 
     def __init__(self, pool: str, term: int) -> None:
@@ -77,9 +83,12 @@
         self.loop_delay_s = 0.0
         self.observe_presumed_end: Callable[[str], None] = lambda reason: None
         self.observe_late_end: Callable[[str], None] = lambda end_kind: None
+        self.observe_copy: Callable[[str], None] = lambda reason: None
+        self.observe_stop: Callable[[str], None] = lambda reason: None
         self.crash_tracker = CrashTracker(self.hosts, self.step, self.dirty.add)
         self.account_use: AccountUse | None = None
         self._unsettled_use: dict[str, Resources] = {}
+        self.failing_hosts = FailingHosts()
 
     # Client accounts
 
@@ -169,6 +178,7 @@
         if run.state in ("stopping", "withdrawn"):
             return []
         run.move("stop")
+        self.observe_stop(reason)
         return [StopRun(host.name, run, reason)]
 
     def allow_copy(self, host: Host, run: Run, reason: str, now: float) -> bool:
@@ -189,6 +199,7 @@
             task.crashes.suspect(now, is_on_trial=False)
         task.older_run_host = host.name
         task.move_to_waiting("free", now)
+        self.observe_copy(reason)
         log.info(
             "pool_state: task may be placed again as a speculative copy",
             extra={
@@ -323,6 +334,8 @@
         self.forget_advice(host.name)
         self._next_tokens[host.name] = host.token + 1
         self.health.remove_host(host.name)
+        self.failing_hosts.remove_host(host.name)
+        self.speed_estimates.host_speeds.remove_host(host.name)
         host.index = RunIndex()
 
     def expire_silent_hosts(self, now: float) -> list[Effect]:
@@ -402,6 +415,7 @@
         """Let a host get new work again, and forget how tasks ended there."""
         host.is_quarantined = False
         self.health.remove_host(host.name)
+        self.failing_hosts.remove_host(host.name)
         log.info(
             "pool_state: host leaves quarantine and may get new work",
             extra={"host": host.name},
