Start a job as soon as its owner has stored it

Cause: the owner started a job only when its next read of the topic returned it.

Change: the owner applies what it has appended itself, if the store's answer shows that it directly follows what was applied; otherwise it is read as before. A read that overlaps applies nothing twice, and is stale only against what was applied when sent. Ruled out: applying beyond a gap, as another daemon's claim may lie in it.

--- a/siskinroad/work/batcher.py
+++ b/siskinroad/work/batcher.py
@@ -62,6 +62,9 @@
     ----------
     last_answer_at : callable
         Returns the loop time of the store's last answer to any call.
+    on_stored : callable
+        Receives the records of each append that was answered, and the offset of the
+        first one.
     """
 
     def __init__(
@@ -69,10 +72,12 @@
         store: Store,
         topic: str,
         last_answer_at: Callable[[], float] = lambda: -1e9,
+        on_stored: Callable[[list[Record], int], None] = lambda records, offset: None,
     ) -> None:
         self._store = store
         self._topic = topic
         self._last_answer_at = last_answer_at
+        self._on_stored = on_stored
         self._pending: list[_PendingAppend] = []
         self._task: asyncio.Task[None] | None = None
         self._latency = 0.0
@@ -161,7 +166,7 @@
         records = [pending.record for pending in batch]
         timeout = max(DEADLINE_MARGIN, min(self._append_timeout(attempts), remaining_s))
         try:
-            await self._store.append(self._topic, records, timeout=timeout)
+            offset = await self._store.append(self._topic, records, timeout=timeout)
         except StoreUnavailableError as exc:
             not_stored = [pending for pending in batch if not pending.may_be_stored]
             self._fail_all(not_stored, exc)
@@ -172,6 +177,7 @@
             return self._fail_expired(batch, exc)
         self._latency += LATENCY_WEIGHT * (loop.time() - sent_at - self._latency)
         self._silent_since = None
+        self._on_stored(records, offset)
         for pending in batch:
             if not pending.future.done():
                 pending.future.set_result(None)
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -181,6 +181,7 @@
             self.metrics,
         )
         self.job_writer.admit = self._admit
+        self.job_writer.note_stored = self._note_stored
         decoder = platform_clients.decoder
         self.configuration_reader = ConfigurationReader(
             self.store, decoder, self._configure
@@ -402,6 +403,11 @@
         now = asyncio.get_running_loop().time()
         return self.members.job_writer(pool, now, self._make_heartbeat())
 
+    def _note_stored(self, pool: str, records: list[Record], offset: int) -> None:
+        owner = self.owners.get(pool)
+        if owner is not None:
+            owner.follower.apply_appended(records, offset)
+
     def _admit(self, pool: str, record: Record) -> Record:
         """Return a submitted record as the pool's owner here lets it be stored.
 
--- a/siskinroad/work/follower.py
+++ b/siskinroad/work/follower.py
@@ -11,6 +11,7 @@
 from siskinroad.work.store import (
     NewestRecord,
     ReadResult,
+    Record,
     Store,
     StoreUnavailableError,
     TrimmedError,
@@ -103,6 +104,27 @@
         if self._read_timeout is not None and not self._read_timeout.expired():
             self._read_timeout.reschedule(-1)
 
+    def apply_appended(self, records: list[Record], offset: int) -> None:
+        """Apply records that this daemon has just appended, without reading them.
+
+        Only if they directly follow what was applied: between them and that there may
+        be records of others, such as a claim. A read may take long while the store is
+        slow or changes hands.
+
+        Parameters
+        ----------
+        offset : int
+            Offset of the first record, as the store has answered.
+        """
+        if offset != self.next_offset:
+            return
+        items = tuple(
+            NewestRecord(record.key, record.value, offset + i)
+            for i, record in enumerate(records)
+        )
+        self.next_offset = offset + len(items)
+        self._apply(items, False)
+
     async def confirm(self, timeout: float) -> None:
         """Return once a read that was sent after this call has reached the end.
 
@@ -179,8 +201,9 @@
 
     async def _read_newest(self) -> _FetchResult:
         sent_at = asyncio.get_running_loop().time()
+        start = self.next_offset
         page = await read_all_newest(self.store, self.topic, REPLY_TIMEOUT)
-        self._reject_stale(page.end)
+        _reject_stale(page.end, start)
         items = sorted(page.items, key=lambda item: item.offset)
         return _FetchResult(tuple(items), True, page.end, sent_at)
 
@@ -189,13 +212,14 @@
         may_be_held = self.confirmed_at >= 0 and not self._waiter_count
         wait = self._wait if may_be_held else 0.0
         self._is_read_held = may_be_held
+        start = self.next_offset
         try:
             result = await self.store.read(
-                self.topic, self.next_offset, wait=wait, timeout=wait + REPLY_TIMEOUT
+                self.topic, start, wait=wait, timeout=wait + REPLY_TIMEOUT
             )
         finally:
             self._is_read_held = False
-        self._reject_stale(result.end)
+        _reject_stale(result.end, start)
         is_at_end = result.next_offset >= result.end
         confirmed_at = sent_at if is_at_end else self.confirmed_at
         return _FetchResult(
@@ -203,23 +227,17 @@
         )
 
     def _apply_result(self, result: _FetchResult) -> None:
-        if result.items or result.is_snapshot:
-            self._apply(result.items, result.is_snapshot)
-        self.next_offset = result.next_offset
+        items = result.items
+        if not result.is_snapshot:
+            items = tuple(item for item in items if item.offset >= self.next_offset)
+        if items or result.is_snapshot:
+            self._apply(items, result.is_snapshot)
+        self.next_offset = max(self.next_offset, result.next_offset)
         if result.confirmed_at >= self._revoked_at:
             self.confirmed_at = result.confirmed_at
         self._read_done.set()
         self._read_done = asyncio.Event()
 
-    def _reject_stale(self, end: int) -> None:
-        """Raise if a reply is older than what has already been read."""
-        if end < self.next_offset:
-            text = (
-                f"stale reply: the topic ends at {end}, "
-                f"already read up to {self.next_offset}"
-            )
-            raise StoreUnavailableError(text, step="follow")
-
     def _log_reachability(
         self, is_reachable: bool, exc: SiskinroadError | None
     ) -> None:
@@ -242,3 +260,10 @@
         NewestRecord(record.key, record.value, result.start + i)
         for i, record in enumerate(result.records)
     )
+
+
+def _reject_stale(end: int, start: int) -> None:
+    """Raise if a reply is older than what had been applied when it was requested."""
+    if end < start:
+        text = f"stale reply: the topic ends at {end}, already read up to {start}"
+        raise StoreUnavailableError(text, step="follow")
--- a/siskinroad/work/job_writer.py
+++ b/siskinroad/work/job_writer.py
@@ -75,6 +75,9 @@
     admit : callable
         Returns the record to be stored for a new one, as a pool's owner on this daemon
         has it; raises ``JobRefusedError`` if the owner turns it away for load.
+    note_stored : callable
+        Receives the pool and the records of each answered append, and the offset of the
+        first one.
     """
 
     def __init__(
@@ -97,6 +100,9 @@
         self._batchers: dict[str, Batcher] = {}
         self._outcomes: dict[str, SubmitOutcome] = {}
         self.admit: Callable[[str, Record], Record] = lambda pool, record: record
+        self.note_stored: Callable[[str, list[Record], int], None] = (
+            lambda pool, records, offset: None
+        )
 
     async def store(self, pool: str, record: Record, deadline: float) -> SubmitOutcome:
         """Store a record through the job writer, or directly if that does not answer.
@@ -174,7 +180,12 @@
         """Append a record, batched with others that arrive meanwhile."""
         batcher = self._batchers.get(pool)
         if batcher is None:
-            batcher = Batcher(self._store, job_topic(pool), self._last_store_answer_at)
+            batcher = Batcher(
+                self._store,
+                job_topic(pool),
+                self._last_store_answer_at,
+                lambda records, offset: self.note_stored(pool, records, offset),
+            )
             self._batchers[pool] = batcher
         former = self.recall(record.key)
         self._remember(record.key, former or SubmitOutcome.UNKNOWN)
