Acknowledge a cancel only once a batch that holds it is stored

Cause: ProgressLog set the event for which a cancel waits for each job of a stored batch. A batch that was made before the cancel, and was on its way to the store, holds the job as open; its answer acknowledged the cancel, which was stored with the next batch only.

Change: only a batch that holds an outcome of a job sets the job's event.

--- a/siskinroad/work/progress.py
+++ b/siskinroad/work/progress.py
@@ -202,13 +202,22 @@
                     if not fut.done():
                         fut.set_result(None)
         for job, outcome in batch.outcomes:
-            job.stored_outcome = outcome
-            stored_event = self._stored_events.pop(job.id, None)
-            if stored_event is not None:
-                stored_event.set()
+            self._mark_outcome_stored(job, outcome)
         for name, incarnation_ms, last_end_seen in batch.ends_seen:
             host = self.term.pool_state.hosts.get(name)
             if host is not None and host.incarnation_ms == incarnation_ms:
                 host.last_end_stored = max(host.last_end_stored, last_end_seen)
         self.flushed.set()
         self.flushed = asyncio.Event()
+
+    def _mark_outcome_stored(self, job: Job, outcome: str) -> None:
+        """Note the outcome that a batch held; it held none for a job still open then.
+
+        The job may have got its outcome while the batch was on its way.
+        """
+        job.stored_outcome = outcome
+        if not outcome:
+            return
+        stored_event = self._stored_events.pop(job.id, None)
+        if stored_event is not None:
+            stored_event.set()
