Keep a cancel of a job that is not stored yet beyond its owner

What callers could see: a DELETE has a 410, its owner ends, and the job of an append without an answer, which takes effect later, is started by the next owner (UNASKED).

Cause: the owner remembered such a cancel for 30 s in memory only, and a claim dropped a stored cancel whose job it had not read.

Change: the cancel is stored before its 410 is sent; a claim keeps one without a job for the same 30 s. One that is older than that when its job is accepted meant an earlier submission, and cancels nothing at a takeover.

--- a/siskinroad/work/job_table.py
+++ b/siskinroad/work/job_table.py
@@ -17,7 +17,7 @@
 from siskinroad.work.records import Accepted, Progress
 from siskinroad.work.speed_estimates import SpeedEstimates
 
-__all__ = ["JobTable", "QueueTimes"]
+__all__ = ["EARLY_CANCEL_MEMORY_S", "JobTable", "QueueTimes"]
 
 # Number of hosts assumed for each advice request when the time of a job is estimated,
 # as the platform's documentation specifies.
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -22,6 +22,7 @@
 from siskinroad.work.follower import Follower
 from siskinroad.work.host import LEASE_S
 from siskinroad.work.host_commands import HostCommands
+from siskinroad.work.job_table import EARLY_CANCEL_MEMORY_S
 from siskinroad.work.lease_renewer import LeaseRenewer
 from siskinroad.work.model import Configuration, HostEntry, Queue
 from siskinroad.work.planner import Planner
@@ -34,6 +35,7 @@
     Cancelled,
     decode_stored,
     job_topic,
+    record_of,
 )
 from siskinroad.work.run_monitor import RunMonitor
 from siskinroad.work.store import NewestRecord, StoreUnknownError
@@ -61,8 +63,10 @@
 # Seconds since the last confirmed read after which the owner no longer states that
 # a job does not exist.
 MAX_RECORD_AGE = 2.5
-# Fraction of a cancel's time limit for reading the record of an unknown job.
+# Fractions of a cancel's time limit for reading the record of an unknown job, and for
+# storing the cancellation if there is none.
 RECORD_WAIT_FRACTION = 0.6
+CANCEL_STORE_FRACTION = 0.35
 
 log = logging.getLogger("siskinroad.owner")
 
@@ -144,8 +148,8 @@
             pool_state.accept(accepted, now, wall, is_new=False)
         for progress in inherited.progress.values():
             pool_state.restore(progress, now)
-        for job_id in inherited.cancelled:
-            pool_state.cancel(job_id, now, wall)
+        for job_id, cancelled in inherited.cancelled.items():
+            self._apply_stored_cancel(cancelled, inherited.accepted.get(job_id), now)
         if pool_state.account_use is not None:
             # What former owners may have started counts from the first pass on.
             pool_state.open_due(now, wall, EARLY_START_TIME)
@@ -163,6 +167,21 @@
 
         self._log_unknown_queues()
 
+    def _apply_stored_cancel(
+        self, cancelled: Cancelled, accepted: Accepted | None, now: float
+    ) -> None:
+        """Apply a cancellation that the claim has read, also of a job that follows.
+
+        One of long before the job was accepted meant an earlier submission that was
+        never stored.
+        """
+        wall = self.dependencies.wall()
+        if accepted is None:
+            age_s = max(0.0, wall - cancelled.at)
+            self.pool_state.note_early_cancel(cancelled.job, now - age_s)
+        elif accepted.at - cancelled.at <= EARLY_CANCEL_MEMORY_S:
+            self.pool_state.cancel(cancelled.job, now, wall)
+
     def _log_unknown_queues(self) -> None:
         """Log the open jobs of queues whose settings this daemon has never seen."""
         waiting = Counter(
@@ -459,12 +478,14 @@
         StoreUnknownError
             The job is cancelled, but that is not stored yet.
         StoreUnavailableError
-            The newest records cannot be read, so that the job may exist.
+            The newest records cannot be read, so that the job may exist, or the
+            cancellation of an unknown job is not stored.
         """
         if job_id not in self.pool_state.jobs:
             await self._await_record(job_id, timeout * RECORD_WAIT_FRACTION)
         job = self.pool_state.jobs.get(job_id)
         if job is None:
+            await self._store_cancel(job_id, timeout * CANCEL_STORE_FRACTION)
             return False
         if job.stored_outcome:
             return True
@@ -510,6 +531,16 @@
         )
         await self.follower.confirm(timeout)
 
+    async def _store_cancel(self, job_id: str, timeout: float) -> None:
+        """Store the cancellation of a job of which no record is stored.
+
+        An append without an answer may still bring the record, to the next owner too.
+        """
+        cancelled = Cancelled(job_id, self.dependencies.wall())
+        await self.dependencies.store.append(
+            job_topic(self.pool), [record_of(cancelled)], timeout=timeout
+        )
+
     def count_pending(self, queue: str) -> int:
         """Return the number of accepted jobs of a queue that have not started."""
         self._require_fresh_records()
