Find the accepted jobs of a queue in every pool to which it was ever sent

Cause: every look-up of a job took the pool from the queue of the configuration in force. A job stays in the pool in which it was accepted.

Change: the store keeps which queues were sent to which pool, until the pool holds no job of them. Requests about a job go to the owners of all these pools, and a submit asks the former ones before it stores. A queue that never moved costs no further call. The replies and the requests to owners have left job_service.py for modules of their own.

--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -43,6 +43,8 @@
 from siskinroad.work.model import Configuration, Timing
 from siskinroad.work.peer_calls import PeerCalls
 from siskinroad.work.platform_clients import PlatformClients
+from siskinroad.work.queue_recorder import QueueRecorder
+from siskinroad.work.queue_registry import QueueRegistry
 from siskinroad.work.records import (
     MEMBERS_TOPIC,
     Accepted,
@@ -171,6 +173,10 @@
             self.membership.send_heartbeats,
         )
         self.owners = self.claim_manager.owners
+        self.queue_registry = QueueRegistry()
+        self.queue_recorder = QueueRecorder(
+            self.queue_registry, self.store, self.owners
+        )
         self.job_writer = JobWriter(
             member.node,
             self.store,
@@ -210,6 +216,7 @@
             self.job_writer,
             self.peer_calls,
             self.owners,
+            self.queue_registry,
             self._find_owner,
             self.host_list.list_capacities,
             self.metrics,
@@ -230,13 +237,15 @@
         self.members_follower = Follower(
             self.store,
             MEMBERS_TOPIC,
-            self.membership.apply_members,
+            self._apply_members,
             wait=MEMBERS_READ_WAIT,
         )
 
     def _configure(self, configuration: Configuration) -> None:
         now = asyncio.get_running_loop().time()
         self.dependencies.account_limits.apply(configuration, now)
+        self.queue_registry.configure(configuration, now)
+        self.queue_recorder.check_requested.set()
         self.claim_manager.configure(configuration)
 
     @property
@@ -259,6 +268,7 @@
             self._run_heartbeats,
             self.membership.run_digests,
             self.claim_manager.run,
+            self.queue_recorder.run,
         ):
             task = asyncio.get_running_loop().create_task(_run_until_done(run))
             self._tasks.append(task)
@@ -312,6 +322,12 @@
 
     # Members and heartbeats
 
+    def _apply_members(
+        self, items: tuple[NewestRecord, ...], is_snapshot: bool
+    ) -> None:
+        self.membership.apply_members(items, is_snapshot)
+        self.queue_recorder.apply_records(items, is_snapshot)
+
     async def _run_registration(self) -> None:
         """Append this daemon's member record, retrying until it is stored."""
         while True:
--- a/siskinroad/work/job_service.py
+++ b/siskinroad/work/job_service.py
@@ -9,14 +9,11 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
-from enum import StrEnum
-
-import msgspec
 
 from siskinroad.errors import SiskinroadError
 from siskinroad.fair_timeout import let_loop_poll
 from siskinroad.resources import Resources
+from siskinroad.work.caller_reply import CallerReply, ReplyKind, refuse_for_now
 from siskinroad.work.configuration_reader import ConfigurationReader
 from siskinroad.work.job import JobState
 from siskinroad.work.job_writer import JobRefusedError, JobWriter
@@ -24,9 +21,15 @@
 from siskinroad.work.messages import JobReply, JobRequest, SubmitOutcome
 from siskinroad.work.model import Configuration, JobSpec, Queue
 from siskinroad.work.owner import PoolOwner
+from siskinroad.work.owner_requests import (
+    OWNER_REQUEST_TIMEOUT,
+    OwnerRequests,
+    choose_reply,
+)
 from siskinroad.work.peer_calls import PeerCalls
+from siskinroad.work.queue_registry import QueueRegistry
 from siskinroad.work.records import Accepted, Cancelled, Member, record_of
-from siskinroad.work.reply_margin import reply_margin
+from siskinroad.work.reply_margin import leave_reply_margin
 from siskinroad.work.retry_times import choose_retry_time, choose_store_wait
 from siskinroad.work.workmetrics import WorkMetrics
 
@@ -38,67 +41,9 @@
 STORE_SILENCE_LIMIT = 2.0
 # Seconds between two looks whether the store is back, for a submit that waits.
 STORE_WAIT_INTERVAL = 0.03
-# Seconds for one request to a pool's owner, the number of attempts, and the seconds
-# between them.
-OWNER_REQUEST_TIMEOUT = 0.7
-OWNER_REQUEST_ATTEMPTS = 2
-OWNER_RETRY_PAUSE = 0.15
-# Least seconds after which a caller should retry: about the time of a takeover.
-MIN_RETRY_AFTER = 1.0
-# The retry time as a fraction of the outage's age so far, and its maximum in seconds.
-RETRY_AFTER_FACTOR = 0.5
-MAX_RETRY_AFTER = 4.0
-
 log = logging.getLogger("siskinroad.job_service")
 
 
-class ReplyKind(StrEnum):
-    """The kinds of reply to a caller."""
-
-    OK = "ok"
-    NO_QUEUE = "no_queue"
-    NO_JOB = "no_job"
-    NOT_NOW = "not_now"
-    NEVER = "never"
-    UNKNOWN = "unknown"
-    NO_KEY = "no_key"
-    OTHER_ACCOUNT = "other_account"
-
-
-@dataclass(slots=True, frozen=True)
-class CallerReply:
-    """The reply to one request of a caller.
-
-    Attributes
-    ----------
-    state : str
-        The job's state, if it was requested.
-    pending : int
-        Number of jobs of the queue that have not started.
-    reason : str
-        Why the request was refused.
-    retry_after : float
-        Seconds after which the caller should retry; 0 if it should not.
-    """
-
-    kind: ReplyKind
-    state: str = ""
-    pending: int = 0
-    reason: str = ""
-    retry_after: float = 0.0
-
-
-def _refuse_for_now(reason: str, outage_s: float = 0.0) -> CallerReply:
-    """Refuse with a retry time that grows with the age of the outage.
-
-    An outage that has lasted for a while is likely to last for as long again.
-    """
-    retry_after_s = min(
-        MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, outage_s * RETRY_AFTER_FACTOR)
-    )
-    return CallerReply(ReplyKind.NOT_NOW, reason=reason, retry_after=retry_after_s)
-
-
 class JobService:
     """The job service that handles the requests of callers.
 
@@ -110,6 +55,8 @@
         Source of the configuration in force.
     owners : dict of str to PoolOwner
         The pools that this daemon owns.
+    queue_registry : QueueRegistry
+        The pools that may hold jobs of each queue.
     find_owner : callable
         Returns the daemon that owns a pool, or None.
     list_capacities : callable
@@ -128,6 +75,7 @@
         job_writer: JobWriter,
         peer_calls: PeerCalls,
         owners: dict[str, PoolOwner],
+        queue_registry: QueueRegistry,
         find_owner: Callable[[str], str | None],
         list_capacities: Callable[[str], list[Resources]],
         metrics: WorkMetrics,
@@ -136,11 +84,13 @@
     ) -> None:
         self._configuration_reader = configuration_reader
         self._key_check = key_check
-        self._node = member.node
         self._data_centre = member.data_centre
         self._job_writer = job_writer
-        self._peer_calls = peer_calls
         self._owners = owners
+        self._queue_registry = queue_registry
+        self._owner_requests = OwnerRequests(
+            member.node, peer_calls, find_owner, self.handle_request, metrics
+        )
         self._find_owner = find_owner
         self._list_capacities = list_capacities
         self._metrics = metrics
@@ -181,9 +131,9 @@
         if queue is not None:
             return queue
         if reader.configuration is None:
-            return _refuse_for_now("no_configuration")
+            return refuse_for_now("no_configuration")
         if not reader.is_confirmed():
-            return _refuse_for_now("configuration_unconfirmed", reader.age_s())
+            return refuse_for_now("configuration_unconfirmed", reader.age_s())
         return CallerReply(ReplyKind.NO_QUEUE, reason="no_queue")
 
     def _look_up_queue(
@@ -209,7 +159,7 @@
             case KeyOutcome.UNKNOWN_KEY:
                 return CallerReply(ReplyKind.NO_KEY, reason=outcome.value)
         age_s = self._configuration_reader.age_s()
-        return _refuse_for_now(outcome.value, age_s)
+        return refuse_for_now(outcome.value, age_s)
 
     async def submit(
         self,
@@ -220,6 +170,12 @@
         caller: Caller = ANONYMOUS,
     ) -> CallerReply:
         """Store a job; it is accepted once it is stored."""
+        if not self._queue_registry.is_read:
+            refusal = refuse_for_now("queues_not_read", self._store_age_s())
+            return await self._refuse_unless_accepted(queue, job, refusal, deadline)
+        former_reply = await self._look_up_in_former_pools(queue, job, deadline)
+        if former_reply is not None:
+            return self._log_reply(job, "submit", former_reply, queue)
         unfit_reason = self._describe_unfit_step(queue, spec)
         if unfit_reason:
             refusal = CallerReply(ReplyKind.NEVER, reason=unfit_reason)
@@ -241,7 +197,7 @@
         )
         try:
             outcome = await self._job_writer.store(
-                queue.pool, record_of(accepted), _leave_reply_margin(deadline)
+                queue.pool, record_of(accepted), leave_reply_margin(deadline)
             )
         except JobRefusedError as exc:
             # Its owner, which refuses it, does not know of the job.
@@ -255,6 +211,27 @@
             return await self._refuse_unless_accepted(queue, job, refusal, deadline)
         return self._log_reply(job, "submit", reply, queue)
 
+    async def _look_up_in_former_pools(
+        self, queue: Queue, job: str, deadline: float
+    ) -> CallerReply | None:
+        """Reply to a submit whose job may be accepted in a former pool of its queue.
+
+        Returns None if no former pool holds the job: it is to be stored.
+        """
+        pools = self._queue_registry.former_pools(queue)
+        if not pools:
+            return None
+        replies = await self._owner_requests.request_all(pools, "recall", job, deadline)
+        reply = choose_reply(replies)
+        match reply.kind:
+            case ReplyKind.NO_JOB:
+                return None
+            case ReplyKind.OK:
+                return CallerReply(ReplyKind.OK, reason="accepted_in_former_pool")
+        return CallerReply(
+            ReplyKind.UNKNOWN, reason=reply.reason, retry_after=reply.retry_after
+        )
+
     async def _wait_for_store(self, job: str, deadline: float) -> bool:
         """Return whether the store answers, after a wait where that serves the caller.
 
@@ -297,7 +274,7 @@
         that the job has not run, so it is sent only if the pool's owner does not know
         of the job, and has no record of it underway.
         """
-        reply = await self._request_owner(queue.pool, "recall", job, deadline)
+        reply = await self._owner_requests.request(queue.pool, "recall", job, deadline)
         match reply.kind:
             case ReplyKind.OK:
                 reply = CallerReply(ReplyKind.OK)
@@ -335,7 +312,7 @@
             case SubmitOutcome.STORED:
                 return CallerReply(ReplyKind.OK)
             case SubmitOutcome.NOT_DONE:
-                return _refuse_for_now("store_unavailable", self._store_age_s())
+                return refuse_for_now("store_unavailable", self._store_age_s())
             case SubmitOutcome.UNKNOWN:
                 return CallerReply(ReplyKind.UNKNOWN, reason="store_did_not_answer")
 
@@ -343,72 +320,61 @@
         self, queue: Queue, job: str, deadline: float, caller: Caller = ANONYMOUS
     ) -> CallerReply:
         """Return a job's state."""
-        reply = await self._request_owner(
-            queue.pool, "show", job, deadline, caller.account
+        replies = await self._owner_requests.request_all(
+            self._list_pools(queue), "show", job, deadline, caller.account
         )
-        return self._log_reply(job, "show", reply, queue)
+        return self._log_reply(job, "show", self._choose_reply(replies), queue)
+
+    def _choose_reply(self, replies: list[CallerReply]) -> CallerReply:
+        """Return the reply about one job, of those about the pools of its queue.
+
+        That a job does not exist is said only once this daemon knows all these pools.
+        """
+        reply = choose_reply(replies)
+        if reply.kind is ReplyKind.NO_JOB and not self._queue_registry.is_read:
+            return refuse_for_now("queues_not_read", self._store_age_s())
+        return reply
+
+    def _list_pools(self, queue: Queue) -> tuple[str, ...]:
+        """Return all pools that may hold jobs of a queue, the present one first."""
+        return (queue.pool, *self._queue_registry.former_pools(queue))
 
     async def cancel(
         self, queue: Queue, job: str, deadline: float, caller: Caller = ANONYMOUS
     ) -> CallerReply:
-        """Cancel a job, through the store if its owner cannot be reached."""
-        reply = await self._request_owner(
-            queue.pool, "cancel", job, deadline, caller.account
+        """Cancel a job in each pool that may hold it."""
+        calls = (
+            self._cancel_in_pool(pool, job, deadline, caller.account)
+            for pool in self._list_pools(queue)
         )
-        if reply.kind is ReplyKind.NOT_NOW:
-            record = record_of(Cancelled(job, self._wall()))
-            outcome = await self._job_writer.store(
-                queue.pool, record, _leave_reply_margin(deadline)
-            )
-            reply = self._make_submit_reply(outcome)
-        return self._log_reply(job, "cancel", reply, queue)
+        replies = await asyncio.gather(*calls)
+        return self._log_reply(job, "cancel", self._choose_reply(replies), queue)
+
+    async def _cancel_in_pool(
+        self, pool: str, job: str, deadline: float, account: str
+    ) -> CallerReply:
+        """Cancel a job, through the store if the pool's owner cannot be reached."""
+        reply = await self._owner_requests.request(
+            pool, "cancel", job, deadline, account
+        )
+        if reply.kind is not ReplyKind.NOT_NOW:
+            return reply
+        record = record_of(Cancelled(job, self._wall()))
+        outcome = await self._job_writer.store(
+            pool, record, leave_reply_margin(deadline)
+        )
+        return self._make_submit_reply(outcome)
 
     async def count_pending(self, queue: Queue, deadline: float) -> CallerReply:
-        """Return how many jobs of a queue have not started."""
-        reply = await self._request_owner(queue.pool, "pending", queue.name, deadline)
+        """Return how many jobs of a queue have not started, in all its pools."""
+        replies = await self._owner_requests.request_all(
+            self._list_pools(queue), "pending", queue.name, deadline
+        )
+        refusals = [reply for reply in replies if reply.kind is not ReplyKind.OK]
+        pending = sum(reply.pending for reply in replies)
+        reply = refusals[0] if refusals else CallerReply(ReplyKind.OK, pending=pending)
         return self._log_reply(queue.name, "pending", reply, queue)
 
-    async def _request_owner(
-        self, pool: str, verb: str, subject: str, deadline: float, account: str = ""
-    ) -> CallerReply:
-        loop = asyncio.get_running_loop()
-        reason = "no_owner"
-        owner_deadline = _leave_reply_margin(deadline)
-        for attempt in range(OWNER_REQUEST_ATTEMPTS):
-            remaining_s = owner_deadline - loop.time()
-            if remaining_s <= 0.02:
-                break
-            if attempt:
-                await asyncio.sleep(min(OWNER_RETRY_PAUSE, remaining_s / 2))
-                self._metrics.retries.labels("owner").inc()
-            owner_reply = await self._request_owner_once(
-                JobRequest(0, pool, verb, subject, account),
-                min(OWNER_REQUEST_TIMEOUT, remaining_s),
-            )
-            if owner_reply is not None and not owner_reply.unknown_reason:
-                return _convert_owner_reply(verb, owner_reply)
-            if owner_reply is not None:
-                reason = owner_reply.unknown_reason
-        return _refuse_for_now(reason)
-
-    async def _request_owner_once(
-        self, msg: JobRequest, timeout: float
-    ) -> JobReply | None:
-        node = self._find_owner(msg.pool)
-        if node is None:
-            return None
-        if node == self._node:
-            return await self.handle_request(msg, timeout)
-        try:
-            return await self._peer_calls.request(
-                node,
-                lambda n: msgspec.structs.replace(msg, id=n),
-                JobReply,
-                timeout,
-            )
-        except SiskinroadError:
-            return JobReply(0, "owner_silent", "", 0)
-
     async def handle_request(
         self, msg: JobRequest, timeout: float = OWNER_REQUEST_TIMEOUT
     ) -> JobReply:
@@ -480,18 +446,3 @@
         return False
     job = owner.pool_state.jobs.get(msg.subject)
     return job is not None and job.account not in ("", msg.account)
-
-
-def _leave_reply_margin(deadline: float) -> float:
-    """Return the loop time by which a reply must be ready to meet a deadline."""
-    return deadline - reply_margin(deadline - asyncio.get_running_loop().time())
-
-
-def _convert_owner_reply(verb: str, owner_reply: JobReply) -> CallerReply:
-    if owner_reply.is_other_account:
-        return CallerReply(ReplyKind.OTHER_ACCOUNT, reason="other_account")
-    if verb == "pending":
-        return CallerReply(ReplyKind.OK, pending=owner_reply.pending)
-    if not owner_reply.state:
-        return CallerReply(ReplyKind.NO_JOB)
-    return CallerReply(ReplyKind.OK, state=owner_reply.state)
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -541,6 +541,10 @@
             job_topic(self.pool), [record_of(cancelled)], timeout=timeout
         )
 
+    def list_held_queues(self) -> set[str]:
+        """Return the names of the queues of which the pool holds jobs."""
+        return {job.queue for job in self.pool_state.jobs.values()}
+
     def count_pending(self, queue: str) -> int:
         """Return the number of accepted jobs of a queue that have not started."""
         self._require_fresh_records()
--- a/siskinroad/work/records.py
+++ b/siskinroad/work/records.py
@@ -1,4 +1,4 @@
-"""Stored records: accepted jobs, cancellations, claims, progress and members.
+"""Stored records: accepted jobs, cancellations, claims, progress, members and queues.
 
 A pool has two topics. Any daemon appends accepted jobs, cancellations and claims to
 the first, under keys of their own, so that a repeated submission never overwrites
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import hashlib
+
 import msgspec
 
 from siskinroad.codec import DECODE_ERRORS
@@ -18,6 +20,7 @@
 __all__ = [
     "MEMBERS_TOPIC",
     "OWNER_KEY",
+    "QUEUE_PREFIX",
     "Accepted",
     "Cancelled",
     "HostSet",
@@ -27,11 +30,13 @@
     "Progress",
     "Released",
     "Stored",
+    "StoredQueue",
     "TaskProgress",
     "decode_stored",
     "encode_stored",
     "job_topic",
     "progress_topic",
+    "queue_key",
     "record_of",
 ]
 
@@ -40,6 +45,10 @@
 RELEASED_KEY = "@released"
 HOSTS_KEY = "@hosts"
 LOANS_PREFIX = "@loans "
+QUEUE_PREFIX = "@queue "
+# Bytes of the digest in the key of a queue's record: names and prefixes may be longer
+# than a key.
+QUEUE_DIGEST_SIZE = 16
 CANCEL_SUFFIX = "!"
 
 
@@ -127,6 +136,25 @@
     notes: tuple[TaskProgress, ...]
 
 
+class StoredQueue(msgspec.Struct, tag="queue", frozen=True, omit_defaults=True):
+    """A queue as it was sent to a pool, which may hold jobs of it since then.
+
+    The fields are those of ``Queue``. ``advice`` has its three fields in order, and is
+    empty if the queue needs none. What only the reception of new jobs needs is left
+    out.
+    """
+
+    name: str
+    virtual_host: str
+    prefix: str
+    pool: str
+    priority: int
+    max_attempts: int
+    slack: float
+    target: float
+    advice: tuple[float, ...] = ()
+
+
 class HostSet(msgspec.Struct, tag="hosts", frozen=True):
     """Hosts on which runs of this term, or of an earlier one, may exist.
 
@@ -156,7 +184,15 @@
 
 
 Stored = (
-    Accepted | Cancelled | OwnerRecord | Released | Member | Progress | HostSet | Loans
+    Accepted
+    | Cancelled
+    | OwnerRecord
+    | Released
+    | Member
+    | Progress
+    | HostSet
+    | Loans
+    | StoredQueue
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -192,6 +228,13 @@
         raise ProtocolError(str(exc), step="records.unpack") from exc
 
 
+def queue_key(queue: StoredQueue) -> str:
+    """Return the key of a queue's record: one for each address and pool of a queue."""
+    parts = (queue.name, queue.virtual_host, queue.prefix, queue.pool)
+    digest = hashlib.blake2b("\0".join(parts).encode(), digest_size=QUEUE_DIGEST_SIZE)
+    return QUEUE_PREFIX + digest.hexdigest()
+
+
 def record_of(stored: Stored) -> Record:
     """Return the record for a value, with the key under which it is stored."""
     match stored:
@@ -209,4 +252,6 @@
             key = LOANS_PREFIX + account
         case Member(node=node):
             key = node
+        case StoredQueue():
+            key = queue_key(stored)
     return Record(key, encode_stored(stored))
--- a/tests/work/cell.py
+++ b/tests/work/cell.py
@@ -73,13 +73,18 @@
 
 
 # Pools of the second configuration; the cell's first hosts are all in POOL. The third
-# one has a single queue, the fourth one all of them again.
+# one has a single queue, the fourth one all of them again. The fifth one sends a queue
+# to another pool, the sixth one gives it another name and another pool.
 POOLS = ("archive", POOL, "bulk")
+MOVED = replace(FAST, pool="archive")
+RENAMED = replace(FAST, name="faster", pool="archive")
 CONFIGURATION_BY_VERSION = {
     1: CONFIGURATION,
     2: Configuration(2, CONFIGURATION.queues, POOLS, 1 << 18),
     3: Configuration(3, (FAST,), (POOL,), 1 << 18),
     4: Configuration(4, CONFIGURATION.queues, (POOL,), 1 << 18),
+    5: Configuration(5, (MOVED, SLOW, ADVISED), POOLS, 1 << 18),
+    6: Configuration(6, (RENAMED, SLOW, ADVISED), POOLS, 1 << 18),
 }
 
 
@@ -105,6 +110,11 @@
         for i in range(hosts):
             self.add_host(f"i-{i}")
 
+    def configure(self, version):
+        """Put a version of the configuration in force."""
+        record = Record("config", str(version).encode())
+        self.logs.append("keyed.setup", [record], None, None)
+
     def add_host(self, name, pool=POOL, address="", **fields):
         self.hosts.add(MemoryHost(entry(name, pool=pool), **fields))
         record = host_record(name, pool=pool, address=address)
