Start lost tasks soon after a former owner that was cut off is back

Cause: the owner was cut off and another daemon took over. After a takeover, tasks wait for the hosts that do not reply until the former owner's leases have expired, 14.4 s from the takeover, unless the former owner is known to be dead. One that was cut off and is deposed stops at once when it is back, and nobody learned of that. The same held for the loser of two claims at the same time, and for every owner before one that had not reconciled it.

Change: a new owner asks the former owners whether they have stopped, and waits for the longest lease from then on. It stores the former owners that may still renew leases with its set of hosts, so that the next owner knows them.

test_claim.py: are_earlier_owners_reconciled gives way to the list of the owners that may still renew leases, and the test checks that list.

--- a/siskinroad/work/claim.py
+++ b/siskinroad/work/claim.py
@@ -18,6 +18,7 @@
 from siskinroad.work.records import (
     Accepted,
     Cancelled,
+    FormerOwner,
     HostSet,
     Loans,
     OwnerRecord,
@@ -41,6 +42,7 @@
     "AlreadyOwnedError",
     "InheritedState",
     "claim_pool",
+    "read_claims",
     "release_pool",
 ]
 
@@ -71,6 +73,9 @@
         The former owner, if there was one.
     former_term : int
         The former owner's term.
+    claims : list of FormerOwner
+        The claims that were read, the oldest first. Of those that the store had at the
+        first read it gives only the newest.
     released_term : int
         The newest term whose owner released the pool in an orderly way.
     claimed_at : float
@@ -82,6 +87,7 @@
     term: int = 0
     former: OwnerRecord | None = None
     former_term: int = 0
+    claims: list[FormerOwner] = field(default_factory=list)
     released_term: int = 0
     claimed_at: float = 0.0
     next_offset: int = 0
@@ -92,15 +98,21 @@
     loans: dict[str, Loans] = field(default_factory=dict)
 
     @property
-    def are_earlier_owners_reconciled(self) -> bool:
-        """Whether the former owner reconciled all runs of the owners before it.
+    def former_owners(self) -> tuple[FormerOwner, ...] | None:
+        """The owners that may still renew leases; None if not all are known.
 
-        Also true if there is no former owner.
+        Those of terms before that of the stored set of hosts are known by that set.
         """
         if self.former is None:
-            return True
+            return ()
         hosts = self.hosts
-        return hosts is not None and hosts.term == self.former_term and hosts.settled
+        terms = [claim.term for claim in self.claims]
+        if hosts is None or hosts.term not in terms:
+            return None
+        since = tuple(self.claims[terms.index(hosts.term) :])
+        if hosts.settled:
+            return since
+        return None if hosts.unreconciled is None else hosts.unreconciled + since
 
     def apply(self, stored: Stored, offset: int) -> None:
         """Apply one record."""
@@ -112,6 +124,9 @@
             case OwnerRecord():
                 self.former = stored
                 self.former_term = offset + 1
+                claim = FormerOwner(stored.node, stored.incarnation, offset + 1)
+                if claim not in self.claims:
+                    self.claims.append(claim)
             case Released(term=term):
                 self.released_term = max(self.released_term, term)
             case Progress(job=job):
@@ -210,6 +225,25 @@
         start = result.next_offset
 
 
+async def read_claims(
+    store: Store, pool: str, inherited: InheritedState
+) -> list[FormerOwner]:
+    """Return all claims from that of the stored set of hosts to the former owner's.
+
+    Raises
+    ------
+    SiskinroadError
+        If the store does not answer, or no longer has all of these records.
+    """
+    if inherited.hosts is None:
+        return inherited.claims
+    found = InheritedState()
+    topic = job_topic(pool)
+    start = inherited.hosts.term - 1
+    await _read_records_before_claim(store, topic, start, inherited.term - 1, found)
+    return found.claims
+
+
 async def release_pool(store: Store, pool: str, term: int) -> None:
     """Store the release of a pool by the owner of a term.
 
--- a/siskinroad/work/claim_manager.py
+++ b/siskinroad/work/claim_manager.py
@@ -276,6 +276,20 @@
         asyncio.get_running_loop().call_soon(owner.apply_host_list, self._hosts)
         return owner
 
+    def has_stopped(self, pool: str, term: int) -> bool:
+        """Return whether this daemon no longer acts under its claim of a term.
+
+        Asked by a later owner, so an owner of that term here is deposed. A claim in
+        progress may be the one of that term.
+        """
+        owner = self.owners.get(pool)
+        if owner is None:
+            return pool not in self._pool_tasks
+        if owner.term.number > term:
+            return True
+        owner.recheck_claims()
+        return False
+
     async def release_all(self) -> None:
         """Release every pool; accepted work continues under other owners."""
         pools = self.pools
--- a/siskinroad/work/messages.py
+++ b/siskinroad/work/messages.py
@@ -139,6 +139,11 @@
     region: str
 
 
+# Verb of a request to a former owner, and the state in its reply.
+HAS_STOPPED = "has_stopped"
+STOPPED = "stopped"
+
+
 class JobRequest(msgspec.Struct, tag="job?", frozen=True, array_like=True):
     """Request to a pool's owner about a job or a queue.
 
@@ -147,6 +152,9 @@
     of a queue's accepted jobs that have not started. ``subject`` names the job or
     queue. ``account`` is the client account for which the caller acts, empty if it acts
     for none.
+
+    With ``HAS_STOPPED``, a new owner asks whether the recipient has stopped acting
+    under its claim of the term in ``subject``; the reply's state is ``STOPPED`` then.
     """
 
     id: int
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -20,6 +20,7 @@
     ThrottleRun,
 )
 from siskinroad.work.follower import Follower
+from siskinroad.work.former_owners import FormerOwners
 from siskinroad.work.host import LEASE_S
 from siskinroad.work.host_commands import HostCommands
 from siskinroad.work.job_table import EARLY_CANCEL_MEMORY_S
@@ -120,9 +121,11 @@
         self._rechecked_at = -1e9
         self._listed_hosts: dict[str, HostEntry] = {}
         self._relisted_at = -1e9
-        self.former = inherited.former
-        self._are_earlier_owners_reconciled = inherited.are_earlier_owners_reconciled
-        self._is_former_released = inherited.released_term >= inherited.former_term
+        self.former_owners = FormerOwners(
+            pool, inherited, dependencies.has_later_incarnation
+        )
+        self._are_former_owners_stopped = False
+        self.progress.find_unreconciled = lambda: self.former_owners.remaining
         self._load_inherited(inherited)
         self.follower = Follower(
             dependencies.store, job_topic(pool), self._apply_records
@@ -143,7 +146,7 @@
             pool_state.set_former_owner_hosts(
                 names, now + OWNERSHIP_TIMEOUT_S + LEASE_S * 1.1
             )
-            self._check_former_owner(now)
+            self._check_former_owners(now)
         for accepted in inherited.accepted.values():
             pool_state.accept(accepted, now, wall, is_new=False)
         for progress in inherited.progress.values():
@@ -196,17 +199,17 @@
                 extra={"pool": self.pool, "queue": queue, "jobs": jobs},
             )
 
-    def _check_former_owner(self, now: float) -> None:
-        """Shorten the wait for silent hosts once the former owner has stopped."""
-        former = self.former
-        if former is None or not self._are_earlier_owners_reconciled:
+    def _check_former_owners(self, now: float) -> None:
+        """Shorten the wait for silent hosts once all former owners have stopped."""
+        if self._are_former_owners_stopped or not self.former_owners.have_stopped():
             return
-        has_restarted = self.dependencies.has_later_incarnation(
-            former.node, former.incarnation
-        )
-        if self._is_former_released or has_restarted:
-            self.pool_state.note_former_owner_dead(now + LEASE_S * 1.1)
-            self.former = None
+        self._are_former_owners_stopped = True
+        self.pool_state.note_former_owner_dead(now + LEASE_S * 1.1)
+
+    async def _ask_former_owners(self) -> None:
+        ask = self.dependencies.ask_stopped
+        if not self.pool_state.is_settled and ask is not None:
+            await self.former_owners.ask_until_stopped(self.dependencies.store, ask)
 
     # Lifecycle
 
@@ -226,6 +229,7 @@
                 group.create_task(self.progress.run())
                 group.create_task(self._run_ticks())
                 group.create_task(self.account_exchange.run())
+                group.create_task(self._ask_former_owners())
         except* OwnershipLostError as excs:
             raise excs.exceptions[0] from None
         finally:
@@ -410,7 +414,7 @@
             self._record_loop_delay(due_at, now)
             confirmed_until = self.follower.confirmed_at + OWNERSHIP_TIMEOUT_S
             self.term.owned_until = max(self.term.owned_until, confirmed_until)
-            self._check_former_owner(now)
+            self._check_former_owners(now)
             self._add_missing_hosts(now)
             effects = self.pool_state.expire_silent_hosts(now)
             self.pool_state.settle_tasks(now)
--- a/siskinroad/work/progress.py
+++ b/siskinroad/work/progress.py
@@ -10,7 +10,13 @@
 from siskinroad.errors import SiskinroadError
 from siskinroad.work.claim import PROGRESS_PRODUCER
 from siskinroad.work.job import Job
-from siskinroad.work.records import HostSet, Loans, progress_topic, record_of
+from siskinroad.work.records import (
+    FormerOwner,
+    HostSet,
+    Loans,
+    progress_topic,
+    record_of,
+)
 from siskinroad.work.store import (
     Fence,
     FencedError,
@@ -58,6 +64,9 @@
         Set, and replaced by a new event, each time a batch has been stored.
     on_loans_stored : callable
         Receives the loans of an account once they are stored, and no newer ones wait.
+    find_unreconciled : callable
+        Returns the owners of earlier terms that may still renew leases, or None if they
+        are not known.
     """
 
     def __init__(self, term: Term, hosts: HostSet | None) -> None:
@@ -67,6 +76,9 @@
         self._sequence = 0
         self._batch: _Batch | None = None
         self._stored_events: dict[str, asyncio.Event] = {}
+        self.find_unreconciled: Callable[[], tuple[FormerOwner, ...] | None] = lambda: (
+            None
+        )
         self.on_loans_stored: Callable[[Loans], None] = lambda loans: None
         self._unstored_loans: dict[str, Loans] = {}
         self._storing_loans: dict[str, list[asyncio.Future[None]]] = {}
@@ -139,8 +151,12 @@
         known = set(self.term.pool_state.hosts)
         if not self.term.pool_state.is_settled:
             known |= self.term.pool_state.former_owner_hosts
+        is_settled = self.term.pool_state.is_settled
         return HostSet(
-            tuple(sorted(known)), self.term.number, self.term.pool_state.is_settled
+            tuple(sorted(known)),
+            self.term.number,
+            is_settled,
+            None if is_settled else self.find_unreconciled(),
         )
 
     async def flush(self) -> None:
--- a/siskinroad/work/records.py
+++ b/siskinroad/work/records.py
@@ -23,6 +23,7 @@
     "QUEUE_PREFIX",
     "Accepted",
     "Cancelled",
+    "FormerOwner",
     "HostSet",
     "Loans",
     "Member",
@@ -89,6 +90,14 @@
     incarnation: int
 
 
+class FormerOwner(msgspec.Struct, frozen=True, array_like=True):
+    """An owner of an earlier term."""
+
+    node: str
+    incarnation: int
+    term: int
+
+
 class Released(msgspec.Struct, tag="released", frozen=True):
     """Notice that the owner of ``term`` has stopped all its calls to hosts."""
 
@@ -165,11 +174,15 @@
     settled : bool
         Whether all runs started by owners of earlier terms are reconciled with this
         owner's view.
+    unreconciled : tuple of FormerOwner or None
+        Until then, the owners of earlier terms that may still renew leases; None if
+        they are not known, and in records of earlier versions.
     """
 
     names: tuple[str, ...]
     term: int
     settled: bool
+    unreconciled: tuple[FormerOwner, ...] | None = None
 
 
 class Loans(msgspec.Struct, tag="loans", frozen=True):
--- a/siskinroad/work/term.py
+++ b/siskinroad/work/term.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -16,6 +16,7 @@
 from siskinroad.work.loop_delay import LoopDelay
 from siskinroad.work.model import Timing
 from siskinroad.work.pool_state import PoolState
+from siskinroad.work.records import FormerOwner
 from siskinroad.work.store import Store
 from siskinroad.work.workmetrics import WorkMetrics
 
@@ -46,6 +47,8 @@
         Recent delays of the daemon's event loop.
     account_limits : AccountLimits
         Limits of the client accounts that the daemon has seen.
+    ask_stopped : callable or None
+        Asks a former owner of a pool whether it has stopped.
     account_peers : AccountPeers or None
         Way to the owners of the other pools; None if there is none.
     sheds_load : bool
@@ -64,6 +67,7 @@
     loop_delay: LoopDelay
     account_limits: AccountLimits = field(default_factory=AccountLimits)
     account_peers: AccountPeers | None = None
+    ask_stopped: Callable[[str, FormerOwner], Awaitable[bool]] | None = None
     sheds_load: bool = False
 
 
--- a/tests/work/test_claim.py
+++ b/tests/work/test_claim.py
@@ -8,6 +8,7 @@
 from siskinroad.work.claim import PROGRESS_PRODUCER, claim_pool, release_pool
 from siskinroad.work.records import (
     Accepted,
+    FormerOwner,
     HostSet,
     Loans,
     OwnerRecord,
@@ -103,7 +104,7 @@
         store = MemoryStore(MemoryLogs())
         first = await claim_pool(store, POOL, OWNER_A)
         second = await claim_pool(store, POOL, OWNER_B)
-        assert not second.are_earlier_owners_reconciled
+        assert first.former_owners == () and second.former_owners is None
         hosts = record_of(HostSet(("i-0",), second.term, True))
         await store.append(
             progress_topic(POOL),
@@ -111,9 +112,8 @@
             fence=Fence(PROGRESS_PRODUCER, second.term, 1),
         )
         third = await claim_pool(store, POOL, OWNER_A)
-        assert (
-            third.are_earlier_owners_reconciled and first.are_earlier_owners_reconciled
-        )
+        former = FormerOwner(OWNER_B.node, OWNER_B.incarnation, second.term)
+        assert third.former_owners == (former,)
 
     run_on_paused_clock(scenario())
 
