--- a/tests/work/cell.py
+++ b/tests/work/cell.py
@@ -105,6 +105,7 @@
         self.daemons = {}
         self.incarnations = 0
         self.sheds_load = False
+        self.decoder = PlainDecoder()
         version = str(configuration).encode()
         self.logs.append("keyed.setup", [Record("config", version)], None, None)
         for i in range(hosts):
@@ -135,7 +136,7 @@
         self.network.powered_off.discard(name)
         peers = self.network.join(name, CODEC)
         platform_clients = PlatformClients(
-            MemoryStore(self.logs, name), self.hosts, self.advisor, PlainDecoder()
+            MemoryStore(self.logs, name), self.hosts, self.advisor, self.decoder
         )
         daemon = WorkDaemon(
             Member(name, self.incarnations, name, "dc1", "r1"),
