Keep the progress of a job within what the store takes

Cause: a job's progress was one record with each task of each occurrence that had ever run. The store rejects a record of more than 262,144 bytes, and the batch was repeated unchanged.

Change: done occurrences are stored as ranges, but for the newest 2,000 of their tasks, and are dropped from memory; longer progress is divided among records of one append, and an append is limited by its bytes. A record within the limits is the same to the byte.

--- a/siskinroad/work/claim.py
+++ b/siskinroad/work/claim.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, field
 
 from siskinroad.errors import ProtocolError, SiskinroadError
+from siskinroad.work.progress_records import PartedProgress
 from siskinroad.work.records import (
     Accepted,
     Cancelled,
@@ -93,7 +94,7 @@
     next_offset: int = 0
     accepted: dict[str, Accepted] = field(default_factory=dict)
     cancelled: dict[str, Cancelled] = field(default_factory=dict)
-    progress: dict[str, Progress] = field(default_factory=dict)
+    parted_progress: PartedProgress = field(default_factory=PartedProgress)
     hosts: HostSet | None = None
     loans: dict[str, Loans] = field(default_factory=dict)
 
@@ -114,6 +115,12 @@
             return since
         return None if hosts.unreconciled is None else hosts.unreconciled + since
 
+    @property
+    def progress(self) -> dict[str, Progress]:
+        """The stored progress of each job that has any."""
+        parted = self.parted_progress
+        return {first.job: parted.join(first) for first in parted.list_firsts()}
+
     def apply(self, stored: Stored, offset: int) -> None:
         """Apply one record."""
         match stored:
@@ -129,8 +136,8 @@
                     self.claims.append(claim)
             case Released(term=term):
                 self.released_term = max(self.released_term, term)
-            case Progress(job=job):
-                self.progress[job] = stored
+            case Progress():
+                self.parted_progress.add(stored)
             case HostSet():
                 self.hosts = stored
             case Loans(account=account):
--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -10,6 +10,7 @@
 from siskinroad.resources import Resources
 from siskinroad.work.crash_record import CrashRecord
 from siskinroad.work.host import LOWEST_RANK, Run
+from siskinroad.work.index_ranges import IndexRanges
 from siskinroad.work.model import JobSpec, Step, TaskId
 from siskinroad.work.records import Accepted, Progress, TaskProgress
 from siskinroad.work.step_advice import StepAdvice, Ticket
@@ -24,6 +25,9 @@
     "make_job",
 ]
 
+# Most tasks of done occurrences that are kept with their runs.
+KEPT_DONE_TASKS = 2_000
+
 _TASK_CHART = load_chart("task")
 # States in which a task waits for its placement.
 _WAIT_STATES = frozenset(("waiting", "unsettled"))
@@ -308,7 +312,11 @@
     successors : tuple of tuple of int
         Numbers of the steps that depend directly on each step.
     opened_occurrences : int
-        Number of occurrences whose steps exist.
+        Number of occurrences that have been opened; the next one to open.
+    done_occurrences : IndexRanges
+        Occurrences that are done and whose steps are not kept.
+    kept_done : list of int
+        Occurrences that are done and whose steps are kept, the newest last.
     data_centre : str
         Data centre in which a caller submitted the job; empty if it is unknown.
     account : str
@@ -330,6 +338,8 @@
     successors: tuple[tuple[int, ...], ...] = ()
     steps: dict[tuple[int, int], StepRun] = field(default_factory=dict)
     opened_occurrences: int = 0
+    done_occurrences: IndexRanges = field(default_factory=IndexRanges)
+    kept_done: list[int] = field(default_factory=list)
     data_centre: str = ""
     account: str = ""
     is_excess: bool | None = None
@@ -362,7 +372,7 @@
             Whether no former owner can have started any of its tasks.
         """
         number = self.opened_occurrences
-        self.opened_occurrences += 1
+        self.opened_occurrences = self.done_occurrences.next_absent(number + 1)
         added = []
         for i, spec in enumerate(self.spec.steps):
             ids = [TaskId(self.id, number, i, n) for n in range(spec.count)]
@@ -375,6 +385,29 @@
             added.append(step)
         return added
 
+    def keep_few_done(self, occurrence: int) -> None:
+        """Drop the steps of the oldest done occurrences, if this one is done too.
+
+        A job may be repeated without end; what is done is known by its number then.
+        """
+        if occurrence in self.kept_done or occurrence in self.done_occurrences:
+            return
+        steps = range(len(self.spec.steps))
+        if not all(self.steps[occurrence, i].is_done() for i in steps):
+            return
+        self.kept_done.append(occurrence)
+        while len(self.kept_done) * self.spec.task_count > KEPT_DONE_TASKS:
+            dropped = self.kept_done.pop(0)
+            self.done_occurrences.add(dropped)
+            for i in steps:
+                del self.steps[dropped, i]
+
+    def count_unfinished(self) -> int:
+        """Return the number of tasks of opened occurrences that are not done."""
+        return sum(
+            len(step.tasks) - step.tally.done_count for step in self.steps.values()
+        )
+
     def task(self, key: TaskId) -> Task | None:
         """Return a task, or None if there is no such task."""
         step = self.steps.get((key.occurrence, key.step))
@@ -395,12 +428,17 @@
             for task in step.tasks
             if (task.run or task.state == "done") and not self.outcome
         )
-        return Progress(self.id, self.outcome, self.outcome_at, task_progresses)
+        done = () if self.outcome else self.done_occurrences.as_tuple()
+        return Progress(self.id, self.outcome, self.outcome_at, task_progresses, done)
 
     def restore(self, progress: Progress) -> None:
         """Restore the job from its stored progress record."""
         self.outcome = self.stored_outcome = progress.state
         self.outcome_at = progress.at
+        if progress.done:
+            self.done_occurrences = IndexRanges(progress.done)
+            self.opened_occurrences = self.done_occurrences.next_absent(0)
+            self.has_started = True
         for task_progress in progress.notes:
             while (
                 self.opened_occurrences
--- a/siskinroad/work/job_table.py
+++ b/siskinroad/work/job_table.py
@@ -29,6 +29,9 @@
 # Most occurrences of one job that are opened at once: a job may be submitted long after
 # the first of them were due.
 MAX_OPENED_AT_ONCE = 100
+# Most unfinished tasks of one job beyond which no further occurrence is opened: the
+# progress of a job is stored by one append.
+MAX_UNFINISHED_TASKS = 20_000
 
 log = logging.getLogger("siskinroad.pool_state")
 
@@ -164,7 +167,7 @@
         for job_id in list(self.scheduled_jobs):
             job = self.jobs[job_id]
             due = job.opened_occurrences
-            last = min(job.spec.occurrences, due + MAX_OPENED_AT_ONCE)
+            last = min(job.spec.occurrences, due + _count_openable(job))
             while due < last and job.spec.due(due) <= wall + max_lead:
                 due += 1
             self.open_occurrences(job, due - 1, now)
@@ -267,6 +270,7 @@
             return
         self.ready.pop(step.key, None)
         self._collect_ready_steps(job, now)
+        job.keep_few_done(step.occurrence)
 
     def _complete_job_if_done(self, job: Job, wall: float) -> None:
         if job.is_closed or job.opened_occurrences < job.spec.occurrences:
@@ -297,3 +301,9 @@
                 "late_s": round(late_s, 3),
             },
         )
+
+
+def _count_openable(job: Job) -> int:
+    """Return how many occurrences of a job may be opened now."""
+    room = MAX_UNFINISHED_TASKS - job.count_unfinished()
+    return max(0, min(MAX_OPENED_AT_ONCE, room // job.spec.task_count))
--- a/siskinroad/work/model.py
+++ b/siskinroad/work/model.py
@@ -107,6 +107,11 @@
     first: float = 0.0
     interval: float = 0.0
 
+    @property
+    def task_count(self) -> int:
+        """Number of tasks of one occurrence."""
+        return sum(step.count for step in self.steps)
+
     def due(self, occurrence: int) -> float:
         """Return the Unix time in seconds at which an occurrence is due."""
         return self.first + occurrence * self.interval
--- a/siskinroad/work/progress.py
+++ b/siskinroad/work/progress.py
@@ -10,6 +10,7 @@
 from siskinroad.errors import SiskinroadError
 from siskinroad.work.claim import PROGRESS_PRODUCER
 from siskinroad.work.job import Job
+from siskinroad.work.progress_records import make_progress_records
 from siskinroad.work.records import (
     FormerOwner,
     HostSet,
@@ -34,8 +35,9 @@
 FLUSH_RETRY_INTERVAL = 0.25
 # Seconds to wait for the store to answer an append.
 FLUSH_TIMEOUT = 2.0
-# Records in one append: the store limits the bytes of a call.
+# Most records and bytes of jobs in one append: the store takes two megabytes a call.
 MAX_RECORDS_PER_APPEND = 400
+MAX_APPEND_BYTES = 1_000_000
 
 log = logging.getLogger("siskinroad.progress")
 
@@ -183,14 +185,7 @@
             self.term.flush_requested.set()
 
     def _make_batch(self) -> _Batch:
-        changed = list(self.term.pool_state.dirty)[:MAX_RECORDS_PER_APPEND]
-        self.term.pool_state.dirty.difference_update(changed)
-        jobs = [
-            self.term.pool_state.jobs[job]
-            for job in changed
-            if job in self.term.pool_state.jobs
-        ]
-        records = [record_of(job.make_progress()) for job in jobs]
+        jobs, records = self._take_changed_jobs()
         hosts = self._host_set()
         if hosts != self._stored_hosts:
             records.append(record_of(hosts))
@@ -206,6 +201,28 @@
         outcomes = tuple((job, job.outcome) for job in jobs)
         return _Batch(tuple(records), outcomes, hosts, ends_seen, loans)
 
+    def _take_changed_jobs(self) -> tuple[list[Job], list[Record]]:
+        """Return changed jobs with their records, as many as one append takes.
+
+        They do not count as changed any more; the others wait for a later batch.
+        """
+        pool_state = self.term.pool_state
+        jobs: list[Job] = []
+        records: list[Record] = []
+        length = 0
+        for job_id in list(pool_state.dirty):
+            job = pool_state.jobs.get(job_id)
+            if job is not None:
+                added = make_progress_records(job.make_progress())
+                length += sum(len(each.value) for each in added)
+                is_full = len(records) + len(added) > MAX_RECORDS_PER_APPEND
+                if jobs and (is_full or length > MAX_APPEND_BYTES):
+                    break
+                jobs.append(job)
+                records += added
+            pool_state.dirty.discard(job_id)
+        return jobs, records
+
     def _mark_stored(self, batch: _Batch) -> None:
         self._stored_hosts = batch.hosts
         for name in batch.hosts.names:
--- /dev/null
+++ b/siskinroad/work/progress_records.py
@@ -0,0 +1,84 @@
+"""The records of a job's progress, each within the length that the store takes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from siskinroad.work.records import Progress, progress_key, record_of
+from siskinroad.work.store import Record
+
+__all__ = ["PartedProgress", "make_progress_records"]
+
+# Longest record in bytes. The store takes a quarter of a megabyte.
+MAX_RECORD_BYTES = 200_000
+
+
+def make_progress_records(progress: Progress) -> list[Record]:
+    """Return the records of a job's progress; all of them are stored by one append.
+
+    Most jobs have one. The notes of a longer one are divided among several, of which a
+    reader uses as many as the first one says.
+    """
+    record = record_of(progress)
+    if len(record.value) <= MAX_RECORD_BYTES or len(progress.notes) < 2:
+        return [record]
+    # Half of the limit on average, as some notes are longer than others.
+    count = min(len(progress.notes), 2 * len(record.value) // MAX_RECORD_BYTES + 1)
+    while True:
+        records = _divide(progress, count)
+        longest = max(len(each.value) for each in records)
+        if longest <= MAX_RECORD_BYTES or count == len(progress.notes):
+            return records
+        count = min(len(progress.notes), 2 * count)
+
+
+def _divide(progress: Progress, count: int) -> list[Record]:
+    notes = progress.notes
+    bounds = [len(notes) * i // count for i in range(count + 1)]
+    return [
+        record_of(
+            msgspec.structs.replace(
+                progress,
+                notes=notes[bounds[i] : bounds[i + 1]],
+                done=progress.done if i == 0 else (),
+                part=i,
+                parts=count,
+            )
+        )
+        for i in range(count)
+    ]
+
+
+class PartedProgress:
+    """The progress of jobs as it is read from the store, part by part."""
+
+    def __init__(self) -> None:
+        self._parts: dict[str, Progress] = {}
+
+    def add(self, progress: Progress) -> None:
+        """Add one part; a later one replaces it."""
+        self._parts[progress_key(progress)] = progress
+
+    def join(self, first: Progress) -> Progress:
+        """Return a job's whole progress, given its first part.
+
+        Further parts than the first one names are of an earlier time.
+        """
+        if first.parts == 1:
+            return first
+        keys = (
+            progress_key(msgspec.structs.replace(first, part=i))
+            for i in range(1, first.parts)
+        )
+        notes = list(first.notes)
+        for key in keys:
+            part = self._parts.get(key)
+            if part is not None:
+                notes += part.notes
+        return msgspec.structs.replace(first, notes=tuple(notes), parts=1)
+
+    def list_firsts(self) -> Iterable[Progress]:
+        """Return the first part of each job's progress."""
+        return (part for part in self._parts.values() if part.part == 0)
--- a/siskinroad/work/records.py
+++ b/siskinroad/work/records.py
@@ -36,6 +36,7 @@
     "decode_stored",
     "encode_stored",
     "job_topic",
+    "progress_key",
     "progress_topic",
     "queue_key",
     "record_of",
@@ -51,6 +52,7 @@
 # than a key.
 QUEUE_DIGEST_SIZE = 16
 CANCEL_SUFFIX = "!"
+PART_SEPARATOR = "#"
 
 
 class Accepted(msgspec.Struct, tag="job", frozen=True, omit_defaults=True):
@@ -136,13 +138,18 @@
 class Progress(msgspec.Struct, tag="progress", frozen=True, omit_defaults=True):
     """Stored progress of a job; a newer record replaces it as a whole.
 
-    ``state`` is empty until the job ends; ``at`` is Unix time in seconds.
+    ``state`` is empty until the job ends; ``at`` is Unix time in seconds. ``done`` has
+    the first and last number of the ranges of occurrences whose tasks are all done and
+    have no notes. A long one is stored in ``parts`` records, numbered by ``part``.
     """
 
     job: str
     state: str
     at: float
     notes: tuple[TaskProgress, ...]
+    done: tuple[tuple[int, int], ...] = ()
+    part: int = 0
+    parts: int = 1
 
 
 class StoredQueue(msgspec.Struct, tag="queue", frozen=True, omit_defaults=True):
@@ -248,11 +255,20 @@
     return QUEUE_PREFIX + digest.hexdigest()
 
 
+def progress_key(progress: Progress) -> str:
+    """Return the key of one part of a job's progress."""
+    if not progress.part:
+        return progress.job
+    return f"{progress.job}{PART_SEPARATOR}{progress.part}"
+
+
 def record_of(stored: Stored) -> Record:
     """Return the record for a value, with the key under which it is stored."""
     match stored:
-        case Accepted(job=job) | Progress(job=job):
+        case Accepted(job=job):
             key = job
+        case Progress():
+            key = progress_key(stored)
         case Cancelled(job=job):
             key = job + CANCEL_SUFFIX
         case OwnerRecord():
--- a/siskinroad/work/store_memory.py
+++ b/siskinroad/work/store_memory.py
@@ -77,12 +77,15 @@
         Set at the next append to any topic, then replaced by a new event.
     page_size : int
         Largest number of keys in one page of the newest records.
+    record_bytes : int
+        Longest record that an append may have.
     """
 
     faults: StoreFaults = field(default_factory=StoreFaults)
     topics: dict[str, _Topic] = field(default_factory=dict)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     page_size: int = 500
+    record_bytes: int = 262_144
 
     def topic(self, name: str) -> _Topic:
         """Return a topic; create it on first use."""
@@ -92,6 +95,8 @@
         self, name: str, records: list[Record], at: int | None, fence: Fence | None
     ) -> int:
         """Append records immediately, without injected faults."""
+        if any(len(record.value) > self.record_bytes for record in records):
+            raise StoreUnavailableError("record too long", step="store.append")
         topic = self.topic(name)
         if fence is not None:
             highest_epoch = topic.epochs.get(fence.producer, -1)
