Keep the settings of removed queues, and the owners of removed pools, in the store

Cause: the settings of a removed queue were known only to the processes that had seen them, and a pool that no version has any more was claimed by nobody.

Change: an owner takes the settings of the queues from the registry in the store, at its claim and when they are read later; the pools of the registry are claimed too.

--- a/siskinroad/work/claim_manager.py
+++ b/siskinroad/work/claim_manager.py
@@ -24,8 +24,9 @@
 from siskinroad.work.claim import claim_pool
 from siskinroad.work.members import Members
 from siskinroad.work.messages import Heartbeat
-from siskinroad.work.model import Configuration, HostEntry, Queue
+from siskinroad.work.model import Configuration, HostEntry
 from siskinroad.work.owner import OwnershipLostError, PoolOwner
+from siskinroad.work.queue_registry import QueueRegistry
 from siskinroad.work.records import Member, OwnerRecord
 from siskinroad.work.relay import RelayStore
 from siskinroad.work.term import OwnerDependencies
@@ -68,6 +69,8 @@
 
     Parameters
     ----------
+    queue_registry : QueueRegistry
+        The queues that were ever sent to a pool.
     make_heartbeat : callable
         Returns the heartbeat that this daemon would send now.
     send_heartbeat : callable
@@ -93,11 +96,12 @@
         store: RelayStore,
         dependencies: OwnerDependencies,
         hosts: dict[str, HostEntry],
+        queue_registry: QueueRegistry,
         make_heartbeat: Callable[[], Heartbeat],
         send_heartbeat: Callable[[], None],
     ) -> None:
         self.configuration: Configuration | None = None
-        self._known_queues: dict[str, Queue] = {}
+        self._queue_registry = queue_registry
         self.is_leaving = False
         self.owners: dict[str, PoolOwner] = {}
         self.check_requested = asyncio.Event()
@@ -133,13 +137,8 @@
         )
 
     def configure(self, configuration: Configuration) -> None:
-        """Apply a configuration, here and to the owners of this daemon's pools.
-
-        Queues missing from it are kept for owners to come: accepted jobs of a removed
-        queue still run.
-        """
+        """Apply a configuration, here and to the owners of this daemon's pools."""
         self.configuration = configuration
-        self._known_queues.update((queue.name, queue) for queue in configuration.queues)
         for owner in self.owners.values():
             owner.configure(configuration)
 
@@ -168,8 +167,13 @@
         """Return all pools, those of most hosts first.
 
         The daemon with the most processor is chosen for the pool that is claimed first.
+        A pool that the configuration has no more may still hold accepted jobs.
         """
-        pools = self.configuration.pools if self.configuration else ()
+        if self.configuration is None:
+            return []
+        configured = self.configuration.pools
+        removed = self._queue_registry.list_pools().difference(configured)
+        pools = (*configured, *sorted(removed))
         return sorted(pools, key=self._members.pool_size, reverse=True)
 
     def _should_claim(self, pool: str, now: float) -> bool:
@@ -268,7 +272,7 @@
             self._dependencies,
             inherited,
             self.configuration,
-            self._known_queues,
+            self._queue_registry.list_queues(pool),
         )
         self.owners[pool] = owner
         self._send_heartbeat()
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -168,6 +168,7 @@
                 self.peer_calls, self._find_pool_owner, self._find_own_account_exchange
             ),
         )
+        self.queue_registry = QueueRegistry()
         self.claim_manager = ClaimManager(
             member,
             self.members,
@@ -175,11 +176,11 @@
             self.store,
             self.dependencies,
             self.hosts,
+            self.queue_registry,
             self._make_heartbeat,
             self.membership.send_heartbeats,
         )
         self.owners = self.claim_manager.owners
-        self.queue_registry = QueueRegistry()
         self.queue_recorder = QueueRecorder(
             self.queue_registry, self.store, self.owners
         )
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -283,6 +283,12 @@
         self.account_exchange.configure()
         self.term.plan_requested.set()
 
+    def add_known_queues(self, queues: dict[str, Queue]) -> None:
+        """Add queues that were read from the store; those already known stay."""
+        for name, queue in queues.items():
+            self.pool_state.queues.setdefault(name, queue)
+        self.term.plan_requested.set()
+
     def apply_host_list(self, entries: dict[str, HostEntry]) -> None:
         """Apply the live host list, which later changes in place.
 
--- a/siskinroad/work/queue_recorder.py
+++ b/siskinroad/work/queue_recorder.py
@@ -69,6 +69,9 @@
                 continue
             if isinstance(stored, StoredQueue):
                 self._registry.apply_record(stored, now)
+        if items:
+            for pool, owner in self._owners.items():
+                owner.add_known_queues(self._registry.list_queues(pool))
 
     async def run(self) -> None:
         """Store and forget queues until cancelled."""
--- a/siskinroad/work/queue_registry.py
+++ b/siskinroad/work/queue_registry.py
@@ -14,7 +14,7 @@
 from siskinroad.work.model import Advice, Configuration, Queue
 from siskinroad.work.records import StoredQueue, queue_key
 
-__all__ = ["QueueRegistry", "make_stored_queue"]
+__all__ = ["QueueRegistry", "make_queue", "make_stored_queue"]
 
 # Seconds for which a queue must not have been sent to a pool before the registry may
 # forget it there: an append without an answer may still bring a job of it.
@@ -122,6 +122,18 @@
         )
         return tuple(sorted(pools - {queue.pool}))
 
+    def list_pools(self) -> set[str]:
+        """Return the pools of the stored queues, also of queues that were removed."""
+        return {entry.queue.pool for entry in self._entries.values() if entry.is_stored}
+
+    def list_queues(self, pool: str) -> dict[str, Queue]:
+        """Return the queues that were ever sent to a pool, by name."""
+        return {
+            entry.queue.name: make_queue(entry.queue)
+            for entry in self._entries.values()
+            if entry.queue.pool == pool
+        }
+
     def list_unstored(self, pool: str, held: Iterable[str]) -> list[StoredQueue]:
         """Return the queues of a pool that are to be stored.
 
