Forget jobs that ended long ago, in memory and in the store

Cause: nothing removed jobs that had ended, nor their records; an owner held all steps and tasks of every job of all time, and a claim decoded and held them all.

Change: an owner removes them once callers may not ask for them any more and a margin has passed; the record of the acceptance goes first, so that no owner takes an ended job for one that has not begun. A claim holds accepted jobs encoded and keeps no steps of ended ones.

--- a/siskinroad/work/claim.py
+++ b/siskinroad/work/claim.py
@@ -17,6 +17,7 @@
 from siskinroad.errors import ProtocolError, SiskinroadError
 from siskinroad.work.progress_records import PartedProgress
 from siskinroad.work.records import (
+    CANCEL_SUFFIX,
     Accepted,
     Cancelled,
     FormerOwner,
@@ -25,7 +26,6 @@
     OwnerRecord,
     Progress,
     Released,
-    Stored,
     decode_stored,
     job_topic,
     progress_topic,
@@ -54,6 +54,8 @@
 # Timeout of one store call, in seconds. A shorter one would abort claims that are
 # queued behind several slow appends.
 STORE_TIMEOUT = 2.5
+# Records that are decoded before other tasks of the daemon get a turn.
+RECORDS_PER_TURN = 200
 
 log = logging.getLogger("siskinroad.claim")
 
@@ -83,6 +85,8 @@
         Loop time at which the claim was sent.
     next_offset : int
         Offset from which to continue reading the topic of accepted jobs.
+    accepted : dict of str to bytes
+        Encoded record of each accepted job: most have ended, and need no more of it.
     """
 
     term: int = 0
@@ -92,7 +96,7 @@
     released_term: int = 0
     claimed_at: float = 0.0
     next_offset: int = 0
-    accepted: dict[str, Accepted] = field(default_factory=dict)
+    accepted: dict[str, bytes] = field(default_factory=dict)
     cancelled: dict[str, Cancelled] = field(default_factory=dict)
     parted_progress: PartedProgress = field(default_factory=PartedProgress)
     hosts: HostSet | None = None
@@ -121,17 +125,27 @@
         parted = self.parted_progress
         return {first.job: parted.join(first) for first in parted.list_firsts()}
 
-    def apply(self, stored: Stored, offset: int) -> None:
-        """Apply one record."""
+    def apply(self, item: NewestRecord) -> None:
+        """Apply one record.
+
+        Raises
+        ------
+        ProtocolError
+            If it cannot be decoded.
+        """
+        if not item.value:
+            self._remove(item.key)
+            return
+        stored = decode_stored(item.value)
         match stored:
             case Accepted(job=job):
-                self.accepted.setdefault(job, stored)
+                self.accepted.setdefault(job, item.value)
             case Cancelled(job=job):
                 self.cancelled[job] = stored
             case OwnerRecord():
                 self.former = stored
-                self.former_term = offset + 1
-                claim = FormerOwner(stored.node, stored.incarnation, offset + 1)
+                self.former_term = item.offset + 1
+                claim = FormerOwner(stored.node, stored.incarnation, self.former_term)
                 if claim not in self.claims:
                     self.claims.append(claim)
             case Released(term=term):
@@ -143,16 +157,28 @@
             case Loans(account=account):
                 self.loans[account] = stored
 
+    def _remove(self, key: str) -> None:
+        """Remove what the store has deleted since it was read."""
+        self.accepted.pop(key, None)
+        self.cancelled.pop(key.removesuffix(CANCEL_SUFFIX), None)
+        self.parted_progress.remove(key)
 
-def apply_records(
+    def drop_jobs(self) -> None:
+        """Drop the jobs, once the owner has taken them over."""
+        self.accepted = {}
+        self.cancelled = {}
+        self.parted_progress = PartedProgress()
+
+
+async def apply_records(
     inherited: InheritedState, items: tuple[NewestRecord, ...], topic: str
 ) -> None:
     """Apply records; log and skip those that cannot be decoded."""
-    for item in items:
-        if not item.value:
-            continue
+    for i, item in enumerate(items):
+        if i % RECORDS_PER_TURN == RECORDS_PER_TURN - 1:
+            await asyncio.sleep(0)
         try:
-            inherited.apply(decode_stored(item.value), item.offset)
+            inherited.apply(item)
         except ProtocolError as exc:
             log.error(
                 "claim: cannot decode a stored record; skipping it",
@@ -185,7 +211,7 @@
     topic = job_topic(pool)
     page = await read_all_newest(store, topic, STORE_TIMEOUT)
     inherited = InheritedState()
-    apply_records(inherited, page.items, topic)
+    await apply_records(inherited, page.items, topic)
     former = inherited.former
     if (
         former is not None
@@ -211,7 +237,7 @@
 async def _read_progress(store: Store, pool: str, inherited: InheritedState) -> None:
     topic = progress_topic(pool)
     page = await read_all_newest(store, topic, STORE_TIMEOUT)
-    apply_records(inherited, page.items, topic)
+    await apply_records(inherited, page.items, topic)
 
 
 async def _read_records_before_claim(
@@ -224,7 +250,7 @@
             NewestRecord(record.key, record.value, start + i)
             for i, record in enumerate(result.records)
         )
-        apply_records(
+        await apply_records(
             inherited, tuple(item for item in items if item.offset < end), topic
         )
         if result.next_offset <= start:
--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from bisect import bisect_left, insort
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -12,7 +13,7 @@
 from siskinroad.work.host import LOWEST_RANK, Run
 from siskinroad.work.index_ranges import IndexRanges
 from siskinroad.work.model import JobSpec, Step, TaskId
-from siskinroad.work.records import Accepted, Progress, TaskProgress
+from siskinroad.work.records import Accepted, Progress, TaskProgress, progress_key
 from siskinroad.work.step_advice import StepAdvice, Ticket
 
 __all__ = [
@@ -22,12 +23,16 @@
     "StepRun",
     "Task",
     "TaskTally",
+    "make_closed_job",
     "make_job",
 ]
 
 # Most tasks of done occurrences that are kept with their runs.
 KEPT_DONE_TASKS = 2_000
 
+# Specification of an ended job whose steps are not kept.
+NO_SPEC = JobSpec("", ())
+
 _TASK_CHART = load_chart("task")
 # States in which a task waits for its placement.
 _WAIT_STATES = frozenset(("waiting", "unsettled"))
@@ -317,6 +322,8 @@
         Occurrences that are done and whose steps are not kept.
     kept_done : list of int
         Occurrences that are done and whose steps are kept, the newest last.
+    progress_parts : int
+        Records that the store may have of the job's progress.
     data_centre : str
         Data centre in which a caller submitted the job; empty if it is unknown.
     account : str
@@ -340,6 +347,7 @@
     opened_occurrences: int = 0
     done_occurrences: IndexRanges = field(default_factory=IndexRanges)
     kept_done: list[int] = field(default_factory=list)
+    progress_parts: int = 1
     data_centre: str = ""
     account: str = ""
     is_excess: bool | None = None
@@ -420,6 +428,10 @@
         dependencies = step.spec.after
         return all(self.steps[step.occurrence, i].is_done() for i in dependencies)
 
+    def list_progress_keys(self) -> list[str]:
+        """Return the keys of the records of the job's progress."""
+        return [progress_key(self.id, i) for i in range(self.progress_parts)]
+
     def make_progress(self) -> Progress:
         """Return the progress record of the job's current state."""
         task_progresses = tuple(
@@ -465,6 +477,22 @@
                 task.move("done")
 
 
+def make_closed_job(accepted: Accepted, progress: Progress) -> Job:
+    """Return a job that has ended, without its steps: only its state is still shown."""
+    job = Job(
+        accepted.job,
+        sys.intern(accepted.queue),
+        sys.intern(accepted.pool),
+        NO_SPEC,
+        accepted.at,
+    )
+    job.account = accepted.account
+    job.outcome = job.stored_outcome = sys.intern(progress.state)
+    job.outcome_at = progress.at
+    job.has_started = True
+    return job
+
+
 def make_job(accepted: Accepted) -> Job:
     """Return a new job that has not started, made from its accepted record."""
     job = Job(accepted.job, accepted.queue, accepted.pool, accepted.spec, accepted.at)
--- a/siskinroad/work/job_table.py
+++ b/siskinroad/work/job_table.py
@@ -12,7 +12,14 @@
 from dataclasses import dataclass
 
 from siskinroad.health import Health
-from siskinroad.work.job import Job, JobState, StepRun, Task, make_job
+from siskinroad.work.job import (
+    Job,
+    JobState,
+    StepRun,
+    Task,
+    make_closed_job,
+    make_job,
+)
 from siskinroad.work.model import Configuration, Queue, TaskId
 from siskinroad.work.records import Accepted, Progress
 from siskinroad.work.speed_estimates import SpeedEstimates
@@ -149,6 +156,21 @@
         cancelled_at = self._early_cancels.pop(job_id, -math.inf)
         return now - cancelled_at <= EARLY_CANCEL_MEMORY_S
 
+    def has_early_cancel(self, job_id: str) -> bool:
+        """Return whether the cancellation of an unknown job is remembered."""
+        return job_id in self._early_cancels
+
+    def take_old_early_cancels(self, now: float) -> list[str]:
+        """Remove and return the cancellations that are remembered no longer."""
+        old = [
+            job_id
+            for job_id, at in self._early_cancels.items()
+            if now - at > EARLY_CANCEL_MEMORY_S
+        ]
+        for job_id in old:
+            del self._early_cancels[job_id]
+        return old
+
     def restore(self, progress: Progress, now: float) -> None:
         """Apply the stored progress of an accepted job."""
         job = self.jobs.get(progress.job)
@@ -166,6 +188,9 @@
         """Open occurrences that are due within ``max_lead`` seconds."""
         for job_id in list(self.scheduled_jobs):
             job = self.jobs[job_id]
+            if job.is_closed:
+                self.scheduled_jobs.discard(job_id)
+                continue
             due = job.opened_occurrences
             last = min(job.spec.occurrences, due + _count_openable(job))
             while due < last and job.spec.due(due) <= wall + max_lead:
@@ -193,19 +218,26 @@
         self._maybe_pending[queue] = pending
         return len(pending)
 
-    def forget_closed(self, wall: float, retention: float) -> list[str]:
-        """Remove jobs closed more than ``retention`` seconds ago; return their ids."""
-        expired = [
-            job.id
+    def add_closed(self, accepted: Accepted, progress: Progress) -> None:
+        """Add a job that had ended under a former owner, without its steps."""
+        self.jobs.setdefault(accepted.job, make_closed_job(accepted, progress))
+
+    def list_expired(self, wall: float, retention: float) -> list[Job]:
+        """Return the jobs whose end was stored, more than ``retention`` seconds ago."""
+        return [
+            job
             for job in self.jobs.values()
             if job.stored_outcome and wall - job.outcome_at > retention
         ]
-        for job_id in expired:
-            del self.jobs[job_id]
-            self.health.remove_workload(job_id)
-        for queue in list(self._maybe_pending):
-            self.count_pending(queue)
-        return expired
+
+    def forget(self, job: Job) -> None:
+        """Remove a job that has ended."""
+        self.jobs.pop(job.id, None)
+        self.scheduled_jobs.discard(job.id)
+        self.health.remove_workload(job.id)
+        pending = self._maybe_pending.get(job.queue, [])
+        if job in pending:
+            pending.remove(job)
 
     def queue_times(self, name: str) -> QueueTimes:
         """Return the times of a queue; a queue that is unknown allows none."""
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -23,6 +23,8 @@
 from siskinroad.work.former_owners import FormerOwners
 from siskinroad.work.host import LEASE_S
 from siskinroad.work.host_commands import HostCommands
+from siskinroad.work.job import JobState
+from siskinroad.work.job_forgetter import JobForgetter
 from siskinroad.work.job_table import EARLY_CANCEL_MEMORY_S
 from siskinroad.work.lease_renewer import LeaseRenewer
 from siskinroad.work.model import Configuration, HostEntry, Queue
@@ -34,6 +36,7 @@
     OWNER_KEY,
     Accepted,
     Cancelled,
+    Progress,
     decode_stored,
     job_topic,
     record_of,
@@ -41,6 +44,7 @@
 from siskinroad.work.run_monitor import RunMonitor
 from siskinroad.work.store import NewestRecord, StoreUnknownError
 from siskinroad.work.term import OWNERSHIP_TIMEOUT_S, OwnerDependencies, Term
+from siskinroad.work.unsettled_use import CLOSED_JOB_RUN_S
 
 __all__ = ["OwnershipLostError", "PoolOwner"]
 
@@ -118,6 +122,9 @@
         self.run_monitor = RunMonitor(self.pool_state, dependencies.timing)
         self.host_commands = HostCommands(self.term)
         self.lease_renewer = LeaseRenewer(self.term, self.progress)
+        self.job_forgetter = JobForgetter(
+            self.term, self.progress, dependencies.timing.status_retention_s
+        )
         self._rechecked_at = -1e9
         self._listed_hosts: dict[str, HostEntry] = {}
         self._relisted_at = -1e9
@@ -147,12 +154,7 @@
                 names, now + OWNERSHIP_TIMEOUT_S + LEASE_S * 1.1
             )
             self._check_former_owners(now)
-        for accepted in inherited.accepted.values():
-            pool_state.accept(accepted, now, wall, is_new=False)
-        for progress in inherited.progress.values():
-            pool_state.restore(progress, now)
-        for job_id, cancelled in inherited.cancelled.items():
-            self._apply_stored_cancel(cancelled, inherited.accepted.get(job_id), now)
+        self._load_jobs(inherited, now)
         if pool_state.account_use is not None:
             # What former owners may have started counts from the first pass on.
             pool_state.open_due(now, wall, EARLY_START_TIME)
@@ -163,26 +165,45 @@
                 "pool": self.pool,
                 "term": self.term.number,
                 "former": inherited.former.node if inherited.former else None,
-                "jobs": len(inherited.accepted),
+                "jobs": len(pool_state.jobs),
                 "hosts": len(inherited.hosts.names) if inherited.hosts else 0,
             },
         )
 
         self._log_unknown_queues()
 
-    def _apply_stored_cancel(
-        self, cancelled: Cancelled, accepted: Accepted | None, now: float
-    ) -> None:
+    def _load_jobs(self, inherited: InheritedState, now: float) -> None:
+        pool_state, wall = self.pool_state, self.dependencies.wall()
+        progress_by_job = inherited.progress
+        for job_id, value in inherited.accepted.items():
+            accepted = decode_stored(value)
+            assert isinstance(accepted, Accepted)
+            progress = progress_by_job.get(job_id)
+            if progress is not None and _has_nothing_running(accepted, progress, wall):
+                pool_state.add_closed(accepted, progress)
+                continue
+            job = pool_state.accept(accepted, now, wall, is_new=False)
+            job.progress_parts = inherited.parted_progress.count_parts(job_id)
+            if progress is not None:
+                pool_state.restore(progress, now)
+        for cancelled in inherited.cancelled.values():
+            self._apply_stored_cancel(cancelled, now)
+        self.job_forgetter.add_inherited(inherited)
+        inherited.drop_jobs()
+
+    def _apply_stored_cancel(self, cancelled: Cancelled, now: float) -> None:
         """Apply a cancellation that the claim has read, also of a job that follows.
 
         One of long before the job was accepted meant an earlier submission that was
         never stored.
         """
         wall = self.dependencies.wall()
-        if accepted is None:
+        job = self.pool_state.jobs.get(cancelled.job)
+        if job is None:
             age_s = max(0.0, wall - cancelled.at)
-            self.pool_state.note_early_cancel(cancelled.job, now - age_s)
-        elif accepted.at - cancelled.at <= EARLY_CANCEL_MEMORY_S:
+            if age_s <= EARLY_CANCEL_MEMORY_S:
+                self.pool_state.note_early_cancel(cancelled.job, now - age_s)
+        elif job.accepted_at - cancelled.at <= EARLY_CANCEL_MEMORY_S:
             self.pool_state.cancel(cancelled.job, now, wall)
 
     def _log_unknown_queues(self) -> None:
@@ -230,6 +251,7 @@
                 group.create_task(self._run_ticks())
                 group.create_task(self.account_exchange.run())
                 group.create_task(self._ask_former_owners())
+                group.create_task(self.job_forgetter.run())
         except* OwnershipLostError as excs:
             raise excs.exceptions[0] from None
         finally:
@@ -559,3 +581,13 @@
         """Return the number of accepted jobs of a queue that have not started."""
         self._require_fresh_records()
         return self.pool_state.count_pending(queue)
+
+
+def _has_nothing_running(accepted: Accepted, progress: Progress, wall: float) -> bool:
+    """Return whether a job has ended and none of its tasks can still have a run."""
+    if not progress.state:
+        return False
+    if wall - progress.at > CLOSED_JOB_RUN_S:
+        return True
+    has_copies = any(step.copies for step in accepted.spec.steps)
+    return progress.state == JobState.COMPLETE and not has_copies
--- a/siskinroad/work/progress.py
+++ b/siskinroad/work/progress.py
@@ -83,6 +83,7 @@
         )
         self.on_loans_stored: Callable[[Loans], None] = lambda loans: None
         self._unstored_loans: dict[str, Loans] = {}
+        self._obsolete_keys: list[str] = []
         self._storing_loans: dict[str, list[asyncio.Future[None]]] = {}
 
     @property
@@ -91,6 +92,8 @@
         pool_state = self.term.pool_state
         if self._batch is not None or pool_state.dirty or self._unstored_loans:
             return True
+        if self._obsolete_keys:
+            return True
         # A host that was removed and added again may be in the stored set already.
         has_unmarked_host = any(
             not host.is_stored for host in pool_state.hosts.values()
@@ -122,6 +125,11 @@
         """Store the loans of an account with the next batch."""
         self._unstored_loans[loans.account] = loans
 
+    def remove_records(self, keys: Iterable[str]) -> None:
+        """Delete records of jobs that are forgotten, with a later batch."""
+        self._obsolete_keys += keys
+        self.term.flush_requested.set()
+
     async def run(self) -> None:
         """Store every change, in batches, until cancelled.
 
@@ -181,7 +189,7 @@
             self._sequence += 1
         self._batch = None
         self._mark_stored(batch)
-        if self.term.pool_state.dirty:
+        if self.term.pool_state.dirty or self._obsolete_keys:
             self.term.flush_requested.set()
 
     def _make_batch(self) -> _Batch:
@@ -192,6 +200,7 @@
         loans = tuple(self._unstored_loans.values())
         self._unstored_loans.clear()
         records += map(record_of, loans)
+        records += [Record(key, b"") for key in self._take_obsolete_keys()]
         ends_seen: tuple[tuple[str, int, int], ...] = ()
         if not self.term.pool_state.dirty:
             known = self.term.pool_state.hosts.values()
@@ -201,6 +210,11 @@
         outcomes = tuple((job, job.outcome) for job in jobs)
         return _Batch(tuple(records), outcomes, hosts, ends_seen, loans)
 
+    def _take_obsolete_keys(self) -> list[str]:
+        keys = self._obsolete_keys[:MAX_RECORDS_PER_APPEND]
+        del self._obsolete_keys[: len(keys)]
+        return keys
+
     def _take_changed_jobs(self) -> tuple[list[Job], list[Record]]:
         """Return changed jobs with their records, as many as one append takes.
 
@@ -214,6 +228,7 @@
             job = pool_state.jobs.get(job_id)
             if job is not None:
                 added = make_progress_records(job.make_progress())
+                job.progress_parts = max(job.progress_parts, len(added))
                 length += sum(len(each.value) for each in added)
                 is_full = len(records) + len(added) > MAX_RECORDS_PER_APPEND
                 if jobs and (is_full or length > MAX_APPEND_BYTES):
--- a/siskinroad/work/progress_records.py
+++ b/siskinroad/work/progress_records.py
@@ -56,10 +56,18 @@
 
     def __init__(self) -> None:
         self._parts: dict[str, Progress] = {}
+        self._counts: dict[str, int] = {}
 
     def add(self, progress: Progress) -> None:
         """Add one part; a later one replaces it."""
-        self._parts[progress_key(progress)] = progress
+        job, part = progress.job, progress.part
+        self._parts[progress_key(job, part)] = progress
+        if part:
+            self._counts[job] = max(part + 1, self._counts.get(job, 1))
+
+    def remove(self, key: str) -> None:
+        """Remove one part."""
+        self._parts.pop(key, None)
 
     def join(self, first: Progress) -> Progress:
         """Return a job's whole progress, given its first part.
@@ -68,13 +76,9 @@
         """
         if first.parts == 1:
             return first
-        keys = (
-            progress_key(msgspec.structs.replace(first, part=i))
-            for i in range(1, first.parts)
-        )
         notes = list(first.notes)
-        for key in keys:
-            part = self._parts.get(key)
+        for i in range(1, first.parts):
+            part = self._parts.get(progress_key(first.job, i))
             if part is not None:
                 notes += part.notes
         return msgspec.structs.replace(first, notes=tuple(notes), parts=1)
@@ -82,3 +86,11 @@
     def list_firsts(self) -> Iterable[Progress]:
         """Return the first part of each job's progress."""
         return (part for part in self._parts.values() if part.part == 0)
+
+    def count_parts(self, job: str) -> int:
+        """Return how many parts of a job's progress the store may have."""
+        return self._counts.get(job, 1)
+
+    def list_keys(self, job: str) -> list[str]:
+        """Return the keys of all parts of a job's progress."""
+        return [progress_key(job, i) for i in range(self.count_parts(job))]
--- a/siskinroad/work/records.py
+++ b/siskinroad/work/records.py
@@ -33,6 +33,7 @@
     "Stored",
     "StoredQueue",
     "TaskProgress",
+    "cancel_key",
     "decode_stored",
     "encode_stored",
     "job_topic",
@@ -255,11 +256,14 @@
     return QUEUE_PREFIX + digest.hexdigest()
 
 
-def progress_key(progress: Progress) -> str:
+def cancel_key(job: str) -> str:
+    """Return the key of a job's cancellation."""
+    return job + CANCEL_SUFFIX
+
+
+def progress_key(job: str, part: int = 0) -> str:
     """Return the key of one part of a job's progress."""
-    if not progress.part:
-        return progress.job
-    return f"{progress.job}{PART_SEPARATOR}{progress.part}"
+    return f"{job}{PART_SEPARATOR}{part}" if part else job
 
 
 def record_of(stored: Stored) -> Record:
@@ -268,9 +272,9 @@
         case Accepted(job=job):
             key = job
         case Progress():
-            key = progress_key(stored)
+            key = progress_key(stored.job, stored.part)
         case Cancelled(job=job):
-            key = job + CANCEL_SUFFIX
+            key = cancel_key(job)
         case OwnerRecord():
             key = OWNER_KEY
         case Released():
--- a/tests/work/test_claim.py
+++ b/tests/work/test_claim.py
@@ -12,6 +12,7 @@
     HostSet,
     Loans,
     OwnerRecord,
+    Progress,
     job_topic,
     progress_topic,
     record_of,
@@ -41,6 +42,29 @@
         return await super().append(topic, records, **fields)
 
 
+class DeletingStore(MemoryStore):
+    """Store in which the former owner deletes a job right before a claim."""
+
+    async def append(self, topic, records, **fields):
+        if topic == job_topic(POOL):
+            for each in (job_topic(POOL), progress_topic(POOL)):
+                self.logs.append(each, [Record("j1", b"")], None, None)
+        return await super().append(topic, records, **fields)
+
+
+def test_a_claim_drops_a_job_that_was_deleted_after_it_read_the_job():
+    # It would have the job's acceptance without its end, and run it again.
+    async def scenario():
+        logs = MemoryLogs()
+        logs.append(job_topic(POOL), [accepted("j1"), accepted("j2")], None, None)
+        ended = record_of(Progress("j1", "complete", 0.0, ()))
+        logs.append(progress_topic(POOL), [ended], None, None)
+        inherited = await claim_pool(DeletingStore(logs), POOL, OWNER_A)
+        assert list(inherited.accepted) == ["j2"]
+
+    run_on_paused_clock(scenario())
+
+
 def test_a_claim_reads_all_earlier_records_and_the_former_owner():
     async def scenario():
         store = MemoryStore(MemoryLogs())
--- a/tests/work/test_indexes.py
+++ b/tests/work/test_indexes.py
@@ -116,8 +116,11 @@
     pool_state = load.pool_state
     for each in pool_state.jobs.values():
         each.stored_outcome = each.outcome
-    forgotten = set(pool_state.forget_closed(load.now + 200.0, 120.0))
-    assert forgotten
+    expired = pool_state.list_expired(load.now + 200.0, 120.0)
+    for each in expired:
+        pool_state.forget(each)
+    forgotten = {each.id for each in expired}
+    assert forgotten and not forgotten & set(pool_state.jobs)
     kept = {job.id for jobs in pool_state._maybe_pending.values() for job in jobs}
     assert not forgotten & (kept | {key[0] for key in pool_state.ready})
 
