Place nothing on a host by the entry of its former incarnation

Change: an entry carries it, and a host whose entry and newest report are of different incarnations gets no new work; planned starts are withdrawn.

--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -312,6 +312,16 @@
         """Whether the host has rejected a start that its newest report allowed."""
         return self.reported_at <= self.start_rejected_at
 
+    @property
+    def is_entry_outdated(self) -> bool:
+        """Whether the entry is of another incarnation than the newest report.
+
+        What it says of kind, capacity and labels does not hold for the present one. The
+        calendar clock may have been set back, so either may be the newer one.
+        """
+        listed, reported = self.entry.incarnation_ms, self.incarnation_ms
+        return listed != 0 and reported != 0 and listed != reported
+
     def record_failed_request(self, now: float) -> None:
         """Record that a request got no reply; new work waits for the next reply."""
         if not self.is_failing:
@@ -413,7 +423,7 @@
         """Return whether nothing but a quarantine would keep new work off the host."""
         if not self.is_settled or not self.is_stored:
             return False
-        if self.entry.draining or self.is_report_outdated:
+        if self.entry.draining or self.is_report_outdated or self.is_entry_outdated:
             return False
         if now < self.trial_until:
             return False
--- a/siskinroad/work/host_commands.py
+++ b/siskinroad/work/host_commands.py
@@ -101,7 +101,8 @@
         host would reject the lower one. A host that has failed may be another
         incarnation with its own clock, so no lease is computed for it.
         """
-        is_usable = not host.is_failing and not host.is_report_outdated
+        is_outdated = host.is_report_outdated or host.is_entry_outdated
+        is_usable = not host.is_failing and not is_outdated
         lease_until_ms = host.lease_until(now) if is_usable else None
         ticket = self._find_ticket(effect, now)
         if lease_until_ms is None or ticket is None:
--- a/siskinroad/work/host_states.py
+++ b/siskinroad/work/host_states.py
@@ -17,7 +17,8 @@
     ``UNSETTLED``: it has not replied under this term, or the store does not hold yet
     that this owner uses it. ``UNLISTED``: it left the live list. ``FAILING``: its last
     request had no reply. ``SILENT``: its last reply is too old. ``OUTDATED``: it has
-    rejected a start that its newest report allowed.
+    rejected a start that its newest report allowed. ``RESTARTED``: its entry in the
+    list is of another incarnation than its newest report.
     """
 
     SCHEDULABLE = "schedulable"
@@ -28,6 +29,7 @@
     FAILING = "failing"
     SILENT = "silent"
     OUTDATED = "outdated"
+    RESTARTED = "restarted"
     TRIAL = "trial"
 
 
@@ -47,6 +49,8 @@
         return HostState.SILENT
     if host.is_report_outdated:
         return HostState.OUTDATED
+    if host.is_entry_outdated:
+        return HostState.RESTARTED
     if now < host.trial_until:
         return HostState.TRIAL
     return HostState.SCHEDULABLE
--- a/siskinroad/work/model.py
+++ b/siskinroad/work/model.py
@@ -247,6 +247,9 @@
         The host's rack.
     min_stay_s : float
         Minimum seconds for which a draining host stays; 0 if unknown.
+    incarnation_ms : int
+        Unix milliseconds of the start of the incarnation that wrote the entry; 0 if the
+        entry does not name it.
     """
 
     name: str
@@ -258,6 +261,7 @@
     labels: frozenset[str]
     rack: str
     min_stay_s: float = 0.0
+    incarnation_ms: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/work/test_host_states.py
+++ b/tests/work/test_host_states.py
@@ -1,5 +1,7 @@
 """Tests of the state that is shown for each host."""
 
+from dataclasses import replace
+
 import pytest
 
 from siskinroad.work.host import HOST_SILENCE_S
@@ -27,6 +29,11 @@
     host.entry = entry("i-0", draining=True)
 
 
+def set_restarted(host):
+    host.incarnation_ms = 7
+    host.entry = replace(entry("i-0"), incarnation_ms=8)
+
+
 def set_silent(host):
     host.replied_at = NOW - HOST_SILENCE_S - 0.1
 
@@ -42,6 +49,7 @@
         (lambda host: setattr(host, "unlisted_at", 1.0), HostState.UNLISTED),
         (lambda host: host.record_failed_request(NOW), HostState.FAILING),
         (set_silent, HostState.SILENT),
+        (set_restarted, HostState.RESTARTED),
     ],
 )
 def test_a_host_has_the_state_of_what_prevents_new_work(host, change, state):
