Move the takeover of jobs and the requests to former owners to modules of their own

Change: inherited_jobs.py loads the jobs of a claim, stop_requests.py asks and answers whether a former owner has stopped; the registry builds its index when it is next used.

--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -25,7 +25,6 @@
 from siskinroad.work.membership import Membership
 from siskinroad.work.messages import (
     HAS_STOPPED,
-    STOPPED,
     AdviceReply,
     AdviceRequest,
     ConfigurationReply,
@@ -50,12 +49,12 @@
 from siskinroad.work.records import (
     MEMBERS_TOPIC,
     Accepted,
-    FormerOwner,
     Member,
     decode_stored,
     record_of,
 )
 from siskinroad.work.relay import RelayStore
+from siskinroad.work.stop_requests import StopRequests
 from siskinroad.work.store import NewestRecord, Record
 from siskinroad.work.store_probe import StoreProbe
 from siskinroad.work.term import OwnerDependencies
@@ -75,8 +74,6 @@
 # Seconds for which the store may hold a read open for a new member record; new
 # members are rare.
 MEMBERS_READ_WAIT = 5.0
-# Seconds for which a former owner may take to say whether it has stopped.
-HAS_STOPPED_TIMEOUT = 0.7
 
 log = logging.getLogger("siskinroad.daemon")
 
@@ -151,6 +148,11 @@
             self.peer_calls,
             lambda: self.members.live_members(now()),
         )
+        self.stop_requests = StopRequests(
+            member.node,
+            self.peer_calls,
+            lambda pool, term: self.claim_manager.has_stopped(pool, term),
+        )
         self.dependencies = OwnerDependencies(
             member.node,
             member.incarnation,
@@ -163,7 +165,7 @@
             self.members.has_later_incarnation,
             self.loop_delay,
             sheds_load=sheds_load,
-            ask_stopped=self._ask_stopped,
+            ask_stopped=self.stop_requests.ask,
             account_peers=AccountPeers(
                 self.peer_calls, self._find_pool_owner, self._find_own_account_exchange
             ),
@@ -406,28 +408,6 @@
         owned = dict(self.members.last_heartbeats[node].heartbeat.owned)
         return PoolOwnerAddress(node, owned[pool])
 
-    async def _ask_stopped(self, pool: str, former: FormerOwner) -> bool:
-        """Return whether a former owner of a pool says that it has stopped."""
-        if former.node == self.member.node:
-            return self.claim_manager.has_stopped(pool, former.term)
-        try:
-            reply = await self.peer_calls.request(
-                former.node,
-                lambda n: JobRequest(n, pool, HAS_STOPPED, str(former.term)),
-                JobReply,
-                HAS_STOPPED_TIMEOUT,
-            )
-        except SiskinroadError:
-            return False
-        return reply.state == STOPPED
-
-    def _answer_has_stopped(self, msg: JobRequest) -> JobReply:
-        is_term = msg.subject.isascii() and msg.subject.isdecimal()
-        if not is_term:
-            return JobReply(msg.id, "no_term", "", 0)
-        has_stopped = self.claim_manager.has_stopped(msg.pool, int(msg.subject))
-        return JobReply(msg.id, "", STOPPED if has_stopped else "", 0)
-
     def _find_own_account_exchange(self, pool: str) -> AccountExchange | None:
         owner = self.owners.get(pool)
         return owner.account_exchange if owner is not None else None
@@ -512,7 +492,7 @@
             case SubmitRequest():
                 self._reply_when_done(peer, self.job_writer.accept(msg))
             case JobRequest(verb=verb) if verb == HAS_STOPPED:
-                self.peers.send(peer, self._answer_has_stopped(msg))
+                self.peers.send(peer, self.stop_requests.answer(msg))
             case JobRequest():
                 self._reply_when_done(peer, self.job_service.handle_request(msg))
             case AdviceRequest():
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-from collections import Counter
 
 from siskinroad.errors import SiskinroadError
 from siskinroad.work.account_exchange import AccountExchange
@@ -23,9 +22,8 @@
 from siskinroad.work.former_owners import FormerOwners
 from siskinroad.work.host import LEASE_S
 from siskinroad.work.host_commands import HostCommands
-from siskinroad.work.job import JobState
+from siskinroad.work.inherited_jobs import load_jobs, log_unknown_queues
 from siskinroad.work.job_forgetter import JobForgetter
-from siskinroad.work.job_table import EARLY_CANCEL_MEMORY_S
 from siskinroad.work.lease_renewer import LeaseRenewer
 from siskinroad.work.model import Configuration, HostEntry, Queue
 from siskinroad.work.planner import Planner
@@ -36,7 +34,6 @@
     OWNER_KEY,
     Accepted,
     Cancelled,
-    Progress,
     decode_stored,
     job_topic,
     record_of,
@@ -44,7 +41,6 @@
 from siskinroad.work.run_monitor import RunMonitor
 from siskinroad.work.store import NewestRecord, StoreUnknownError
 from siskinroad.work.term import OWNERSHIP_TIMEOUT_S, OwnerDependencies, Term
-from siskinroad.work.unsettled_use import CLOSED_JOB_RUN_S
 
 __all__ = ["OwnershipLostError", "PoolOwner"]
 
@@ -154,7 +150,9 @@
                 names, now + OWNERSHIP_TIMEOUT_S + LEASE_S * 1.1
             )
             self._check_former_owners(now)
-        self._load_jobs(inherited, now)
+        load_jobs(pool_state, inherited, now, wall)
+        self.job_forgetter.add_inherited(inherited)
+        inherited.drop_jobs()
         if pool_state.account_use is not None:
             # What former owners may have started counts from the first pass on.
             pool_state.open_due(now, wall, EARLY_START_TIME)
@@ -169,56 +167,7 @@
                 "hosts": len(inherited.hosts.names) if inherited.hosts else 0,
             },
         )
-
-        self._log_unknown_queues()
-
-    def _load_jobs(self, inherited: InheritedState, now: float) -> None:
-        pool_state, wall = self.pool_state, self.dependencies.wall()
-        progress_by_job = inherited.progress
-        for job_id, value in inherited.accepted.items():
-            accepted = decode_stored(value)
-            assert isinstance(accepted, Accepted)
-            progress = progress_by_job.get(job_id)
-            if progress is not None and _has_nothing_running(accepted, progress, wall):
-                pool_state.add_closed(accepted, progress)
-                continue
-            job = pool_state.accept(accepted, now, wall, is_new=False)
-            job.progress_parts = inherited.parted_progress.count_parts(job_id)
-            if progress is not None:
-                pool_state.restore(progress, now)
-        for cancelled in inherited.cancelled.values():
-            self._apply_stored_cancel(cancelled, now)
-        self.job_forgetter.add_inherited(inherited)
-        inherited.drop_jobs()
-
-    def _apply_stored_cancel(self, cancelled: Cancelled, now: float) -> None:
-        """Apply a cancellation that the claim has read, also of a job that follows.
-
-        One of long before the job was accepted meant an earlier submission that was
-        never stored.
-        """
-        wall = self.dependencies.wall()
-        job = self.pool_state.jobs.get(cancelled.job)
-        if job is None:
-            age_s = max(0.0, wall - cancelled.at)
-            if age_s <= EARLY_CANCEL_MEMORY_S:
-                self.pool_state.note_early_cancel(cancelled.job, now - age_s)
-        elif job.accepted_at - cancelled.at <= EARLY_CANCEL_MEMORY_S:
-            self.pool_state.cancel(cancelled.job, now, wall)
-
-    def _log_unknown_queues(self) -> None:
-        """Log the open jobs of queues whose settings this daemon has never seen."""
-        waiting = Counter(
-            job.queue
-            for job in self.pool_state.jobs.values()
-            if not job.is_closed and job.queue not in self.pool_state.queues
-        )
-        for queue, jobs in waiting.items():
-            log.error(
-                "owner: queue of accepted jobs is in no known configuration; "
-                "they wait until one has it",
-                extra={"pool": self.pool, "queue": queue, "jobs": jobs},
-            )
+        log_unknown_queues(pool_state)
 
     def _check_former_owners(self, now: float) -> None:
         """Shorten the wait for silent hosts once all former owners have stopped."""
@@ -581,13 +530,3 @@
         """Return the number of accepted jobs of a queue that have not started."""
         self._require_fresh_records()
         return self.pool_state.count_pending(queue)
-
-
-def _has_nothing_running(accepted: Accepted, progress: Progress, wall: float) -> bool:
-    """Return whether a job has ended and none of its tasks can still have a run."""
-    if not progress.state:
-        return False
-    if wall - progress.at > CLOSED_JOB_RUN_S:
-        return True
-    has_copies = any(step.copies for step in accepted.spec.steps)
-    return progress.state == JobState.COMPLETE and not has_copies
--- a/siskinroad/work/queue_registry.py
+++ b/siskinroad/work/queue_registry.py
@@ -50,6 +50,7 @@
     def __init__(self) -> None:
         self.is_read = False
         self._entries: dict[str, _Entry] = {}
+        self._is_indexed = True
         self._configured_pools: frozenset[str] = frozenset()
         self._pools_by_name: dict[str, set[str]] = {}
         self._pools_by_address: dict[tuple[str, str], set[str]] = {}
@@ -71,7 +72,7 @@
         for key, entry in self._entries.items():
             if key not in in_force and entry.ended_at is None:
                 entry.ended_at = now
-        self._index()
+        self._is_indexed = False
 
     def apply_record(self, queue: StoredQueue, now: float) -> None:
         """Apply a record that was read from the store, or has just been stored there.
@@ -82,7 +83,7 @@
         if entry.ended_at is not None:
             entry.queue = queue
         entry.is_stored = entry.queue == queue
-        self._index()
+        self._is_indexed = False
 
     def remove(self, key: str) -> None:
         """Remove an entry that the store has no more, unless it is in force."""
@@ -92,7 +93,7 @@
         entry.is_stored = False
         if entry.ended_at is not None:
             del self._entries[key]
-            self._index()
+            self._is_indexed = False
 
     def keep_listed(self, keys: set[str]) -> None:
         """Remove the stored entries of which the store has none of these keys."""
@@ -101,6 +102,10 @@
                 self.remove(key)
 
     def _index(self) -> None:
+        """Find the pools of each queue anew, once for any number of changes."""
+        if self._is_indexed:
+            return
+        self._is_indexed = True
         self._pools_by_name.clear()
         self._pools_by_address.clear()
         for entry in self._entries.values():
@@ -117,6 +122,7 @@
 
         A pool that no daemon would claim is left out: nobody could answer for it.
         """
+        self._index()
         pools = self._pools_by_name.get(queue.name, set()) | self._pools_by_address.get(
             (queue.virtual_host, queue.prefix), set()
         )
