Stop asking former owners once their answers do not matter any more

Cause: a new owner asked a former one that never answers for all of its term, also after the leases had expired, and gave up to read missing claims when the store did not answer once. Found when the diff was read again.

Change: it asks while its tasks are unsettled, and reads again until the store answers. A request about a queue that never moved takes no task of its own.

Evidence: two new tests of test_deposed_owner.py pass. They use the new signature, so they were not run on the code before.

--- a/siskinroad/work/former_owners.py
+++ b/siskinroad/work/former_owners.py
@@ -18,7 +18,7 @@
 from siskinroad.errors import SiskinroadError
 from siskinroad.work.claim import InheritedState, read_claims
 from siskinroad.work.records import FormerOwner
-from siskinroad.work.store import Store
+from siskinroad.work.store import Store, StoreUnavailableError, StoreUnknownError
 
 __all__ = ["AskStopped", "FormerOwners"]
 
@@ -73,17 +73,23 @@
             or self._has_later_incarnation(former.node, former.incarnation)
         )
 
-    async def ask_until_stopped(self, store: Store, ask: AskStopped) -> None:
+    async def ask_until_stopped(
+        self, store: Store, ask: AskStopped, is_needed: Callable[[], bool]
+    ) -> None:
         """Ask the former owners until all of them have stopped.
 
         Parameters
         ----------
         store : Store
             Read first for claims that the takeover has not seen.
+        is_needed : callable
+            Returns whether the answers still matter.
         """
-        if self.remaining is None:
-            await self._read_missing_claims(store)
-        while self.remaining:
+        while self.remaining is None and is_needed():
+            if not await self._read_missing_claims(store):
+                return
+            await asyncio.sleep(ASK_INTERVAL)
+        while not self.have_stopped() and self.remaining and is_needed():
             unstopped = self.remaining
             answers = await asyncio.gather(*(ask(self._pool, f) for f in unstopped))
             for former, has_stopped in zip(unstopped, answers, strict=True):
@@ -98,16 +104,28 @@
             extra={"pool": self._pool, "peer": former.node, "term": former.term},
         )
 
-    async def _read_missing_claims(self, store: Store) -> None:
-        """Read the claims since that of the owner which last stored its hosts."""
+    async def _read_missing_claims(self, store: Store) -> bool:
+        """Read the claims since that of the owner which last stored its hosts.
+
+        Returns whether it is of use to go on: to read again if the store did not
+        answer, or to ask the owners that are known now.
+        """
         try:
             claims = await read_claims(store, self._pool, self._inherited)
+        except (StoreUnavailableError, StoreUnknownError):
+            return True
         except SiskinroadError as exc:
-            log.warning(
-                "owner: not all former owners are known; "
-                "waiting for all leases that they may have granted",
-                extra={"pool": self._pool, "error": str(exc)},
-            )
-            return
+            self._log_unknown_owners(str(exc))
+            return False
         self._inherited.claims = claims
         self.remaining = self._inherited.former_owners
+        if self.remaining is None:
+            self._log_unknown_owners("the last stored set of hosts does not name them")
+        return self.remaining is not None
+
+    def _log_unknown_owners(self, why: str) -> None:
+        log.warning(
+            "owner: not all former owners are known; "
+            "waiting for all leases that they may have granted",
+            extra={"pool": self._pool, "error": why},
+        )
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -178,8 +178,10 @@
 
     async def _ask_former_owners(self) -> None:
         ask = self.dependencies.ask_stopped
-        if not self.pool_state.is_settled and ask is not None:
-            await self.former_owners.ask_until_stopped(self.dependencies.store, ask)
+        if ask is not None:
+            await self.former_owners.ask_until_stopped(
+                self.dependencies.store, ask, lambda: not self.pool_state.is_settled
+            )
 
     # Lifecycle
 
--- a/siskinroad/work/owner_requests.py
+++ b/siskinroad/work/owner_requests.py
@@ -66,6 +66,8 @@
         account: str = "",
     ) -> list[CallerReply]:
         """Ask the owners of several pools at once; return their replies in order."""
+        if len(pools) == 1:
+            return [await self.request(pools[0], verb, subject, deadline, account)]
         calls = (self.request(pool, verb, subject, deadline, account) for pool in pools)
         return list(await asyncio.gather(*calls))
 
--- a/tests/work/test_deposed_owner.py
+++ b/tests/work/test_deposed_owner.py
@@ -8,6 +8,9 @@
 
 import pytest
 
+from siskinroad.work.claim import InheritedState
+from siskinroad.work.former_owners import FormerOwners
+from siskinroad.work.records import HostSet, OwnerRecord
 from tests.work.cell import POOL, job, step
 from tests.work.test_daemon import JOB_ID, run_scenario
 
@@ -145,3 +148,55 @@
             assert not claimant.claim_manager.has_stopped(POOL, term)
 
     run_scenario(scenario)
+
+
+def test_an_owner_that_never_answers_is_asked_until_its_leases_have_expired():
+    async def scenario(cell):
+        await start_cell(cell)
+        await cell.kill(cell.owner(), loses_power=True)
+        leave(cell, "i-1")
+        name = await wait_for_owner(cell, set())
+        owner = cell.daemons[name].owners[POOL]
+        asked = []
+        former_owners = owner.former_owners
+
+        async def ask(pool, former):
+            asked.append(asyncio.get_running_loop().time())
+            return False
+
+        await asyncio.sleep(20.0)
+        assert owner.pool_state.is_settled and former_owners.remaining
+        await former_owners.ask_until_stopped(
+            owner.dependencies.store, ask, lambda: not owner.pool_state.is_settled
+        )
+        assert asked == []
+
+    run_scenario(scenario)
+
+
+def test_claims_that_the_takeover_has_not_seen_are_read_once_the_store_answers():
+    async def scenario(cell):
+        await start_cell(cell)
+        owner = cell.daemons[cell.owner()].owners[POOL]
+        inherited = InheritedState(former=OwnerRecord("x", 1), former_term=9, term=20)
+        inherited.hosts = HostSet(("i-0",), owner.term.number, True)
+        formers = FormerOwners(POOL, inherited, lambda node, incarnation: False)
+        assert formers.remaining is None
+        cell.logs.faults.is_unavailable = True
+        store = owner.dependencies.store
+        answers = iter([False, True])
+
+        async def ask(pool, former):
+            return next(answers)
+
+        asking = asyncio.create_task(
+            formers.ask_until_stopped(store, ask, lambda: True)
+        )
+        await asyncio.sleep(3.0)
+        assert formers.remaining is None
+        cell.logs.faults.is_unavailable = False
+        await asyncio.sleep(6.0)
+        assert formers.have_stopped()
+        await asyncio.wait_for(asking, 1.0)
+
+    run_scenario(scenario)
