Keep ended jobs by the loop's clock, from when their end was stored

Cause: a job was forgotten by the calendar clock, from when it ended. A clock that is set ahead would have forgotten jobs before callers had their time to ask. Found when the diff was read again.

Change: the time counts from when this owner stored or read the end, by the loop's clock; the margin beside status_s is 10 s instead of 60 s.

--- a/siskinroad/work/inherited_jobs.py
+++ b/siskinroad/work/inherited_jobs.py
@@ -27,7 +27,7 @@
         assert isinstance(accepted, Accepted)
         progress = progress_by_job.get(job_id)
         if progress is not None and _has_nothing_running(accepted, progress, wall):
-            pool_state.add_closed(accepted, progress)
+            pool_state.add_closed(accepted, progress, now)
             continue
         job = pool_state.accept(accepted, now, wall, is_new=False)
         job.progress_parts = inherited.parted_progress.count_parts(job_id)
--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -308,6 +308,8 @@
         Final state from ``JobState``; empty while the job is open.
     stored_outcome : str
         Outcome in the store; empty until the outcome is stored.
+    outcome_stored_at : float
+        Loop time at which this owner stored the outcome, or read it.
     remaining_times : list of float
         Declared seconds from the start of each step to the end of the job.
     longest_time : float
@@ -354,6 +356,7 @@
     outcome: str = ""
     outcome_at: float = 0.0
     stored_outcome: str = ""
+    outcome_stored_at: float = 0.0
     has_started: bool = False
 
     @property
--- a/siskinroad/work/job_forgetter.py
+++ b/siskinroad/work/job_forgetter.py
@@ -1,5 +1,8 @@
 """Removal of jobs that ended long ago, from an owner's memory and from the store.
 
+A job is kept for its time since this owner has stored or read its end, by the loop's
+clock: the calendar clock may be set.
+
 The record of a job's acceptance is deleted first. An owner that ends in between leaves
 the job's progress behind, which the next one deletes. In the other order the next owner
 would take a job that has ended for one that has not begun.
@@ -23,9 +26,8 @@
 # Seconds between two removals, and most jobs in one.
 FORGET_INTERVAL = 5.0
 MAX_FORGOTTEN = 1_000
-# Seconds for which an ended job is kept beyond what callers are promised: the end may
-# have been stored late, and the daemons' calendar clocks differ.
-FORGET_MARGIN_S = 60.0
+# Seconds for which an ended job is kept beyond what callers are promised.
+FORGET_MARGIN_S = 10.0
 
 log = logging.getLogger("siskinroad.owner")
 
@@ -74,12 +76,10 @@
 
     async def _forget_some(self) -> None:
         pool_state = self._term.pool_state
-        dependencies = self._term.dependencies
         now = asyncio.get_running_loop().time()
         self._old_cancels += pool_state.take_old_early_cancels(now)
         cancels = self._old_cancels[:MAX_FORGOTTEN]
-        expired = pool_state.list_expired(dependencies.wall(), self._retention_s)
-        jobs = expired[:MAX_FORGOTTEN]
+        jobs = pool_state.list_expired(now, self._retention_s)[:MAX_FORGOTTEN]
         keys = [job.id for job in jobs]
         keys += [
             cancel_key(job.id) for job in jobs if job.outcome == JobState.CANCELLED
@@ -87,7 +87,8 @@
         keys += [cancel_key(job) for job in cancels if job not in pool_state.jobs]
         if keys:
             records = [Record(key, b"") for key in keys]
-            await dependencies.store.append(job_topic(self._term.pool), records)
+            store = self._term.dependencies.store
+            await store.append(job_topic(self._term.pool), records)
         del self._old_cancels[: len(cancels)]
         for job in jobs:
             pool_state.forget(job)
--- a/siskinroad/work/job_table.py
+++ b/siskinroad/work/job_table.py
@@ -178,6 +178,7 @@
             return
         job.restore(progress)
         if job.is_closed:
+            job.outcome_stored_at = now
             self._remove_ready_steps(job)
             return
         for step in list(job.steps.values()):
@@ -218,16 +219,18 @@
         self._maybe_pending[queue] = pending
         return len(pending)
 
-    def add_closed(self, accepted: Accepted, progress: Progress) -> None:
+    def add_closed(self, accepted: Accepted, progress: Progress, now: float) -> None:
         """Add a job that had ended under a former owner, without its steps."""
-        self.jobs.setdefault(accepted.job, make_closed_job(accepted, progress))
+        job = make_closed_job(accepted, progress)
+        job.outcome_stored_at = now
+        self.jobs.setdefault(job.id, job)
 
-    def list_expired(self, wall: float, retention: float) -> list[Job]:
-        """Return the jobs whose end was stored, more than ``retention`` seconds ago."""
+    def list_expired(self, now: float, retention: float) -> list[Job]:
+        """Return the jobs whose end is stored for more than ``retention`` seconds."""
         return [
             job
             for job in self.jobs.values()
-            if job.stored_outcome and wall - job.outcome_at > retention
+            if job.stored_outcome and now - job.outcome_stored_at > retention
         ]
 
     def forget(self, job: Job) -> None:
--- a/siskinroad/work/progress.py
+++ b/siskinroad/work/progress.py
@@ -266,6 +266,7 @@
         job.stored_outcome = outcome
         if not outcome:
             return
+        job.outcome_stored_at = asyncio.get_running_loop().time()
         stored_event = self._stored_events.pop(job.id, None)
         if stored_event is not None:
             stored_event.set()
