Keep accepted jobs and checkpoints within what the store takes

A submission of nearly the longest body made a record that the store rejects, and the jobs of the same append were refused with it; many long jobs outgrew one call; a very long checkpoint would have stopped its pool as a long progress did.

Evidence: both tests of jobs fail before the change, with jobs refused (NOT_NOW), and pass after it; the test of the checkpoint passes, and was not run on the code before.

--- a/siskinroad/work/batcher.py
+++ b/siskinroad/work/batcher.py
@@ -16,6 +16,7 @@
 from siskinroad.errors import SiskinroadError
 from siskinroad.fair_timeout import FairTimer
 from siskinroad.work.store import (
+    MAX_APPEND_BYTES,
     Record,
     Store,
     StoreUnavailableError,
@@ -125,14 +126,24 @@
 
     async def _run(self) -> None:
         while self._pending:
-            batch = self._pending[:MAX_RECORDS_PER_APPEND]
-            self._pending = self._pending[MAX_RECORDS_PER_APPEND:]
+            count = self._count_fitting()
+            batch = self._pending[:count]
+            self._pending = self._pending[count:]
             try:
                 await self._store_batch(batch)
             except asyncio.CancelledError:
                 self._fail_all(batch, StoreUnknownError("closed", step="batcher"))
                 raise
 
+    def _count_fitting(self) -> int:
+        """Return how many of the pending records one append takes, at least one."""
+        length = 0
+        for count, pending in enumerate(self._pending[:MAX_RECORDS_PER_APPEND]):
+            length += len(pending.record.value)
+            if count and length > MAX_APPEND_BYTES:
+                return count
+        return MAX_RECORDS_PER_APPEND
+
     async def _store_batch(self, batch: list[_PendingAppend]) -> None:
         """Append a batch, repeated until its outcome is known or time runs out."""
         began = asyncio.get_running_loop().time()
--- a/siskinroad/work/job_service.py
+++ b/siskinroad/work/job_service.py
@@ -31,6 +31,7 @@
 from siskinroad.work.records import Accepted, Cancelled, Member, record_of
 from siskinroad.work.reply_margin import leave_reply_margin
 from siskinroad.work.retry_times import choose_retry_time, choose_store_wait
+from siskinroad.work.store import MAX_RECORD_BYTES
 from siskinroad.work.workmetrics import WorkMetrics
 
 __all__ = ["CallerReply", "JobService", "ReplyKind"]
@@ -195,9 +196,13 @@
             self._data_centre,
             caller.account,
         )
+        record = record_of(accepted)
+        if len(record.value) > MAX_RECORD_BYTES:
+            refusal = CallerReply(ReplyKind.NEVER, reason="too_long_to_store")
+            return await self._refuse_unless_accepted(queue, job, refusal, deadline)
         try:
             outcome = await self._job_writer.store(
-                queue.pool, record_of(accepted), leave_reply_margin(deadline)
+                queue.pool, record, leave_reply_margin(deadline)
             )
         except JobRefusedError as exc:
             # Its owner, which refuses it, does not know of the job.
--- a/siskinroad/work/progress.py
+++ b/siskinroad/work/progress.py
@@ -19,6 +19,7 @@
     record_of,
 )
 from siskinroad.work.store import (
+    MAX_APPEND_BYTES,
     Fence,
     FencedError,
     Record,
@@ -35,9 +36,8 @@
 FLUSH_RETRY_INTERVAL = 0.25
 # Seconds to wait for the store to answer an append.
 FLUSH_TIMEOUT = 2.0
-# Most records and bytes of jobs in one append: the store takes two megabytes a call.
+# Most records of jobs in one append.
 MAX_RECORDS_PER_APPEND = 400
-MAX_APPEND_BYTES = 1_000_000
 
 log = logging.getLogger("siskinroad.progress")
 
--- a/siskinroad/work/progress_records.py
+++ b/siskinroad/work/progress_records.py
@@ -7,13 +7,10 @@
 import msgspec
 
 from siskinroad.work.records import Progress, progress_key, record_of
-from siskinroad.work.store import Record
+from siskinroad.work.store import MAX_RECORD_BYTES, Record
 
 __all__ = ["PartedProgress", "make_progress_records"]
 
-# Longest record in bytes. The store takes a quarter of a megabyte.
-MAX_RECORD_BYTES = 200_000
-
 
 def make_progress_records(progress: Progress) -> list[Record]:
     """Return the records of a job's progress; all of them are stored by one append.
--- a/siskinroad/work/store.py
+++ b/siskinroad/work/store.py
@@ -10,6 +10,8 @@
 from siskinroad.errors import SiskinroadError
 
 __all__ = [
+    "MAX_APPEND_BYTES",
+    "MAX_RECORD_BYTES",
     "Fence",
     "FencedError",
     "NewestPage",
@@ -25,6 +27,12 @@
 ]
 
 
+# Longest record, and most bytes of records in one append, that are sent to the store:
+# it takes a quarter of a megabyte and two megabytes.
+MAX_RECORD_BYTES = 200_000
+MAX_APPEND_BYTES = 1_000_000
+
+
 class StoreUnavailableError(SiskinroadError):
     """The call failed and the store did not carry it out."""
 
--- a/siskinroad/work/store_memory.py
+++ b/siskinroad/work/store_memory.py
@@ -77,8 +77,8 @@
         Set at the next append to any topic, then replaced by a new event.
     page_size : int
         Largest number of keys in one page of the newest records.
-    record_bytes : int
-        Longest record that an append may have.
+    record_bytes, call_bytes : int
+        Longest record that an append may have, and most bytes of all its records.
     """
 
     faults: StoreFaults = field(default_factory=StoreFaults)
@@ -86,6 +86,7 @@
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     page_size: int = 500
     record_bytes: int = 262_144
+    call_bytes: int = 2_097_152
 
     def topic(self, name: str) -> _Topic:
         """Return a topic; create it on first use."""
@@ -95,8 +96,12 @@
         self, name: str, records: list[Record], at: int | None, fence: Fence | None
     ) -> int:
         """Append records immediately, without injected faults."""
-        if any(len(record.value) > self.record_bytes for record in records):
-            raise StoreUnavailableError("record too long", step="store.append")
+        lengths = [len(record.value) for record in records]
+        if (
+            max(lengths, default=0) > self.record_bytes
+            or sum(lengths) > self.call_bytes
+        ):
+            raise StoreUnavailableError("records too long", step="store.append")
         topic = self.topic(name)
         if fence is not None:
             highest_epoch = topic.epochs.get(fence.producer, -1)
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -7,7 +7,12 @@
 import asyncio
 
 import pytest
-from siskinroad_platform.wire import MAX_AMOUNT, PlatformDecoder, decode_job
+from siskinroad_platform.wire import (
+    MAX_AMOUNT,
+    PlatformDecoder,
+    decode_job,
+    decode_report,
+)
 
 from siskinroad.errors import ProtocolError
 from siskinroad.work.hosts_memory import MemoryHost
@@ -114,3 +119,11 @@
     body = b'{"spec":"x","phases":[%s]}' % odd_step
     with pytest.raises(ProtocolError):
         decode_job(body)
+
+
+def test_a_checkpoint_that_is_too_long_to_store_counts_as_none():
+    rows = b'[["5c0e7a21d94b36f8.0.0.1",1,"%s",41]]'
+    body = b'{"clock_ms":1,"running":%s,"finished":[]}'
+    report = decode_report(body % (rows % (b"c" * 300_000)), "i-1")
+    assert report.running[0].checkpoint == ""
+    assert decode_report(body % (rows % b"0bb8"), "i-1").running[0].checkpoint == "0bb8"
--- a/tests/work/test_long_progress.py
+++ b/tests/work/test_long_progress.py
@@ -10,6 +10,7 @@
 from siskinroad.work import progress_records
 from siskinroad.work.index_ranges import IndexRanges
 from siskinroad.work.job import make_job
+from siskinroad.work.job_service import ReplyKind
 from siskinroad.work.job_table import MAX_UNFINISHED_TASKS
 from siskinroad.work.progress_records import PartedProgress, make_progress_records
 from siskinroad.work.records import Accepted, Progress, TaskProgress, decode_stored
@@ -135,3 +136,30 @@
     monkeypatch.setattr(progress_records, "MAX_RECORD_BYTES", 3_000)
     monkeypatch.setattr(job_module, "KEPT_DONE_TASKS", 80)
     run_scenario(scenario)
+
+
+def test_a_job_that_is_too_long_to_store_is_refused_and_holds_up_no_other():
+    async def scenario(cell):
+        await cell.start_daemons("a", "b")
+        long_job = msgspec.structs.replace(job(), payload="p" * 300_000)
+        replies = await asyncio.gather(
+            cell.submit("a", JOB_ID, long_job), cell.submit("a", OTHER, job())
+        )
+        assert [reply.kind for reply in replies] == [ReplyKind.NEVER, ReplyKind.OK]
+        await cell.wait_for_state(OTHER, "complete")
+
+    run_scenario(scenario)
+
+
+def test_jobs_that_one_append_cannot_hold_are_stored_by_several():
+    async def scenario(cell):
+        cell.logs.call_bytes = 1_000_000
+        await cell.start_daemons("a", "b")
+        cell.logs.faults.call_delay_s = 0.05
+        long_job = msgspec.structs.replace(job(), payload="p" * 150_000)
+        replies = await asyncio.gather(
+            *(cell.submit("a", f"{i:016x}", long_job) for i in range(20))
+        )
+        assert {reply.kind for reply in replies} == {ReplyKind.OK}
+
+    run_scenario(scenario)
