--- a/siskinroad/work/claim_manager.py
+++ b/siskinroad/work/claim_manager.py
@@ -236,7 +236,7 @@
             event = "deposed"
             log.warning(
                 "claim_manager: ownership of pool lost; its owner here has stopped",
-                extra={"pool": pool, "why": str(exc)},
+                extra={"pool": pool, "why": str(exc), **self._describe_owner(pool)},
             )
         except SiskinroadError as exc:
             log.warning(
@@ -257,6 +257,15 @@
             self._pool_tasks.pop(pool, None)
             self._vacant_since.pop(pool, None)
 
+    def _describe_owner(self, pool: str) -> dict[str, int | float | None]:
+        """Return for the logs under which term, and on claims how old, it acted."""
+        owner = self.owners.get(pool)
+        if owner is None:
+            return {}
+        now = asyncio.get_running_loop().time()
+        claims_age_s = owner.pool_state.claims_age_s(now)
+        return {"term": owner.term.number, "claims_age_s": claims_age_s}
+
     async def _claim_pool(self, pool: str) -> PoolOwner:
         assert self.configuration is not None
         record = OwnerRecord(self._member.node, self._member.incarnation)
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -391,6 +391,8 @@
             await asyncio.sleep(TICK_INTERVAL)
             now, wall = loop.time(), self.dependencies.wall()
             self._record_loop_delay(due_at, now)
+            if self.follower.confirmed_at >= 0:
+                self.pool_state.unclaimed_at = self.follower.confirmed_at
             confirmed_until = self.follower.confirmed_at + OWNERSHIP_TIMEOUT_S
             self.term.owned_until = max(self.term.owned_until, confirmed_until)
             self._check_former_owners(now)
--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -210,6 +210,7 @@
                 extra={
                     "host": host.name,
                     "token": token,
+                    "incarnation_ms": report.incarnation_ms,
                     "running": len(report.running),
                     "ended": len(report.ended),
                 },
@@ -242,7 +243,12 @@
         tickets = self.forget_advice(host.name)
         log.warning(
             "pool_state: host restarted; runs of its former incarnation are ended",
-            extra={"host": host.name, "void_tickets": tickets},
+            extra={
+                "host": host.name,
+                "void_tickets": tickets,
+                "term": self.term,
+                "claims_age_s": self.claims_age_s(now),
+            },
         )
         effects: list[Effect] = []
         lost = [
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Callable, Iterable
 
 from siskinroad.resources import Resources
@@ -56,6 +57,9 @@
         Hosts on which a former owner may have started work.
     former_leases_end_at : float
         Loop time by which every lease that a former owner granted has expired.
+    unclaimed_at : float
+        Loop time at which no other daemon had claimed the pool under a later term, by
+        the newest read of the claims; infinite where nobody else can claim it.
     loop_delay_s : float
         Largest recent delay of the owner's event loop in seconds, for the logs: a
         late owner finds hosts silent that have replied in time.
@@ -80,6 +84,7 @@
         self._next_tokens: dict[str, int] = {}
         self.former_owner_hosts: set[str] = set()
         self.former_leases_end_at = 0.0
+        self.unclaimed_at = math.inf
         self.loop_delay_s = 0.0
         self.observe_presumed_end: Callable[[str], None] = lambda reason: None
         self.observe_late_end: Callable[[str], None] = lambda end_kind: None
@@ -224,6 +229,15 @@
 
     # Hosts
 
+    def claims_age_s(self, now: float) -> float | None:
+        """Return the seconds since the newest read of the claims, for the logs.
+
+        None if nobody else can claim the pool.
+        """
+        if math.isinf(self.unclaimed_at):
+            return None
+        return round(now - self.unclaimed_at, 2)
+
     def add_or_update_host(self, entry: HostEntry, now: float = 0.0) -> None:
         """Add or update a host from its entry in the live list."""
         self.crash_tracker.note_listed(entry, now)
@@ -299,6 +313,7 @@
                 "tasks": count,
                 "silent_hosts": len(unsettled_hosts),
                 "term": self.term,
+                "claims_age_s": self.claims_age_s(now),
             },
         )
         return True
@@ -353,6 +368,8 @@
                         "runs": len(host.runs),
                         "silent_s": round(now - host.reported_at, 2),
                         "expired_s": round(now - host.lease_expires_at, 2),
+                        "term": self.term,
+                        "claims_age_s": self.claims_age_s(now),
                         "loop_delay_s": round(self.loop_delay_s, 3),
                     },
                 )
@@ -461,6 +478,8 @@
                 "why": reason,
                 "report_age_s": round(now - host.reported_at, 2),
                 "lease_left_s": round(host.lease_expires_at - now, 2),
+                "term": self.term,
+                "claims_age_s": self.claims_age_s(now),
                 "loop_delay_s": round(self.loop_delay_s, 3),
             },
         )
