Count an owner's time from when its claim was sent, not from when its reads ended

Callers could see a task run twice: its owner acted for longer than its successor waits. Cause: a new owner took the end of its claim for a read of the claims. While the store is slow, reading the stored state takes seconds, in which another daemon may claim the pool; the owner counted its 10 s from after that. Change: its first confirmation is the moment at which the claim was sent; what followed is known with the first read of the topic. Why it works: no later claim can precede the claim itself, so at that moment it is certain that there was none, and the successor counts from its own, later claim.

--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -134,8 +134,8 @@
             dependencies.store, job_topic(pool), self._apply_records
         )
         self.follower.next_offset = inherited.next_offset
-        # The claim has read every record before its own.
-        self.follower.confirmed_at = asyncio.get_running_loop().time()
+        # A later claim may have followed while the stored state was read.
+        self.follower.confirmed_at = inherited.claimed_at
 
     def _load_inherited(self, inherited: InheritedState) -> None:
         loop = asyncio.get_running_loop()
