--- a/siskinroad/host_monitor.py
+++ b/siskinroad/host_monitor.py
@@ -152,7 +152,7 @@
         """
         loop = asyncio.get_running_loop()
         requested_at = loop.time()
-        acked, self.acked = self.acked, []
+        acked = self._take_acked(owner)
         try:
             async with asyncio.timeout(wait + INVENTORY_MARGIN):
                 inventory = await owner.ports.upstreams.inventory(
@@ -176,6 +176,17 @@
         _apply_inventory(owner, self, inventory, requested_at)
         return True
 
+    def _take_acked(self, owner: MonitoredOwner) -> list[str]:
+        """Return the ended attempts to acknowledge now: none in doubt.
+
+        A successor may have found the attempt on the host. Once the host has forgotten
+        it, the successor would take it for lost.
+        """
+        if not owner.ports.is_certain():
+            return []
+        acked, self.acked = self.acked, []
+        return acked
+
     def _apply_failure(
         self, owner: MonitoredOwner, requested_at: float, wait: float, renew: bool
     ) -> None:
@@ -386,7 +397,7 @@
 def _apply_ended_task(
     owner: MonitoredOwner, monitor: HostMonitor, name: AttemptName, report: TaskReport
 ) -> None:
-    if report.attempt in monitor.unrecorded:
+    if report.attempt in monitor.unrecorded or report.attempt in monitor.acked:
         return
     running = owner.scheduler.shard.running
     run = running.get(name.key)
--- a/siskinroad/owner_context.py
+++ b/siskinroad/owner_context.py
@@ -26,6 +26,8 @@
         Returns whether requests may be sent to the shard's hosts now.
     may_start_tasks : callable
         Returns whether ownership is certain, so that tasks may be started now.
+    is_certain : callable
+        Returns whether no successor can act on the shard's tasks now.
     record_outcome : callable
         Stores the final outcome of a task, given job, task index and outcome;
         returns a future that is done once it is stored.
@@ -38,6 +40,7 @@
     upstreams: UpstreamClient
     may_place: Callable[[], bool]
     may_start_tasks: Callable[[], bool]
+    is_certain: Callable[[], bool]
     record_outcome: Callable[[str, int, str], asyncio.Future[int]]
     count_event: Callable[[str, str], None]
     observe_wait: Callable[[Workload, float], None]
--- a/siskinroad/ownership.py
+++ b/siskinroad/ownership.py
@@ -58,6 +58,8 @@
 # Seconds for which another daemon must be the preferred owner of a shard before the
 # shard is handed over to it.
 HANDOVER_DELAY = 3.0
+# States of a claim whose daemon has waited for the former holder's lease to expire.
+_HELD_STATES = ("taking", "owning", "suspended")
 
 
 def rendezvous(shard: str, names: list[str]) -> str:
@@ -283,6 +285,17 @@
         """
         return self._holds_claim(shard) and now < self.lease_until(shard)
 
+    def is_certain(self, shard: str, now: float) -> bool:
+        """Return whether no successor can act on the shard's tasks at ``now``.
+
+        It is also certain during a takeover, before tasks may be started.
+        """
+        shard_claim = self.shard_claims.get(shard)
+        if shard_claim is None or shard_claim.state not in _HELD_STATES:
+            return False
+        is_lost = self._is_claim_lost(shard, shard_claim)
+        return not is_lost and now < self.lease_until(shard)
+
     def _holds_claim(self, shard: str) -> bool:
         shard_claim = self.shard_claims.get(shard)
         if shard_claim is None or shard_claim.state not in ("owning", "suspended"):
--- a/siskinroad/shards.py
+++ b/siskinroad/shards.py
@@ -263,6 +263,7 @@
             self.upstreams,
             lambda: self.ownership.may_place(shard, self._now()),
             lambda: self.ownership.may_start_tasks(shard, self._now()),
+            lambda: self.ownership.is_certain(shard, self._now()),
             self._record_outcome,
             self._count_owner_event,
             self._observe_wait,
--- a/tests/owned_shard.py
+++ b/tests/owned_shard.py
@@ -32,6 +32,7 @@
             self.client,
             lambda: True,
             lambda: True,
+            lambda: True,
             self.record_outcome,
             lambda name, label: None,
             lambda workload, seconds: None,
--- a/tests/test_former_owners.py
+++ b/tests/test_former_owners.py
@@ -138,3 +138,53 @@
         assert (await world.send_request(SECOND, "quote")).status == 200
 
     run_on_paused_clock(main())
+
+
+def test_a_former_owner_acknowledges_no_end_to_a_host_of_its_successor():
+    """The successor has found the task running and then misses it on its host."""
+
+    async def main():
+        world = CutWorld(east=2)
+        await world.start_with_owner(SECOND)
+        job = await world.submit(SECOND, run_time_s=6.0)
+        former, successor = world.daemons[SECOND], world.daemons[FIRST]
+        claim = successor.ownership.shard_claims[SHARD]
+        (host,) = world.hosts_with_tasks()
+        world.cut_messages(SECOND)
+        reads = hold_reads(former, lambda: claim.state != "idle")
+        await wait_until(lambda: claim.state == "owning")
+        world.cut_log(FIRST)
+        assert host.tasks
+        world.blocked_calls.add((FIRST, host.name))
+        await asyncio.sleep(4.0)
+        world.blocked_calls.clear()
+        reads.set()
+        world.heal_messages()
+        await asyncio.sleep(20.0)
+        world.log.faults.cut.clear()
+        await asyncio.sleep(5.0)
+        assert successor.ledger.jobs[job].settled
+        assert len(world.starts()) == 1, world.starts()
+
+    run_on_paused_clock(main())
+
+
+def hold_reads(daemon, is_due):
+    """Let a daemon's reads of the log wait, once due, for the returned event."""
+    released = asyncio.Event()
+    read = daemon.platform.read
+
+    async def held_read(stream, start, limit):
+        if is_due():
+            await released.wait()
+        return await read(stream, start, limit)
+
+    daemon.platform.read = held_read
+    return released
+
+
+async def wait_until(is_met):
+    """Wait until a condition is met, 30 s at the longest."""
+    async with asyncio.timeout(30.0):
+        while not is_met():
+            await asyncio.sleep(0.01)
