--- a/siskinroad/owner.py
+++ b/siskinroad/owner.py
@@ -19,6 +19,7 @@
 from siskinroad.restarts import run_restarted
 from siskinroad.scheduler import TICK_INTERVAL, Scheduler
 from siskinroad.tasks import TaskTable
+from siskinroad.upstreams import Control
 from siskinroad.wait_reporter import WaitReporter
 
 __all__ = ["ShardOwner"]
@@ -259,6 +260,10 @@
         monitor = self.monitors.get(effect.host)
         if monitor is None or effect.key in self.requests:
             return
+        if effect.action is Control.STOP and not self.ports.is_certain():
+            # A successor may have started the task. Inventories that list a task to be
+            # stopped repeat the stop.
+            return
         attempt = attempt_name(effect.attempt, effect.member)
         self.ports.count_event("control", effect.action.value)
         try:
--- a/tests/test_former_owners.py
+++ b/tests/test_former_owners.py
@@ -169,6 +169,23 @@
     run_on_paused_clock(main())
 
 
+def test_a_former_owner_stops_no_task_that_its_successor_started():
+    """It does not know the job, and the hosts do not refuse its lower epoch."""
+
+    async def main():
+        world = CutWorld(east=2)
+        await world.start_and_configure()
+        world.cut_messages(FIRST)
+        world.cut_log(FIRST)
+        await asyncio.sleep(TAKEOVER_S)
+        job = await world.submit(SECOND, run_time_s=10.0)
+        await asyncio.sleep(20.0)
+        assert world.daemons[SECOND].ledger.jobs[job].settled
+        assert len(world.starts()) == 1, world.starts()
+
+    run_on_paused_clock(main())
+
+
 def hold_reads(daemon, is_due):
     """Let a daemon's reads of the log wait, once due, for the returned event."""
     released = asyncio.Event()
