Start unreported tasks only after a read of the log since the takeover (cell file's way)

Seen: a daemon claimed a shard, read its claim and lost the log. The former owner, whose lease was still valid and whose reads hung, stored the end of a task and acknowledged it, then read the claim and confirmed the successor. The successor, confirmed by peers alone, found the task on no host and started it again after it had ended `done`. In a second case the job itself was accepted and ended after the claim: the successor read both records in one page and sent the start in between. Hypotheses, before the change: (1) the former owner acted without a lease - no, the test asserts that it was valid; (2) the successor concludes "not running and not done" from the hosts' answers and a log that it read before them - so it is. Cause: the check before the start asks whether the claim is in force, which peers may confirm. It does not ask whether the ends are known that the former owner stored. Change: tasks that no host reports, and jobs that are read until then, are queued after a read of the log that began after the takeover. The daemon reads it at once for that. Why it works: what the former owner acknowledged it had stored before; its last acknowledgement is sent within its lease, so before the takeover. A log that is lost between the claim and the takeover delays these tasks until it is back.

--- a/siskinroad/entry.py
+++ b/siskinroad/entry.py
@@ -167,6 +167,7 @@
             self.upstreams,
             self.metrics,
             rng,
+            self.log_reader.wake,
         )
         self.load_table = LoadTable(self.place, self.members)
         self.forwarder = Forwarder(cfg.name, self.incarnation, send)
--- a/siskinroad/owner_context.py
+++ b/siskinroad/owner_context.py
@@ -28,6 +28,11 @@
         Returns whether ownership is certain, so that tasks may be started now.
     is_certain : callable
         Returns whether no successor can act on the shard's tasks now.
+    log_read_at : callable
+        Returns the latest loop time such that a read of the log begun no earlier has
+        reached its end.
+    read_log : callable
+        Makes the daemon read the log at once.
     record_outcome : callable
         Stores the final outcome of a task, given job, task index and outcome;
         returns a future that is done once it is stored.
@@ -41,6 +46,8 @@
     may_place: Callable[[], bool]
     may_start_tasks: Callable[[], bool]
     is_certain: Callable[[], bool]
+    log_read_at: Callable[[], float]
+    read_log: Callable[[], None]
     record_outcome: Callable[[str, int, str], asyncio.Future[int]]
     count_event: Callable[[str, str], None]
     observe_wait: Callable[[Workload, float], None]
--- a/siskinroad/shards.py
+++ b/siskinroad/shards.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from siskinroad.appender import Appender
@@ -63,6 +63,8 @@
         Appender of the data centre's log stream.
     guard : IdempotencyGuard
         Runs requests that have an idempotency key.
+    read_log : callable
+        Makes the daemon read the log at once.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         upstreams: UpstreamClient,
         metrics: Metrics,
         rng: random.Random,
+        read_log: Callable[[], None],
     ) -> None:
         self.place = place
         self.ownership = ownership
@@ -84,6 +87,7 @@
         self.upstreams = upstreams
         self.metrics = metrics
         self.rng = rng
+        self.read_log = read_log
         self.cell: Cell | None = None
         self.owners: dict[str, ShardOwner] = {}
         self.retiring: set[ShardOwner] = set()
@@ -264,6 +268,8 @@
             lambda: self.ownership.may_place(shard, self._now()),
             lambda: self.ownership.may_start_tasks(shard, self._now()),
             lambda: self.ownership.is_certain(shard, self._now()),
+            lambda: self.ownership.confirmed_at,
+            self.read_log,
             self._record_outcome,
             self._count_owner_event,
             self._observe_wait,
--- a/siskinroad/status.py
+++ b/siskinroad/status.py
@@ -211,8 +211,9 @@
     if item is None and owner.tasks.is_deferred(key):
         waited = owner.tasks.deferred_for()
         return (
-            f"{key} has waited {waited:.1f} s: after the takeover of the shard, silent "
-            "hosts have to answer or their task leases to expire."
+            f"{key} has waited {waited:.1f} s: after the takeover of the shard, the "
+            "log has to be read, and silent hosts have to answer or their task leases "
+            "to expire."
         )
     if item is None:
         return ""
--- a/siskinroad/tasks.py
+++ b/siskinroad/tasks.py
@@ -29,6 +29,9 @@
 # Seconds after which an outcome that the log refused is appended again. A shorter time
 # loads a log that is behind already; a longer one keeps ended tasks on their hosts.
 RECORD_RETRY_INTERVAL = 1.0
+# Seconds between two checks whether the log has been read since a takeover. A longer
+# time delays the tasks that no host reports.
+LOG_POLL_INTERVAL = 0.05
 # Stored outcome by the end of an attempt; every other end is stored as "failed".
 OUTCOME_BY_END = {End.DONE: "done", End.STOPPED: "cancelled"}
 
@@ -69,13 +72,21 @@
         self._unrecorded: set[str] = set()
         self._unacked: dict[str, list[tuple[HostMonitor, str]]] = {}
         self._deferred_since: float | None = None
+        self._has_read_log = False
 
     # Jobs
 
     def accept(self, state: JobState) -> None:
-        """Queue the tasks of an accepted job that have not ended."""
-        if state.accepted.job not in self.jobs and not state.settled:
-            self._queue_job(self._add_job(state))
+        """Queue the tasks of an accepted job that have not ended.
+
+        A job that is read before the log has been read since the takeover may have been
+        started by an earlier owner. It is queued with the tasks that no host reports.
+        """
+        if state.accepted.job in self.jobs or state.settled:
+            return
+        job = self._add_job(state)
+        if self._has_read_log:
+            self._queue_job(job)
 
     def restore(self, states: list[JobState]) -> None:
         """Add the shard's unsettled jobs, before the first inventories are fetched."""
@@ -114,32 +125,30 @@
         return Item(key, workload, self.owner.now(), payload=job.accepted.payload)
 
     def queue_unreported(self) -> None:
-        """Queue the tasks that no host has reported.
+        """Queue the tasks that no host has reported, once it is certain that none runs.
 
-        While a host is silent this is put off until the host answers or its task
-        leases have expired, since it may still run a task.
+        This is put off until a read of the log that began after the takeover: an
+        earlier owner may have stored ends that their hosts have forgotten since, and
+        jobs that it has started. While a host is silent this is put off until the host
+        answers or its task leases have expired, since it may still run a task.
         """
         owner = self.owner
-        silent = [
-            monitor for monitor in owner.monitors.values() if not monitor.has_answered
-        ]
-        if silent:
-            self._deferred_since = owner.now()
-            wait = TASK_LEASE_S + SILENT_HOST_MARGIN
-            log.info(
-                "tasks: shard %s waits for %d silent hosts to answer or their task "
-                "leases to expire, in about %.0f s, before it starts tasks that no "
-                "host reports",
-                owner.shard,
-                len(silent),
-                wait,
-            )
-            queue = functools.partial(
-                self._queue_after_silence, silent, owner.now() + wait
-            )
-            name = f"tasks: wait of shard {owner.shard} for silent hosts"
-            owner.spawn(run_restarted(queue, name, log))
+        now = owner.now()
+        self._has_read_log = owner.ports.log_read_at() >= now
+        if self._has_read_log and not self._silent_hosts():
+            self._queue_all()
             return
+        self._deferred_since = now
+        queue = functools.partial(self._queue_when_certain, now)
+        name = f"tasks: wait of shard {owner.shard} for the log and silent hosts"
+        owner.spawn(run_restarted(queue, name, log))
+
+    def _silent_hosts(self) -> list[HostMonitor]:
+        monitors = self.owner.monitors.values()
+        return [monitor for monitor in monitors if not monitor.has_answered]
+
+    def _queue_all(self) -> None:
+        owner = self.owner
         self._deferred_since = None
         for run in list(owner.scheduler.shard.running.values()):
             owner.run(owner.scheduler.attempts.fail_partial(run))
@@ -147,7 +156,7 @@
             self._queue_job(job)
 
     def count_deferred(self) -> int:
-        """Return the number of tasks that wait for silent hosts to be queued."""
+        """Return the number of tasks that wait for the log or silent hosts."""
         if self._deferred_since is None:
             return 0
         return sum(
@@ -157,7 +166,7 @@
         )
 
     def is_deferred(self, key: str) -> bool:
-        """Return whether a task waits for silent hosts to be queued."""
+        """Return whether a task waits for the log or silent hosts."""
         name, index = job_of(key)
         job = self.jobs.get(name)
         if self._deferred_since is None or job is None:
@@ -170,14 +179,31 @@
         since = self._deferred_since
         return 0.0 if since is None else self.owner.now() - since
 
-    async def _queue_after_silence(
-        self, silent: list[HostMonitor], deadline: float
-    ) -> None:
+    async def _queue_when_certain(self, taken_over_at: float) -> None:
+        self.owner.ports.read_log()
+        while self.owner.ports.log_read_at() < taken_over_at:
+            await asyncio.sleep(LOG_POLL_INTERVAL)
+        self._has_read_log = True
+        while silent := self._silent_hosts():
+            await self._wait_for_hosts(silent)
+        self._queue_all()
+
+    async def _wait_for_hosts(self, silent: list[HostMonitor]) -> None:
+        owner = self.owner
+        wait = TASK_LEASE_S + SILENT_HOST_MARGIN
+        log.info(
+            "tasks: shard %s waits for %d silent hosts to answer or their task "
+            "leases to expire, in about %.0f s, before it starts tasks that no "
+            "host reports",
+            owner.shard,
+            len(silent),
+            wait,
+        )
+        deadline = owner.now() + wait
         while any(self._may_run_unknown(monitor, deadline) for monitor in silent):
             await asyncio.sleep(TICK_INTERVAL)
         for monitor in silent:
             monitor.has_answered = True
-        self.queue_unreported()
 
     def _may_run_unknown(self, monitor: HostMonitor, deadline: float) -> bool:
         """Return whether a host may run a task that it has not reported.
--- a/tests/owned_shard.py
+++ b/tests/owned_shard.py
@@ -33,6 +33,8 @@
             lambda: True,
             lambda: True,
             lambda: True,
+            lambda: asyncio.get_running_loop().time(),
+            lambda: None,
             self.record_outcome,
             lambda name, label: None,
             lambda workload, seconds: None,
--- a/tests/test_former_owners.py
+++ b/tests/test_former_owners.py
@@ -7,6 +7,7 @@
 
 from bench.clock import run_on_paused_clock
 from bench.world import World, small_cell
+from siskinroad.records import JobAccepted, TasksEnded, encode_batch
 
 # The shard prefers FIRST, which also reads the log for its data centre.
 FIRST, SECOND = "east-1a", "east-1b"
@@ -140,6 +141,62 @@
     run_on_paused_clock(main())
 
 
+def test_a_successor_without_the_log_starts_no_task_whose_end_was_stored_since():
+    """The former owner stores an end after the claim that it has not read yet."""
+
+    async def main():
+        world = CutWorld(east=2)
+        await world.start_with_owner(SECOND)
+        job = await world.submit(SECOND, run_time_s=60.0)
+        former, successor = world.daemons[SECOND], world.daemons[FIRST]
+        claim = successor.ownership.shard_claims[SHARD]
+        world.cut_messages(SECOND)
+        reads = hold_reads(former, lambda: claim.state != "idle")
+        await wait_until(lambda: claim.state == "waiting")
+        world.cut_log(FIRST)
+        world.end_tasks()
+        await wait_until(lambda: not world.hosts_with_tasks())
+        now = asyncio.get_running_loop().time()
+        assert former.ownership.may_start_tasks(SHARD, now)
+        reads.set()
+        world.heal_messages()
+        await asyncio.sleep(10.0)
+        assert former.ledger.jobs[job].settled
+        assert len(world.starts()) == 1, world.starts()
+
+    run_on_paused_clock(main())
+
+
+def test_a_successor_starts_no_job_that_the_former_owner_ran_after_the_claim():
+    """The record of the job comes with that of its end, long after the takeover."""
+
+    async def main():
+        world = CutWorld(east=2)
+        await world.start_with_owner(SECOND)
+        successor = world.daemons[FIRST]
+        claim = successor.ownership.shard_claims[SHARD]
+        world.cut_messages(SECOND)
+        reads = hold_reads(world.daemons[SECOND], lambda: claim.state != "idle")
+        await wait_until(lambda: claim.state == "waiting")
+        world.cut_log(FIRST)
+        for record in (
+            JobAccepted("east-1.x", "recount", "records", SHARD, 1, b""),
+            TasksEnded("east-1.x", [0], "done"),
+        ):
+            world.log.append("dc.east-1", encode_batch(SECOND, [record]))
+        reads.set()
+        world.heal_messages()
+        await asyncio.sleep(10.0)
+        now = asyncio.get_running_loop().time()
+        assert successor.ownership.may_start_tasks(SHARD, now)
+        world.log.faults.cut.clear()
+        await asyncio.sleep(10.0)
+        assert successor.ledger.jobs["east-1.x"].settled
+        assert world.starts() == []
+
+    run_on_paused_clock(main())
+
+
 def test_a_former_owner_acknowledges_no_end_to_a_host_of_its_successor():
     """The successor has found the task running and then misses it on its host."""
 
