--- a/tests/test_former_owners.py
+++ b/tests/test_former_owners.py
@@ -19,8 +19,8 @@
 class CutWorld(World):
     """Two daemons and their hosts, of which each can be cut off."""
 
-    def __init__(self, names=(FIRST, SECOND), **keys):
-        super().__init__(small_cell(west=0, **keys), list(names))
+    def __init__(self, **keys):
+        super().__init__(small_cell(west=0, **keys), [FIRST, SECOND])
         self.sweeper = asyncio.create_task(self._end_due_tasks())
 
     async def _end_due_tasks(self):
@@ -42,13 +42,13 @@
                 self.start(other)
         await asyncio.sleep(2.5)
 
-    async def submit(self, name, run_time_s, count=1):
-        """Submit a job of tasks that run for ``run_time_s``; return its name."""
+    async def submit(self, name, run_time_s):
+        """Submit a job of one task that runs for ``run_time_s``; return its name."""
         for host in self.memory_hosts.values():
             host.duration = lambda name, rng: run_time_s if name == "recount" else 0.1
         daemon = self.daemons[name]
         workload = daemon.cell().workloads["recount"]
-        view = await daemon.jobs.submit(daemon.cell(), workload, count, b"", "")
+        view = await daemon.jobs.submit(daemon.cell(), workload, 1, b"", "")
         await asyncio.sleep(1.0)
         return view.job
 
@@ -91,6 +91,24 @@
         return most
 
 
+def test_a_former_owner_renews_no_lease_that_its_successor_counts_as_expired():
+    """Each of them reaches another host; the log and the other daemon are cut off."""
+
+    async def main():
+        world = CutWorld(east=2)
+        await world.start_and_configure()
+        await world.submit(FIRST, run_time_s=60.0)
+        (host,) = world.hosts_with_tasks()
+        world.cut_messages(FIRST)
+        world.cut_log(FIRST)
+        world.blocked_calls.add((SECOND, host.name))
+        await asyncio.sleep(45.0)
+        assert SHARD in world.daemons[SECOND].shards.owners
+        assert world.count_runs_at_once() == 1, world.starts()
+
+    run_on_paused_clock(main())
+
+
 async def run_job_at_successor(world):
     """Cut FIRST off while SECOND takes over and reads the end of FIRST's only task."""
     job = await world.submit(FIRST, run_time_s=12.0)
@@ -243,6 +261,80 @@
     run_on_paused_clock(main())
 
 
+def test_a_former_owner_is_not_confirmed_by_a_successor_that_has_restarted():
+    """Neither of them reaches the log, so the successor knows no claim."""
+
+    async def main():
+        world = CutWorld(east=2)
+        await world.start_and_configure()
+        await run_job_at_successor(world)
+        world.cut_log(SECOND)
+        await world.kill(SECOND)
+        world.start(SECOND)
+        world.heal_messages()
+        await asyncio.sleep(20.0)
+        assert len(world.starts()) == 1, world.starts()
+
+    run_on_paused_clock(main())
+
+
+def test_a_daemon_that_restarts_in_an_outage_of_the_log_stops_no_owner():
+    """The owner has no successor, and the restarted daemon knows no claim."""
+
+    async def main():
+        world = CutWorld(east=2)
+        await world.start_and_configure()
+        world.log.faults.down = True
+        await world.kill(SECOND)
+        await asyncio.sleep(5.0)
+        world.start(SECOND)
+        await asyncio.sleep(5.0)
+        now = asyncio.get_running_loop().time()
+        assert world.daemons[FIRST].ownership.may_start_tasks(SHARD, now)
+
+    run_on_paused_clock(main())
+
+
+def test_an_outage_of_the_log_and_of_a_daemon_stops_no_task():
+    """The owner is in doubt for longer than a lease, but has no successor."""
+
+    async def main():
+        world = CutWorld(east=2)
+        await world.start_and_configure()
+        job = await world.submit(FIRST, run_time_s=60.0)
+        world.log.faults.down = True
+        await world.kill(SECOND)
+        await asyncio.sleep(45.0)
+        world.log.faults.down = False
+        await asyncio.sleep(30.0)
+        assert world.daemons[FIRST].ledger.jobs[job].settled
+        assert len(world.starts()) == 1, world.starts()
+
+    run_on_paused_clock(main())
+
+
+def test_a_cut_off_owner_starts_nothing_on_a_host_that_forgot_the_epochs():
+    """The host restarts, so that it neither lists the task nor refuses anyone."""
+
+    async def main():
+        world = CutWorld(east=2, fencing=True)
+        await world.start_and_configure()
+        await world.submit(FIRST, run_time_s=60.0)
+        (host,) = world.hosts_with_tasks()
+        (other,) = (x for x in world.memory_hosts.values() if x is not host)
+        world.cut_messages(FIRST)
+        world.cut_log(FIRST)
+        await asyncio.sleep(TAKEOVER_S)
+        world.blocked_calls.add((SECOND, other.name))
+        other.epoch = host.epoch = 0
+        host.crash(asyncio.get_running_loop().time())
+        await asyncio.sleep(40.0)
+        assert world.count_runs_at_once() == 1, world.starts()
+        assert len(world.starts()) == 2, world.starts()
+
+    run_on_paused_clock(main())
+
+
 def hold_reads(daemon, is_due):
     """Let a daemon's reads of the log wait, once due, for the returned event."""
     released = asyncio.Event()
@@ -262,3 +354,58 @@
     async with asyncio.timeout(30.0):
         while not is_met():
             await asyncio.sleep(0.01)
+
+
+def test_an_owner_that_gets_its_shard_back_forgets_which_tasks_it_took_for_lost():
+    """It has queued the task again while its successor saw it run on."""
+
+    async def main():
+        world = CutWorld(east=2)
+        await world.start_and_configure()
+        job = await world.submit(FIRST, run_time_s=60.0)
+        world.cut_messages(FIRST)
+        world.cut_log(FIRST)
+        (host,) = world.hosts_with_tasks()
+        world.blocked_calls.add((FIRST, host.name))
+        await asyncio.sleep(40.0)
+        (item,) = (
+            world.daemons[FIRST].shards.owners[SHARD].scheduler.shard.items.values()
+        )
+        assert item.state == "waiting"
+        world.log.faults.cut.clear()
+        world.blocked_calls.clear()
+        world.heal_messages()
+        await asyncio.sleep(40.0)
+        assert world.daemons[FIRST].ledger.claims[SHARD].daemon == FIRST
+        assert world.daemons[FIRST].ledger.jobs[job].settled
+        assert len(world.starts()) == 1, world.starts()
+
+    run_on_paused_clock(main())
+
+
+def test_a_successor_knows_a_host_that_was_removed_and_still_runs_a_task():
+    """The cell file no longer has the host; its owner waits for the task to end."""
+
+    async def main():
+        world = CutWorld(east=2)
+        await world.start_and_configure()
+        await world.submit(FIRST, run_time_s=60.0)
+        (host,) = world.hosts_with_tasks()
+        await world.apply_configuration(_remove_host(world.text, host.name))
+        await asyncio.sleep(3.0)
+        assert host.tasks
+        await world.kill(FIRST)
+        await asyncio.sleep(40.0)
+        assert world.count_runs_at_once() == 1, world.starts()
+
+    run_on_paused_clock(main())
+
+
+def _remove_host(text, name):
+    """Return a cell file without one host."""
+    tables = text.split("[[")
+    return "[[".join(
+        table
+        for table in tables
+        if not (table.startswith("upstreams.hosts") and f'"{name}"' in table)
+    )
