Ask all other members whether a pool was claimed while the store is down

Cause: an owner that is cut off concludes that leases have expired although a successor renews them. It may do so only if nobody had claimed its pool. In an outage of the store for all daemons no read can show that.

Change: ClaimQuery and ClaimAnswer; claim_statements judges whether the answers of all other members reach back to what is known (claims and list of members, the older one). newcomer_check holds back the claim of a daemon that such an owner may not know: until it has heard from the member with the oldest record, or from any if its name was listed before, or 10.3 s after it was listed. Members are read each second instead of each 5 s, or the list would be too old in an outage before a lease has expired. The owner gets confirm_unclaimed and does not use it yet.

--- a/siskinroad/work/claim_manager.py
+++ b/siskinroad/work/claim_manager.py
@@ -11,6 +11,8 @@
   a short time for the last records.
 - A network partition heals: a daemon that was cut off from both the store and the
   owner waits for heartbeats of the owner before it claims.
+- An owner relies on the other members' statements while the store is down: a daemon of
+  which it can't know does not claim yet (`newcomer_check`).
 """
 
 from __future__ import annotations
@@ -25,6 +27,7 @@
 from siskinroad.work.members import Members
 from siskinroad.work.messages import Heartbeat
 from siskinroad.work.model import Configuration, HostEntry
+from siskinroad.work.newcomer_check import NewcomerCheck
 from siskinroad.work.owner import OwnershipLostError, PoolOwner
 from siskinroad.work.queue_registry import QueueRegistry
 from siskinroad.work.records import Member, OwnerRecord
@@ -71,6 +74,8 @@
     ----------
     queue_registry : QueueRegistry
         The queues that were ever sent to a pool.
+    newcomer_check : NewcomerCheck
+        Check whether the other daemons know this one.
     make_heartbeat : callable
         Returns the heartbeat that this daemon would send now.
     send_heartbeat : callable
@@ -97,11 +102,13 @@
         dependencies: OwnerDependencies,
         hosts: dict[str, HostEntry],
         queue_registry: QueueRegistry,
+        newcomer_check: NewcomerCheck,
         make_heartbeat: Callable[[], Heartbeat],
         send_heartbeat: Callable[[], None],
     ) -> None:
         self.configuration: Configuration | None = None
         self._queue_registry = queue_registry
+        self._newcomer_check = newcomer_check
         self.is_leaving = False
         self.owners: dict[str, PoolOwner] = {}
         self.check_requested = asyncio.Event()
@@ -115,6 +122,7 @@
         self._send_heartbeat = send_heartbeat
         self._pool_tasks: dict[str, asyncio.Task[None]] = {}
         self._vacant_since: dict[str, float] = {}
+        self._ended_at: dict[str, float] = {}
         self._store_recovered_at = -1e9
         self._started_at = asyncio.get_running_loop().time()
 
@@ -130,11 +138,11 @@
 
     @property
     def can_claim(self) -> bool:
-        """Whether this daemon is up long enough, configured and not leaving."""
-        is_up_long_enough = self._uptime() >= CLAIM_STARTUP_DELAY
-        return (
-            is_up_long_enough and self.configuration is not None and not self.is_leaving
-        )
+        """Whether this daemon is up long enough, known, configured and not leaving."""
+        if self._uptime() < CLAIM_STARTUP_DELAY or self.is_leaving:
+            return False
+        now = asyncio.get_running_loop().time()
+        return self.configuration is not None and self._newcomer_check.may_claim(now)
 
     def configure(self, configuration: Configuration) -> None:
         """Apply a configuration, here and to the owners of this daemon's pools."""
@@ -156,12 +164,15 @@
                 pass
             self.check_requested.clear()
             for pool in self._pools_by_size():
-                should_claim = pool not in self._pool_tasks and self._should_claim(
-                    pool, loop.time()
-                )
-                if should_claim and self.can_claim:
-                    self._pool_tasks[pool] = loop.create_task(self._own_pool(pool))
-                    self._send_heartbeat()
+                if pool in self._pool_tasks:
+                    continue
+                if not self._should_claim(pool, loop.time()):
+                    continue
+                if not self.can_claim:
+                    self._newcomer_check.request_check()
+                    continue
+                self._pool_tasks[pool] = loop.create_task(self._own_pool(pool))
+                self._send_heartbeat()
 
     def _pools_by_size(self) -> list[str]:
         """Return all pools, those of most hosts first.
@@ -256,6 +267,7 @@
             self.owners.pop(pool, None)
             self._pool_tasks.pop(pool, None)
             self._vacant_since.pop(pool, None)
+            self._ended_at[pool] = asyncio.get_running_loop().time()
 
     def _describe_owner(self, pool: str) -> dict[str, int | float | None]:
         """Return for the logs under which term, and on claims how old, it acted."""
@@ -303,6 +315,17 @@
         owner.recheck_claims()
         return False
 
+    def unclaimed_s(self, pool: str) -> float:
+        """Return for how long this daemon has neither owned nor claimed a pool.
+
+        At most its uptime: it does not know what its former incarnation did. A
+        suspension is not counted, so that the time may be too short, never too long.
+        """
+        if pool in self._pool_tasks:
+            return 0.0
+        since = max(self._started_at, self._ended_at.get(pool, self._started_at))
+        return asyncio.get_running_loop().time() - since
+
     async def release_all(self) -> None:
         """Release every pool; accepted work continues under other owners."""
         pools = self.pools
--- /dev/null
+++ b/siskinroad/work/claim_statements.py
@@ -0,0 +1,228 @@
+"""Statements of the other members that none of them has claimed a pool.
+
+While the store answers no daemon, an owner cannot read whether its pool was claimed. If
+every other member states that it has neither owned nor claimed the pool for longer than
+the owner's newest certain knowledge is old, no other daemon had claimed it when it was
+asked. An abandoned claim that the store executes late is not covered by that: nobody
+acts under it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+from collections.abc import Callable, Collection, Set
+from dataclasses import dataclass
+from enum import StrEnum
+
+from siskinroad.errors import SiskinroadError
+from siskinroad.suspend_detector import SuspendDetector
+from siskinroad.work.members import Members
+from siskinroad.work.messages import ClaimAnswer, ClaimQuery
+from siskinroad.work.peer_calls import PeerCalls
+from siskinroad.work.term import OWNERSHIP_TIMEOUT_S
+from siskinroad.work.workmetrics import WorkMetrics
+
+__all__ = [
+    "CLOCK_RATE_TOLERANCE",
+    "SLACK_S",
+    "ClaimStatements",
+    "Judgement",
+    "Outcome",
+    "Statement",
+    "judge_statements",
+]
+
+# Fraction by which the clocks of two daemons may differ in rate.
+CLOCK_RATE_TOLERANCE = 0.03
+# Seconds by which a statement must reach back further, for the resolution of clocks.
+SLACK_S = 0.05
+# Seconds for which a member may take to answer.
+REQUEST_TIMEOUT = 0.7
+# Least seconds between two log lines on a pool with the same outcome.
+LOG_INTERVAL = 1.0
+# Largest number of names in a log line.
+MAX_LOGGED_NAMES = 4
+
+log = logging.getLogger("siskinroad.claim_statements")
+
+
+class Outcome(StrEnum):
+    """Result of a confirmation, also the label of its metric.
+
+    ``NO_ANSWER``: a member has not answered. ``TOO_SHORT``: a member owned or claimed
+    the pool, or started, too recently. ``UNKNOWN_MEMBER``: an answer names a daemon
+    that was not asked. ``OLD_MEMBERS``: the list of members was read too long ago, or
+    the process was suspended.
+    """
+
+    CONFIRMED = "confirmed"
+    NO_ANSWER = "no_answer"
+    TOO_SHORT = "too_short"
+    UNKNOWN_MEMBER = "unknown_member"
+    OLD_MEMBERS = "old_members"
+
+
+@dataclass(slots=True, frozen=True)
+class Statement:
+    """A member's answer, and the loop time at which it was received."""
+
+    node: str
+    unclaimed_s: float
+    members: tuple[str, ...]
+    received_at: float
+
+
+@dataclass(slots=True, frozen=True)
+class Judgement:
+    """Whether statements are enough; ``missing`` names the members that prevent it."""
+
+    outcome: Outcome
+    missing: tuple[str, ...] = ()
+
+
+def judge_statements(
+    asked: Collection[str],
+    statements: Collection[Statement],
+    known_at: float,
+    known: Set[str],
+) -> Judgement:
+    """Return whether the statements show that no other member had claimed the pool.
+
+    Parameters
+    ----------
+    asked : collection of str
+        All other members that the asking daemon knew when it asked.
+    known_at : float
+        Loop time up to which it is certain that nobody had claimed the pool, and that
+        all members are known.
+    known : set of str
+        Names of all members that were known then, with the asking daemon's own.
+    """
+    answered = {each.node for each in statements}
+    silent = tuple(sorted(node for node in asked if node not in answered))
+    if silent:
+        return Judgement(Outcome.NO_ANSWER, silent)
+    short = [each.node for each in statements if not _reaches_back(each, known_at)]
+    if short:
+        return Judgement(Outcome.TOO_SHORT, tuple(sorted(short)))
+    unknown = {node for each in statements for node in each.members} - known
+    if unknown:
+        return Judgement(Outcome.UNKNOWN_MEMBER, tuple(sorted(unknown)))
+    return Judgement(Outcome.CONFIRMED)
+
+
+def _reaches_back(statement: Statement, known_at: float) -> bool:
+    """Return whether a statement covers the whole time since ``known_at``."""
+    if not math.isfinite(statement.unclaimed_s):
+        return False
+    certain_s = statement.unclaimed_s * (1.0 - CLOCK_RATE_TOLERANCE) - SLACK_S
+    return certain_s >= statement.received_at - known_at
+
+
+class ClaimStatements:
+    """Sender and receiver of the queries.
+
+    Parameters
+    ----------
+    unclaimed_s : callable
+        Returns the seconds for which this daemon has neither owned nor claimed a pool.
+    members_read_at : callable
+        Returns the loop time up to which every member that had registered is known.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        peer_calls: PeerCalls,
+        unclaimed_s: Callable[[str], float],
+        members_read_at: Callable[[], float],
+        metrics: WorkMetrics,
+    ) -> None:
+        self._members = members
+        self._peer_calls = peer_calls
+        self._unclaimed_s = unclaimed_s
+        self._members_read_at = members_read_at
+        self._metrics = metrics
+        self._suspend_detector = SuspendDetector()
+        self._logged: dict[str, tuple[Outcome, float]] = {}
+
+    async def confirm(self, pool: str, known_at: float) -> float | None:
+        """Ask every other member whether it may have claimed a pool.
+
+        Parameters
+        ----------
+        known_at : float
+            Loop time up to which it is certain that no other daemon had claimed it.
+
+        Returns
+        -------
+        float or None
+            Loop time at which the queries were sent, if nobody had claimed the pool by
+            then; None if that is not certain.
+        """
+        sent_at = asyncio.get_running_loop().time()
+        asked = self._members.other_members()
+        since = min(known_at, self._members_read_at())
+        judgement = await self._ask_and_judge(pool, asked, since, sent_at)
+        outcome = judgement.outcome
+        self._metrics.claim_statements.labels(outcome.value).inc()
+        self._log_outcome(pool, len(asked), judgement, sent_at - since)
+        return sent_at if outcome is Outcome.CONFIRMED else None
+
+    async def _ask_and_judge(
+        self, pool: str, asked: list[str], known_at: float, sent_at: float
+    ) -> Judgement:
+        # A daemon that registered since the list was read, and that no member knows,
+        # claims only after this time (`newcomer_check`).
+        is_list_old = sent_at - self._members_read_at() > OWNERSHIP_TIMEOUT_S
+        if is_list_old or self._suspend_detector.take_suspended_s():
+            return Judgement(Outcome.OLD_MEMBERS)
+        known = {self._members.node, *asked}
+        answers = await asyncio.gather(*(self._ask(node, pool) for node in asked))
+        # The loop's clock has not counted a suspension meanwhile.
+        if self._suspend_detector.take_suspended_s():
+            return Judgement(Outcome.OLD_MEMBERS)
+        statements = [each for each in answers if each is not None]
+        return judge_statements(asked, statements, known_at, known)
+
+    async def _ask(self, node: str, pool: str) -> Statement | None:
+        try:
+            answer = await self._peer_calls.request(
+                node, lambda n: ClaimQuery(n, pool), ClaimAnswer, REQUEST_TIMEOUT
+            )
+        except SiskinroadError:
+            return None
+        received_at = asyncio.get_running_loop().time()
+        return Statement(node, answer.unclaimed_s, answer.members, received_at)
+
+    async def is_known_by(self, node: str) -> bool:
+        """Return whether a member answers that it knows this daemon."""
+        statement = await self._ask(node, "")
+        return statement is not None and self._members.node in statement.members
+
+    def answer(self, msg: ClaimQuery) -> ClaimAnswer:
+        """Answer the query of another member."""
+        known = tuple(self._members.known)
+        return ClaimAnswer(msg.id, self._unclaimed_s(msg.pool), known)
+
+    def _log_outcome(
+        self, pool: str, asked_count: int, judgement: Judgement, known_age_s: float
+    ) -> None:
+        """Log an outcome that has changed, and the same one once in a while."""
+        now = asyncio.get_running_loop().time()
+        outcome, logged_at = self._logged.get(pool, (None, 0.0))
+        if outcome is judgement.outcome and now - logged_at < LOG_INTERVAL:
+            return
+        self._logged[pool] = (judgement.outcome, now)
+        log.info(
+            "claim_statements: members asked whether they have claimed the pool",
+            extra={
+                "pool": pool,
+                "asked": asked_count,
+                "missing": judgement.missing[:MAX_LOGGED_NAMES],
+                "known_age_s": round(known_age_s, 2),
+                "outcome": judgement.outcome.value,
+            },
+        )
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -14,6 +15,7 @@
 from siskinroad.work.admission import LoadRefusal
 from siskinroad.work.advisor_channels import AdvisorChannels
 from siskinroad.work.claim_manager import ClaimManager
+from siskinroad.work.claim_statements import ClaimStatements
 from siskinroad.work.configuration_exchange import ConfigurationExchange
 from siskinroad.work.configuration_reader import ConfigurationReader
 from siskinroad.work.follower import Follower
@@ -27,6 +29,8 @@
     HAS_STOPPED,
     AdviceReply,
     AdviceRequest,
+    ClaimAnswer,
+    ClaimQuery,
     ConfigurationReply,
     ConfigurationRequest,
     Digest,
@@ -42,6 +46,7 @@
     SubmitRequest,
 )
 from siskinroad.work.model import Configuration, Timing
+from siskinroad.work.newcomer_check import NewcomerCheck
 from siskinroad.work.peer_calls import PeerCalls
 from siskinroad.work.platform_clients import PlatformClients
 from siskinroad.work.queue_recorder import QueueRecorder
@@ -71,9 +76,10 @@
 # Seconds between two reads of the live host list: the platform requires that a
 # departing host is noticed within a few seconds.
 HOST_LIST_READ_INTERVAL = 0.5
-# Seconds for which the store may hold a read open for a new member record; new
-# members are rare.
-MEMBERS_READ_WAIT = 5.0
+# Seconds for which the store may hold a read open for a new member record. Once the
+# store is down, owners rely on the members' statements until the list is too old: with
+# a longer wait it would be so before the leases of a host that crashes then expire.
+MEMBERS_READ_WAIT = 1.0
 
 log = logging.getLogger("siskinroad.daemon")
 
@@ -99,6 +105,8 @@
         configuration.
     sheds_load : bool
         Whether jobs may be turned away for load.
+    was_listed : bool
+        Whether the store listed an earlier incarnation of this daemon at its start.
     """
 
     def __init__(
@@ -112,6 +120,7 @@
         processor: float = 0.0,
         key_limits: KeyLimits | None = None,
         sheds_load: bool = False,
+        was_listed: bool = False,
     ) -> None:
         self.member = member
         self.processor = processor
@@ -128,6 +137,7 @@
         self.hosts = self.host_list.entries
         self._tasks: list[asyncio.Task[None]] = []
         self._background_tasks: set[asyncio.Task[None]] = set()
+        self._listed_at = math.inf
         now = asyncio.get_running_loop().time
         self.peer_calls = PeerCalls(peers, member.incarnation << 20)
         self.store = RelayStore(
@@ -153,6 +163,16 @@
             self.peer_calls,
             lambda pool, term: self.claim_manager.has_stopped(pool, term),
         )
+        self.claim_statements = ClaimStatements(
+            self.members,
+            self.peer_calls,
+            lambda pool: self.claim_manager.unclaimed_s(pool),
+            self._find_members_read_at,
+            self.metrics,
+        )
+        self.newcomer_check = NewcomerCheck(
+            self.members, peers, self.claim_statements.is_known_by, was_listed
+        )
         self.dependencies = OwnerDependencies(
             member.node,
             member.incarnation,
@@ -166,6 +186,7 @@
             self.loop_delay,
             sheds_load=sheds_load,
             ask_stopped=self.stop_requests.ask,
+            confirm_unclaimed=self.claim_statements.confirm,
             account_peers=AccountPeers(
                 self.peer_calls, self._find_pool_owner, self._find_own_account_exchange
             ),
@@ -179,6 +200,7 @@
             self.dependencies,
             self.hosts,
             self.queue_registry,
+            self.newcomer_check,
             self._make_heartbeat,
             self.membership.send_heartbeats,
         )
@@ -237,6 +259,9 @@
         self.membership.on_suspended = self._on_suspended
         self.membership.on_heartbeat = self._on_heartbeat
         self.membership.on_ended = self.claim_manager.check_requested.set
+        self.membership.on_heard = self.newcomer_check.note_heard
+        self.membership.on_listed = self._on_listed
+        self.newcomer_check.on_news = self.claim_manager.check_requested.set
         self.hosts_follower = Follower(
             self.store,
             decoder.hosts_topic,
@@ -277,6 +302,7 @@
             self._run_heartbeats,
             self.membership.run_digests,
             self.claim_manager.run,
+            self.newcomer_check.run,
             self.queue_recorder.run,
         ):
             task = asyncio.get_running_loop().create_task(_run_until_done(run))
@@ -337,6 +363,19 @@
         self.membership.apply_members(items, is_snapshot)
         self.queue_recorder.apply_records(items, is_snapshot)
 
+    def _on_listed(self, offset: int) -> None:
+        if math.isinf(self._listed_at):
+            self._listed_at = asyncio.get_running_loop().time()
+        self.newcomer_check.note_listed(offset)
+
+    def _find_members_read_at(self) -> float:
+        """Return when the list of members was last read, if it had this one before.
+
+        A daemon that was listed before this one does not wait for this one to know it.
+        """
+        read_at = self.members_follower.confirmed_at
+        return read_at if read_at >= self._listed_at else -math.inf
+
     async def _run_registration(self) -> None:
         """Append this daemon's member record, retrying until it is stored."""
         while True:
@@ -487,8 +526,11 @@
                 | SubmitReply()
                 | ConfigurationReply()
                 | LoanReply()
+                | ClaimAnswer()
             ):
                 self.peer_calls.handle_reply(msg.id, msg)
+            case ClaimQuery():
+                self.peers.send(peer, self.claim_statements.answer(msg))
             case SubmitRequest():
                 self._reply_when_done(peer, self.job_writer.accept(msg))
             case JobRequest(verb=verb) if verb == HAS_STOPPED:
@@ -504,6 +546,7 @@
 
     def _on_suspended(self) -> None:
         log.warning("daemon: process was suspended; owners must confirm their claims")
+        self.members_follower.revoke_confirmation()
         for owner in self.owners.values():
             owner.revoke_confirmation()
 
--- a/siskinroad/work/members.py
+++ b/siskinroad/work/members.py
@@ -61,6 +61,9 @@
         This daemon's incarnation; a later incarnation has a higher number.
     known : dict of str to Member
         Members listed in the store, by name.
+    offsets : dict of str to int
+        Offset of each listed member's newest record, by name; none for a member that
+        has only introduced itself.
     last_heartbeats : dict
         Newest heartbeat of each other daemon, by name.
     pool_sizes : Mapping of str to int
@@ -72,6 +75,7 @@
     node: str
     incarnation: int
     known: dict[str, Member] = field(default_factory=dict)
+    offsets: dict[str, int] = field(default_factory=dict)
     last_heartbeats: dict[str, _LastHeartbeat] = field(default_factory=dict)
     pool_sizes: Mapping[str, int] = field(default_factory=dict)
     released_at: dict[str, float] = field(default_factory=dict)
@@ -89,6 +93,7 @@
         """Remove members that are no longer listed in the store."""
         for node in [n for n in self.known if n not in listed]:
             del self.known[node]
+            self.offsets.pop(node, None)
 
     def record_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         """Apply a heartbeat, unless it is from an earlier incarnation."""
--- a/siskinroad/work/membership.py
+++ b/siskinroad/work/membership.py
@@ -57,6 +57,11 @@
         tells something new.
     on_ended : callable
         Called when a daemon's process has ended.
+    on_heard : callable
+        Called with the name and the incarnation of a daemon that has sent a heartbeat
+        or introduced itself.
+    on_listed : callable
+        Called with the offset of this daemon's own record, each time it is read.
     """
 
     def __init__(
@@ -73,6 +78,8 @@
         self.on_suspended: Callable[[], None] = lambda: None
         self.on_heartbeat: Callable[[Heartbeat], None] = lambda heartbeat: None
         self.on_ended: Callable[[], None] = lambda: None
+        self.on_heard: Callable[[str, int], None] = lambda node, incarnation: None
+        self.on_listed: Callable[[int], None] = lambda offset: None
         self._peers = peers
         self._register_address = register_address
         self._make_heartbeat = make_heartbeat
@@ -103,6 +110,13 @@
             return
         if isinstance(member, Member):
             self._register_member(member)
+            self._note_listed(member, item.offset)
+
+    def _note_listed(self, member: Member, offset: int) -> None:
+        if member.node != self.member.node:
+            self.members.offsets[member.node] = offset
+        elif member.incarnation == self.member.incarnation:
+            self.on_listed(offset)
 
     def _register_member(self, member: Member) -> None:
         """Register a member found in the store or introduced by its own message."""
@@ -131,6 +145,7 @@
         self._register_member(
             Member(msg.node, msg.incarnation, msg.address, msg.data_centre, msg.region)
         )
+        self.on_heard(msg.node, msg.incarnation)
 
     # Heartbeats and digests
 
@@ -182,6 +197,7 @@
         if self.routes.note_heartbeat(heartbeat, now):
             self._digest_requested.set()
         self.members.record_heartbeat(heartbeat, now)
+        self.on_heard(heartbeat.node, heartbeat.incarnation)
         self.on_heartbeat(heartbeat)
 
     def apply_digest(self, digest: Digest, now: float) -> None:
--- a/siskinroad/work/messages.py
+++ b/siskinroad/work/messages.py
@@ -13,6 +13,8 @@
     "MAX_STORE_AGE",
     "AdviceReply",
     "AdviceRequest",
+    "ClaimAnswer",
+    "ClaimQuery",
     "ConfigurationReply",
     "ConfigurationRequest",
     "DataCentreNews",
@@ -368,6 +370,33 @@
     answers: tuple[LoanAnswer, ...]
 
 
+class ClaimQuery(msgspec.Struct, tag="claim?", frozen=True, array_like=True):
+    """Question for how long the receiver has neither owned nor claimed a pool.
+
+    ``pool`` is empty if only the members that the receiver knows are of interest.
+    """
+
+    id: int
+    pool: str
+
+
+class ClaimAnswer(msgspec.Struct, tag="claim!", frozen=True, array_like=True):
+    """Answer to a ``ClaimQuery``.
+
+    Attributes
+    ----------
+    unclaimed_s : float
+        Seconds by the sender's clock for which it has certainly neither owned the pool
+        nor been claiming it; 0 while it does, and never more than its uptime.
+    members : tuple of str
+        Names of the daemons that the sender knows.
+    """
+
+    id: int
+    unclaimed_s: float
+    members: tuple[str, ...]
+
+
 Message = (
     Heartbeat
     | Digest
@@ -384,6 +413,8 @@
     | ConfigurationReply
     | LoanRequest
     | LoanReply
+    | ClaimQuery
+    | ClaimAnswer
 )
 
 CODEC = msgpack_codec(Message)
--- a/siskinroad/work/term.py
+++ b/siskinroad/work/term.py
@@ -53,6 +53,10 @@
         Way to the owners of the other pools; None if there is none.
     sheds_load : bool
         Whether an owner may turn jobs away for load.
+    confirm_unclaimed : callable or None
+        Asks all other members about a pool. Given the loop time up to which no other
+        daemon had certainly claimed it, returns the later time up to which that now is
+        certain, or None if it is not.
     """
 
     node: str
@@ -69,6 +73,7 @@
     account_peers: AccountPeers | None = None
     ask_stopped: Callable[[str, FormerOwner], Awaitable[bool]] | None = None
     sheds_load: bool = False
+    confirm_unclaimed: Callable[[str, float], Awaitable[float | None]] | None = None
 
 
 class Term:
--- a/siskinroad/work/workmetrics.py
+++ b/siskinroad/work/workmetrics.py
@@ -59,6 +59,12 @@
         self.claims = Counter(
             "siskinroad_pool_claims", "Claims of pools.", ("event",), registry=reg
         )
+        self.claim_statements = Counter(
+            "siskinroad_claim_statements",
+            "Confirmations by the other members' statements about claims.",
+            ("outcome",),
+            registry=reg,
+        )
         self.dropped_lines = Gauge(
             "siskinroad_log_lines_dropped", "Log lines left out.", registry=reg
         )
--- a/tests/work/cell.py
+++ b/tests/work/cell.py
@@ -22,7 +22,7 @@
     Timing,
 )
 from siskinroad.work.platform_clients import Decoder, PlatformClients
-from siskinroad.work.records import Member
+from siskinroad.work.records import MEMBERS_TOPIC, Member
 from siskinroad.work.store import Record
 from siskinroad.work.store_memory import MemoryLogs, MemoryStore
 
@@ -147,6 +147,7 @@
             lambda: asyncio.get_running_loop().time(),
             processor,
             sheds_load=self.sheds_load,
+            was_listed=name in self.logs.topic(MEMBERS_TOPIC).newest,
         )
         daemon.start()
         self.daemons[name] = daemon
