End runs for expired leases only once it is certain that no successor renewed them

Cause: an owner counts the leases that it has granted itself, and may act for 10 s after its newest read of the claims. Cut off from the store, from the other daemons and from some hosts, it took the leases of these hosts for expired 4.4 s later, though its successor had claimed the pool after 1 s, renewed the leases and noted ends. It started the tasks again on a host that the successor had not reached. Class: a conclusion from silence that rests on an ownership confirmed before the silence, not after it. A new owner that waits out the leases of a former one came to the same conclusion. Change: leases end runs, and settle tasks, only once a read of the claims that was sent after they expired shows no later claim (claim_confirmer); while the store does not answer, once all other members state that they have not claimed the pool. The read is made on request, so that it costs a round trip. Why it works: a lease that only this owner could have renewed until it expired has ended all runs. A successor that claims later finds what this owner concluded on the hosts, or waits for its leases.

--- /dev/null
+++ b/siskinroad/work/claim_confirmer.py
@@ -0,0 +1,124 @@
+"""Confirmation that no other daemon has claimed a pool, on request of its owner.
+
+What an owner concludes from silence, such as that the leases of a host have expired,
+holds only if no successor renewed them. The owner's reads of the claims may lie a while
+back then, so the conclusion waits for a later one. While the store does not answer, the
+other members are asked instead.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+from siskinroad.errors import SiskinroadError
+from siskinroad.work.follower import Follower
+from siskinroad.work.pool_state import PoolState
+
+__all__ = ["ClaimConfirmer", "ConfirmUnclaimed"]
+
+# Seconds to wait for a read of the claims before it counts as failed.
+READ_TIMEOUT_S = 0.3
+
+# Returns, for a pool and the loop time until which no other daemon had claimed it, the
+# loop time until which that is certain by the statements of the other members, or None.
+ConfirmUnclaimed = Callable[[str, float], Awaitable[float | None]]
+
+log = logging.getLogger("siskinroad.owner")
+
+
+class ClaimConfirmer:
+    """Reader of a pool's claims whenever a conclusion waits for that.
+
+    Parameters
+    ----------
+    follower : Follower
+        Follower of the topic with the claims; a later claim ends the owner.
+    ask_members : ConfirmUnclaimed or None
+        Asks the other members while the store does not answer.
+    on_confirmed : callable
+        Called after each confirmation that was waited for.
+    """
+
+    def __init__(
+        self,
+        pool_state: PoolState,
+        follower: Follower,
+        ask_members: ConfirmUnclaimed | None,
+        on_confirmed: Callable[[], None],
+    ) -> None:
+        self._pool_state = pool_state
+        self._follower = follower
+        self._ask_members = ask_members
+        self._on_confirmed = on_confirmed
+        self._requested = asyncio.Event()
+        self._waits_since: float | None = None
+
+    def request(self) -> None:
+        """Request a read of the claims that is sent from now on."""
+        self._requested.set()
+
+    def note_reads(self) -> None:
+        """Tell the pool state of the newest read of the claims."""
+        if self._follower.confirmed_at >= 0:
+            self._pool_state.note_unclaimed(self._follower.confirmed_at)
+
+    async def run(self) -> None:
+        """Confirm the claims on each request, until cancelled.
+
+        What still waits after an attempt is requested again by the owner.
+        """
+        while True:
+            await self._requested.wait()
+            self._requested.clear()
+            if await self._confirm():
+                self._on_confirmed()
+
+    async def _confirm(self) -> bool:
+        try:
+            await self._follower.confirm(READ_TIMEOUT_S)
+        except SiskinroadError as exc:
+            if not await self._confirm_by_members():
+                self._note_failed(exc)
+                return False
+        else:
+            self.note_reads()
+        self._note_confirmed()
+        return True
+
+    async def _confirm_by_members(self) -> bool:
+        if self._ask_members is None:
+            return False
+        pool_state = self._pool_state
+        confirmed_at = await self._ask_members(pool_state.pool, pool_state.unclaimed_at)
+        if confirmed_at is None:
+            return False
+        pool_state.note_unclaimed(confirmed_at)
+        return True
+
+    def _note_failed(self, exc: SiskinroadError) -> None:
+        if self._waits_since is not None:
+            return
+        now = asyncio.get_running_loop().time()
+        self._waits_since = now
+        log.warning(
+            "owner: not certain whether another daemon has claimed the pool; "
+            "what follows from silent hosts waits",
+            extra={
+                "pool": self._pool_state.pool,
+                "term": self._pool_state.term,
+                "claims_age_s": self._pool_state.claims_age_s(now),
+                "error": str(exc),
+            },
+        )
+
+    def _note_confirmed(self) -> None:
+        if self._waits_since is None:
+            return
+        waited_s = asyncio.get_running_loop().time() - self._waits_since
+        self._waits_since = None
+        log.info(
+            "owner: certain again that no other daemon has claimed the pool",
+            extra={"pool": self._pool_state.pool, "waited_s": round(waited_s, 2)},
+        )
--- a/siskinroad/work/lease_renewer.py
+++ b/siskinroad/work/lease_renewer.py
@@ -135,8 +135,8 @@
             wall,
             answered_by=call.sent_at + call.limit_s,
         )
-        self.term.execute_effects(effects)
         settled = self.term.pool_state.settle_tasks(now)
+        self.term.execute_effects(effects)
         if settled or report.ended or report.running:
             self.term.plan_requested.set()
 
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -10,6 +10,7 @@
 from siskinroad.work.admission import LoadRefusal
 from siskinroad.work.admission_gate import AdmissionGate
 from siskinroad.work.claim import InheritedState, release_pool
+from siskinroad.work.claim_confirmer import ClaimConfirmer
 from siskinroad.work.effects import (
     Effect,
     ReconcileHost,
@@ -136,6 +137,13 @@
         self.follower.next_offset = inherited.next_offset
         # A later claim may have followed while the stored state was read.
         self.follower.confirmed_at = inherited.claimed_at
+        self.pool_state.unclaimed_at = inherited.claimed_at
+        self.claim_confirmer = ClaimConfirmer(
+            self.pool_state,
+            self.follower,
+            dependencies.confirm_unclaimed,
+            self._on_claims_confirmed,
+        )
 
     def _load_inherited(self, inherited: InheritedState) -> None:
         loop = asyncio.get_running_loop()
@@ -197,6 +205,7 @@
             async with asyncio.TaskGroup() as group:
                 self.term.group = group
                 group.create_task(self.follower.run())
+                group.create_task(self.claim_confirmer.run())
                 group.create_task(self._run_planning())
                 group.create_task(self.progress.run())
                 group.create_task(self._run_ticks())
@@ -233,6 +242,10 @@
 
     def revoke_confirmation(self) -> None:
         """Stop acting until the claim is confirmed again, as after a suspension."""
+        self._stop_acting()
+        self.pool_state.revoke_unclaimed()
+
+    def _stop_acting(self) -> None:
         self.term.owned_until = -1e9
         self.follower.revoke_confirmation()
 
@@ -242,7 +255,7 @@
         Called when a host has accepted a higher token, or when another daemon
         reports a higher term.
         """
-        self.revoke_confirmation()
+        self._stop_acting()
         now = asyncio.get_running_loop().time()
         if now - self._rechecked_at >= CLAIM_RECHECK_INTERVAL:
             self._rechecked_at = now
@@ -391,8 +404,7 @@
             await asyncio.sleep(TICK_INTERVAL)
             now, wall = loop.time(), self.dependencies.wall()
             self._record_loop_delay(due_at, now)
-            if self.follower.confirmed_at >= 0:
-                self.pool_state.unclaimed_at = self.follower.confirmed_at
+            self.claim_confirmer.note_reads()
             confirmed_until = self.follower.confirmed_at + OWNERSHIP_TIMEOUT_S
             self.term.owned_until = max(self.term.owned_until, confirmed_until)
             self._check_former_owners(now)
@@ -429,6 +441,16 @@
                     self.term.spawn(self.host_commands.request_advice(effect))
         if self.pool_state.dirty:
             self.term.flush_requested.set()
+        if self.pool_state.awaits_claims:
+            self.claim_confirmer.request()
+
+    def _on_claims_confirmed(self) -> None:
+        """Draw the conclusions that waited for a read of the claims."""
+        now = asyncio.get_running_loop().time()
+        effects = self.pool_state.expire_silent_hosts(now)
+        self.pool_state.settle_tasks(now)
+        self._execute_effects(effects)
+        self.term.plan_requested.set()
 
     # Requests from callers
 
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -58,8 +58,10 @@
     former_leases_end_at : float
         Loop time by which every lease that a former owner granted has expired.
     unclaimed_at : float
-        Loop time at which no other daemon had claimed the pool under a later term, by
-        the newest read of the claims; infinite where nobody else can claim it.
+        Newest loop time at which certainly no other daemon had claimed the pool under
+        a later term; infinite where nobody else can claim it.
+    awaits_claims : bool
+        Whether a conclusion waits for a later `unclaimed_at`.
     loop_delay_s : float
         Largest recent delay of the owner's event loop in seconds, for the logs: a
         late owner finds hosts silent that have replied in time.
@@ -85,6 +87,7 @@
         self.former_owner_hosts: set[str] = set()
         self.former_leases_end_at = 0.0
         self.unclaimed_at = math.inf
+        self.awaits_claims = False
         self.loop_delay_s = 0.0
         self.observe_presumed_end: Callable[[str], None] = lambda reason: None
         self.observe_late_end: Callable[[str], None] = lambda end_kind: None
@@ -229,6 +232,28 @@
 
     # Hosts
 
+    def note_unclaimed(self, at: float) -> None:
+        """Note that no other daemon had claimed the pool at a loop time."""
+        self.unclaimed_at = max(self.unclaimed_at, at)
+        self.awaits_claims = False
+
+    def revoke_unclaimed(self) -> None:
+        """Let nothing rest on claims that were read before now.
+
+        The loop's clock does not count a suspension, so they seem newer than they are.
+        """
+        self.unclaimed_at = -math.inf
+
+    def _was_sole_owner(self, at: float) -> bool:
+        """Return whether certainly no successor acted before a loop time.
+
+        Only then does silence until that time show anything of a host: a successor
+        would have renewed its leases, or acknowledged ends that it no longer lists.
+        """
+        is_certain = self.unclaimed_at >= at
+        self.awaits_claims |= not is_certain
+        return is_certain
+
     def claims_age_s(self, now: float) -> float | None:
         """Return the seconds since the newest read of the claims, for the logs.
 
@@ -286,8 +311,8 @@
         """Settle the unsettled tasks once none of them can have an unknown run.
 
         This is so when every host of the former owner has replied under this term,
-        or when every lease of the former owner has expired. Return whether the
-        tasks were settled by this call.
+        or when every lease of the former owner has expired and no successor of this
+        owner renewed it. Return whether the tasks were settled by this call.
         """
         if self.is_settled:
             return False
@@ -296,6 +321,8 @@
         ]
         if unsettled_hosts and now < self.former_leases_end_at:
             return False
+        if unsettled_hosts and not self._was_sole_owner(self.former_leases_end_at):
+            return False
         self.is_settled = True
         first_run = MAX_UNSTORED_RUNS * (self.term - 1)
         count = 0
@@ -354,11 +381,18 @@
         host.index = RunIndex()
 
     def expire_silent_hosts(self, now: float) -> list[Effect]:
-        """End the runs of hosts whose leases have expired; remove unlisted hosts."""
+        """End the runs of hosts whose leases have expired; remove unlisted hosts.
+
+        A successor may have renewed the leases of a host that this owner does not
+        reach, so runs end only once no later claim was read since they expired.
+        """
         effects: list[Effect] = []
         for host in list(self.hosts.values()):
             if not host.is_lease_over(now) or now < self._former_lease_end(host):
                 continue
+            leases_end_at = max(host.lease_expires_at, self._former_lease_end(host))
+            if host.runs and not self._was_sole_owner(leases_end_at):
+                continue
             if host.runs:
                 log.warning(
                     "pool_state: leases of a silent host have expired; "
--- a/tests/work/test_claim_statements.py
+++ b/tests/work/test_claim_statements.py
@@ -226,7 +226,7 @@
 
 
 def test_statements_reach_back_to_the_newest_read_of_the_members():
-    # The other member started after that read, and before the newest read of the claims.
+    # The other member started between that read and the newest read of the claims.
     async def scenario(cell):
         owner, _ = await start_outage(cell, uptime=20.0)
         other = others(cell, owner)[0]
