Take a restarted host for empty only once it is certain that no successor knew it before

Callers could see a task run twice where a host restarts behind a cut. Cause: a host that restarts forgets the highest token that it has seen, so it accepts those of a former owner again. That owner took the restart, or another host at the address, for proof that its runs there were lost, though a successor had noted their ends; took the host for free; and took its first reply for a sign that tasks of the owner before it were settled. Same class as the fault of expired leases: the evidence is newer than the ownership that it rests on. Change: such a report ends runs, opens a host for work and settles tasks only once a later read of the claims, or the statements of all members, show that nobody had claimed the pool by then. Until then the host counts as one that does not answer; its state in the summary is "unconfirmed". Why it works: a successor can only have reached a host after its claim. If there was none when this owner saw the new incarnation, all that happened on the host before happened under this owner, and a later successor finds its token there.

--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -213,6 +213,14 @@
         the owner's view: no command of a former owner can start a task there any more.
     incarnation_ms : int
         Unix milliseconds of the start of the incarnation that replied; 0 if none has.
+    first_reported_at : float
+        Loop time of that incarnation's first report; 0 if none has reported.
+    is_unconfirmed : bool
+        A successor may have claimed the pool before that incarnation first reported. A
+        host that restarts forgets the tokens that it has seen, the successor's too.
+    lost_at : float
+        Loop time at which another incarnation first replied, while that is no proof yet
+        of how the runs of the known one ended; 0 otherwise.
     clock, clock_read_at : int, float
         The host's clock in milliseconds, and the loop time at which it was read.
     lease_expires_at : float
@@ -270,6 +278,9 @@
     rejected_token: int = 0
     is_settled: bool = False
     incarnation_ms: int = 0
+    first_reported_at: float = 0.0
+    is_unconfirmed: bool = False
+    lost_at: float = 0.0
     clock: int = 0
     clock_read_at: float = 0.0
     lease_expires_at: float = 0.0
@@ -421,7 +432,7 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether nothing but a quarantine would keep new work off the host."""
-        if not self.is_settled or not self.is_stored:
+        if not self.is_settled or not self.is_stored or self.is_unconfirmed:
             return False
         if self.entry.draining or self.is_report_outdated or self.is_entry_outdated:
             return False
--- a/siskinroad/work/host_states.py
+++ b/siskinroad/work/host_states.py
@@ -15,14 +15,16 @@
     """Whether a host may get new work, or the first thing that prevents it.
 
     ``UNSETTLED``: it has not replied under this term, or the store does not hold yet
-    that this owner uses it. ``UNLISTED``: it left the live list. ``FAILING``: its last
-    request had no reply. ``SILENT``: its last reply is too old. ``OUTDATED``: it has
-    rejected a start that its newest report allowed. ``RESTARTED``: its entry in the
+    that this owner uses it. ``UNCONFIRMED``: the claims were not read since its present
+    incarnation first replied. ``UNLISTED``: it left the live list. ``FAILING``: its
+    last request had no reply. ``SILENT``: its last reply is too old. ``OUTDATED``: it
+    has rejected a start that its newest report allowed. ``RESTARTED``: its entry in the
     list is of another incarnation than its newest report.
     """
 
     SCHEDULABLE = "schedulable"
     UNSETTLED = "unsettled"
+    UNCONFIRMED = "unconfirmed"
     DRAINING = "draining"
     QUARANTINED = "quarantined"
     UNLISTED = "unlisted"
@@ -37,6 +39,8 @@
     """Return the state of a host, by the conditions of ``Host.is_schedulable``."""
     if not host.is_settled or not host.is_stored:
         return HostState.UNSETTLED
+    if host.is_unconfirmed:
+        return HostState.UNCONFIRMED
     if host.entry.draining:
         return HostState.DRAINING
     if host.is_quarantined:
--- a/siskinroad/work/lease_renewer.py
+++ b/siskinroad/work/lease_renewer.py
@@ -107,7 +107,7 @@
             self._handle_rejection(call, report)
             return False
         self._apply_report(call, report)
-        return True
+        return not host.lost_at
 
     async def _send(self, call: _Renewal, wait: float) -> HostReport | Rejection:
         host = call.host
--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -192,13 +192,21 @@
         if is_other and sent_at < host.reported_at:
             return effects
         self._open_listed_occurrences(report, now)
-        if report.incarnation_ms == host.incarnation_ms and report.clock < host.clock:
+        if is_other and not self._is_loss_certain(host, now):
+            host.record_failed_request(now)
+            return effects
+        is_overtaken = report.clock < host.clock or sent_at < host.lost_at
+        if report.incarnation_ms == host.incarnation_ms and is_overtaken:
             # A newer report has overtaken this one, so what runs is known better.
             return self._process_ends(host, report.ended, now, wall)
         if is_other:
             effects += self._handle_restart(host, sent_at, now)
         self.crash_tracker.note_report(host, report.incarnation_ms, now)
+        if report.incarnation_ms != host.incarnation_ms:
+            host.first_reported_at, host.is_unconfirmed = now, True
+        host.lost_at = 0.0
         host.incarnation_ms = report.incarnation_ms
+        self._confirm_incarnation(host)
         host.clock, host.clock_read_at = report.clock, now
         host.replied_at = host.reported_at = now
         if not host.is_settled and report.lists_all_ends:
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -236,6 +236,8 @@
         """Note that no other daemon had claimed the pool at a loop time."""
         self.unclaimed_at = max(self.unclaimed_at, at)
         self.awaits_claims = False
+        for host in self.hosts.values():
+            self._confirm_incarnation(host)
 
     def revoke_unclaimed(self) -> None:
         """Let nothing rest on claims that were read before now.
@@ -254,6 +256,33 @@
         self.awaits_claims |= not is_certain
         return is_certain
 
+    def _confirm_incarnation(self, host: Host) -> None:
+        """Confirm that no successor knew a host's incarnation before this owner."""
+        if host.is_unconfirmed:
+            host.is_unconfirmed = not self._was_sole_owner(host.first_reported_at)
+
+    def _is_loss_certain(self, host: Host, now: float) -> bool:
+        """Return whether the runs of a host's former incarnation ended with it.
+
+        Before a restart, a successor may have acknowledged ends that this owner has not
+        seen: the runs are over, but their tasks may be done.
+        """
+        if self._was_sole_owner(host.lost_at or now):
+            return True
+        if not host.lost_at:
+            host.lost_at = now
+            log.info(
+                "pool_state: another incarnation answers for a host; its runs are "
+                "ended once the claims are read",
+                extra={
+                    "host": host.name,
+                    "runs": len(host.runs),
+                    "term": self.term,
+                    "claims_age_s": self.claims_age_s(now),
+                },
+            )
+        return False
+
     def claims_age_s(self, now: float) -> float | None:
         """Return the seconds since the newest read of the claims, for the logs.
 
@@ -311,8 +340,8 @@
         """Settle the unsettled tasks once none of them can have an unknown run.
 
         This is so when every host of the former owner has replied under this term,
-        or when every lease of the former owner has expired and no successor of this
-        owner renewed it. Return whether the tasks were settled by this call.
+        or when every lease of the former owner has expired, and no successor of this
+        owner acted before that. Return whether the tasks were settled by this call.
         """
         if self.is_settled:
             return False
@@ -321,7 +350,7 @@
         ]
         if unsettled_hosts and now < self.former_leases_end_at:
             return False
-        if unsettled_hosts and not self._was_sole_owner(self.former_leases_end_at):
+        if not self._was_sole_owner(self._find_settled_at(bool(unsettled_hosts))):
             return False
         self.is_settled = True
         first_run = MAX_UNSTORED_RUNS * (self.term - 1)
@@ -345,6 +374,17 @@
         )
         return True
 
+    def _find_settled_at(self, has_silent_host: bool) -> float:
+        """Return the loop time of the last event by which the tasks are settled."""
+        if has_silent_host:
+            return self.former_leases_end_at
+        replied_at = (
+            self.hosts[name].first_reported_at
+            for name in self.former_owner_hosts
+            if name in self.hosts
+        )
+        return max(replied_at, default=-math.inf)
+
     def _is_host_settled(self, name: str) -> bool:
         host = self.hosts.get(name)
         return host is not None and host.is_settled
@@ -357,6 +397,8 @@
     def replace_host(self, host: Host, now: float) -> list[Effect]:
         """End all runs of a host whose address now serves another incarnation."""
         effects: list[Effect] = []
+        if not self._is_loss_certain(host, now):
+            return effects
         runs = list(host.runs.values())
         self.crash_tracker.record_crash(host, runs, "host replaced", now)
         for run in runs:
