Take a pool over from an owner that can only be heard

Callers of the pool get no work done: an owner that reaches neither the store nor its peers, but is heard by them, stops acting after 10 s, and nobody takes over while it is heard. Cause: its heartbeats go on naming it as the owner after its claim has lapsed. Change: heartbeats name the pools whose claims have lapsed; these may be claimed. Callers' requests still go to that owner until another one is known. A claim that is only being read again, as after a suspicion, has not lapsed.

--- a/siskinroad/work/claim_manager.py
+++ b/siskinroad/work/claim_manager.py
@@ -189,7 +189,7 @@
 
     def _should_claim(self, pool: str, now: float) -> bool:
         """Return whether this daemon should claim the pool now."""
-        if self._members.owner(pool, now) is not None:
+        if self._members.acting_owner(pool, now) is not None:
             self._vacant_since.pop(pool, None)
             return False
         if self._members.claimant(pool, now) is not None:
@@ -216,7 +216,7 @@
         loop = asyncio.get_running_loop()
         if loop.time() - started_at > SLOW_READ_TIME:
             await asyncio.sleep(RECOVERY_CLAIM_DELAY)
-        if self._members.owner(pool, loop.time()) is not None:
+        if self._members.acting_owner(pool, loop.time()) is not None:
             return True
         return await self._may_be_alive(owner)
 
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -409,8 +409,12 @@
             self.processor,
             self.membership.routes.aggregators,
             self.configuration_reader.version,
+            self._list_lapsed(now),
         )
 
+    def _list_lapsed(self, now: float) -> tuple[str, ...]:
+        return tuple(p for p, owner in self.owners.items() if owner.has_lapsed(now))
+
     def _on_store_recovered(self) -> None:
         log.warning("daemon: store answers again; restarting pending reads")
         self.claim_manager.note_store_recovered()
--- a/siskinroad/work/members.py
+++ b/siskinroad/work/members.py
@@ -223,6 +223,17 @@
                     best = (term, node)
         return best[1] if best else None
 
+    def acting_owner(self, pool: str, now: float) -> str | None:
+        """Return the live daemon that owns a pool and acts for it, or None.
+
+        An owner that could not confirm its claim for too long may be heard, although it
+        hears nobody and does not reach the store.
+        """
+        node = self.owner(pool, now)
+        if node is None or pool in self.last_heartbeats[node].heartbeat.lapsed:
+            return None
+        return node
+
     def claimant(self, pool: str, now: float) -> str | None:
         """Return another live daemon that is claiming the pool, or None.
 
@@ -363,6 +374,7 @@
         heartbeat.can_claim,
         heartbeat.claiming,
         heartbeat.processor,
+        heartbeat.lapsed,
     )
 
 
--- a/siskinroad/work/messages.py
+++ b/siskinroad/work/messages.py
@@ -69,6 +69,9 @@
     configuration_version : int
         Version of the configuration that the sender has in force; 0 if it has none, and
         for a sender of an earlier version.
+    lapsed : tuple of str
+        Names of the pools in ``owned`` for which the sender no longer acts, as it could
+        not confirm its claim for too long.
     """
 
     node: str
@@ -82,6 +85,7 @@
     processor: float = 0.0
     aggregators: tuple[str, ...] | None = None
     configuration_version: int = 0
+    lapsed: tuple[str, ...] = ()
 
     @property
     def reaches_store(self) -> bool:
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -249,6 +249,14 @@
         self.term.owned_until = -1e9
         self.follower.revoke_confirmation()
 
+    def has_lapsed(self, now: float) -> bool:
+        """Return whether this owner has not acted for want of a confirmed claim.
+
+        A claim that is being read again, after a suspicion, has not lapsed.
+        """
+        confirmed_until = self.pool_state.unclaimed_at + OWNERSHIP_TIMEOUT_S
+        return not self.term.is_owner_confirmed() and now > confirmed_until
+
     def recheck_claims(self) -> None:
         """Reread the claims now, and stop acting until they are confirmed.
 
