--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -76,10 +76,13 @@
 # Seconds between two reads of the live host list: the platform requires that a
 # departing host is noticed within a few seconds.
 HOST_LIST_READ_INTERVAL = 0.5
-# Seconds for which the store may hold a read open for a new member record. Once the
-# store is down, owners rely on the members' statements until the list is too old: with
-# a longer wait it would be so before the leases of a host that crashes then expire.
-MEMBERS_READ_WAIT = 1.0
+# Seconds for which the store may hold a read open for a new member record; new
+# members are rare.
+MEMBERS_READ_WAIT = 5.0
+# The same for an owner. Once the store is down, it relies on the members' statements
+# until the list is too old: with a longer wait it would be so before the leases of a
+# host that crashes then expire.
+OWNER_MEMBERS_READ_WAIT = 1.0
 
 log = logging.getLogger("siskinroad.daemon")
 
@@ -272,7 +275,7 @@
             self.store,
             MEMBERS_TOPIC,
             self._apply_members,
-            wait=MEMBERS_READ_WAIT,
+            wait=self._find_members_read_wait,
         )
 
     def _configure(self, configuration: Configuration) -> None:
@@ -368,6 +371,9 @@
             self._listed_at = asyncio.get_running_loop().time()
         self.newcomer_check.note_listed(offset)
 
+    def _find_members_read_wait(self) -> float:
+        return OWNER_MEMBERS_READ_WAIT if self.owners else MEMBERS_READ_WAIT
+
     def _find_members_read_at(self) -> float:
         """Return when the list of members was last read, if it had this one before.
 
--- a/siskinroad/work/follower.py
+++ b/siskinroad/work/follower.py
@@ -49,9 +49,10 @@
     apply : callable
         Called with records in the order of their offsets, and whether they are a
         snapshot: the newest record of every key, so that any other key is gone.
-    wait : float
-        Seconds for which the store may hold a read open for a new record. It is not
-        asked to while ``confirmed_at`` is negative, so that this ends soon.
+    wait : float or callable
+        Seconds, or what returns the seconds, for which the store may hold a read open
+        for a new record. It is not asked to while ``confirmed_at`` is negative, so that
+        this ends soon.
     read_pause : float
         Seconds to wait after each successful read before the next.
 
@@ -69,7 +70,7 @@
         topic: str,
         apply: ApplyRecords,
         *,
-        wait: float = 1.0,
+        wait: float | Callable[[], float] = 1.0,
         read_pause: float = 0.0,
     ) -> None:
         self.store = store
@@ -210,7 +211,7 @@
     async def _read_later_records(self) -> _FetchResult:
         sent_at = asyncio.get_running_loop().time()
         may_be_held = self.confirmed_at >= 0 and not self._waiter_count
-        wait = self._wait if may_be_held else 0.0
+        wait = self._find_wait() if may_be_held else 0.0
         self._is_read_held = may_be_held
         start = self.next_offset
         try:
@@ -226,6 +227,9 @@
             _with_offsets(result), False, result.next_offset, confirmed_at
         )
 
+    def _find_wait(self) -> float:
+        return self._wait() if callable(self._wait) else self._wait
+
     def _apply_result(self, result: _FetchResult) -> None:
         items = result.items
         if not result.is_snapshot:
