Let a daemon whose name was listed before claim without hearing of anybody

Callers would get no work done for 10.3 s where all daemons lose power and one of them is back before the others: it hears nobody, and its check took that for the case of a new daemon. Cause: the check asked a daemon that was listed before to hear from a member as well. An owner that relies on statements knows its name from its former record and asks it; the answer is missing, or too short. Change: such a daemon claims at once.

--- a/siskinroad/work/newcomer_check.py
+++ b/siskinroad/work/newcomer_check.py
@@ -8,8 +8,7 @@
   whose record is newer has read the list since, and knows this daemon.
 - It has heard from the member with the oldest record. Every such owner asks that
   member, which knows this daemon and names it.
-- An earlier incarnation of it was listed, so that its name is asked, and it has heard
-  from any listed member.
+- An earlier incarnation of it was listed, so that its name is asked.
 - It was listed for longer than an owner relies on a list that it has read.
 
 The times that it costs: nothing where the members hear each other, and that last time
@@ -124,7 +123,7 @@
         older = self._list_older()
         if not older or older[0] in self._heard:
             return True
-        return self._was_listed and not self._heard.isdisjoint(self._members.offsets)
+        return self._was_listed
 
     def _list_older(self) -> list[str]:
         ended = [node for node in self._ended if self._has_ended(node)]
