Start a task again only after an end that its host lists to a call that it does not hold

Callers could see a task run twice after it failed beside a takeover. Cause: a host checks the token as a renewal arrives, and lists runs as it answers, up to 1 s later. In between it may accept a successor's token, so that it lists the end of a run to both owners. Both started the task again under the same number, the former one on a host that its successor had not reached. The same holds of a run that is missing from such an answer: the successor may have noted its end. Change: an answer to a held call by which tasks may start again is not applied; the host is asked again at once without a wait. Such an answer shows that no other owner had reached it. Cost: one more call to the host for each run that ends without success. No read of the store.

--- a/siskinroad/work/lease_renewer.py
+++ b/siskinroad/work/lease_renewer.py
@@ -106,6 +106,10 @@
         if isinstance(report, Rejection):
             self._handle_rejection(call, report)
             return False
+        if wait and self.term.pool_state.may_free_tasks(host, report, call.sent_at):
+            # The host may have accepted a successor's token while it held the call
+            # open, so a call that it does not hold has to show the same.
+            return await self._renew_once(host, 0.0)
         self._apply_report(call, report)
         return not host.lost_at
 
--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -25,7 +25,7 @@
 
 from siskinroad.work.effects import Effect
 from siskinroad.work.host import Host, Run
-from siskinroad.work.hosts import HostReport, Rejection, RunStatus
+from siskinroad.work.hosts import EndKind, HostReport, Rejection, RunStatus
 from siskinroad.work.run_end_table import RunEndTable
 from siskinroad.work.run_table import MAX_UNSTORED_RUNS, format_task_position
 
@@ -230,6 +230,22 @@
             effects += self._end_absent_runs(host, report, token, sent_at, now)
         return effects
 
+    def may_free_tasks(self, host: Host, report: HostReport, sent_at: float) -> bool:
+        """Return whether tasks may start again by a report of the host.
+
+        So it is if runs have ended without success, or are neither listed nor ended.
+        """
+        present = {(status.task, status.run) for status in report.running}
+        for end in report.ended:
+            if end.number > host.last_end_seen and end.end_kind is not EndKind.DONE:
+                return True
+            present.add((end.task, end.run))
+        return any(
+            run.state in ("running", "stopping") and run.commanded_at < sent_at
+            for key, run in host.runs.items()
+            if key not in present
+        )
+
     def _open_listed_occurrences(self, report: HostReport, now: float) -> None:
         """Open the occurrences of which a host lists runs or ends.
 
