Confirm claims by a read beside the one that the store holds open

Callers are slower to be served after a host restarts: each confirmation cancelled the held read, which the HTTP pool takes for a store that does not answer, so that it drops its idle connections. Beside it, a wait that a late read had ended was not logged as ended, nor the next one as begun; and one test ran no scenario. Change: the claims are read by a call of their own, which goes on while the other members are asked. What is awaited is a time, not a flag that each tick resets.

--- a/siskinroad/work/claim_confirmer.py
+++ b/siskinroad/work/claim_confirmer.py
@@ -15,11 +15,12 @@
 from siskinroad.errors import SiskinroadError
 from siskinroad.work.follower import Follower
 from siskinroad.work.pool_state import PoolState
+from siskinroad.work.progress import OwnershipLostError
 
 __all__ = ["ClaimConfirmer", "ConfirmUnclaimed"]
 
-# Seconds to wait for a read of the claims before it counts as failed.
-READ_TIMEOUT_S = 0.3
+# Seconds after which a read of the claims is late, and the other members are asked.
+READ_LATE_S = 0.3
 
 # Returns, for a pool and the loop time until which no other daemon had claimed it, the
 # loop time until which that is certain by the statements of the other members, or None.
@@ -53,6 +54,8 @@
         self._ask_members = ask_members
         self._on_confirmed = on_confirmed
         self._requested = asyncio.Event()
+        self._read: asyncio.Task[None] | None = None
+        self._read_for = 0.0
         self._waits_since: float | None = None
 
     def request(self) -> None:
@@ -61,32 +64,54 @@
 
     def note_reads(self) -> None:
         """Tell the pool state of the newest read of the claims."""
-        if self._follower.confirmed_at >= 0:
-            self._pool_state.note_unclaimed(self._follower.confirmed_at)
+        if self._follower.confirmed_at < 0:
+            return
+        self._pool_state.note_unclaimed(self._follower.confirmed_at)
+        if not self._pool_state.awaits_claims:
+            self._note_confirmed()
 
     async def run(self) -> None:
         """Confirm the claims on each request, until cancelled.
 
         What still waits after an attempt is requested again by the owner.
         """
-        while True:
-            await self._requested.wait()
-            self._requested.clear()
-            if await self._confirm():
-                self._on_confirmed()
+        try:
+            while True:
+                await self._requested.wait()
+                self._requested.clear()
+                if await self._confirm():
+                    self._note_confirmed()
+                    self._on_confirmed()
+        finally:
+            if self._read is not None:
+                self._read.cancel()
 
     async def _confirm(self) -> bool:
+        if self._read is None:
+            self._read = asyncio.create_task(self._follower.read_now())
+            self._read_for = self._pool_state.awaited_claims_at
+        await asyncio.wait({self._read}, timeout=READ_LATE_S)
+        if not self._read.done() and await self._confirm_by_members():
+            return True
+        await asyncio.wait({self._read})
+        read, self._read = self._read, None
         try:
-            await self._follower.confirm(READ_TIMEOUT_S)
+            read.result()
         except SiskinroadError as exc:
-            if not await self._confirm_by_members():
-                self._note_failed(exc)
-                return False
-        else:
-            self.note_reads()
-        self._note_confirmed()
+            return await self._handle_failed_read(exc)
+        self.note_reads()
         return True
 
+    async def _handle_failed_read(self, exc: SiskinroadError) -> bool:
+        if isinstance(exc, OwnershipLostError):
+            raise exc
+        if await self._confirm_by_members():
+            return True
+        # What is needed since the read began gets a read of its own.
+        if self._pool_state.unclaimed_at < self._read_for:
+            self._note_failed(exc)
+        return False
+
     async def _confirm_by_members(self) -> bool:
         if self._ask_members is None:
             return False
--- a/siskinroad/work/follower.py
+++ b/siskinroad/work/follower.py
@@ -154,6 +154,16 @@
         finally:
             self._waiter_count -= 1
 
+    async def read_now(self) -> None:
+        """Read what there is now, beside the read that the store may hold open.
+
+        Raises
+        ------
+        SiskinroadError
+            If the store has not answered. What ``apply`` raises propagates too.
+        """
+        self._apply_result(await self._read_later_records(0.0))
+
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         pause = FIRST_RETRY_PAUSE
@@ -187,8 +197,11 @@
     async def _fetch(self) -> _FetchResult:
         if self.next_offset < 0:
             return await self._read_newest()
+        may_be_held = self.confirmed_at >= 0 and not self._waiter_count
+        wait = self._find_wait() if may_be_held else 0.0
+        self._is_read_held = may_be_held
         try:
-            return await self._read_later_records()
+            return await self._read_later_records(wait)
         except TrimmedError as exc:
             log.warning(
                 "follower: records trimmed; reading the newest record of each key",
@@ -199,6 +212,8 @@
                 },
             )
             return await self._read_newest()
+        finally:
+            self._is_read_held = False
 
     async def _read_newest(self) -> _FetchResult:
         sent_at = asyncio.get_running_loop().time()
@@ -208,18 +223,12 @@
         items = sorted(page.items, key=lambda item: item.offset)
         return _FetchResult(tuple(items), True, page.end, sent_at)
 
-    async def _read_later_records(self) -> _FetchResult:
+    async def _read_later_records(self, wait: float) -> _FetchResult:
         sent_at = asyncio.get_running_loop().time()
-        may_be_held = self.confirmed_at >= 0 and not self._waiter_count
-        wait = self._find_wait() if may_be_held else 0.0
-        self._is_read_held = may_be_held
         start = self.next_offset
-        try:
-            result = await self.store.read(
-                self.topic, start, wait=wait, timeout=wait + REPLY_TIMEOUT
-            )
-        finally:
-            self._is_read_held = False
+        result = await self.store.read(
+            self.topic, start, wait=wait, timeout=wait + REPLY_TIMEOUT
+        )
         _reject_stale(result.end, start)
         is_at_end = result.next_offset >= result.end
         confirmed_at = sent_at if is_at_end else self.confirmed_at
@@ -238,7 +247,7 @@
             self._apply(items, result.is_snapshot)
         self.next_offset = max(self.next_offset, result.next_offset)
         if result.confirmed_at >= self._revoked_at:
-            self.confirmed_at = result.confirmed_at
+            self.confirmed_at = max(self.confirmed_at, result.confirmed_at)
         self._read_done.set()
         self._read_done = asyncio.Event()
 
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -60,8 +60,8 @@
     unclaimed_at : float
         Newest loop time at which certainly no other daemon had claimed the pool under
         a later term; infinite where nobody else can claim it.
-    awaits_claims : bool
-        Whether a conclusion waits for a later `unclaimed_at`.
+    awaited_claims_at : float
+        Latest loop time for which a conclusion needed `unclaimed_at`.
     loop_delay_s : float
         Largest recent delay of the owner's event loop in seconds, for the logs: a
         late owner finds hosts silent that have replied in time.
@@ -87,7 +87,7 @@
         self.former_owner_hosts: set[str] = set()
         self.former_leases_end_at = 0.0
         self.unclaimed_at = math.inf
-        self.awaits_claims = False
+        self.awaited_claims_at = -math.inf
         self.loop_delay_s = 0.0
         self.observe_presumed_end: Callable[[str], None] = lambda reason: None
         self.observe_late_end: Callable[[str], None] = lambda end_kind: None
@@ -235,10 +235,14 @@
     def note_unclaimed(self, at: float) -> None:
         """Note that no other daemon had claimed the pool at a loop time."""
         self.unclaimed_at = max(self.unclaimed_at, at)
-        self.awaits_claims = False
         for host in self.hosts.values():
             self._confirm_incarnation(host)
 
+    @property
+    def awaits_claims(self) -> bool:
+        """Whether a conclusion waits for a later `unclaimed_at`."""
+        return self.unclaimed_at < self.awaited_claims_at
+
     def revoke_unclaimed(self) -> None:
         """Let nothing rest on claims that were read before now.
 
@@ -253,7 +257,8 @@
         would have renewed its leases, or acknowledged ends that it no longer lists.
         """
         is_certain = self.unclaimed_at >= at
-        self.awaits_claims |= not is_certain
+        if not is_certain:
+            self.awaited_claims_at = max(self.awaited_claims_at, at)
         return is_certain
 
     def _confirm_incarnation(self, host: Host) -> None:
--- a/tests/work/test_claim_statements.py
+++ b/tests/work/test_claim_statements.py
@@ -548,6 +548,8 @@
         assert await measure_claim_s(cell) < CLAIM_TIME_S
         assert cell.owner() == "b"
 
+    run_scenario(scenario)
+
 
 def test_what_was_heard_before_the_registration_or_from_a_former_life_is_not_counted():
     async def scenario(cell):
@@ -575,5 +577,3 @@
         assert check._list_older() == ["old"]
 
     run_scenario(scenario)
-
-    run_scenario(scenario)
