Settle no tasks by a host's former address before the live list was read again

Callers could see a task run twice where a host moves as the pool changes its owner. Cause: another host at the address of a former owner's host was taken for its end, whatever the age of the list with that address. Where a part of the store is away, the former owner may use the host at its new address; its successor went without it. Change: the host counts as unreached until a later read of the list still names that address or none. The end of this owner's own runs there does not wait for it.

--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -190,6 +190,7 @@
             sheds_load=sheds_load,
             ask_stopped=self.stop_requests.ask,
             confirm_unclaimed=self.claim_statements.confirm,
+            find_list_read_at=lambda: self.hosts_follower.confirmed_at,
             account_peers=AccountPeers(
                 self.peer_calls, self._find_pool_owner, self._find_own_account_exchange
             ),
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -138,6 +138,7 @@
         # A later claim may have followed while the stored state was read.
         self.follower.confirmed_at = inherited.claimed_at
         self.pool_state.unclaimed_at = inherited.claimed_at
+        self.pool_state.list_read_at = dependencies.find_list_read_at()
         self.claim_confirmer = ClaimConfirmer(
             self.pool_state,
             self.follower,
@@ -413,6 +414,7 @@
             now, wall = loop.time(), self.dependencies.wall()
             self._record_loop_delay(due_at, now)
             self.claim_confirmer.note_reads()
+            self.pool_state.list_read_at = self.dependencies.find_list_read_at()
             confirmed_until = self.follower.confirmed_at + OWNERSHIP_TIMEOUT_S
             self.term.owned_until = max(self.term.owned_until, confirmed_until)
             self._check_former_owners(now)
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -9,6 +9,7 @@
 import logging
 import math
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from siskinroad.resources import Resources
 from siskinroad.work.account_use import AccountUse
@@ -41,6 +42,14 @@
 log = logging.getLogger("siskinroad.pool_state")
 
 
+@dataclass(slots=True, frozen=True)
+class _Replacement:
+    """A host whose former address served another one at a loop time."""
+
+    address: str
+    at: float
+
+
 class RunTable(JobTable):
     """Table of the hosts of one pool and their runs, on top of its jobs.
 
@@ -55,6 +64,9 @@
         Runs of all hosts by job.
     former_owner_hosts : set of str
         Hosts on which a former owner may have started work.
+    list_read_at : float
+        Loop time at which the newest read of the live list was sent; infinite where
+        the list is never old.
     former_leases_end_at : float
         Loop time by which every lease that a former owner granted has expired.
     unclaimed_at : float
@@ -85,6 +97,8 @@
         self.run_index = RunIndex()
         self._next_tokens: dict[str, int] = {}
         self.former_owner_hosts: set[str] = set()
+        self.list_read_at = math.inf
+        self._replaced: dict[str, _Replacement] = {}
         self.former_leases_end_at = 0.0
         self.unclaimed_at = math.inf
         self.awaited_claims_at = -math.inf
@@ -300,6 +314,9 @@
     def add_or_update_host(self, entry: HostEntry, now: float = 0.0) -> None:
         """Add or update a host from its entry in the live list."""
         self.crash_tracker.note_listed(entry, now)
+        replacement = self._replaced.get(entry.name)
+        if replacement is not None and replacement.address != entry.address:
+            del self._replaced[entry.name]
         host = self.hosts.get(entry.name)
         if host is None:
             first_token = self.term * TOKENS_PER_TERM
@@ -358,6 +375,7 @@
         if not self._was_sole_owner(self._find_settled_at(bool(unsettled_hosts))):
             return False
         self.is_settled = True
+        self._replaced.clear()
         first_run = MAX_UNSTORED_RUNS * (self.term - 1)
         count = 0
         for job in self.jobs.values():
@@ -392,7 +410,10 @@
 
     def _is_host_settled(self, name: str) -> bool:
         host = self.hosts.get(name)
-        return host is not None and host.is_settled
+        if host is not None and host.is_settled:
+            return True
+        replacement = self._replaced.get(name)
+        return replacement is not None and self.list_read_at >= replacement.at
 
     def raise_token(self, host: Host) -> Effect:
         """Raise a host's token, which voids every start still in flight to it."""
@@ -410,7 +431,9 @@
             run.move("lapse")
             effects += self._end_run(host, run, "host replaced", now)
         self._remove_host(host)
-        self.former_owner_hosts.discard(host.name)
+        if not self.is_settled:
+            # By an old list: the host may be at another address now.
+            self._replaced[host.name] = _Replacement(host.entry.address, now)
         return effects
 
     def _remove_host(self, host: Host) -> None:
--- a/siskinroad/work/term.py
+++ b/siskinroad/work/term.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
@@ -49,6 +50,8 @@
         Limits of the client accounts that the daemon has seen.
     ask_stopped : callable or None
         Asks a former owner of a pool whether it has stopped.
+    find_list_read_at : callable
+        Returns the loop time at which the newest read of the live list was sent.
     account_peers : AccountPeers or None
         Way to the owners of the other pools; None if there is none.
     sheds_load : bool
@@ -73,6 +76,7 @@
     account_peers: AccountPeers | None = None
     ask_stopped: Callable[[str, FormerOwner], Awaitable[bool]] | None = None
     sheds_load: bool = False
+    find_list_read_at: Callable[[], float] = lambda: math.inf
     confirm_unclaimed: Callable[[str, float], Awaitable[float | None]] | None = None
 
 
--- a/tests/work/test_forgotten_tokens.py
+++ b/tests/work/test_forgotten_tokens.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from siskinroad.work.store import StoreUnavailableError
 from tests.work.cell import SLOW, job, step
 from tests.work.cut_hosts import check_never_twice, cut_daemon, start_views, watch_host
 from tests.work.test_daemon import JOB_ID, run_scenario
@@ -90,6 +91,36 @@
     run_scenario(scenario, hosts=4)
 
 
+def test_another_host_at_an_address_of_an_old_list_does_not_settle_tasks():
+    # The former owner reaches the host at its present address. The successor has read
+    # the claims, but not the list.
+    async def scenario(cell):
+        views = await start_views(cell, 60.0)
+        await submit_and_start(cell, 3, estimate=60.0)
+        owner, cut_at = cell.owner(), now()
+        busy = {name for name, host in cell.hosts.hosts.items() if host.runs}
+        for name, view in views.items():
+            if name != owner:
+                view.replaced = set(busy)
+                stop_list_reads(cell.daemons[name])
+        cut_daemon(cell, views, owner, set(cell.hosts.hosts) - busy)
+        await wait_for_owner(cell, {owner})
+        await sleep_until(cut_at + STOPPED_S)
+        check_never_twice(cell, cut_at)
+
+    run_scenario(scenario)
+
+
+def stop_list_reads(daemon):
+    """Let a daemon's reads of the live list fail from now on."""
+
+    async def fail():
+        raise StoreUnavailableError("partly down", step="test")
+
+    daemon.hosts_follower._fetch = fail
+    daemon.hosts_follower.restart_read()
+
+
 @pytest.mark.parametrize("unreached", [{"i-2"}, HOSTS], ids=["one", "all"])
 def test_a_report_of_a_restarted_host_does_not_settle_tasks_of_a_killed_owner(
     unreached,
