Keep what an owner knows of later claims in a module of its own

Cause: run_table.py had grown by it, and its names stood for two things, the newest time without a later claim and the time that a conclusion waits for. Change: ClaimKnowledge holds both; no decision changes.

--- a/siskinroad/work/claim_confirmer.py
+++ b/siskinroad/work/claim_confirmer.py
@@ -67,7 +67,7 @@
         if self._follower.confirmed_at < 0:
             return
         self._pool_state.note_unclaimed(self._follower.confirmed_at)
-        if not self._pool_state.awaits_claims:
+        if not self._pool_state.claims.is_awaited:
             self._note_confirmed()
 
     async def run(self) -> None:
@@ -89,7 +89,7 @@
     async def _confirm(self) -> bool:
         if self._read is None:
             self._read = asyncio.create_task(self._follower.read_now())
-            self._read_for = self._pool_state.awaited_claims_at
+            self._read_for = self._pool_state.claims.awaited_at
         await asyncio.wait({self._read}, timeout=READ_LATE_S)
         if not self._read.done() and await self._confirm_by_members():
             return True
@@ -108,7 +108,7 @@
         if await self._confirm_by_members():
             return True
         # What is needed since the read began gets a read of its own.
-        if self._pool_state.unclaimed_at < self._read_for:
+        if self._pool_state.claims.unclaimed_at < self._read_for:
             self._note_failed(exc)
         return False
 
@@ -116,7 +116,9 @@
         if self._ask_members is None:
             return False
         pool_state = self._pool_state
-        confirmed_at = await self._ask_members(pool_state.pool, pool_state.unclaimed_at)
+        confirmed_at = await self._ask_members(
+            pool_state.pool, pool_state.claims.unclaimed_at
+        )
         if confirmed_at is None:
             return False
         pool_state.note_unclaimed(confirmed_at)
@@ -133,7 +135,7 @@
             extra={
                 "pool": self._pool_state.pool,
                 "term": self._pool_state.term,
-                "claims_age_s": self._pool_state.claims_age_s(now),
+                "claims_age_s": self._pool_state.claims.age_s(now),
                 "error": str(exc),
             },
         )
--- /dev/null
+++ b/siskinroad/work/claim_knowledge.py
@@ -0,0 +1,62 @@
+"""What an owner knows of later claims on its pool, by loop times in seconds."""
+
+from __future__ import annotations
+
+import math
+
+__all__ = ["ClaimKnowledge"]
+
+
+class ClaimKnowledge:
+    """Knowledge of one owner, from its reads of the claims or the members' statements.
+
+    Attributes
+    ----------
+    unclaimed_at : float
+        Newest loop time at which certainly no other daemon had claimed the pool under
+        a later term; infinite where nobody else can claim it.
+    awaited_at : float
+        Latest loop time for which a conclusion needed `unclaimed_at`.
+    """
+
+    __slots__ = ("awaited_at", "unclaimed_at")
+
+    def __init__(self) -> None:
+        self.unclaimed_at = math.inf
+        self.awaited_at = -math.inf
+
+    @property
+    def is_awaited(self) -> bool:
+        """Whether a conclusion waits for a later `unclaimed_at`."""
+        return self.unclaimed_at < self.awaited_at
+
+    def note_unclaimed(self, at: float) -> None:
+        """Note that no other daemon had claimed the pool at a loop time."""
+        self.unclaimed_at = max(self.unclaimed_at, at)
+
+    def revoke(self) -> None:
+        """Let nothing rest on what was known before now.
+
+        The loop's clock does not count a suspension, so it seems newer than it is.
+        """
+        self.unclaimed_at = -math.inf
+
+    def was_sole_owner(self, at: float) -> bool:
+        """Return whether certainly no successor acted before a loop time.
+
+        Only then does silence until that time show anything of a host: a successor
+        would have renewed its leases, or acknowledged ends that it no longer lists.
+        """
+        is_certain = self.unclaimed_at >= at
+        if not is_certain:
+            self.awaited_at = max(self.awaited_at, at)
+        return is_certain
+
+    def age_s(self, now: float) -> float | None:
+        """Return the seconds since `unclaimed_at`, for the logs.
+
+        None if nobody else can claim the pool, or if nothing is known.
+        """
+        if math.isinf(self.unclaimed_at):
+            return None
+        return round(now - self.unclaimed_at, 2)
--- a/siskinroad/work/claim_manager.py
+++ b/siskinroad/work/claim_manager.py
@@ -275,7 +275,7 @@
         if owner is None:
             return {}
         now = asyncio.get_running_loop().time()
-        claims_age_s = owner.pool_state.claims_age_s(now)
+        claims_age_s = owner.pool_state.claims.age_s(now)
         return {"term": owner.term.number, "claims_age_s": claims_age_s}
 
     async def _claim_pool(self, pool: str) -> PoolOwner:
--- a/siskinroad/work/host_commands.py
+++ b/siskinroad/work/host_commands.py
@@ -180,7 +180,7 @@
                 "host": host.name,
                 "token": command.token,
                 "list_age_s": round(sent_at - host.clock_read_at, 2),
-                "claims_age_s": self.term.pool_state.claims_age_s(sent_at),
+                "claims_age_s": self.term.pool_state.claims.age_s(sent_at),
                 "took_s": round(loop.time() - sent_at, 3),
                 "outcome": outcome,
             },
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -137,7 +137,7 @@
         self.follower.next_offset = inherited.next_offset
         # A later claim may have followed while the stored state was read.
         self.follower.confirmed_at = inherited.claimed_at
-        self.pool_state.unclaimed_at = inherited.claimed_at
+        self.pool_state.claims.unclaimed_at = inherited.claimed_at
         self.pool_state.list_read_at = dependencies.find_list_read_at()
         self.claim_confirmer = ClaimConfirmer(
             self.pool_state,
@@ -244,7 +244,7 @@
     def revoke_confirmation(self) -> None:
         """Stop acting until the claim is confirmed again, as after a suspension."""
         self._stop_acting()
-        self.pool_state.revoke_unclaimed()
+        self.pool_state.claims.revoke()
 
     def _stop_acting(self) -> None:
         self.term.owned_until = -1e9
@@ -255,7 +255,7 @@
 
         A claim that is being read again, after a suspicion, has not lapsed.
         """
-        known_at = max(self.pool_state.unclaimed_at, self.follower.confirmed_at)
+        known_at = max(self.pool_state.claims.unclaimed_at, self.follower.confirmed_at)
         is_old = now > known_at + OWNERSHIP_TIMEOUT_S
         return is_old and not self.term.is_owner_confirmed()
 
@@ -452,7 +452,7 @@
                     self.term.spawn(self.host_commands.request_advice(effect))
         if self.pool_state.dirty:
             self.term.flush_requested.set()
-        if self.pool_state.awaits_claims:
+        if self.pool_state.claims.is_awaited:
             self.claim_confirmer.request()
 
     def _on_claims_confirmed(self) -> None:
--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -271,7 +271,7 @@
                 "host": host.name,
                 "void_tickets": tickets,
                 "term": self.term,
-                "claims_age_s": self.claims_age_s(now),
+                "claims_age_s": self.claims.age_s(now),
             },
         )
         effects: list[Effect] = []
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -13,6 +13,7 @@
 
 from siskinroad.resources import Resources
 from siskinroad.work.account_use import AccountUse
+from siskinroad.work.claim_knowledge import ClaimKnowledge
 from siskinroad.work.crash_record import TRIAL_S
 from siskinroad.work.crash_tracker import CrashTracker
 from siskinroad.work.effects import Effect, ReconcileHost, StopRun
@@ -69,11 +70,8 @@
         the list is never old.
     former_leases_end_at : float
         Loop time by which every lease that a former owner granted has expired.
-    unclaimed_at : float
-        Newest loop time at which certainly no other daemon had claimed the pool under
-        a later term; infinite where nobody else can claim it.
-    awaited_claims_at : float
-        Latest loop time for which a conclusion needed `unclaimed_at`.
+    claims : ClaimKnowledge
+        What is known of later claims on the pool.
     loop_delay_s : float
         Largest recent delay of the owner's event loop in seconds, for the logs: a
         late owner finds hosts silent that have replied in time.
@@ -100,8 +98,7 @@
         self.list_read_at = math.inf
         self._replaced: dict[str, _Replacement] = {}
         self.former_leases_end_at = 0.0
-        self.unclaimed_at = math.inf
-        self.awaited_claims_at = -math.inf
+        self.claims = ClaimKnowledge()
         self.loop_delay_s = 0.0
         self.observe_presumed_end: Callable[[str], None] = lambda reason: None
         self.observe_late_end: Callable[[str], None] = lambda end_kind: None
@@ -248,37 +245,14 @@
 
     def note_unclaimed(self, at: float) -> None:
         """Note that no other daemon had claimed the pool at a loop time."""
-        self.unclaimed_at = max(self.unclaimed_at, at)
+        self.claims.note_unclaimed(at)
         for host in self.hosts.values():
             self._confirm_incarnation(host)
 
-    @property
-    def awaits_claims(self) -> bool:
-        """Whether a conclusion waits for a later `unclaimed_at`."""
-        return self.unclaimed_at < self.awaited_claims_at
-
-    def revoke_unclaimed(self) -> None:
-        """Let nothing rest on claims that were read before now.
-
-        The loop's clock does not count a suspension, so they seem newer than they are.
-        """
-        self.unclaimed_at = -math.inf
-
-    def _was_sole_owner(self, at: float) -> bool:
-        """Return whether certainly no successor acted before a loop time.
-
-        Only then does silence until that time show anything of a host: a successor
-        would have renewed its leases, or acknowledged ends that it no longer lists.
-        """
-        is_certain = self.unclaimed_at >= at
-        if not is_certain:
-            self.awaited_claims_at = max(self.awaited_claims_at, at)
-        return is_certain
-
     def _confirm_incarnation(self, host: Host) -> None:
         """Confirm that no successor knew a host's incarnation before this owner."""
         if host.is_unconfirmed:
-            host.is_unconfirmed = not self._was_sole_owner(host.first_reported_at)
+            host.is_unconfirmed = not self.claims.was_sole_owner(host.first_reported_at)
 
     def _is_loss_certain(self, host: Host, now: float) -> bool:
         """Return whether the runs of a host's former incarnation ended with it.
@@ -286,7 +260,7 @@
         Before a restart, a successor may have acknowledged ends that this owner has not
         seen: the runs are over, but their tasks may be done.
         """
-        if self._was_sole_owner(host.lost_at or now):
+        if self.claims.was_sole_owner(host.lost_at or now):
             return True
         if not host.lost_at:
             host.lost_at = now
@@ -297,20 +271,11 @@
                     "host": host.name,
                     "runs": len(host.runs),
                     "term": self.term,
-                    "claims_age_s": self.claims_age_s(now),
+                    "claims_age_s": self.claims.age_s(now),
                 },
             )
         return False
 
-    def claims_age_s(self, now: float) -> float | None:
-        """Return the seconds since the newest read of the claims, for the logs.
-
-        None if nobody else can claim the pool.
-        """
-        if math.isinf(self.unclaimed_at):
-            return None
-        return round(now - self.unclaimed_at, 2)
-
     def add_or_update_host(self, entry: HostEntry, now: float = 0.0) -> None:
         """Add or update a host from its entry in the live list."""
         self.crash_tracker.note_listed(entry, now)
@@ -372,7 +337,7 @@
         ]
         if unsettled_hosts and now < self.former_leases_end_at:
             return False
-        if not self._was_sole_owner(self._find_settled_at(bool(unsettled_hosts))):
+        if not self.claims.was_sole_owner(self._find_settled_at(bool(unsettled_hosts))):
             return False
         self.is_settled = True
         self._replaced.clear()
@@ -392,7 +357,7 @@
                 "tasks": count,
                 "silent_hosts": len(unsettled_hosts),
                 "term": self.term,
-                "claims_age_s": self.claims_age_s(now),
+                "claims_age_s": self.claims.age_s(now),
             },
         )
         return True
@@ -461,7 +426,7 @@
             if not host.is_lease_over(now) or now < self._former_lease_end(host):
                 continue
             leases_end_at = max(host.lease_expires_at, self._former_lease_end(host))
-            if host.runs and not self._was_sole_owner(leases_end_at):
+            if host.runs and not self.claims.was_sole_owner(leases_end_at):
                 continue
             if host.runs:
                 log.warning(
@@ -473,7 +438,7 @@
                         "silent_s": round(now - host.reported_at, 2),
                         "expired_s": round(now - host.lease_expires_at, 2),
                         "term": self.term,
-                        "claims_age_s": self.claims_age_s(now),
+                        "claims_age_s": self.claims.age_s(now),
                         "loop_delay_s": round(self.loop_delay_s, 3),
                     },
                 )
@@ -583,7 +548,7 @@
                 "report_age_s": round(now - host.reported_at, 2),
                 "lease_left_s": round(host.lease_expires_at - now, 2),
                 "term": self.term,
-                "claims_age_s": self.claims_age_s(now),
+                "claims_age_s": self.claims.age_s(now),
                 "loop_delay_s": round(self.loop_delay_s, 3),
             },
         )
