Read the list of members each second from the claim of a pool on

Callers would wait for tasks of a crashed host until the store is back: in an outage for all that begins within some seconds of an owner's claim, the members' statements were of no use. Cause: only reads that an owner sends after its claim are short; the one that it had sent as a mere member was held open for up to 5 s, and lost in the outage. Change: an owner reads the list each second beside the read that is held open. Evidence: the new test failed before (the list was over 1.5 s old 1.5 s after the claim).

--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import math
 from collections.abc import Callable, Coroutine
@@ -79,10 +80,10 @@
 # Seconds for which the store may hold a read open for a new member record; new
 # members are rare.
 MEMBERS_READ_WAIT = 5.0
-# The same for an owner. Once the store is down, it relies on the members' statements
-# until the list is too old: with a longer wait it would be so before the leases of a
-# host that crashes then expire.
-OWNER_MEMBERS_READ_WAIT = 1.0
+# Seconds between two reads of the list by an owner, beside the one that is held open.
+# Once the store is down, it relies on the members' statements until the list is too
+# old, which must not be before the leases of a host that crashes then expire.
+OWNER_MEMBERS_READ_INTERVAL = 1.0
 
 log = logging.getLogger("siskinroad.daemon")
 
@@ -276,7 +277,7 @@
             self.store,
             MEMBERS_TOPIC,
             self._apply_members,
-            wait=self._find_members_read_wait,
+            wait=MEMBERS_READ_WAIT,
         )
 
     def _configure(self, configuration: Configuration) -> None:
@@ -301,6 +302,7 @@
             self.configuration_follower.run,
             self.configuration_exchange.run,
             self.members_follower.run,
+            self._run_members_reads,
             self.hosts_follower.run,
             self.store_probe.run,
             self._run_heartbeats,
@@ -372,9 +374,6 @@
             self._listed_at = asyncio.get_running_loop().time()
         self.newcomer_check.note_listed(offset)
 
-    def _find_members_read_wait(self) -> float:
-        return OWNER_MEMBERS_READ_WAIT if self.owners else MEMBERS_READ_WAIT
-
     def _find_members_read_at(self) -> float:
         """Return when the list of members was last read, if it had this one before.
 
@@ -397,6 +396,14 @@
                 continue
             return
 
+    async def _run_members_reads(self) -> None:
+        """Read the list of members often while this daemon owns a pool."""
+        while True:
+            await asyncio.sleep(OWNER_MEMBERS_READ_INTERVAL)
+            if self.owners and self.members_follower.confirmed_at >= 0:
+                with contextlib.suppress(SiskinroadError):
+                    await self.members_follower.read_now()
+
     async def _run_heartbeats(self) -> None:
         await self.membership.run_heartbeats(lambda: bool(self.claim_manager.pools))
 
--- a/siskinroad/work/follower.py
+++ b/siskinroad/work/follower.py
@@ -49,10 +49,10 @@
     apply : callable
         Called with records in the order of their offsets, and whether they are a
         snapshot: the newest record of every key, so that any other key is gone.
-    wait : float or callable
-        Seconds, or what returns the seconds, for which the store may hold a read open
-        for a new record. It is not asked to while ``confirmed_at`` is negative, or
-        after a read that failed, so that this ends soon.
+    wait : float
+        Seconds for which the store may hold a read open for a new record. It is not
+        asked to while ``confirmed_at`` is negative, or after a read that failed, so
+        that this ends soon.
     read_pause : float
         Seconds to wait after each successful read before the next.
 
@@ -70,7 +70,7 @@
         topic: str,
         apply: ApplyRecords,
         *,
-        wait: float | Callable[[], float] = 1.0,
+        wait: float = 1.0,
         read_pause: float = 0.0,
     ) -> None:
         self.store = store
@@ -199,7 +199,7 @@
             return await self._read_newest()
         is_confirmed = self.confirmed_at >= 0 and self.is_reachable
         may_be_held = is_confirmed and not self._waiter_count
-        wait = self._find_wait() if may_be_held else 0.0
+        wait = self._wait if may_be_held else 0.0
         self._is_read_held = may_be_held
         try:
             return await self._read_later_records(wait)
@@ -237,9 +237,6 @@
             _with_offsets(result), False, result.next_offset, confirmed_at
         )
 
-    def _find_wait(self) -> float:
-        return self._wait() if callable(self._wait) else self._wait
-
     def _apply_result(self, result: _FetchResult) -> None:
         items = result.items
         if not result.is_snapshot:
--- a/tests/work/test_claim_statements.py
+++ b/tests/work/test_claim_statements.py
@@ -250,6 +250,22 @@
     run_scenario(scenario)
 
 
+def test_an_owner_reads_the_list_of_members_each_second_from_its_claim_on():
+    # A read that was sent before the claim may be held open for seconds.
+    async def scenario(cell):
+        for name in NAMES:
+            cell.start(name)
+        while cell.owner() is None:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(1.5)
+        for _ in range(60):
+            await asyncio.sleep(0.1)
+            read_at = cell.daemons[cell.owner()].members_follower.confirmed_at
+            assert now() - read_at < 1.5
+
+    run_scenario(scenario)
+
+
 def test_a_single_daemon_confirms_by_itself():
     async def scenario(cell):
         owner, known_at = await start_outage(cell, "a")
--- a/tests/work/test_crash_in_outage.py
+++ b/tests/work/test_crash_in_outage.py
@@ -22,15 +22,16 @@
 
 @pytest.mark.parametrize("down_s", [3.2, 1e9])
 @pytest.mark.parametrize("is_silent", [False, True])
+@pytest.mark.parametrize("begins_after_s", [0.0, 2.0])
 def test_tasks_of_a_host_that_crashes_run_again_though_the_store_is_away(
-    down_s, is_silent
+    down_s, is_silent, begins_after_s
 ):
     async def scenario(cell):
         await start_views(cell, 60.0)
         spec = job(step(3, cpu_milli=16000, spread=1, estimate=60.0))
         await cell.submit("a", JOB_ID, spec)
         await cell.wait_for_starts(3)
-        await asyncio.sleep(2.0)
+        await asyncio.sleep(begins_after_s)
         began_at = now()
         cell.logs.faults.is_silent = True
         await sleep_until(began_at + CRASH_AFTER_S)
