Ask the members later, and not again within a second

Suspected, not shown: an owner whose store doesn't answer it directly reads through a peer after 0.4 s, so that each read was late at 0.3 s, and asked 96 members, whose answers name all others; 0.2 MB on a link of 2 Mbit/s, each time. Change: members are asked 0.7 s after the read was sent, and once a second at most.

--- a/siskinroad/work/claim_confirmer.py
+++ b/siskinroad/work/claim_confirmer.py
@@ -19,8 +19,12 @@
 
 __all__ = ["ClaimConfirmer", "ConfirmUnclaimed"]
 
-# Seconds after which a read of the claims is late, and the other members are asked.
-READ_LATE_S = 0.3
+# Seconds after which a read of the claims is late, and the other members are asked. By
+# then it has been sent through a peer too, if the store does not answer this daemon.
+READ_LATE_S = 0.7
+# Least seconds between two times that all members are asked. The answers of a large
+# cell fill a small link.
+MEMBERS_ASK_INTERVAL_S = 1.0
 
 # Returns, for a pool and the loop time until which no other daemon had claimed it, the
 # loop time until which that is certain by the statements of the other members, or None.
@@ -57,6 +61,7 @@
         self._read: asyncio.Task[None] | None = None
         self._read_for = 0.0
         self._waits_since: float | None = None
+        self._asked_at = -1e9
 
     def request(self) -> None:
         """Request a read of the claims that is sent from now on."""
@@ -113,8 +118,10 @@
         return False
 
     async def _confirm_by_members(self) -> bool:
-        if self._ask_members is None:
+        now = asyncio.get_running_loop().time()
+        if self._ask_members is None or now - self._asked_at < MEMBERS_ASK_INTERVAL_S:
             return False
+        self._asked_at = now
         pool_state = self._pool_state
         confirmed_at = await self._ask_members(
             pool_state.pool, pool_state.claims.unclaimed_at
