Log why a new owner waits for as long as it does

The line on tasks of earlier terms named the hosts and the former owners that are waited for, but not which of the hypotheses of the incident holds: owners that are not known, an owner that does not limit its leases, or too few members that acknowledge the claim. Two tests cover the longest wait and a shortened one.

--- a/siskinroad/work/former_owners.py
+++ b/siskinroad/work/former_owners.py
@@ -43,6 +43,9 @@
     ----------
     remaining : tuple of FormerOwner or None
         Those that may still renew leases; None if not all of them are known.
+    shortened_by : str
+        How the end of their leases became known, for the logs; empty while the longest
+        time is waited.
     """
 
     def __init__(
@@ -52,6 +55,7 @@
         has_later_incarnation: Callable[[str, int], bool],
     ) -> None:
         self.remaining = inherited.former_owners
+        self.shortened_by = ""
         self._pool = pool
         self._inherited = inherited
         self._has_later_incarnation = has_later_incarnation
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -222,6 +222,7 @@
         self.pool_state.note_former_leases_end(leases_end_at)
         if self.pool_state.is_settled:
             return
+        self.former_owners.shortened_by = why
         remaining_s = leases_end_at - asyncio.get_running_loop().time()
         log.info(
             "owner: former owners' leases end soon",
--- a/siskinroad/work/takeover_report.py
+++ b/siskinroad/work/takeover_report.py
@@ -85,7 +85,19 @@
                 "silent_hosts": len(silent),
                 "hosts": silent[:MAX_NAMES],
                 "former_owners": owners,
+                "wait": self._describe_wait(),
                 "leases_end_in_s": round(pool_state.former_leases_end_at - now, 2),
                 "claims_age_s": pool_state.claims.age_s(now),
             },
         )
+
+    def _describe_wait(self) -> str:
+        """Return why the leases are waited for as long as they are."""
+        if self._former_owners.shortened_by:
+            return self._former_owners.shortened_by
+        remaining = self._former_owners.remaining
+        if remaining is None:
+            return "longest: not all former owners are known"
+        if not all(each.limits_leases for each in remaining):
+            return "longest: a former owner does not limit its leases"
+        return "longest: too few members have acknowledged the claim"
--- a/tests/work/test_takeover_report.py
+++ b/tests/work/test_takeover_report.py
@@ -65,3 +65,34 @@
         assert read_takeovers(cell.daemons[name]) == 1
 
     run_scenario(scenario)
+
+
+def test_a_new_owner_tells_why_it_waits_for_the_longest_time(caplog):
+    # Only the successor is left of four daemons, so that nobody acknowledges its claim.
+    caplog.set_level(logging.INFO)
+
+    async def scenario(cell):
+        await start_cell(cell)
+        kept = next(name for name in cell.daemons if name != cell.owner())
+        for name in [name for name in cell.daemons if name != kept]:
+            await cell.kill(name, loses_power=True)
+        leave(cell, "i-1")
+        await asyncio.sleep(6.0)
+        line = find_lines(caplog, "owner: tasks of earlier terms wait")[0]
+        assert line.wait == "longest: too few members have acknowledged the claim"
+
+    run_scenario(scenario)
+
+
+def test_a_new_owner_tells_how_the_end_of_the_leases_became_known(caplog):
+    caplog.set_level(logging.INFO)
+
+    async def scenario(cell):
+        await start_cell(cell)
+        await cell.kill(cell.owner(), loses_power=True)
+        leave(cell, "i-1")
+        await asyncio.sleep(6.0)
+        line = find_lines(caplog, "owner: tasks of earlier terms wait")[-1]
+        assert line.wait == "enough members know the claim"
+
+    run_scenario(scenario)
