Do not relay store calls for the failure of one that an outage had cut off

Cause: a direct call that was sent while the store was silent fails by its time limit, up to 2.5 s after the store's return. It marked the direct way as failing, so that the next append went through a peer alone. Seen in a trace of tests/work/test_lost_members.py: a claim went through a daemon that had just been lost, and waited 2.8 s for it.

Change: only calls that were sent since the last return count.

The new test failed before ('lost (test) (relay b)'); tests/work/test_store_outages.py: 30 passed.

--- a/siskinroad/work/relay.py
+++ b/siskinroad/work/relay.py
@@ -106,6 +106,7 @@
         self._peer_calls = peer_calls
         self._relay_peers = relay_peers
         self._direct_failed = False
+        self._recovered_at = -1e9
         self._next_probe_at = -1e9
         self._probe_tasks: set[asyncio.Task[None]] = set()
         self._race = ReadRace()
@@ -223,14 +224,19 @@
         )
 
     async def _call_direct(self, call: StoreCall, timeout: float) -> StoreAnswer:
-        """Make a direct call and record whether the store answered it."""
+        """Make a direct call and record whether the store answered it.
+
+        That a call from before the store's return fails says nothing of it now.
+        """
+        sent_at = asyncio.get_running_loop().time()
         try:
             answer = await make_call(self.direct, call, timeout)
         except (OffsetMismatchError, FencedError, TrimmedError):
             self.record_direct_answer()
             raise
         except SiskinroadError:
-            self._direct_failed = True
+            if sent_at >= self._recovered_at:
+                self._direct_failed = True
             raise
         self.record_direct_answer()
         return answer
@@ -245,6 +251,7 @@
             self._note_recovered(now - previous_answer_at)
 
     def _note_recovered(self, silent_s: float) -> None:
+        self._recovered_at = asyncio.get_running_loop().time()
         # After a suspension, answers of open appends may have arrived unread.
         FairTimer(0.0, lambda: self._end_open_appends(silent_s))
         self.on_recovered()
--- a/tests/work/test_store_outages.py
+++ b/tests/work/test_store_outages.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
@@ -16,7 +17,7 @@
 from siskinroad.work.open_appends import OpenAppends
 from siskinroad.work.relay import RelayStore
 from siskinroad.work.retry_times import choose_retry_time
-from siskinroad.work.store import Record, StoreUnknownError
+from siskinroad.work.store import Fence, Record, StoreUnknownError
 from siskinroad.work.store_memory import MemoryLogs, MemoryStore
 from siskinroad.work.store_probe import StoreProbe
 from siskinroad.work.workmetrics import WorkMetrics
@@ -310,3 +311,40 @@
     assert max(times) - min(times) > 1.0
     urgent = choose_retry_time(60.0, 30.0, 0.4, JOB_ID)
     assert urgent < choose_retry_time(60.0, 30.0, 8.0, JOB_ID)
+
+
+def test_a_call_that_was_sent_in_an_outage_and_fails_later_sends_none_through_a_peer():
+    # The peer may have been lost since, and its daemon claims a pool just then.
+    async def scenario():
+        direct = MemoryStore(MemoryLogs())
+        relayed = []
+
+        async def request(peer, *args, **fields):
+            relayed.append(peer)
+            raise StoreUnknownError("lost", step="test")
+
+        calls = SimpleNamespace(request=request)
+        store = RelayStore(direct, calls, lambda: ["b"])
+        await store.append("t", [Record("k", b"x")])
+        append = direct.append
+
+        async def append_in_outage(topic, records, **fields):
+            await asyncio.sleep(2.0)
+            raise StoreUnknownError("no answer", step="test")
+
+        direct.append = append_in_outage
+        fence = Fence("p", 5, 1)
+        sent = asyncio.create_task(
+            store.append("t", [Record("k", b"x")], fence=fence, timeout=2.5)
+        )
+        await asyncio.sleep(1.9)
+        direct.append = append
+        store._open_appends.end_old = lambda: 0
+        store.record_direct_answer()
+        await asyncio.wait({sent})
+        assert sent.exception() is not None
+        relayed.clear()
+        await store.append("t", [Record("k", b"y")])
+        assert relayed == []
+
+    run_on_paused_clock(scenario())
