Repeat a claim's reads at the store's return

Cause: a claim that begins in an outage reads all newest records first. At the store's return readers of new records repeat their reads, and open appends end, but this read waited for its time limit of 2.5 s, and the claim then failed and began again.

Change: reads of all newest records that an outage has cut off end at the return and are repeated once. The module of open appends tracks either kind of call: open_calls.

--- a/siskinroad/work/open_appends.py
+++ b/siskinroad/work/open_calls.py
@@ -1,7 +1,8 @@
-"""Appends without an answer, which end once the store has answered after an outage.
+"""Calls without an answer, which end once the store has answered after an outage.
 
-An append that was sent while the store was silent is never answered. Its time limit
-would otherwise hold up all records of its topic for seconds after the store's return.
+A call that was sent while the store was silent is never answered. The time limit of an
+append would otherwise hold up all records of its topic for seconds after the store's
+return, and that of a read the claim of a pool.
 """
 
 from __future__ import annotations
@@ -12,27 +13,27 @@
 
 from siskinroad.work.store import StoreUnknownError
 
-__all__ = ["OpenAppends"]
+__all__ = ["OpenCalls"]
 
-# Seconds for which an append has been open before it is ended: a younger one may have
+# Seconds for which a call has been open before it is ended: a younger one may have
 # reached the store after its return.
 MIN_OPEN_TIME = 0.2
 
 
-class OpenAppends:
-    """The appends of one daemon that have no answer yet."""
+class OpenCalls:
+    """The calls of one kind of one daemon that have no answer yet."""
 
     def __init__(self) -> None:
         self._sent_at: dict[asyncio.Timeout, float] = {}
 
     @asynccontextmanager
     async def track(self) -> AsyncIterator[None]:
-        """Track the append that the body makes.
+        """Track the call that the body makes.
 
         Raises
         ------
         StoreUnknownError
-            If the append was ended; it may still take effect.
+            If the call was ended; an append may still take effect.
         """
         timeout = asyncio.timeout(None)
         try:
@@ -41,13 +42,13 @@
                 yield
         except TimeoutError as exc:
             raise StoreUnknownError(
-                "append not answered, while the store answers again", step="relay"
+                "call not answered, while the store answers again", step="relay"
             ) from exc
         finally:
             self._sent_at.pop(timeout, None)
 
     def end_old(self) -> int:
-        """End the appends that have been open for some time; return their number."""
+        """End the calls that have been open for some time; return their number."""
         now = asyncio.get_running_loop().time()
         old = [
             timeout
--- a/siskinroad/work/relay.py
+++ b/siskinroad/work/relay.py
@@ -25,7 +25,7 @@
 from siskinroad.errors import ProtocolError, SiskinroadError
 from siskinroad.fair_timeout import FairTimer
 from siskinroad.work.messages import RelayReply, RelayRequest
-from siskinroad.work.open_appends import OpenAppends
+from siskinroad.work.open_calls import OpenCalls
 from siskinroad.work.peer_calls import PeerCalls
 from siskinroad.work.read_race import ReadRace
 from siskinroad.work.relay_codec import (
@@ -110,7 +110,8 @@
         self._next_probe_at = -1e9
         self._probe_tasks: set[asyncio.Task[None]] = set()
         self._race = ReadRace()
-        self._open_appends = OpenAppends()
+        self._open_appends = OpenCalls()
+        self._open_reads = OpenCalls()
         self._relay_index = 0
         self._silent_at: dict[str, float] = {}
         self.direct_answer_at = -1e9
@@ -153,9 +154,19 @@
     async def newest(
         self, topic: str, after: str = "", *, timeout: float = 1.0
     ) -> NewestPage:
-        """Return the newest record of each key; see the base class."""
+        """Return the newest record of each key; see the base class.
+
+        A read that an outage has cut off is repeated at the store's return.
+        """
         call = NewestCall(topic, after)
-        page = await self._race.run(self._list_ways(call, timeout), 0.0)
+        recovered_at = self._recovered_at
+        try:
+            async with self._open_reads.track():
+                page = await self._race.run(self._list_ways(call, timeout), 0.0)
+        except (StoreUnavailableError, StoreUnknownError):
+            if self._recovered_at == recovered_at:
+                raise
+            page = await self._race.run(self._list_ways(call, timeout), 0.0)
         assert isinstance(page, NewestPage)
         return page
 
@@ -253,10 +264,11 @@
     def _note_recovered(self, silent_s: float) -> None:
         self._recovered_at = asyncio.get_running_loop().time()
         # After a suspension, answers of open appends may have arrived unread.
-        FairTimer(0.0, lambda: self._end_open_appends(silent_s))
+        FairTimer(0.0, lambda: self._end_open_calls(silent_s))
         self.on_recovered()
 
-    def _end_open_appends(self, silent_s: float) -> None:
+    def _end_open_calls(self, silent_s: float) -> None:
+        self._open_reads.end_old()
         ended = self._open_appends.end_old()
         self.ended_appends += ended
         log.warning(
--- a/tests/work/test_store_outages.py
+++ b/tests/work/test_store_outages.py
@@ -14,7 +14,7 @@
 from siskinroad.work.job_service import ReplyKind
 from siskinroad.work.job_writer import JobWriter
 from siskinroad.work.messages import SubmitOutcome, SubmitReply
-from siskinroad.work.open_appends import OpenAppends
+from siskinroad.work.open_calls import OpenCalls
 from siskinroad.work.relay import RelayStore
 from siskinroad.work.retry_times import choose_retry_time
 from siskinroad.work.store import Fence, Record, StoreUnknownError
@@ -249,7 +249,7 @@
 
 def test_only_old_appends_end_at_the_return_of_the_store():
     async def scenario():
-        appends = OpenAppends()
+        appends = OpenCalls()
         outcomes = []
 
         async def append(name, seconds):
@@ -348,3 +348,39 @@
         assert relayed == []
 
     run_on_paused_clock(scenario())
+
+
+def test_a_read_of_a_claim_that_an_outage_has_cut_off_is_repeated_at_the_return():
+    async def scenario():
+        logs = MemoryLogs()
+        store = RelayStore(MemoryStore(logs), None, list)
+        await store.append("t", [Record("k", b"x")])
+        logs.faults.is_silent = True
+        await asyncio.sleep(1.5)
+        page = asyncio.create_task(store.newest("t", timeout=2.5))
+        await asyncio.sleep(0.5)
+        logs.faults.is_silent = False
+        store.record_direct_answer()
+        await asyncio.wait({page}, timeout=0.1)
+        assert page.done()
+        assert [item.key for item in page.result().items] == ["k"]
+
+    run_on_paused_clock(scenario())
+
+
+def test_a_pool_is_claimed_soon_after_an_outage_that_cut_its_claim_off():
+    async def scenario(cell):
+        await cell.start_daemons("a", "b", "c", "d")
+        lost = cell.owner()
+        cell.logs.faults.is_silent = True
+        await asyncio.sleep(1.0)
+        await cell.kill(lost, loses_power=True)
+        await asyncio.sleep(3.0)
+        cell.logs.faults.is_silent = False
+        returned_at = asyncio.get_running_loop().time()
+        while cell.owner() is None:
+            await asyncio.sleep(0.05)
+        # The links to the owner may have been cut too, which takes 1 s to tell.
+        assert asyncio.get_running_loop().time() - returned_at < 1.6
+
+    run_scenario(scenario)
