Let a lost owner's leases end soon, however many members are lost

What callers saw: a lasting task without a run for up to 16.5 s where its owner was lost for good, its host left, and most other members were lost, had restarted or restarted just then.

Cause: a successor counted on the end of the leases once more than a third of the members had acknowledged its claim, that the lost owner certainly asked. Members that are lost acknowledge nothing, and of one that has just restarted it is not known whether the owner asked it. Then the successor waited for 14.4 s. The class: a proof that needs many witnesses who live, and who are known to both sides only by inference.

Change: an owner stores whom it asks, its witnesses, seven at most, with its set of hosts and before it relies on them; the store rejects that once a successor has raised the epoch. It extends leases while all of them state that they have claimed nothing, or all but a third do and every host has answered under its token. The successor reads the same set. One witness that refuses, itself or another, and one host that it has reached, are enough for it; so are more than a third of the witnesses. The names count, not incarnations: a member that has restarted cannot state what the former owner needs. Cells of more than 64 daemons do the same.

Why it is safe: siskinroad/work/witnesses.py; a test tries all sets of witnesses that refuse, state or are silent, and of hosts. An owner that is known to extend nothing is stored so. Former versions are waited for for the longest time, and wait so for this one.

Tests of the former rule are replaced: of the number of acknowledgements and statements, and of who is asked, by those of tests/work/test_witnesses.py, test_claim_announcement.py and test_claim_notices.py; that of cells whose leases were not limited by two with 66 daemons.

--- a/siskinroad/work/claim.py
+++ b/siskinroad/work/claim.py
@@ -14,6 +14,8 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+from msgspec import structs
+
 from siskinroad.errors import ProtocolError, SiskinroadError
 from siskinroad.work.progress_records import PartedProgress
 from siskinroad.work.records import (
@@ -83,6 +85,10 @@
         The newest term whose owner released the pool in an orderly way.
     claimed_at : float
         Loop time at which the claim was sent.
+    fenced_at : float
+        Loop time by which the store rejects progress of all lower terms.
+    refused_at : dict of str to float
+        Loop time by which each member that has acknowledged the claim did so, by name.
     next_offset : int
         Offset from which to continue reading the topic of accepted jobs.
     accepted : dict of str to bytes
@@ -95,6 +101,8 @@
     claims: list[FormerOwner] = field(default_factory=list)
     released_term: int = 0
     claimed_at: float = 0.0
+    fenced_at: float = 0.0
+    refused_at: dict[str, float] = field(default_factory=dict)
     next_offset: int = 0
     accepted: dict[str, bytes] = field(default_factory=dict)
     cancelled: dict[str, Cancelled] = field(default_factory=dict)
@@ -114,7 +122,9 @@
         terms = [claim.term for claim in self.claims]
         if hosts is None or hosts.term not in terms:
             return None
-        since = tuple(self.claims[terms.index(hosts.term) :])
+        last, *later = self.claims[terms.index(hosts.term) :]
+        last = structs.replace(last, witnesses=hosts.witnesses, hosts=hosts.names)
+        since = (last, *later)
         if hosts.settled:
             return since
         return None if hosts.unreconciled is None else hosts.unreconciled + since
@@ -150,6 +160,7 @@
                     stored.incarnation,
                     self.former_term,
                     stored.limits_leases,
+                    stored.uses_witnesses,
                 )
                 if claim not in self.claims:
                     self.claims.append(claim)
@@ -236,6 +247,7 @@
     # From here on the store rejects progress records of every lower term.
     fence = Fence(PROGRESS_PRODUCER, inherited.term, 0)
     await store.append(progress_topic(pool), [], fence=fence, timeout=STORE_TIMEOUT)
+    inherited.fenced_at = asyncio.get_running_loop().time()
     await asyncio.gather(
         _read_records_before_claim(store, topic, page.end, offset, inherited),
         _read_progress(store, pool, inherited),
--- a/siskinroad/work/claim_knowledge.py
+++ b/siskinroad/work/claim_knowledge.py
@@ -22,17 +22,14 @@
         a later term; infinite where nobody else can claim it.
     awaited_at : float
         Latest loop time for which a conclusion needed `unclaimed_at`.
-    limits_leases : bool
-        Whether leases end in time for a successor, as the claim says.
     lease_certain_at : float
         Newest loop time at which certainly no successor counted on the end of this
-        owner's leases (`claim_notices`).
+        owner's leases (`witnesses`).
     """
 
-    __slots__ = ("awaited_at", "lease_certain_at", "limits_leases", "unclaimed_at")
+    __slots__ = ("awaited_at", "lease_certain_at", "unclaimed_at")
 
     def __init__(self) -> None:
-        self.limits_leases = True
         self.unclaimed_at = math.inf
         self.lease_certain_at = -math.inf
         self.awaited_at = -math.inf
@@ -53,8 +50,6 @@
     @property
     def leases_end_by(self) -> float:
         """Loop time by which every lease that is granted now has to end."""
-        if not self.limits_leases:
-            return math.inf
         return max(self.unclaimed_at, self.lease_certain_at) + LEASE_LIMIT_S
 
     def lease_age_s(self, now: float) -> float | None:
--- a/siskinroad/work/claim_manager.py
+++ b/siskinroad/work/claim_manager.py
@@ -24,7 +24,6 @@
 from siskinroad.errors import SiskinroadError
 from siskinroad.peers import PeerTransport, Reachability
 from siskinroad.work.claim import InheritedState, claim_pool
-from siskinroad.work.claim_announcement import ClaimAnnouncement
 from siskinroad.work.members import Members
 from siskinroad.work.messages import Heartbeat
 from siskinroad.work.model import Configuration, HostEntry
@@ -65,10 +64,6 @@
 # if its last records are not stored yet. A longer wait delays the next owner.
 HANDOVER_WAIT = 0.15
 
-# Number of daemons from which owners do not limit their leases for a successor: the
-# queries to all of them and their answers would delay other messages on small links.
-MAX_LIMITED_MEMBERS = 64
-
 log = logging.getLogger("siskinroad.claim_manager")
 
 
@@ -126,7 +121,7 @@
         self._make_heartbeat = make_heartbeat
         self._send_heartbeat = send_heartbeat
         self._pool_tasks: dict[str, asyncio.Task[None]] = {}
-        self._announcements: dict[str, ClaimAnnouncement] = {}
+        self._first_notices: set[asyncio.Task[None]] = set()
         self._vacant_since: dict[str, float] = {}
         self._ended_at: dict[str, float] = {}
         self._store_recovered_at = -1e9
@@ -271,9 +266,6 @@
         finally:
             self._dependencies.metrics.claims.labels(event).inc()
             self.owners.pop(pool, None)
-            announcement = self._announcements.pop(pool, None)
-            if announcement is not None:
-                announcement.close()
             self._pool_tasks.pop(pool, None)
             self._vacant_since.pop(pool, None)
             self._ended_at[pool] = asyncio.get_running_loop().time()
@@ -289,9 +281,8 @@
 
     async def _claim_pool(self, pool: str) -> PoolOwner:
         assert self.configuration is not None
-        limits_leases = len(self._members.known) < MAX_LIMITED_MEMBERS
         record = OwnerRecord(
-            self._member.node, self._member.incarnation, limits_leases=limits_leases
+            self._member.node, self._member.incarnation, uses_witnesses=True
         )
         started_at = asyncio.get_running_loop().time()
         inherited = await claim_pool(
@@ -299,7 +290,7 @@
             pool,
             record,
             lambda former: self._has_live_owner(pool, former, started_at),
-            lambda claimed: self._begin_announcement(pool, claimed),
+            lambda claimed: self._send_first_notices(pool, claimed),
         )
         owner = PoolOwner(
             pool,
@@ -307,8 +298,6 @@
             inherited,
             self.configuration,
             self._queue_registry.list_queues(pool),
-            self._announcements.get(pool),
-            limits_leases=limits_leases,
         )
         self.owners[pool] = owner
         self._send_heartbeat()
@@ -316,19 +305,25 @@
         asyncio.get_running_loop().call_soon(owner.apply_host_list, self._hosts)
         return owner
 
-    def _begin_announcement(self, pool: str, claimed: InheritedState) -> None:
-        """Announce a claim for the former owners that are known so far.
+    def _send_first_notices(self, pool: str, claimed: InheritedState) -> None:
+        """Tell all other members of a claim that has just been stored.
 
-        Those that have released the pool have stopped.
+        Which of them are witnesses of the former owner is known only once its state is
+        read. One that has released the pool has stopped.
         """
-        announce = self._dependencies.announce_claim
-        former = [c for c in claimed.claims if c.term != claimed.released_term]
-        if announce is None or not former:
+        send_notices = self._dependencies.send_notices
+        if send_notices is None or claimed.former_term <= claimed.released_term:
             return
-        if all(each.limits_leases for each in former):
-            self._announcements[pool] = ClaimAnnouncement(
-                announce, pool, claimed.term, former
+        task = asyncio.create_task(
+            send_notices(
+                pool,
+                claimed.term,
+                self._members.other_members(),
+                claimed.refused_at,
             )
+        )
+        self._first_notices.add(task)
+        task.add_done_callback(self._first_notices.discard)
 
     def has_stopped(self, pool: str, term: int) -> bool:
         """Return whether this daemon no longer acts under its claim of a term.
@@ -385,7 +380,7 @@
 
     async def close(self) -> None:
         """Stop the owners of all pools at once, without a release."""
-        tasks = list(self._pool_tasks.values())
+        tasks = [*self._pool_tasks.values(), *self._first_notices]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/siskinroad/work/claim_statements.py
+++ b/siskinroad/work/claim_statements.py
@@ -12,7 +12,7 @@
 import asyncio
 import logging
 import math
-from collections.abc import Awaitable, Callable, Collection, Set
+from collections.abc import Callable, Collection, Set
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -22,8 +22,7 @@
 from siskinroad.suspend_detector import SuspendDetector
 from siskinroad.work.members import Members
 from siskinroad.work.messages import ClaimAnswer, ClaimQuery
-from siskinroad.work.peer_calls import PeerCalls, run_until
-from siskinroad.work.silent_members import count_tolerated
+from siskinroad.work.peer_calls import PeerCalls
 from siskinroad.work.term import OWNERSHIP_TIMEOUT_S
 from siskinroad.work.workmetrics import WorkMetrics
 
@@ -56,9 +55,8 @@
 
     ``NO_ANSWER``: a member has not answered. ``TOO_SHORT``: a member owned or claimed
     the pool, or started, too recently. ``UNKNOWN_MEMBER``: an answer names a daemon
-    that was not asked. ``OLD_MEMBERS``: the list of members was read too long ago, or
-    the process was suspended. ``ENOUGH`` and ``TOO_FEW``: whether as many have answered
-    as extending the leases needs.
+    that was not asked. ``OLD_MEMBERS``: the list of members was read too long ago.
+    ``SUSPENDED``: the process was suspended meanwhile.
     """
 
     CONFIRMED = "confirmed"
@@ -66,8 +64,7 @@
     TOO_SHORT = "too_short"
     UNKNOWN_MEMBER = "unknown_member"
     OLD_MEMBERS = "old_members"
-    ENOUGH = "enough"
-    TOO_FEW = "too_few"
+    SUSPENDED = "suspended"
 
 
 @dataclass(slots=True, frozen=True)
@@ -107,10 +104,10 @@
         Names of all members that were known then, with the asking daemon's own.
     """
     answered = {each.node for each in statements}
-    silent = tuple(sorted(node for node in asked if node not in answered))
+    silent = {node for node in asked if node not in answered}
+    short = {each.node for each in statements if not _reaches_back(each, known_at)}
     if silent:
-        return Judgement(Outcome.NO_ANSWER, silent)
-    short = [each.node for each in statements if not _reaches_back(each, known_at)]
+        return Judgement(Outcome.NO_ANSWER, tuple(sorted(silent | short)))
     if short:
         return Judgement(Outcome.TOO_SHORT, tuple(sorted(short)))
     unknown = {node for each in statements for node in each.members} - known
@@ -129,7 +126,7 @@
 
 @dataclass(slots=True, frozen=True)
 class _Round:
-    """Queries to all other members at one time.
+    """Queries to other members at one time.
 
     Attributes
     ----------
@@ -137,24 +134,22 @@
         Term under which the asking daemon owns the pool.
     known_at : float
         Loop time to which a statement has to reach back.
-    digest : bytes
-        Digest of the members that the asking daemon knows.
+    digest : bytes or None
+        Digest of the members that the asking daemon knows, if unknown ones matter.
     """
 
     pool: str
     term: int
     asked: tuple[str, ...]
     known_at: float
-    digest: bytes
+    digest: bytes | None = None
 
     def make_query(self, query_id: int) -> ClaimQuery:
-        """Return a query that asks for the names of unknown members too."""
+        """Return a query; it asks for unknown members' names if these matter."""
+        if self.digest is None:
+            return ClaimQuery(query_id, self.pool, self.term, wants_members=False)
         return ClaimQuery(query_id, self.pool, self.term, self.digest)
 
-    def make_brief_query(self, query_id: int) -> ClaimQuery:
-        """Return a query that asks for no names."""
-        return ClaimQuery(query_id, self.pool, self.term, wants_members=False)
-
 
 @dataclass(slots=True, frozen=True)
 class _Purpose:
@@ -166,13 +161,10 @@
         Message of the log line about a round.
     counter : Counter
         Number of rounds by outcome.
-    ask : callable
-        Asks the members in a round, and judges their statements.
     """
 
     message: str
     counter: Counter
-    ask: Callable[[_Round], Awaitable[Judgement]]
 
 
 class ClaimStatements:
@@ -211,12 +203,10 @@
         self._conclusions = _Purpose(
             "claim_statements: members asked whether they have claimed the pool",
             metrics.claim_statements,
-            self._ask_all,
         )
         self._leases = _Purpose(
-            "claim_statements: members asked whether leases may be extended",
+            "claim_statements: witnesses asked whether leases may be extended",
             metrics.lease_statements,
-            self._ask_enough,
         )
         self.on_suspended: Callable[[], None] = lambda: None
         self._suspend_detector = SuspendDetector()
@@ -239,44 +229,60 @@
             Loop time at which the queries were sent, if nobody had claimed the pool by
             then; None if that is not certain.
         """
-        return await self._confirm(pool, known_at, term, self._conclusions)
+        sent_at = asyncio.get_running_loop().time()
+        read_at = self._members_read_at()
+        this_round = _Round(
+            pool,
+            term,
+            tuple(self._members.other_members()),
+            min(known_at, read_at),
+            self._members.digest(),
+        )
+        # A daemon that registered since the list was read, and that no member knows,
+        # claims only after this time (`newcomer_check`).
+        if sent_at - read_at > OWNERSHIP_TIMEOUT_S:
+            judgement = Judgement(Outcome.OLD_MEMBERS)
+            self._log_outcome(self._conclusions, this_round, judgement, sent_at)
+            return None
+        return await self._confirm(this_round, self._conclusions)
 
-    async def confirm_enough(
-        self, pool: str, known_at: float, term: int
-    ) -> float | None:
-        """Ask the other members until enough have answered to extend the leases.
+    async def ask_witnesses(
+        self, pool: str, known_at: float, term: int, witnesses: Collection[str]
+    ) -> tuple[float, Set[str]]:
+        """Ask witnesses whether the leases may be extended (`witnesses`).
 
-        Parameters and result are those of `confirm`, but that some members may be
-        silent or not certain (`claim_notices`).
-        """
-        return await self._confirm(pool, known_at, term, self._leases)
+        The other parameters are those of `confirm`.
 
-    async def _confirm(
-        self,
-        pool: str,
-        known_at: float,
-        term: int,
-        purpose: _Purpose,
-    ) -> float | None:
+        Returns
+        -------
+        tuple
+            Loop time at which the queries were sent, and the names of the witnesses
+            that state that they have not claimed the pool since ``known_at``.
+        """
         sent_at = asyncio.get_running_loop().time()
-        read_at = self._members_read_at()
-        asked = tuple(self._members.other_members())
-        since = min(known_at, read_at)
-        this_round = _Round(pool, term, asked, since, self._members.digest())
-        judgement = Judgement(Outcome.OLD_MEMBERS)
+        this_round = _Round(pool, term, tuple(witnesses), known_at)
+        judgement = await self._judge(this_round)
+        self._log_outcome(self._leases, this_round, judgement, sent_at)
+        if judgement.outcome is Outcome.SUSPENDED:
+            return sent_at, frozenset()
+        return sent_at, set(witnesses).difference(judgement.missing)
+
+    async def _confirm(self, this_round: _Round, purpose: _Purpose) -> float | None:
+        sent_at = asyncio.get_running_loop().time()
+        judgement = await self._judge(this_round)
+        self._log_outcome(purpose, this_round, judgement, sent_at)
+        return sent_at if judgement.outcome is Outcome.CONFIRMED else None
+
+    async def _judge(self, this_round: _Round) -> Judgement:
+        """Ask the members in a round, unless the process is found to be suspended."""
         suspensions = self._suspensions
-        # A daemon that registered since the list was read, and that no member knows,
-        # claims only after this time (`newcomer_check`).
-        is_list_old = sent_at - read_at > OWNERSHIP_TIMEOUT_S
-        if not is_list_old and self._count_suspensions() == suspensions:
-            judgement = await purpose.ask(this_round)
+        if self._count_suspensions() > suspensions:
+            return Judgement(Outcome.SUSPENDED)
+        judgement = await self._ask_all(this_round)
         # The loop's clock has not counted a suspension meanwhile.
         if self._count_suspensions() > suspensions:
-            judgement = Judgement(Outcome.OLD_MEMBERS)
-        outcome = judgement.outcome
-        purpose.counter.labels(outcome.value).inc()
-        self._log_outcome(purpose, this_round, judgement, sent_at - since)
-        return sent_at if outcome in (Outcome.CONFIRMED, Outcome.ENOUGH) else None
+            return Judgement(Outcome.SUSPENDED)
+        return judgement
 
     async def _ask_all(self, this_round: _Round) -> Judgement:
         asked = this_round.asked
@@ -286,22 +292,6 @@
         known = {self._members.node, *asked}
         return judge_statements(asked, statements, this_round.known_at, known)
 
-    async def _ask_enough(self, this_round: _Round) -> Judgement:
-        missing = set(this_round.asked)
-        tolerated = count_tolerated(len(missing))
-
-        def take(statement: Statement | None) -> bool:
-            known_at = this_round.known_at
-            if statement is not None and _reaches_back(statement, known_at):
-                missing.discard(statement.node)
-            return len(missing) <= tolerated
-
-        make_query = this_round.make_brief_query
-        calls = (self._ask(node, make_query) for node in this_round.asked)
-        await run_until(calls, take)
-        outcome = Outcome.ENOUGH if len(missing) <= tolerated else Outcome.TOO_FEW
-        return Judgement(outcome, tuple(sorted(missing)))
-
     def _count_suspensions(self) -> int:
         """Return how often the process was suspended, by all confirmations so far."""
         if self._suspend_detector.take_suspended_s():
@@ -341,9 +331,10 @@
         purpose: _Purpose,
         this_round: _Round,
         judgement: Judgement,
-        known_age_s: float,
+        sent_at: float,
     ) -> None:
-        """Log an outcome that has changed, and the same one once in a while."""
+        """Count an outcome; log one that has changed, and the same once in a while."""
+        purpose.counter.labels(judgement.outcome.value).inc()
         now = asyncio.get_running_loop().time()
         key = (purpose.message, this_round.pool)
         outcome, logged_at = self._logged.get(key, (None, 0.0))
@@ -356,7 +347,7 @@
                 "pool": this_round.pool,
                 "asked": len(this_round.asked),
                 "missing": judgement.missing[:MAX_LOGGED_NAMES],
-                "known_age_s": round(known_age_s, 2),
+                "known_age_s": round(sent_at - this_round.known_at, 2),
                 "outcome": judgement.outcome.value,
             },
         )
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -170,12 +170,7 @@
             self.peer_calls,
             lambda pool, term: self.claim_manager.has_stopped(pool, term),
         )
-        self.claim_notices = ClaimNotices(
-            self.members,
-            self.peer_calls,
-            lambda: self._listed_at,
-            self._read_members,
-        )
+        self.claim_notices = ClaimNotices(self.peer_calls)
         self.claim_statements = ClaimStatements(
             self.members,
             self.peer_calls,
@@ -201,8 +196,9 @@
             sheds_load=sheds_load,
             ask_stopped=self.stop_requests.ask,
             confirm_unclaimed=self.claim_statements.confirm,
-            confirm_enough=self.claim_statements.confirm_enough,
-            announce_claim=self.claim_notices.announce,
+            ask_witnesses=self.claim_statements.ask_witnesses,
+            send_notices=self.claim_notices.send,
+            members=self.members,
             find_list_read_at=lambda: self.hosts_follower.confirmed_at,
             account_peers=AccountPeers(
                 self.peer_calls, self._find_pool_owner, self._find_own_account_exchange
@@ -402,7 +398,6 @@
 
     def _on_heard(self, node: str, incarnation: int) -> None:
         self.newcomer_check.note_heard(node, incarnation)
-        self.claim_notices.note_heard(node, incarnation)
 
     async def _run_registration(self) -> None:
         """Append this daemon's member record, retrying until it is stored."""
--- a/siskinroad/work/former_owners.py
+++ b/siskinroad/work/former_owners.py
@@ -15,6 +15,8 @@
 import logging
 from collections.abc import Awaitable, Callable
 
+from msgspec import structs
+
 from siskinroad.errors import SiskinroadError
 from siskinroad.work.claim import InheritedState, read_claims
 from siskinroad.work.records import FormerOwner
@@ -59,7 +61,7 @@
         self._pool = pool
         self._inherited = inherited
         self._has_later_incarnation = has_later_incarnation
-        self._stopped: set[FormerOwner] = set()
+        self._stopped_terms: set[int] = set()
 
     def have_stopped(self) -> bool:
         """Return whether all of them are known to have stopped."""
@@ -70,9 +72,21 @@
         )
         return not self.remaining
 
+    def note_bound(self) -> None:
+        """Note that none of them extends leases any more (`witnesses`).
+
+        A further successor learns this with the stored set of hosts: the witnesses and
+        hosts that have shown it may be lost by then.
+        """
+        if self.remaining is not None:
+            self.remaining = tuple(
+                structs.replace(each, witnesses=None, hosts=None)
+                for each in self.remaining
+            )
+
     def _has_stopped(self, former: FormerOwner) -> bool:
         return (
-            former in self._stopped
+            former.term in self._stopped_terms
             or former.term == self._inherited.released_term
             or self._has_later_incarnation(former.node, former.incarnation)
         )
@@ -102,7 +116,7 @@
             await asyncio.sleep(ASK_INTERVAL)
 
     def _note_stopped(self, former: FormerOwner) -> None:
-        self._stopped.add(former)
+        self._stopped_terms.add(former.term)
         log.info(
             "owner: former owner says that it has stopped",
             extra={"pool": self._pool, "peer": former.node, "term": former.term},
--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -244,6 +244,9 @@
     replied_at, reported_at : float
         Loop time of the last reply, not positive if a request has failed since, and
         of the last report, regardless of failures since.
+    token_held_at : float
+        Loop time at which the newest renewal was sent that this incarnation has
+        answered; negative if it has not. No higher token had reached it by then.
     start_rejected_at : float
         Loop time at which the host last rejected a start that it should have accepted
         by its newest report.
@@ -298,6 +301,7 @@
     replied_at: float = -1e9
     failing_since: float = -1e9
     reported_at: float = 0.0
+    token_held_at: float = -1e9
     unanswered_renewal_at: float = -1e9
     start_rejected_at: float = -1e9
     last_end_seen: int = 0
--- a/siskinroad/work/messages.py
+++ b/siskinroad/work/messages.py
@@ -420,18 +420,19 @@
 
 
 class ClaimNotice(msgspec.Struct, tag="claimed", frozen=True, array_like=True):
-    """Notice of a claim to the other members, to be acknowledged (`claim_notices`).
+    """Notice of a claim to a witness, to be acknowledged (`claim_notices`).
 
     Attributes
     ----------
     former : tuple of tuple
-        Names and incarnations of the former owners that may still renew leases.
+        Names and incarnations of the former owners, for receivers of an earlier
+        version; none.
     """
 
     id: int
     pool: str
     term: int
-    former: tuple[tuple[str, int], ...]
+    former: tuple[tuple[str, int], ...] = ()
 
 
 class ClaimNoted(msgspec.Struct, tag="noted", frozen=True, array_like=True):
@@ -440,12 +441,11 @@
     Attributes
     ----------
     is_asked : bool
-        Whether each of the former owners would ask the sender before it relied on the
-        statements of the members.
+        Whether a receiver of an earlier version may count this; never.
     """
 
     id: int
-    is_asked: bool
+    is_asked: bool = False
 
 
 Message = (
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -46,6 +46,7 @@
 from siskinroad.work.store import NewestRecord, StoreUnknownError
 from siskinroad.work.takeover_report import TakeoverReport
 from siskinroad.work.term import OWNERSHIP_TIMEOUT_S, OwnerDependencies, Term
+from siskinroad.work.witnesses import WitnessChooser
 
 __all__ = ["OwnershipLostError", "PoolOwner"]
 
@@ -64,10 +65,9 @@
 # Seconds for which the store may hold a read of the claims open. What leases rest on is
 # as old as two such reads.
 CLAIMS_READ_WAIT = 0.4
-# The same for an owner that does not limit its leases.
-LONG_CLAIMS_READ_WAIT = 1.0
-# Seconds between two checks of which former owners the claim has to be announced for.
-ANNOUNCE_CHECK_INTERVAL = 0.1
+# Age in seconds of the newest read of the claims up to which the witnesses may change.
+# A read that the store has held open is younger, unless each call takes over 0.1 s.
+WITNESS_CHANGE_AGE_S = 1.0
 # Least seconds between two rereads of the claims while ownership is uncertain.
 CLAIM_RECHECK_INTERVAL = 0.5
 # Seconds for which a delay of the event loop is named in later log lines: as long as
@@ -94,10 +94,6 @@
     known_queues : dict of str to Queue
         Newest known settings of each queue, also of those that the configuration no
         longer has.
-    announcement : ClaimAnnouncement or None
-        Announcement of the claim that is under way.
-    limits_leases : bool
-        Whether leases end in time for a successor, as the claim says.
     """
 
     def __init__(
@@ -107,11 +103,8 @@
         inherited: InheritedState,
         configuration: Configuration,
         known_queues: dict[str, Queue],
-        announcement: ClaimAnnouncement | None = None,
-        limits_leases: bool = True,
     ) -> None:
         self.pool = pool
-        self.announcement = announcement
         self.dependencies = dependencies
         self.term = Term(pool, inherited.term, dependencies)
         self.term.execute_effects = self._execute_effects
@@ -147,7 +140,24 @@
             pool, inherited, dependencies.has_later_incarnation
         )
         self._are_former_owners_stopped = False
+        self.announcement: ClaimAnnouncement | None = None
+        if dependencies.send_notices is not None:
+            self.announcement = ClaimAnnouncement(
+                dependencies.send_notices,
+                dependencies.node,
+                pool,
+                inherited,
+                lambda: self.former_owners.remaining,
+                self.pool_state.list_answering_hosts,
+            )
         self.progress.find_unreconciled = lambda: self.former_owners.remaining
+        if dependencies.members is not None:
+            self.witness_chooser = WitnessChooser(
+                dependencies.members, self._were_claims_just_read
+            )
+            self.progress.choose_witnesses = lambda: self.witness_chooser.choose(
+                asyncio.get_running_loop().time()
+            )
         self._load_inherited(inherited)
         self.takeover_report = TakeoverReport(
             self.pool_state,
@@ -159,9 +169,8 @@
             dependencies.store,
             job_topic(pool),
             self._apply_records,
-            wait=CLAIMS_READ_WAIT if limits_leases else LONG_CLAIMS_READ_WAIT,
+            wait=CLAIMS_READ_WAIT,
         )
-        self.pool_state.claims.limits_leases = limits_leases
         self.follower.next_offset = inherited.next_offset
         # A later claim may have followed while the stored state was read.
         self.follower.confirmed_at = inherited.claimed_at
@@ -174,7 +183,10 @@
             self._on_claims_confirmed,
         )
         self.lease_extender = LeaseExtender(
-            self.pool_state, self.follower, dependencies.confirm_enough
+            self.pool_state,
+            self.follower,
+            dependencies.ask_witnesses,
+            self.progress,
         )
 
     def _load_inherited(self, inherited: InheritedState) -> None:
@@ -241,45 +253,20 @@
                 self.dependencies.store, ask, lambda: not self.pool_state.is_settled
             )
 
-    async def _await_acknowledgements(self) -> None:
-        """Shorten the wait for silent hosts once enough members know of the claim."""
-        try:
-            while not self.pool_state.is_settled:
-                announcement = self._find_announcement()
-                if announcement is None:
-                    await asyncio.sleep(ANNOUNCE_CHECK_INTERVAL)
-                    continue
-                known_at = await announcement.wait(ANNOUNCE_CHECK_INTERVAL)
-                if known_at is not None:
-                    leases_end_at = known_at + max_lease_s(LEASE_LIMIT_S)
-                    self._shorten_wait(leases_end_at, "enough members know the claim")
-                    return
-        finally:
-            self._end_announcement()
-
-    def _find_announcement(self) -> ClaimAnnouncement | None:
-        """Return the announcement that names all remaining former owners.
+    async def _announce_claim(self) -> None:
+        """Shorten the wait for silent hosts: former owners extend no more leases."""
+        if self.announcement is None:
+            return
+        bound_at = await self.announcement.run(lambda: not self.pool_state.is_settled)
+        if bound_at is not None:
+            self.former_owners.note_bound()
+            leases_end_at = bound_at + max_lease_s(LEASE_LIMIT_S)
+            self._shorten_wait(leases_end_at, "no former owner extends its leases")
 
-        The stored state may have named more than were known at the claim. None if there
-        are none, if they are not known, or if one does not limit its leases.
-        """
-        announce = self.dependencies.announce_claim
-        former = self.former_owners.remaining
-        if announce is None or former is None:
-            return None
-        if not former or not all(each.limits_leases for each in former):
-            self._end_announcement()
-            return None
-        if self.announcement is None or not self.announcement.try_narrow(former):
-            self._end_announcement()
-            number = self.term.number
-            self.announcement = ClaimAnnouncement(announce, self.pool, number, former)
-        return self.announcement
-
-    def _end_announcement(self) -> None:
-        if self.announcement is not None:
-            self.announcement.close()
-            self.announcement = None
+    def _were_claims_just_read(self) -> bool:
+        """Return whether the store answers, so that a change can be stored."""
+        age_s = asyncio.get_running_loop().time() - self.follower.confirmed_at
+        return age_s <= WITNESS_CHANGE_AGE_S
 
     # Lifecycle
 
@@ -301,7 +288,7 @@
                 group.create_task(self._run_ticks())
                 group.create_task(self.account_exchange.run())
                 group.create_task(self._ask_former_owners())
-                group.create_task(self._await_acknowledgements())
+                group.create_task(self._announce_claim())
                 group.create_task(self.lease_extender.run())
                 group.create_task(self.job_forgetter.run())
         except* OwnershipLostError as excs:
--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -204,11 +204,13 @@
         self.crash_tracker.note_report(host, report.incarnation_ms, now)
         if report.incarnation_ms != host.incarnation_ms:
             host.first_reported_at, host.is_unconfirmed = now, True
+            host.token_held_at = -1e9
         host.lost_at = 0.0
         host.incarnation_ms = report.incarnation_ms
         self._confirm_incarnation(host)
         host.clock, host.clock_read_at = report.clock, now
         host.replied_at = host.reported_at = now
+        host.token_held_at = max(host.token_held_at, sent_at)
         if not host.is_settled and report.lists_all_ends:
             host.is_settled = True
             # A former owner may have renewed the lease just before this report.
--- a/siskinroad/work/progress.py
+++ b/siskinroad/work/progress.py
@@ -69,6 +69,8 @@
     find_unreconciled : callable
         Returns the owners of earlier terms that may still renew leases, or None if they
         are not known.
+    choose_witnesses : callable
+        Returns the witnesses that are to be stored, or None for none.
     """
 
     def __init__(self, term: Term, hosts: HostSet | None) -> None:
@@ -81,6 +83,7 @@
         self.find_unreconciled: Callable[[], tuple[FormerOwner, ...] | None] = lambda: (
             None
         )
+        self.choose_witnesses: Callable[[], tuple[str, ...] | None] = lambda: None
         self.on_loans_stored: Callable[[Loans], None] = lambda loans: None
         self._unstored_loans: dict[str, Loans] = {}
         self._obsolete_keys: list[str] = []
@@ -167,8 +170,20 @@
             self.term.number,
             is_settled,
             None if is_settled else self.find_unreconciled(),
+            self.choose_witnesses(),
         )
 
+    def list_host_sets(self) -> list[HostSet]:
+        """Return all sets of hosts of which a successor may read one in the store.
+
+        That of a batch that is on its way may be stored already, or not yet. None are
+        returned if no set of this term is certainly stored.
+        """
+        stored = self._stored_hosts
+        if stored is None or stored.term != self.term.number:
+            return []
+        return [stored] if self._batch is None else [stored, self._batch.hosts]
+
     async def flush(self) -> None:
         """Store every job that has changed, then acknowledge the hosts' ends.
 
--- a/siskinroad/work/records.py
+++ b/siskinroad/work/records.py
@@ -91,22 +91,39 @@
     """A claim of a pool.
 
     The term of the claim is its offset plus one; the highest term owns the pool.
-    ``limits_leases`` tells that the owner limits its leases as `claim_notices` says;
-    those of earlier versions do not.
+
+    Attributes
+    ----------
+    limits_leases : bool
+        Whether leases end by a rule of an earlier version. Not set any more, so that a
+        successor of that version waits for the longest time.
+    uses_witnesses : bool
+        Whether leases end as `witnesses` says; false for earlier versions.
     """
 
     node: str
     incarnation: int
     limits_leases: bool = False
+    uses_witnesses: bool = False
 
 
 class FormerOwner(msgspec.Struct, frozen=True, array_like=True):
-    """An owner of an earlier term; ``limits_leases`` as in its ``OwnerRecord``."""
+    """An owner of an earlier term; the fields of ``OwnerRecord`` are the same here.
+
+    Attributes
+    ----------
+    witnesses, hosts : tuple of str or None
+        Names of its witnesses, and of the hosts that it has stored; None if it has
+        stored none, or extends no lease any more.
+    """
 
     node: str
     incarnation: int
     term: int
     limits_leases: bool = False
+    uses_witnesses: bool = False
+    witnesses: tuple[str, ...] | None = None
+    hosts: tuple[str, ...] | None = None
 
 
 class Released(msgspec.Struct, tag="released", frozen=True):
@@ -193,12 +210,16 @@
     unreconciled : tuple of FormerOwner or None
         Until then, the owners of earlier terms that may still renew leases; None if
         they are not known, and in records of earlier versions.
+    witnesses : tuple of str or None
+        Names of the witnesses of this term's owner; None in records of earlier
+        versions.
     """
 
     names: tuple[str, ...]
     term: int
     settled: bool
     unreconciled: tuple[FormerOwner, ...] | None = None
+    witnesses: tuple[str, ...] | None = None
 
 
 class Loans(msgspec.Struct, tag="loans", frozen=True):
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -369,6 +369,28 @@
             n for n in self.former_owner_hosts if not self._is_host_settled(n)
         )
 
+    def list_answering_hosts(self) -> frozenset[str]:
+        """Return the names of the hosts that have answered under this term."""
+        return frozenset(
+            name for name, host in self.hosts.items() if host.token_held_at >= 0
+        )
+
+    def find_tokens_held_at(self, names: Iterable[str]) -> float:
+        """Return until when certainly none of these hosts had seen a higher token.
+
+        A host that was seen since as another incarnation may have forgotten one; it
+        counts only once no successor can have known it before. Minus infinity if one
+        of the hosts does not count, and if there are none.
+        """
+        hosts = [self.hosts.get(name) for name in names]
+        return min(
+            (
+                -math.inf if host is None or host.is_unconfirmed else host.token_held_at
+                for host in hosts
+            ),
+            default=-math.inf,
+        )
+
     def _find_settled_at(self, has_silent_host: bool) -> float:
         """Return the loop time of the last event by which the tasks are settled."""
         if has_silent_host:
--- a/siskinroad/work/takeover_report.py
+++ b/siskinroad/work/takeover_report.py
@@ -98,6 +98,6 @@
         remaining = self._former_owners.remaining
         if remaining is None:
             return "longest: not all former owners are known"
-        if not all(each.limits_leases for each in remaining):
-            return "longest: a former owner does not limit its leases"
-        return "longest: too few members have acknowledged the claim"
+        if not all(each.uses_witnesses for each in remaining):
+            return "longest: a former owner is of an earlier version"
+        return "longest: no witness has acknowledged the claim"
--- a/siskinroad/work/term.py
+++ b/siskinroad/work/term.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import math
-from collections.abc import Awaitable, Callable, Collection, Coroutine
+from collections.abc import Awaitable, Callable, Collection, Coroutine, Set
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -15,6 +15,7 @@
 from siskinroad.work.effects import Effect
 from siskinroad.work.hosts import HostClient
 from siskinroad.work.loop_delay import LoopDelay
+from siskinroad.work.members import Members
 from siskinroad.work.model import Timing
 from siskinroad.work.pool_state import PoolState
 from siskinroad.work.records import FormerOwner
@@ -23,9 +24,10 @@
 
 __all__ = [
     "OWNERSHIP_TIMEOUT_S",
-    "AnnounceClaim",
+    "AskWitnesses",
     "ConfirmUnclaimed",
     "OwnerDependencies",
+    "SendNotices",
     "Term",
 ]
 
@@ -43,9 +45,15 @@
 # claimed it, and the own term. Returns the later loop time until which that is certain
 # now, or None.
 ConfirmUnclaimed = Callable[[str, float, int], Awaitable[float | None]]
-# Makes one round of notices of a claim, see `ClaimNotices.announce`.
-AnnounceClaim = Callable[
-    [str, int, float, Collection[FormerOwner], set[str]], Awaitable[float | None]
+# Asks the witnesses that are named last whether leases may be extended, the other
+# parameters being the same. Returns the loop time at which they were asked, and the
+# names of those that have stated what is needed.
+AskWitnesses = Callable[
+    [str, float, int, Collection[str]], Awaitable[tuple[float, Set[str]]]
+]
+# Sends notices of a claim to members, see `ClaimNotices.send`.
+SendNotices = Callable[
+    [str, int, Collection[str], dict[str, float]], Coroutine[Any, Any, None]
 ]
 
 log = logging.getLogger("siskinroad.owner")
@@ -79,10 +87,12 @@
         Asks all other members about a pool. Given the loop time up to which no other
         daemon had certainly claimed it, and the own term, returns the later time up to
         which that now is certain, or None if it is not.
-    confirm_enough : callable or None
-        The same, but asks for as much as extending the leases needs.
-    announce_claim : callable or None
-        Tells the other members of a claim, see `ClaimNotices.announce`.
+    ask_witnesses : callable or None
+        Asks an owner's witnesses whether its leases may be extended.
+    send_notices : callable or None
+        Tells witnesses of a claim, see `ClaimNotices.send`.
+    members : Members or None
+        The other daemons, of which an owner chooses its witnesses.
     """
 
     node: str
@@ -101,8 +111,9 @@
     sheds_load: bool = False
     find_list_read_at: Callable[[], float] = lambda: math.inf
     confirm_unclaimed: ConfirmUnclaimed | None = None
-    confirm_enough: ConfirmUnclaimed | None = None
-    announce_claim: AnnounceClaim | None = None
+    ask_witnesses: AskWitnesses | None = None
+    send_notices: SendNotices | None = None
+    members: Members | None = None
 
 
 class Term:
