Let a quarter of the hosts be silent beside a silent witness

What callers saw: in an outage of the store one lost daemon and one lost host, even an idle one, ended all leases of the pool after 4.4 s; and a successor waited for 15.8 s if an owner was lost with all of its seven witnesses, though other members lived.

Cause: with a silent witness, every stored host had to answer; and seven were too few to outlast the loss of most members of a cell of twelve.

Change: all but a quarter of the hosts have to answer, and a successor has to reach more than a quarter. Up to sixteen members are witnesses, as each no longer costs the leases by itself.

--- a/siskinroad/work/lease_extender.py
+++ b/siskinroad/work/lease_extender.py
@@ -19,7 +19,7 @@
 from siskinroad.work.progress import ProgressLog
 from siskinroad.work.records import HostSet
 from siskinroad.work.term import AskWitnesses
-from siskinroad.work.witnesses import count_tolerated
+from siskinroad.work.witness_counts import count_tolerated
 
 __all__ = ["LeaseExtender"]
 
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -8,7 +8,7 @@
 
 import logging
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 
 from siskinroad.resources import Resources
@@ -23,6 +23,7 @@
 from siskinroad.work.job_table import JobTable
 from siskinroad.work.model import Configuration, HostEntry, TaskId
 from siskinroad.work.unsettled_use import sum_unsettled
+from siskinroad.work.witness_counts import count_tolerated_hosts
 
 __all__ = ["RunTable", "format_task_position"]
 
@@ -375,21 +376,22 @@
             name for name, host in self.hosts.items() if host.token_held_at >= 0
         )
 
-    def find_tokens_held_at(self, names: Iterable[str]) -> float:
-        """Return until when certainly none of these hosts had seen a higher token.
+    def find_tokens_held_at(self, names: Collection[str]) -> float:
+        """Return until when certainly no successor had reached enough of these hosts.
 
-        A host that was seen since as another incarnation may have forgotten one; it
-        counts only once no successor can have known it before. Minus infinity if one
-        of the hosts does not count, and if there are none.
+        A host that was seen since as another incarnation may have forgotten a higher
+        token; it counts only once no successor can have known it before. Minus infinity
+        if too few of the hosts count.
         """
-        hosts = [self.hosts.get(name) for name in names]
-        return min(
-            (
-                -math.inf if host is None or host.is_unconfirmed else host.token_held_at
-                for host in hosts
-            ),
-            default=-math.inf,
-        )
+        tolerated = count_tolerated_hosts(len(names))
+        times = sorted(map(self._find_token_held_at, names))
+        return times[tolerated] if times else -math.inf
+
+    def _find_token_held_at(self, name: str) -> float:
+        host = self.hosts.get(name)
+        if host is None or host.is_unconfirmed or host.token_held_at < 0:
+            return -math.inf
+        return host.token_held_at
 
     def _find_settled_at(self, has_silent_host: bool) -> float:
         """Return the loop time of the last event by which the tasks are settled."""
--- a/siskinroad/work/witnesses.py
+++ b/siskinroad/work/witnesses.py
@@ -9,16 +9,17 @@
 - No successor counted on the end of the leases, as each of its witnesses has stated
   that it has neither owned nor been claiming the pool, nor acknowledged a later claim,
   since the newest time of the first kind.
-- The same, as all but a third of its witnesses have stated this, and each of its hosts
-  has answered under its token.
+- The same, as all but a third of its witnesses have stated this, and all but a quarter
+  of its hosts have answered under its token.
 
 The witnesses and hosts are stored before the owner relies on them. The store rejects
 that record once a successor has raised the epoch of the progress topic, so that the
 successor reads the last ones on which the former owner can have relied. Those of its
 witnesses refuse their statements that are the successor or have acknowledged its claim
 (`claim_notices`). The successor counts on the end of the leases once one witness does,
-and one of the hosts has answered it, which then rejects the former owner's token; or
-once more than a third of the witnesses do. So it does not matter how many members live.
+and more than a quarter of the hosts have answered it, which then reject the former
+owner's token; or once more than a third of the witnesses do. So one member that lives
+is enough, where a part of the hosts does.
 
 A witness that has restarted forgets what it has acknowledged, but its statement reaches
 back to its registration at most, which came after the claim. A host that has restarted
@@ -29,32 +30,25 @@
 
 import math
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from siskinroad.work.members import Members
 from siskinroad.work.records import FormerOwner
+from siskinroad.work.witness_counts import count_tolerated, count_tolerated_hosts
 
 __all__ = [
     "MAX_WITNESSES",
     "WitnessChooser",
     "choose_witnesses",
-    "count_tolerated",
     "find_bound_at",
 ]
 
-# Largest number of witnesses. Each of them costs messages and, if it is lost in an
-# outage of the store, the leases; with fewer, a successor sooner reaches none.
-MAX_WITNESSES = 7
+# Largest number of witnesses. Each costs a message a second in an outage of the store;
+# with fewer, they are sooner lost together, so that a successor reaches none.
+MAX_WITNESSES = 16
 # Seconds for which a witness is kept after it was last alive. Members that restart
 # together stay witnesses, so that each of them can take over at once.
 KEEP_S = 1.0
-# One of this many witnesses may be silent while all hosts answer.
-TOLERATED_PART = 3
-
-
-def count_tolerated(witnesses: int) -> int:
-    """Return how many witnesses may be silent for an owner whose hosts all answer."""
-    return witnesses // TOLERATED_PART
 
 
 def find_bound_at(
@@ -78,8 +72,14 @@
     tolerated = count_tolerated(len(former.witnesses))
     if len(times) > tolerated:
         return times[tolerated]
-    is_host_fenced = not former.hosts or not fenced.isdisjoint(former.hosts)
-    return now if times and is_host_fenced else None
+    return now if times and _is_fenced(former.hosts or (), fenced) else None
+
+
+def _is_fenced(hosts: Collection[str], fenced: frozenset[str]) -> bool:
+    """Return whether so many of an owner's hosts reject its tokens that it stops."""
+    if not hosts:
+        return True
+    return len(fenced.intersection(hosts)) > count_tolerated_hosts(len(hosts))
 
 
 def choose_witnesses(
