Leave a run number that cannot be out of a note of progress

Cause: a note of another writer in a pool's topic of progress that names run 2**64 - 1 of an open job was taken as it stood. The next run's number fits no stored integer, so that the first append after its start raised OverflowError and ended the owner, and its successors in turn. A number of 2**53 leads to runs beyond what a host's report may hold by the bounds of platform/wire.py, and a far negative one made the host reject each start.

Change: a run number below 0 or above 2**52 is left out of its note, and logged with topic and key. What the note says besides holds: the task may be done, or have a checkpoint. No owner counts as far, so none of their records is concerned.

--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -29,6 +29,9 @@
 
 # Most tasks of done occurrences that are kept with their runs.
 KEPT_DONE_TASKS = 2_000
+# Highest run number that is taken from a stored note. No owner counts as far, and hosts
+# are expected to count up to 2**53, so that many more runs may follow.
+MAX_STORED_RUN = 1 << 52
 
 # Specification of an ended job whose steps are not kept.
 NO_SPEC = JobSpec("", ())
@@ -446,8 +449,12 @@
         done = () if self.outcome else self.done_occurrences.as_tuple()
         return Progress(self.id, self.outcome, self.outcome_at, task_progresses, done)
 
-    def restore(self, progress: Progress) -> None:
-        """Restore the job from its stored progress record."""
+    def restore(self, progress: Progress) -> list[str]:
+        """Restore the job from its stored progress record.
+
+        Returns what is left out of it, as it cannot be: another writer has stored it.
+        """
+        left_out = []
         self.outcome = self.stored_outcome = progress.state
         self.outcome_at = progress.at
         if progress.done:
@@ -471,13 +478,20 @@
             )
             if task is None:
                 continue
-            task.run = task_progress.run
+            # What the note says besides holds: the task may be done.
+            if 0 <= task_progress.run <= MAX_STORED_RUN:
+                task.run = task_progress.run
+            else:
+                left_out.append(
+                    f"expected runs 0 to {MAX_STORED_RUN}, got {task_progress.run}"
+                )
             task.failures = set(task_progress.failed_runs)
             task.checkpoint = task_progress.checkpoint
             task.crashes.notes = task_progress.crashes
             self.has_started = True
             if task_progress.done:
                 task.move("done")
+        return left_out
 
 
 def make_closed_job(accepted: Accepted, progress: Progress) -> Job:
--- a/siskinroad/work/job_table.py
+++ b/siskinroad/work/job_table.py
@@ -21,7 +21,7 @@
     make_job,
 )
 from siskinroad.work.model import Configuration, Queue, TaskId
-from siskinroad.work.records import Accepted, Progress
+from siskinroad.work.records import Accepted, Progress, progress_topic
 from siskinroad.work.speed_estimates import SpeedEstimates
 
 __all__ = ["EARLY_CANCEL_MEMORY_S", "JobTable", "QueueTimes"]
@@ -176,7 +176,17 @@
         job = self.jobs.get(progress.job)
         if job is None:
             return
-        job.restore(progress)
+        left_out = job.restore(progress)
+        if left_out:
+            log.error(
+                "pool_state: stored progress has what cannot be; using the rest of it",
+                extra={
+                    "topic": progress_topic(self.pool),
+                    "key": job.id,
+                    "left_out": len(left_out),
+                    "error": left_out[0],
+                },
+            )
         if job.is_closed:
             job.outcome_stored_at = now
             self._remove_ready_steps(job)
--- a/tests/work/test_odd_records.py
+++ b/tests/work/test_odd_records.py
@@ -129,6 +129,50 @@
     run_scenario(scenario)
 
 
+def find_left_out(caplog):
+    return [r for r in find_odd_lines(caplog) if hasattr(r, "left_out")]
+
+
+@pytest.mark.parametrize("run", [HUGE, 2**53, -1, -(2**63)])
+def test_a_run_number_that_cannot_be_is_left_out_of_a_note(run, caplog):
+    async def scenario(cell):
+        append_job(cell, ODD, job(step(2), step(1, after=(0,))))
+        append_job(cell, JOB_ID, job(step(2)))
+        notes = (
+            TaskProgress(0, 0, 0, True, run, (), ""),
+            TaskProgress(0, 0, 1, False, run, (HUGE,), "saved"),
+        )
+        append_progress(cell, Progress(ODD, "", 0.0, notes))
+        await cell.start_daemons("a")
+        await cell.wait_for_state(ODD, "complete")
+        await cell.wait_for_state(JOB_ID, "complete")
+        assert cell.daemons["a"].owners[POOL].term.number == 3
+        starts = [start for start in cell.hosts.starts() if start.task.job == ODD]
+        # A task that is done is not started again, and a checkpoint is used.
+        assert [(s.task.step, s.task.index) for s in starts] == [(0, 1), (1, 0)]
+        assert starts[0].checkpoint == "saved"
+        assert all(0 < start.run < 100 for start in starts)
+        (line,) = find_left_out(caplog)
+        assert line.levelname == "ERROR" and line.topic == progress_topic(POOL)
+        assert line.left_out == 2 and str(run) in line.error
+
+    run_scenario(scenario)
+
+
+def test_a_high_run_number_that_can_be_is_followed_by_the_next_ones(caplog):
+    async def scenario(cell):
+        append_job(cell, ODD, job(step(1)))
+        note = TaskProgress(0, 0, 0, False, 2**52, (), "")
+        append_progress(cell, Progress(ODD, "", 0.0, (note,)))
+        await cell.start_daemons("a")
+        await cell.wait_for_state(ODD, "complete")
+        (start,) = cell.hosts.starts()
+        assert 2**52 < start.run < 2**52 + 100
+        assert find_left_out(caplog) == []
+
+    run_scenario(scenario)
+
+
 def test_the_progress_of_a_job_without_its_record_is_removed_by_the_parts_there_are():
     async def scenario(cell):
         append_progress(cell, Progress(ODD, "complete", 0.0, (), (), 0, HUGE))
