Leave a note of an occurrence far ahead out of a job's progress

Cause: a restored note opens its occurrence and all before it that are not stored as done. One of another writer of occurrence 1,999,999, of a job repeated 2,000,000 times, opened them all: no claim within 15 s, and no end within 3 GB.

Change: notes open at most 40,000 tasks, and one more for each note of the record, besides the occurrences that are stored as done. An owner opens none beyond 20,000 unfinished tasks by itself (MAX_UNFINISHED_TASKS), and each finished one has a note or lies in the ranges of done ones, so its own records stay within this. What lies beyond is left out and logged with topic and key; the other notes hold. The limit is found once a record, in one pass over the ranges.

Not covered: a host that lists a run of such an occurrence makes an owner open all before it as well (PoolState._open_listed_occurrences).

--- a/siskinroad/work/index_ranges.py
+++ b/siskinroad/work/index_ranges.py
@@ -55,6 +55,17 @@
             return self._lasts[i] + 1
         return number
 
+    def find_absent(self, number: int, count: int) -> int:
+        """Return the ``count``-th number from ``number`` on that is not in the set."""
+        for first, last in zip(self._firsts, self._lasts, strict=True):
+            absent = max(0, first - number)
+            if absent >= count:
+                break
+            if last >= number:
+                count -= absent
+                number = last + 1
+        return number + count - 1
+
     def as_tuple(self) -> tuple[tuple[int, int], ...]:
         """Return the first and last number of each range, in order."""
         return tuple(zip(self._firsts, self._lasts, strict=True))
--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -32,6 +32,9 @@
 # Highest run number that is taken from a stored note. No owner counts as far, and hosts
 # are expected to count up to 2**53, so that many more runs may follow.
 MAX_STORED_RUN = 1 << 52
+# Most tasks without a note that are opened for one of a later occurrence. An owner has
+# 20,000 unfinished ones at most, and more only as hosts list their runs.
+MAX_UNNOTED_TASKS = 40_000
 
 # Specification of an ended job whose steps are not kept.
 NO_SPEC = JobSpec("", ())
@@ -461,13 +464,17 @@
             self.done_occurrences = IndexRanges(progress.done)
             self.opened_occurrences = self.done_occurrences.next_absent(0)
             self.has_started = True
+        last = self._find_last_restorable(progress)
         for task_progress in progress.notes:
-            while (
-                self.opened_occurrences
-                <= task_progress.occurrence
-                < self.spec.occurrences
-            ):
-                self.open_occurrence(is_settled=False)
+            occurrence = task_progress.occurrence
+            if last < occurrence < self.spec.occurrences:
+                left_out.append(
+                    f"expected notes of occurrences up to {last}, got one of "
+                    f"{occurrence}"
+                )
+            else:
+                while self.opened_occurrences <= occurrence < self.spec.occurrences:
+                    self.open_occurrence(is_settled=False)
             task = self.task(
                 TaskId(
                     self.id,
@@ -493,6 +500,16 @@
                 task.move("done")
         return left_out
 
+    def _find_last_restorable(self, progress: Progress) -> int:
+        """Return the last occurrence that notes may open, with all before it.
+
+        Neither time nor memory may grow with a number in a note.
+        """
+        tasks = len(progress.notes) + MAX_UNNOTED_TASKS
+        return self.done_occurrences.find_absent(
+            self.opened_occurrences, tasks // self.spec.task_count
+        )
+
 
 def make_closed_job(accepted: Accepted, progress: Progress) -> Job:
     """Return a job that has ended, without its steps: only its state is still shown."""
--- a/tests/work/test_long_progress.py
+++ b/tests/work/test_long_progress.py
@@ -82,6 +82,9 @@
         for number in range(70):
             expected = next(n for n in range(number, 80) if n not in held)
             assert ranges.next_absent(number) == expected
+            absent = [n for n in range(number, 160) if n not in held]
+            for count in (1, 2, 7, 60):
+                assert ranges.find_absent(number, count) == absent[count - 1]
 
 
 def test_occurrences_are_not_opened_beyond_what_one_append_takes():
--- a/tests/work/test_odd_records.py
+++ b/tests/work/test_odd_records.py
@@ -5,6 +5,7 @@
 import pytest
 
 from siskinroad.work.caller_reply import ReplyKind
+from siskinroad.work.job import make_job
 from siskinroad.work.model import JobSpec
 from siskinroad.work.progress_records import PartedProgress
 from siskinroad.work.records import (
@@ -159,6 +160,63 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("occurrence", [1_999_999, 40_002])
+def test_a_note_of_an_occurrence_far_ahead_is_left_out(occurrence, caplog):
+    async def scenario(cell):
+        append_job(cell, ODD, job(step(), occurrences=2_000_000, interval=3600.0))
+        append_job(cell, JOB_ID, job(step(2)))
+        notes = (
+            TaskProgress(0, 0, 0, True, 1, (), ""),
+            TaskProgress(occurrence, 0, 0, False, 1, (), ""),
+        )
+        append_progress(cell, Progress(ODD, "", 0.0, notes))
+        await cell.start_daemons("a")
+        await cell.wait_for_state(JOB_ID, "complete")
+        owner = cell.daemons["a"].owners[POOL]
+        assert owner.term.number == 3
+        # What the other notes say holds.
+        odd = owner.pool_state.jobs[ODD]
+        assert odd.steps[0, 0].is_done() and odd.opened_occurrences == 1
+        assert ODD not in [start.task.job for start in cell.hosts.starts()]
+        (line,) = find_left_out(caplog)
+        assert line.levelname == "ERROR" and line.topic == progress_topic(POOL)
+        assert line.left_out == 1 and str(occurrence) in line.error
+
+    run_scenario(scenario)
+
+
+def make_repeated_job(tasks, occurrences):
+    spec = job(step(tasks), occurrences=occurrences, first=1.0, interval=1.0)
+    return make_job(Accepted(ODD, FAST.name, POOL, 0.0, spec))
+
+
+@pytest.mark.parametrize(("tasks", "far"), [(1, 40_000), (7, 5_712), (5_000, 6)])
+def test_notes_open_as_many_tasks_as_an_owner_may_have_opened_without_notes(tasks, far):
+    # The occurrences that are done count for nothing, those with notes besides.
+    for occurrence, is_opened in ((far + 2_000, True), (far + 2_001, False)):
+        restored = make_repeated_job(tasks, 1_000_000)
+        done = ((1, 1_500), (1_502, 2_000))
+        notes = (
+            TaskProgress(occurrence, 0, 0, False, 3, (), ""),
+            TaskProgress(0, 0, 0, False, 2, (), ""),
+        )
+        left_out = restored.restore(Progress(ODD, "", 0.0, notes, done))
+        assert len(left_out) == (not is_opened)
+        assert restored.opened_occurrences == (occurrence + 1 if is_opened else 1_501)
+        assert restored.steps[0, 0].tasks[0].run == 2
+        if is_opened:
+            assert restored.steps[occurrence, 0].tasks[0].run == 3
+            assert (1_501, 0) in restored.steps and (1_502, 0) not in restored.steps
+
+
+def test_a_record_of_many_done_occurrences_with_notes_is_restored_as_a_whole():
+    # As an owner of a former version has stored them.
+    restored = make_repeated_job(1, 1_000_000)
+    notes = [TaskProgress(i, 0, 0, True, 1, (), "") for i in range(45_000)]
+    assert restored.restore(Progress(ODD, "", 0.0, tuple(notes))) == []
+    assert restored.opened_occurrences == 45_000
+
+
 def test_a_high_run_number_that_can_be_is_followed_by_the_next_ones(caplog):
     async def scenario(cell):
         append_job(cell, ODD, job(step(1)))
