Repeat a heartbeat that an aggregator of a large cell has missed

Change: a daemon that is named as silent in a digest of one of its aggregators sends that one a heartbeat at once, one in 0.3 s at most.

--- a/siskinroad/work/heartbeat_routes.py
+++ b/siskinroad/work/heartbeat_routes.py
@@ -14,6 +14,9 @@
 as dead when nobody has heard from it. So a digest that is lost or late does no harm,
 and a daemon needs nobody's consent to act as an aggregator: it does so for as long as
 it is named. A named one that sends no digest is replaced by the next in the order.
+
+A heartbeat that is lost is missed by every daemon but the owners. Its sender learns of
+that from the digests that it gets, and repeats it for the aggregator that missed it.
 """
 
 from __future__ import annotations
@@ -70,10 +73,13 @@
         Loop time at which it was named.
     digest_at : float
         Loop time of its newest digest.
+    repeated_at : float
+        Loop time at which a heartbeat was last repeated for it.
     """
 
     since: float
     digest_at: float = -1e9
+    repeated_at: float = -1e9
 
 
 @dataclass(slots=True)
@@ -286,6 +292,20 @@
         """Note a new connection to a daemon, which may have missed digests."""
         self._digest_peers.discard(node)
 
+    def must_repeat(self, digest: Digest, now: float) -> bool:
+        """Return whether an aggregator has missed this daemon's newest heartbeats.
+
+        That is so if its digest names this daemon as silent. One heartbeat is repeated
+        in the time from one digest to the next.
+        """
+        named = self._named.get(digest.node)
+        if named is None or now - named.repeated_at < DIGEST_INTERVAL:
+            return False
+        if not any(self.member.node in each.silent for each in digest.data_centres):
+            return False
+        named.repeated_at = now
+        return True
+
     def apply_digest(self, digest: Digest, now: float) -> list[Heartbeat]:
         """Apply a digest; return the heartbeats in it that tell something new."""
         named = self._named.get(digest.node)
--- a/siskinroad/work/membership.py
+++ b/siskinroad/work/membership.py
@@ -203,6 +203,8 @@
     def apply_digest(self, digest: Digest, now: float) -> None:
         """Apply a digest of other daemons' heartbeats."""
         news = self.routes.apply_digest(digest, now)
+        if self.routes.must_repeat(digest, now):
+            self._peers.send(digest.node, self._make_heartbeat())
         for heartbeat in news:
             self.on_heartbeat(heartbeat)
         if news and self.routes.is_aggregator(now):
--- a/tests/work/test_cell_troubles.py
+++ b/tests/work/test_cell_troubles.py
@@ -64,6 +64,40 @@
     run_large_cell(scenario)
 
 
+# Seeds with which members were missing while heartbeats were not repeated.
+@pytest.mark.parametrize("seed", [3, 5, 17, 116, 120, 127, 129, 130])
+def test_heartbeats_that_are_lost_in_a_row_leave_no_member_dead(seed):
+    async def scenario(cell):
+        cell.network.faults.loss = 0.2
+        cell.network.faults.jitter = 0.1
+        for _ in range(20):
+            await asyncio.sleep(0.5)
+            now = asyncio.get_running_loop().time()
+            for name, daemon in cell.daemons.items():
+                live = set(daemon.members.live_members(now))
+                assert live == set(cell.daemons) - {name}
+
+    run_large_cell(scenario, seed=seed)
+
+
+def test_no_heartbeat_is_repeated_while_no_message_is_lost():
+    def count_heartbeats(daemon):
+        return daemon.peers.traffic.messages_sent["Heartbeat"]
+
+    async def scenario(cell):
+        cell.network.faults.jitter = 0.1
+        # Until then daemons are heard that started when the cell was small.
+        await asyncio.sleep(2.0)
+        others = [each for name, each in cell.daemons.items() if name != cell.owner()]
+        before = [count_heartbeats(each) for each in others]
+        await asyncio.sleep(6.0)
+        after = [count_heartbeats(each) for each in others]
+        # Ten each to the owner and to two aggregators.
+        assert after == [count + 30 for count in before]
+
+    run_large_cell(scenario)
+
+
 def test_added_and_replaced_daemons_of_a_large_cell_are_known_to_all():
     async def scenario(cell):
         removed = next(name for name in cell.daemons if name != cell.owner())
--- a/tests/work/test_heartbeat_routes.py
+++ b/tests/work/test_heartbeat_routes.py
@@ -249,9 +249,39 @@
 # Whole daemons
 
 
-def run_large_cell(scenario, size=15):
+def make_own_digest(node, silent):
+    """Return an aggregator's digest to a daemon of its own data centre."""
+    news = DataCentreNews("d0", SILENT_AFTER, silent, ())
+    other = DataCentreNews("d1", SILENT_AFTER, {"n1": 1.5}, ())
+    return Digest(node, (news, other))
+
+
+def test_a_heartbeat_is_repeated_for_an_aggregator_that_has_missed_one():
+    routes = make_routes(0, 30)
+    routes.choose_aggregators(10.0)
+    first, second = routes.aggregators
+    silent = {"n0": 0.9, "n3": 1.2}
+    assert routes.must_repeat(make_own_digest(first, silent), 11.0)
+    assert routes.must_repeat(make_own_digest(second, silent), 11.0)
+    # One digest may be sent before the repeated heartbeat arrives, and news at once.
+    assert not routes.must_repeat(make_own_digest(first, silent), 11.2)
+    assert routes.must_repeat(make_own_digest(first, silent), 11.35)
+
+
+def test_no_heartbeat_is_repeated_for_a_digest_that_does_not_miss_one():
+    routes = make_routes(0, 30)
+    routes.choose_aggregators(10.0)
+    named, *_ = routes.aggregators
+    others = {member for member in routes.members.known if member != named}
+    others -= {*routes.aggregators, "n0"}
+    assert not routes.must_repeat(make_own_digest(named, {"n3": 1.2}), 11.0)
+    for other in others:
+        assert not routes.must_repeat(make_own_digest(other, {"n0": 1.2}), 11.0)
+
+
+def run_large_cell(scenario, size=15, **fields):
     async def run_and_close():
-        cell = Cell()
+        cell = Cell(**fields)
         try:
             for number in range(size):
                 cell.start(f"n{number}", processor=2.0 if number < 2 else 1.0)
