--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -29,6 +29,12 @@
 
 # Most tasks of done occurrences that are kept with their runs.
 KEPT_DONE_TASKS = 2_000
+# Highest run number that is taken from a stored note. No owner counts as far, and hosts
+# are expected to count up to 2**53, so that many more runs may follow.
+MAX_STORED_RUN = 1 << 52
+# Most tasks without a note that are opened for one of a later occurrence. An owner has
+# 20,000 unfinished ones at most, and more only as hosts list their runs.
+MAX_UNNOTED_TASKS = 40_000
 
 # Specification of an ended job whose steps are not kept.
 NO_SPEC = JobSpec("", ())
@@ -446,21 +452,29 @@
         done = () if self.outcome else self.done_occurrences.as_tuple()
         return Progress(self.id, self.outcome, self.outcome_at, task_progresses, done)
 
-    def restore(self, progress: Progress) -> None:
-        """Restore the job from its stored progress record."""
+    def restore(self, progress: Progress) -> list[str]:
+        """Restore the job from its stored progress record.
+
+        Returns what is left out of it, as it cannot be: another writer has stored it.
+        """
+        left_out = []
         self.outcome = self.stored_outcome = progress.state
         self.outcome_at = progress.at
         if progress.done:
             self.done_occurrences = IndexRanges(progress.done)
             self.opened_occurrences = self.done_occurrences.next_absent(0)
             self.has_started = True
+        last = self._find_last_restorable(progress)
         for task_progress in progress.notes:
-            while (
-                self.opened_occurrences
-                <= task_progress.occurrence
-                < self.spec.occurrences
-            ):
-                self.open_occurrence(is_settled=False)
+            occurrence = task_progress.occurrence
+            if last < occurrence < self.spec.occurrences:
+                left_out.append(
+                    f"expected notes of occurrences up to {last}, got one of "
+                    f"{occurrence}"
+                )
+            else:
+                while self.opened_occurrences <= occurrence < self.spec.occurrences:
+                    self.open_occurrence(is_settled=False)
             task = self.task(
                 TaskId(
                     self.id,
@@ -471,13 +485,30 @@
             )
             if task is None:
                 continue
-            task.run = task_progress.run
+            # What the note says besides holds: the task may be done.
+            if 0 <= task_progress.run <= MAX_STORED_RUN:
+                task.run = task_progress.run
+            else:
+                left_out.append(
+                    f"expected runs 0 to {MAX_STORED_RUN}, got {task_progress.run}"
+                )
             task.failures = set(task_progress.failed_runs)
             task.checkpoint = task_progress.checkpoint
             task.crashes.notes = task_progress.crashes
             self.has_started = True
             if task_progress.done:
                 task.move("done")
+        return left_out
+
+    def _find_last_restorable(self, progress: Progress) -> int:
+        """Return the last occurrence that notes may open, with all before it.
+
+        Neither time nor memory may grow with a number in a note.
+        """
+        tasks = len(progress.notes) + MAX_UNNOTED_TASKS
+        return self.done_occurrences.find_absent(
+            self.opened_occurrences, tasks // self.spec.task_count
+        )
 
 
 def make_closed_job(accepted: Accepted, progress: Progress) -> Job:
