Add trials of an outage of the store in which nearly all daemons are lost or restart

Change: three cases of `bench.cut_owner`. `restart-lost`: the store answers nobody for 4 s; in that time the owner and an executor that runs long tasks lose power for good, and the other daemons restart in turn, 0.5 s down and 0.3 s apart. `most-lost`: the same outage; all daemons but the owner and one other lose power for good, and 1 s later the owner with such an executor. `quiet-outage`: the store answers nobody for 9 s, nothing else is lost; each lapsed run is a finding. The trouble begins up to 2.5 s into the short outages. The first two measure, for all long tasks, the longest time without a run after the last trouble (a daemon killed or started again, the store back) or after the run's end if that is later; over 7 s is a finding (LOST). Rule TWICE is checked in each.

`lost` shares that measure, for the executor's tasks as before.

--- a/bench/cut_owner.py
+++ b/bench/cut_owner.py
@@ -4,7 +4,8 @@
 the pool is cut off from the store, the other daemons and some of the executors; the
 others are cut off from the executors that only it reaches. Then all links are restored,
 and the runs that the executors have recorded are checked for rule TWICE. In other cases
-the store is silent, or daemons and executors are lost; ``lost`` checks LOST as well.
+the store is silent, or daemons and executors are lost; ``lost``, ``restart-lost`` and
+``most-lost`` check LOST as well, ``quiet-outage`` that no run lapses.
 
 ``python -m bench.cut_owner [--seed N] [--runs N] [--case NAME] [--root PATH]
 [--logs FOLDER] [--no-cuts]``; exit 1 if a rule was broken, 2 if a trial could not be
@@ -15,7 +16,6 @@
 
 import argparse
 import asyncio
-import math
 import os
 import random
 import signal
@@ -42,6 +42,14 @@
 # Seconds that are watched after all links were restored.
 WATCH_S = 7.0
 OUTAGE_S = 9.0
+SHORT_OUTAGE_S = 4.0
+# Seconds from the start of a short outage to the loss of the first daemon.
+LOSS_AFTER_S = (0.0, 2.5)
+# Seconds from the loss of the other daemons to that of the owner.
+OWNER_LOSS_AFTER_S = 1.0
+# Seconds for which a daemon that restarts is down, and until the next one is.
+DOWN_S = 0.5
+RESTART_GAP_S = 0.3
 # Seconds from the start of the outage to the crash of an executor.
 CRASH_AFTER_S = 1.0
 # Seconds before an outage, so that no member's statement is too short for its youth.
@@ -49,7 +57,7 @@
 SUCCESSOR_LIMIT_S = 6.0
 # Seconds for which the tasks of a lost executor are awaited, and that are watched then.
 LOST_WATCH_S = 20.0
-# Seconds after the last trouble within which they have to run again.
+# Seconds after the last trouble or run within which they have to run again.
 RUN_AGAIN_LIMIT_S = 7.0
 LATER_WATCH_S = 2.0
 SHORT_JOB, LONG_JOB, LATER_JOB = (f"5c0e7a21d94b36f{n}" for n in range(3))
@@ -198,42 +206,116 @@
         world.lose(owner)
         await asyncio.sleep(offset_s)
     tasks = {task for task in executor.runs if task.startswith(f"{LONG_JOB}.")}
-    crashed_at = world.now()
-    executor.crash(is_silent=True)
-    world.unlist(name)
+    world.lose_executor(name)
     if offset_s <= 0:
         await asyncio.sleep(-offset_s)
         world.lose(owner)
-    trouble_at = max(crashed_at, crashed_at - offset_s)
-    until = world.now() + LOST_WATCH_S
-    while world.now() < until and tasks - _find_again(world, tasks, crashed_at).keys():
+    await _watch_lost(world, tasks)
+
+
+async def _watch_lost(world: CutWorld, tasks: set[str]) -> None:
+    """Watch tasks after the last trouble; note for how long they did not run."""
+    trouble_at = world.now()
+    missing = tasks
+    while world.now() < trouble_at + (LOST_WATCH_S if missing else WATCH_S):
         await asyncio.sleep(0.1)
+        missing = tasks - {run.task for _, run in world.running(LONG_JOB)}
     await asyncio.sleep(LATER_WATCH_S)
-    _measure_restarts(world, tasks, crashed_at, trouble_at)
-    again = _find_again(world, tasks, crashed_at)
-    for task in sorted(tasks):
-        if (seconds := again.get(task, math.inf) - trouble_at) > RUN_AGAIN_LIMIT_S:
-            world.late.append(f"LOST: {task} ran again after {seconds:.2f} s")
+    gaps = _find_gaps(world, tasks, trouble_at)
+    world.restart_s = sorted(round(gap, 2) for gap in gaps.values() if gap > 0)
+    world.record(f"tasks ran again {world.restart_s} s after the last trouble or run")
+    for task, gap in sorted(gaps.items()):
+        if gap > RUN_AGAIN_LIMIT_S:
+            world.late.append(f"LOST: {task} did not run for {gap:.2f} s")
+
+
+def _find_gaps(world: CutWorld, tasks: set[str], since: float) -> dict[str, float]:
+    """Return the longest time for which each task has not run since then."""
+    gaps, ends = dict.fromkeys(tasks, 0.0), dict.fromkeys(tasks, since)
+    for run in collect_runs(world.events):
+        if (task := run.start.task) in tasks:
+            gaps[task] = max(gaps[task], run.start.at - ends[task])
+            ends[task] = max(ends[task], run.over_at)
+    now = world.now()
+    return {task: max(gap, now - ends[task]) for task, gap in gaps.items()}
+
+
+async def _silence_store(world: CutWorld, seconds: float) -> None:
+    """Cut all daemons off from the store, and restore that of those that live then."""
+    world.cuts.cut(world.others(), [STORE])
+    world.record("the store answers nobody")
+    await asyncio.sleep(seconds)
+    world.cuts.heal(world.others(*world.lost), [STORE])
+    world.record("the store answers again")
 
 
-async def play_outage_lost(world: CutWorld, lost: int) -> None:
-    """Cut all daemons off from the store, and lose some that own nothing."""
+async def _settle(world: CutWorld) -> str:
+    """Submit jobs and wait until an outage may begin; return the owner."""
     await submit_jobs(world)
     await asyncio.sleep(SETTLE_S)
-    _, owner = world.find_holder(world.executors) or (0, "")
-    began = world.now()
-    world.cuts.cut(world.others(), [STORE])
-    world.record("the store answers nobody")
+    return (world.find_holder(world.executors) or (0, ""))[1]
+
+
+def _lose_owner_and_executor(world: CutWorld, owner: str) -> None:
+    world.lose(owner)
+    names = {each.name for each, _ in world.running(LONG_JOB)}
+    world.lose_executor(world.rng.choice(sorted(names)))
+
+
+async def play_restart_lost(world: CutWorld) -> None:
+    """Lose the owner and an executor in a short outage; the other daemons restart."""
+    owner = await _settle(world)
+    tasks = {run.task for _, run in world.running(LONG_JOB)}
+
+    async def lose_and_restart() -> None:
+        await asyncio.sleep(world.rng.uniform(*LOSS_AFTER_S))
+        _lose_owner_and_executor(world, owner)
+        for number, name in enumerate(world.others(owner)):
+            await asyncio.sleep(RESTART_GAP_S if number else 0.0)
+            await world.restart(name, DOWN_S)
+
+    await asyncio.gather(_silence_store(world, SHORT_OUTAGE_S), lose_and_restart())
+    await _watch_lost(world, tasks)
+
+
+async def play_most_lost(world: CutWorld) -> None:
+    """Lose all daemons but one in a short outage, the owner last, with an executor."""
+    owner = await _settle(world)
+    tasks = {run.task for _, run in world.running(LONG_JOB)}
+    spared = world.rng.choice(world.others(owner))
+
+    async def lose_most() -> None:
+        await asyncio.sleep(world.rng.uniform(*LOSS_AFTER_S))
+        for name in world.others(owner, spared):
+            world.lose(name)
+        await asyncio.sleep(OWNER_LOSS_AFTER_S)
+        _lose_owner_and_executor(world, owner)
+
+    await asyncio.gather(_silence_store(world, SHORT_OUTAGE_S), lose_most())
+    await _watch_lost(world, tasks)
+
+
+async def play_outage_lost(world: CutWorld, lost: int) -> None:
+    """Cut all daemons off from the store, and lose some that own nothing."""
+    owner = await _settle(world)
+    outage = asyncio.ensure_future(_silence_store(world, OUTAGE_S))
     await asyncio.sleep(CRASH_AFTER_S)
-    names = world.rng.sample(world.others(owner), lost)
-    for name in names:
+    for name in world.rng.sample(world.others(owner), lost):
         world.lose(name)
-    await asyncio.sleep(began + OUTAGE_S - world.now())
-    world.cuts.heal(world.others(*names), [STORE])
-    world.record("the store answers again")
+    await outage
     await asyncio.sleep(WATCH_S)
 
 
+async def play_quiet_outage(world: CutWorld) -> None:
+    """Cut all daemons off from the store; no run may lapse."""
+    await play_outage_lost(world, lost=0)
+    world.late += [
+        f"LAPSED: {run.start.task}: {run.describe()}"
+        for run in collect_runs(world.events)
+        if run.how == "lapsed"
+    ]
+
+
 async def play_pause(world: CutWorld) -> None:
     """Stop the owner's process for a while, and cut it off with some executors."""
     is_cut_first = world.rng.random() < 0.5
@@ -289,9 +371,12 @@
     "two-sides": play_two_sides,
     "restart": play_restart,
     "outage": play_outage,
+    "quiet-outage": play_quiet_outage,
     "outage-lost": partial(play_outage_lost, lost=1),
     "outage-lost-two": partial(play_outage_lost, lost=2),
     "lost": play_lost,
+    "restart-lost": play_restart_lost,
+    "most-lost": play_most_lost,
     "pause": play_pause,
     "turn": play_turn,
 }
--- a/bench/cut_world.py
+++ b/bench/cut_world.py
@@ -92,7 +92,9 @@
     restart_s : list of float
         Seconds after which the tasks of a crashed executor ran again.
     late : list of str
-        The tasks that did not run again in time, as findings.
+        The tasks that did not run again in time or lapsed, as findings.
+    lost : set of str
+        The daemons that were lost for good.
     """
 
     def __init__(
@@ -105,6 +107,7 @@
         self.ready_s = 0.0
         self.restart_s: list[float] = []
         self.late: list[str] = []
+        self.lost: set[str] = set()
         self.cuts, self.book = cuts, AddressBook()
         self.store = CutStore(self.cuts, self.book)
         self.forwarders: list[Forwarder] = []
@@ -339,9 +342,27 @@
 
     def lose(self, name: str) -> None:
         """Kill a daemon's process as a loss of power does: its address is silent."""
-        self.cuts.cut([name], [STORE, *self.others(name), *self.executors])
+        self.lost.add(name)
+        self.cuts.cut([name], [STORE])
+        self._power_off(name)
+
+    def lose_executor(self, name: str) -> None:
+        """Crash an executor as a loss of power does, and remove its entry."""
+        self.executors[name].crash(is_silent=True)
+        self.unlist(name)
+
+    async def restart(self, name: str, down_s: float) -> None:
+        """Let a daemon be without power for a while, and start it again."""
+        self._power_off(name)
+        await asyncio.sleep(down_s)
+        others = self.others(name, *self.lost)
+        self.cuts.heal([name], [*others, *self.executors])
+        self.daemon(name).begin()
+
+    def _power_off(self, name: str) -> None:
+        self.cuts.cut([name], [*self.others(name), *self.executors])
         daemon = self.daemon(name)
-        self.record(f"daemon {name} is lost")
+        self.record(f"daemon {name} has no power")
         daemon.process.kill()
         daemon.process.wait()
 
