Name hosts too where a takeover waits for the longest time

The line said that no witness had acknowledged the claim, also where the new owner is a witness and only hosts are missing. Found by a review.

--- a/siskinroad/work/takeover_report.py
+++ b/siskinroad/work/takeover_report.py
@@ -100,4 +100,4 @@
             return "longest: not all former owners are known"
         if not all(each.uses_witnesses for each in remaining):
             return "longest: a former owner is of an earlier version"
-        return "longest: no witness has acknowledged the claim"
+        return "longest: too few witnesses or hosts show that leases end"
