Wait for no claimant that was lost together with the owner

Cause: a member that was heard of in the last 2 s counts as alive. If the best claimant is lost together with the owner, the others wait for it until then.

Change: a pool that has had no owner for 0.9 s is claimed by the best of those that were heard of since. Two claims at once are safe, as the later one owns.

--- a/siskinroad/work/claim_manager.py
+++ b/siskinroad/work/claim_manager.py
@@ -19,6 +19,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 
 from siskinroad.errors import SiskinroadError
@@ -50,6 +51,10 @@
 # Seconds for which a pool without an owner waits for a better claimant that has just
 # started and cannot claim yet, or of which that is not known yet.
 STARTING_CLAIMANT_WAIT = 0.8
+# Seconds for which a pool without an owner waits for a claimant that was not heard of
+# meanwhile, and may have been lost together with the owner: longer than the interval of
+# heartbeats.
+UNHEARD_CLAIMANT_WAIT = 0.9
 # Seconds without claims after the store replies again. The links to other daemons may
 # have been cut as well, and it takes this long to receive the owner's heartbeats again.
 RECOVERY_CLAIM_DELAY = 1.0
@@ -202,8 +207,13 @@
         if now - self._store_recovered_at < RECOVERY_CLAIM_DELAY:
             return False
         may_wait = now - vacant_since < STARTING_CLAIMANT_WAIT
+        is_late = now - vacant_since >= UNHEARD_CLAIMANT_WAIT
         return self._members.should_claim(
-            pool, now, self._make_heartbeat(), may_wait=may_wait
+            pool,
+            now,
+            self._make_heartbeat(),
+            may_wait=may_wait,
+            heard_since=vacant_since if is_late else -math.inf,
         )
 
     def note_store_recovered(self) -> None:
--- a/siskinroad/work/members.py
+++ b/siskinroad/work/members.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -292,7 +293,13 @@
         ]
 
     def should_claim(
-        self, pool: str, now: float, own: Heartbeat, *, may_wait: bool = False
+        self,
+        pool: str,
+        now: float,
+        own: Heartbeat,
+        *,
+        may_wait: bool = False,
+        heard_since: float = -math.inf,
     ) -> bool:
         """Return whether this daemon should claim a pool that has no owner.
 
@@ -316,10 +323,17 @@
         may_wait : bool
             Whether the pool may wait for a daemon that cannot claim yet. Never done in
             a mixed set, as earlier versions do not wait.
+        heard_since : float
+            Loop time since which another daemon must have been heard of to be waited
+            for: one that was lost together with the owner still seems alive.
         """
         if own.store_age > MAX_STORE_AGE:
             return False
-        others = self._candidates(now)
+        others = [
+            each
+            for each in self._candidates(now)
+            if self.last_heartbeats[each.node].received_at >= heard_since
+        ]
         # A daemon that has just started cannot claim yet: if others always deferred to
         # it, the pool would stay without an owner.
         if not may_wait or _is_mixed([own, *others]):
