Leave new connections to lost daemons of the trials without an answer

Cause: in `restart-lost` a daemon that has just started probes the stored owner before it claims. A machine without power accepts nothing.

Change: while a daemon is without power, the listeners of its forwarders are replaced by ones with a full queue, for which the kernel drops what asks for a connection; a restart replaces them again. Connections that there are stay held back, as before.

--- a/bench/cut_links.py
+++ b/bench/cut_links.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -116,19 +117,45 @@
         self.own_ports: set[int] = set()
         self._cuts, self._book = cuts, book
         self._server: asyncio.Server | None = None
+        self._listening = ("", 0)
+        self._full_queue: list[socket.socket] = []
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def listen(self, ip: str, port: int = 0) -> str:
         """Listen; return the address."""
         self._server = await asyncio.start_server(self._serve, ip, port)
-        host, bound_port = self._server.sockets[0].getsockname()
+        self._listening = host, bound_port = self._server.sockets[0].getsockname()
         return f"{host}:{bound_port}"
 
-    def close(self) -> None:
-        """Refuse connections and reset those that there are."""
+    def silence(self) -> None:
+        """Leave new connections without an answer, as a machine without power does."""
+        self._refuse()
+        listener, *callers = (socket.socket() for _ in range(3))
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(self._listening)
+        # Once one caller waits in this queue, the kernel answers no other one.
+        listener.listen(0)
+        for caller in callers:
+            caller.setblocking(False)
+            caller.connect_ex(self._listening)
+        self._full_queue = [listener, *callers]
+
+    async def resume(self) -> None:
+        """Accept connections again at the same address."""
+        self._refuse()
+        await self.listen(*self._listening)
+
+    def _refuse(self) -> None:
         if self._server is not None:
             self._server.close()
             self._server = None
+        for sock in self._full_queue:
+            sock.close()
+        self._full_queue = []
+
+    def close(self) -> None:
+        """Refuse connections and reset those that there are."""
+        self._refuse()
         for writer in list(self._writers):
             writer.transport.abort()
 
--- a/bench/cut_world.py
+++ b/bench/cut_world.py
@@ -336,9 +336,11 @@
         self.record(f"daemon {name} is killed")
         daemon.process.kill()
         daemon.process.wait()
-        for forwarder in self.forwarders:
-            if forwarder.target == name:
-                forwarder.close()
+        for forwarder in self._forwarders_to(name):
+            forwarder.close()
+
+    def _forwarders_to(self, name: str) -> list[Forwarder]:
+        return [each for each in self.forwarders if each.target == name]
 
     def lose(self, name: str) -> None:
         """Kill a daemon's process as a loss of power does: its address is silent."""
@@ -357,10 +359,15 @@
         await asyncio.sleep(down_s)
         others = self.others(name, *self.lost)
         self.cuts.heal([name], [*others, *self.executors])
+        for forwarder in self._forwarders_to(name):
+            await forwarder.resume()
         self.daemon(name).begin()
 
     def _power_off(self, name: str) -> None:
         self.cuts.cut([name], [*self.others(name), *self.executors])
+        if not self.cuts.is_off:
+            for forwarder in self._forwarders_to(name):
+                forwarder.silence()
         daemon = self.daemon(name)
         self.record(f"daemon {name} has no power")
         daemon.process.kill()
