Keep witnesses that are lost together

Cause: where all witnesses were silent, only the one that was alive last stayed. If that one was then lost for good with the owner, those that came back could not show that the owner extends no leases: 15.2 s without a run.

Change: witnesses are dropped only while another member is alive.

--- a/siskinroad/work/witnesses.py
+++ b/siskinroad/work/witnesses.py
@@ -137,21 +137,14 @@
             node: member.data_centre for node, member in self._members.known.items()
         }
         kept = [node for node in self._chosen if self._is_kept(node, now)]
-        self._chosen = choose_witnesses(kept, live, data_centres)
-        if not self._chosen:
-            self._chosen = self._find_last_alive(others)
+        chosen = choose_witnesses(kept, live, data_centres)
+        if not chosen:
+            # Alone, the owner would extend its leases without any statement, and those
+            # that come back could not take over.
+            chosen = choose_witnesses(self._chosen, others, data_centres)
+        self._chosen = chosen
         return self._chosen
 
     def _is_kept(self, node: str, now: float) -> bool:
         is_listed = node in self._members.known
         return is_listed and now - self._alive_at.get(node, -1e9) <= KEEP_S
-
-    def _find_last_alive(self, others: list[str]) -> tuple[str, ...]:
-        """Return the member that was alive last, or none if there is no other one.
-
-        An owner without witnesses would extend its leases alone, and no successor could
-        count on their end.
-        """
-        if not others:
-            return ()
-        return (max(others, key=lambda node: (self._alive_at.get(node, -1e9), node)),)
--- a/tests/work/test_lost_owner_search.py
+++ b/tests/work/test_lost_owner_search.py
@@ -18,12 +18,11 @@
 from tests.work.test_daemon import JOB_ID, run_scenario
 from tests.work.test_two_owners import now
 
-# By hand: LOST_SEEDS=300 LOST_FIRST_SEED=1000 LOST_WAIT_S=7 pytest -rA ...
+# By hand: LOST_SEEDS=300 LOST_FIRST_SEED=1000 pytest -rA ...
 FIRST_SEED = int(os.environ.get("LOST_FIRST_SEED", "0"))
 SEEDS = range(FIRST_SEED, FIRST_SEED + int(os.environ.get("LOST_SEEDS", "10")))
-# Seconds after the last trouble within which all tasks have to run; the users ask for
-# 7 s, which lost owners exceed (KNOWN-RED.txt, 33).
-WAIT_S = float(os.environ.get("LOST_WAIT_S", "20"))
+# Seconds after the last trouble within which all tasks have to run, as the users ask.
+WAIT_S = float(os.environ.get("LOST_WAIT_S", "7"))
 BUSY_S = 25.0
 # Seconds for which the cell is watched after the last trouble.
 WATCH_S = 24.0
--- a/tests/work/test_lost_witnesses.py
+++ b/tests/work/test_lost_witnesses.py
@@ -110,3 +110,73 @@
 
 def test_all_hosts_replaced_beside_the_loss_of_owner_and_two_others_delay_no_task():
     check_soon_after_all_hosts_are_replaced(2)
+
+
+@pytest.mark.parametrize(("size", "lost"), [(9, 2), (12, 2), (12, 3), (39, 3)])
+def test_few_of_many_daemons_lost_in_an_outage_cost_no_lease(size, lost):
+    async def scenario(cell):
+        names = [f"n{number:02d}" for number in range(size)]
+        await start_lasting_tasks(cell, names)
+        owner = cell.owner()
+        cell.logs.faults.is_silent = True
+        for name in [n for n in names if n != owner][:lost]:
+            await cell.kill(name, True)
+        await asyncio.sleep(8.0)
+        running = len(find_busy(cell))
+        cell.logs.faults.is_silent = False
+        await asyncio.sleep(6.0)
+        assert (running, len(cell.hosts.starts())) == (3, 3)
+
+    run_scenario(scenario, hosts=4)
+
+
+def test_a_daemon_and_an_idle_host_that_restart_in_an_outage_cost_no_lease():
+    async def scenario(cell):
+        await start_lasting_tasks(cell, "abcdefg")
+        owner = cell.owner()
+        (idle,) = set(cell.hosts.hosts) - find_busy(cell)
+        cell.logs.faults.is_silent = True
+        name = next(n for n in cell.daemons if n != owner)
+        await cell.kill(name, True)
+        host = cell.hosts.hosts[idle]
+        host.down_s = 0.5
+        host.crash()
+        await asyncio.sleep(0.7)
+        cell.start(name)
+        await asyncio.sleep(8.0)
+        running = len(find_busy(cell))
+        cell.logs.faults.is_silent = False
+        await asyncio.sleep(6.0)
+        assert (running, len(cell.hosts.starts())) == (3, 3)
+
+    run_scenario(scenario, hosts=4)
+
+
+@pytest.mark.parametrize("lost", range(3))
+def test_others_that_were_dark_before_the_loss_of_the_owner_delay_no_task(lost):
+    # One of them stays lost, whichever it is.
+    async def scenario(cell):
+        await start_lasting_tasks(cell, "abcd")
+        owner = cell.owner()
+        others = [n for n in "abcd" if n != owner]
+        for name in others:
+            await cell.kill(name, True)
+        await asyncio.sleep(6.0)
+        (stored,) = cell.daemons[owner].owners["desk"].progress.list_host_sets()
+        await cell.kill(owner, True)
+        gone = min(find_busy(cell))
+        host = cell.hosts.hosts[gone]
+        task = next(iter(host.runs.values())).task
+        host.down_s = 1e9
+        host.crash()
+        cell.unlist(gone)
+        for name in others[:lost] + others[lost + 1 :]:
+            cell.start(name)
+        at = now()
+        while now() - at < 20.0:
+            if sum(s.task == task for s in cell.hosts.starts()) > 1:
+                break
+            await asyncio.sleep(0.05)
+        assert now() - at < CALM_S, (now() - at, stored.witnesses)
+
+    run_scenario(scenario, hosts=4)
--- a/tests/work/test_witnesses.py
+++ b/tests/work/test_witnesses.py
@@ -106,7 +106,7 @@
             self.members.record_heartbeat(heartbeat, at)
 
 
-def test_witnesses_that_are_lost_are_replaced_and_the_last_one_is_kept():
+def test_witnesses_that_are_lost_are_dropped_once_others_are_alive():
     heard = Heard("abc")
     heard.hear("abc", 10.0)
     assert heard.chooser.choose(10.0) == ("a", "b", "c")
@@ -114,11 +114,18 @@
     assert heard.chooser.choose(11.9) == ("a", "b", "c")
     assert heard.chooser.choose(11.8 + KEEP_S) == ("a", "b", "c")
     assert heard.chooser.choose(12.1 + KEEP_S) == ("a",)
-    assert heard.chooser.choose(30.0) == ("a",)
+    assert "a" in heard.chooser.choose(30.0)
     heard.hear("b", 31.0)
     assert heard.chooser.choose(31.0) == ("b",)
 
 
+def test_witnesses_that_are_lost_together_stay():
+    heard = Heard("abc")
+    heard.hear("abc", 10.0)
+    for at in (10.0, 11.9, 13.1, 60.0):
+        assert heard.chooser.choose(at) == ("a", "b", "c")
+
+
 def test_witnesses_do_not_change_while_the_store_is_silent():
     heard = Heard("abc")
     heard.hear("ab", 10.0)
@@ -132,7 +139,7 @@
 
 def test_an_owner_that_knows_no_other_member_has_no_witness():
     assert Heard("").chooser.choose(10.0) == ()
-    assert Heard("ab").chooser.choose(10.0) in (("a",), ("b",))
+    assert Heard("ab").chooser.choose(10.0) == ("a", "b")
 
 
 async def start_large_cell(cell):
