Log why a waiting step does not use the allowed hosts that have room

The lines on waiting tasks gave processors only, and no states of the tasks that do not wait: they could not tell a gang with one task unsettled from one that is kept off hosts with room. They now have the need, the states of all tasks of the step, and the allowed hosts with room by state, with those that are withheld, reserved or on probation.

--- a/siskinroad/work/wait_log.py
+++ b/siskinroad/work/wait_log.py
@@ -60,7 +60,8 @@
         for wait in due[:MAX_LINES]:
             self._logged_at[wait.key] = now
             extra = _describe_wait(wait, now)
-            extra |= self._describe_hosts(wait.step, now)
+            extra |= _describe_step(wait.step)
+            extra |= self._describe_hosts(wait.step, now, planning_pass)
             extra |= _describe_tickets(wait.step, now, planning_pass)
             log.warning("owner: tasks wait for placement", extra=extra)
 
@@ -70,7 +71,9 @@
         logged_at = self._logged_at.get(wait.key)
         return logged_at is None or now - logged_at >= REPEAT_INTERVAL_S
 
-    def _describe_hosts(self, step: StepRun, now: float) -> dict[str, object]:
+    def _describe_hosts(
+        self, step: StepRun, now: float, planning_pass: PlanningPass | None
+    ) -> dict[str, object]:
         """Return the capable hosts by state, and the use of those with tickets."""
         queue = self._pool_state.queues.get(step.job.queue)
         needs_ticket = queue is not None and queue.advice is not None
@@ -82,12 +85,20 @@
             and (not label or label in host.entry.labels)
         ]
         allowed = [h for h in capable if not needs_ticket or h.name in step.tickets]
+        roomy = [h for h in allowed if step.need.fits(h.entry.capacity - h.used)]
+        excluded = planning_pass.excluded_hosts if planning_pass is not None else set()
         return {
             "capable_hosts": Counter(find_host_state(h, now).value for h in capable),
             "allowed_hosts": Counter(find_host_state(h, now).value for h in allowed),
             "allowed_cpu_milli": sum(h.entry.capacity.cpu_milli for h in allowed),
             "used_cpu_milli": sum(host.used.cpu_milli for host in allowed),
             "held_cpu_milli": sum(sum_held_cpu(host) for host in allowed),
+            "roomy_hosts": Counter(find_host_state(h, now).value for h in roomy),
+            "roomy_excluded": sum(1 for host in roomy if host.name in excluded),
+            "roomy_reserved": sum(
+                1 for host in roomy if host.reserved.keys() - {step.key}
+            ),
+            "roomy_on_probation": sum(1 for host in roomy if host.needs_probation),
         }
 
 
@@ -105,6 +116,18 @@
     }
 
 
+def _describe_step(step: StepRun) -> dict[str, object]:
+    """Return what a step needs and how its tasks stand, those that run included."""
+    need = step.need
+    return {
+        "is_gang": step.spec.gang,
+        "need": [need.cpu_milli, need.memory_mib, need.accelerators],
+        "task_states": Counter(task.state for task in step.tasks),
+        "newest_run": max(task.run for task in step.tasks),
+        "failures": max(task.failure_count for task in step.tasks),
+    }
+
+
 def _describe_tickets(
     step: StepRun, now: float, planning_pass: PlanningPass | None
 ) -> dict[str, object]:
@@ -114,6 +137,7 @@
         "valid_tickets": valid,
         "asked_hosts": len(step.advice.answered),
         "is_advice_pending": step.is_advice_pending,
+        "rejected_tickets": len(step.advice.rejections),
     }
     if planning_pass is not None:
         fields["schedulable_hosts"] = len(planning_pass.schedulable_hosts.hosts)
--- a/tests/work/test_wait_log.py
+++ b/tests/work/test_wait_log.py
@@ -113,3 +113,25 @@
     assert (line.allowed_cpu_milli, line.used_cpu_milli) == (32000, 30000)
     assert line.held_cpu_milli == 30000
     assert (line.tickets, line.valid_tickets, line.asked_hosts) == (1, 1, 1)
+
+
+def test_the_line_of_a_gang_tells_why_hosts_with_room_are_not_used(caplog):
+    pool_state = make_pool_state(["i-0", "i-1", "i-2"])
+    lines = WaitLines(pool_state, caplog)
+    spec = job(step(2, cpu_milli=20000, gang=True))
+    gang = add_job(pool_state, "gang", spec, "advised")
+    gang.steps[0, 0].advice.answered.update(["i-0", "i-1", "i-2"])
+    give_tickets(gang, "i-0", "i-1")
+    host = pool_state.hosts["i-0"]
+    host.is_quarantined = host.needs_probation = True
+    host.quarantine_evidence_at = 9.0
+    lines.examine(1.0)
+    (line,) = lines.examine(4.0)
+    assert (line.is_gang, line.need[0], line.task_states) == (
+        True,
+        20000,
+        {"waiting": 2},
+    )
+    assert line.roomy_hosts == {"quarantined": 1, "schedulable": 1}
+    assert (line.roomy_excluded, line.roomy_reserved) == (0, 0)
+    assert line.roomy_on_probation == 1
