Give rested quarantined hosts to steps that other hosts do not hold

Callers saw a job of which nothing ran beside free capacity. A quarantined host was given only to a step that has no other host at all. A gang, a step with a limit on the tasks for one host, or one whose other allowed host is taken or rejects its tickets waited until the quarantine ended, and each new failure there lengthened it.

Whether other hosts hold a step now shows by its wait: a step that has waited for 1 s while at most half of the pool's processors are in use, or that is long-running, may use a quarantined host that has failed nothing for 2 s. Quarantined hosts come last in the choice.

--- a/siskinroad/work/placement.py
+++ b/siskinroad/work/placement.py
@@ -74,9 +74,10 @@
 class _Placer:
     """Placement of one step's tasks, cheapest host first.
 
-    With the same rack penalty, hosts with a usable ticket come first: a step that chose
-    by capacity alone could renew tickets again and again, each time for other hosts.
-    Among these, the speed of the hosts decides if it is uneven; `speed_preference`.
+    Quarantined hosts come last. With the same rack penalty, hosts with a usable ticket
+    come first: a step that chose by capacity alone could renew tickets again and again,
+    each time for other hosts. Among these, the speed of the hosts decides if it is
+    uneven; `speed_preference`.
 
     Placing a task changes only the cost of its own host, so the hosts are kept in a
     heap by cost, and only the changed one is entered again.
@@ -218,7 +219,13 @@
             speed_cost = compute_speed_cost(
                 self._speed_preference, self._host_speeds, host.name
             )
-            cost = (rack_penalty, self._has_stale_ticket(host), speed_cost, *others)
+            cost = (
+                host.is_quarantined,
+                rack_penalty,
+                self._has_stale_ticket(host),
+                speed_cost,
+                *others,
+            )
         self._costs[host] = cost
         position = self._pass.schedulable_hosts.positions[host.name]
         heapq.heappush(self._heap, (cost, position))
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -347,7 +347,7 @@
     ) -> None:
         if host.is_quarantined:
             log.info(
-                "planner: task placed on a quarantined host; no other may run it",
+                "planner: task placed on a quarantined host; others do not hold it",
                 extra={
                     "request": step.job.id,
                     "task": f"{step.occurrence}.{step.number}.{task.id.index}",
--- a/siskinroad/work/sole_hosts.py
+++ b/siskinroad/work/sole_hosts.py
@@ -1,9 +1,11 @@
-"""Quarantined hosts for the steps that no other host may run.
+"""Quarantined hosts for the steps that other hosts do not hold.
 
 A quarantine keeps work off a host that fails, stalls or slows down what runs there. The
-advisor or a label may allow a step that host only. Such a step may use the host after a
+advisor, a label, a limit on the tasks for one host or other work may leave a step that
+host only, or that host beside too few others. Such a step may use the host after a
 pause, so that its tasks do not wait beside free capacity until the quarantine ends, and
-do not use up their attempts there either. Other steps stay off the host.
+do not use up their attempts there either. Other steps stay off the host, and so do all
+that have waited for a moment only or that wait because the pool is full.
 """
 
 from __future__ import annotations
@@ -22,6 +24,11 @@
 # quarantine or from the last run that failed there. Callers take a job of which no task
 # runs for 3 s beside free capacity for lost.
 SOLE_HOST_PAUSE_S = 2.0
+# Seconds of wait after which a step counts as one that its other hosts do not hold.
+OTHER_HOSTS_PATIENCE_S = 1.0
+# Fraction of the pool's processors in use up to which a step that waits lacks allowed
+# hosts rather than capacity. Long-running steps are placed however full the pool is.
+MAX_USED_FRACTION = 0.5
 
 StepKey = tuple[str, int, int]
 
@@ -66,10 +73,14 @@
     rested = [host for host in quarantined if _may_be_used(host, now)]
     if not rested:
         return SoleHosts()
+    has_room = _has_room(usual_hosts, rested)
     steps_by_host: dict[str, set[StepKey]] = {}
     for step in steps:
         queue = queues.get(step.job.queue)
-        if queue is None or _has_other_host(step, usual_hosts, queue):
+        if queue is None:
+            continue
+        is_held_elsewhere = _has_other_host(step, usual_hosts, queue)
+        if is_held_elsewhere and not _lacks_hosts(step, now, has_room=has_room):
             continue
         for host in rested:
             if _is_allowed(step, host, queue):
@@ -82,12 +93,35 @@
     return rested_s >= SOLE_HOST_PAUSE_S and host.is_usable(now)
 
 
+def _has_room(usual_hosts: SchedulableHosts, rested: list[Host]) -> bool:
+    """Return whether so little of the pool is in use that capacity is not short."""
+    hosts = [*usual_hosts.hosts, *rested]
+    capacity = sum(host.entry.capacity.cpu_milli for host in hosts)
+    used = sum(host.used.cpu_milli for host in hosts)
+    return used <= MAX_USED_FRACTION * capacity
+
+
+def _lacks_hosts(step: StepRun, now: float, *, has_room: bool) -> bool:
+    """Return whether a step has waited although the pool has room for it.
+
+    Its other hosts are too few for all of its tasks, taken, or reject its tickets.
+    """
+    if not has_room and not step.spec.long_running:
+        return False
+    return now - step.waiting_since >= OTHER_HOSTS_PATIENCE_S
+
+
 def _has_other_host(step: StepRun, usual_hosts: SchedulableHosts, queue: Queue) -> bool:
-    """Return whether a host that is not in quarantine may run a step's tasks."""
+    """Return whether a host that is not in quarantine may run a step's tasks.
+
+    One that has rejected the step's newest ticket does not count until it accepts one.
+    """
     names = usual_hosts.find_capable_hosts(step).names
     if queue.advice is None:
         return bool(names)
-    return not names <= step.advice.answered or not names.isdisjoint(step.tickets)
+    if not names.isdisjoint(step.tickets):
+        return True
+    return not names <= step.advice.answered | step.advice.rejections.keys()
 
 
 def _is_allowed(step: StepRun, host: Host, queue: Queue) -> bool:
