--- a/bench/waiting_check.py
+++ b/bench/waiting_check.py
@@ -15,7 +15,6 @@
 from siskinroad.work.job import StepRun, Task
 from siskinroad.work.model import Advice, TaskId
 from siskinroad.work.pool_state import PoolState
-from siskinroad.work.run_monitor import STALL_QUARANTINE_S
 
 # Seconds within which a waiting task is placed: the users' limit for a long-running
 # task from the end of its last run.
@@ -26,8 +25,6 @@
 MAX_USED_FRACTION = 0.5
 # Seconds between two checks.
 CHECK_INTERVAL_S = 0.1
-# Seconds that a quarantine may last, with the check that ends it.
-QUARANTINE_LIMIT_S = STALL_QUARANTINE_S + 0.5
 # Hosts that a violation describes at most.
 MAX_DESCRIBED_HOSTS = 6
 
@@ -52,7 +49,6 @@
     violations: dict[TaskId, str] = field(default_factory=dict)
     worst_s: float = 0.0
     _since: dict[TaskId, float] = field(default_factory=dict)
-    _quarantined_since: dict[str, float] = field(default_factory=dict)
 
     def check(self, now: float) -> None:
         """Update the waits of all tasks, and note those that are too long."""
@@ -61,7 +57,6 @@
             host.advance(now)
         if pool_state is None:
             return
-        self._update_quarantines(pool_state, now)
         if now < self.calm_at:
             return
         waiting = self._find_waiting(pool_state, now)
@@ -75,13 +70,6 @@
         for key in [key for key in self._since if key not in still_due]:
             del self._since[key]
 
-    def _update_quarantines(self, pool_state: PoolState, now: float) -> None:
-        names = {name for name, h in pool_state.hosts.items() if h.is_quarantined}
-        for name in set(self._quarantined_since) - names:
-            del self._quarantined_since[name]
-        for name in names:
-            self._quarantined_since.setdefault(name, now)
-
     def _check_task(
         self, pool_state: PoolState, step: StepRun, task: Task, now: float
     ) -> None:
@@ -210,9 +198,6 @@
             return False
         if any(now < until for until in host.faults.values()):
             return False
-        quarantined_since = self._quarantined_since.get(name, float("-inf"))
-        if now - quarantined_since <= QUARANTINE_LIMIT_S:
-            return False
         if step.spec.label and step.spec.label not in host.entry.labels:
             return False
         queue = pool_state.queues[step.job.queue]
