--- a/tests/work/test_gang_waiting.py
+++ b/tests/work/test_gang_waiting.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from siskinroad.work.effects import RequestAdvice, StartRun
+from siskinroad.work.effects import RequestAdvice, StartRun, StopRun
 from siskinroad.work.hosts import EndKind, HostReport, RunEnd
 from siskinroad.work.model import Timing
 from siskinroad.work.planner import Planner
@@ -201,3 +201,20 @@
     starts = [effect for effect in effects if isinstance(effect, StartRun)]
     assert len(starts) == 2
     assert len({effect.checkpoint for effect in starts}) == 1
+
+
+@pytest.mark.parametrize("kind", [EndKind.STOPPED, EndKind.LEASE_EXPIRED])
+def test_the_rest_of_a_gang_is_stopped_when_one_member_ends_without_success(kind):
+    # The owner itself stops a member whose run makes no progress.
+    pool = Pool(["i-0", "i-1"])
+    state = pool.pool_state
+    gang = add_job(state, "gang", job(step(2, cpu_milli=20000, gang=True)))
+    pool.run(TICK_S)
+    first, second = gang.steps[0, 0].tasks
+    host = state.hosts[first.host]
+    end = RunEnd(1, first.id, first.run, kind, "")
+    report = HostReport(2000, 1, (), (end,))
+    effects = state.apply_report(host, report, host.token, pool.now, pool.now, pool.now)
+    assert [(e.host, e.run.key) for e in effects if isinstance(e, StopRun)] == [
+        (second.host, (second.id, second.run))
+    ]
