Start all members of a gang with the same checkpoint

Callers saw members of a gang ordered with different checkpoints after one of them was lost, each with the value of its own last run, where all must carry the same one. What a host does with unequal values was not observed.

--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -291,6 +291,17 @@
         longest = min((task.waiting_since for task in tasks), default=0.0)
         return max(self.ready_at, longest)
 
+    def note_checkpoint(self, task: Task, checkpoint: str) -> None:
+        """Note the newest checkpoint of a task; that of any member is its gang's."""
+        for each in self.tasks if self.spec.gang else [task]:
+            each.checkpoint = checkpoint
+
+    def find_checkpoint(self, task: Task) -> str:
+        """Return what a task's next run resumes from, the same for a whole gang."""
+        if not self.spec.gang:
+            return task.checkpoint
+        return next((each.checkpoint for each in self.tasks if each.checkpoint), "")
+
     def waiting(self) -> list[Task]:
         """Return the tasks that wait for a host."""
         return [self.tasks[i] for i in self.tally.waiting]
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -370,5 +370,5 @@
         ticket = step.tickets.get(host.name, ("", 0.0))[0]
         payload = step.job.spec.payload
         planning_pass.effects.append(
-            StartRun(host.name, run, payload, task.checkpoint, ticket)
+            StartRun(host.name, run, payload, step.find_checkpoint(task), ticket)
         )
--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -310,11 +310,13 @@
                 run.progress_changed_at = made_at
             run.reported_at = max(run.reported_at, made_at)
             run.usage = status.usage
-            task = self.task(status.task)
-            if task is not None and status.run == task.run:
-                self.crash_tracker.note_survival(task, run, made_at)
-            if task is not None and status.checkpoint and status.run == task.run:
-                task.checkpoint = status.checkpoint
+            step = self.step(status.task)
+            task = step.job.task(status.task) if step is not None else None
+            if step is None or task is None or status.run != task.run:
+                continue
+            self.crash_tracker.note_survival(task, run, made_at)
+            if status.checkpoint:
+                step.note_checkpoint(task, status.checkpoint)
         return effects
 
     def _is_job_closed(self, run: Run) -> bool:
--- a/siskinroad/work/run_end_table.py
+++ b/siskinroad/work/run_end_table.py
@@ -71,7 +71,7 @@
         if end.run in task.presumed_ends:
             self._log_late_end(host, end, task, now)
         if end.checkpoint and end.run >= task.run:
-            task.checkpoint = end.checkpoint
+            step.note_checkpoint(task, end.checkpoint)
         if end.end_kind is EndKind.DONE:
             effects = self._stop_other_runs(step, task, end.run)
             task.run = max(task.run, end.run)
