Stop the rest of a gang when a host lists the end of one member

Callers saw a gang wait while one of its members ran on alone: the owner had stopped another member for want of progress, and only an end that no host lists stopped the rest. On hosts that end the others themselves nothing changes but a stop sooner.

--- a/siskinroad/work/run_end_table.py
+++ b/siskinroad/work/run_end_table.py
@@ -162,9 +162,10 @@
             return []
         if is_newest and task.allows("free"):
             task.move_to_waiting("free", now)
+        effects: list[Effect] = []
         if end.end_kind is EndKind.FAILED and end.run not in task.failures:
-            return self._record_failure(host, step, task, end.run, now, wall)
-        return []
+            effects += self._record_failure(host, step, task, end.run, now, wall)
+        return effects + self._stop_gang(task, end.run)
 
     def _record_failure(
         self,
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -583,16 +583,16 @@
                 "loop_delay_s": round(self.loop_delay_s, 3),
             },
         )
-        return self._stop_gang(task, run)
+        return self._stop_gang(task, run.key[1])
 
-    def _stop_gang(self, task: Task, run: Run) -> list[Effect]:
+    def _stop_gang(self, task: Task, run: int) -> list[Effect]:
         """Stop the other members of a gang after one of its runs was lost."""
         step = self.step(task.id)
         if step is None or not step.spec.gang:
             return []
         effects: list[Effect] = []
         for host, other in self.run_index.find_runs(task.id.job):
-            if other.step == step.key and other.key[1] == run.key[1]:
+            if other.step == step.key and other.key[1] == run:
                 effects += self.stop(host, other, "gang lost a member")
         return effects
 
