Let a whole gang start on a host after its quarantine

Callers saw a gang wait without end beside a free host that it was allowed: the first run after a quarantine for failures is alone there, and a gang that needs two places on that host was never placed, so that the probation didn't begin. A gang now counts as one start; if any member of it fails, the host is in quarantine again.

--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -391,7 +391,10 @@
         self.trial_until = now + seconds
 
     def begin_probation(self, run: Run, now: float) -> None:
-        """Start nothing beside the first run of a host whose runs have failed."""
+        """Start nothing beside the first run of a host whose runs have failed.
+
+        The other members of its gang start with it.
+        """
         self.needs_probation = False
         self.probation_run = self.trial_run = run.key
         self.trial_until = now + PROBATION_S
--- a/siskinroad/work/placement.py
+++ b/siskinroad/work/placement.py
@@ -183,9 +183,9 @@
 
     def _place(self, task: Task, host: Host) -> None:
         placement = self._placement
-        if task.crashes.needs_trial and not self._step.spec.gang:
-            self._trial_hosts.add(host)
-        if host.needs_probation:
+        # The members of a gang are one start, on trial and on probation.
+        is_alone = task.crashes.needs_trial or host.needs_probation
+        if is_alone and not self._step.spec.gang:
             self._trial_hosts.add(host)
         self._available[host] = self._available[host] - self._step.need
         placement.counts[host.name] = placement.counts.get(host.name, 0) + 1
--- a/siskinroad/work/run_end_table.py
+++ b/siskinroad/work/run_end_table.py
@@ -188,7 +188,7 @@
         is_failing = self.failing_hosts.record_failure(
             host.name, job.queue, job.id, now
         )
-        is_failing |= host.probation_run == (task.id, run)
+        is_failing |= _is_on_probation(host, tasks, run)
         if is_failing or (verdict is not None and verdict.event == "eject"):
             self._quarantine_failing_host(host, now)
         queue = self.queues.get(job.queue)
@@ -214,6 +214,14 @@
         )
 
 
+def _is_on_probation(host: Host, tasks: list[Task], run: int) -> bool:
+    """Return whether a run of one of the tasks is the first after a quarantine.
+
+    A gang fails as a whole, whichever of its members began the probation.
+    """
+    return any(host.probation_run == (each.id, run) for each in tasks)
+
+
 def _tells_host_speed(host: Host, step: StepRun | None) -> bool:
     """Return whether the time of a step's run depends on no other host and no link.
 
--- a/tests/work/test_gang_waiting.py
+++ b/tests/work/test_gang_waiting.py
@@ -218,3 +218,20 @@
     assert [(e.host, e.run.key) for e in effects if isinstance(e, StopRun)] == [
         (second.host, (second.id, second.run))
     ]
+
+
+@pytest.mark.parametrize("member", [0, 1])
+def test_a_gang_that_fails_after_a_quarantine_of_its_host_begins_another_one(member):
+    pool = Pool(["i-0", "i-1"])
+    state = pool.pool_state
+    host = state.hosts["i-0"]
+    host.needs_probation = True
+    state.hosts["i-1"].entry = replace(state.hosts["i-1"].entry, draining=True)
+    gang = add_job(state, "gang", job(step(2, cpu_milli=2000, gang=True)))
+    pool.run(TICK_S)
+    assert [name for _, name, _ in pool.starts] == ["i-0", "i-0"]
+    task = gang.steps[0, 0].tasks[member]
+    end = RunEnd(1, task.id, task.run, EndKind.FAILED, "")
+    report = HostReport(2000, 1, (), (end,))
+    state.apply_report(host, report, host.token, pool.now, pool.now, pool.now)
+    assert host.is_quarantined
