Ask the advisor again about a host that restarts during a call

Callers of a cell whose hosts keep their names saw a step wait without end: the advisor had turned down the former incarnation of a host, the answer came after the restart, and the next incarnation, which it may use, was never asked about.

--- a/siskinroad/work/advice_requester.py
+++ b/siskinroad/work/advice_requester.py
@@ -372,6 +372,7 @@
         hosts: list[str],
     ) -> None:
         step.is_advice_pending = True
+        step.advice.begin_request()
         duration = advice.duration(len(hosts))
         planning_pass.effects.append(RequestAdvice(step.key, tuple(hosts), duration))
 
--- a/siskinroad/work/step_advice.py
+++ b/siskinroad/work/step_advice.py
@@ -99,6 +99,12 @@
     reserving_since: float | None = None
     is_reservation_over: bool = False
     capacity_expected_since: float | None = None
+    # Hosts forgotten since the request that is under way; None without any.
+    _forgotten: set[str] | None = None
+
+    def begin_request(self) -> None:
+        """Note that a request is made now; what is forgotten later is not answered."""
+        self._forgotten = set()
 
     def record_answer(
         self, hosts: Collection[str], tickets: Mapping[str, str], valid_until: float
@@ -106,17 +112,20 @@
         """Record an answer about ``hosts``, with tickets for those allowed.
 
         A host that was allowed before and is not now loses its ticket. As the allowed
-        hosts do not change, it is asked about once more before that is believed.
+        hosts do not change, it is asked about once more before that is believed. So is
+        a host that has restarted since the request, unless it is allowed.
         """
         self.reserving_since = None
         self.is_reservation_over = False
         self.answered.update(hosts)
         self.newest_valid_until = max(self.newest_valid_until, valid_until)
+        forgotten = self._forgotten or ()
+        self._forgotten = None
         for host in hosts:
             value = tickets.get(host)
             if value is not None:
                 self.tickets[host] = Ticket(value, valid_until)
-            elif self.tickets.pop(host, None) is not None:
+            elif self.tickets.pop(host, None) is not None or host in forgotten:
                 self.answered.discard(host)
 
     def record_rejection(
@@ -158,6 +167,8 @@
         self.answered.discard(name)
         self.tickets.pop(name, None)
         self.rejections.pop(name, None)
+        if self._forgotten is not None:
+            self._forgotten.add(name)
 
     def find_unanswered(self, hosts: frozenset[str], now: float) -> set[str]:
         """Return which of ``hosts`` have no answer and may be asked about now."""
