--- a/siskinroad/work/run_end_table.py
+++ b/siskinroad/work/run_end_table.py
@@ -71,7 +71,7 @@
         if end.run in task.presumed_ends:
             self._log_late_end(host, end, task, now)
         if end.checkpoint and end.run >= task.run:
-            task.checkpoint = end.checkpoint
+            step.note_checkpoint(task, end.checkpoint)
         if end.end_kind is EndKind.DONE:
             effects = self._stop_other_runs(step, task, end.run)
             task.run = max(task.run, end.run)
@@ -162,9 +162,10 @@
             return []
         if is_newest and task.allows("free"):
             task.move_to_waiting("free", now)
+        effects: list[Effect] = []
         if end.end_kind is EndKind.FAILED and end.run not in task.failures:
-            return self._record_failure(host, step, task, end.run, now, wall)
-        return []
+            effects += self._record_failure(host, step, task, end.run, now, wall)
+        return effects + self._stop_gang(task, end.run)
 
     def _record_failure(
         self,
@@ -187,7 +188,7 @@
         is_failing = self.failing_hosts.record_failure(
             host.name, job.queue, job.id, now
         )
-        is_failing |= host.probation_run == (task.id, run)
+        is_failing |= _is_on_probation(host, tasks, run)
         if is_failing or (verdict is not None and verdict.event == "eject"):
             self._quarantine_failing_host(host, now)
         queue = self.queues.get(job.queue)
@@ -213,6 +214,14 @@
         )
 
 
+def _is_on_probation(host: Host, tasks: list[Task], run: int) -> bool:
+    """Return whether a run of one of the tasks is the first after a quarantine.
+
+    A gang fails as a whole, whichever of its members began the probation.
+    """
+    return any(host.probation_run == (each.id, run) for each in tasks)
+
+
 def _tells_host_speed(host: Host, step: StepRun | None) -> bool:
     """Return whether the time of a step's run depends on no other host and no link.
 
