Stop what runs of a gang of which another member has no run

After a takeover one member of a gang could be adopted and another one settled to waiting, as the former owner had not started it or knew its end; a member could also be listed again after its gang had ended. Nothing stopped the one that runs, and the gang starts only as a whole. What runs of such a gang is stopped now once the tasks are settled, or as it is listed. Its task stays placed until the end is listed, so that it starts nowhere else before.

A whole gang that is adopted runs on, as before.

--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -357,6 +357,9 @@
         task.host = host.name
         task.move("adopt")
         step.job.has_started = True
+        if step.spec.gang and step.waiting_count:
+            # Another member has no run, and the gang starts only as a whole.
+            return run, self.stop(host, run, "gang lost a member")
         return run, []
 
     def _end_absent_runs(
--- a/siskinroad/work/run_monitor.py
+++ b/siskinroad/work/run_monitor.py
@@ -90,7 +90,7 @@
     def check_runs(self, now: float, wall: float) -> list[Effect]:
         """Check every host and return the commands that stop or throttle its runs."""
         self.pool_state.speed_estimates.host_speeds.compare_if_due(now)
-        effects: list[Effect] = []
+        effects = self.pool_state.stop_parts_of_gangs()
         for host in list(self.pool_state.hosts.values()):
             if host.runs:
                 effects += self._check_host(host, now)
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -19,7 +19,7 @@
 from siskinroad.work.effects import Effect, ReconcileHost, StopRun
 from siskinroad.work.failing_hosts import FailingHosts
 from siskinroad.work.host import Host, Run, RunIndex
-from siskinroad.work.job import Job, JobState, PresumedEnd, Task
+from siskinroad.work.job import Job, JobState, PresumedEnd, StepRun, Task
 from siskinroad.work.job_table import JobTable
 from siskinroad.work.model import Configuration, HostEntry, TaskId
 from siskinroad.work.unsettled_use import sum_unsettled
@@ -110,6 +110,7 @@
         self.crash_tracker = CrashTracker(self.hosts, self.step, self.dirty.add)
         self.account_use: AccountUse | None = None
         self._unsettled_use: dict[str, Resources] = {}
+        self._settled_gangs: list[StepRun] = []
         self.failing_hosts = FailingHosts()
 
     # Client accounts
@@ -351,6 +352,8 @@
                         task.run = max(task.run, first_run) + MAX_UNSTORED_RUNS
                         task.move("settle")
                         count += 1
+                if step.spec.gang and step.waiting_count:
+                    self._settled_gangs.append(step)
         log.info(
             "pool_state: runs of former owners are reconciled or lapsed; "
             "unsettled tasks may be placed",
@@ -364,6 +367,20 @@
         )
         return True
 
+    def stop_parts_of_gangs(self) -> list[Effect]:
+        """Stop what runs of the gangs of which a member was settled without a run.
+
+        The former owner had not started that member, or knew its end. The others wait
+        for it, and the gang starts anew only once none of them runs.
+        """
+        effects: list[Effect] = []
+        for step in self._settled_gangs:
+            for host, run in self.run_index.find_runs(step.job.id):
+                if run.step == step.key:
+                    effects += self.stop(host, run, "gang lost a member")
+        self._settled_gangs.clear()
+        return effects
+
     def list_unsettled_hosts(self) -> list[str]:
         """Return the sorted names of the former owner's hosts that are not settled."""
         return sorted(
