Ask a usual host again before a step uses a quarantined one

After a single rejected ticket of its usual host a step counted as one that no other host holds, and started at once on a quarantined host that may fail it: it used up an attempt. The usual host is asked about again at once, so it counts until it has rejected two in a row.

--- a/siskinroad/work/sole_hosts.py
+++ b/siskinroad/work/sole_hosts.py
@@ -114,14 +114,17 @@
 def _has_other_host(step: StepRun, usual_hosts: SchedulableHosts, queue: Queue) -> bool:
     """Return whether a host that is not in quarantine may run a step's tasks.
 
-    One that has rejected the step's newest ticket does not count until it accepts one.
+    One that has rejected two tickets of the step in a row does not count until it
+    accepts one. After the first rejection it is asked about again at once.
     """
     names = usual_hosts.find_capable_hosts(step).names
     if queue.advice is None:
         return bool(names)
     if not names.isdisjoint(step.tickets):
         return True
-    return not names <= step.advice.answered | step.advice.rejections.keys()
+    rejections = step.advice.rejections
+    rejecting = {name for name, each in rejections.items() if each.count > 1}
+    return not names <= step.advice.answered | rejecting
 
 
 def _is_allowed(step: StepRun, host: Host, queue: Queue) -> bool:
