Let a quarantined host rest after runs that stall there

A quarantined host is given to a step that others do not hold once it has failed nothing for 2 s. Runs that were stopped there for want of progress did not count, so that the next step started 0.1 s after them. They count now.

--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -266,7 +266,8 @@
     quarantined_until : float
         Loop time at which the quarantine ends.
     quarantine_evidence_at : float
-        Loop time at which the quarantine began, or a run last failed during it.
+        Loop time at which the quarantine began, or a run last failed or stalled
+        during it.
     trial_run, trial_until : tuple or None, float
         Key of the newest run on trial, and the loop time until which no run is started
         beside it.
--- a/siskinroad/work/run_monitor.py
+++ b/siskinroad/work/run_monitor.py
@@ -147,6 +147,8 @@
             if task is not None:
                 task.avoided_hosts[host.name] = now
             effects += self.pool_state.stop(host, run, "no progress")
+        if stalled and host.is_quarantined:
+            host.quarantine_evidence_at = now
         if len(stalled) >= QUARANTINE_STALLED_RUNS:
             self._quarantine_host(host, now, STALL_QUARANTINE_S, "stalls")
         return effects
