Guard the stops of a gang after a start without a reply

A start of a gang that got no reply ends by a replaced host, by its lease or by a report; in each case the other member is stopped, and after a restart of all hosts the gang starts anew as a whole.

--- a/tests/work/test_gang_states.py
+++ b/tests/work/test_gang_states.py
@@ -148,3 +148,56 @@
     stopped = {e.run.key[0] for e in effects if isinstance(e, StopRun)}
     assert TaskId("j", 0, 1, 0) not in stopped
     assert len(stopped) == 1
+
+
+def begin_gang_without_a_reply():
+    """Return a pool where one start of a gang has no reply, and both members."""
+    pool_state = make_pool_state(job(GANG), HOSTS)
+    for start in plan_starts(pool_state):
+        host = pool_state.hosts[start.host]
+        if host.name == "i-0":
+            pool_state.note_start_without_reply(host, start.run, 0.5)
+        else:
+            pool_state.apply_start_reply(host, start.run, None, 0.1)
+    pool_state.note_unclaimed(0.0)
+    return pool_state, find_member(pool_state, "i-0"), find_member(pool_state, "i-1")
+
+
+def end_by_replacement(pool_state):
+    pool_state.note_unclaimed(100.0)
+    return pool_state.replace_host(pool_state.hosts["i-0"], 1.0)
+
+
+def end_by_lease(pool_state):
+    pool_state.note_host_unlisted("i-0", 1.0)
+    host = pool_state.hosts["i-0"]
+    pool_state.note_unclaimed(100.0)
+    host.unanswered_renewal_at = 90.0
+    return pool_state.expire_silent_hosts(90.0)
+
+
+def end_by_report(pool_state):
+    return send_report(pool_state, "i-0", 1.0)
+
+
+@pytest.mark.parametrize("end", [end_by_replacement, end_by_lease, end_by_report])
+def test_the_rest_of_a_gang_is_stopped_as_a_start_without_a_reply_is_lost(end):
+    pool_state, lost, other = begin_gang_without_a_reply()
+    assert pool_state.hosts["i-0"].runs[lost.id, 1].state == "doubtful"
+    effects = end(pool_state)
+    assert lost.state == "waiting"
+    assert [each.run.key for each in effects if isinstance(each, StopRun)] == [
+        (other.id, 1)
+    ]
+
+
+def test_a_gang_waits_for_no_ends_after_a_restart_of_both_hosts():
+    # Both hosts restart, as all machines did: the runs of before are gone with them.
+    pool_state = start_gang()
+    pool_state.note_unclaimed(100.0)
+    for name in HOSTS:
+        send_report(pool_state, name, 1.0, incarnation_ms=2)
+    pool_state.note_unclaimed(100.0)
+    starts = plan_starts(pool_state, 1.1)
+    assert {start.run.key[1] for start in starts} == {2}
+    assert len(starts) == 2
