--- a/tests/work/test_gang_waiting.py
+++ b/tests/work/test_gang_waiting.py
@@ -12,8 +12,9 @@
 from siskinroad.work.hosts import EndKind, HostReport, RunEnd
 from siskinroad.work.model import Timing
 from siskinroad.work.planner import Planner
+from siskinroad.work.run_end_table import FAILING_QUARANTINE_S
 from siskinroad.work.run_monitor import RunMonitor
-from tests.work.cell import ADVISED, job, step
+from tests.work.cell import ADVISED, entry, job, step
 from tests.work.test_planner import (
     add_job,
     answer_advice,
@@ -235,3 +236,44 @@
     report = HostReport(2000, 1, (), (end,))
     state.apply_report(host, report, host.token, pool.now, pool.now, pool.now)
     assert host.is_quarantined
+
+
+def test_a_gang_behind_many_blocked_steps_asks_about_a_host_that_has_joined():
+    # A pass predicts free capacity for a few blocked steps only, and each has its turn.
+    pool = Pool(NAMES)
+    state = pool.pool_state
+    take(pool, "i-0", cpu_milli=20000)
+    for i in range(9):
+        spec = job(step(1, cpu_milli=20000))
+        blocked = add_job(state, f"blocked-{i}", spec, "advised", at=pool.now)
+        blocked.steps[0, 0].advice.answered.update([*NAMES, "i-9"])
+        give_tickets(blocked, "i-0", until=1e9)
+    state.queues["low"] = replace(ADVISED, name="low", priority=2)
+    spec = job(step(2, cpu_milli=7000, gang=True))
+    gang = add_job(state, "gang", spec, "low", at=pool.now)
+    gang.steps[0, 0].advice.answered.update(NAMES)
+    give_tickets(gang, "i-0", until=1e9)
+    pool.run(TICK_S)
+    state.add_or_update_host(entry("i-9"), pool.now)
+    host = state.hosts["i-9"]
+    host.is_stored = True
+    report = HostReport(1000, 1, (), ())
+    state.apply_report(host, report, host.token, pool.now, pool.now, pool.now)
+    pool.allowed = {"i-9"}
+    pool.run(LIMIT_S + CALL_S)
+    assert pool.count_starts("gang") == 2
+
+
+def test_a_second_step_starts_on_the_only_allowed_host_while_it_is_in_quarantine():
+    # The pause of a quarantined host and its first run alone come one after the other.
+    pool = Pool(NAMES, allowed=["i-0"])
+    state = pool.pool_state
+    host = state.hosts["i-0"]
+    assert state.quarantine_host(host, FAILING_QUARANTINE_S, "failures", pool.now)
+    host.needs_probation = True
+    for name in ("first", "second"):
+        spec = job(step(1, cpu_milli=2000, estimate=10.0))
+        add_job(state, name, spec, "advised", at=pool.now)
+    pool.run(LIMIT_S + CALL_S)
+    assert pool.count_starts("first") == 1
+    assert pool.count_starts("second") == 1
