Let blocked steps take turns in asking about other hosts however rare passes are

Callers saw a gang wait without end beside a free host that had joined, as it stood behind eight blocked steps: a pass looks for hosts for eight of them and skipped only those that it had looked at in the last 0.1 s, so that passes further apart took the same eight again.

--- a/siskinroad/work/advice_requester.py
+++ b/siskinroad/work/advice_requester.py
@@ -91,6 +91,7 @@
         self._forecast = CapacityForecast(pool_state.speed_estimates)
         # Of the last planning pass.
         self._blocked_steps = 0
+        self._later_steps: set[tuple[str, int, int]] = set()
 
     def may_use_tickets(
         self, planning_pass: PlanningPass, step: StepRun, advice: Advice
@@ -178,6 +179,7 @@
         planning_pass.blocked_steps += 1
         if step.is_advice_pending:
             return
+        planning_pass.unasked_steps.append(step)
         if planning_pass.renewed_steps >= MAX_BLOCKED_STEP_REQUESTS:
             return
         if not self._may_examine(planning_pass, step, advice):
@@ -194,12 +196,23 @@
         """Return whether this pass may predict free capacity for a blocked step."""
         if planning_pass.examined_steps >= MAX_EXAMINED_STEPS:
             return False
-        is_crowded = self._blocked_steps > MAX_EXAMINED_STEPS
-        examined_s = planning_pass.now - step.advice.examined_at
-        if is_crowded and examined_s < EXAMINATION_INTERVAL_S - ROUNDING_S:
-            return False
+        if self._blocked_steps > MAX_EXAMINED_STEPS:
+            examined_s = planning_pass.now - step.advice.examined_at
+            if examined_s < EXAMINATION_INTERVAL_S - ROUNDING_S:
+                return False
+            if self._waits_for_turn(step):
+                return False
         return _has_free_channel(planning_pass, advice)
 
+    def _waits_for_turn(self, step: StepRun) -> bool:
+        """Return whether others that were blocked too were examined longer ago."""
+        return step.key in self._later_steps
+
+    def _choose_later_steps(self, blocked: list[StepRun]) -> None:
+        """Set the blocked steps that the next pass leaves to the ones after it."""
+        turns = sorted(blocked, key=lambda step: step.advice.examined_at)
+        self._later_steps = {step.key for step in turns[MAX_EXAMINED_STEPS:]}
+
     def _renew_before_capacity(
         self, planning_pass: PlanningPass, step: StepRun, advice: Advice
     ) -> None:
@@ -290,6 +303,7 @@
     def request_for_next_steps(self, planning_pass: PlanningPass) -> None:
         """Request advice for steps that become ready when the running ones end."""
         self._blocked_steps = planning_pass.blocked_steps
+        self._choose_later_steps(planning_pass.unasked_steps)
         self._forecast.keep_only(self.pool_state.hosts)
         for step in self.pool_state.ready.values():
             job = step.job
--- a/siskinroad/work/planning_pass.py
+++ b/siskinroad/work/planning_pass.py
@@ -72,6 +72,8 @@
         pass has predicted free capacity.
     trial_hosts : int
         Number of further hosts on which a run may be put on trial.
+    unasked_steps : list of StepRun
+        Those of the blocked steps that had no advice request in flight.
     deferred_steps : set of tuple
         Keys of the steps that are left to the next passes.
     ranked : list of RankedStep
@@ -99,6 +101,7 @@
     renewed_steps: int = 0
     blocked_steps: int = 0
     examined_steps: int = 0
+    unasked_steps: list[StepRun] = field(default_factory=list)
     deferred_steps: set[tuple[str, int, int]] = field(default_factory=set)
     ranked: list[RankedStep] = field(default_factory=list)
     limited_steps: set[tuple[str, int, int]] = field(default_factory=set)
