Give withheld hosts to steps that others do not hold

Callers saw a gang or a lasting task wait beside a free host for as long as a blocked large step withheld it: such a host was given only to a step that may use no others, so that one which needs it beside an open host got none. It is the cause that kept steps off quarantined hosts.

--- a/siskinroad/work/placement.py
+++ b/siskinroad/work/placement.py
@@ -60,12 +60,27 @@
     candidates = planning_pass.open_hosts.find_candidates(
         step, planning_pass.now, needs_ticket=needs_ticket
     )
-    if not candidates:
-        candidates = planning_pass.find_withheld_hosts(step, needs_ticket=needs_ticket)
+    placement = _place_on(planning_pass, step, candidates, cpu_milli, max_tasks)
+    if placement is not None:
+        return placement
+    withheld = planning_pass.find_withheld_hosts(step, needs_ticket=needs_ticket)
+    if not withheld:
+        return None
+    hosts = candidates | withheld
+    return _place_on(planning_pass, step, hosts, cpu_milli, max_tasks)
+
+
+def _place_on(
+    planning_pass: PlanningPass,
+    step: StepRun,
+    candidates: dict[Host, Resources],
+    cpu_milli: float,
+    max_tasks: int | None,
+) -> TentativePlacement | None:
+    """Place tasks on hosts with free capacity; None if too few fit."""
     if not candidates:
         return None
-    placer = _Placer(planning_pass, step, candidates, needs_ticket=needs_ticket)
-    placement = placer.place(cpu_milli, max_tasks)
+    placement = _Placer(planning_pass, step, candidates).place(cpu_milli, max_tasks)
     if len(placement.chosen) < (step.waiting_count if step.spec.gang else 1):
         return None
     return placement
@@ -88,11 +103,10 @@
         planning_pass: PlanningPass,
         step: StepRun,
         candidates: dict[Host, Resources],
-        *,
-        needs_ticket: bool,
     ) -> None:
         self._pass = planning_pass
-        self._needs_ticket = needs_ticket
+        queue = planning_pass.pool_state.queues[step.job.queue]
+        self._needs_ticket = queue.advice is not None
         self._step = step
         self._available = candidates
         self._placement = TentativePlacement()
--- a/siskinroad/work/planning_pass.py
+++ b/siskinroad/work/planning_pass.py
@@ -13,7 +13,7 @@
 from siskinroad.work.job import StepRun, Task
 from siskinroad.work.open_hosts import OpenHosts
 from siskinroad.work.pool_state import PoolState
-from siskinroad.work.schedulable_hosts import SchedulableHosts
+from siskinroad.work.schedulable_hosts import SchedulableHosts, is_mostly_free
 from siskinroad.work.waiting_order import RankedStep
 
 __all__ = [
@@ -117,10 +117,12 @@
     def find_withheld_hosts(
         self, step: StepRun, *, needs_ticket: bool
     ) -> dict[Host, Resources]:
-        """Return the withheld hosts that fit a task of a step that may use no others.
+        """Return the withheld hosts that fit a task of a step which others do not hold.
 
         The blocked step withholds them in each pass, so that the other one would wait
-        beside their free capacity for good. None until it has waited for a while.
+        beside their free capacity for good. None until it has waited for a while; then
+        those of a step that may use no others, and all of its hosts in a pool that is
+        mostly free or if it is long-running.
         """
         if not self.excluded_hosts:
             return {}
@@ -129,8 +131,10 @@
         names = self.schedulable_hosts.find_capable_hosts(step).names
         if needs_ticket:
             names = names & step.tickets.keys()
-        if not names or not names <= self.excluded_hosts:
+        has_others = not names <= self.excluded_hosts
+        if has_others and not (step.spec.long_running or self._is_mostly_free()):
             return {}
+        names = names & self.excluded_hosts
         hosts = self.schedulable_hosts.find_hosts(names)
         free = {h: h.free_capacity(step.key, self.now, step.rank) for h in hosts}
         return {
@@ -140,6 +144,9 @@
             and self.open_hosts.sole_hosts.allow(step, host)
         }
 
+    def _is_mostly_free(self) -> bool:
+        return is_mostly_free(self.schedulable_hosts.hosts)
+
     def may_try(self, task: Task) -> bool:
         """Return whether a task that needs a trial may get one now."""
         is_impatient = self.now - task.waiting_since > TRIAL_PATIENCE_S
--- a/siskinroad/work/schedulable_hosts.py
+++ b/siskinroad/work/schedulable_hosts.py
@@ -15,11 +15,14 @@
 from siskinroad.work.model import HostEntry
 from siskinroad.work.step_advice import Ticket
 
-__all__ = ["SchedulableHosts", "make_schedulable_hosts"]
+__all__ = ["SchedulableHosts", "is_mostly_free", "make_schedulable_hosts"]
 
 # Fraction of a host from which a task counts as large: gaps of that size are filled by
 # small tasks first, so that a large one may never fit.
 LARGE_TASK_FRACTION = 0.5
+# Fraction of the processors in use up to which a step that waits lacks hosts that it
+# may use, rather than capacity.
+MOSTLY_FREE_FRACTION = 0.5
 
 
 @dataclass(slots=True, frozen=True)
@@ -121,3 +124,12 @@
     positions = {entry.name: i for i, entry in enumerate(entries)}
     cpu_milli = sum(entry.capacity.cpu_milli for entry in entries)
     return SchedulableHosts(hosts, entries, positions, cpu_milli, shapes)
+
+
+def is_mostly_free(hosts: Iterable[Host]) -> bool:
+    """Return whether so few processors are in use that capacity is not short."""
+    capacity = used = 0
+    for host in hosts:
+        capacity += host.entry.capacity.cpu_milli
+        used += host.used.cpu_milli
+    return used <= MOSTLY_FREE_FRACTION * capacity
--- a/siskinroad/work/sole_hosts.py
+++ b/siskinroad/work/sole_hosts.py
@@ -16,7 +16,7 @@
 from siskinroad.work.host import Host
 from siskinroad.work.job import StepRun
 from siskinroad.work.model import Queue
-from siskinroad.work.schedulable_hosts import SchedulableHosts
+from siskinroad.work.schedulable_hosts import SchedulableHosts, is_mostly_free
 
 __all__ = ["SoleHosts", "find_sole_hosts"]
 
@@ -26,9 +26,6 @@
 SOLE_HOST_PAUSE_S = 2.0
 # Seconds of wait after which a step counts as one that its other hosts do not hold.
 OTHER_HOSTS_PATIENCE_S = 1.0
-# Fraction of the pool's processors in use up to which a step that waits lacks allowed
-# hosts rather than capacity. Long-running steps are placed however full the pool is.
-MAX_USED_FRACTION = 0.5
 
 StepKey = tuple[str, int, int]
 
@@ -73,7 +70,7 @@
     rested = [host for host in quarantined if _may_be_used(host, now)]
     if not rested:
         return SoleHosts()
-    has_room = _has_room(usual_hosts, rested)
+    has_room = is_mostly_free([*usual_hosts.hosts, *rested])
     steps_by_host: dict[str, set[StepKey]] = {}
     for step in steps:
         queue = queues.get(step.job.queue)
@@ -93,14 +90,6 @@
     return rested_s >= SOLE_HOST_PAUSE_S and host.is_usable(now)
 
 
-def _has_room(usual_hosts: SchedulableHosts, rested: list[Host]) -> bool:
-    """Return whether so little of the pool is in use that capacity is not short."""
-    hosts = [*usual_hosts.hosts, *rested]
-    capacity = sum(host.entry.capacity.cpu_milli for host in hosts)
-    used = sum(host.used.cpu_milli for host in hosts)
-    return used <= MAX_USED_FRACTION * capacity
-
-
 def _lacks_hosts(step: StepRun, now: float, *, has_room: bool) -> bool:
     """Return whether a step has waited although the pool has room for it.
 
