Keep a task's last attempt for a host that has not failed it

Callers saw a job fail that had another host: since rested quarantined hosts are given to steps whose other hosts are taken, a task used up three attempts in 6.3 s on a host that fails all, while its usual host was free at 8 s. The last attempt waits for another host now, where one may take the task.

--- a/siskinroad/work/sole_hosts.py
+++ b/siskinroad/work/sole_hosts.py
@@ -80,6 +80,8 @@
         if is_held_elsewhere and not _lacks_hosts(step, now, has_room=has_room):
             continue
         for host in rested:
+            if is_held_elsewhere and _keeps_last_attempt(step, host, queue):
+                continue
             if _is_allowed(step, host, queue):
                 steps_by_host.setdefault(host.name, set()).add(step.key)
     return SoleHosts([h for h in rested if h.name in steps_by_host], steps_by_host)
@@ -116,6 +118,19 @@
     return not names <= step.advice.answered | rejecting
 
 
+def _keeps_last_attempt(step: StepRun, host: Host, queue: Queue) -> bool:
+    """Return whether a task that failed on a host has its last attempt left.
+
+    Another host may take the task later, where this one would fail its job.
+    """
+    if step.spec.long_running:
+        return False
+    return any(
+        host.name in task.avoided_hosts and task.failure_count >= queue.max_attempts - 1
+        for task in step.iterate_waiting()
+    )
+
+
 def _is_allowed(step: StepRun, host: Host, queue: Queue) -> bool:
     """Return whether a host may run a step's tasks, or its advice is not known yet."""
     spec = step.spec
