Show that a gang of the cell file's way waits beside a host on probation

A host on probation takes one task at a time there, and a gang starts as a whole: one that needs two places on it waits until the probation ends by time.

--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -135,6 +135,26 @@
     assert now < 600
 
 
+def test_a_gang_starts_soon_after_the_quarantine_of_a_host_that_it_needs():
+    scheduler = make_scheduler(2)
+    health = scheduler.shard.health
+    for i in range(3):
+        health.observe("h1", f"done/{i}", True, 0.0, 2)
+        verdict = health.observe("h0", f"failed/{i}", False, 0.0, 2)
+    assert verdict is not None
+    scheduler.host_event("h0", verdict.event, 0.0)
+    started = start_effects(scheduler.submit(item(scheduler, "render", "g/0"), 0.0))
+    now = 0.0
+    while scheduler.shard.view("h0").state == "ejected":
+        now += 1.0
+        started += start_effects(scheduler.tick(now))
+    until = now + 5.0
+    while not started and now < until:
+        now += 1.0
+        started += start_effects(scheduler.tick(now))
+    assert len(started) == 1
+
+
 def test_gang_larger_than_the_pool_is_refused_at_once():
     scheduler = make_scheduler()
     [effect] = scheduler.submit(item(scheduler, "huge", "h/0"), 0.0)
