Bound what a daemon receives by the memory and the descriptors of its settings

Cause: the limits on bodies and connections were those of one connection. 100 bodies of 1 MiB, or 8 of 15 MiB at the readiness listener, took over twice memory_mb, and silent connections took all places. A body was read before its announced length was refused, and the configured limit on bodies was not applied.

Change: one budget of bytes for all bodies that a process receives and holds, from memory_mb; the oldest incomplete ones give way. Connections are limited by max_fds; for a new one the longest idle one is closed. A connection that gives way gets no answer: an earlier try of its request may have been accepted, so that 'not run' could be untrue.

--- a/siskinroad/work/workmetrics.py
+++ b/siskinroad/work/workmetrics.py
@@ -29,6 +29,12 @@
         self.refusals = Counter(
             "siskinroad_caller_refusals", "Refusals.", ("verb", "reason"), registry=reg
         )
+        self.http_refusals = Counter(
+            "siskinroad_http_refusals",
+            "Requests and connections refused before they reached a handler.",
+            ("reason",),
+            registry=reg,
+        )
         self.key_checks = Counter(
             "siskinroad_key_checks",
             "Checks of callers' keys.",
--- a/tests/test_httpd.py
+++ b/tests/test_httpd.py
@@ -14,6 +14,7 @@
     HttpServer,
     serve_connection,
 )
+from siskinroad.receive_budget import ReceiveBudget
 
 
 class FakeWriter:
@@ -127,3 +128,86 @@
     data = run_on_paused_clock(main())
     assert data.endswith(b"done")
     assert b"connection: close" in data
+
+
+def test_an_announced_body_over_the_limit_is_refused_before_it_is_read():
+    """Also behind ``Expect: 100-continue``, which must not be answered with 100."""
+    for extra in (b"", b"expect: 100-continue\r\n"):
+        head = b"POST /x HTTP/1.1\r\nhost: t\r\ncontent-length: 101\r\n" + extra
+        limits = HttpLimits(body_bytes=100)
+        data, counts = run_on_paused_clock(
+            exchange([head + b"\r\n"], limits, eof=False)
+        )
+        assert data.startswith(b"HTTP/1.1 413")
+        assert counts == ["body_too_large"]
+
+
+def run_server(scenario, **settings):
+    """Run a scenario with a server that echoes, and return what it counted."""
+    counts = []
+
+    async def main():
+        server = HttpServer(echo, count_refusal=counts.append, **settings)
+        address = await server.listen("127.0.0.1:0")
+        ip, _, port = address.partition(":")
+        try:
+            async with asyncio.timeout(30):
+                await scenario(lambda: asyncio.open_connection(ip, int(port)))
+        finally:
+            await server.close()
+
+    asyncio.run(main())
+    return counts
+
+
+async def ask(connect, body=b"hello"):
+    reader, writer = await connect()
+    writer.write(post(body))
+    data = await reader.readuntil(b"\r\n\r\n")
+    writer.close()
+    return data
+
+
+async def is_closed(reader):
+    try:
+        return await reader.read(1) == b""
+    except ConnectionError:
+        return True
+
+
+def test_a_new_connection_replaces_the_one_that_is_idle_for_longest():
+    async def scenario(connect):
+        first, second = await connect(), await connect()
+        assert (await ask(connect)).startswith(b"HTTP/1.1 200")
+        assert await is_closed(first[0])
+        second[1].write(post(b"still served"))
+        assert (await second[0].readline()).startswith(b"HTTP/1.1 200")
+
+    counts = run_server(scenario, limits=HttpLimits(connections=2))
+    assert counts.count("gave_way") >= 1
+
+
+def test_a_body_limit_by_path_is_applied_before_the_body_is_read():
+    async def scenario(connect):
+        assert (await ask(connect, b"y" * 50)).startswith(b"HTTP/1.1 200")
+        assert (await ask(connect, b"y" * 51)).startswith(b"HTTP/1.1 413")
+
+    run_server(scenario, body_limit=lambda method, path: 50 if path == "/x" else 0)
+
+
+def test_the_oldest_incomplete_body_gives_way_when_the_budget_is_used_up():
+    """It is closed without an answer: an earlier try of the request may have run."""
+
+    async def scenario(connect):
+        reader, writer = await connect()
+        writer.write(post(b"z" * 60_000)[:-1])
+        await writer.drain()
+        await asyncio.sleep(0.1)
+        assert (await ask(connect, b"y" * 60_000)).startswith(b"HTTP/1.1 200")
+        assert await is_closed(reader)
+        assert (await ask(connect)).startswith(b"HTTP/1.1 200")
+
+    budget = ReceiveBudget(70_000)
+    counts = run_server(scenario, budget=budget)
+    assert counts.count("gave_way") == 1
+    assert budget.used == 0
