Bound what a daemon of the cell file's way receives

Cause: each of 512 connections could hold a body of 16 MiB, checked against the workload's max_body only after it was read, and each of 64 for operators one of 8 MiB. Connections that said nothing locked other callers out.

Change: callers and operators share a budget of 64 MiB for bodies. The limit of a body follows from the path before it is read: max_body of the workload, 65,536 bytes for a job, 8 MiB for a cell file, 4,096 bytes for anything else; a larger one is refused with 413.

--- a/siskinroad/callers.py
+++ b/siskinroad/callers.py
@@ -9,6 +9,7 @@
 from siskinroad.cell import Workload
 from siskinroad.errors import Outcome, Reason, Refusal
 from siskinroad.httpd import HttpRequest, HttpResponse
+from siskinroad.jobs import MAX_PAYLOAD_BYTES
 from siskinroad.replies import json_response, refusal_response
 from siskinroad.request_handler import Request
 
@@ -22,6 +23,8 @@
 # Longest idempotency key, in characters. Keys are stored, so that a larger value costs
 # memory and log space; a smaller one refuses keys that callers use.
 MAX_KEY_CHARS = 128
+# Largest body in bytes of a request that needs none; it is ignored.
+MAX_OTHER_BODY = 4096
 
 log = logging.getLogger("siskinroad.callers")
 
@@ -38,6 +41,17 @@
     def __init__(self, daemon: Daemon) -> None:
         self.daemon = daemon
 
+    def limit_body(self, method: str, path: str) -> int:
+        """Return the largest body of a request, before it is read."""
+        cell = self.daemon.configuration.cell
+        match method, path.split("/", 4):
+            case _, ["", "v1", "services", name, *_] if cell is not None:
+                workload = cell.workloads.get(name)
+                return MAX_OTHER_BODY if workload is None else workload.max_body
+            case "POST", ["", "v1", "jobs", _]:
+                return MAX_PAYLOAD_BYTES
+        return MAX_OTHER_BODY
+
     async def handle(self, req: HttpRequest) -> HttpResponse:
         """Return the response to one request; report every failure as a refusal."""
         try:
--- a/siskinroad/listeners.py
+++ b/siskinroad/listeners.py
@@ -10,9 +10,11 @@
 from siskinroad.callers import CallerApi
 from siskinroad.entry import Daemon
 from siskinroad.httpd import HttpLimits, HttpServer
-from siskinroad.operators import OperatorApi
+from siskinroad.operators import MAX_CELL_BODY, OperatorApi
 from siskinroad.peers_zmq import ZmqTransport
 from siskinroad.platform_http import HttpPlatform
+from siskinroad.receive_budget import ReceiveBudget
+from siskinroad.refusal_log import RefusalLog
 from siskinroad.settings import Settings
 from siskinroad.upstreams_http import HttpUpstreamClient
 
@@ -22,10 +24,12 @@
 EXIT_DRAINED = 0
 EXIT_TIMEOUT = 6
 EXIT_KILLED = 7
-# Most bytes in the body of one request, so that none exhausts memory; a smaller value
-# refuses larger cell files (operators) or payloads (callers).
-MAX_OPERATOR_BODY = 8 << 20
+# Most bytes in the body of one request of a caller; a smaller value refuses bodies that
+# a cell file may allow.
 MAX_CALLER_BODY = 16 << 20
+# Most bytes of the bodies that are received and held at once, by all listeners; a
+# smaller value closes connections that send several of the largest bodies at once.
+RECEIVE_BUDGET = 64 << 20
 # Seconds for which the callers' listener stays open after the drain has begun, so that
 # load balancers see ``/readyz`` fail first. A smaller value breaks new connections.
 READINESS_DELAY = 1.0
@@ -53,15 +57,23 @@
             self.transport,
             rng,
         )
-        refusals = self.daemon.metrics.http_refusals.labels
-        limits = HttpLimits(connections=cfg.max_connections, body_bytes=MAX_CALLER_BODY)
+        budget = ReceiveBudget(RECEIVE_BUDGET)
+        refusals = RefusalLog(self.daemon.metrics.http_refusals, budget)
+        callers = CallerApi(self.daemon)
+        operators = OperatorApi(self.daemon)
         self.caller_http = HttpServer(
-            CallerApi(self.daemon).handle, limits, lambda reason: refusals(reason).inc()
+            callers.handle,
+            HttpLimits(connections=cfg.max_connections, body_bytes=MAX_CALLER_BODY),
+            refusals.count,
+            budget,
+            callers.limit_body,
         )
         self.operator_http = HttpServer(
-            OperatorApi(self.daemon).handle,
-            HttpLimits(connections=64, body_bytes=MAX_OPERATOR_BODY),
-            lambda reason: refusals(reason).inc(),
+            operators.handle,
+            HttpLimits(connections=64, body_bytes=MAX_CELL_BODY),
+            refusals.count,
+            budget,
+            operators.limit_body,
         )
         self.callers = ""
         self.operators = ""
--- a/siskinroad/operators.py
+++ b/siskinroad/operators.py
@@ -22,6 +22,9 @@
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 # Paths that are served without a token.
 OPEN_PATHS = ("/healthz", "/readyz", "/metrics")
+# Largest cell file, and largest body of another request, which needs none, in bytes.
+MAX_CELL_BODY = 8 << 20
+MAX_OTHER_BODY = 4096
 
 log = logging.getLogger("siskinroad.operators")
 
@@ -35,6 +38,10 @@
     def __init__(self, daemon: Daemon) -> None:
         self.daemon = daemon
 
+    def limit_body(self, method: str, path: str) -> int:
+        """Return the largest body of a request, before it is read."""
+        return MAX_CELL_BODY if path == "/v1/cell" else MAX_OTHER_BODY
+
     async def handle(self, req: HttpRequest) -> HttpResponse:
         """Return the response to one request."""
         if req.path not in OPEN_PATHS and not self._is_authorized(req):
