Ask again after 2 s at most about a host that rejects tickets

Callers saw a gang wait 4.3 s for a host that took tickets again: after five rejections in a row the pause before the next request was 4 s, and 3 s without a run are taken for a loss. The longest pause is 2 s now, so that it and the call stay below that.

--- a/siskinroad/work/step_advice.py
+++ b/siskinroad/work/step_advice.py
@@ -22,9 +22,10 @@
 TICKET_MARGIN = 0.2
 # Seconds before another request about a host that has rejected two tickets in a row.
 # Every further rejection doubles the pause up to the longest one, so that a host whose
-# clock is wrong does not occupy an advisor channel.
+# clock is wrong does not occupy an advisor channel. With the call after it, the longest
+# one stays below the 3 s after which callers take a job without a run for lost.
 FIRST_REJECTION_PAUSE_S = 0.5
-LONGEST_REJECTION_PAUSE_S = 4.0
+LONGEST_REJECTION_PAUSE_S = 2.0
 
 
 class Ticket(NamedTuple):
