Expect no capacity on hosts that a step may not use in quarantine

A quarantined host that one step may use counted as capacity to come for every step with a ticket for it. Only hosts that the step may use count now; the new test had no start within 1 s and has both.

--- a/siskinroad/work/capacity_forecast.py
+++ b/siskinroad/work/capacity_forecast.py
@@ -37,7 +37,7 @@
         count = step.waiting_count if step.spec.gang else 1
         now = planning_pass.now
         openings: list[tuple[float, Host]] = []
-        for host in planning_pass.schedulable_hosts.find_hosts(step.tickets):
+        for host in _find_allowed_hosts(planning_pass, step):
             times = self._predict_capacity_times(step, host, count, now, limit)
             openings += [(at, host) for at in times]
         openings.sort(key=lambda opening: opening[0])
@@ -52,7 +52,7 @@
         """Return whether allowed hosts should have capacity by loop time ``limit``."""
         now = planning_pass.now
         count = step.waiting_count if step.spec.gang else 1
-        for host in planning_pass.schedulable_hosts.find_hosts(step.tickets):
+        for host in _find_allowed_hosts(planning_pass, step):
             is_open = step.need.fits(host.free_capacity(step.key, now, step.rank))
             # Capacity that a single task cannot use now tells nothing of later.
             if is_open and not step.spec.gang:
@@ -89,6 +89,13 @@
         return times
 
 
+def _find_allowed_hosts(planning_pass: PlanningPass, step: StepRun) -> list[Host]:
+    """Return the hosts with a ticket, less those in quarantine for this step."""
+    sole_hosts = planning_pass.open_hosts.sole_hosts
+    hosts = planning_pass.schedulable_hosts.find_hosts(step.tickets)
+    return [host for host in hosts if sole_hosts.allow(step, host)]
+
+
 def _limit_to_spread(step: StepRun, host: Host, count: int) -> int:
     """Return how many of ``count`` more tasks the step's spread allows on a host."""
     spread = step.spec.spread
--- a/tests/work/test_rested_hosts.py
+++ b/tests/work/test_rested_hosts.py
@@ -7,6 +7,7 @@
 from siskinroad.work.run_end_table import FAILING_QUARANTINE_S
 from siskinroad.work.run_monitor import STALL_QUARANTINE_S, RunMonitor
 from tests.work.cell import job, step
+from tests.work.test_gang_waiting import Pool, take
 from tests.work.test_planner import add_job, give_tickets, make_pool_state
 
 TICK_S = 0.1
@@ -118,3 +119,27 @@
     second.steps[0, 0].advice.answered.update(["i-1", "i-2"])
     give_tickets(second, "i-0")
     assert accept_starts(pool_state, planner.plan(now, now), now) == []
+
+
+def test_a_gang_expects_no_capacity_on_a_quarantined_host_that_another_step_uses():
+    # Over half of the pool is in use. The other step may use i-0 only, which is too
+    # small for it; the gang has a ticket for i-0 too, and room on i-6 and i-7.
+    names = [f"i-{i}" for i in range(8)]
+    pool = Pool(names)
+    state = pool.pool_state
+    for name in names[1:6]:
+        take(pool, name)
+    assert state.quarantine_host(state.hosts["i-0"], 60.0, "failures", pool.now)
+    hopeless = add_job(
+        state, "other", job(step(3, cpu_milli=20000, gang=True)), "advised"
+    )
+    hopeless.steps[0, 0].advice.answered.update(names)
+    give_tickets(hopeless, "i-0", until=1e9)
+    pool.run(3.0)
+    spec = job(step(2, cpu_milli=8000, gang=True))
+    gang = add_job(state, "gang", spec, "advised", at=pool.now)
+    gang.steps[0, 0].ready_at = pool.now
+    give_tickets(gang, "i-0", until=pool.now + 1.0)
+    pool.run(1.0)
+    assert pool.count_starts("gang") == 2
+    assert pool.count_starts("other") == 0
