Stop no gang that has started as a whole since the takeover

The stop of parts of gangs came with the next check of runs, up to 0.1 s after the tasks were settled: a gang that started in between was stopped. Such a gang is left alone now. The new test had two stops and has none.

--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -375,6 +375,9 @@
         """
         effects: list[Effect] = []
         for step in self._settled_gangs:
+            if not step.waiting_count:
+                # It has been started as a whole since.
+                continue
             for host, run in self.run_index.find_runs(step.job.id):
                 if run.step == step.key:
                     effects += self.stop(host, run, "gang lost a member")
--- a/tests/work/test_gang_states.py
+++ b/tests/work/test_gang_states.py
@@ -91,6 +91,17 @@
     assert run_checks(successor, 1.2, running) == []
 
 
+def test_a_gang_that_starts_before_the_next_check_of_runs_is_not_stopped():
+    successor = make_successor(start_gang())
+    successor.note_unclaimed(0.0)
+    for name in HOSTS:
+        send_report(successor, name, 1.0)
+    successor.note_unclaimed(1.2)
+    assert successor.settle_tasks(1.2)
+    assert len(plan_starts(successor, 1.25)) == 2
+    assert RunMonitor(successor, Timing()).check_runs(1.3, 1.3) == []
+
+
 def test_a_member_that_is_listed_again_after_its_gang_has_ended_is_stopped():
     # Both runs were ended, and one of them is listed by a later report after all.
     pool_state = start_gang()
