Let pipelined requests take turns with other connections

Callers were locked out while 400 connections sent pipelined requests and read no answer: a request whose handler does not wait lets no other connection run, so that up to 16 KiB of them were served in one go for each connection. A connection with further requests in its buffer now lets the others run first.

tests/test_httpd.py: a request of another connection came after all 50 pipelined ones, and comes among the first ten.

--- a/siskinroad/http_server_connection.py
+++ b/siskinroad/http_server_connection.py
@@ -260,6 +260,8 @@
     async def _await_first_byte(self) -> None:
         data, closed = self.http.trailing_data
         if data or closed:
+            # Many pipelined requests must not hold up the other connections.
+            await asyncio.sleep(0)
             return
         self._parse(await self.reader.read(READ_BYTES))
 
--- a/tests/test_httpd.py
+++ b/tests/test_httpd.py
@@ -130,6 +130,29 @@
     assert b"connection: close" in data
 
 
+def test_pipelined_requests_take_turns_with_those_of_other_connections():
+    handled = []
+
+    async def note(req):
+        handled.append(req.path)
+        return HttpResponse(200)
+
+    async def main():
+        server = HttpServer(note)
+        ip, _, port = (await server.listen("127.0.0.1:0")).partition(":")
+        first = await asyncio.open_connection(ip, int(port))
+        second = await asyncio.open_connection(ip, int(port))
+        first[1].write(b"GET /first HTTP/1.1\r\nhost: t\r\n\r\n" * 50)
+        second[1].write(b"GET /second HTTP/1.1\r\nhost: t\r\n\r\n")
+        async with asyncio.timeout(30):
+            while handled.count("/first") < 50 or "/second" not in handled:
+                await asyncio.sleep(0.01)
+        await server.close()
+
+    asyncio.run(main())
+    assert handled.index("/second") < 10
+
+
 def test_an_announced_body_over_the_limit_is_refused_before_it_is_read():
     """Also behind ``Expect: 100-continue``, which must not be answered with 100."""
     for extra in (b"", b"expect: 100-continue\r\n"):
