--- a/tests/test_httpd.py
+++ b/tests/test_httpd.py
@@ -130,7 +130,7 @@
     assert b"connection: close" in data
 
 
-def test_pipelined_requests_take_turns_with_those_of_other_connections():
+def test_a_request_is_served_beside_pipelined_ones():
     handled = []
 
     async def note(req):
