Let pipelined requests take turns with those of other connections

Cause: a connection whose next request was already received went on without giving the loop to others, so that 400 connections that send requests ahead delayed an ordinary one beyond 3 s (a trial with 400 connections). A request's body was held, uncounted, while its response waited for a client that doesn't read.

Change: a turn of the loop after each request; the request is dropped before its response is sent. Tests of both, of the settings of memory and descriptors, and a further crowd: 100 bodies of 21,000 small steps, within the limit on bodies.

--- a/siskinroad/http_server_connection.py
+++ b/siskinroad/http_server_connection.py
@@ -144,6 +144,8 @@
         try:
             while await self._serve_one():
                 self.http.start_next_cycle()
+                # Requests that were sent ahead must not delay other connections.
+                await asyncio.sleep(0)
         finally:
             self._free_body()
 
@@ -187,6 +189,7 @@
             return False
         self._enter(Phase.BUSY)
         response = await self.handler(req)
+        del req  # its body is not counted while the response waits for its client
         self._free_body()
         self._enter(Phase.SENDING)
         await self._send(response)
--- a/tests/platform/test_clients_over_limits.py
+++ b/tests/platform/test_clients_over_limits.py
@@ -227,6 +227,14 @@
     run_crowd(tmp_path, lambda case: add_jobs(case, body, 100))
 
 
+def test_jobs_of_21000_small_steps_stay_within_the_memory(tmp_path):
+    # Their bodies are within the limit.
+    steps = b",".join([b'{"count":1}'] * 21_000)
+    body = b'{"spec":"s","phases":[' + steps + b"]}"
+    assert len(body) < MAX_BODY
+    run_crowd(tmp_path, lambda case: add_jobs(case, body, 100))
+
+
 def test_jobs_with_a_long_spec_are_refused_and_stay_within_the_memory(tmp_path):
     # 190 kB are within the limit on bodies, and far over that on a spec.
     phases = [{"count": 1, "cpu": 1}]
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -5,6 +5,7 @@
 import sys
 
 import pytest
+from siskinroad_platform.node import limit_connections
 from siskinroad_platform.settings import parse_platform_settings
 
 from siskinroad.errors import ConfigError
@@ -37,6 +38,23 @@
     assert cfg.timing.max_lease_s == 10.0 and cfg.grace == 6.0
 
 
+def test_limits_on_memory_and_descriptors_may_be_missing():
+    cfg = parse_platform_settings(SETTINGS, "s")
+    assert (cfg.memory_mb, cfg.max_fds) == (0.0, 0.0)
+    text = SETTINGS.replace("cores = 3", "memory_mb = 300\nmax_fds = 4100")
+    cfg = parse_platform_settings(text, "s")
+    assert (cfg.memory_mb, cfg.max_fds) == (300, 4100)
+
+
+@pytest.mark.parametrize(
+    ("max_fds", "connections"), [(0, 512), (4100, 512), (320, 60), (200, 1), (9, 1)]
+)
+def test_callers_have_half_of_the_descriptors_that_are_not_for_files(
+    max_fds, connections
+):
+    assert limit_connections(max_fds) == connections
+
+
 def test_processor_is_the_share_of_a_core_times_its_speed():
     # Of two daemons with equal shares, the one on the faster core can do more.
     assert parse_platform_settings(SETTINGS, "s").processor == 1.5
@@ -66,6 +84,8 @@
         ("grace_s = 6", 'grace_s = "6"', "bounds.grace_s"),
         ("cpu_share = 0.5", 'cpu_share = "0.5"', "limits.cpu_share"),
         ("cpu_share = 0.5", "cpu_share = -0.5", "limits.cpu_share"),
+        ("cpu_share = 0.5", 'memory_mb = "300"', "limits.memory_mb"),
+        ("cpu_share = 0.5", "max_fds = -1", "limits.max_fds"),
         ("cores = 3", "cores = nan", "limits.cores"),
         ("cores = 3", "cores = inf", "limits.cores"),
         ('address = "10.200.1.7:8142"', "", "platform.address"),
--- a/tests/test_httpd.py
+++ b/tests/test_httpd.py
@@ -195,6 +195,44 @@
     run_server(scenario, body_limit=lambda method, path: 50 if path == "/x" else 0)
 
 
+def test_pipelined_requests_take_turns_with_those_of_other_connections():
+    served = []
+
+    async def note(req):
+        served.append(req.path)
+        return HttpResponse(200)
+
+    async def serve(data):
+        reader = asyncio.StreamReader()
+        reader.feed_data(data)
+        reader.feed_eof()
+        await serve_connection(reader, FakeWriter(), note)  # type: ignore
+
+    async def main():
+        one = post(b"").replace(b"/x", b"/one")
+        await asyncio.gather(serve(post(b"") * 100), serve(one))
+
+    run_on_paused_clock(main())
+    assert len(served) == 101
+    assert served.index("/one") <= 2
+
+
+def test_a_response_that_is_not_read_holds_no_body_and_no_place():
+    async def scenario(connect):
+        reader, writer = await connect()
+        writer.write(post(b"z" * 20_000_000))
+        await writer.drain()
+        assert await reader.readexactly(8) == b"HTTP/1.1"
+        assert budget.used == 0
+        assert (await ask(connect)).startswith(b"HTTP/1.1 200")
+        writer.transport.abort()
+
+    budget = ReceiveBudget(30_000_000)
+    limits = HttpLimits(connections=1, body_bytes=30_000_000)
+    counts = run_server(scenario, limits=limits, budget=budget)
+    assert "gave_way" in counts
+
+
 def test_the_oldest_incomplete_body_gives_way_when_the_budget_is_used_up():
     """It is closed without an answer: an earlier try of the request may have run."""
 
