--- a/siskinroad/http_server_connection.py
+++ b/siskinroad/http_server_connection.py
@@ -144,8 +144,6 @@
         try:
             while await self._serve_one():
                 self.http.start_next_cycle()
-                # Requests that were sent ahead must not delay other connections.
-                await asyncio.sleep(0)
         finally:
             self._free_body()
 
