Sum up the use of the pool once in a planning pass

Each blocked step that asked for withheld hosts summed up all hosts again, up to 64 times 350 of them in a pass of an overloaded pool. A pass sums them up once, when it first asks. The tests of withheld hosts pass as before.

--- a/siskinroad/work/planning_pass.py
+++ b/siskinroad/work/planning_pass.py
@@ -108,6 +108,7 @@
     effects: list[Effect] = field(default_factory=list)
     _spread_demand: dict[Resources, dict[str, float]] | None = None
     _demand: dict[Host, float] = field(default_factory=dict)
+    _was_mostly_free: bool | None = None
 
     def exclude_host(self, host: Host) -> None:
         """Withhold a host from the steps after the present one."""
@@ -145,7 +146,10 @@
         }
 
     def _is_mostly_free(self) -> bool:
-        return is_mostly_free(self.schedulable_hosts.hosts)
+        """Return whether the pool was mostly free when this pass first asked."""
+        if self._was_mostly_free is None:
+            self._was_mostly_free = is_mostly_free(self.schedulable_hosts.hosts)
+        return self._was_mostly_free
 
     def may_try(self, task: Task) -> bool:
         """Return whether a task that needs a trial may get one now."""
