Give daemons of the crowd tests a loopback host of their own

The test picks free ports of 127.0.0.1 and starts stand-ins on any free port there before the daemon, so that one of these may get the same.

--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import socket
 import time
 from pathlib import Path
 
@@ -14,6 +15,7 @@
     "ask_until",
     "head",
     "open_sockets",
+    "own_addresses",
     "peak_mb",
 ]
 
@@ -39,6 +41,20 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
+def own_addresses(count):
+    """Return free addresses on a loopback host that nothing else on the machine uses.
+
+    On 127.0.0.1 a stand-in or a client may get one of the ports before the daemon does.
+    """
+    pid = os.getpid()
+    host = f"127.{1 + pid // 256 % 254}.{pid % 256}.9"
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in sockets:
+            sock.bind((host, 0))
+        return [f"{host}:{sock.getsockname()[1]}" for sock in sockets]
+
+
 def peak_mb(pid):
     """Return the most memory that a process has had, in MB; fails if it has ended."""
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
--- a/tests/test_clients_over_limits.py
+++ b/tests/test_clients_over_limits.py
@@ -19,11 +19,19 @@
 
 from bench.world import small_cell
 from siskinroad.cell import parse_cell
-from siskinroad.cluster import free_addresses
 from siskinroad.platform_memory import MemoryPlatformState
 from siskinroad.stand_in_servers import HostServer, PlatformServer
 from siskinroad.upstreams_memory import MemoryHost
-from tests.crowds import KIB, MIB, Crowd, ask_until, head, open_sockets, peak_mb
+from tests.crowds import (
+    KIB,
+    MIB,
+    Crowd,
+    ask_until,
+    head,
+    open_sockets,
+    own_addresses,
+    peak_mb,
+)
 
 pytestmark = pytest.mark.processes
 
@@ -47,7 +55,7 @@
         self.folder = folder
         self.text = small_cell(3, 0)
         self.hosts = []
-        self.callers, self.operators, self.peers = free_addresses(3)
+        self.callers, self.operators, self.peers = own_addresses(3)
 
     async def start(self):
         """Start the daemon and wait until it serves."""
