Do not give up a read of the store whose answer is arriving

A daemon with a small link read a large configuration again and again: each read was given up at its time limit of 1.2 s while its answer was arriving, and began again from its beginning.

A GET of the store now counts its time limit from the last bytes of a 200 answer, for up to 15 s in all. An answer that stands still, an error that trickles in, and a POST are given up as before. For a read that the store may hold open, the limit between two pieces is the one without the wait.

tests/platform/test_store.py, on real sockets: an answer that takes 8 s in pieces of 0.4 s was given up after 1.2 s, and is read whole now.

--- a/siskinroad/http_client.py
+++ b/siskinroad/http_client.py
@@ -14,6 +14,7 @@
 
 from siskinroad.errors import NotSentError, OutcomeUnknownError
 from siskinroad.fair_timeout import FairTimeout
+from siskinroad.http_arrival import ResponseArrival
 from siskinroad.http_connection import ClientConnection, ClientResponse
 
 __all__ = ["ClientResponse", "HttpPool"]
@@ -82,6 +83,7 @@
         timeout: float = 10.0,
         new_connection: bool = False,
         host: str = "",
+        arrival: ResponseArrival | None = None,
     ) -> ClientResponse:
         """Send one request and return its whole response.
 
@@ -95,6 +97,9 @@
             Whether to open a new connection instead of reusing one.
         host : str
             Value of the ``Host`` header; empty for the address.
+        arrival : ResponseArrival, optional
+            Record of the response's progress, whose limits let an arriving response
+            exceed the timeout. Only for a request that has no effect.
 
         Raises
         ------
@@ -123,7 +128,7 @@
             data = conn.encode(head, body)
             is_sent = True
             self.bytes_out += len(data)
-            response = await conn.exchange(data, deadline)
+            response = await conn.exchange(data, deadline, arrival)
         except TimeoutError:
             self._retire_connections(peer, conn)
             if not is_sent:
--- a/siskinroad/http_connection.py
+++ b/siskinroad/http_connection.py
@@ -12,10 +12,14 @@
 
 import h11
 
+from siskinroad.http_arrival import ResponseArrival
+
 __all__ = ["ClientConnection", "ClientResponse"]
 
 # Largest body of a response, so that a faulty peer cannot exhaust memory.
 MAX_RESPONSE_BYTES = 64 << 20
+# Status of a response whose body is what was requested.
+HTTP_OK = 200
 # Turns of the loop between a deadline and its error. A loop that was blocked finds the
 # timer and the response due at once: in the first turn it polls the sockets and reads
 # what has arrived, before the second one.
@@ -58,11 +62,14 @@
     """
 
     __slots__ = (
+        "_arrival",
         "_body",
         "_head",
         "_http",
         "_loop",
         "_poller",
+        "_sent_at",
+        "_timer",
         "_transport",
         "_waiter",
         "bytes_in",
@@ -80,8 +87,13 @@
         self._waiter: asyncio.Future[ClientResponse] | None = None
         self._head: h11.Response | None = None
         self._body = bytearray()
+        self._arrival: ResponseArrival | None = None
+        self._sent_at = 0.0
+        self._timer: asyncio.TimerHandle | None = None
 
-    async def exchange(self, data: bytes, deadline: float) -> ClientResponse:
+    async def exchange(
+        self, data: bytes, deadline: float, arrival: ResponseArrival | None = None
+    ) -> ClientResponse:
         """Send an encoded request and return its whole response.
 
         Parameters
@@ -91,6 +103,9 @@
         deadline : float
             Loop time in seconds after which the request is given up, unless its
             response has been received by then.
+        arrival : ResponseArrival, optional
+            Record of the response's progress, whose limits let an arriving response
+            exceed the deadline.
 
         Raises
         ------
@@ -100,8 +115,10 @@
             If the connection failed or was closed, or its data is not valid.
         """
         waiter: asyncio.Future[ClientResponse] = self._loop.create_future()
-        timer = self._loop.call_at(deadline, self._expire, waiter, TURNS_AFTER_DEADLINE)
+        self._start_timer(deadline, waiter)
         self._waiter = waiter
+        self._arrival = arrival
+        self._sent_at = self._loop.time()
         self._head = None
         self._body.clear()
         self.bytes_in = 0
@@ -109,8 +126,10 @@
         try:
             return await waiter
         finally:
-            timer.cancel()
+            if self._timer is not None:
+                self._timer.cancel()
             self._waiter = None
+            self._arrival = None
 
     def encode(self, head: h11.Request, body: bytes) -> bytes:
         """Return the bytes of a request; ``exchange`` sends them.
@@ -189,6 +208,7 @@
                 self._head = event
             case h11.Data():
                 self._body += event.data
+                self._note_arrival()
                 if len(self._body) > MAX_RESPONSE_BYTES:
                     self._fail(EOFError("response body too large"))
             case h11.EndOfMessage():
@@ -202,12 +222,34 @@
         response = ClientResponse(head.status_code, head.headers, bytes(self._body))
         self._waiter.set_result(response)
 
+    def _note_arrival(self) -> None:
+        """Record that bytes of a successful response have arrived.
+
+        Those of an error do not show that the peer carries the request out.
+        """
+        if self._arrival is None or self._head is None:
+            return
+        if self._head.status_code == HTTP_OK:
+            self._arrival.received_at = self._loop.time()
+
+    def _start_timer(
+        self, deadline: float, waiter: asyncio.Future[ClientResponse]
+    ) -> None:
+        self._timer = self._loop.call_at(
+            deadline, self._expire, waiter, TURNS_AFTER_DEADLINE
+        )
+
     def _expire(self, waiter: asyncio.Future[ClientResponse], turns: int) -> None:
         if waiter.done():
             return
         if turns > 0:
             self._loop.call_soon(self._expire, waiter, turns - 1)
             return
+        if self._arrival is not None:
+            deadline = self._arrival.find_deadline(self._sent_at)
+            if deadline > self._loop.time():
+                self._start_timer(deadline, waiter)
+                return
         waiter.set_exception(TimeoutError())
 
     def _is_waiting(self) -> bool:
--- /dev/null
+++ b/siskinroad/work/arriving_reads.py
@@ -0,0 +1,41 @@
+"""Reads of the store whose answers are arriving.
+
+On a small link the answer to a read takes longer than its time limit allows. Given up
+and begun again, it would never arrive, and keep the link from everything else.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from siskinroad.http_arrival import ResponseArrival
+
+__all__ = ["ArrivingReads"]
+
+# Seconds after which a read is given up though its answer is arriving.
+READ_TIME_LIMIT = 15.0
+
+
+class ArrivingReads:
+    """The open reads of one daemon by topic, with the progress of their answers."""
+
+    def __init__(self) -> None:
+        self._by_topic: dict[str, set[ResponseArrival]] = {}
+
+    @contextmanager
+    def track(self, topic: str, pause_limit: float) -> Iterator[ResponseArrival]:
+        """Track the read that the body makes.
+
+        Parameters
+        ----------
+        pause_limit : float
+            Seconds without further bytes after which the answer is given up.
+        """
+        arrival = ResponseArrival(pause_limit, READ_TIME_LIMIT)
+        arrivals = self._by_topic.setdefault(topic, set())
+        arrivals.add(arrival)
+        try:
+            yield arrival
+        finally:
+            arrivals.discard(arrival)
--- a/siskinroad/work/store.py
+++ b/siskinroad/work/store.py
@@ -141,7 +141,8 @@
     """Named partitions of keyed records.
 
     Every method raises ``StoreUnavailableError`` if the call had no effect, and
-    ``StoreUnknownError`` if its outcome is unknown. Timeouts are in seconds.
+    ``StoreUnknownError`` if its outcome is unknown. Timeouts are in seconds; a read
+    whose answer is arriving may exceed its timeout.
     """
 
     @abstractmethod
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,120 @@
+"""Reads of the store over small links: real sockets, on a paused clock."""
+
+import asyncio
+import struct
+
+import pytest
+from siskinroad_platform.store import PlatformStore, encode_records
+
+from bench.clock import run_on_paused_clock
+from siskinroad.http_client import HttpPool
+from siskinroad.work.store import Record, StoreUnavailableError, StoreUnknownError
+
+TIMEOUT_S = 1.2
+RECORDS = [Record(f"k{i}", b"v" * 1000) for i in range(20)]
+
+
+class PieceStore:
+    """Server that sends each answer in pieces, with a pause before each.
+
+    Parameters
+    ----------
+    pieces : int
+        Pieces that it sends of each answer.
+    """
+
+    def __init__(self, pause_s, pieces=20, status=200):
+        self.pause_s = pause_s
+        self.pieces = pieces
+        self.status = status
+        self.requests = []
+
+    async def open(self):
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        return PlatformStore(address, HttpPool())
+
+    async def _serve(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.requests.append(head.split(b" ", 2)[:2])
+        body = struct.pack(">QQ", len(RECORDS), 0) + encode_records(RECORDS)
+        size = len(body) // 20 + 1
+        head = f"HTTP/1.1 {self.status} X\r\ncontent-length: {len(body)}\r\n\r\n"
+        writer.write(head.encode())
+        for i in range(self.pieces):
+            await asyncio.sleep(self.pause_s)
+            writer.write(body[i * size : (i + 1) * size])
+        await asyncio.sleep(1e6)
+
+
+async def measure(coro):
+    """Return what a coroutine returns or raises, and the seconds until then."""
+    began = asyncio.get_running_loop().time()
+    try:
+        result = await coro
+    except (StoreUnavailableError, StoreUnknownError) as exc:
+        result = exc
+    return result, asyncio.get_running_loop().time() - began
+
+
+def test_a_read_whose_answer_keeps_arriving_is_not_given_up():
+    async def main():
+        store = await PieceStore(pause_s=0.4).open()
+        result, _ = await measure(store.read("t", 0, wait=0.0, timeout=TIMEOUT_S))
+        assert list(result.records) == RECORDS
+
+    run_on_paused_clock(main())
+
+
+@pytest.mark.parametrize("pieces", [0, 5])
+def test_a_read_whose_answer_stands_still_is_given_up(pieces):
+    async def main():
+        store = await PieceStore(pause_s=0.4, pieces=pieces).open()
+        result, took_s = await measure(store.read("t", 0, wait=0.0, timeout=TIMEOUT_S))
+        assert isinstance(result, StoreUnknownError)
+        assert took_s == pytest.approx(pieces * 0.4 + TIMEOUT_S)
+
+    run_on_paused_clock(main())
+
+
+def test_a_read_that_was_held_open_waits_no_longer_for_an_answer_that_stands_still():
+    async def main():
+        store = await PieceStore(pause_s=4.0, pieces=1).open()
+        result, took_s = await measure(
+            store.read("t", 0, wait=5.0, timeout=5.0 + TIMEOUT_S)
+        )
+        assert isinstance(result, StoreUnknownError)
+        assert took_s == pytest.approx(5.0 + TIMEOUT_S)
+
+    run_on_paused_clock(main())
+
+
+def test_a_read_whose_answer_trickles_in_is_given_up_in_the_end():
+    async def main():
+        store = await PieceStore(pause_s=1.0).open()
+        result, took_s = await measure(store.read("t", 0, wait=0.0, timeout=TIMEOUT_S))
+        assert isinstance(result, StoreUnknownError)
+        assert took_s == pytest.approx(15.0)
+
+    run_on_paused_clock(main())
+
+
+@pytest.mark.parametrize("status", [429, 503])
+def test_an_error_that_trickles_in_is_given_up_at_the_time_limit(status):
+    async def main():
+        store = await PieceStore(pause_s=0.4, status=status).open()
+        result, took_s = await measure(store.read("t", 0, wait=0.0, timeout=TIMEOUT_S))
+        assert isinstance(result, StoreUnknownError)
+        assert took_s == pytest.approx(TIMEOUT_S)
+
+    run_on_paused_clock(main())
+
+
+def test_an_append_is_given_up_at_its_time_limit_though_its_answer_arrives():
+    async def main():
+        store = await PieceStore(pause_s=0.4).open()
+        result, took_s = await measure(store.append("t", RECORDS, timeout=TIMEOUT_S))
+        assert isinstance(result, StoreUnknownError)
+        assert took_s == pytest.approx(TIMEOUT_S)
+
+    run_on_paused_clock(main())
