Take no further way for a read whose answer is arriving

A read counted as late 0.4 s beyond its wait, also while its answer was arriving, and went through two relays and directly again: on a small link the copies delayed each other, and none was whole within its time limit. At the store's return a read was begun again in the midst of its answer.

Store.is_arriving(topic) tells whether an answer is arriving: bytes of a 200 answer came within 0.4 s. ReadRace takes no further way while it is, and Follower.restart_read leaves such a read alone.

tests/platform/test_store.py: a read whose answer takes 6 s was relayed; it goes one way now, and so in the tests of the race and of the follower, which failed before (the latter got no record).

--- a/siskinroad/work/arriving_reads.py
+++ b/siskinroad/work/arriving_reads.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -15,6 +16,8 @@
 
 # Seconds after which a read is given up though its answer is arriving.
 READ_TIME_LIMIT = 15.0
+# Seconds without further bytes after which an answer counts as standing still.
+STILL_AFTER = 0.4
 
 
 class ArrivingReads:
@@ -39,3 +42,13 @@
             yield arrival
         finally:
             arrivals.discard(arrival)
+
+    def is_arriving(self, topic: str) -> bool:
+        """Return whether the answer to a read of a topic is arriving."""
+        arrivals = self._by_topic.get(topic, ())
+        return any(map(_is_arriving, arrivals))
+
+
+def _is_arriving(arrival: ResponseArrival) -> bool:
+    now = asyncio.get_running_loop().time()
+    return now - arrival.received_at <= STILL_AFTER
--- a/siskinroad/work/follower.py
+++ b/siskinroad/work/follower.py
@@ -103,8 +103,11 @@
         """Abandon the pending read and read again at once.
 
         Requests sent before an outage of the store are never answered, and each
-        would otherwise be waited for until its time limit.
+        would otherwise be waited for until its time limit. One whose answer is arriving
+        goes on.
         """
+        if self.store.is_arriving(self.topic):
+            return
         if self._read_timeout is not None and not self._read_timeout.expired():
             self._read_timeout.reschedule(-1)
 
--- a/siskinroad/work/read_race.py
+++ b/siskinroad/work/read_race.py
@@ -35,9 +35,23 @@
     def __init__(self) -> None:
         self._unneeded: set[asyncio.Task[Any]] = set()
 
-    async def run(self, ways: Sequence[Way[T]], wait: float) -> T:
+    async def run(
+        self,
+        ways: Sequence[Way[T]],
+        wait: float,
+        *,
+        is_arriving: Callable[[], bool] = lambda: False,
+    ) -> T:
         """Return the first answer, which may be an error that is one.
 
+        Parameters
+        ----------
+        wait : float
+            Seconds for which the first way may wait for a new record.
+        is_arriving : callable, optional
+            Returns whether the answer to a way that was taken is arriving: such a
+            read is not late.
+
         Raises
         ------
         StoreUnavailableError, StoreUnknownError
@@ -55,6 +69,8 @@
                 done = await _wait_for_any(
                     pending, late_after_s if taken < len(ways) else None
                 )
+                while not done and is_arriving():
+                    done = await _wait_for_any(pending, READ_LATE_AFTER)
                 pending -= done
                 # Each exception is retrieved, also those that are not raised.
                 failures = [task.exception() for task in done]
--- a/siskinroad/work/relay.py
+++ b/siskinroad/work/relay.py
@@ -147,7 +147,7 @@
     ) -> ReadResult:
         """Read records; see the base class."""
         call = ReadCall(topic, start, wait)
-        result = await self._race.run(self._list_ways(call, timeout), wait)
+        result = await self._run_race(call, timeout, wait)
         assert isinstance(result, ReadResult)
         return result
 
@@ -162,18 +162,31 @@
         recovered_at = self._recovered_at
         try:
             async with self._open_reads.track():
-                page = await self._race.run(self._list_ways(call, timeout), 0.0)
+                page = await self._run_race(call, timeout, 0.0)
         except (StoreUnavailableError, StoreUnknownError):
             if self._recovered_at == recovered_at:
                 raise
-            page = await self._race.run(self._list_ways(call, timeout), 0.0)
+            page = await self._run_race(call, timeout, 0.0)
         assert isinstance(page, NewestPage)
         return page
 
+    def is_arriving(self, topic: str) -> bool:
+        """Return whether the answer to a direct read is arriving."""
+        return self.direct.is_arriving(topic)
+
     async def close(self) -> None:
         """Close the connections to the store."""
         await self.direct.close()
 
+    async def _run_race(
+        self, call: ReadCall | NewestCall, timeout: float, wait: float
+    ) -> StoreAnswer:
+        return await self._race.run(
+            self._list_ways(call, timeout),
+            wait,
+            is_arriving=lambda: self.is_arriving(call.topic),
+        )
+
     async def _append(self, call: AppendCall, timeout: float) -> StoreAnswer:
         relay_peers = self._relay_peers()
         unknown_outcome: SiskinroadError | None = None
--- a/siskinroad/work/store.py
+++ b/siskinroad/work/store.py
@@ -191,6 +191,13 @@
     ) -> NewestPage:
         """Return a page of the newest record of each key that sorts after ``after``."""
 
+    def is_arriving(self, topic: str) -> bool:
+        """Return whether the answer to an open read of a topic is arriving.
+
+        Such a read is not late, and one that is sent beside it would only delay it.
+        """
+        return False
+
     async def close(self) -> None:
         """Close the connections to the store."""
         return None
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,6 +8,7 @@
 
 from bench.clock import run_on_paused_clock
 from siskinroad.http_client import HttpPool
+from siskinroad.work.relay import RelayStore
 from siskinroad.work.store import Record, StoreUnavailableError, StoreUnknownError
 
 TIMEOUT_S = 1.2
@@ -118,3 +119,36 @@
         assert took_s == pytest.approx(TIMEOUT_S)
 
     run_on_paused_clock(main())
+
+
+def test_a_read_is_arriving_from_its_first_bytes_until_it_stands_still():
+    async def main():
+        store = await PieceStore(pause_s=0.3, pieces=5).open()
+        read = asyncio.create_task(measure(store.read("t", 0, wait=0.0, timeout=2.0)))
+        seen = []
+        for _ in range(5):
+            await asyncio.sleep(0.45)
+            seen.append(store.is_arriving("t"))
+        assert seen == [True, True, True, True, False]
+        assert not store.is_arriving("other")
+        await read
+        assert not store.is_arriving("t")
+
+    run_on_paused_clock(main())
+
+
+def test_a_read_whose_answer_is_arriving_is_not_relayed():
+    """Relayed too, each copy of a large answer delays the others on a small link."""
+
+    class NoPeers:
+        async def request(self, peer, make_request, reply_type, timeout):
+            raise AssertionError("relayed")
+
+    async def main():
+        server = PieceStore(pause_s=0.3)
+        store = RelayStore(await server.open(), NoPeers(), lambda: ["peer"])
+        result = await store.read("t", 0, wait=0.0, timeout=TIMEOUT_S)
+        assert list(result.records) == RECORDS
+        assert (store.relayed_calls, len(server.requests)) == (0, 1)
+
+    run_on_paused_clock(main())
--- a/tests/work/test_follower.py
+++ b/tests/work/test_follower.py
@@ -123,3 +123,29 @@
         follower.restart_read()
 
     run_on_paused_clock(scenario())
+
+
+def test_restart_read_leaves_a_read_whose_answer_is_arriving():
+    """Begun again, a large answer on a small link would never be whole."""
+
+    class ArrivingStore(MemoryStore):
+        calls = 0
+
+        def is_arriving(self, topic):
+            return topic == "t"
+
+        async def read(self, topic, start, *, wait, timeout=1.0):
+            self.calls += 1
+            await asyncio.sleep(5.0)
+            return await super().read(topic, start, wait=0.0, timeout=timeout)
+
+    async def scenario():
+        store, seen = ArrivingStore(MemoryLogs()), []
+        follower, task = await start_follower(store, seen, 1.0)
+        await store.append("t", [Record("a", b"1")])
+        follower.restart_read()
+        await asyncio.sleep(4.5)
+        assert seen == ["a"]
+        task.cancel()
+
+    run_on_paused_clock(scenario())
--- a/tests/work/test_read_race.py
+++ b/tests/work/test_read_race.py
@@ -83,3 +83,28 @@
     ways = Ways((9.0, SILENT), (0.0, TrimmedError(7)))
     with pytest.raises(TrimmedError):
         run_race(ways)
+
+
+def test_a_read_whose_answer_is_arriving_goes_no_further_way():
+    """Several copies of one answer on a small link delay each other."""
+
+    async def scenario():
+        ways = Ways((WAIT_S + 8.0, None), (0.0, None))
+        answer = await ReadRace().run(ways.list_all(), WAIT_S, is_arriving=lambda: True)
+        assert (answer, ways.taken) == (0, [(0, WAIT_S)])
+
+    run_on_paused_clock(scenario())
+
+
+def test_a_read_whose_answer_stands_still_goes_the_next_way():
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        ways = Ways((20.0, None), (0.1, None))
+        answer = await ReadRace().run(
+            ways.list_all(), WAIT_S, is_arriving=lambda: loop.time() < began + 3.0
+        )
+        assert answer == 1
+        assert loop.time() - began < 3.0 + 2 * READ_LATE_AFTER
+
+    run_on_paused_clock(scenario())
