Ask the members again while a read of the claims is arriving

Reads whose answer is arriving may last up to 15 s. An owner that waited for one asked the other members once, 0.7 s after its start, and then only waited for the read: on a saturated link nothing confirmed its claim for as long as that, and leases would have expired.

ClaimConfirmer asks again, a second apart as before, until the read has ended. A test with a read of 15 s and members that answer the third time: asked once before, confirmed within 4 s now.

--- a/siskinroad/work/claim_confirmer.py
+++ b/siskinroad/work/claim_confirmer.py
@@ -93,9 +93,10 @@
             self._read = asyncio.create_task(self._follower.read_now())
             self._read_for = self._pool_state.claims.awaited_at
         await asyncio.wait({self._read}, timeout=READ_LATE_S)
-        if not self._read.done() and await self._confirm_by_members():
-            return True
-        await asyncio.wait({self._read})
+        while not self._read.done():
+            if await self._confirm_by_members():
+                return True
+            await asyncio.wait({self._read}, timeout=READ_LATE_S)
         read, self._read = self._read, None
         try:
             read.result()
--- a/tests/work/test_claim_confirmer.py
+++ b/tests/work/test_claim_confirmer.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import logging
+from types import SimpleNamespace
 
+from bench.clock import run_on_paused_clock
+from siskinroad.work.claim_confirmer import ClaimConfirmer
 from siskinroad.work.store_memory import MemoryStore
 from tests.work.cut_hosts import start_views
 from tests.work.test_daemon import run_scenario
@@ -62,3 +65,35 @@
         assert not cancelled
 
     run_scenario(scenario)
+
+
+def test_members_are_asked_again_while_the_answer_to_a_read_is_arriving():
+    # On a small link it may arrive for many seconds, in which leases would expire.
+    async def scenario():
+        asked_at = []
+
+        async def read_now():
+            await asyncio.sleep(15.0)
+
+        async def ask_members(pool, since, term):
+            asked_at.append(now())
+            return now() if len(asked_at) > 2 else None
+
+        claims = SimpleNamespace(unclaimed_at=-1e9, awaited_at=now(), is_awaited=True)
+        pool_state = SimpleNamespace(
+            pool="p", term=1, claims=claims, note_unclaimed=lambda at: None
+        )
+        follower = SimpleNamespace(read_now=read_now, confirmed_at=-1.0)
+        confirmed_at = []
+        confirmer = ClaimConfirmer(
+            pool_state, follower, ask_members, lambda: confirmed_at.append(now())
+        )
+        began = now()
+        confirmer.request()
+        task = asyncio.create_task(confirmer.run())
+        await asyncio.sleep(5.0)
+        assert len(asked_at) == 3
+        assert confirmed_at and confirmed_at[0] - began < 4.0
+        task.cancel()
+
+    run_on_paused_clock(scenario())
