Probe a silent store with reads of the least length

While the store was silent to it, a daemon read the members' topic from its first record four times a second, and each relayed read had a whole direct one beside it as its probe: up to a megabyte each on a small link, of which the answers were dropped.

Store.probe asks for the least (max_fetch_kb=1), and none is sent by StoreProbe while the answer to a direct read is arriving: such a store is not silent. A fenced append that is relayed is still its own probe.

tests/platform/test_store.py and tests/work/test_store_outages.py failed before: probes asked for everything, and were sent in any case.

--- a/siskinroad/work/arriving_reads.py
+++ b/siskinroad/work/arriving_reads.py
@@ -43,10 +43,14 @@
         finally:
             arrivals.discard(arrival)
 
-    def is_arriving(self, topic: str) -> bool:
-        """Return whether the answer to a read of a topic is arriving."""
-        arrivals = self._by_topic.get(topic, ())
-        return any(map(_is_arriving, arrivals))
+    def is_arriving(self, topic: str | None = None) -> bool:
+        """Return whether the answer to a read of a topic, or of any, is arriving."""
+        topics = self._by_topic if topic is None else (topic,)
+        return any(
+            _is_arriving(arrival)
+            for each in topics
+            for arrival in self._by_topic.get(each, ())
+        )
 
 
 def _is_arriving(arrival: ResponseArrival) -> bool:
--- a/siskinroad/work/relay.py
+++ b/siskinroad/work/relay.py
@@ -18,7 +18,7 @@
 import functools
 import logging
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -71,6 +71,7 @@
 
 # Takes the seconds for which the store may wait for a new record.
 ReadWay = Callable[[float], Coroutine[Any, Any, StoreAnswer]]
+T = TypeVar("T")
 
 
 class RelayStore(Store):
@@ -170,7 +171,7 @@
         assert isinstance(page, NewestPage)
         return page
 
-    def is_arriving(self, topic: str) -> bool:
+    def is_arriving(self, topic: str | None = None) -> bool:
         """Return whether the answer to a direct read is arriving."""
         return self.direct.is_arriving(topic)
 
@@ -252,9 +253,12 @@
 
         That a call from before the store's return fails says nothing of it now.
         """
+        return await self._record_outcome(make_call(self.direct, call, timeout))
+
+    async def _record_outcome(self, call: Coroutine[Any, Any, T]) -> T:
         sent_at = asyncio.get_running_loop().time()
         try:
-            answer = await make_call(self.direct, call, timeout)
+            answer = await call
         except (OffsetMismatchError, FencedError, TrimmedError):
             self.record_direct_answer()
             raise
@@ -292,8 +296,8 @@
     def _probe_direct(self, call: StoreCall, timeout: float) -> None:
         """Start a direct call in the background to detect that the store answers again.
 
-        The same call is relayed too, so it must be harmless to repeat; the probe's
-        result is discarded.
+        An append that is relayed too must be harmless to repeat; the probe's result is
+        discarded.
         """
         loop = asyncio.get_running_loop()
         if loop.time() < self._next_probe_at:
@@ -302,7 +306,7 @@
 
         async def probe() -> None:
             try:
-                await self._call_direct(call, timeout)
+                await self._record_outcome(self._make_probe(call, timeout))
             except SiskinroadError as exc:
                 log.debug(
                     "relay: direct store call still fails", extra={"error": str(exc)}
@@ -312,6 +316,16 @@
         self._probe_tasks.add(task)
         task.add_done_callback(self._probe_tasks.discard)
 
+    async def _make_probe(self, call: StoreCall, timeout: float) -> None:
+        """Make a direct call that shows whether the store answers such calls.
+
+        A whole answer to a read would fill a small link.
+        """
+        if isinstance(call, AppendCall):
+            await make_call(self.direct, call, timeout)
+        else:
+            await self.direct.probe(call.topic, timeout=timeout)
+
     async def _call_through_peer(
         self,
         call: StoreCall,
--- a/siskinroad/work/store.py
+++ b/siskinroad/work/store.py
@@ -191,10 +191,25 @@
     ) -> NewestPage:
         """Return a page of the newest record of each key that sorts after ``after``."""
 
-    def is_arriving(self, topic: str) -> bool:
-        """Return whether the answer to an open read of a topic is arriving.
+    async def probe(self, topic: str, *, timeout: float = 1.0) -> None:
+        """Return once the store has answered a read of a topic, and drop the answer.
+
+        Raises
+        ------
+        TrimmedError
+            As from ``read``; it is an answer too.
+        """
+        await self.read(topic, 0, wait=0.0, timeout=timeout)
+
+    def is_arriving(self, topic: str | None = None) -> bool:
+        """Return whether the answer to an open read is arriving.
 
         Such a read is not late, and one that is sent beside it would only delay it.
+
+        Parameters
+        ----------
+        topic : str, optional
+            The topic of the read; by default any.
         """
         return False
 
--- a/siskinroad/work/store_probe.py
+++ b/siskinroad/work/store_probe.py
@@ -61,7 +61,7 @@
         try:
             while True:
                 await asyncio.sleep(PROBE_INTERVAL)
-                if loop.time() - self._direct_answer_at() >= SILENCE_LIMIT:
+                if self._is_silent(loop.time()):
                     probe = loop.create_task(self._probe())
                     self._probes.add(probe)
                     probe.add_done_callback(self._probes.discard)
@@ -69,9 +69,14 @@
             for probe in self._probes:
                 probe.cancel()
 
+    def _is_silent(self, now: float) -> bool:
+        if self._store.is_arriving():
+            return False
+        return now - self._direct_answer_at() >= SILENCE_LIMIT
+
     async def _probe(self) -> None:
         try:
-            await self._store.read(self._topic, 0, wait=0.0, timeout=PROBE_TIMEOUT)
+            await self._store.probe(self._topic, timeout=PROBE_TIMEOUT)
         except TrimmedError:
             self._on_answer()
         except SiskinroadError as exc:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,7 +9,9 @@
 from bench.clock import run_on_paused_clock
 from siskinroad.http_client import HttpPool
 from siskinroad.work.relay import RelayStore
+from siskinroad.work.relay_codec import NewestCall, ReadCall
 from siskinroad.work.store import Record, StoreUnavailableError, StoreUnknownError
+from siskinroad.work.store_probe import StoreProbe
 
 TIMEOUT_S = 1.2
 RECORDS = [Record(f"k{i}", b"v" * 1000) for i in range(20)]
@@ -36,16 +38,17 @@
         return PlatformStore(address, HttpPool())
 
     async def _serve(self, reader, writer):
-        head = await reader.readuntil(b"\r\n\r\n")
-        self.requests.append(head.split(b" ", 2)[:2])
         body = struct.pack(">QQ", len(RECORDS), 0) + encode_records(RECORDS)
         size = len(body) // 20 + 1
         head = f"HTTP/1.1 {self.status} X\r\ncontent-length: {len(body)}\r\n\r\n"
-        writer.write(head.encode())
-        for i in range(self.pieces):
-            await asyncio.sleep(self.pause_s)
-            writer.write(body[i * size : (i + 1) * size])
-        await asyncio.sleep(1e6)
+        while req := await reader.readuntil(b"\r\n\r\n"):
+            self.requests.append(req.split(b" ", 2)[:2])
+            writer.write(head.encode())
+            for i in range(self.pieces):
+                await asyncio.sleep(self.pause_s)
+                writer.write(body[i * size : (i + 1) * size])
+            if self.pieces < 20:
+                await asyncio.sleep(1e6)
 
 
 async def measure(coro):
@@ -152,3 +155,23 @@
         assert (store.relayed_calls, len(server.requests)) == (0, 1)
 
     run_on_paused_clock(main())
+
+
+def test_a_probe_asks_for_the_least():
+    """Probes of whole topics, four a second, filled small links in an outage."""
+
+    async def main():
+        server = PieceStore(pause_s=0.01)
+        store = await server.open()
+        await StoreProbe(store, "t", lambda: 0.0, lambda: None)._probe()
+        relay = RelayStore(store, None, list)
+        relay._probe_direct(ReadCall("t", 7, 1.0), 1.0)
+        relay._next_probe_at = 0.0
+        relay._probe_direct(NewestCall("t", ""), 1.0)
+        await asyncio.sleep(1.0)
+        assert len(server.requests) == 3
+        for _, target in server.requests:
+            assert target.startswith(b"/log-read?")
+            assert b"&from=0&max_fetch_kb=1" in target
+
+    run_on_paused_clock(main())
--- a/tests/work/test_follower.py
+++ b/tests/work/test_follower.py
@@ -131,7 +131,7 @@
     class ArrivingStore(MemoryStore):
         calls = 0
 
-        def is_arriving(self, topic):
+        def is_arriving(self, topic=None):
             return topic == "t"
 
         async def read(self, topic, start, *, wait, timeout=1.0):
--- a/tests/work/test_store_outages.py
+++ b/tests/work/test_store_outages.py
@@ -247,6 +247,32 @@
     run_on_paused_clock(scenario())
 
 
+def test_a_store_whose_answer_is_arriving_is_not_probed():
+    # A small link that large answers fill for seconds is no outage.
+    class ArrivingStore(MemoryStore):
+        arrives = True
+        probed = 0
+
+        def is_arriving(self, topic=None):
+            return self.arrives
+
+        async def probe(self, topic, *, timeout=1.0):
+            self.probed += 1
+
+    async def scenario():
+        store = ArrivingStore(MemoryLogs())
+        probe = StoreProbe(store, "t", lambda: -10.0, lambda: None)
+        task = asyncio.create_task(probe.run())
+        await asyncio.sleep(5.05)
+        assert store.probed == 0
+        store.arrives = False
+        await asyncio.sleep(1.0)
+        assert store.probed == 4
+        task.cancel()
+
+    run_on_paused_clock(scenario())
+
+
 def test_only_old_appends_end_at_the_return_of_the_store():
     async def scenario():
         appends = OpenCalls()
