Count the bytes of an answer that is arriving as an answer

A daemon whose link was full of large answers concluded that the store was silent: only a whole answer counted. It relayed its calls, refused callers, told its peers that it did not reach the store, and found the store back each time that an answer was whole, at which it ended its open appends and began its reads again.

Each piece of the body of a 200 answer to a direct read now counts as an answer of the store, the first after an outage too. At the store's return a read of the newest records is left alone while its answer is arriving.

tests/platform/test_store.py: beside an answer that takes 6 s in pieces of 0.3 s the last answer was 5.4 s old at the first check; it is less than 0.5 s old throughout now, and the return is noticed at the first piece.

--- a/siskinroad/http_arrival.py
+++ b/siskinroad/http_arrival.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass
 
 __all__ = ["ResponseArrival"]
@@ -20,11 +21,25 @@
         Seconds after the request at which a response is given up though it arrives.
     received_at : float
         Loop time at which the last bytes arrived; negative infinity before the first.
+    on_received : callable
+        Called when bytes have arrived.
     """
 
     pause_limit: float
     time_limit: float
     received_at: float = -math.inf
+    on_received: Callable[[], None] = lambda: None
+
+    def note_received(self, now: float) -> None:
+        """Note that bytes have arrived.
+
+        Parameters
+        ----------
+        now : float
+            Loop time in seconds.
+        """
+        self.received_at = now
+        self.on_received()
 
     def find_deadline(self, sent_at: float) -> float:
         """Return the loop time until which the response may be waited for.
--- a/siskinroad/http_connection.py
+++ b/siskinroad/http_connection.py
@@ -230,7 +230,7 @@
         if self._arrival is None or self._head is None:
             return
         if self._head.status_code == HTTP_OK:
-            self._arrival.received_at = self._loop.time()
+            self._arrival.note_received(self._loop.time())
 
     def _start_timer(
         self, deadline: float, waiter: asyncio.Future[ClientResponse]
--- a/siskinroad/work/arriving_reads.py
+++ b/siskinroad/work/arriving_reads.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 from siskinroad.http_arrival import ResponseArrival
@@ -21,9 +21,16 @@
 
 
 class ArrivingReads:
-    """The open reads of one daemon by topic, with the progress of their answers."""
+    """The open reads of one daemon by topic, with the progress of their answers.
+
+    Attributes
+    ----------
+    on_received : callable
+        Called when bytes of an answer have arrived.
+    """
 
     def __init__(self) -> None:
+        self.on_received: Callable[[], None] = lambda: None
         self._by_topic: dict[str, set[ResponseArrival]] = {}
 
     @contextmanager
@@ -35,7 +42,9 @@
         pause_limit : float
             Seconds without further bytes after which the answer is given up.
         """
-        arrival = ResponseArrival(pause_limit, READ_TIME_LIMIT)
+        arrival = ResponseArrival(
+            pause_limit, READ_TIME_LIMIT, on_received=lambda: self.on_received()
+        )
         arrivals = self._by_topic.setdefault(topic, set())
         arrivals.add(arrival)
         try:
--- a/siskinroad/work/open_calls.py
+++ b/siskinroad/work/open_calls.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 from siskinroad.work.store import StoreUnknownError
@@ -25,11 +25,19 @@
 
     def __init__(self) -> None:
         self._sent_at: dict[asyncio.Timeout, float] = {}
+        self._is_arriving: dict[asyncio.Timeout, Callable[[], bool]] = {}
 
     @asynccontextmanager
-    async def track(self) -> AsyncIterator[None]:
+    async def track(
+        self, is_arriving: Callable[[], bool] = lambda: False
+    ) -> AsyncIterator[None]:
         """Track the call that the body makes.
 
+        Parameters
+        ----------
+        is_arriving : callable, optional
+            Returns whether the answer is arriving; such a call is not ended.
+
         Raises
         ------
         StoreUnknownError
@@ -39,6 +47,7 @@
         try:
             async with timeout:
                 self._sent_at[timeout] = asyncio.get_running_loop().time()
+                self._is_arriving[timeout] = is_arriving
                 yield
         except TimeoutError as exc:
             raise StoreUnknownError(
@@ -46,6 +55,7 @@
             ) from exc
         finally:
             self._sent_at.pop(timeout, None)
+            self._is_arriving.pop(timeout, None)
 
     def end_old(self) -> int:
         """End the calls that have been open for some time; return their number."""
@@ -53,7 +63,9 @@
         old = [
             timeout
             for timeout, sent_at in self._sent_at.items()
-            if now - sent_at >= MIN_OPEN_TIME and not timeout.expired()
+            if now - sent_at >= MIN_OPEN_TIME
+            and not timeout.expired()
+            and not self._is_arriving[timeout]()
         ]
         for timeout in old:
             timeout.reschedule(now)
--- a/siskinroad/work/relay.py
+++ b/siskinroad/work/relay.py
@@ -89,7 +89,7 @@
     Attributes
     ----------
     direct_answer_at : float
-        Loop time in seconds of the store's last direct reply.
+        Loop time in seconds of the store's last direct reply, or of bytes of one.
     relayed_answer_at : float
         Loop time in seconds of the store's last relayed reply.
     on_recovered : callable
@@ -104,6 +104,7 @@
         self, direct: Store, peer_calls: PeerCalls, relay_peers: Callable[[], list[str]]
     ) -> None:
         self.direct = direct
+        direct.watch_arrivals(self.record_direct_answer)
         self._peer_calls = peer_calls
         self._relay_peers = relay_peers
         self._direct_failed = False
@@ -162,7 +163,7 @@
         call = NewestCall(topic, after)
         recovered_at = self._recovered_at
         try:
-            async with self._open_reads.track():
+            async with self._open_reads.track(lambda: self.is_arriving(topic)):
                 page = await self._run_race(call, timeout, 0.0)
         except (StoreUnavailableError, StoreUnknownError):
             if self._recovered_at == recovered_at:
@@ -270,7 +271,11 @@
         return answer
 
     def record_direct_answer(self) -> None:
-        """Record a direct reply of the store; call ``on_recovered`` after an outage."""
+        """Record a direct reply of the store; call ``on_recovered`` after an outage.
+
+        The bytes of one that is arriving count: on a small link the whole reply may
+        take longer than the silence that shows an outage.
+        """
         self._direct_failed = False
         now = asyncio.get_running_loop().time()
         previous_answer_at = self.direct_answer_at
--- a/siskinroad/work/store.py
+++ b/siskinroad/work/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -213,6 +214,10 @@
         """
         return False
 
+    def watch_arrivals(self, on_received: Callable[[], None]) -> None:
+        """Call a function whenever bytes of the answer to a read have arrived."""
+        return None
+
     async def close(self) -> None:
         """Close the connections to the store."""
         return None
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -175,3 +175,30 @@
             assert b"&from=0&max_fetch_kb=1" in target
 
     run_on_paused_clock(main())
+
+
+def test_a_store_whose_answer_arrives_for_seconds_is_not_silent():
+    """Else the daemon would count an outage on a small link, and one more at its end.
+
+    The store is heard from the first bytes on; the read goes on, whatever its kind.
+    """
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        store = RelayStore(await PieceStore(pause_s=0.3).open(), None, list)
+        recovered_at = []
+        store.on_recovered = lambda: recovered_at.append(loop.time())
+        store.direct_answer_at = loop.time()
+        await asyncio.sleep(5.0)
+        began = loop.time()
+        read = asyncio.create_task(store.newest("t", timeout=TIMEOUT_S))
+        await asyncio.sleep(0.1)
+        for _ in range(19):
+            await asyncio.sleep(0.3)
+            assert loop.time() - store.direct_answer_at < 0.5
+        with pytest.raises(StoreUnknownError, match="JSON is malformed"):
+            await read
+        assert len(recovered_at) == 1
+        assert recovered_at[0] - began < 0.5
+
+    run_on_paused_clock(main())
