--- a/siskinroad/work/relay.py
+++ b/siskinroad/work/relay.py
@@ -18,7 +18,7 @@
 import functools
 import logging
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -71,6 +71,7 @@
 
 # Takes the seconds for which the store may wait for a new record.
 ReadWay = Callable[[float], Coroutine[Any, Any, StoreAnswer]]
+T = TypeVar("T")
 
 
 class RelayStore(Store):
@@ -88,7 +89,7 @@
     Attributes
     ----------
     direct_answer_at : float
-        Loop time in seconds of the store's last direct reply.
+        Loop time in seconds of the store's last direct reply, or of bytes of one.
     relayed_answer_at : float
         Loop time in seconds of the store's last relayed reply.
     on_recovered : callable
@@ -103,6 +104,7 @@
         self, direct: Store, peer_calls: PeerCalls, relay_peers: Callable[[], list[str]]
     ) -> None:
         self.direct = direct
+        direct.watch_arrivals(self.record_direct_answer)
         self._peer_calls = peer_calls
         self._relay_peers = relay_peers
         self._direct_failed = False
@@ -147,7 +149,7 @@
     ) -> ReadResult:
         """Read records; see the base class."""
         call = ReadCall(topic, start, wait)
-        result = await self._race.run(self._list_ways(call, timeout), wait)
+        result = await self._run_race(call, timeout, wait)
         assert isinstance(result, ReadResult)
         return result
 
@@ -161,19 +163,32 @@
         call = NewestCall(topic, after)
         recovered_at = self._recovered_at
         try:
-            async with self._open_reads.track():
-                page = await self._race.run(self._list_ways(call, timeout), 0.0)
+            async with self._open_reads.track(lambda: self.is_arriving(topic)):
+                page = await self._run_race(call, timeout, 0.0)
         except (StoreUnavailableError, StoreUnknownError):
             if self._recovered_at == recovered_at:
                 raise
-            page = await self._race.run(self._list_ways(call, timeout), 0.0)
+            page = await self._run_race(call, timeout, 0.0)
         assert isinstance(page, NewestPage)
         return page
 
+    def is_arriving(self, topic: str | None = None) -> bool:
+        """Return whether the answer to a direct read is arriving."""
+        return self.direct.is_arriving(topic)
+
     async def close(self) -> None:
         """Close the connections to the store."""
         await self.direct.close()
 
+    async def _run_race(
+        self, call: ReadCall | NewestCall, timeout: float, wait: float
+    ) -> StoreAnswer:
+        return await self._race.run(
+            self._list_ways(call, timeout),
+            wait,
+            is_arriving=lambda: self.is_arriving(call.topic),
+        )
+
     async def _append(self, call: AppendCall, timeout: float) -> StoreAnswer:
         relay_peers = self._relay_peers()
         unknown_outcome: SiskinroadError | None = None
@@ -239,9 +254,12 @@
 
         That a call from before the store's return fails says nothing of it now.
         """
+        return await self._record_outcome(make_call(self.direct, call, timeout))
+
+    async def _record_outcome(self, call: Coroutine[Any, Any, T]) -> T:
         sent_at = asyncio.get_running_loop().time()
         try:
-            answer = await make_call(self.direct, call, timeout)
+            answer = await call
         except (OffsetMismatchError, FencedError, TrimmedError):
             self.record_direct_answer()
             raise
@@ -253,7 +271,11 @@
         return answer
 
     def record_direct_answer(self) -> None:
-        """Record a direct reply of the store; call ``on_recovered`` after an outage."""
+        """Record a direct reply of the store; call ``on_recovered`` after an outage.
+
+        The bytes of one that is arriving count: on a small link the whole reply may
+        take longer than the silence that shows an outage.
+        """
         self._direct_failed = False
         now = asyncio.get_running_loop().time()
         previous_answer_at = self.direct_answer_at
@@ -279,8 +301,8 @@
     def _probe_direct(self, call: StoreCall, timeout: float) -> None:
         """Start a direct call in the background to detect that the store answers again.
 
-        The same call is relayed too, so it must be harmless to repeat; the probe's
-        result is discarded.
+        An append that is relayed too must be harmless to repeat; the probe's result is
+        discarded.
         """
         loop = asyncio.get_running_loop()
         if loop.time() < self._next_probe_at:
@@ -289,7 +311,7 @@
 
         async def probe() -> None:
             try:
-                await self._call_direct(call, timeout)
+                await self._record_outcome(self._make_probe(call, timeout))
             except SiskinroadError as exc:
                 log.debug(
                     "relay: direct store call still fails", extra={"error": str(exc)}
@@ -299,6 +321,16 @@
         self._probe_tasks.add(task)
         task.add_done_callback(self._probe_tasks.discard)
 
+    async def _make_probe(self, call: StoreCall, timeout: float) -> None:
+        """Make a direct call that shows whether the store answers such calls.
+
+        A whole answer to a read would fill a small link.
+        """
+        if isinstance(call, AppendCall):
+            await make_call(self.direct, call, timeout)
+        else:
+            await self.direct.probe(call.topic, timeout=timeout)
+
     async def _call_through_peer(
         self,
         call: StoreCall,
--- a/siskinroad/work/store.py
+++ b/siskinroad/work/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -141,7 +142,8 @@
     """Named partitions of keyed records.
 
     Every method raises ``StoreUnavailableError`` if the call had no effect, and
-    ``StoreUnknownError`` if its outcome is unknown. Timeouts are in seconds.
+    ``StoreUnknownError`` if its outcome is unknown. Timeouts are in seconds; a read
+    whose answer is arriving may exceed its timeout.
     """
 
     @abstractmethod
@@ -190,6 +192,32 @@
     ) -> NewestPage:
         """Return a page of the newest record of each key that sorts after ``after``."""
 
+    async def probe(self, topic: str, *, timeout: float = 1.0) -> None:
+        """Return once the store has answered a read of a topic, and drop the answer.
+
+        Raises
+        ------
+        TrimmedError
+            As from ``read``; it is an answer too.
+        """
+        await self.read(topic, 0, wait=0.0, timeout=timeout)
+
+    def is_arriving(self, topic: str | None = None) -> bool:
+        """Return whether the answer to an open read is arriving.
+
+        Such a read is not late, and one that is sent beside it would only delay it.
+
+        Parameters
+        ----------
+        topic : str, optional
+            The topic of the read; by default any.
+        """
+        return False
+
+    def watch_arrivals(self, on_received: Callable[[], None]) -> None:
+        """Call a function whenever bytes of the answer to a read have arrived."""
+        return None
+
     async def close(self) -> None:
         """Close the connections to the store."""
         return None
