Tell at the start of a term what is known of the former owners

Operators saw a new owner wait for 14.4 s for silent hosts and could not tell from its first line whether it knew the former owners. The line now names the term of the stored set of hosts, the claims that were read, whether all former owners are known, and for how long leases are waited for at most. Without the change the new test of tests/work/test_takeover_report.py fails, as the line has no such fields.

--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -44,7 +44,7 @@
 )
 from siskinroad.work.run_monitor import RunMonitor
 from siskinroad.work.store import NewestRecord, StoreUnknownError
-from siskinroad.work.takeover_report import TakeoverReport
+from siskinroad.work.takeover_report import TakeoverReport, log_term_started
 from siskinroad.work.term import OWNERSHIP_TIMEOUT_S, OwnerDependencies, Term
 from siskinroad.work.witnesses import WitnessChooser
 
@@ -209,16 +209,7 @@
             # What former owners may have started counts from the first pass on.
             pool_state.open_due(now, wall, EARLY_START_TIME)
         self.term.owned_until = inherited.claimed_at + OWNERSHIP_TIMEOUT_S
-        log.info(
-            "owner: term started",
-            extra={
-                "pool": self.pool,
-                "term": self.term.number,
-                "former": inherited.former.node if inherited.former else None,
-                "jobs": len(pool_state.jobs),
-                "hosts": len(inherited.hosts.names) if inherited.hosts else 0,
-            },
-        )
+        log_term_started(pool_state, inherited, now)
         log_unknown_queues(pool_state)
 
     def _check_former_owners(self, now: float) -> None:
--- a/siskinroad/work/takeover_report.py
+++ b/siskinroad/work/takeover_report.py
@@ -4,20 +4,47 @@
 
 import logging
 
+from siskinroad.work.claim import InheritedState
 from siskinroad.work.former_owners import FormerOwners
 from siskinroad.work.pool_state import PoolState
 from siskinroad.work.workmetrics import WorkMetrics
 
-__all__ = ["TakeoverReport"]
+__all__ = ["TakeoverReport", "log_term_started"]
 
 # Seconds between two lines. Mostly all hosts have answered before the first one is due.
 REPORT_INTERVAL_S = 1.0
-# Largest number of hosts, and of former owners, that a line names.
+# Largest number of hosts, of former owners, and of claims, that a line names.
 MAX_NAMES = 4
 
 log = logging.getLogger("siskinroad.owner")
 
 
+def log_term_started(
+    pool_state: PoolState, inherited: InheritedState, now: float
+) -> None:
+    """Log what a new owner has read, and how long it waits for leases at most."""
+    former, hosts = inherited.former, inherited.hosts
+    leases_end_in_s = 0.0
+    if not pool_state.is_settled:
+        leases_end_in_s = max(0.0, pool_state.former_leases_end_at - now)
+    newest_claims = inherited.claims[-MAX_NAMES:]
+    log.info(
+        "owner: term started",
+        extra={
+            "pool": pool_state.pool,
+            "term": pool_state.term,
+            "former": former.node if former else None,
+            "jobs": len(pool_state.jobs),
+            "hosts": len(hosts.names) if hosts else 0,
+            "hosts_term": hosts.term if hosts else None,
+            "claim_count": len(inherited.claims),
+            "claims": [f"{each.node} {each.term}" for each in newest_claims],
+            "are_former_owners_known": inherited.former_owners is not None,
+            "leases_end_in_s": round(leases_end_in_s, 2),
+        },
+    )
+
+
 class TakeoverReport:
     """Log lines and metric of one owner's takeover, until its tasks are settled.
 
--- a/tests/work/test_takeover_report.py
+++ b/tests/work/test_takeover_report.py
@@ -99,3 +99,22 @@
         assert line.wait == "no former owner extends its leases"
 
     run_scenario(scenario)
+
+
+def test_the_start_of_a_term_tells_what_is_known_of_the_former_owners(caplog):
+    # Why an owner waited for 14.4 s could not be told from the line.
+    caplog.set_level(logging.INFO)
+
+    async def scenario(cell):
+        await start_cell(cell)
+        lost = cell.owner()
+        former_term = cell.daemons[lost].owners[POOL].term.number
+        await cell.kill(lost, loses_power=True)
+        await wait_for_owner(cell, {lost})
+        line = find_lines(caplog, "owner: term started")[-1]
+        assert (line.hosts, line.hosts_term) == (3, former_term)
+        assert (line.claim_count, line.claims) == (1, [f"{lost} {former_term}"])
+        assert line.are_former_owners_known
+        assert 14.0 < line.leases_end_in_s < 14.5
+
+    run_scenario(scenario)
