Name in each claim the claims that it follows

Callers saw lasting tasks without a run for 15 s: after a claim whose daemon never acted, the next owner waited 14.4 s for a host that had left. The store keeps only the newest claim of a pool and 20 s of others. That claim hid the one of the stored set of hosts, so that the next owner did not know who may still renew leases.

A claim now names those before it, sixteen at most, and the ranges of offsets in which its claimant may have missed some. A successor reads these ranges; if the store no longer has them, or a claim is of an earlier version, it waits for the longest time as before.

--- a/siskinroad/work/claim.py
+++ b/siskinroad/work/claim.py
@@ -11,17 +11,24 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 
 from msgspec import structs
 
 from siskinroad.errors import ProtocolError, SiskinroadError
+from siskinroad.work.earlier_claims import (
+    OffsetRange,
+    find_valid,
+    list_unread,
+    name_claims,
+)
 from siskinroad.work.progress_records import PartedProgress
 from siskinroad.work.records import (
     CANCEL_SUFFIX,
     Accepted,
     Cancelled,
+    EarlierClaims,
     FormerOwner,
     HostSet,
     Loans,
@@ -75,12 +82,17 @@
     term : int
         The new owner's term: the claim's offset plus one.
     former : OwnerRecord or None
-        The former owner, if there was one.
+        The former owner, if there was one, without the claims that its claim names.
     former_term : int
         The former owner's term.
     claims : list of FormerOwner
-        The claims that were read, the oldest first. Of those that the store had at the
-        first read it gives only the newest.
+        The claims that are known, the oldest first. Of those that the store had at the
+        first read it gives only the newest, which names others.
+    unread : tuple of (int, int)
+        Ranges of offsets from the oldest of these claims on in which further ones may
+        be.
+    earlier : EarlierClaims or None
+        What the former owner's claim says of those that it follows.
     released_term : int
         The newest term whose owner released the pool in an orderly way.
     claimed_at : float
@@ -99,6 +111,8 @@
     former: OwnerRecord | None = None
     former_term: int = 0
     claims: list[FormerOwner] = field(default_factory=list)
+    unread: tuple[OffsetRange, ...] = ()
+    earlier: EarlierClaims | None = None
     released_term: int = 0
     claimed_at: float = 0.0
     fenced_at: float = 0.0
@@ -122,6 +136,8 @@
         terms = [claim.term for claim in self.claims]
         if hosts is None or hosts.term not in terms:
             return None
+        if list_unread(self.unread, hosts.term):
+            return None
         last, *later = self.claims[terms.index(hosts.term) :]
         last = structs.replace(last, witnesses=hosts.witnesses, hosts=hosts.names)
         since = (last, *later)
@@ -153,8 +169,9 @@
             case Cancelled(job=job):
                 self.cancelled[job] = stored
             case OwnerRecord():
-                self.former = stored
+                self.former = structs.replace(stored, earlier=None)
                 self.former_term = item.offset + 1
+                self.earlier = stored.earlier
                 claim = FormerOwner(
                     stored.node,
                     stored.incarnation,
@@ -162,8 +179,7 @@
                     stored.limits_leases,
                     stored.uses_witnesses,
                 )
-                if claim not in self.claims:
-                    self.claims.append(claim)
+                self.add_claims([claim])
             case Released(term=term):
                 self.released_term = max(self.released_term, term)
             case Progress():
@@ -173,6 +189,19 @@
             case Loans(account=account):
                 self.loans[account] = stored
 
+    def add_claims(self, claims: Iterable[FormerOwner]) -> None:
+        """Add claims, unless they are known."""
+        self.claims += [claim for claim in claims if claim not in self.claims]
+        self.claims.sort(key=lambda claim: claim.term)
+
+    def add_named_claims(self) -> None:
+        """Add the claims that the newest one names, once it was read without others."""
+        earlier = find_valid(self.earlier, self.former_term)
+        if earlier is not None:
+            self.add_claims(earlier.claims)
+            unread_since = (earlier.read_to, self.former_term - 1)
+            self.unread = (*earlier.unread, unread_since)
+
     def _remove(self, key: str) -> None:
         """Remove what the store has deleted since it was read."""
         self.accepted.pop(key, None)
@@ -231,6 +260,7 @@
     page = await read_all_newest(store, topic, STORE_TIMEOUT)
     inherited = InheritedState()
     await apply_records(inherited, page.items, topic)
+    inherited.add_named_claims()
     former = inherited.former
     if (
         former is not None
@@ -240,8 +270,10 @@
         raise AlreadyOwnedError(
             "pool already has a live owner", step="claim", peer=former.node
         )
+    earlier = name_claims(inherited.claims, inherited.unread, page.end)
+    claim = record_of(structs.replace(owner, earlier=earlier))
     inherited.claimed_at = asyncio.get_running_loop().time()
-    offset = await store.append(topic, [record_of(owner)], timeout=STORE_TIMEOUT)
+    offset = await store.append(topic, [claim], timeout=STORE_TIMEOUT)
     inherited.term = inherited.next_offset = offset + 1
     on_claimed(inherited)
     # From here on the store rejects progress records of every lower term.
@@ -288,10 +320,8 @@
         start = result.next_offset
 
 
-async def read_claims(
-    store: Store, pool: str, inherited: InheritedState
-) -> list[FormerOwner]:
-    """Return all claims from that of the stored set of hosts to the former owner's.
+async def read_claims(store: Store, pool: str, inherited: InheritedState) -> None:
+    """Read the claims that are missing since that of the stored set of hosts.
 
     Raises
     ------
@@ -299,12 +329,16 @@
         If the store does not answer, or no longer has all of these records.
     """
     if inherited.hosts is None:
-        return inherited.claims
+        return
+    term = inherited.hosts.term
+    ranges = list_unread(inherited.unread, term)
+    if term not in [claim.term for claim in inherited.claims]:
+        ranges = ((term - 1, inherited.term - 1),)
     found = InheritedState()
-    topic = job_topic(pool)
-    start = inherited.hosts.term - 1
-    await _read_records_before_claim(store, topic, start, inherited.term - 1, found)
-    return found.claims
+    for start, end in ranges:
+        await _read_records_before_claim(store, job_topic(pool), start, end, found)
+    inherited.add_claims(found.claims)
+    inherited.unread = ()
 
 
 async def release_pool(store: Store, pool: str, term: int) -> None:
--- a/siskinroad/work/former_owners.py
+++ b/siskinroad/work/former_owners.py
@@ -129,17 +129,25 @@
         answer, or to ask the owners that are known now.
         """
         try:
-            claims = await read_claims(store, self._pool, self._inherited)
+            await read_claims(store, self._pool, self._inherited)
         except (StoreUnavailableError, StoreUnknownError):
             return True
         except SiskinroadError as exc:
             self._log_unknown_owners(str(exc))
             return False
-        self._inherited.claims = claims
         self.remaining = self._inherited.former_owners
         if self.remaining is None:
             self._log_unknown_owners("the last stored set of hosts does not name them")
-        return self.remaining is not None
+            return False
+        log.info(
+            "owner: all former owners are known, now that missing claims are read",
+            extra={
+                "pool": self._pool,
+                "claims": len(self._inherited.claims),
+                "former_owners": len(self.remaining),
+            },
+        )
+        return True
 
     def _log_unknown_owners(self, why: str) -> None:
         log.warning(
--- a/siskinroad/work/records.py
+++ b/siskinroad/work/records.py
@@ -23,6 +23,7 @@
     "QUEUE_PREFIX",
     "Accepted",
     "Cancelled",
+    "EarlierClaims",
     "FormerOwner",
     "HostSet",
     "Loans",
@@ -99,12 +100,15 @@
         successor of that version waits for the longest time.
     uses_witnesses : bool
         Whether leases end as `witnesses` says; false for earlier versions.
+    earlier : EarlierClaims or None
+        The claims that this one follows; None in records of earlier versions.
     """
 
     node: str
     incarnation: int
     limits_leases: bool = False
     uses_witnesses: bool = False
+    earlier: EarlierClaims | None = None
 
 
 class FormerOwner(msgspec.Struct, frozen=True, array_like=True):
@@ -126,6 +130,26 @@
     hosts: tuple[str, ...] | None = None
 
 
+class EarlierClaims(msgspec.Struct, frozen=True, array_like=True):
+    """The claims that one follows, see `earlier_claims`.
+
+    Attributes
+    ----------
+    claims : tuple of FormerOwner
+        Claims before this one, the oldest first, without witnesses and hosts.
+    unread : tuple of (int, int)
+        Ranges of offsets in which further claims may be: the first offset, and that
+        after the last one.
+    read_to : int
+        Offset up to which the claimant had read. Between it and the claim further
+        claims may be, too.
+    """
+
+    claims: tuple[FormerOwner, ...]
+    unread: tuple[tuple[int, int], ...]
+    read_to: int
+
+
 class Released(msgspec.Struct, tag="released", frozen=True):
     """Notice that the owner of ``term`` has stopped all its calls to hosts."""
 
--- a/siskinroad/work/store_memory.py
+++ b/siskinroad/work/store_memory.py
@@ -127,11 +127,18 @@
         self.changed = asyncio.Event()
         return offset
 
-    def trim(self, name: str) -> None:
-        """Drop all records of a topic, but keep the newest of each key."""
+    def trim(self, name: str, before: int | None = None) -> None:
+        """Drop the records of a topic, but keep the newest of each key.
+
+        Parameters
+        ----------
+        before : int, optional
+            Offset of the first record that stays; without it, none stays.
+        """
         topic = self.topic(name)
-        topic.first = topic.end
-        topic.records.clear()
+        first = topic.end if before is None else max(before, topic.first)
+        del topic.records[: first - topic.first]
+        topic.first = first
 
 
 class MemoryStore(Store):
