Reject a reply that is older than the claim it is read for

Found while reading the code: a claim, and the reading of missing claims, took a reply without records for the end of what there is. If such a reply is stale, a job stored during the claim would not be known to its owner until the next claim, and a former owner would be missed. Such a read now fails; the claim is made again, missing claims are read again.

test_a_stale_reply_hides_no_record_before_a_claim failed before: the claim went on.

--- a/siskinroad/work/claim.py
+++ b/siskinroad/work/claim.py
@@ -44,6 +44,7 @@
     Fence,
     NewestRecord,
     Store,
+    StoreUnavailableError,
     read_all_newest,
 )
 
@@ -305,7 +306,13 @@
 async def _read_records_before_claim(
     store: Store, topic: str, start: int, end: int, inherited: InheritedState
 ) -> None:
-    """Apply the records between the end of the first read and the claim."""
+    """Apply the records between the end of the first read and the claim.
+
+    Raises
+    ------
+    StoreUnavailableError
+        If a reply is from before the claim, so that records are missing from it.
+    """
     while start < end:
         result = await store.read(topic, start, wait=0.0, timeout=STORE_TIMEOUT)
         items = tuple(
@@ -316,7 +323,11 @@
             inherited, tuple(item for item in items if item.offset < end), topic
         )
         if result.next_offset <= start:
-            return
+            raise StoreUnavailableError(
+                f"stale reply: the topic ends at {result.end}, expected records "
+                f"up to {end}",
+                step="claim.read",
+            )
         start = result.next_offset
 
 
--- a/tests/work/test_claim.py
+++ b/tests/work/test_claim.py
@@ -17,7 +17,13 @@
     progress_topic,
     record_of,
 )
-from siskinroad.work.store import Fence, FencedError, Record
+from siskinroad.work.store import (
+    Fence,
+    FencedError,
+    ReadResult,
+    Record,
+    StoreUnavailableError,
+)
 from siskinroad.work.store_memory import MemoryLogs, MemoryStore
 from tests.work.cell import job
 
@@ -65,6 +71,31 @@
     run_on_paused_clock(scenario())
 
 
+class StaleStore(SlowStore):
+    """Store of which a read is answered as of before the claim."""
+
+    is_stale = False
+
+    async def read(self, topic, start, **fields):
+        if self.is_stale:
+            return ReadResult(start, (), start)
+        return await super().read(topic, start, **fields)
+
+
+def test_a_stale_reply_hides_no_record_before_a_claim():
+    # A job would be lost that was stored while the claim was, and a claim missed.
+    async def scenario():
+        store = StaleStore(MemoryLogs())
+        store.is_stale = True
+        with pytest.raises(StoreUnavailableError):
+            await claim_pool(store, POOL, OWNER_A)
+        store.is_stale = False
+        inherited = await claim_pool(store, POOL, OWNER_A)
+        assert "other-1" in inherited.accepted
+
+    run_on_paused_clock(scenario())
+
+
 def test_a_claim_reads_all_earlier_records_and_the_former_owner():
     async def scenario():
         store = MemoryStore(MemoryLogs())
