Log what the claim of a pool rests on

Callers saw pools change their owner, and the logs could not tell why: a takeover from a lost owner and one from an owner that worked, but was not heard, looked the same.

A daemon that decides to claim a pool now writes one line: the owner last heard by its own heartbeat with its term and silence, whether it released the pool or has ended, for how long the pool was vacant here, the age of the store's last answer, the processor beside the largest known, the candidates, and the loop's delay. No decision changes.

--- a/siskinroad/work/claim_manager.py
+++ b/siskinroad/work/claim_manager.py
@@ -25,6 +25,7 @@
 from siskinroad.errors import SiskinroadError
 from siskinroad.peers import PeerTransport, Reachability
 from siskinroad.work.claim import InheritedState, claim_pool
+from siskinroad.work.claim_log import ClaimLog
 from siskinroad.work.members import Members
 from siskinroad.work.messages import Heartbeat
 from siskinroad.work.model import Configuration, HostEntry
@@ -96,6 +97,8 @@
         Owners of the pools that this daemon owns, by pool.
     check_requested : asyncio.Event
         Set when a pool may have lost its owner.
+    claim_log : ClaimLog
+        Log of what the claims rest on.
     """
 
     def __init__(
@@ -122,6 +125,7 @@
         self._peers = peers
         self._store = store
         self._dependencies = dependencies
+        self.claim_log = ClaimLog(members, dependencies.loop_delay)
         self._hosts = hosts
         self._make_heartbeat = make_heartbeat
         self._send_heartbeat = send_heartbeat
@@ -177,6 +181,9 @@
                 if not self.can_claim:
                     self._newcomer_check.request_check()
                     continue
+                self.claim_log.log_claim(
+                    pool, self._make_heartbeat(), self._vacant_since.get(pool)
+                )
                 self._pool_tasks[pool] = loop.create_task(self._own_pool(pool))
                 self._send_heartbeat()
 
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -547,6 +547,7 @@
         match msg:
             case Heartbeat():
                 self.advisor_channels.record_backlog(msg.node, msg.backlog, now)
+                self.claim_manager.claim_log.note_heartbeat(msg, now)
                 self.membership.apply_heartbeat(msg, now)
                 self.configuration_exchange.note_version(
                     msg.node, msg.configuration_version
--- a/siskinroad/work/members.py
+++ b/siskinroad/work/members.py
@@ -183,6 +183,10 @@
         for pool, _ in previous.heartbeat.owned if previous is not None else ():
             self.released_at[pool] = now
 
+    def has_ended_since(self, node: str, at: float) -> bool:
+        """Return whether a daemon's process has ended at or after a loop time."""
+        return self._ended_at.get(node, -1e9) >= at
+
     def digest(self) -> bytes:
         """Return a digest of the names of all members, this daemon included."""
         names = "\0".join(sorted({self.node, *self.known}))
@@ -344,6 +348,16 @@
         """Return the number of listed hosts of a pool, at least 1."""
         return max(1, self.pool_sizes.get(pool, 0))
 
+    def count_candidates(self, now: float) -> int:
+        """Return the number of other daemons that may claim a pool."""
+        return sum(each.can_claim for each in self._candidates(now))
+
+    def find_largest_processor(self, now: float) -> float:
+        """Return the largest processor of the other live daemons, 0 without any."""
+        live = self.live_members(now)
+        found = [self.last_heartbeats[node].heartbeat.processor for node in live]
+        return max(found, default=0.0)
+
     def _candidates(self, now: float) -> list[Heartbeat]:
         """Return the heartbeats of other daemons that reach the store.
 
