Ask other members before a claim that rests on an owner's silence

Callers saw a pool change its owner, with the seconds that a new term costs, although the owner worked: a daemon whose own link was saturated, or that was cut off from the owner only, heard no heartbeat of it for 0.75 s and claimed the pool.

A claimant now asks up to five other members at a time when they last heard the owner (OwnerQuery, OwnerAnswer). It does not claim while one hears it, or a daemon that is claiming the pool, or while nobody answers although others were heard in the last 2.2 s; its heartbeats then say that it cannot claim, so that no other daemon waits for it. Members that do not say in their heartbeats that they answer, as those of an earlier version, are not asked; if there are no others, silence is enough as before. A release counts only if no owner was heard after it. Each verdict is logged with what it rests on.

--- a/siskinroad/work/claim_log.py
+++ b/siskinroad/work/claim_log.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass
 
+from siskinroad.work.heard_owners import HeardOwner, HeardOwners
 from siskinroad.work.loop_delay import LoopDelay
 from siskinroad.work.members import HEARTBEAT_TIMEOUT, Members
 from siskinroad.work.messages import Heartbeat
@@ -18,15 +18,6 @@
 log = logging.getLogger("siskinroad.claim_manager")
 
 
-@dataclass(slots=True, frozen=True)
-class _HeardOwner:
-    """Owner of a pool by its own heartbeat, received at a loop time."""
-
-    node: str
-    term: int
-    heard_at: float
-
-
 class ClaimLog:
     """Writer of one line for each decision to claim a pool.
 
@@ -36,22 +27,14 @@
         Delays of the event loop, which may have delayed the owner's heartbeats.
     """
 
-    def __init__(self, members: Members, loop_delay: LoopDelay) -> None:
+    def __init__(
+        self, members: Members, heard_owners: HeardOwners, loop_delay: LoopDelay
+    ) -> None:
         self._members = members
+        self._heard_owners = heard_owners
         self._loop_delay = loop_delay
-        self._heard: dict[str, _HeardOwner] = {}
         self._logged_at: dict[str, float] = {}
 
-    def note_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
-        """Note which pools the sender of a heartbeat owns, if no later term is known.
-
-        Kept here as well as in ``members``, which forget a daemon that has ended.
-        """
-        for pool, term in heartbeat.owned:
-            heard = self._heard.get(pool)
-            if heard is None or heard.term <= term:
-                self._heard[pool] = _HeardOwner(heartbeat.node, term, now)
-
     def log_claim(self, pool: str, own: Heartbeat, vacant_since: float | None) -> None:
         """Log what the claim of a pool rests on, at most once in ``LOG_INTERVAL``.
 
@@ -84,7 +67,7 @@
 
     def _describe_owner(self, pool: str, now: float) -> dict[str, object]:
         """Return the owner last heard, and how its ownership ended if that is known."""
-        heard = self._heard.get(pool)
+        heard = self._heard_owners.find(pool)
         if heard is None:
             has_ended = False
         else:
@@ -98,5 +81,5 @@
         }
 
 
-def _round_age(heard: _HeardOwner | None, now: float) -> float | None:
+def _round_age(heard: HeardOwner | None, now: float) -> float | None:
     return round(now - heard.heard_at, 2) if heard is not None else None
--- a/siskinroad/work/claim_manager.py
+++ b/siskinroad/work/claim_manager.py
@@ -26,11 +26,13 @@
 from siskinroad.peers import PeerTransport, Reachability
 from siskinroad.work.claim import InheritedState, claim_pool
 from siskinroad.work.claim_log import ClaimLog
+from siskinroad.work.heard_owners import HeardOwners
 from siskinroad.work.members import Members
 from siskinroad.work.messages import Heartbeat
 from siskinroad.work.model import Configuration, HostEntry
 from siskinroad.work.newcomer_check import NewcomerCheck
 from siskinroad.work.owner import OwnershipLostError, PoolOwner
+from siskinroad.work.owner_check import OwnerCheck
 from siskinroad.work.queue_registry import QueueRegistry
 from siskinroad.work.records import Member, OwnerRecord
 from siskinroad.work.relay import RelayStore
@@ -86,6 +88,10 @@
         Returns the heartbeat that this daemon would send now.
     send_heartbeat : callable
         Sends a heartbeat with the owned pools to all other daemons at once.
+    heard_owners : HeardOwners
+        Owners by their own heartbeats.
+    owner_check : OwnerCheck
+        Check whether other members hear an owner that is silent here.
 
     Attributes
     ----------
@@ -97,8 +103,6 @@
         Owners of the pools that this daemon owns, by pool.
     check_requested : asyncio.Event
         Set when a pool may have lost its owner.
-    claim_log : ClaimLog
-        Log of what the claims rest on.
     """
 
     def __init__(
@@ -113,6 +117,8 @@
         newcomer_check: NewcomerCheck,
         make_heartbeat: Callable[[], Heartbeat],
         send_heartbeat: Callable[[], None],
+        heard_owners: HeardOwners,
+        owner_check: OwnerCheck,
     ) -> None:
         self.configuration: Configuration | None = None
         self._queue_registry = queue_registry
@@ -125,7 +131,10 @@
         self._peers = peers
         self._store = store
         self._dependencies = dependencies
-        self.claim_log = ClaimLog(members, dependencies.loop_delay)
+        self._heard_owners = heard_owners
+        self._owner_check = owner_check
+        self._claim_log = ClaimLog(members, heard_owners, dependencies.loop_delay)
+        self._was_deaf = False
         self._hosts = hosts
         self._make_heartbeat = make_heartbeat
         self._send_heartbeat = send_heartbeat
@@ -148,9 +157,14 @@
 
     @property
     def can_claim(self) -> bool:
-        """Whether this daemon is up long enough, known, configured and not leaving."""
+        """Whether this daemon is up long enough, known, configured and not leaving.
+
+        One that receives nothing is not waited for either.
+        """
         if self._uptime() < CLAIM_STARTUP_DELAY or self.is_leaving:
             return False
+        if self._owner_check.is_deaf:
+            return False
         now = asyncio.get_running_loop().time()
         return self.configuration is not None and self._newcomer_check.may_claim(now)
 
@@ -181,11 +195,19 @@
                 if not self.can_claim:
                     self._newcomer_check.request_check()
                     continue
-                self.claim_log.log_claim(
+                self._claim_log.log_claim(
                     pool, self._make_heartbeat(), self._vacant_since.get(pool)
                 )
                 self._pool_tasks[pool] = loop.create_task(self._own_pool(pool))
                 self._send_heartbeat()
+            self._tell_if_deaf()
+
+    def _tell_if_deaf(self) -> None:
+        """Tell the other daemons at once if this one begins or ends to be deaf."""
+        is_deaf = self._owner_check.is_deaf
+        if is_deaf is not self._was_deaf:
+            self._was_deaf = is_deaf
+            self._send_heartbeat()
 
     def _pools_by_size(self) -> list[str]:
         """Return all pools, those of most hosts first.
@@ -204,15 +226,21 @@
         """Return whether this daemon should claim the pool now."""
         if self._members.acting_owner(pool, now) is not None:
             self._vacant_since.pop(pool, None)
+            self._owner_check.forget(pool)
             return False
         if self._members.claimant(pool, now) is not None:
             return False
         vacant_since = self._vacant_since.setdefault(pool, now)
-        released = self._members.was_released(pool, now)
-        if now - vacant_since < CLAIM_DELAY and not released:
+        if not self._is_best_claimant(pool, vacant_since, now):
             return False
         if now - self._store_recovered_at < RECOVERY_CLAIM_DELAY:
             return False
+        if self._was_released(pool, now):
+            return True
+        is_lost = self._owner_check.is_lost(pool, vacant_since)
+        return is_lost and now - vacant_since >= CLAIM_DELAY
+
+    def _is_best_claimant(self, pool: str, vacant_since: float, now: float) -> bool:
         may_wait = now - vacant_since < STARTING_CLAIMANT_WAIT
         is_late = now - vacant_since >= UNHEARD_CLAIMANT_WAIT
         return self._members.should_claim(
@@ -223,6 +251,24 @@
             heard_since=vacant_since if is_late else -math.inf,
         )
 
+    def _was_released(self, pool: str, now: float) -> bool:
+        """Return whether the owner last heard has released the pool or has ended."""
+        if not self._members.was_released(pool, now):
+            return False
+        heard = self._heard_owners.find(pool)
+        return heard is None or heard.heard_at <= self._members.released_at[pool]
+
+    def find_acting_term(self, pool: str) -> int | None:
+        """Return the term under which this daemon acts for a pool, or None.
+
+        It is 0 while this daemon is claiming the pool.
+        """
+        owner = self.owners.get(pool)
+        if owner is None:
+            return 0 if pool in self._pool_tasks else None
+        now = asyncio.get_running_loop().time()
+        return None if owner.has_lapsed(now) else owner.term.number
+
     def note_store_recovered(self) -> None:
         """Note that the store replies to this daemon again after an outage."""
         self._store_recovered_at = asyncio.get_running_loop().time()
@@ -397,6 +443,7 @@
 
     async def close(self) -> None:
         """Stop the owners of all pools at once, without a release."""
+        self._owner_check.close()
         tasks = [*self._pool_tasks.values(), *self._first_notices]
         for task in tasks:
             task.cancel()
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -21,6 +21,7 @@
 from siskinroad.work.configuration_exchange import ConfigurationExchange
 from siskinroad.work.configuration_reader import ConfigurationReader
 from siskinroad.work.follower import Follower
+from siskinroad.work.heard_owners import HeardOwners
 from siskinroad.work.host_list import HostList
 from siskinroad.work.job_service import JobService
 from siskinroad.work.job_writer import JobRefusedError, JobWriter
@@ -44,6 +45,8 @@
     JobRequest,
     LoanReply,
     LoanRequest,
+    OwnerAnswer,
+    OwnerQuery,
     RelayReply,
     RelayRequest,
     SubmitReply,
@@ -51,6 +54,7 @@
 )
 from siskinroad.work.model import Configuration, Timing
 from siskinroad.work.newcomer_check import NewcomerCheck
+from siskinroad.work.owner_check import OwnerCheck
 from siskinroad.work.peer_calls import PeerCalls
 from siskinroad.work.platform_clients import PlatformClients
 from siskinroad.work.queue_recorder import QueueRecorder
@@ -205,6 +209,14 @@
             ),
         )
         self.queue_registry = QueueRegistry()
+        self.heard_owners = HeardOwners()
+        self.owner_check = OwnerCheck(
+            member.node,
+            self.members,
+            self.heard_owners,
+            self.peer_calls,
+            lambda pool: self.claim_manager.find_acting_term(pool),
+        )
         self.claim_manager = ClaimManager(
             member,
             self.members,
@@ -216,7 +228,10 @@
             self.newcomer_check,
             self._make_heartbeat,
             self.membership.send_heartbeats,
+            self.heard_owners,
+            self.owner_check,
         )
+        self.owner_check.on_news = self.claim_manager.check_requested.set
         self.owners = self.claim_manager.owners
         self.queue_recorder = QueueRecorder(
             self.queue_registry, self.store, self.owners
@@ -447,6 +462,7 @@
             self.membership.routes.aggregators,
             self.configuration_reader.version,
             self._list_lapsed(now),
+            answers_owner_queries=True,
         )
 
     def _list_lapsed(self, now: float) -> tuple[str, ...]:
@@ -544,10 +560,11 @@
 
     def _receive(self, peer: str, msg: Any) -> None:
         now = asyncio.get_running_loop().time()
+        self.owner_check.note_received(peer, now)
         match msg:
             case Heartbeat():
                 self.advisor_channels.record_backlog(msg.node, msg.backlog, now)
-                self.claim_manager.claim_log.note_heartbeat(msg, now)
+                self.heard_owners.note_heartbeat(msg, now)
                 self.membership.apply_heartbeat(msg, now)
                 self.configuration_exchange.note_version(
                     msg.node, msg.configuration_version
@@ -570,6 +587,7 @@
                 | LoanReply()
                 | ClaimAnswer()
                 | ClaimNoted()
+                | OwnerAnswer()
             ):
                 self.peer_calls.handle_reply(msg.id, msg)
             case ClaimQuery():
@@ -577,6 +595,8 @@
             case ClaimNotice():
                 self.peers.send(peer, self.claim_notices.acknowledge(msg))
                 self._recheck_claims(msg.pool, msg.term)
+            case OwnerQuery():
+                self.peers.send(peer, self.owner_check.answer(msg))
             case SubmitRequest():
                 self._reply_when_done(peer, self.job_writer.accept(msg))
             case JobRequest(verb=verb) if verb == HAS_STOPPED:
--- a/siskinroad/work/messages.py
+++ b/siskinroad/work/messages.py
@@ -31,6 +31,8 @@
     "LoanRequest",
     "MemberNews",
     "Message",
+    "OwnerAnswer",
+    "OwnerQuery",
     "RelayReply",
     "RelayRequest",
     "SubmitOutcome",
@@ -74,6 +76,9 @@
     lapsed : tuple of str
         Names of the pools in ``owned`` for which the sender no longer acts, as it could
         not confirm its claim for too long.
+    answers_owner_queries : bool
+        Whether the sender answers an ``OwnerQuery``; one of an earlier version does
+        not.
     """
 
     node: str
@@ -88,6 +93,7 @@
     aggregators: tuple[str, ...] | None = None
     configuration_version: int = 0
     lapsed: tuple[str, ...] = ()
+    answers_owner_queries: bool = False
 
     @property
     def reaches_store(self) -> bool:
@@ -448,6 +454,33 @@
     is_asked: bool = False
 
 
+class OwnerQuery(msgspec.Struct, tag="owner?", frozen=True, array_like=True):
+    """Question whether the receiver hears the owner of a pool (`owner_check`)."""
+
+    id: int
+    pool: str
+
+
+class OwnerAnswer(msgspec.Struct, tag="owner!", frozen=True, array_like=True):
+    """Answer to an ``OwnerQuery``.
+
+    Attributes
+    ----------
+    owner : str
+        Name of the daemon that acts for the pool or is claiming it, by its own
+        heartbeats; the sender itself, if it does. Empty if there is none.
+    term : int
+        Term of the owner; 0 if it is only claiming the pool.
+    heard_s : float
+        Seconds since the sender received that daemon's newest own heartbeat.
+    """
+
+    id: int
+    owner: str
+    term: int
+    heard_s: float
+
+
 Message = (
     Heartbeat
     | Digest
@@ -468,6 +501,8 @@
     | ClaimAnswer
     | ClaimNotice
     | ClaimNoted
+    | OwnerQuery
+    | OwnerAnswer
 )
 
 CODEC = msgpack_codec(Message)
--- a/tests/work/test_claim_log.py
+++ b/tests/work/test_claim_log.py
@@ -6,6 +6,7 @@
 import pytest
 
 from siskinroad.work.claim_log import LOG_INTERVAL, ClaimLog
+from siskinroad.work.heard_owners import HeardOwners
 from siskinroad.work.loop_delay import LoopDelay
 from siskinroad.work.members import Members
 from siskinroad.work.messages import Heartbeat
@@ -68,7 +69,7 @@
 
 def test_claims_that_fail_at_once_are_logged_once_a_second_for_each_pool(lines):
     async def scenario(cell):
-        claim_log = ClaimLog(Members("a", 1), LoopDelay())
+        claim_log = ClaimLog(Members("a", 1), HeardOwners(), LoopDelay())
         for _ in range(10):
             claim_log.log_claim("p", OWN, None)
             claim_log.log_claim("q", OWN, None)
