Send large configurations between daemons in compressed parts

Callers: after two configurations of close to a megabyte within 2.6 s, daemons on links of 10 Mbit/s failed their readiness checks and never had the second one in force; their links stayed full. One of them claimed a pool whose owner was up.

Cause: a daemon that heard of a newer version asked a peer for the whole record every 0.7 s, with a time limit of 0.5 s that a small link cannot keep; each copy came too late and was dropped. Beside that its own reads brought the same versions again and again, also once a peer had sent them.

Change: the record comes in parts of 128 KiB, each compressed by itself, so that parts of all peers of the version fit together. With the version comes the offset before which no record holds a later one, and the own read goes on from there. Both messages have new fields at their end: a request of an earlier version is answered with the whole record, and such a reply is taken.

--- a/siskinroad/work/configuration_reader.py
+++ b/siskinroad/work/configuration_reader.py
@@ -93,6 +93,22 @@
             return False
         return self.age_s() <= CONFIRMED_LIMIT_S
 
+    @property
+    def next_offset(self) -> int:
+        """Offset before which no record holds a later version; negative if unknown."""
+        return -1 if self._is_newest_undecodable else self.follower.next_offset
+
+    def skip_to(self, offset: int) -> None:
+        """Read on from an offset before which no record holds a later version.
+
+        A read that is bringing these records is abandoned: a small link would take
+        seconds for them, and they are of no use any more.
+        """
+        if offset <= self.follower.next_offset:
+            return
+        self.follower.next_offset = offset
+        self.follower.restart_read()
+
     def _apply(self, items: tuple[NewestRecord, ...], is_snapshot: bool) -> None:
         for item in items:
             self.apply_record(Record(item.key, item.value))
--- a/siskinroad/work/messages.py
+++ b/siskinroad/work/messages.py
@@ -276,17 +276,51 @@
 
 
 class ConfigurationRequest(msgspec.Struct, tag="config?", frozen=True, array_like=True):
-    """Request for the configuration that the receiver has in force."""
+    """Request for the configuration that the receiver has in force, or a part of it.
+
+    Attributes
+    ----------
+    version : int
+        Version of which a part is wanted.
+    start, length : int
+        The wanted bytes of the record. With a ``length`` of 0, as from a sender of an
+        earlier version, the whole record in force is wanted.
+    """
 
     id: int
+    version: int = 0
+    start: int = 0
+    length: int = 0
 
 
 class ConfigurationReply(msgspec.Struct, tag="config!", frozen=True, array_like=True):
-    """Reply to a ``ConfigurationRequest``: the record as it stands in the store."""
+    """Reply to a ``ConfigurationRequest``: the record as it stands in the store.
+
+    Attributes
+    ----------
+    value : bytes
+        The whole record, or a part of it if ``size`` is not 0. Empty if the sender has
+        no configuration, or no longer has the version that was asked for.
+    version : int
+        Version of which this is a part, or which the sender has in force instead; 0 in
+        a reply with the whole record, and from a sender of an earlier version.
+    size, start : int
+        Bytes of the whole record, and the first one of this part.
+    is_compressed : bool
+        Whether ``value`` is compressed, in the zlib format.
+    next_offset : int
+        No record of the topic before this offset holds a version later than this one;
+        negative if the sender cannot tell.
+    """
 
     id: int
     key: str
     value: bytes
+    version: int = 0
+    size: int = 0
+    start: int = 0
+    is_compressed: bool = False
+    next_offset: int = -1
 
 
 class LoanAsk(msgspec.Struct, frozen=True, array_like=True):
