Test heartbeats and stored queues beside large configurations

Two more cases of daemons on small links: parts of a configuration from peers let the owner's heartbeats through, also on 2 Mbit/s where the own read gets no answer; and the owner stores 1400 queues beside a configuration of 1 MB without a claim by another daemon.

--- a/tests/work/test_large_configuration.py
+++ b/tests/work/test_large_configuration.py
@@ -2,14 +2,15 @@
 
 import asyncio
 import hashlib
+from dataclasses import replace
 
 import pytest
 
 from bench.clock import run_on_paused_clock
 from siskinroad.errors import ProtocolError
 from siskinroad.work.model import Configuration
-from siskinroad.work.store import Record
-from tests.work.cell import CONFIGURATION, POOL, Cell, PlainDecoder
+from siskinroad.work.store import Record, StoreUnavailableError
+from tests.work.cell import CONFIGURATION, FAST, POOL, Cell, PlainDecoder
 from tests.work.slow_links import (
     LARGE_LINK,
     SMALL_LINK,
@@ -27,13 +28,31 @@
 
 
 class RoutesDecoder(PlainDecoder):
-    """Decoder of records of a version and its routes, each on a line."""
+    """Decoder of records of a version and its routes, each on a line.
+
+    Attributes
+    ----------
+    queue_counts : dict of int to int
+        Queues of some versions beside those of every version.
+    """
+
+    def __init__(self):
+        self.queue_counts = {}
 
     def decode_configuration(self, key, value):
         version, _, routes = value.partition(b"\n")
         if routes and not routes.endswith(b"end\n"):
             raise ProtocolError("configuration is not whole", step="test")
-        return Configuration(int(version), CONFIGURATION.queues, (POOL,), 1 << 18)
+        number = int(version)
+        queues = CONFIGURATION.queues + make_queues(self.queue_counts.get(number, 0))
+        return Configuration(number, queues, (POOL,), 1 << 18)
+
+
+def make_queues(count):
+    return tuple(
+        replace(FAST, name=f"route-{number}", prefix=f"/route-{number:05}/")
+        for number in range(count)
+    )
 
 
 def make_large_record(version):
@@ -51,6 +70,14 @@
     return Record("config", "\n".join([*lines, "end\n"]).encode())
 
 
+class SilentStore:
+    """Store that answers no read."""
+
+    async def read(self, topic, start, *, wait, timeout):
+        await asyncio.sleep(timeout)
+        raise StoreUnavailableError("no answer", step="test")
+
+
 class Watch:
     """What a cell's daemons believe, looked at often.
 
@@ -62,6 +89,8 @@
         Terms under which a daemon has owned the pool.
     claims : set of str
         Daemons that were claiming the pool.
+    unheard : set of tuple
+        Daemons that did not know of the pool's owner, and that owner.
     """
 
     def __init__(self, cell):
@@ -69,6 +98,7 @@
         self.applied_at = {}
         self.terms = set()
         self.claims = set()
+        self.unheard = set()
 
     async def run(self):
         while True:
@@ -80,6 +110,9 @@
                     self.terms.add(daemon.owners[POOL].term.number)
                 if POOL in daemon.claim_manager.claiming:
                     self.claims.add(name)
+                owner = self.cell.owner()
+                if name != owner and daemon.members.owner(POOL, now) != owner:
+                    self.unheard.add((name, owner))
             await asyncio.sleep(0.02)
 
 
@@ -156,6 +189,33 @@
     run_cell_of_slow_links(scenario)
 
 
+def test_no_pool_changes_hands_while_the_queues_of_a_large_configuration_are_stored():
+    # The owner stores each queue, and all daemons read these records too.
+    async def scenario(cell, links, watch):
+        cell.decoder.queue_counts = {10: 700, 12: 1400}
+        owner = cell.owner()
+        put_at, _ = await put_two_in_a_row(cell)
+        assert find_late(watch, 12, put_at, APPLY_S, cell.daemons) == {}
+        assert (watch.claims, watch.terms, cell.owner()) == (set(), {1}, owner)
+        for daemon in cell.daemons.values():
+            assert not daemon.queue_registry.list_unstored(POOL, ())
+
+    run_cell_of_slow_links(scenario, has_smallest=False)
+
+
+def test_parts_from_peers_keep_no_link_from_the_heartbeats_of_the_owner():
+    # Also a link of 2 Mbit/s has room for both, if nothing else takes it.
+    async def scenario(cell, links, watch):
+        for name in (*SMALL, SMALLEST):
+            cell.daemons[name].configuration_follower.store = SilentStore()
+        await asyncio.sleep(3.0)
+        put_at, _ = await put_two_in_a_row(cell)
+        assert find_late(watch, 12, put_at, APPLY_S, cell.daemons) == {}
+        assert (watch.unheard, watch.claims) == (set(), set())
+
+    run_cell_of_slow_links(scenario)
+
+
 async def check_links_become_free(cell, links):
     await put_two_in_a_row(cell)
     before = {name: links.receiving(name).carried_bytes for name in SMALL}
