--- a/tests/platform/test_clients_over_limits.py
+++ b/tests/platform/test_clients_over_limits.py
@@ -252,6 +252,30 @@
     run_crowd(tmp_path, act)
 
 
+@pytest.mark.parametrize("name", ["required_label", "data_rack", "image"])
+def test_jobs_whose_names_take_180_kilobytes_stay_within_the_memory(tmp_path, name):
+    # The names are within the limit on bodies, and differ from job to job.
+    numbers = itertools.count()
+
+    def job():
+        text = f"{next(numbers):08d}" * 22_500
+        phases = [{"count": 1, "cpu": 1, name: text}]
+        return json.dumps({"spec": "s", "phases": phases}).encode()
+
+    def act(case):
+        for _ in range(100):
+            pieces = (case.post(job()) for _ in range(4))
+            case.crowd.add(case.daemon.front, pieces, reads=True)
+
+        async def during():
+            statuses = {int(x.split()[1]) for x in case.crowd.answers if x}
+            return statuses <= set(NOT_RUN)
+
+        return during
+
+    run_crowd(tmp_path, act)
+
+
 def test_jobs_with_80000_dependencies_stay_within_the_memory(tmp_path):
     phases = [{"count": 1, "cpu": 1}]
     phases += [{"count": 1, "cpu": 1, "depends_on": [0] * 800} for _ in range(100)]
--- a/tests/platform/test_job_limits.py
+++ b/tests/platform/test_job_limits.py
@@ -3,7 +3,7 @@
 import json
 
 import pytest
-from siskinroad_platform.job_limits import MAX_SPEC_BYTES, MAX_STEPS
+from siskinroad_platform.job_limits import MAX_NAMES_BYTES, MAX_SPEC_BYTES, MAX_STEPS
 from siskinroad_platform.wire import decode_job
 
 from siskinroad.errors import ProtocolError
@@ -38,6 +38,15 @@
     assert decode_job(encode([step()], spec[:1000])).payload == spec[:1000]
 
 
+@pytest.mark.parametrize("name", ["required_label", "data_rack", "image"])
+def test_names_over_16_kib_in_all_are_refused(name):
+    half = MAX_NAMES_BYTES // 2
+    allowed = [step(**{name: "a" * half}), step(**{name: "b" * half})] * 2
+    assert len(decode_job(encode(allowed)).steps) == 4
+    with pytest.raises(ProtocolError, match="names of at most 16384 bytes"):
+        decode_job(encode([*allowed, step(image="c")]))
+
+
 def test_a_step_depends_on_no_more_than_the_steps_before_it():
     with pytest.raises(ProtocolError, match="at most 1 dependencies, got 2"):
         decode_job(encode([step(), step(depends_on=[0, 0])]))
