Stop lasting runs a second before their host may leave

A lasting task stayed without a run for 4 s more than its move takes: its host left with the run aboard, so that the owner had to wait for the lease. In a trial with releases the host left 11.0 s after it had told so; the owner read that 0.38 s late, checks runs every 0.2 s, and kept a margin of 0.3 s beside the stop's grace.

The margin of lasting runs is 1.0 s now. They are down for the same time whenever they move.

--- a/siskinroad/work/run_monitor.py
+++ b/siskinroad/work/run_monitor.py
@@ -58,9 +58,12 @@
 COPY_RATIO = 3.0
 MIN_COPY_GAIN = 1.5
 # A run with checkpoints is stopped unless it ends at least this many seconds before a
-# draining host leaves. Long-running tasks are stopped only when the stop grace and this
-# margin remain: they are down for the same time whenever they move.
+# draining host leaves.
 LEAVE_MARGIN_S = 0.3
+# Long-running tasks are stopped when the stop grace and these seconds remain. They are
+# down for the same time whenever they move, but for much longer if the host leaves
+# first: that it drains was read up to 0.5 s late.
+LASTING_LEAVE_MARGIN_S = 1.0
 # A run without checkpoints may end up to this many seconds after its host is to leave:
 # hosts mostly stay a little longer than announced.
 LEAVE_OVERSTAY_S = 1.0
@@ -226,7 +229,7 @@
     ) -> bool:
         """Return whether to stop a run when its host leaves in ``stay_s`` seconds."""
         if step.spec.long_running:
-            return stay_s <= self.timing.stop_grace_s + LEAVE_MARGIN_S
+            return stay_s <= self.timing.stop_grace_s + LASTING_LEAVE_MARGIN_S
         limit_s = (
             stay_s - LEAVE_MARGIN_S
             if step.spec.checkpoints
--- a/tests/work/test_run_monitor.py
+++ b/tests/work/test_run_monitor.py
@@ -283,6 +283,23 @@
     assert drain_host(pool_state, "i-0", 2.5, 4.5) == ["lasts"]
 
 
+def test_a_lasting_run_is_stopped_before_its_host_leaves_though_that_is_read_late():
+    # The owner reads the live list up to 0.5 s late, checks runs every 0.2 s, and the
+    # stop takes its grace and a round trip.
+    pool_state = make_pool_state(["i-0"])
+    report_host(pool_state, "i-0", 1.9)
+    add_job(pool_state, "lasts", job(step(1, long_running=True)), "slow")
+    (begun,) = start_waiting(pool_state, 2.0)
+    stays_s, read_late_s, tick_s, round_trip_s = 11.0, 0.5, 0.2, 0.1
+    left_at = 2.0 + stays_s
+    report_host(pool_state, "i-0", 2.3, [running_row(begun, 100)])
+    assert drain_host(pool_state, "i-0", stays_s, 2.0 + read_late_s) == []
+    stop_by = left_at - TIMING.stop_grace_s - round_trip_s
+    checked_at = stop_by - tick_s
+    report_host(pool_state, "i-0", checked_at, [running_row(begun, 100)])
+    assert drain_host(pool_state, "i-0", stays_s, checked_at) == ["lasts"]
+
+
 def test_runs_that_end_before_their_host_leaves_are_not_stopped():
     pool_state = make_pool_state(["i-0"])
     report_host(pool_state, "i-0", 1.9)
