--- a/siskinroad/work/follower.py
+++ b/siskinroad/work/follower.py
@@ -33,12 +33,16 @@
 
 @dataclass(slots=True, frozen=True)
 class _FetchResult:
-    """The result of one read; ``is_snapshot`` as for ``Follower``'s ``apply``."""
+    """The result of one read; ``is_snapshot`` as for ``Follower``'s ``apply``.
+
+    ``is_at_end`` tells whether the topic ended there as the read was answered.
+    """
 
     items: tuple[NewestRecord, ...]
     is_snapshot: bool
     next_offset: int
     confirmed_at: float
+    is_at_end: bool
 
 
 class Follower:
@@ -52,9 +56,9 @@
     wait : float
         Seconds for which the store may hold a read open for a new record. It is not
         asked to while ``confirmed_at`` is negative, or after a read that failed, so
-        that this ends soon.
+        that this ends soon, nor while further records are known.
     read_pause : float
-        Seconds to wait after each successful read before the next.
+        Seconds to wait after each successful read up to the end before the next.
 
     Attributes
     ----------
@@ -88,6 +92,7 @@
         self._revoked_at = -1e9
         self._waiter_count = 0
         self._is_read_held = False
+        self._is_at_end = True
         self._read_done = asyncio.Event()
 
     def revoke_confirmation(self) -> None:
@@ -196,7 +201,7 @@
             return min(2 * pause, LONGEST_RETRY_PAUSE)
         self._log_reachability(True, None)
         self._apply_result(result)
-        if self._spacing:
+        if self._spacing and self._is_at_end:
             await asyncio.sleep(self._spacing)
         return FIRST_RETRY_PAUSE
 
@@ -204,7 +209,7 @@
         if self.next_offset < 0:
             return await self._read_newest()
         is_confirmed = self.confirmed_at >= 0 and self.is_reachable
-        may_be_held = is_confirmed and not self._waiter_count
+        may_be_held = is_confirmed and self._is_at_end and not self._waiter_count
         wait = self._wait if may_be_held else 0.0
         self._is_read_held = may_be_held
         try:
@@ -228,7 +233,7 @@
         page = await read_all_newest(self.store, self.topic, REPLY_TIMEOUT)
         _reject_stale(page.end, start)
         items = sorted(page.items, key=lambda item: item.offset)
-        return _FetchResult(tuple(items), True, page.end, sent_at)
+        return _FetchResult(tuple(items), True, page.end, sent_at, True)
 
     async def _read_later_records(self, wait: float) -> _FetchResult:
         sent_at = asyncio.get_running_loop().time()
@@ -240,7 +245,7 @@
         is_at_end = result.next_offset >= result.end
         confirmed_at = sent_at if is_at_end else self.confirmed_at
         return _FetchResult(
-            _with_offsets(result), False, result.next_offset, confirmed_at
+            _with_offsets(result), False, result.next_offset, confirmed_at, is_at_end
         )
 
     def _apply_result(self, result: _FetchResult) -> None:
@@ -250,6 +255,7 @@
         if items or result.is_snapshot:
             self._apply(items, result.is_snapshot)
         self.next_offset = max(self.next_offset, result.next_offset)
+        self._is_at_end = result.is_at_end
         if result.confirmed_at >= self._revoked_at:
             self.confirmed_at = max(self.confirmed_at, result.confirmed_at)
             self.on_confirmed(self.confirmed_at)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,6 +8,7 @@
 
 from bench.clock import run_on_paused_clock
 from siskinroad.http_client import HttpPool
+from siskinroad.httpd import HttpResponse, HttpServer
 from siskinroad.work.relay import RelayStore
 from siskinroad.work.relay_codec import NewestCall, ReadCall
 from siskinroad.work.store import Record, StoreUnavailableError, StoreUnknownError
@@ -202,3 +203,59 @@
         assert recovered_at[0] - began < 0.5
 
     run_on_paused_clock(main())
+
+
+class PageStore:
+    """Server that answers reads with as many whole records as the page holds."""
+
+    def __init__(self, records):
+        self.records = records
+        self.server = HttpServer(self._answer)
+        self.pages_kb = []
+
+    async def _answer(self, req):
+        start = int(req.query["from"])
+        page_kb = int(req.query.get("max_fetch_kb", "1024"))
+        self.pages_kb.append(page_kb)
+        body = b""
+        for record in self.records[start:]:
+            more = encode_records([record])
+            if len(body) + len(more) > page_kb * 1024:
+                break
+            body += more
+        return HttpResponse(200, struct.pack(">QQ", len(self.records), 0) + body)
+
+
+async def read_pages(records):
+    """Return the records that a follower's reads bring, and the pages asked for."""
+    server = PageStore(records)
+    store = PlatformStore(await server.server.listen("127.0.0.1:0"), HttpPool())
+    found, end = [], 1
+    while len(found) < end:
+        result = await store.read("t", len(found), wait=0.0, timeout=TIMEOUT_S)
+        found += result.records
+        end = result.end
+    await server.server.close()
+    return found, server.pages_kb
+
+
+def test_records_are_read_in_pages_of_a_bounded_length():
+    """A read of a megabyte that a small link cut off began again from its first."""
+
+    async def main():
+        records = [Record(f"k{i}", b"v" * 20_000) for i in range(50)]
+        found, pages_kb = await read_pages(records)
+        assert found == records
+        assert pages_kb == [128] * 9
+
+    run_on_paused_clock(main())
+
+
+def test_a_record_that_is_longer_than_a_page_is_read():
+    async def main():
+        records = [Record("a", b"v"), Record("b", b"v" * 200_000), Record("c", b"v")]
+        found, pages_kb = await read_pages(records)
+        assert found == records
+        assert pages_kb == [128, 128, 1024]
+
+    run_on_paused_clock(main())
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -182,3 +182,9 @@
 def test_records_round_trip(pairs):
     records = [Record(key, value) for key, value in pairs]
     assert list(decode_records(encode_records(records))) == records
+
+
+def test_a_record_that_the_end_of_a_page_cuts_off_is_not_taken_for_a_whole_one():
+    data = encode_records([Record("a", b"1"), Record("b", b"long value")])
+    for size in range(len(data) - 1, 0, -1):
+        assert decode_records(data[:size]) in ((Record("a", b"1"),), ())
--- a/tests/work/test_follower.py
+++ b/tests/work/test_follower.py
@@ -149,3 +149,40 @@
         task.cancel()
 
     run_on_paused_clock(scenario())
+
+
+def test_a_follower_that_is_far_behind_reads_page_by_page_without_a_pause():
+    """A page is part of the records; only the read up to the end confirms."""
+
+    class PagedStore(MemoryStore):
+        waits = ()
+
+        async def read(self, topic, start, *, wait, timeout=1.0):
+            self.waits += (wait,)
+            result = await super().read(topic, start, wait=wait, timeout=timeout)
+            return ReadResult(start, result.records[:10], result.end)
+
+    async def scenario():
+        store, seen, confirmed = PagedStore(MemoryLogs()), [], []
+        follower = Follower(
+            store,
+            "t",
+            lambda items, is_snapshot: seen.extend(item.key for item in items),
+            wait=5.0,
+            read_pause=0.5,
+        )
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(1.0)
+        began = asyncio.get_running_loop().time()
+        follower.on_confirmed = lambda at: confirmed.append((at >= began, len(seen)))
+        keys = [str(number) for number in range(95)]
+        store.waits = ()
+        await store.append("t", [Record(key, b"1") for key in keys])
+        await asyncio.sleep(1.0)
+        assert seen == keys
+        assert all(count == 95 for is_new, count in confirmed if is_new)
+        assert confirmed[-1] == (True, 95)
+        assert store.waits.count(0.0) >= 9
+        task.cancel()
+
+    run_on_paused_clock(scenario())
