Leave hosts without work out of what a successor waits for

What callers saw: after each takeover, all tasks that had been accepted before wait 4.4 to 14.4 s where hosts are replaced all the time, also if each one that left had its runs stopped and their ends stored first.

Cause: the stored set of hosts names every host of the pool state. One that has drained and left stays there until its lease is over, never answers a successor, and all unsettled tasks wait for the end of its leases.

Change: an owner whose tasks are settled leaves a host out of the set once it drains, has no run in any state and no end that is not stored; or if it left the live list before it ever answered this owner. From the moment at which such a set may be sent, nothing starts there until the host is stored again. docs/PLATFORM-DESIGN.md says why no task runs twice by it.

--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -251,7 +251,7 @@
         Loop time at which the host last rejected a start that it should have accepted
         by its newest report.
     is_stored : bool
-        The store holds a record that this owner uses the host.
+        The store holds a record that this owner uses the host, and keeps it.
     failing_since : float
         Loop time of the first failed request since the last reply; of an earlier one
         while the host replies.
--- a/siskinroad/work/host_states.py
+++ b/siskinroad/work/host_states.py
@@ -37,7 +37,9 @@
 
 def find_host_state(host: Host, now: float) -> HostState:
     """Return the state of a host, by the conditions of ``Host.is_schedulable``."""
-    if not host.is_settled or not host.is_stored:
+    # A draining host without work is not stored any more.
+    is_unstored = not host.is_stored and not host.entry.draining
+    if not host.is_settled or is_unstored:
         return HostState.UNSETTLED
     if host.is_unconfirmed:
         return HostState.UNCONFIRMED
--- a/siskinroad/work/progress.py
+++ b/siskinroad/work/progress.py
@@ -27,6 +27,7 @@
     StoreUnknownError,
 )
 from siskinroad.work.term import Term
+from siskinroad.work.used_hosts import list_used_hosts
 
 __all__ = ["OwnershipLostError", "ProgressLog"]
 
@@ -38,6 +39,8 @@
 FLUSH_TIMEOUT = 2.0
 # Most records of jobs in one append.
 MAX_RECORDS_PER_APPEND = 400
+# Largest number of hosts that a log line names.
+MAX_LOGGED_HOSTS = 4
 
 log = logging.getLogger("siskinroad.progress")
 
@@ -97,11 +100,13 @@
             return True
         if self._obsolete_keys:
             return True
+        hosts = self._host_set()
         # A host that was removed and added again may be in the stored set already.
         has_unmarked_host = any(
-            not host.is_stored for host in pool_state.hosts.values()
+            name in pool_state.hosts and not pool_state.hosts[name].is_stored
+            for name in hosts.names
         )
-        return has_unmarked_host or self._host_set() != self._stored_hosts
+        return has_unmarked_host or hosts != self._stored_hosts
 
     def get_stored_event(self, job_id: str) -> asyncio.Event:
         """Return an event that is set once the job's outcome is stored."""
@@ -161,12 +166,9 @@
             await asyncio.sleep(FLUSH_INTERVAL)
 
     def _host_set(self) -> HostSet:
-        known = set(self.term.pool_state.hosts)
-        if not self.term.pool_state.is_settled:
-            known |= self.term.pool_state.former_owner_hosts
         is_settled = self.term.pool_state.is_settled
         return HostSet(
-            tuple(sorted(known)),
+            tuple(sorted(list_used_hosts(self.term.pool_state))),
             self.term.number,
             is_settled,
             None if is_settled else self.find_unreconciled(),
@@ -212,6 +214,7 @@
         hosts = self._host_set()
         if hosts != self._stored_hosts:
             records.append(record_of(hosts))
+        self._leave_out_hosts(hosts)
         loans = tuple(self._unstored_loans.values())
         self._unstored_loans.clear()
         records += map(record_of, loans)
@@ -225,6 +228,30 @@
         outcomes = tuple((job, job.outcome) for job in jobs)
         return _Batch(tuple(records), outcomes, hosts, ends_seen, loans)
 
+    def _leave_out_hosts(self, hosts: HostSet) -> None:
+        """Start nothing more on the hosts that a set which is to be stored leaves out.
+
+        The set may be stored from now on, also if no reply shows that.
+        """
+        stored = set(hosts.names)
+        left_out: list[str] = []
+        for host in self.term.pool_state.hosts.values():
+            if host.is_stored and host.name not in stored:
+                host.is_stored = False
+                left_out.append(host.name)
+        if left_out:
+            log.info(
+                "progress: hosts that leave have no work left; "
+                "successors do not wait for them",
+                extra={
+                    "pool": self.term.pool,
+                    "term": self.term.number,
+                    "count": len(left_out),
+                    "hosts": left_out[:MAX_LOGGED_HOSTS],
+                    "stored_hosts": len(stored),
+                },
+            )
+
     def _take_obsolete_keys(self) -> list[str]:
         keys = self._obsolete_keys[:MAX_RECORDS_PER_APPEND]
         del self._obsolete_keys[: len(keys)]
--- a/siskinroad/work/records.py
+++ b/siskinroad/work/records.py
@@ -198,7 +198,7 @@
 
 
 class HostSet(msgspec.Struct, tag="hosts", frozen=True):
-    """Hosts on which runs of this term, or of an earlier one, may exist.
+    """Hosts on which runs of this term, or of an earlier one, may exist (`used_hosts`).
 
     Attributes
     ----------
--- a/tests/work/test_host_states.py
+++ b/tests/work/test_host_states.py
@@ -29,6 +29,11 @@
     host.entry = entry("i-0", draining=True)
 
 
+def set_draining_without_work(host):
+    set_draining(host)
+    host.is_stored = False
+
+
 def set_restarted(host):
     host.incarnation_ms = 7
     host.entry = replace(entry("i-0"), incarnation_ms=8)
@@ -45,6 +50,7 @@
         (lambda host: setattr(host, "is_stored", False), HostState.UNSETTLED),
         (lambda host: setattr(host, "is_settled", False), HostState.UNSETTLED),
         (set_draining, HostState.DRAINING),
+        (set_draining_without_work, HostState.DRAINING),
         (lambda host: setattr(host, "is_quarantined", True), HostState.QUARANTINED),
         (lambda host: setattr(host, "unlisted_at", 1.0), HostState.UNLISTED),
         (lambda host: host.record_failed_request(NOW), HostState.FAILING),
