Count an advisor call on its channel when the channel is chosen

Since calls are made on a second channel too, a call counted on its channel only once its task ran: all requests of a planning pass chose the same channel.

--- a/siskinroad/work/advisor_channels.py
+++ b/siskinroad/work/advisor_channels.py
@@ -196,21 +196,28 @@
         hosts: tuple[str, ...],
         duration: float,
     ) -> asyncio.Task[tuple[str, AdviceResult]]:
-        """Begin a call on a channel; it returns the channel's name and the answer."""
+        """Begin a call on a channel; it returns the channel's name and the answer.
+
+        It counts on the channel at once, so that the next request chooses another one.
+        """
         loop = asyncio.get_running_loop()
         began_at = loop.time()
         wait = _wait_s(channel, began_at)
         timeout = wait + duration * TIMEOUT_FACTOR + TIMEOUT_MARGIN
+        number = channel.begin_call(duration, began_at)
 
         async def run() -> tuple[str, AdviceResult]:
-            result = await self._request_through(
-                channel, step, hosts, duration, timeout
-            )
+            with _record_outcome(channel, step[0], began_at):
+                result = await self._request_through(
+                    channel.name, step, hosts, duration, timeout
+                )
             took_s = loop.time() - began_at
             channel.record_delay(took_s - wait - duration, loop.time())
             return channel.name, result
 
-        return asyncio.create_task(run())
+        call = asyncio.create_task(run())
+        call.add_done_callback(lambda _: channel.end_call(number, loop.time()))
+        return call
 
     async def _wait_for_first(
         self, calls: set[asyncio.Task[tuple[str, AdviceResult]]]
@@ -289,60 +296,39 @@
 
     async def _request_through(
         self,
-        channel: AdvisorChannel,
+        name: str,
         step: tuple[str, int, int],
         hosts: tuple[str, ...],
         duration: float,
         timeout: float,
     ) -> AdviceResult:
-        job, occurrence, step_number = step
-        if channel.name == self._node:
-            return await self._call_advisor(
-                job, occurrence, step_number, hosts, duration, timeout
-            )
-        with _track_call(channel, job, duration):
-            reply = await self._peer_calls.request(
-                channel.name,
-                lambda request_id: AdviceRequest(
-                    request_id, job, occurrence, step_number, hosts, duration, timeout
-                ),
-                AdviceReply,
-                timeout,
+        """Call the advisor on a daemon's channel, which may be this one."""
+        if name == self._node:
+            return await self._advisor.advise(*step, list(hosts), timeout)
+        reply = await self._peer_calls.request(
+            name,
+            lambda request_id: AdviceRequest(
+                request_id, *step, hosts, duration, timeout
+            ),
+            AdviceReply,
+            timeout,
+        )
+        if not reply.valid:
+            raise OutcomeUnknownError(
+                "peer replied that its advisor call failed", step="lines", peer=name
             )
-            if not reply.valid:
-                raise OutcomeUnknownError(
-                    "peer replied that its advisor call failed",
-                    step="lines",
-                    peer=channel.name,
-                )
         return AdviceResult(reply.tickets, reply.valid)
 
-    async def _call_advisor(
-        self,
-        job: str,
-        occurrence: int,
-        step: int,
-        hosts: tuple[str, ...],
-        duration: float,
-        timeout: float,
-    ) -> AdviceResult:
-        """Call the advisor on this daemon's channel and add to its backlog."""
-        with _track_call(self._get_channel(self._node), job, duration):
-            return await self._advisor.advise(
-                job, occurrence, step, list(hosts), timeout
-            )
-
     async def serve(self, msg: AdviceRequest) -> AdviceReply:
         """Call the advisor on this daemon's channel for another daemon."""
+        loop = asyncio.get_running_loop()
+        channel, began_at = self._get_channel(self._node), loop.time()
+        number = channel.begin_call(msg.duration, began_at)
         try:
-            result = await self._call_advisor(
-                msg.job,
-                msg.occurrence,
-                msg.step,
-                msg.hosts,
-                msg.duration,
-                msg.timeout,
-            )
+            with _record_outcome(channel, msg.job, began_at):
+                result = await self._advisor.advise(
+                    msg.job, msg.occurrence, msg.step, list(msg.hosts), msg.timeout
+                )
         except SiskinroadError as exc:
             log.warning(
                 "advisor_channels: advisor call for a peer failed; "
@@ -350,6 +336,8 @@
                 extra={"request": msg.job, "error": str(exc)},
             )
             return AdviceReply(msg.id, {}, 0.0)
+        finally:
+            channel.end_call(number, loop.time())
         return AdviceReply(msg.id, result.tickets, result.valid_s)
 
 
@@ -382,17 +370,14 @@
 
 
 @contextlib.contextmanager
-def _track_call(channel: AdvisorChannel, job: str, duration: float) -> Iterator[None]:
-    """Count a call on its channel while it is in progress, and record how it ends."""
-    loop = asyncio.get_running_loop()
-    began_at = loop.time()
-    call = channel.begin_call(duration, began_at)
+def _record_outcome(
+    channel: AdvisorChannel, job: str, began_at: float
+) -> Iterator[None]:
+    """Record on its channel whether a call was answered."""
     try:
         yield
     except SiskinroadError as exc:
-        channel.record_failure(job, began_at, loop.time(), str(exc))
+        now = asyncio.get_running_loop().time()
+        channel.record_failure(job, began_at, now, str(exc))
         raise
-    else:
-        channel.record_answer()
-    finally:
-        channel.end_call(call, loop.time())
+    channel.record_answer()
--- a/tests/work/test_advisor_channels.py
+++ b/tests/work/test_advisor_channels.py
@@ -102,6 +102,19 @@
     run_on_paused_clock(scenario())
 
 
+def test_requests_of_one_pass_go_to_all_channels():
+    # Each counts on its channel at once: otherwise all would choose the same one.
+    async def scenario():
+        clients = make_clients()
+        now = asyncio.get_running_loop().time()
+        clients["a"].record_backlog("b", 0.01, now)
+        requests = [time_request(clients["a"], f"long{i}", 0.6) for i in range(8)]
+        await asyncio.gather(*requests)
+        assert [clients[n]._advisor.calls for n in "bc"] == [4, 4]
+
+    run_on_paused_clock(scenario())
+
+
 def test_reported_backlog_diverts_calls_to_another_channel():
     # Without the backlog from heartbeats, the call would wait 5 s on channel b.
     async def scenario():
