Bound what unknown runs count of an account by the hosts that may have them

Cause: each unsettled task counted against its account as if it ran, also once all hosts but one had answered. The sum over all jobs was made anew in each planning pass.

Change: unknown runs exist only on hosts of the former owner that have not answered, so an account counts no more of them than these hold, in each dimension; nothing once all have. A silent host counts as the largest known one, or the largest unsettled task if that is larger: it may have been larger than it is listed. Best-effort tasks count in full, as they take no capacity for their processors. The sum is made ten times a second at most, and at once when tasks are added that a former owner may have started; in between unsettled tasks only become fewer, so it is never too small.

--- a/siskinroad/work/job_table.py
+++ b/siskinroad/work/job_table.py
@@ -93,6 +93,8 @@
         Jobs with occurrences that are not due yet.
     dirty : set of str
         Jobs that have changed since they were last stored.
+    additions : int
+        Number of times that tasks were added which a former owner may have started.
     is_settled : bool
         Every run of former owners has been reconciled, so none can be running
         without this owner's knowledge.
@@ -111,6 +113,7 @@
         self.ready: dict[tuple[str, int, int], StepRun] = {}
         self.scheduled_jobs: set[str] = set()
         self.dirty: set[str] = set()
+        self.additions = 0
         self.health = Health()
         self.speed_estimates = SpeedEstimates()
         self.is_settled = False
@@ -136,6 +139,8 @@
             return existing
         job = make_job(accepted)
         self.jobs[job.id] = job
+        if not is_new:
+            self.additions += 1
         self._maybe_pending.setdefault(job.queue, []).append(job)
         if job.spec.occurrences > 1 or job.spec.first:
             self.scheduled_jobs.add(job.id)
@@ -177,6 +182,7 @@
         if job is None:
             return
         left_out = job.restore(progress)
+        self.additions += 1
         if left_out:
             log.error(
                 "pool_state: stored progress has what cannot be; using the rest of it",
@@ -214,6 +220,7 @@
             if job.is_closed:
                 break
             job.open_occurrence(is_settled=self.is_settled)
+            self.additions += 1
             self._collect_ready_steps(job, now)
         if job.is_closed or job.opened_occurrences >= job.spec.occurrences:
             self.scheduled_jobs.discard(job.id)
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -22,7 +22,7 @@
 from siskinroad.work.job import Job, JobState, PresumedEnd, StepRun, Task
 from siskinroad.work.job_table import JobTable
 from siskinroad.work.model import Configuration, HostEntry, TaskId
-from siskinroad.work.unsettled_use import sum_unsettled
+from siskinroad.work.unsettled_use import UnsettledUse
 from siskinroad.work.witness_counts import count_tolerated_hosts
 
 __all__ = ["RunTable", "format_task_position"]
@@ -109,7 +109,7 @@
         self.observe_stop: Callable[[str], None] = lambda reason: None
         self.crash_tracker = CrashTracker(self.hosts, self.step, self.dirty.add)
         self.account_use: AccountUse | None = None
-        self._unsettled_use: dict[str, Resources] = {}
+        self._unsettled_use = UnsettledUse()
         self._settled_gangs: list[StepRun] = []
         self.failing_hosts = FailingHosts()
 
@@ -123,7 +123,7 @@
             return
         if self.account_use is None:
             self.account_use = self.run_index.account_use = AccountUse()
-            self.account_use.find_unsettled = lambda: self._unsettled_use
+            self.account_use.find_unsettled = lambda: self._unsettled_use.by_account
             for runs in self.run_index.by_job.values():
                 for _, run in runs.values():
                     self.account_use.add(run.account, run.account_need)
@@ -149,10 +149,13 @@
             ),
             now,
         )
-        if not self.is_settled:
-            self._unsettled_use = sum_unsettled(self.jobs.values(), wall)
-        elif self._unsettled_use:
-            self._unsettled_use = {}
+        if self.is_settled:
+            self._unsettled_use.clear()
+            return
+        silent_hosts = len(self.list_unsettled_hosts())
+        self._unsettled_use.update(
+            self.jobs.values(), self.additions, silent_hosts, capacities, now, wall
+        )
 
     # Stopping runs
 
