Plan long-running steps that have waited for a second before all others

What callers saw: an owner that plans twice a second beside hundreds of waiting steps leaves tasks that are to last without a run for longer than the 3 s that users allow.

Cause: a pass plans 64 steps, half of them the first in order, half in turn, so that a long-running step of lower priority waited for many passes; urgent steps took the capacity and the advisor channel before it, and it waited for its turn among the blocked steps to ask about other hosts.

Change: long-running steps whose tasks have waited for more than 1 s come first in each pass, 16 at most, those planned longest ago if there are more. Blocked, they get their turn to request advice before the other blocked steps.

--- a/siskinroad/work/advice_requester.py
+++ b/siskinroad/work/advice_requester.py
@@ -27,6 +27,7 @@
 from siskinroad.work.effects import RequestAdvice
 from siskinroad.work.host import Host, Reservation
 from siskinroad.work.job import StepRun
+from siskinroad.work.lasting_steps import is_overdue
 from siskinroad.work.model import Advice
 from siskinroad.work.placement import place_tasks
 from siskinroad.work.planning_pass import PlanningPass, TentativePlacement
@@ -208,9 +209,15 @@
         """Return whether others that were blocked too were examined longer ago."""
         return step.key in self._later_steps
 
-    def _choose_later_steps(self, blocked: list[StepRun]) -> None:
-        """Set the blocked steps that the next pass leaves to the ones after it."""
-        turns = sorted(blocked, key=lambda step: step.advice.examined_at)
+    def _choose_later_steps(self, blocked: list[StepRun], now: float) -> None:
+        """Set the blocked steps that the next pass leaves to the ones after it.
+
+        Overdue long-running steps get their turns among themselves, before the others.
+        """
+        turns = sorted(
+            blocked,
+            key=lambda step: (not is_overdue(step, now), step.advice.examined_at),
+        )
         self._later_steps = {step.key for step in turns[MAX_EXAMINED_STEPS:]}
 
     def _renew_before_capacity(
@@ -303,7 +310,7 @@
     def request_for_next_steps(self, planning_pass: PlanningPass) -> None:
         """Request advice for steps that become ready when the running ones end."""
         self._blocked_steps = planning_pass.blocked_steps
-        self._choose_later_steps(planning_pass.unasked_steps)
+        self._choose_later_steps(planning_pass.unasked_steps, planning_pass.now)
         self._forecast.keep_only(self.pool_state.hosts)
         for step in self.pool_state.ready.values():
             job = step.job
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -1,7 +1,7 @@
 """Scheduler that places the waiting tasks of a pool on its hosts.
 
 `waiting_order` ranks the steps. `host_withholder` keeps hosts for a blocked large step,
-`late_steps` gives late ones their turn.
+`late_steps` gives late ones their turn, `lasting_steps` puts long-running ones first.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 from siskinroad.work.host import Host
 from siskinroad.work.host_withholder import HostWithholder, is_large
 from siskinroad.work.job import StepRun, Task
+from siskinroad.work.lasting_steps import put_overdue_first
 from siskinroad.work.late_steps import LateStepTurns
 from siskinroad.work.making_room import RoomMaker
 from siskinroad.work.model import Queue
@@ -123,6 +124,7 @@
         ranked = self.waiting_order.rank(steps, now, wall, cpu_milli)
         planning_pass.excess_cpu_milli = self._compute_excess_cpu(planning_pass, ranked)
         self._put_late_step_first(planning_pass, ranked)
+        ranked = put_overdue_first(ranked, now)
         planning_pass.ranked = ranked
         self._plan_steps(planning_pass, ranked)
         planning_pass.effects += self.room_maker.make_room(planning_pass)
