Bound the long replies that are queued for a slow peer

The owner of a pool grew from 47 to 344 MB while daemons with small links asked it for large configurations: up to 2000 messages are queued for a peer, of up to a megabyte each, and its heartbeats waited behind them.

Replies of 16 kB and more with a configuration or a relayed answer go by a connection of their own, which queues two and has a send buffer of 256 kB; further ones are dropped and counted as unsent. Only replies do, as a daemon of an earlier version does not know the sender of what comes by it, and finds the request of a reply by its number. Long requests, such as relayed appends, are queued as before.

--- a/siskinroad/peers_zmq.py
+++ b/siskinroad/peers_zmq.py
@@ -35,6 +35,17 @@
 PROBE_TIMEOUT_S = 0.3
 # Bounds the messages queued for each peer; further ones are dropped and counted.
 SEND_QUEUE_MESSAGES = 2000
+# Length from which a reply goes to its peer by a connection of its own. There it delays
+# nothing else, and few are queued: what waits for a small link may take megabytes.
+BULK_BYTES = 16 << 10
+BULK_QUEUE_MESSAGES = 2
+BULK_SEND_BUFFER_BYTES = 256 << 10
+# Time without a reply to a ping after which such a connection is closed. A ping waits
+# for the messages before it.
+BULK_PING_TIMEOUT_MS = 10_000
+# What follows the sender's name in the identity of such a connection: a second one of
+# the same identity would replace the first.
+BULK_SUFFIX = "#bulk"
 # Messages read from a socket before other callbacks of the event loop get their turn.
 MAX_MESSAGES_PER_READ = 64
 # Bounds the size of a received message; ZeroMQ disconnects a peer that exceeds it.
@@ -89,10 +100,20 @@
         Name, address and keys of this daemon, and the peers known at startup.
     codec : Codec
         Encoder and decoder of the messages.
+    bulk_types : tuple of type
+        Types of long messages that go by a connection of their own. Only replies:
+        daemons of earlier versions do not know the sender of what comes by it.
     """
 
-    def __init__(self, cfg: TransportSettings, codec: Codec = CELL_CODEC) -> None:
+    def __init__(
+        self,
+        cfg: TransportSettings,
+        codec: Codec = CELL_CODEC,
+        bulk_types: tuple[type, ...] = (),
+    ) -> None:
         super().__init__(codec)
+        self._bulk_types = bulk_types
+        self._bulk_dealers: dict[str, zmq.Socket[bytes]] = {}
         self.cfg = cfg
         self.address = ""
         self.undecodable_count = 0
@@ -141,18 +162,9 @@
         Called at the first message to the peer: most daemons in other data centres
         are never sent any, and an idle connection costs memory and pings.
         """
-        dealer = self._context.socket(zmq.DEALER)
-        dealer.setsockopt(zmq.LINGER, 0)
+        dealer = self._make_dealer(peer, self.cfg.name)
         dealer.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
-        dealer.setsockopt(zmq.HEARTBEAT_IVL, PING_INTERVAL_MS)
         dealer.setsockopt(zmq.HEARTBEAT_TIMEOUT, PING_TIMEOUT_MS)
-        dealer.setsockopt(zmq.RECONNECT_IVL, RECONNECT_INTERVAL_MS)
-        dealer.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_INTERVAL_MAX_MS)
-        dealer.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
-        dealer.setsockopt_string(zmq.IDENTITY, self.cfg.name)
-        if self.cfg.secret_key:
-            self._set_keys(dealer)
-            dealer.curve_serverkey = peer.public_key.encode()
         monitor = dealer.get_monitor_socket(
             zmq.EVENT_CONNECTED | zmq.EVENT_DISCONNECTED
         )
@@ -162,6 +174,29 @@
         self._dealers[peer.name] = dealer
         return dealer
 
+    def _connect_bulk(self, peer: Peer) -> zmq.Socket[bytes]:
+        """Connect to a peer for long replies."""
+        dealer = self._make_dealer(peer, self.cfg.name + BULK_SUFFIX)
+        dealer.setsockopt(zmq.SNDHWM, BULK_QUEUE_MESSAGES)
+        dealer.setsockopt(zmq.SNDBUF, BULK_SEND_BUFFER_BYTES)
+        dealer.setsockopt(zmq.HEARTBEAT_TIMEOUT, BULK_PING_TIMEOUT_MS)
+        dealer.connect(f"tcp://{peer.address}")
+        self._bulk_dealers[peer.name] = dealer
+        return dealer
+
+    def _make_dealer(self, peer: Peer, identity: str) -> zmq.Socket[bytes]:
+        dealer = self._context.socket(zmq.DEALER)
+        dealer.setsockopt(zmq.LINGER, 0)
+        dealer.setsockopt(zmq.HEARTBEAT_IVL, PING_INTERVAL_MS)
+        dealer.setsockopt(zmq.RECONNECT_IVL, RECONNECT_INTERVAL_MS)
+        dealer.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_INTERVAL_MAX_MS)
+        dealer.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+        dealer.setsockopt_string(zmq.IDENTITY, identity)
+        if self.cfg.secret_key:
+            self._set_keys(dealer)
+            dealer.curve_serverkey = peer.public_key.encode()
+        return dealer
+
     def _note_event(self, name: str, frames: list[bytes]) -> None:
         """Notify the callbacks when the connection to a peer is established or lost."""
         event = parse_monitor_message(frames)["event"]
@@ -191,6 +226,9 @@
 
     def _disconnect(self, name: str) -> None:
         self._lost_peers.discard(name)
+        bulk_dealer = self._bulk_dealers.pop(name, None)
+        if bulk_dealer is not None:
+            bulk_dealer.close()
         dealer = self._dealers.pop(name, None)
         if dealer is None:
             return
@@ -221,13 +259,14 @@
 
     def send_encoded(self, name: str, msg: Any, data: bytes) -> None:
         """Send a message; see the base class."""
-        dealer = self._dealers.get(name)
+        is_bulk = len(data) >= BULK_BYTES and isinstance(msg, self._bulk_types)
+        dealer = (self._bulk_dealers if is_bulk else self._dealers).get(name)
         if dealer is None:
             peer = self._known_peers.get(name)
             if peer is None:
                 self.unsent_count += 1
                 return
-            dealer = self._connect(peer)
+            dealer = self._connect_bulk(peer) if is_bulk else self._connect(peer)
         try:
             dealer.send(data, zmq.NOBLOCK)
         except zmq.ZMQError as exc:
@@ -238,7 +277,7 @@
 
     async def close(self) -> None:
         """Close all sockets."""
-        for name in list(self._dealers):
+        for name in [*self._dealers, *self._bulk_dealers]:
             self._disconnect(name)
         for sock in list(self._readers):
             self._close_socket(sock)
@@ -246,7 +285,7 @@
         self._context.destroy(linger=0)
 
     def _receive(self, frames: list[bytes]) -> None:
-        peer = frames[0].decode("latin-1")
+        peer = frames[0].decode("latin-1").removesuffix(BULK_SUFFIX)
         data = frames[-1]
         self.traffic.bytes_received += len(data)
         try:
--- a/tests/test_peers_zmq.py
+++ b/tests/test_peers_zmq.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import zmq
+
 from siskinroad.cluster import free_addresses
 from siskinroad.messages import ForwardAck
 from siskinroad.peers_zmq import ZmqTransport, generate_keys
@@ -13,7 +15,7 @@
 REJECTED_SENDS = 40
 
 
-def open_transport(name, address, peers, keys=("", "")):
+def open_transport(name, address, peers, keys=("", ""), bulk_types=()):
     cfg = Settings(
         name,
         "d",
@@ -24,7 +26,7 @@
         secret_key=keys[1],
     )
     received = []
-    transport = ZmqTransport(cfg)
+    transport = ZmqTransport(cfg, bulk_types=bulk_types)
     transport.receiver = lambda peer, msg: received.append((peer, msg.id))
     transport.open()
     return transport, received
@@ -155,6 +157,68 @@
     asyncio.run(main())
 
 
+def open_unread_socket():
+    """Return a socket that takes few messages until it is read, and its address."""
+    context = zmq.Context()
+    sock = context.socket(zmq.ROUTER)
+    sock.setsockopt(zmq.LINGER, 0)
+    sock.setsockopt(zmq.RCVHWM, 1)
+    sock.setsockopt(zmq.RCVBUF, 64 << 10)
+    sock.bind("tcp://127.0.0.1:0")
+    address = sock.getsockopt_string(zmq.LAST_ENDPOINT).removeprefix("tcp://")
+    return sock, address
+
+
+async def receive(sock):
+    """Return the identity of the sender and the length of the next message."""
+    while not sock.poll(0):
+        await asyncio.sleep(0.005)
+    identity, data = sock.recv_multipart()
+    return identity.decode(), len(data)
+
+
+def test_long_replies_to_a_peer_that_does_not_read_are_bounded_and_delay_nothing():
+    """A process grew by 300 MB, and its heartbeats waited behind such replies."""
+
+    async def main():
+        sock, address = open_unread_socket()
+        peer = Peer("b", address, "d", "r")
+        a, _ = open_transport("a", free_addresses(1)[0], (peer,), ("", ""), ForwardAck)
+        for _ in range(40):
+            a.send("b", ForwardAck("x" * (1 << 20)))
+            await asyncio.sleep(0.01)
+        assert sum(a.traffic.bytes_sent.values()) < 8 << 20
+        assert a.unsent_count > 30
+        a.send("b", ForwardAck("short"))
+        await asyncio.sleep(0.2)
+        async with asyncio.timeout(20.0):
+            received = [await receive(sock) for _ in range(3)]
+        assert [identity for identity, size in received if size < 100] == ["a"]
+        await a.close()
+        sock.context.destroy(linger=0)
+
+    asyncio.run(main())
+
+
+def test_a_long_reply_names_its_sender_after_a_restart_of_the_receiver_too():
+    """It comes by a connection of its own, which has another identity."""
+
+    async def main():
+        address_a, address_b = free_addresses(2)
+        peer = Peer("b", address_b, "d", "r")
+        a, _ = open_transport("a", address_a, (peer,), ("", ""), ForwardAck)
+        for _ in range(2):
+            b, received = open_transport("b", address_b, ())
+            while not received:
+                a.send("b", ForwardAck("x" * (1 << 20)))
+                await asyncio.sleep(0.05)
+            assert received[0][0] == "a"
+            await b.close()
+        await a.close()
+
+    asyncio.run(main())
+
+
 async def open_middlebox(target):
     """Forward connections to ``target``; those in the returned set go silent."""
     host, _, port = target.rpartition(":")
