Limit the reads that a daemon makes for one peer at once

A daemon made every read that a peer asked it to, while the peer asked again and again, as the answers came too late over its small link: they filled the link, and the memory of the daemon that made them.

Sixteen reads for one peer are made at once, and two of the newest records, whose answers are up to a megabyte; further ones are answered as not done, so that the peer goes on to the next way. Appends are not limited.

--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -587,7 +587,7 @@
             case LoanRequest():
                 self._reply_when_done(peer, self._serve_loan(msg))
             case RelayRequest():
-                self._reply_when_done(peer, self.store.serve(msg))
+                self._reply_when_done(peer, self.store.serve(msg, peer))
 
     def _on_suspended(self) -> None:
         log.warning("daemon: process was suspended; owners must confirm their claims")
--- a/siskinroad/work/relay.py
+++ b/siskinroad/work/relay.py
@@ -40,6 +40,7 @@
     execute_encoded,
     make_call,
 )
+from siskinroad.work.relayed_reads import RelayedReads
 from siskinroad.work.store import (
     Fence,
     FencedError,
@@ -114,6 +115,7 @@
         self._race = ReadRace()
         self._open_appends = OpenCalls()
         self._open_reads = OpenCalls()
+        self._relayed_reads = RelayedReads()
         self._relay_index = 0
         self._silent_at: dict[str, float] = {}
         self.direct_answer_at = -1e9
@@ -373,14 +375,18 @@
         except ProtocolError as exc:
             raise StoreUnknownError(str(exc), step="relay", peer=relay_peer) from exc
 
-    async def serve(self, msg: RelayRequest) -> RelayReply:
+    async def serve(self, msg: RelayRequest, peer: str) -> RelayReply:
         """Carry out another daemon's store call.
 
-        The call is made directly and never relayed further.
+        The call is made directly and never relayed further. Reads beyond the limits for
+        one peer are not made.
         """
         try:
             call = decode_call(msg.call)
-            result = await execute_encoded(self.direct, call, msg.timeout)
+            with self._relayed_reads.admit(peer, call) as is_admitted:
+                if not is_admitted:
+                    return RelayReply(msg.id, "not done", b"")
+                result = await execute_encoded(self.direct, call, msg.timeout)
         except (StoreUnavailableError, ProtocolError):
             return RelayReply(msg.id, "not done", b"")
         except StoreUnknownError:
--- /dev/null
+++ b/siskinroad/work/relayed_reads.py
@@ -0,0 +1,51 @@
+"""Limits on the reads that a daemon makes for each of its peers at once.
+
+Answers to more of them would fill the peer's link, and this daemon's memory.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from siskinroad.work.relay_codec import AppendCall, NewestCall, ReadCall, StoreCall
+
+__all__ = ["RelayedReads"]
+
+# Most reads for one peer at once. Some are held open by the store, so that a peer whose
+# calls all fail needs one for each topic that it follows. The answers to the second
+# kind are up to eight times as long as those to the first.
+MAX_READS = 16
+MAX_NEWEST_READS = 2
+
+
+class RelayedReads:
+    """The reads that are being made for each peer."""
+
+    def __init__(self) -> None:
+        self._open: Counter[tuple[str, type]] = Counter()
+
+    @contextmanager
+    def admit(self, peer: str, call: StoreCall) -> Iterator[bool]:
+        """Count a call while the body makes it; yield whether it may be made."""
+        key = (peer, type(call))
+        if not self._is_allowed(key, call):
+            yield False
+            return
+        self._open[key] += 1
+        try:
+            yield True
+        finally:
+            self._open[key] -= 1
+            if not self._open[key]:
+                del self._open[key]
+
+    def _is_allowed(self, key: tuple[str, type], call: StoreCall) -> bool:
+        match call:
+            case AppendCall():
+                return True
+            case ReadCall():
+                return self._open[key] < MAX_READS
+            case NewestCall():
+                return self._open[key] < MAX_NEWEST_READS
--- /dev/null
+++ b/tests/work/test_relayed_reads.py
@@ -0,0 +1,49 @@
+"""Reads that a daemon makes for its peers, on a paused clock."""
+
+import asyncio
+
+from bench.clock import run_on_paused_clock
+from siskinroad.work.messages import RelayRequest
+from siskinroad.work.relay import RelayStore
+from siskinroad.work.relay_codec import AppendCall, NewestCall, ReadCall, encode_call
+from siskinroad.work.store import Record
+from siskinroad.work.store_memory import MemoryLogs, MemoryStore
+
+CALLS = 40
+
+
+def serve_all(call, peers=("a",)):
+    """Serve a call for each peer many times at once; return the outcomes by peer."""
+
+    async def scenario():
+        logs = MemoryLogs()
+        logs.faults.call_delay_s = 0.1
+        store = RelayStore(MemoryStore(logs), None, list)
+        msg = RelayRequest(1, encode_call(call), 2.0)
+        outcomes = {}
+        for _ in range(2):
+            replies = await asyncio.gather(
+                *(store.serve(msg, peer) for peer in peers for _ in range(CALLS))
+            )
+            outcomes = {
+                peer: [
+                    reply.outcome for reply in replies[i * CALLS : (i + 1) * CALLS]
+                ].count("answered")
+                for i, peer in enumerate(peers)
+            }
+        return outcomes
+
+    return run_on_paused_clock(scenario())
+
+
+def test_reads_for_one_peer_are_limited_and_those_for_another_are_made():
+    """Their answers filled the peer's link, and were requested again meanwhile."""
+    assert serve_all(ReadCall("t", 0, 0.5), ("a", "b")) == {"a": 16, "b": 16}
+
+
+def test_reads_of_the_newest_records_for_one_peer_are_limited():
+    assert serve_all(NewestCall("t", "")) == {"a": 2}
+
+
+def test_every_append_for_a_peer_is_made():
+    assert serve_all(AppendCall("t", [Record("k", b"v")], None, None)) == {"a": CALLS}
