Relay calls through daemons of much processor first

Daemons with small links, which the store did not answer in time, relayed their calls through each other by turns, and so over two saturated links.

Calls go through the daemons with at least half of the largest processor that is known, by turns, and through the others only if those have just been silent. The link of a daemon is not known; on the users' sites it goes with the processor.

Of daemons of the same or unknown processor each is asked, as before.

--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -151,6 +151,7 @@
             platform_clients.store,
             self.peer_calls,
             lambda: self.members.members_reaching_store(now()),
+            lambda node: self.members.last_heartbeats[node].heartbeat.processor,
         )
         self.store.on_recovered = self._on_store_recovered
         self.store_probe = StoreProbe(
--- a/siskinroad/work/relay.py
+++ b/siskinroad/work/relay.py
@@ -67,6 +67,9 @@
 MAX_RELAYS = 2
 # Seconds for which a daemon that did not answer is relayed through last.
 SILENT_PEER_PAUSE = 2.0
+# Part of the largest daemon's processor below which a daemon is relayed through after
+# the others.
+SMALL_SHARE = 0.5
 
 log = logging.getLogger("siskinroad.relay")
 
@@ -86,6 +89,8 @@
         Requests to the other daemons.
     relay_peers : callable
         Returns the live daemons that the store has answered recently.
+    find_processor : callable, optional
+        Returns the processor of one of them in whole cores, 0 if it is unknown.
 
     Attributes
     ----------
@@ -102,12 +107,17 @@
     """
 
     def __init__(
-        self, direct: Store, peer_calls: PeerCalls, relay_peers: Callable[[], list[str]]
+        self,
+        direct: Store,
+        peer_calls: PeerCalls,
+        relay_peers: Callable[[], list[str]],
+        find_processor: Callable[[str], float] = lambda peer: 0.0,
     ) -> None:
         self.direct = direct
         direct.watch_arrivals(self.record_direct_answer)
         self._peer_calls = peer_calls
         self._relay_peers = relay_peers
+        self._find_processor = find_processor
         self._direct_failed = False
         self._recovered_at = -1e9
         self._next_probe_at = -1e9
@@ -241,15 +251,22 @@
         )
 
     def _order_relay_peers(self, relay_peers: list[str]) -> list[str]:
-        """Return the daemons in turn, those last that have just been silent."""
+        """Return the daemons in turn, those last that have just been silent.
+
+        Before them come the daemons of little processor, whose links are small too.
+        """
         now = asyncio.get_running_loop().time()
         self._relay_index += 1
         first = self._relay_index % len(relay_peers)
         in_turn = relay_peers[first:] + relay_peers[:first]
-        return sorted(
-            in_turn,
-            key=lambda peer: now - self._silent_at.get(peer, -1e9) < SILENT_PEER_PAUSE,
-        )
+        processors = {peer: self._find_processor(peer) for peer in relay_peers}
+        small_below = SMALL_SHARE * max(processors.values())
+
+        def order(peer: str) -> tuple[bool, bool]:
+            silent_at = self._silent_at.get(peer, -1e9)
+            return now - silent_at < SILENT_PEER_PAUSE, processors[peer] < small_below
+
+        return sorted(in_turn, key=order)
 
     async def _call_direct(self, call: StoreCall, timeout: float) -> StoreAnswer:
         """Make a direct call and record whether the store answered it.
