Leave connections to the store for a daemon's own calls

All calls of a daemon share 64 connections to the store, and a call beyond them is not sent. Where few daemons reach the store, the reads that they make for the others, most of them held open, could take all.

Forty reads for all peers are made at once, and further ones are answered as not done, which the log says. In a test, eight peers that ask for 40 reads each had 128 made at once, within the limit for each; now 40.

--- a/siskinroad/work/relay.py
+++ b/siskinroad/work/relay.py
@@ -402,6 +402,10 @@
             call = decode_call(msg.call)
             with self._relayed_reads.admit(peer, call) as is_admitted:
                 if not is_admitted:
+                    log.info(
+                        "relay: read for a peer not made; too many at once",
+                        extra={"peer": peer, "call": call.__struct_config__.tag},
+                    )
                     return RelayReply(msg.id, "not done", b"")
                 result = await execute_encoded(self.direct, call, msg.timeout)
         except (StoreUnavailableError, ProtocolError):
--- a/siskinroad/work/relayed_reads.py
+++ b/siskinroad/work/relayed_reads.py
@@ -1,6 +1,6 @@
-"""Limits on the reads that a daemon makes for each of its peers at once.
+"""Limits on the reads that a daemon makes for its peers at once.
 
-Answers to more of them would fill the peer's link, and this daemon's memory.
+Answers to more of them would fill a peer's link, and this daemon's memory.
 """
 
 from __future__ import annotations
@@ -18,6 +18,8 @@
 # kind are up to eight times as long as those to the first.
 MAX_READS = 16
 MAX_NEWEST_READS = 2
+# Most reads for all peers at once: the daemon's own calls need connections too.
+MAX_READS_FOR_ALL = 40
 
 
 class RelayedReads:
@@ -42,9 +44,12 @@
                 del self._open[key]
 
     def _is_allowed(self, key: tuple[str, type], call: StoreCall) -> bool:
+        if isinstance(call, AppendCall):
+            return True
+        reads = sum(n for (_, kind), n in self._open.items() if kind is not AppendCall)
+        if reads >= MAX_READS_FOR_ALL:
+            return False
         match call:
-            case AppendCall():
-                return True
             case ReadCall():
                 return self._open[key] < MAX_READS
             case NewestCall():
--- a/tests/work/test_relayed_reads.py
+++ b/tests/work/test_relayed_reads.py
@@ -47,3 +47,9 @@
 
 def test_every_append_for_a_peer_is_made():
     assert serve_all(AppendCall("t", [Record("k", b"v")], None, None)) == {"a": CALLS}
+
+
+def test_reads_for_many_peers_leave_connections_for_the_daemons_own_calls():
+    """All calls of a daemon share 64 connections to the store."""
+    peers = tuple("abcdefgh")
+    assert sum(serve_all(ReadCall("t", 0, 0.5), peers).values()) == 40
