--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -155,6 +155,7 @@
             platform_clients.store,
             self.peer_calls,
             lambda: self.members.members_reaching_store(now()),
+            lambda node: self.members.last_heartbeats[node].heartbeat.processor,
         )
         self.store.on_recovered = self._on_store_recovered
         self.store_probe = StoreProbe(
@@ -610,7 +611,7 @@
             case LoanRequest():
                 self._reply_when_done(peer, self._serve_loan(msg))
             case RelayRequest():
-                self._reply_when_done(peer, self.store.serve(msg))
+                self._reply_when_done(peer, self.store.serve(msg, peer))
 
     def _on_suspended(self) -> None:
         log.warning("daemon: process was suspended; owners must confirm their claims")
