Give the test of missing claims a term that the topic can have

The test failed since stale replies are rejected: its successor has term 20, while the topic ends far before that claim, which no store shows. It now takes the term that comes next in the topic. It asks for the same as before: the claims are read once the store answers, and the former owner is asked until it says that it has stopped.

--- a/tests/work/test_deposed_owner.py
+++ b/tests/work/test_deposed_owner.py
@@ -10,7 +10,7 @@
 
 from siskinroad.work.claim import InheritedState
 from siskinroad.work.former_owners import FormerOwners
-from siskinroad.work.records import HostSet, OwnerRecord
+from siskinroad.work.records import HostSet, OwnerRecord, job_topic
 from tests.work.cell import POOL, job, step
 from tests.work.test_daemon import JOB_ID, run_scenario
 
@@ -178,7 +178,8 @@
     async def scenario(cell):
         await start_cell(cell)
         owner = cell.daemons[cell.owner()].owners[POOL]
-        inherited = InheritedState(former=OwnerRecord("x", 1), former_term=9, term=20)
+        term = cell.logs.topic(job_topic(POOL)).end + 1
+        inherited = InheritedState(former=OwnerRecord("x", 1), former_term=9, term=term)
         inherited.hosts = HostSet(("i-0",), owner.term.number, True)
         formers = FormerOwners(POOL, inherited, lambda node, incarnation: False)
         assert formers.remaining is None
