Tell the next owner at a planned stop which runs may go on

After each planned stop all accepted tasks waited for 4.4 s if one host had left, also those that could not run there: the next owner did not know what ran where. The former owner did, and now stores it with its release: the tasks of all runs that are not over, by host, and the jobs with changes that may not be stored. The next owner settles every other task once it has read the claims since, and a listed one once its hosts have answered. An owner of an earlier version tells nothing, and is waited for as before.

--- a/siskinroad/work/claim.py
+++ b/siskinroad/work/claim.py
@@ -31,6 +31,7 @@
     EarlierClaims,
     FormerOwner,
     HostSet,
+    KnownRuns,
     Loans,
     OwnerRecord,
     Progress,
@@ -96,6 +97,8 @@
         What the former owner's claim says of those that it follows.
     released_term : int
         The newest term whose owner released the pool in an orderly way.
+    released_runs : KnownRuns or None
+        The runs that this owner has told of.
     claimed_at : float
         Loop time at which the claim was sent.
     fenced_at : float
@@ -115,6 +118,7 @@
     unread: tuple[OffsetRange, ...] = ()
     earlier: EarlierClaims | None = None
     released_term: int = 0
+    released_runs: KnownRuns | None = None
     claimed_at: float = 0.0
     fenced_at: float = 0.0
     refused_at: dict[str, float] = field(default_factory=dict)
@@ -182,7 +186,9 @@
                 )
                 self.add_claims([claim])
             case Released(term=term):
-                self.released_term = max(self.released_term, term)
+                if term >= self.released_term:
+                    self.released_term = term
+                    self.released_runs = stored.runs
             case Progress():
                 self.parted_progress.add(stored)
             case HostSet():
@@ -352,10 +358,12 @@
     inherited.unread = ()
 
 
-async def release_pool(store: Store, pool: str, term: int) -> None:
-    """Store the release of a pool by the owner of a term.
+async def release_pool(
+    store: Store, pool: str, term: int, runs: KnownRuns | None = None
+) -> None:
+    """Store the release of a pool by the owner of a term, and the runs that it knows.
 
     All its calls to hosts must have ended.
     """
-    record = record_of(Released(term))
+    record = record_of(Released(term, runs))
     await store.append(job_topic(pool), [record], timeout=STORE_TIMEOUT)
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -23,10 +23,12 @@
 )
 from siskinroad.work.follower import Follower
 from siskinroad.work.former_owners import FormerOwners
+from siskinroad.work.former_runs import find_former_runs
 from siskinroad.work.host import LEASE_S, max_lease_s
 from siskinroad.work.host_commands import HostCommands
 from siskinroad.work.inherited_jobs import load_jobs, log_unknown_queues
 from siskinroad.work.job_forgetter import JobForgetter
+from siskinroad.work.known_runs import list_known_runs
 from siskinroad.work.lease_extender import LeaseExtender
 from siskinroad.work.lease_renewer import LeaseRenewer
 from siskinroad.work.model import Configuration, HostEntry, Queue
@@ -202,6 +204,9 @@
                 names, now + OWNERSHIP_TIMEOUT_S + LEASE_S * 1.1
             )
             self._check_former_owners(now)
+            pool_state.former_runs = find_former_runs(
+                inherited.hosts, inherited.released_term, inherited.released_runs, now
+            )
         load_jobs(pool_state, inherited, now, wall)
         self.job_forgetter.add_inherited(inherited)
         inherited.drop_jobs()
@@ -303,7 +308,10 @@
                 extra={**extra, "error": str(exc)},
             )
         try:
-            await release_pool(self.dependencies.store, self.pool, self.term.number)
+            runs = list_known_runs(self.pool_state, self.progress)
+            await release_pool(
+                self.dependencies.store, self.pool, self.term.number, runs
+            )
         except SiskinroadError as exc:
             log.warning(
                 "owner: release of the pool not stored; "
@@ -497,6 +505,7 @@
             self._add_missing_hosts(now)
             effects = self.pool_state.expire_silent_hosts(now)
             self.pool_state.settle_tasks(now)
+            self.pool_state.settle_told_tasks(now)
             self.takeover_report.report_if_due(now)
             self.lease_extender.report_change(now)
             self.pool_state.open_due(now, wall, EARLY_START_TIME)
--- a/siskinroad/work/progress.py
+++ b/siskinroad/work/progress.py
@@ -103,6 +103,11 @@
         )
         return has_unmarked_host or self._host_set() != self._stored_hosts
 
+    def list_unstored_jobs(self) -> set[str]:
+        """Return the ids of the jobs with changes that may not be stored."""
+        storing = self._batch.outcomes if self._batch is not None else ()
+        return self.term.pool_state.dirty | {job.id for job, _ in storing}
+
     def get_stored_event(self, job_id: str) -> asyncio.Event:
         """Return an event that is set once the job's outcome is stored."""
         self.term.flush_requested.set()
--- a/siskinroad/work/records.py
+++ b/siskinroad/work/records.py
@@ -26,6 +26,7 @@
     "EarlierClaims",
     "FormerOwner",
     "HostSet",
+    "KnownRuns",
     "Loans",
     "Member",
     "OwnerRecord",
@@ -150,10 +151,30 @@
     read_to: int
 
 
+class KnownRuns(msgspec.Struct, frozen=True, array_like=True):
+    """Runs that an owner may have started and that may go on as it stops.
+
+    Attributes
+    ----------
+    hosts : tuple of (str, tuple of tuple)
+        Names of hosts, each with the tasks of its runs: their job, occurrence, step and
+        index.
+    unstored_jobs : tuple of str
+        Jobs with changes that may not be stored.
+    """
+
+    hosts: tuple[tuple[str, tuple[tuple[str, int, int, int], ...]], ...]
+    unstored_jobs: tuple[str, ...] = ()
+
+
 class Released(msgspec.Struct, tag="released", frozen=True):
-    """Notice that the owner of ``term`` has stopped all its calls to hosts."""
+    """Notice that the owner of ``term`` has stopped all its calls to hosts.
+
+    ``runs`` are those that may go on; None if it does not tell, as in earlier versions.
+    """
 
     term: int
+    runs: KnownRuns | None = None
 
 
 class Member(msgspec.Struct, tag="member", frozen=True):
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -18,6 +18,7 @@
 from siskinroad.work.crash_tracker import CrashTracker
 from siskinroad.work.effects import Effect, ReconcileHost, StopRun
 from siskinroad.work.failing_hosts import FailingHosts
+from siskinroad.work.former_runs import FormerRuns
 from siskinroad.work.host import Host, Run, RunIndex
 from siskinroad.work.job import Job, JobState, PresumedEnd, StepRun, Task
 from siskinroad.work.job_table import JobTable
@@ -73,6 +74,8 @@
         the list is never old.
     former_leases_end_at : float
         Loop time by which every lease that a former owner granted has expired.
+    former_runs : FormerRuns or None
+        The runs that the former owner has told of; None if it has not.
     claims : ClaimKnowledge
         What is known of later claims on the pool.
     loop_delay_s : float
@@ -101,6 +104,7 @@
         self.list_read_at = math.inf
         self._replaced: dict[str, _Replacement] = {}
         self.former_leases_end_at = 0.0
+        self.former_runs: FormerRuns | None = None
         self.claims = ClaimKnowledge()
         self.loop_delay_s = 0.0
         self.observe_presumed_end: Callable[[str], None] = lambda reason: None
@@ -343,14 +347,12 @@
             return False
         self.is_settled = True
         self._replaced.clear()
-        first_run = MAX_UNSTORED_RUNS * (self.term - 1)
         count = 0
         for job in self.jobs.values():
             for step in job.steps.values():
                 for task in step.tasks:
                     if task.state == "unsettled":
-                        task.run = max(task.run, first_run) + MAX_UNSTORED_RUNS
-                        task.move("settle")
+                        self._settle(task)
                         count += 1
                 if step.spec.gang and step.waiting_count:
                     self._settled_gangs.append(step)
@@ -367,6 +369,48 @@
         )
         return True
 
+    def _settle(self, task: Task) -> None:
+        """Let a task be placed; skip the run numbers that may have been used."""
+        first_run = MAX_UNSTORED_RUNS * (self.term - 1)
+        task.run = max(task.run, first_run) + MAX_UNSTORED_RUNS
+        task.move("settle")
+
+    def settle_told_tasks(self, now: float) -> None:
+        """Settle the tasks that have no unknown run by what the former owner has told.
+
+        Others wait until all are settled.
+        """
+        told = self.former_runs
+        if self.is_settled or told is None:
+            return
+        if not self.claims.was_sole_owner(told.told_at):
+            return
+        count = 0
+        for job in self.jobs.values():
+            for step in job.steps.values():
+                for task in told.list_settled(step, self._is_host_certain):
+                    self._settle(task)
+                    count += 1
+        if count:
+            log.info(
+                "pool_state: the former owner has told of its runs; "
+                "tasks without an unknown one may be placed",
+                extra={
+                    "tasks": count,
+                    "silent_hosts": len(self.list_unsettled_hosts()),
+                    "told_s": round(now - told.told_at, 2),
+                    "term": self.term,
+                    "claims_age_s": self.claims.age_s(now),
+                },
+            )
+
+    def _is_host_certain(self, name: str) -> bool:
+        """Return whether a host is settled, and no successor was there by then."""
+        host = self.hosts.get(name)
+        if host is not None and not self.claims.was_sole_owner(host.first_reported_at):
+            return False
+        return self._is_host_settled(name)
+
     def stop_parts_of_gangs(self) -> list[Effect]:
         """Stop what runs of the gangs of which a member was settled without a run.
 
