Replace owners that only a few members hear; find out sooner to be left alone

An owner is now kept if at least half of those that answer, the asking daemon included, hear it. A member that heard it and has not answered since counts as hearing it, and with no newer answer the daemon waits. Members that have not answered are probed once; if none of those heard in the last 2.2 s listens, the daemon counts as alone after 1.5 s. All daemons ask from the start of a silence, less often once answered unless they would claim, those heard since first, and ten at a time while none answers: one that becomes the next claimant has its answer by then.

--- a/siskinroad/work/claim_manager.py
+++ b/siskinroad/work/claim_manager.py
@@ -231,14 +231,15 @@
         if self._members.claimant(pool, now) is not None:
             return False
         vacant_since = self._vacant_since.setdefault(pool, now)
-        if not self._is_best_claimant(pool, vacant_since, now):
-            return False
+        is_best = self._is_best_claimant(pool, vacant_since, now)
         if now - self._store_recovered_at < RECOVERY_CLAIM_DELAY:
             return False
         if self._was_released(pool, now):
-            return True
-        is_lost = self._owner_check.is_lost(pool, vacant_since)
-        return is_lost and now - vacant_since >= CLAIM_DELAY
+            return is_best
+        self._owner_check.ask(pool, vacant_since, is_claimant=is_best)
+        if not is_best or now - vacant_since < CLAIM_DELAY:
+            return False
+        return self._owner_check.is_lost(pool)
 
     def _is_best_claimant(self, pool: str, vacant_since: float, now: float) -> bool:
         may_wait = now - vacant_since < STARTING_CLAIMANT_WAIT
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -215,6 +215,7 @@
             self.members,
             self.heard_owners,
             self.peer_calls,
+            peers,
             lambda pool: self.claim_manager.find_acting_term(pool),
         )
         self.claim_manager = ClaimManager(
--- a/siskinroad/work/owner_check.py
+++ b/siskinroad/work/owner_check.py
@@ -4,8 +4,9 @@
 an owner that works. Its claim would depose that owner, and the pool would wait for the
 settlement of a new term. So it asks other members when they last heard the owner:
 
-- One of them hears it, or a daemon that is claiming the pool: no claim now.
-- None that answers does: the owner is lost.
+- At least half of them and this daemon hear it, or one that is claiming the pool: no
+  claim now.
+- More of them do not: the owner is lost, or nearly all are cut off from it.
 - Nobody answers: this daemon hears nothing. It doesn't claim until it has received
   nothing from any of them for a while, as after the loss of all others. Until then its
   heartbeats say that it cannot claim, so that no other daemon waits for it.
@@ -18,11 +19,13 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import Any
 
 from siskinroad.errors import SiskinroadError
+from siskinroad.peers import PeerTransport, Reachability
 from siskinroad.work.heard_owners import HeardOwners
 from siskinroad.work.members import (
     HEARTBEAT_INTERVAL,
@@ -34,15 +37,20 @@
 
 __all__ = ["OwnerCheck", "OwnerSilence", "Verdict", "choose_asked"]
 
-# Largest number of members that are asked at once.
+# Largest number of members that are asked at once; the second value while none has
+# answered, as many may be lost together with the owner.
 MAX_ASKED = 5
+MAX_ASKED_UNANSWERED = 10
 # Seconds since its newest sign of life up to which a member is asked.
 ASKED_AGE = 4.0
 # Seconds without any message from a member that could answer, after which silence is
 # enough: an interval of heartbeats, and the delay of the next one by a saturated link.
 ALONE_AFTER = HEARTBEAT_INTERVAL + 1.6
+# The same in seconds, if none of the members heard within that time listens: a link
+# that is only late delays a connection, and does not prevent it for so long.
+ALONE_AFTER_PROBES = 1.5
 # Seconds between two rounds of queries; the second value once SLOW_AFTER seconds passed
-# without an answer.
+# without an answer, and after one for a daemon that would not claim the pool now.
 ASK_INTERVAL = 0.15
 SLOW_ASK_INTERVAL = 0.5
 SLOW_AFTER = 1.0
@@ -65,11 +73,31 @@
     """What is known of an owner that is silent here."""
 
     LOST = "lost"
-    HEARD = "heard by another member"
+    HEARD = "heard by other members"
     UNANSWERED = "no answer yet"
     NOBODY_TO_ASK = "nobody to ask"
 
 
+@dataclass(slots=True, frozen=True)
+class _HeardAnswer:
+    """Newest answer of a member.
+
+    Attributes
+    ----------
+    asked_at : float
+        Loop time of the query.
+    heard_at : float
+        Newest loop time at which the member can have heard the owner.
+    owner, term : str, int
+        That owner and its term; empty if the member hears none.
+    """
+
+    asked_at: float
+    heard_at: float
+    owner: str
+    term: int
+
+
 @dataclass(slots=True)
 class OwnerSilence:
     """What other members have answered about the silent owner of one pool.
@@ -84,24 +112,25 @@
         Loop time of the newest queries.
     answered_at : float
         Loop time of the newest query that was answered.
-    heard_at : float
-        Newest loop time at which another member can have heard the owner.
-    heard_owner, heard_term, heard_by : str, int, str
-        That owner, its term, and that member.
+    answers : dict
+        Newest answer of each member.
+    probes : dict of str to Reachability
+        Whether members that have not answered listen.
     """
 
     since: float
     asked: dict[str, int] = field(default_factory=dict)
     asked_at: float = -1e9
     answered_at: float = -1e9
-    heard_at: float = -1e9
-    heard_owner: str = ""
-    heard_term: int = 0
-    heard_by: str = ""
+    answers: dict[str, _HeardAnswer] = field(default_factory=dict)
+    probes: dict[str, Reachability] = field(default_factory=dict)
 
-    def is_query_due(self, now: float) -> bool:
+    def is_query_due(self, now: float, is_claimant: bool) -> bool:
         """Return whether members are to be asked again."""
+        is_answered = self.answered_at >= self.since
         is_slow = self._find_unanswered_s(now) > SLOW_AFTER
+        if is_answered and not is_claimant:
+            is_slow = True
         interval = SLOW_ASK_INTERVAL if is_slow else ASK_INTERVAL
         return now - self.asked_at >= interval
 
@@ -117,18 +146,17 @@
         """Note the answer of a member to a query that was sent at a loop time."""
         self.asked[node] = 0
         self.answered_at = max(self.answered_at, asked_at)
-        heard_at = now - max(0.0, answer.heard_s)
-        if answer.owner and heard_at > self.heard_at:
-            self.heard_at = heard_at
-            self.heard_owner = answer.owner
-            self.heard_term = answer.term
-            self.heard_by = node
+        former = self.answers.get(node)
+        if former is None or former.asked_at <= asked_at:
+            heard_at = now - max(0.0, answer.heard_s)
+            self.answers[node] = _HeardAnswer(
+                asked_at, heard_at, answer.owner, answer.term
+            )
 
     def judge(self, is_alone: bool, now: float) -> Verdict:
         """Return what is known of the owner.
 
-        Only a query sent after the time at which a member has heard the owner for the
-        last time, and its heartbeats were due again, tells that it is lost.
+        A member that has heard the owner, and not answered since, may still hear it.
 
         Parameters
         ----------
@@ -137,11 +165,14 @@
         now : float
             Loop time.
         """
-        lost_at = self.heard_at + OWNER_HEARTBEAT_TIMEOUT
-        if now <= lost_at:
-            return Verdict.HEARD
-        if self.answered_at >= max(self.since, lost_at, now - ANSWER_TIMEOUT):
+        oldest = max(self.since, now - ANSWER_TIMEOUT)
+        recent = [each for each in self.answers.values() if each.asked_at >= oldest]
+        hearing = [each for each in recent if each.owner]
+        silent_count = 1 + len(recent) - len(hearing)
+        if silent_count > max(1, len(hearing)):
             return Verdict.LOST
+        if any(now - each.heard_at <= OWNER_HEARTBEAT_TIMEOUT for each in hearing):
+            return Verdict.HEARD
         if is_alone or self._find_unanswered_s(now) > LONGEST_UNANSWERED:
             return Verdict.NOBODY_TO_ASK
         return Verdict.UNANSWERED
@@ -158,28 +189,36 @@
 
 
 def choose_asked(
-    members: Members, owner: str, asked: dict[str, int], now: float
+    members: Members, owner: str, silence: OwnerSilence, now: float
 ) -> list[str]:
     """Return the members to ask, those of most processor first.
 
-    Those that have not answered come last: they may be lost together with the owner.
+    Before these come those heard since the owner fell silent, and last those that have
+    not answered: they may be lost together with the owner.
 
     Parameters
     ----------
     owner : str
         The silent owner, which is not asked; empty if it is unknown.
-    asked : dict of str to int
-        Number of queries to each member since its last answer.
     """
     able = [
-        last_heartbeat.heartbeat
+        last_heartbeat
         for node, last_heartbeat in members.last_heartbeats.items()
         if last_heartbeat.heartbeat.answers_owner_queries
         and now - last_heartbeat.received_at <= ASKED_AGE
         and node != owner
     ]
-    able.sort(key=lambda each: (asked.get(each.node, 0), -each.processor, each.node))
-    return [each.node for each in able[:MAX_ASKED]]
+    able.sort(
+        key=lambda each: (
+            silence.asked.get(each.heartbeat.node, 0),
+            each.received_at < silence.since,
+            -each.heartbeat.processor,
+            each.heartbeat.node,
+        )
+    )
+    is_answered = not silence.asked or silence.answered_at >= silence.since
+    count = MAX_ASKED if is_answered else MAX_ASKED_UNANSWERED
+    return [each.heartbeat.node for each in able[:count]]
 
 
 class OwnerCheck:
@@ -205,6 +244,7 @@
         members: Members,
         heard_owners: HeardOwners,
         peer_calls: PeerCalls,
+        peers: PeerTransport,
         find_own_term: Callable[[str], int | None],
     ) -> None:
         self.on_news: Callable[[], None] = lambda: None
@@ -212,6 +252,7 @@
         self._members = members
         self._heard_owners = heard_owners
         self._peer_calls = peer_calls
+        self._peers = peers
         self._find_own_term = find_own_term
         self._silences: dict[str, OwnerSilence] = {}
         self._logged_at: dict[tuple[str, Verdict], float] = {}
@@ -242,8 +283,8 @@
 
     # Asking
 
-    def is_lost(self, pool: str, since: float) -> bool:
-        """Return whether the silent owner of a pool is lost; ask others if need be.
+    def ask(self, pool: str, since: float, *, is_claimant: bool) -> None:
+        """Ask others about the silent owner of a pool, if that is due.
 
         Call it again and again from the time on at which the silence is noticed.
 
@@ -251,13 +292,21 @@
         ----------
         since : float
             Loop time at which the silence was noticed.
+        is_claimant : bool
+            Whether this daemon would claim the pool now; others ask less often once
+            they have an answer.
         """
         now = asyncio.get_running_loop().time()
         silence = self._silences.get(pool)
         if silence is None or silence.since != since:
             silence = self._silences[pool] = OwnerSilence(since)
-        if silence.is_query_due(now):
+        if silence.is_query_due(now, is_claimant):
             self._ask(pool, silence, now)
+
+    def is_lost(self, pool: str) -> bool:
+        """Return whether the silent owner of a pool is lost, by others' answers."""
+        now = asyncio.get_running_loop().time()
+        silence = self._silences[pool]
         verdict = silence.judge(self._is_alone(pool, now), now)
         self._log(pool, silence, verdict, now)
         return verdict in (Verdict.LOST, Verdict.NOBODY_TO_ASK)
@@ -265,10 +314,21 @@
     def _is_alone(self, pool: str, now: float) -> bool:
         """Return whether no member that can answer was heard for a while."""
         owner = self._find_owner(pool)
-        return not any(
-            node != owner and self._can_answer(node)
+        heard = {
+            node: received_at
             for node, received_at in self._received_at.items()
             if now - received_at <= ALONE_AFTER
+            and node != owner
+            and self._can_answer(node)
+        }
+        if not heard:
+            return True
+        silence = self._silences.get(pool)
+        if silence is None or now - max(heard.values()) <= ALONE_AFTER_PROBES:
+            return False
+        return not any(
+            silence.probes.get(node, Reachability.LISTENS) is Reachability.LISTENS
+            for node in heard
         )
 
     def _can_answer(self, node: str) -> bool:
@@ -283,12 +343,30 @@
 
     def _ask(self, pool: str, silence: OwnerSilence, now: float) -> None:
         owner = self._find_owner(pool)
-        nodes = choose_asked(self._members, owner, silence.asked, now)
+        nodes = choose_asked(self._members, owner, silence, now)
+        unanswered = [node for node, count in silence.asked.items() if count > 0]
         silence.note_asked(nodes, now)
         for node in nodes:
-            query = asyncio.create_task(self._query(pool, silence, node))
-            self._queries.add(query)
-            query.add_done_callback(self._queries.discard)
+            self._run(self._query(pool, silence, node))
+        if silence.answered_at < silence.since:
+            for node in unanswered:
+                self._probe_once(silence, node)
+
+    def _run(self, coro: Coroutine[Any, Any, None]) -> None:
+        query = asyncio.create_task(coro)
+        self._queries.add(query)
+        query.add_done_callback(self._queries.discard)
+
+    def _probe_once(self, silence: OwnerSilence, node: str) -> None:
+        """Probe a member that has not answered, unless it was probed before."""
+        if node in silence.probes:
+            return
+        silence.probes[node] = Reachability.LISTENS
+
+        async def probe() -> None:
+            silence.probes[node] = await self._peers.probe(node)
+
+        self._run(probe())
 
     async def _query(self, pool: str, silence: OwnerSilence, node: str) -> None:
         loop = asyncio.get_running_loop()
@@ -328,10 +406,7 @@
                 "silent_since_s": round(now - silence.since, 2),
                 "asked": list(silence.asked),
                 "answered_s": _age(silence.answered_at, now),
-                "heard_owner": silence.heard_owner or None,
-                "heard_term": silence.heard_term or None,
-                "heard_by": silence.heard_by or None,
-                "heard_s": _age(silence.heard_at, now),
+                **_describe_hearing(silence, now),
             },
         )
 
@@ -354,5 +429,20 @@
         return OwnerAnswer(msg.id, node, term, heard_s)
 
 
+def _describe_hearing(silence: OwnerSilence, now: float) -> dict[str, object]:
+    """Return how many members hear an owner, and what the last one to do so heard."""
+    hearing = {n: each for n, each in silence.answers.items() if each.owner}
+    node = max(hearing, key=lambda each: hearing[each].heard_at, default=None)
+    newest = hearing[node] if node is not None else None
+    return {
+        "answers": len(silence.answers),
+        "hearing": len(hearing),
+        "heard_by": node,
+        "heard_owner": newest.owner if newest is not None else None,
+        "heard_term": newest.term if newest is not None else None,
+        "heard_s": _age(newest.heard_at, now) if newest is not None else None,
+    }
+
+
 def _age(at: float, now: float) -> float | None:
     return round(now - at, 2) if at > 0.0 else None
