Do not wait again for a host that has answered a new owner and left

What callers saw: while a new owner waits for a silent host, hosts that have answered and then left count as silent too, once their lease is over: tasks of earlier terms wait until 14.4 s after the claim even if the silent host answers, and accounts count unknown runs for each host that has left.

Cause: whether a host has answered was noted at the host, which is removed.

Change: its first report is remembered until the tasks are settled. The conclusion is as late as before: no claim may have been made before that report.

--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -100,6 +100,8 @@
         self.former_owner_hosts: set[str] = set()
         self.list_read_at = math.inf
         self._replaced: dict[str, _Replacement] = {}
+        # First reports of the hosts that were removed before the tasks were settled.
+        self._reported_at: dict[str, float] = {}
         self.former_leases_end_at = 0.0
         self.claims = ClaimKnowledge()
         self.loop_delay_s = 0.0
@@ -346,6 +348,7 @@
             return False
         self.is_settled = True
         self._replaced.clear()
+        self._reported_at.clear()
         first_run = MAX_UNSTORED_RUNS * (self.term - 1)
         count = 0
         for job in self.jobs.values():
@@ -420,17 +423,20 @@
         """Return the loop time of the last event by which the tasks are settled."""
         if has_silent_host:
             return self.former_leases_end_at
-        replied_at = (
+        replied_at = [
             self.hosts[name].first_reported_at
             for name in self.former_owner_hosts
             if name in self.hosts
-        )
+        ]
+        replied_at += self._reported_at.values()
         return max(replied_at, default=-math.inf)
 
     def _is_host_settled(self, name: str) -> bool:
         host = self.hosts.get(name)
         if host is not None and host.is_settled:
             return True
+        if host is None and name in self._reported_at:
+            return True
         replacement = self._replaced.get(name)
         return replacement is not None and self.list_read_at >= replacement.at
 
@@ -501,9 +507,16 @@
                 run.move("lapse")
                 effects += self._end_run(host, run, "lapsed", now)
             if host.unlisted_at:
+                self._remember_report(host)
                 self._remove_host(host)
         return effects
 
+    def _remember_report(self, host: Host) -> None:
+        """Remember that a host has answered, until the tasks are settled."""
+        is_awaited = not self.is_settled and host.name in self.former_owner_hosts
+        if is_awaited and host.is_settled:
+            self._reported_at[host.name] = host.first_reported_at
+
     def _former_lease_end(self, host: Host) -> float:
         return 0.0 if host.is_settled else self.former_leases_end_at
 
