Keep room for waiting urgent tasks only where they may use it

What waits now keeps no more than the free processors of the hosts that its steps may use: those with a ticket and those not asked about yet. Each processor counts once, gaps that fit no task yet count too, since small tasks would fill them. What the learned headroom has beyond the waiting tasks stays, as the hosts of a burst to come are not known. A pool whose urgent steps may use every host keeps what it kept.

--- a/siskinroad/work/headroom.py
+++ b/siskinroad/work/headroom.py
@@ -9,7 +9,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["UrgentHeadroom"]
+__all__ = ["UrgentHeadroom", "limit_to_usable"]
 
 # Seconds in which a peak of urgent demand decays by half.
 PEAK_HALF_LIFE_S = 10.0
@@ -54,3 +54,22 @@
             self.peak * RESERVED_PEAK_FRACTION, capacity * MAX_RESERVED_FRACTION
         )
         return max(0.0, desired_headroom - urgent_used)
+
+
+def limit_to_usable(headroom: float, waiting: float, usable: float) -> float:
+    """Return the headroom without the part for waiting tasks that cannot use it.
+
+    The part beyond the waiting tasks is for bursts to come, whose hosts are not known.
+
+    Parameters
+    ----------
+    headroom : float
+        Headroom as learned, in thousandths of a processor.
+    waiting : float
+        Demand of the urgent tasks that wait, in thousandths of a processor.
+    usable : float
+        Free thousandths of a processor that these tasks could use.
+    """
+    for_waiting = min(headroom, waiting)
+    for_bursts = headroom - for_waiting
+    return min(for_waiting, usable) + for_bursts
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -11,7 +11,7 @@
 from siskinroad.work.advice_requester import AdviceRequester
 from siskinroad.work.advisor_channels import ChannelTimes
 from siskinroad.work.effects import Effect, StartRun
-from siskinroad.work.headroom import UrgentHeadroom
+from siskinroad.work.headroom import UrgentHeadroom, limit_to_usable
 from siskinroad.work.host import Host
 from siskinroad.work.host_withholder import HostWithholder, is_large
 from siskinroad.work.job import StepRun, Task
@@ -29,6 +29,7 @@
 from siskinroad.work.schedulable_hosts import SchedulableHosts, make_schedulable_hosts
 from siskinroad.work.sole_hosts import find_sole_hosts
 from siskinroad.work.start_limits import StartLimits, count_startable
+from siskinroad.work.urgent_room import compute_usable_cpu
 from siskinroad.work.waiting_order import Lateness, RankedStep, WaitingOrder
 
 __all__ = ["Planner"]
@@ -139,19 +140,18 @@
             for name, use in host.queue_uses.items():
                 if self._is_urgent(name):
                     urgent_used += use.cpu_milli
-        waiting = sum(
-            step.need.cpu_milli * step.waiting_count
+        steps = [
+            step
             for step in planning_pass.steps
             if self._is_urgent(step.job.queue)
             and self._may_be_placed(planning_pass, step)
-        )
+        ]
+        waiting = sum(step.need.cpu_milli * step.waiting_count for step in steps)
         self.urgent_headroom.observe(urgent_used + waiting, planning_pass.now)
-        capacity = planning_pass.schedulable_hosts.cpu_milli
-        return (
-            capacity
-            - used
-            - self.urgent_headroom.compute_headroom(capacity, urgent_used)
-        )
+        hosts = planning_pass.schedulable_hosts
+        headroom = self.urgent_headroom.compute_headroom(hosts.cpu_milli, urgent_used)
+        usable = compute_usable_cpu(steps, hosts, self.pool_state.queues, headroom)
+        return hosts.cpu_milli - used - limit_to_usable(headroom, waiting, usable)
 
     def _compute_excess_cpu(
         self, planning_pass: PlanningPass, ranked: list[RankedStep]
