Let large daemons be heard while a pool has no owner

Callers saw a pool on a small daemon, far behind its work, although daemons with four times its processor lived. When an owner is lost together with aggregators, the others hear of the large daemons by digests only, and these are lost or older than the silence that counts. After 0.9 s without an owner nobody counted as heard, so whoever checked first claimed, and the next one claimed again.

While a pool is vacant, each daemon with at least half of the largest processor heard of lately now sends its heartbeat to all others, once in 0.3 s and for 3 s at most. From 0.6 s on only those heard of in the vacancy count, so that small ones are heard once all large ones are lost. A daemon with less than half of the processor per host of one that was heard in the last 4 s claims after 1.2 s only.

--- a/siskinroad/work/claim_manager.py
+++ b/siskinroad/work/claim_manager.py
@@ -37,6 +37,7 @@
 from siskinroad.work.records import Member, OwnerRecord
 from siskinroad.work.relay import RelayStore
 from siskinroad.work.term import OwnerDependencies
+from siskinroad.work.vacant_pools import VacantPools
 
 __all__ = ["ClaimManager"]
 
@@ -58,6 +59,8 @@
 # meanwhile, and may have been lost together with the owner: longer than the interval of
 # heartbeats.
 UNHEARD_CLAIMANT_WAIT = 0.9
+# The same in seconds, for a daemon that has recently heard of a much larger one.
+LARGER_CLAIMANT_WAIT = UNHEARD_CLAIMANT_WAIT + 0.3
 # Seconds without claims after the store replies again. The links to other daemons may
 # have been cut as well, and it takes this long to receive the owner's heartbeats again.
 RECOVERY_CLAIM_DELAY = 1.0
@@ -92,6 +95,8 @@
         Owners by their own heartbeats.
     owner_check : OwnerCheck
         Check whether other members hear an owner that is silent here.
+    vacant_pools : VacantPools
+        News of the large daemons while a pool has no owner.
 
     Attributes
     ----------
@@ -119,6 +124,7 @@
         send_heartbeat: Callable[[], None],
         heard_owners: HeardOwners,
         owner_check: OwnerCheck,
+        vacant_pools: VacantPools,
     ) -> None:
         self.configuration: Configuration | None = None
         self._queue_registry = queue_registry
@@ -133,6 +139,7 @@
         self._dependencies = dependencies
         self._heard_owners = heard_owners
         self._owner_check = owner_check
+        self._vacant_pools = vacant_pools
         self._claim_log = ClaimLog(members, heard_owners, dependencies.loop_delay)
         self._was_deaf = False
         self._hosts = hosts
@@ -242,15 +249,20 @@
         return self._owner_check.is_lost(pool)
 
     def _is_best_claimant(self, pool: str, vacant_since: float, now: float) -> bool:
+        own = self._make_heartbeat()
+        self._vacant_pools.announce(own, vacant_since)
         may_wait = now - vacant_since < STARTING_CLAIMANT_WAIT
         is_late = now - vacant_since >= UNHEARD_CLAIMANT_WAIT
-        return self._members.should_claim(
+        is_best = self._members.should_claim(
             pool,
             now,
-            self._make_heartbeat(),
+            own,
             may_wait=may_wait,
             heard_since=vacant_since if is_late else -math.inf,
         )
+        if not is_best or now - vacant_since >= LARGER_CLAIMANT_WAIT:
+            return is_best
+        return not self._vacant_pools.must_wait(pool, own, vacant_since)
 
     def _was_released(self, pool: str, now: float) -> bool:
         """Return whether the owner last heard has released the pool or has ended."""
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -71,6 +71,7 @@
 from siskinroad.work.store import NewestRecord, Record
 from siskinroad.work.store_probe import StoreProbe
 from siskinroad.work.term import OwnerDependencies
+from siskinroad.work.vacant_pools import VacantPools
 from siskinroad.work.workmetrics import WorkMetrics
 
 __all__ = ["WorkDaemon"]
@@ -231,6 +232,7 @@
             self.membership.send_heartbeats,
             self.heard_owners,
             self.owner_check,
+            VacantPools(self.members, self.membership.send_to_all),
         )
         self.owner_check.on_news = self.claim_manager.check_requested.set
         self.owners = self.claim_manager.owners
--- a/siskinroad/work/members.py
+++ b/siskinroad/work/members.py
@@ -370,10 +370,16 @@
         return [
             last_heartbeat.heartbeat
             for last_heartbeat in found
-            if now - last_heartbeat.direct_at <= OWNER_HEARTBEAT_TIMEOUT
-            or not _pools(last_heartbeat.heartbeat)
+            if not self.is_silent_owner(last_heartbeat.heartbeat.node, now)
         ]
 
+    def is_silent_owner(self, node: str, now: float) -> bool:
+        """Return whether a daemon has been silent for long enough to lose its pools."""
+        last_heartbeat = self.last_heartbeats[node]
+        silent_s = now - last_heartbeat.direct_at
+        has_pools = bool(_pools(last_heartbeat.heartbeat))
+        return has_pools and silent_s > OWNER_HEARTBEAT_TIMEOUT
+
     def _choose_claimant(self, pool: str, candidates: list[Heartbeat]) -> Heartbeat:
         """Return the best candidate for a pool, the same whatever their order."""
         if _is_mixed(candidates):
@@ -384,12 +390,12 @@
         return min(
             candidates,
             key=lambda each: (
-                -self._processor_per_host(pool, each),
+                -self.find_processor_per_host(pool, each),
                 rank_node(pool, each.node),
             ),
         )
 
-    def _processor_per_host(self, pool: str, heartbeat: Heartbeat) -> float:
+    def find_processor_per_host(self, pool: str, heartbeat: Heartbeat) -> float:
         """Return a daemon's processor per host, in cores, if it owned the pool too."""
         pools = _pools(heartbeat) | {pool}
         return heartbeat.processor / sum(self.pool_size(each) for each in pools)
--- a/siskinroad/work/membership.py
+++ b/siskinroad/work/membership.py
@@ -192,6 +192,10 @@
         recipients = self.routes.list_recipients(heartbeat, now)
         self._peers.send_to_all(recipients, heartbeat)
 
+    def send_to_all(self, heartbeat: Heartbeat) -> None:
+        """Send a heartbeat to all other daemons, also in a large cell."""
+        self._peers.send_to_all(self.members.other_members(), heartbeat)
+
     def apply_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         """Apply a heartbeat that its sender has sent to this daemon."""
         if self.routes.note_heartbeat(heartbeat, now):
--- a/tests/work/cell.py
+++ b/tests/work/cell.py
@@ -132,7 +132,7 @@
     def unlist(self, name):
         self.logs.append("keyed.list", [Record(name, b"")], None, None)
 
-    def start(self, name, processor=0.0):
+    def start(self, name, processor=0.0, data_centre="dc1"):
         self.incarnations += 1
         self.network.powered_off.discard(name)
         peers = self.network.join(name, CODEC)
@@ -140,7 +140,7 @@
             self.open_store(self.logs, name), self.hosts, self.advisor, self.decoder
         )
         daemon = WorkDaemon(
-            Member(name, self.incarnations, name, "dc1", "r1"),
+            Member(name, self.incarnations, name, data_centre, "r1"),
             platform_clients,
             peers,
             lambda member: None,
