Test that reads for many peers leave an owner its reads of the claims

What callers saw: nothing yet; found in review. While the store answered the reads of one daemon only, the owner of a pool in a cell of 24 daemons or more lost it to that one.

Cause: the limit of 40 reads for all peers at once. The other daemons' reads of three topics, which the store holds open, fill it; the owner's reads of the claims are then answered with 'not done', and its claim lapses after 10 s.

--- a/tests/work/test_relayed_reads.py
+++ b/tests/work/test_relayed_reads.py
@@ -8,8 +8,12 @@
 from siskinroad.work.relay_codec import AppendCall, NewestCall, ReadCall, encode_call
 from siskinroad.work.store import Record
 from siskinroad.work.store_memory import MemoryLogs, MemoryStore
+from tests.work.cell import POOL
+from tests.work.test_daemon import run_scenario
 
 CALLS = 40
+# Daemons of a cell of which each follows three topics.
+NAMES = tuple(f"n{i:02}" for i in range(24))
 
 
 def serve_all(call, peers=("a",)):
@@ -53,3 +57,22 @@
     """All calls of a daemon share 64 connections to the store."""
     peers = tuple("abcdefgh")
     assert sum(serve_all(ReadCall("t", 0, 0.5), peers).values()) == 40
+
+
+def test_an_owner_keeps_its_pool_beside_many_daemons_that_read_through_the_same_one():
+    """Its reads of the claims were not made beside those that the store held open."""
+
+    async def scenario(cell):
+        for name in NAMES:
+            cell.start(name, processor=2.0)
+        await asyncio.sleep(5.0)
+        owner = cell.owner()
+        term = cell.daemons[owner].owners[POOL].term.number
+        relay = next(name for name in NAMES if name != owner)
+        cell.logs.faults.call_delay_s = 0.02
+        cell.logs.faults.no_read_replies |= {*NAMES} - {relay}
+        await asyncio.sleep(30.0)
+        assert cell.owner() == owner
+        assert cell.daemons[owner].owners[POOL].term.number == term
+
+    run_scenario(scenario)
