Hold relayed reads open for a short time only where many are made

While the store answered the reads of one daemon only, the owner of a pool in a cell of 24 daemons lost it (found in review): forty reads are made for all peers at once, and those of topics in which nothing happens, which the store holds open, took all places from the owner's reads of the claims. From 30 reads on the store now holds none open for longer than 0.1 s, so that a place is soon free.

The limits hold as before (test_relayed_reads.py).

--- a/siskinroad/work/relay.py
+++ b/siskinroad/work/relay.py
@@ -407,7 +407,11 @@
                         extra={"peer": peer, "call": call.__struct_config__.tag},
                     )
                     return RelayReply(msg.id, "not done", b"")
-                result = await execute_encoded(self.direct, call, msg.timeout)
+                timeout = msg.timeout
+                if isinstance(call, ReadCall):
+                    wait = self._relayed_reads.limit_wait(call.wait)
+                    call, timeout = _shorten_wait(call, timeout, wait)
+                result = await execute_encoded(self.direct, call, timeout)
         except (StoreUnavailableError, ProtocolError):
             return RelayReply(msg.id, "not done", b"")
         except StoreUnknownError:
--- a/siskinroad/work/relayed_reads.py
+++ b/siskinroad/work/relayed_reads.py
@@ -20,6 +20,10 @@
 MAX_NEWEST_READS = 2
 # Most reads for all peers at once: the daemon's own calls need connections too.
 MAX_READS_FOR_ALL = 40
+# Reads for all peers from which on the store holds none open for longer than this time
+# in seconds. Else reads of topics in which nothing happens would keep all others out.
+CROWDED_READS = 30
+CROWDED_WAIT_S = 0.1
 
 
 class RelayedReads:
@@ -43,11 +47,18 @@
             if not self._open[key]:
                 del self._open[key]
 
+    def limit_wait(self, wait: float) -> float:
+        """Return the seconds for which the store may hold a read open, at most."""
+        is_crowded = self._count_reads() > CROWDED_READS
+        return min(wait, CROWDED_WAIT_S) if is_crowded else wait
+
+    def _count_reads(self) -> int:
+        return sum(n for (_, kind), n in self._open.items() if kind is not AppendCall)
+
     def _is_allowed(self, key: tuple[str, type], call: StoreCall) -> bool:
         if isinstance(call, AppendCall):
             return True
-        reads = sum(n for (_, kind), n in self._open.items() if kind is not AppendCall)
-        if reads >= MAX_READS_FOR_ALL:
+        if self._count_reads() >= MAX_READS_FOR_ALL:
             return False
         match call:
             case ReadCall():
