--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -257,9 +257,7 @@
         )
         self.configuration_follower = self.configuration_reader.follower
         self.configuration_exchange = ConfigurationExchange(
-            self.configuration_reader,
-            self.peer_calls,
-            lambda: self.store.is_arriving(decoder.configuration_topic),
+            self.configuration_reader, self.peer_calls
         )
         self.membership.routes.find_configuration_version = lambda: (
             self.configuration_reader.version
