Start late steps beside the first run of a host after its failures

A step that has waited for 2.5 s now starts beside that run once it has run for 0.8 s, also if the quarantine ends meanwhile. A shorter pause was weighed: a host that fails at once what it starts would use up attempts faster.

--- a/siskinroad/work/host.py
+++ b/siskinroad/work/host.py
@@ -50,6 +50,9 @@
 # Seconds for which the first run of a host whose runs failed is alone there, unless it
 # ends before. Callers take a job without a run beside free capacity for lost in 3 s.
 PROBATION_S = 2.0
+# Seconds for which no step at all starts beside that run. With the pause before it, a
+# longer time would be more than a step may wait.
+MIN_PROBATION_S = 0.8
 
 _RUN_CHART = load_chart("run")
 
@@ -271,6 +274,9 @@
     trial_run, trial_until : tuple or None, float
         Key of the newest run on trial, and the loop time until which no run is started
         beside it.
+    alone_until : float
+        Loop time until which not even a step that has waited for long is started beside
+        it.
     needs_probation : bool
         Its runs have failed, so that it gets a single run first when it is back.
     probation_run : tuple or None
@@ -315,6 +321,7 @@
     is_stored: bool = False
     trial_run: RunKey | None = None
     trial_until: float = -1e9
+    alone_until: float = -1e9
     needs_probation: bool = False
     probation_run: RunKey | None = None
     reply_time_s: float = 0.03
@@ -375,7 +382,7 @@
         del self.runs[run.key]
         if self.trial_run == run.key:
             self.trial_run = None
-            self.trial_until = -1e9
+            self.trial_until = self.alone_until = -1e9
         self.used = self.used - run.need
         self.run_changes += 1
         use = self.queue_uses[run.queue]
@@ -389,7 +396,7 @@
         """Put a run on trial: nothing else is started here for some seconds."""
         run.trial_s = seconds
         self.trial_run = run.key
-        self.trial_until = now + seconds
+        self.trial_until = self.alone_until = now + seconds
 
     def begin_probation(self, run: Run, now: float) -> None:
         """Start nothing beside the first run of a host whose runs have failed.
@@ -399,6 +406,7 @@
         self.needs_probation = False
         self.probation_run = self.trial_run = run.key
         self.trial_until = now + PROBATION_S
+        self.alone_until = now + MIN_PROBATION_S
 
     def reply_timeout_s(self) -> float:
         """Return the timeout in seconds for a reply of the host.
@@ -453,11 +461,15 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether nothing but a quarantine would keep new work off the host."""
+        return now >= self.trial_until and self.is_usable_on_probation(now)
+
+    def is_usable_on_probation(self, now: float) -> bool:
+        """Return whether nothing but quarantine or probation would keep work off it."""
         if not self.is_settled or not self.is_stored or self.is_unconfirmed:
             return False
         if self.entry.draining or self.is_report_outdated or self.is_entry_outdated:
             return False
-        if now < self.trial_until:
+        if now < self.alone_until:
             return False
         if self.unlisted_at and now - self.unlisted_at > UNLISTED_GRACE_S:
             return False
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -82,11 +82,11 @@
         given_up = pool_state.give_up_crashing_tasks(wall)
         hosts: list[Host] = []
         trials = 0
-        quarantined: list[Host] = []
+        held_back: list[Host] = []
         for host in pool_state.hosts.values():
             trials += now < host.trial_until
-            if host.is_quarantined:
-                quarantined.append(host)
+            if host.is_quarantined or now < host.trial_until:
+                held_back.append(host)
             elif host.is_usable(now):
                 hosts.append(host)
         steps = [
@@ -101,7 +101,7 @@
         steps = limits.leave_out_limited(steps)
         self._usual_hosts = make_schedulable_hosts(hosts, self._usual_hosts)
         sole_hosts = find_sole_hosts(
-            quarantined, self._usual_hosts, steps, pool_state.queues, now
+            held_back, self._usual_hosts, steps, pool_state.queues, now
         )
         schedulable_hosts = self._usual_hosts
         if sole_hosts.hosts:
@@ -355,6 +355,7 @@
                     "quarantine_left_s": round(
                         host.quarantined_until - planning_pass.now, 2
                     ),
+                    "is_on_probation": planning_pass.now < host.trial_until,
                 },
             )
         run = step.make_run(task, run_number, host.token, planning_pass.now)
--- a/siskinroad/work/sole_hosts.py
+++ b/siskinroad/work/sole_hosts.py
@@ -6,6 +6,9 @@
 pause, so that its tasks do not wait beside free capacity until the quarantine ends, and
 do not use up their attempts there either. Other steps stay off the host, and so do all
 that have waited for a moment only or that wait because the pool is full.
+
+The first run of such a host is alone there. Where the pause and that run would add up
+to more than a step may wait, the step starts beside it.
 """
 
 from __future__ import annotations
@@ -26,13 +29,15 @@
 SOLE_HOST_PAUSE_S = 2.0
 # Seconds of wait after which a step counts as one that its other hosts do not hold.
 OTHER_HOSTS_PATIENCE_S = 1.0
+# Seconds of wait after which a step starts beside the first run of a host.
+PROBATION_PATIENCE_S = 2.5
 
 StepKey = tuple[str, int, int]
 
 
 @dataclass(slots=True, frozen=True)
 class SoleHosts:
-    """Quarantined hosts, each with the steps that may use it nevertheless.
+    """Quarantined hosts and those on probation, with the steps that may use each.
 
     Attributes
     ----------
@@ -52,22 +57,22 @@
 
 
 def find_sole_hosts(
-    quarantined: Iterable[Host],
+    held_back: Iterable[Host],
     usual_hosts: SchedulableHosts,
     steps: Iterable[StepRun],
     queues: Mapping[str, Queue],
     now: float,
 ) -> SoleHosts:
-    """Return the quarantined hosts that some waiting steps may use.
+    """Return the hosts in quarantine or on probation that some steps may use.
 
     Parameters
     ----------
-    quarantined : iterable of Host
-        The hosts of the pool that are in quarantine.
+    held_back : iterable of Host
+        The hosts of the pool that are in quarantine or on probation.
     usual_hosts : SchedulableHosts
         Hosts that any step may use.
     """
-    rested = [host for host in quarantined if _may_be_used(host, now)]
+    rested = [host for host in held_back if _may_be_used(host, now)]
     if not rested:
         return SoleHosts()
     has_room = is_mostly_free([*usual_hosts.hosts, *rested])
@@ -82,6 +87,8 @@
         for host in rested:
             if is_held_elsewhere and _keeps_last_attempt(step, host, queue):
                 continue
+            if now < host.trial_until and not _has_waited_for_long(step, now):
+                continue
             if _is_allowed(step, host, queue):
                 steps_by_host.setdefault(host.name, set()).add(step.key)
     return SoleHosts([h for h in rested if h.name in steps_by_host], steps_by_host)
@@ -89,7 +96,11 @@
 
 def _may_be_used(host: Host, now: float) -> bool:
     rested_s = now - host.quarantine_evidence_at
-    return rested_s >= SOLE_HOST_PAUSE_S and host.is_usable(now)
+    return rested_s >= SOLE_HOST_PAUSE_S and host.is_usable_on_probation(now)
+
+
+def _has_waited_for_long(step: StepRun, now: float) -> bool:
+    return now - step.waiting_since >= PROBATION_PATIENCE_S
 
 
 def _lacks_hosts(step: StepRun, now: float, *, has_room: bool) -> bool:
