--- a/siskinroad/gangs.py
+++ b/siskinroad/gangs.py
@@ -104,7 +104,7 @@
     counts: dict[str, int] = {}
     for host in hosts[: max(MAX_CANDIDATES, 2 * size)]:
         capacity = _FreeCapacity(
-            host.cpu, host.memory, host.accelerators, host.free_tasks
+            host.cpu, host.memory, host.accelerators, host.free_gang_tasks
         )
         free[host.name] = capacity
         counts[host.name] = capacity.count_fitting(need)
--- a/siskinroad/placement.py
+++ b/siskinroad/placement.py
@@ -37,6 +37,9 @@
         Whether new work may be placed on the host.
     limit : int
         Concurrent tasks that are allowed now, at most the host's slots.
+    gang_limit : int
+        Members of one gang that are allowed now if the host is empty. A gang is one
+        start, so on probation this is more than ``limit``.
     tasks : dict of str to Resources
         Resources allocated to each task on the host.
     task_counts : dict of str to int
@@ -56,6 +59,7 @@
     slots: int = 0
     is_open: bool = False
     limit: int = 0
+    gang_limit: int = 0
     state: str = "unseen"
     tasks: dict[str, Resources] = field(default_factory=dict)
     task_counts: dict[str, int] = field(default_factory=dict)
@@ -67,7 +71,7 @@
         self.memory = self.capacity.memory_mib
         self.accelerators = self.capacity.accelerators
         self.slots = self.capacity.slots
-        self.limit = self.capacity.slots
+        self.limit = self.gang_limit = self.capacity.slots
 
     def fits(self, need: Resources) -> bool:
         """Return whether ``need`` fits into the free capacity of the host."""
@@ -87,9 +91,14 @@
         """
         return self.limit - (self.capacity.slots - self.slots)
 
+    @property
+    def free_gang_tasks(self) -> int:
+        """Members of one gang that its limits still allow; may be negative."""
+        return self.free_tasks if self.tasks else self.gang_limit
+
     def count_fitting(self, need: Resources) -> int:
-        """Return how many tasks fit on the host if each needs ``need``."""
-        count = self.free_tasks // max(need.slots, 1)
+        """Return how many tasks of one item fit on the host if each needs ``need``."""
+        count = self.free_gang_tasks // max(need.slots, 1)
         if need.cpu_milli:
             count = min(count, self.cpu // need.cpu_milli)
         if need.memory_mib:
--- a/siskinroad/shard.py
+++ b/siskinroad/shard.py
@@ -197,8 +197,9 @@
         else:
             self.lowered_limits.discard(view.name)
         if view.name in self.overloaded_hosts:
-            view.limit = 0
+            view.limit = view.gang_limit = 0
         else:
+            view.gang_limit = limit.max_tasks
             view.limit = 1 if view.state == "probation" else limit.max_tasks
 
     def recover_limits(self, now: float) -> None:
