Leave relayed reads of claims places of their own

Sixteen reads of the topics of jobs and claims, which only owners and claimants make, are made beside the forty.

test_an_owner_of_a_large_cell_keeps_its_pool_beside_reads_through_one_daemon failed before and passes.

--- a/siskinroad/work/records.py
+++ b/siskinroad/work/records.py
@@ -38,6 +38,7 @@
     "cancel_key",
     "decode_stored",
     "encode_stored",
+    "is_job_topic",
     "job_topic",
     "progress_key",
     "progress_topic",
@@ -46,6 +47,7 @@
 ]
 
 MEMBERS_TOPIC = "members"
+JOB_TOPIC_PREFIX = "jobs."
 OWNER_KEY = "@owner"
 RELEASED_KEY = "@released"
 HOSTS_KEY = "@hosts"
@@ -296,7 +298,12 @@
 
 def job_topic(pool: str) -> str:
     """Return the topic for a pool's jobs, cancellations and claims."""
-    return f"jobs.{pool}"
+    return JOB_TOPIC_PREFIX + pool
+
+
+def is_job_topic(topic: str) -> bool:
+    """Return whether a topic holds the jobs, cancellations and claims of a pool."""
+    return topic.startswith(JOB_TOPIC_PREFIX)
 
 
 def progress_topic(pool: str) -> str:
--- a/tests/work/test_relayed_reads.py
+++ b/tests/work/test_relayed_reads.py
@@ -59,6 +59,11 @@
     assert sum(serve_all(ReadCall("t", 0, 0.5), peers).values()) == 40
 
 
+def test_reads_of_jobs_for_many_peers_are_limited_too():
+    peers = tuple("abcdefgh")
+    assert sum(serve_all(ReadCall("jobs.t", 0, 0.5), peers).values()) == 16
+
+
 def test_an_owner_keeps_its_pool_beside_many_daemons_that_read_through_the_same_one():
     """Its reads of the claims were not made beside those that the store held open."""
 
@@ -76,3 +81,23 @@
         assert cell.daemons[owner].owners[POOL].term.number == term
 
     run_scenario(scenario)
+
+
+def test_an_owner_of_a_large_cell_keeps_its_pool_beside_reads_through_one_daemon():
+    """Its reads of the claims found no place among those of 40 others, or too late."""
+    names = tuple(f"n{i:02}" for i in range(42))
+
+    async def scenario(cell):
+        for name in names:
+            cell.start(name, processor=2.0)
+        await asyncio.sleep(5.4)
+        owner = cell.owner()
+        term = cell.daemons[owner].owners[POOL].term.number
+        relay = next(name for name in names if name != owner)
+        cell.logs.faults.call_delay_s = 0.02
+        cell.logs.faults.no_read_replies |= {*names} - {relay}
+        await asyncio.sleep(30.0)
+        assert cell.owner() == owner
+        assert cell.daemons[owner].owners[POOL].term.number == term
+
+    run_scenario(scenario)
