--- a/siskinroad/work/relayed_reads.py
+++ b/siskinroad/work/relayed_reads.py
@@ -32,8 +32,8 @@
 # calls all fail needs one for each topic that it follows. The answers to the newest
 # records are up to eight times as long as those to the others.
 MAX_READS = {ReadKind.JOBS: 16, ReadKind.OTHER: 16, ReadKind.NEWEST: 2}
-# Most reads for all peers at once: the daemon's own calls need connections too. Reads of
-# jobs have places of their own beside the others.
+# Most reads for all peers at once: the daemon's own calls need connections too. Reads
+# of jobs have places of their own beside the others.
 MAX_JOB_READS_FOR_ALL = 16
 MAX_READS_FOR_ALL = 40
 # Reads for all peers from which on the store holds none open for longer than this time
