Leave vacant pools to daemons that the store answers

Callers found a pool without an owner for seconds after its owner was lost. The best claimant had been cut off from the store shortly before: it claimed through other daemons, of which the lost owner was one, and nobody else claims beside a claim.

While a pool is vacant, a daemon that the store has not answered for 1.6 s now says that it cannot claim, if the store has answered another one within 1.2 s. The change is sent at once and logged.

Now all cases from 1 s on hold, and the pool goes to a daemon that reaches the store.

--- a/siskinroad/work/claim_manager.py
+++ b/siskinroad/work/claim_manager.py
@@ -61,6 +61,11 @@
 UNHEARD_CLAIMANT_WAIT = 0.9
 # The same in seconds, for a daemon that has recently heard of a much larger one.
 LARGER_CLAIMANT_WAIT = UNHEARD_CLAIMANT_WAIT + 0.3
+# Seconds without a direct reply of the store after which a daemon leaves claims to one
+# whose newest reply is not older than RECENT_REPLY: a second of a read that waits, and
+# time for a probe.
+DIRECT_SILENCE = 1.6
+RECENT_REPLY = 1.2
 # Seconds without claims after the store replies again. The links to other daemons may
 # have been cut as well, and it takes this long to receive the owner's heartbeats again.
 RECOVERY_CLAIM_DELAY = 1.0
@@ -141,7 +146,7 @@
         self._owner_check = owner_check
         self._vacant_pools = vacant_pools
         self._claim_log = ClaimLog(members, heard_owners, dependencies.loop_delay)
-        self._was_deaf = False
+        self._was_hindered = False
         self._hosts = hosts
         self._make_heartbeat = make_heartbeat
         self._send_heartbeat = send_heartbeat
@@ -166,15 +171,24 @@
     def can_claim(self) -> bool:
         """Whether this daemon is up long enough, known, configured and not leaving.
 
-        One that receives nothing is not waited for either.
+        Nor can one that receives nothing, or that others can spare as they reach the
+        store and it does not.
         """
         if self._uptime() < CLAIM_STARTUP_DELAY or self.is_leaving:
             return False
-        if self._owner_check.is_deaf:
-            return False
         now = asyncio.get_running_loop().time()
+        if self._owner_check.is_deaf or self._needs_relay(now):
+            return False
         return self.configuration is not None and self._newcomer_check.may_claim(now)
 
+    def _needs_relay(self, now: float) -> bool:
+        """Return whether a pool is vacant and only others reach the store directly."""
+        if not self._vacant_since:
+            return False
+        if now - self._store.direct_answer_at <= DIRECT_SILENCE:
+            return False
+        return self._members.has_store_age(RECENT_REPLY, now)
+
     def configure(self, configuration: Configuration) -> None:
         """Apply a configuration, here and to the owners of this daemon's pools."""
         self.configuration = configuration
@@ -207,14 +221,26 @@
                 )
                 self._pool_tasks[pool] = loop.create_task(self._own_pool(pool))
                 self._send_heartbeat()
-            self._tell_if_deaf()
+            self._tell_if_hindered()
 
-    def _tell_if_deaf(self) -> None:
-        """Tell the other daemons at once if this one begins or ends to be deaf."""
+    def _tell_if_hindered(self) -> None:
+        """Tell the others at once if this daemon begins or ends to leave claims."""
+        now = asyncio.get_running_loop().time()
         is_deaf = self._owner_check.is_deaf
-        if is_deaf is not self._was_deaf:
-            self._was_deaf = is_deaf
-            self._send_heartbeat()
+        needs_relay = self._needs_relay(now)
+        if (is_deaf or needs_relay) is self._was_hindered:
+            return
+        self._was_hindered = is_deaf or needs_relay
+        self._send_heartbeat()
+        log.info(
+            "claim_manager: whether this daemon leaves claims to others has changed",
+            extra={
+                "leaves": self._was_hindered,
+                "is_deaf": is_deaf,
+                "needs_relay": needs_relay,
+                "store_age_s": round(now - self._store.direct_answer_at, 2),
+            },
+        )
 
     def _pools_by_size(self) -> list[str]:
         """Return all pools, those of most hosts first.
--- a/siskinroad/work/members.py
+++ b/siskinroad/work/members.py
@@ -296,6 +296,13 @@
             if self.last_heartbeats[node].heartbeat.store_age <= MAX_STORE_AGE
         ]
 
+    def has_store_age(self, store_age: float, now: float) -> bool:
+        """Return whether another live daemon got a store's reply this recently."""
+        return any(
+            self.last_heartbeats[node].heartbeat.store_age <= store_age
+            for node in self.live_members(now)
+        )
+
     def should_claim(
         self,
         pool: str,
--- a/tests/work/test_owner_check.py
+++ b/tests/work/test_owner_check.py
@@ -202,6 +202,22 @@
     run_cell(scenario, size)
 
 
+@pytest.mark.parametrize("size", SIZES)
+@pytest.mark.parametrize("after_s", [1.0, 1.5, 2.0, 5.0])
+def test_a_daemon_that_reaches_the_store_through_others_leaves_them_the_claim(
+    size, after_s
+):
+    # Each call of its takeover would go through another daemon.
+    async def scenario(cell):
+        cell.logs.faults.cut.add("n1")
+        await asyncio.sleep(after_s)
+        assert await measure_takeover_s(cell, ["n0"]) < 2.5
+        await asyncio.sleep(3.0)
+        assert list(find_terms(cell)) == ["n2"]
+
+    run_cell(scenario, size)
+
+
 @pytest.mark.parametrize("size", SIZES)
 def test_daemons_of_an_earlier_version_are_not_asked_and_delay_no_takeover(size):
     async def scenario(cell):
