--- a/siskinroad/work/claim_manager.py
+++ b/siskinroad/work/claim_manager.py
@@ -177,7 +177,7 @@
         if self._uptime() < CLAIM_STARTUP_DELAY or self.is_leaving:
             return False
         now = asyncio.get_running_loop().time()
-        if self._owner_check.is_deaf or self._needs_relay(now):
+        if self._owner_check.is_unanswered or self._needs_relay(now):
             return False
         return self.configuration is not None and self._newcomer_check.may_claim(now)
 
@@ -226,17 +226,17 @@
     def _tell_if_hindered(self) -> None:
         """Tell the others at once if this daemon begins or ends to leave claims."""
         now = asyncio.get_running_loop().time()
-        is_deaf = self._owner_check.is_deaf
+        is_unanswered = self._owner_check.is_unanswered
         needs_relay = self._needs_relay(now)
-        if (is_deaf or needs_relay) is self._was_hindered:
+        if (is_unanswered or needs_relay) is self._was_hindered:
             return
-        self._was_hindered = is_deaf or needs_relay
+        self._was_hindered = is_unanswered or needs_relay
         self._send_heartbeat()
         log.info(
             "claim_manager: whether this daemon leaves claims to others has changed",
             extra={
                 "leaves": self._was_hindered,
-                "is_deaf": is_deaf,
+                "is_unanswered": is_unanswered,
                 "needs_relay": needs_relay,
                 "store_age_s": round(now - self._store.direct_answer_at, 2),
             },
--- a/tests/work/test_owner_check.py
+++ b/tests/work/test_owner_check.py
@@ -8,8 +8,8 @@
 from bench.clock import run_on_paused_clock
 from siskinroad.work.members import OWNER_HEARTBEAT_TIMEOUT, Members
 from siskinroad.work.messages import Heartbeat, OwnerAnswer, OwnerQuery
-from siskinroad.work.owner_check import (
-    ALONE_AFTER,
+from siskinroad.work.owner_check import ALONE_AFTER
+from siskinroad.work.owner_silence import (
     ASKED_AGE,
     LONGEST_UNANSWERED,
     MAX_ASKED,
@@ -307,16 +307,16 @@
     assert silence.judge(False, 11.1) is Verdict.LOST
 
 
-def test_a_daemon_that_gets_no_answer_is_deaf_until_it_counts_as_alone():
+def test_a_daemon_that_gets_no_answer_is_unanswered_until_it_counts_as_alone():
     silence = OwnerSilence(10.0)
     silence.note_asked(["b"], 10.0)
-    assert not silence.is_deaf(False, 9.99 + UNANSWERED_AFTER)
+    assert not silence.is_unanswered(False, 9.99 + UNANSWERED_AFTER)
     silence.note_asked(["b"], 10.5)
-    assert silence.is_deaf(False, 10.5)
-    assert not silence.is_deaf(True, 10.5)
+    assert silence.is_unanswered(False, 10.5)
+    assert not silence.is_unanswered(True, 10.5)
     assert silence.judge(True, 10.5) is Verdict.NOBODY_TO_ASK
     # One that asks no more does not say for good that it cannot claim.
-    assert not silence.is_deaf(False, 12.0)
+    assert not silence.is_unanswered(False, 12.0)
 
 
 def test_members_that_never_answer_leave_no_pool_without_an_owner():
