Remove a parameter of the configuration exchange that nothing sets

Its test, that nothing is requested while the own read arrives, described that behaviour. In its place is one of what holds: a version that the own read brings within 0.1 s is not requested at all. That a read which takes longer holds nothing up is tested in test_large_configuration.py.

--- a/siskinroad/work/configuration_exchange.py
+++ b/siskinroad/work/configuration_exchange.py
@@ -35,7 +35,7 @@
 __all__ = ["ConfigurationExchange"]
 
 # Seconds that the daemon's own read has to bring a version which a peer has in force,
-# and between two looks whether one is still arriving.
+# and between two looks whether requests are to go on.
 OWN_READ_TIME = 0.1
 # Seconds for which a reply is taken, whether or not the part was requested again.
 REPLY_TIMEOUT = 6.0
@@ -107,20 +107,11 @@
     ----------
     reader : ConfigurationReader
         This daemon's configuration.
-    is_arriving : callable
-        Returns whether the daemon's own read is bringing a version; nothing is
-        requested meanwhile, as both would share the link.
     """
 
-    def __init__(
-        self,
-        reader: ConfigurationReader,
-        peer_calls: PeerCalls,
-        is_arriving: Callable[[], bool] = lambda: False,
-    ) -> None:
+    def __init__(self, reader: ConfigurationReader, peer_calls: PeerCalls) -> None:
         self._reader = reader
         self._peer_calls = peer_calls
-        self._is_arriving = is_arriving
         self._source = PartSource()
         self._versions: dict[str, _NewerVersion] = {}
         self._is_outdated = asyncio.Event()
@@ -158,7 +149,7 @@
     async def _make_step(self, peer: str) -> None:
         """Request the next part, and wait until it arrives or is late."""
         now = asyncio.get_running_loop().time()
-        if self._is_arriving() or now < self._paused_until:
+        if now < self._paused_until:
             await asyncio.sleep(OWN_READ_TIME)
             return
         transfer = self._transfer
--- a/tests/work/test_configuration_exchange.py
+++ b/tests/work/test_configuration_exchange.py
@@ -239,10 +239,10 @@
         ]
 
 
-def run_large_exchange(peers, told, seconds=6.0, own=5, **fields):
+def run_large_exchange(peers, told, seconds=6.0, own=5):
     async def scenario():
         reader = LargeReader(own)
-        exchange = ConfigurationExchange(reader, peers, **fields)
+        exchange = ConfigurationExchange(reader, peers)
         peers.exchange = exchange
         task = asyncio.create_task(exchange.run())
         began_at = asyncio.get_running_loop().time()
@@ -345,10 +345,19 @@
     assert reader.record == make_large_record(9)
 
 
-def test_nothing_is_requested_while_the_own_read_arrives():
-    peers = LargePeers(a=7)
-    reader = run_large_exchange(peers, [("a", 7)], is_arriving=lambda: True)
-    assert (reader.version, peers.asked) == (5, [])
+def test_a_version_that_the_own_read_brings_at_once_is_not_requested():
+    async def scenario():
+        peers, reader = LargePeers(a=7), LargeReader(5)
+        exchange = ConfigurationExchange(reader, peers)
+        task = asyncio.create_task(exchange.run())
+        exchange.note_version("a", 7)
+        await asyncio.sleep(0.05)
+        reader.apply_record(make_large_record(7))
+        await asyncio.sleep(2.0)
+        task.cancel()
+        return reader.version, peers.asked
+
+    assert run_on_paused_clock(scenario()) == (7, [])
 
 
 def test_a_peer_of_an_earlier_version_sends_the_whole_record():
