Let relayed reads wait for their turn instead of rejecting them

With 42 daemons of which the store answered the reads of one only, up to thirteen did not confirm their configuration for as long as 22 s; with 97 daemons, between 56 and 78 for as long as 28 s, and twelve on. Reads beyond the limit for all peers were rejected, and each rejection doubled the pause of its daemon, while others got places again and again.

They now wait for their turn, for 1 s at most. The limits of what is made at once are as before, and so are those for one peer, which count the waiting reads too.

--- a/siskinroad/work/relay.py
+++ b/siskinroad/work/relay.py
@@ -396,18 +396,20 @@
         """Carry out another daemon's store call.
 
         The call is made directly and never relayed further. Reads beyond the limits for
-        one peer are not made.
+        one peer are not made, and others wait for their turn.
         """
+        began_at = asyncio.get_running_loop().time()
         try:
             call = decode_call(msg.call)
-            with self._relayed_reads.admit(peer, call) as is_admitted:
+            async with self._relayed_reads.admit(peer, call) as is_admitted:
                 if not is_admitted:
                     log.info(
                         "relay: read for a peer not made; too many at once",
                         extra={"peer": peer, "call": call.__struct_config__.tag},
                     )
                     return RelayReply(msg.id, "not done", b"")
-                timeout = msg.timeout
+                waited_s = asyncio.get_running_loop().time() - began_at
+                timeout = msg.timeout - waited_s
                 if isinstance(call, ReadCall):
                     wait = self._relayed_reads.limit_wait(call.wait)
                     call, timeout = _shorten_wait(call, timeout, wait)
--- a/siskinroad/work/relayed_reads.py
+++ b/siskinroad/work/relayed_reads.py
@@ -1,13 +1,19 @@
 """Limits on the reads that a daemon makes for its peers at once.
 
 Answers to more of them would fill a peer's link, and this daemon's memory.
+
+Load pattern: nearly a hundred daemons of which the store answers one only, and each of
+the others follows several topics through it. Reads beyond the limit for one peer are
+not made. Those beyond the limit for all peers wait for their turn: rejected, their
+daemons would pause longer and longer, while others had places again and again.
 """
 
 from __future__ import annotations
 
+import asyncio
 from collections import Counter
-from collections.abc import Iterator
-from contextlib import contextmanager
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from enum import StrEnum
 
 from siskinroad.work.records import is_job_topic
@@ -36,6 +42,8 @@
 # of jobs have places of their own beside the others.
 MAX_JOB_READS_FOR_ALL = 16
 MAX_READS_FOR_ALL = 40
+# Most seconds for which a read waits for its turn. Its daemon gives it up soon after.
+MAX_TURN_WAIT_S = 1.0
 # Reads for all peers from which on the store holds none open for longer than this time
 # in seconds. Else reads of topics in which nothing happens would keep all others out.
 CROWDED_READS = 30
@@ -43,44 +51,53 @@
 
 
 class RelayedReads:
-    """The reads that are being made for each peer."""
+    """The reads that are being made for each peer, and those that wait for it."""
 
     def __init__(self) -> None:
-        self._open: Counter[tuple[str, ReadKind]] = Counter()
+        self._asked: Counter[tuple[str, ReadKind]] = Counter()
+        self._job_places = asyncio.Semaphore(MAX_JOB_READS_FOR_ALL)
+        self._places = asyncio.Semaphore(MAX_READS_FOR_ALL)
 
-    @contextmanager
-    def admit(self, peer: str, call: StoreCall) -> Iterator[bool]:
-        """Count a call while the body makes it; yield whether it may be made."""
+    @asynccontextmanager
+    async def admit(self, peer: str, call: StoreCall) -> AsyncIterator[bool]:
+        """Wait for a call's turn; yield whether the body may make it."""
         if isinstance(call, AppendCall):
             yield True
             return
-        key = (peer, _find_kind(call))
-        if not self._is_allowed(key):
+        kind = _find_kind(call)
+        key = (peer, kind)
+        if self._asked[key] >= MAX_READS[kind]:
             yield False
             return
-        self._open[key] += 1
+        self._asked[key] += 1
+        places = self._job_places if kind is ReadKind.JOBS else self._places
         try:
-            yield True
+            async with _take_place(places) as has_place:
+                yield has_place
         finally:
-            self._open[key] -= 1
-            if not self._open[key]:
-                del self._open[key]
+            self._asked[key] -= 1
+            if not self._asked[key]:
+                del self._asked[key]
 
     def limit_wait(self, wait: float) -> float:
         """Return the seconds for which the store may hold a read open, at most."""
-        is_crowded = self._open.total() > CROWDED_READS
+        is_crowded = self._asked.total() > CROWDED_READS
         return min(wait, CROWDED_WAIT_S) if is_crowded else wait
 
-    def _is_allowed(self, key: tuple[str, ReadKind]) -> bool:
-        _, kind = key
-        if self._open[key] >= MAX_READS[kind]:
-            return False
-        job_reads = sum(
-            n for (_, each), n in self._open.items() if each is ReadKind.JOBS
-        )
-        if kind is ReadKind.JOBS:
-            return job_reads < MAX_JOB_READS_FOR_ALL
-        return self._open.total() - job_reads < MAX_READS_FOR_ALL
+
+@asynccontextmanager
+async def _take_place(places: asyncio.Semaphore) -> AsyncIterator[bool]:
+    """Take a place while the body runs; yield whether there was one in time."""
+    try:
+        async with asyncio.timeout(MAX_TURN_WAIT_S):
+            await places.acquire()
+    except TimeoutError:
+        yield False
+        return
+    try:
+        yield True
+    finally:
+        places.release()
 
 
 def _find_kind(call: ReadCall | NewestCall) -> ReadKind:
