--- a/review/8/case.py
+++ b/review/8/case.py
@@ -12,6 +12,7 @@
 from world import (  # noqa: E402
     PREFIX,
     SERVICE,
+    Daemon,
     World,
     has_trouble,
     make_job,
@@ -26,10 +27,18 @@
 # The store carries a lost append out 1 to 6 s later.
 LATE_S = 4.0
 TASK_MS = 4500
+# Seconds until the platform starts a killed process again.
+RESTART_DELAY_S = 1.0
 # Executors of each service.
 EXECUTORS = 4
 
 
+async def restart(daemon: Daemon) -> None:
+    """Start a daemon again, as the platform does."""
+    await asyncio.sleep(RESTART_DELAY_S)
+    await daemon.start()
+
+
 class LostAppend:
     """The store's trouble: the job's first append is not answered, and comes late."""
 
@@ -72,12 +81,14 @@
     other = next(daemon for daemon in world.daemons if daemon is not writer)
 
     lost.is_armed = has_trouble()
+    restarted: asyncio.Task[None] | None = None
     body = make_job({"ms": TASK_MS})
     first_try = asyncio.create_task(world.send(writer, "POST", PREFIX + JOB, body))
     await lost.seen.wait()
     if has_trouble():
         await writer.kill()
         world.note("killed", daemon=writer.name)
+        restarted = asyncio.create_task(restart(writer))
     world.configure(8, [make_route(service=OTHER_SERVICE)], SERVICES)
     status, _ = await first_try
     # A broken connection: the same request arrives at another daemon.
@@ -87,6 +98,8 @@
         await asyncio.sleep(1.0)
         status, _ = await world.send(other, "POST", PREFIX + JOB, body)
     await asyncio.sleep(LATE_S + 3.0 * TASK_MS / 1000)
+    if restarted is not None:
+        await restarted
     if not world.list_events(JOB, "start"):
         return "the job has not started"
     return world.find_overlap(JOB)
--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -146,7 +146,7 @@
         self._settings = SETTINGS.replace("{bounds}", bounds).format(
             name=self.name,
             ip=self.ip,
-            first_start="true",
+            first_start="{first_start}",
             front=front,
             ready=ready,
             peers=peers,
@@ -156,7 +156,8 @@
 
     async def start(self) -> None:
         """Start the process by the command of the deploy file."""
-        self._path.write_text(self._settings)
+        is_first = "true" if self.process is None else "false"
+        self._path.write_text(self._settings.replace("{first_start}", is_first))
         system = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         command = system["roles"]["entry"]["run"].split()
         kept = ("PATH", "HOME", "LANG")
