--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import signal
@@ -27,6 +28,8 @@
 VIRTUAL_HOST = "ficu95.example"
 SERVICE = "family-desk"
 PREFIX = "/pule252/"
+# `heartbeat_ms` of the settings, at which an executor writes its entry again.
+HEARTBEAT_S = 1.5
 CAPACITY = {"cpu": 16000, "mem_mb": 32768, "gpu": 0}
 # Bounds of the sheet of Al Rahma in SYSTEM.md.
 BOUNDS = {
@@ -235,6 +238,7 @@
         self.advisor = Server(self._advise)
         self.executors: list[Executor] = []
         self.daemons: list[Daemon] = []
+        self._heartbeats: list[asyncio.Task[None]] = []
         self.events: list[dict[str, Any]] = []
         self.began_at = time.monotonic()
 
@@ -321,9 +325,16 @@
         executor = Executor(name, self._observe)
         await executor.listen()
         self.executors.append(executor)
-        self.store.put("keyed.servers", name, executor.entry(service, CAPACITY))
+        self._heartbeats.append(asyncio.create_task(self._list(executor, service)))
         return executor
 
+    async def _list(self, executor: Executor, service: str) -> None:
+        """Write an executor's entry, again with each heartbeat."""
+        for seq in itertools.count(1):
+            entry = executor.entry(service, CAPACITY) | {"seq": seq}
+            self.store.put("keyed.servers", executor.name, entry)
+            await asyncio.sleep(HEARTBEAT_S)
+
     async def send(
         self,
         daemon: Daemon,
@@ -373,6 +384,8 @@
         """End all processes that were started, and close the stand-ins."""
         for daemon in self.daemons:
             await daemon.kill()
+        for heartbeat in self._heartbeats:
+            heartbeat.cancel()
         for executor in self.executors:
             executor.close()
         self.advisor.close()
