Give submits a module of their own

The methods moved unchanged into JobSubmitter (job_submitter.py); the refusal of a key stands beside the other refusals.

--- a/siskinroad/work/caller_reply.py
+++ b/siskinroad/work/caller_reply.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-__all__ = ["CallerReply", "ReplyKind", "refuse_for_now"]
+from siskinroad.work.key_check import KeyOutcome
+
+__all__ = ["CallerReply", "ReplyKind", "refuse_for_now", "refuse_key"]
 
 # Least seconds after which a caller should retry: about the time of a takeover.
 MIN_RETRY_AFTER = 1.0
@@ -59,3 +61,13 @@
         MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, outage_s * RETRY_AFTER_FACTOR)
     )
     return CallerReply(ReplyKind.NOT_NOW, reason=reason, retry_after=retry_after_s)
+
+
+def refuse_key(outcome: KeyOutcome, configuration_age_s: float) -> CallerReply | None:
+    """Return the refusal of a caller's key; None if it is admitted."""
+    match outcome:
+        case KeyOutcome.NOT_NEEDED | KeyOutcome.ADMITTED:
+            return None
+        case KeyOutcome.UNKNOWN_KEY:
+            return CallerReply(ReplyKind.NO_KEY, reason=outcome.value)
+    return refuse_for_now(outcome.value, configuration_age_s)
--- a/siskinroad/work/job_service.py
+++ b/siskinroad/work/job_service.py
@@ -1,7 +1,6 @@
 """The job service of a daemon: submits, shows, cancels and counts jobs for callers.
 
-A job is accepted once it is stored, which does not require its owner to be reachable.
-All other requests go to the pool's owner.
+What a submit needs is in `job_submitter`; all other requests go to the pool's owner.
 """
 
 from __future__ import annotations
@@ -11,13 +10,18 @@
 from collections.abc import Callable
 
 from siskinroad.errors import SiskinroadError
-from siskinroad.fair_timeout import let_loop_poll
 from siskinroad.resources import Resources
-from siskinroad.work.caller_reply import CallerReply, ReplyKind, refuse_for_now
+from siskinroad.work.caller_reply import (
+    CallerReply,
+    ReplyKind,
+    refuse_for_now,
+    refuse_key,
+)
 from siskinroad.work.configuration_reader import ConfigurationReader
 from siskinroad.work.job import JobState
-from siskinroad.work.job_writer import JobRefusedError, JobWriter
-from siskinroad.work.key_check import ANONYMOUS, Caller, KeyCheck, KeyOutcome
+from siskinroad.work.job_submitter import JobSubmitter, make_append_reply
+from siskinroad.work.job_writer import JobWriter
+from siskinroad.work.key_check import ANONYMOUS, Caller, KeyCheck
 from siskinroad.work.messages import JobReply, JobRequest, SubmitOutcome
 from siskinroad.work.model import Configuration, JobSpec, Queue
 from siskinroad.work.owner import PoolOwner
@@ -28,20 +32,12 @@
 )
 from siskinroad.work.peer_calls import PeerCalls
 from siskinroad.work.queue_registry import QueueRegistry
-from siskinroad.work.records import Accepted, Cancelled, Member, record_of
+from siskinroad.work.records import Cancelled, Member, record_of
 from siskinroad.work.reply_margin import leave_reply_margin
-from siskinroad.work.retry_times import choose_retry_time, choose_store_wait
-from siskinroad.work.store import MAX_RECORD_BYTES
 from siskinroad.work.workmetrics import WorkMetrics
 
 __all__ = ["CallerReply", "JobService", "ReplyKind"]
 
-# Seconds since the store's last answer after which new work is refused at once. A
-# silent store is probed every quarter of a second, so recovery is noticed soon; a
-# smaller limit would also refuse work while the store is merely slow.
-STORE_SILENCE_LIMIT = 2.0
-# Seconds between two looks whether the store is back, for a submit that waits.
-STORE_WAIT_INTERVAL = 0.03
 log = logging.getLogger("siskinroad.job_service")
 
 
@@ -85,7 +81,6 @@
     ) -> None:
         self._configuration_reader = configuration_reader
         self._key_check = key_check
-        self._data_centre = member.data_centre
         self._job_writer = job_writer
         self._owners = owners
         self._queue_registry = queue_registry
@@ -93,10 +88,21 @@
             member.node, peer_calls, find_owner, self.handle_request, metrics
         )
         self._find_owner = find_owner
-        self._list_capacities = list_capacities
         self._metrics = metrics
         self._wall = wall
         self._last_store_answer_at = last_store_answer_at
+        self._submitter = JobSubmitter(
+            member.data_centre,
+            key_check,
+            job_writer,
+            self._owner_requests,
+            queue_registry,
+            list_capacities,
+            metrics,
+            wall,
+            configuration_reader.age_s,
+            last_store_answer_at,
+        )
 
     @property
     def configuration(self) -> Configuration | None:
@@ -150,18 +156,9 @@
     def identify(self, queue: Queue, key: str) -> Caller | CallerReply:
         """Return the caller that a key stands for, or the refusal of the request."""
         outcome, caller = self._key_check.identify(queue, key)
-        refusal = self._make_key_refusal(outcome)
+        refusal = refuse_key(outcome, self._configuration_reader.age_s())
         return caller if refusal is None else refusal
 
-    def _make_key_refusal(self, outcome: KeyOutcome) -> CallerReply | None:
-        match outcome:
-            case KeyOutcome.NOT_NEEDED | KeyOutcome.ADMITTED:
-                return None
-            case KeyOutcome.UNKNOWN_KEY:
-                return CallerReply(ReplyKind.NO_KEY, reason=outcome.value)
-        age_s = self._configuration_reader.age_s()
-        return refuse_for_now(outcome.value, age_s)
-
     async def submit(
         self,
         queue: Queue,
@@ -171,156 +168,9 @@
         caller: Caller = ANONYMOUS,
     ) -> CallerReply:
         """Store a job; it is accepted once it is stored."""
-        if not self._queue_registry.is_read:
-            refusal = refuse_for_now("queues_not_read", self._store_age_s())
-            return await self._refuse_unless_accepted(queue, job, refusal, deadline)
-        former_reply = await self._look_up_in_former_pools(queue, job, deadline)
-        if former_reply is not None:
-            return self._log_reply(job, "submit", former_reply, queue)
-        unfit_reason = self._describe_unfit_step(queue, spec)
-        if unfit_reason:
-            refusal = CallerReply(ReplyKind.NEVER, reason=unfit_reason)
-            return await self._refuse_unless_accepted(queue, job, refusal, deadline)
-        if not await self._wait_for_store(job, deadline):
-            refusal = self._refuse_unstored("store_silent", queue, job, deadline)
-            return await self._refuse_unless_accepted(queue, job, refusal, deadline)
-        key_refusal = self._make_key_refusal(self._key_check.recheck(queue, caller))
-        if key_refusal is not None:
-            return self._log_reply(job, "submit", key_refusal, queue)
-        accepted = Accepted(
-            job,
-            queue.name,
-            queue.pool,
-            self._wall(),
-            spec,
-            self._data_centre,
-            caller.account,
-        )
-        record = record_of(accepted)
-        if len(record.value) > MAX_RECORD_BYTES:
-            refusal = CallerReply(ReplyKind.NEVER, reason="too_long_to_store")
-            return await self._refuse_unless_accepted(queue, job, refusal, deadline)
-        try:
-            outcome = await self._job_writer.store(
-                queue.pool, record, leave_reply_margin(deadline)
-            )
-        except JobRefusedError as exc:
-            # Its owner, which refuses it, does not know of the job.
-            refusal = CallerReply(
-                ReplyKind.NOT_NOW, reason=exc.reason, retry_after=exc.retry_after_s
-            )
-            return self._log_reply(job, "submit", refusal, queue)
-        reply = self._make_submit_reply(outcome)
-        if reply.kind is ReplyKind.NOT_NOW:
-            refusal = self._refuse_unstored("store_unavailable", queue, job, deadline)
-            return await self._refuse_unless_accepted(queue, job, refusal, deadline)
-        return self._log_reply(job, "submit", reply, queue)
-
-    async def _look_up_in_former_pools(
-        self, queue: Queue, job: str, deadline: float
-    ) -> CallerReply | None:
-        """Reply to a submit whose job may be accepted in a former pool of its queue.
-
-        Returns None if no former pool holds the job: it is to be stored.
-        """
-        pools = self._queue_registry.former_pools(queue)
-        if not pools:
-            return None
-        replies = await self._owner_requests.request_all(pools, "recall", job, deadline)
-        reply = choose_reply(replies)
-        match reply.kind:
-            case ReplyKind.NO_JOB:
-                return None
-            case ReplyKind.OK:
-                return CallerReply(ReplyKind.OK, reason="accepted_in_former_pool")
-        return CallerReply(
-            ReplyKind.UNKNOWN, reason=reply.reason, retry_after=reply.retry_after
-        )
-
-    async def _wait_for_store(self, job: str, deadline: float) -> bool:
-        """Return whether the store answers, after a wait where that serves the caller.
-
-        Nothing is sent meanwhile; the store probe finds out when the store is back.
-        """
-        if self._store_age_s() <= STORE_SILENCE_LIMIT:
-            return True
-        # A late loop has not read the answers yet that have arrived.
-        await let_loop_poll()
-        loop = asyncio.get_running_loop()
-        began = loop.time()
-        wait_s = choose_store_wait(deadline - began)
-        while self._store_age_s() > STORE_SILENCE_LIMIT:
-            left_s = began + wait_s - loop.time()
-            if left_s <= 0:
-                break
-            await asyncio.sleep(min(STORE_WAIT_INTERVAL, left_s))
-        is_back = self._store_age_s() <= STORE_SILENCE_LIMIT
-        if wait_s:
-            outcome = "back" if is_back else "silent"
-            self._metrics.store_waits.labels(outcome).inc()
-            log.info(
-                "job_service: submit waited for the store, as its caller cannot return",
-                extra={
-                    "request": job,
-                    "remaining_s": round(deadline - began, 2),
-                    "waited_s": round(loop.time() - began, 2),
-                    "store_age_s": round(self._store_age_s(), 2),
-                    "outcome": outcome,
-                },
-            )
-        return is_back
-
-    async def _refuse_unless_accepted(
-        self, queue: Queue, job: str, refusal: CallerReply, deadline: float
-    ) -> CallerReply:
-        """Reply to a submit that cannot be stored now, or never could.
-
-        The caller may have submitted the job before and lost the answer. A refusal says
-        that the job has not run, so it is sent only if the pool's owner does not know
-        of the job, and has no record of it underway.
-        """
-        reply = await self._owner_requests.request(queue.pool, "recall", job, deadline)
-        match reply.kind:
-            case ReplyKind.OK:
-                reply = CallerReply(ReplyKind.OK)
-            case ReplyKind.NO_JOB:
-                reply = refusal
-            case _:
-                reply = CallerReply(
-                    ReplyKind.UNKNOWN,
-                    reason=reply.reason,
-                    retry_after=refusal.retry_after or reply.retry_after,
-                )
+        reply = await self._submitter.submit(queue, job, spec, deadline, caller)
         return self._log_reply(job, "submit", reply, queue)
 
-    def _describe_unfit_step(self, queue: Queue, spec: JobSpec) -> str:
-        capacities = self._list_capacities(queue.pool)
-        if not capacities:
-            return ""
-        for i, step in enumerate(spec.steps):
-            if not any(step.need.fits(capacity) for capacity in capacities):
-                return f"no host can hold a task of step {i}"
-        return ""
-
-    def _refuse_unstored(
-        self, reason: str, queue: Queue, job: str, deadline: float
-    ) -> CallerReply:
-        """Refuse a submit that the store cannot take now."""
-        remaining_s = deadline - asyncio.get_running_loop().time()
-        retry_after = choose_retry_time(
-            self._store_age_s(), remaining_s, queue.target, job
-        )
-        return CallerReply(ReplyKind.NOT_NOW, reason=reason, retry_after=retry_after)
-
-    def _make_submit_reply(self, outcome: SubmitOutcome) -> CallerReply:
-        match outcome:
-            case SubmitOutcome.STORED:
-                return CallerReply(ReplyKind.OK)
-            case SubmitOutcome.NOT_DONE:
-                return refuse_for_now("store_unavailable", self._store_age_s())
-            case SubmitOutcome.UNKNOWN:
-                return CallerReply(ReplyKind.UNKNOWN, reason="store_did_not_answer")
-
     async def show(
         self, queue: Queue, job: str, deadline: float, caller: Caller = ANONYMOUS
     ) -> CallerReply:
@@ -368,7 +218,7 @@
         outcome = await self._job_writer.store(
             pool, record, leave_reply_margin(deadline)
         )
-        return self._make_submit_reply(outcome)
+        return make_append_reply(outcome, self._store_age_s())
 
     async def count_pending(self, queue: Queue, deadline: float) -> CallerReply:
         """Return how many jobs of a queue have not started, in all its pools."""
