--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -57,6 +57,7 @@
 from siskinroad.work.owner_check import OwnerCheck
 from siskinroad.work.peer_calls import PeerCalls
 from siskinroad.work.platform_clients import PlatformClients
+from siskinroad.work.queue_assigner import QueueAssigner
 from siskinroad.work.queue_recorder import QueueRecorder
 from siskinroad.work.queue_registry import QueueRegistry
 from siskinroad.work.records import (
@@ -272,6 +273,15 @@
             key_limits or KeyLimits(),
             lambda outcome: self.metrics.key_checks.labels(outcome.value).inc(),
         )
+        self.members_follower = Follower(
+            self.store,
+            MEMBERS_TOPIC,
+            self._apply_members,
+            wait=MEMBERS_READ_WAIT,
+        )
+        self.queue_assigner = QueueAssigner(
+            self.queue_registry, self.store, self.members_follower
+        )
         self.job_service = JobService(
             member,
             self.configuration_reader,
@@ -280,6 +290,7 @@
             self.peer_calls,
             self.owners,
             self.queue_registry,
+            self.queue_assigner,
             self._find_owner,
             self.host_list.list_capacities,
             self.metrics,
@@ -301,12 +312,6 @@
             self._apply_host_list,
             read_pause=HOST_LIST_READ_INTERVAL,
         )
-        self.members_follower = Follower(
-            self.store,
-            MEMBERS_TOPIC,
-            self._apply_members,
-            wait=MEMBERS_READ_WAIT,
-        )
 
     def _configure(self, configuration: Configuration) -> None:
         now = asyncio.get_running_loop().time()
@@ -381,6 +386,7 @@
     async def close(self) -> None:
         """Stop every loop immediately, without releasing the pools."""
         self.job_writer.close()
+        await self.queue_assigner.close()
         await self.claim_manager.close()
         tasks = [*self._tasks, *self._background_tasks]
         for task in tasks:
--- a/siskinroad/work/job_service.py
+++ b/siskinroad/work/job_service.py
@@ -31,6 +31,7 @@
     choose_reply,
 )
 from siskinroad.work.peer_calls import PeerCalls
+from siskinroad.work.queue_assigner import QueueAssigner
 from siskinroad.work.queue_registry import QueueRegistry
 from siskinroad.work.records import Cancelled, Member, record_of
 from siskinroad.work.reply_margin import leave_reply_margin
@@ -54,6 +55,8 @@
         The pools that this daemon owns.
     queue_registry : QueueRegistry
         The pools that may hold jobs of each queue.
+    assigner : QueueAssigner
+        Writer of the registry's records that a submit needs.
     find_owner : callable
         Returns the daemon that owns a pool, or None.
     list_capacities : callable
@@ -73,6 +76,7 @@
         peer_calls: PeerCalls,
         owners: dict[str, PoolOwner],
         queue_registry: QueueRegistry,
+        assigner: QueueAssigner,
         find_owner: Callable[[str], str | None],
         list_capacities: Callable[[str], list[Resources]],
         metrics: WorkMetrics,
@@ -97,6 +101,7 @@
             job_writer,
             self._owner_requests,
             queue_registry,
+            assigner,
             list_capacities,
             metrics,
             wall,
--- a/siskinroad/work/job_submitter.py
+++ b/siskinroad/work/job_submitter.py
@@ -9,6 +9,7 @@
 import logging
 from collections.abc import Callable
 
+from siskinroad.errors import SiskinroadError
 from siskinroad.fair_timeout import let_loop_poll
 from siskinroad.resources import Resources
 from siskinroad.work.caller_reply import (
@@ -22,6 +23,7 @@
 from siskinroad.work.messages import SubmitOutcome
 from siskinroad.work.model import JobSpec, Queue
 from siskinroad.work.owner_requests import OwnerRequests, choose_reply
+from siskinroad.work.queue_assigner import QueueAssigner, QueueSupersededError
 from siskinroad.work.queue_registry import QueueRegistry
 from siskinroad.work.records import Accepted, record_of
 from siskinroad.work.reply_margin import leave_reply_margin
@@ -52,6 +54,8 @@
         Check of callers' keys.
     queue_registry : QueueRegistry
         The pools that may hold jobs of each queue.
+    assigner : QueueAssigner
+        Writer of the registry's records that a submit needs.
     list_capacities : callable
         Returns the largest capacity that each listed host of a pool has had.
     configuration_age_s : callable
@@ -67,6 +71,7 @@
         job_writer: JobWriter,
         owner_requests: OwnerRequests,
         queue_registry: QueueRegistry,
+        assigner: QueueAssigner,
         list_capacities: Callable[[str], list[Resources]],
         metrics: WorkMetrics,
         wall: Callable[[], float],
@@ -78,6 +83,7 @@
         self._job_writer = job_writer
         self._owner_requests = owner_requests
         self._queue_registry = queue_registry
+        self._assigner = assigner
         self._list_capacities = list_capacities
         self._metrics = metrics
         self._wall = wall
@@ -99,6 +105,9 @@
         if not self._queue_registry.is_read:
             refusal = refuse_for_now("queues_not_read", self._store_age_s())
             return await self._refuse_unless_accepted(queue, job, refusal, deadline)
+        assigned = await self._assign(queue, job, deadline)
+        if isinstance(assigned, CallerReply):
+            return assigned
         former_reply = await self._look_up_in_former_pools(queue, job, deadline)
         if former_reply is not None:
             return former_reply
@@ -142,6 +151,33 @@
             return await self._refuse_unless_accepted(queue, job, refusal, deadline)
         return reply
 
+    async def _assign(
+        self, queue: Queue, job: str, deadline: float
+    ) -> int | CallerReply:
+        """Return by which version the queue is assigned to its pool, or a refusal.
+
+        Without a stored assignment, the job would be lost to all daemons once a later
+        version sends the queue elsewhere before its pool had an owner.
+        """
+        try:
+            version = self._assigner.find(queue)
+            if version is not None:
+                return version
+            if not await self._wait_for_store(job, deadline):
+                refusal = self._refuse_unstored("store_silent", queue, job, deadline)
+                return await self._refuse_unless_accepted(queue, job, refusal, deadline)
+            async with asyncio.timeout_at(leave_reply_margin(deadline)):
+                return await self._assigner.assign(queue)
+        except QueueSupersededError as exc:
+            log.info(
+                "job_service: queue is sent to another pool by a newer version",
+                extra={"request": job, "queue": queue.name, "error": str(exc)},
+            )
+            return CallerReply(ReplyKind.UNKNOWN, reason="queue_superseded")
+        except (SiskinroadError, TimeoutError):
+            refusal = self._refuse_unstored("store_unavailable", queue, job, deadline)
+            return await self._refuse_unless_accepted(queue, job, refusal, deadline)
+
     async def _look_up_in_former_pools(
         self, queue: Queue, job: str, deadline: float
     ) -> CallerReply | None:
@@ -202,10 +238,12 @@
         """Reply to a submit that cannot be stored now, or never could.
 
         The caller may have submitted the job before and lost the answer. A refusal says
-        that the job has not run, so it is sent only if the pool's owner does not know
-        of the job, and has no record of it underway.
+        that the job has not run, so it is sent only if no owner of a pool that may hold
+        it knows of the job, or has a record of it underway.
         """
-        reply = await self._owner_requests.request(queue.pool, "recall", job, deadline)
+        pools = (queue.pool, *self._queue_registry.former_pools(queue))
+        replies = await self._owner_requests.request_all(pools, "recall", job, deadline)
+        reply = choose_reply(replies)
         match reply.kind:
             case ReplyKind.OK:
                 reply = CallerReply(ReplyKind.OK)
--- a/siskinroad/work/queue_recorder.py
+++ b/siskinroad/work/queue_recorder.py
@@ -68,7 +68,7 @@
                 )
                 continue
             if isinstance(stored, StoredQueue):
-                self._registry.apply_record(stored, now)
+                self._registry.apply_record(stored, now, item.offset)
         if items:
             for pool, owner in self._owners.items():
                 owner.add_known_queues(self._registry.list_queues(pool))
@@ -99,7 +99,7 @@
             return
         extra = {"pool": pool, "stored": len(queues), "forgotten": len(obsolete)}
         try:
-            await self._store.append(MEMBERS_TOPIC, records)
+            offset = await self._store.append(MEMBERS_TOPIC, records)
         except SiskinroadError as exc:
             log.warning(
                 "queue_recorder: queues of a pool not stored; retrying",
@@ -107,7 +107,7 @@
             )
             return
         log.info("queue_recorder: queues of a pool stored", extra=extra)
-        for queue in queues:
-            self._registry.apply_record(queue, now)
+        for i, queue in enumerate(queues):
+            self._registry.apply_record(queue, now, offset + i)
         for key in obsolete:
             self._registry.remove(key)
--- a/siskinroad/work/records.py
+++ b/siskinroad/work/records.py
@@ -231,6 +231,10 @@
     The fields are those of ``Queue``. ``advice`` has its three fields in order, and is
     empty if the queue needs none. What only the reception of new jobs needs is left
     out.
+
+    ``version`` is a version of the configuration by which the queue is assigned to the
+    pool. Of the records of one queue, that of the highest version tells its pool. It is
+    0 in records of earlier versions of this program.
     """
 
     name: str
@@ -242,6 +246,7 @@
     slack: float
     target: float
     advice: tuple[float, ...] = ()
+    version: int = 0
 
 
 class HostSet(msgspec.Struct, tag="hosts", frozen=True):
@@ -376,8 +381,14 @@
 
 
 def queue_key(queue: StoredQueue) -> str:
-    """Return the key of a queue's record: one for each address and pool of a queue."""
-    parts = (queue.name, queue.virtual_host, queue.prefix, queue.pool)
+    """Return the key of a queue's record.
+
+    There is one for each address and pool of a queue, and each version that assigned
+    it to the pool anew: a late append of one replaces no other.
+    """
+    parts = [queue.name, queue.virtual_host, queue.prefix, queue.pool]
+    if queue.version:
+        parts.append(str(queue.version))
     digest = hashlib.blake2b("\0".join(parts).encode(), digest_size=QUEUE_DIGEST_SIZE)
     return QUEUE_PREFIX + digest.hexdigest()
 
--- a/tests/work/cell.py
+++ b/tests/work/cell.py
@@ -74,7 +74,8 @@
 
 # Pools of the second configuration; the cell's first hosts are all in POOL. The third
 # one has a single queue, the fourth one all of them again. The fifth one sends a queue
-# to another pool, the sixth one gives it another name and another pool.
+# to another pool, the sixth one gives it another name and another pool. The seventh and
+# the eighth one are as the second and the third one again.
 POOLS = ("archive", POOL, "bulk")
 MOVED = replace(FAST, pool="archive")
 RENAMED = replace(FAST, name="faster", pool="archive")
@@ -85,6 +86,8 @@
     4: Configuration(4, CONFIGURATION.queues, (POOL,), 1 << 18),
     5: Configuration(5, (MOVED, SLOW, ADVISED), POOLS, 1 << 18),
     6: Configuration(6, (RENAMED, SLOW, ADVISED), POOLS, 1 << 18),
+    7: Configuration(7, CONFIGURATION.queues, POOLS, 1 << 18),
+    8: Configuration(8, (FAST,), (POOL,), 1 << 18),
 }
 
 
--- a/tests/work/test_moved_queues.py
+++ b/tests/work/test_moved_queues.py
@@ -160,7 +160,7 @@
         await move(cell, 5)
         other = "00000000000000bb"
         assert (await cell.submit("b", other, job(), MOVED)).kind is ReplyKind.OK
-        await move(cell, 2)
+        await move(cell, 7)
         for each in (JOB_ID, other):
             assert await cell.state("a", each, FAST) == "active"
             assert (await cell.submit("a", each, job(), FAST)).kind is ReplyKind.OK
--- a/tests/work/test_queue_registry.py
+++ b/tests/work/test_queue_registry.py
@@ -7,7 +7,7 @@
 from siskinroad.work.records import decode_stored, queue_key, record_of
 from tests.work.cell import ADVISED, FAST, MOVED, POOL, POOLS, RENAMED
 
-STORED = make_stored_queue(FAST)
+STORED = make_stored_queue(FAST, 1)
 
 
 def configuration(*queues, pools=POOLS):
--- a/tests/work/test_removed_queues.py
+++ b/tests/work/test_removed_queues.py
@@ -44,7 +44,7 @@
 def test_a_job_in_a_removed_pool_goes_on_after_all_daemons_have_restarted(restart):
     async def scenario(cell):
         await start_cell(cell, 5, MOVED)
-        cell.configure(3)
+        cell.configure(8)
         await asyncio.sleep(1.0)
         await restart(cell)
         assert await cell.state("a", JOB_ID, FAST) == "active"
@@ -67,7 +67,7 @@
             await cell.kill(name)
         cell.start("a")
         registry = cell.daemons["a"].queue_registry
-        keep, registry.apply_record = registry.apply_record, lambda queue, now: None
+        keep, registry.apply_record = registry.apply_record, lambda *args: None
         await asyncio.sleep(3.0)
         assert SLOW.name not in cell.daemons["a"].owners["desk"].pool_state.queues
         registry.apply_record = keep
