--- a/siskinroad/work/batcher.py
+++ b/siskinroad/work/batcher.py
@@ -52,7 +52,7 @@
 class _PendingAppend:
     record: Record
     deadline: float
-    future: asyncio.Future[None]
+    future: asyncio.Future[int]
     may_be_stored: bool = False
 
 
@@ -84,8 +84,8 @@
         self._latency = 0.0
         self._silent_since: float | None = None
 
-    async def put(self, record: Record, deadline: float) -> None:
-        """Append a record; return once the store has it.
+    async def put(self, record: Record, deadline: float) -> int:
+        """Append a record; return its offset once the store has it.
 
         Parameters
         ----------
@@ -106,11 +106,11 @@
                 step="batcher",
             )
         loop = asyncio.get_running_loop()
-        future: asyncio.Future[None] = loop.create_future()
+        future: asyncio.Future[int] = loop.create_future()
         self._pending.append(_PendingAppend(record, deadline, future))
         if self._task is None or self._task.done():
             self._task = loop.create_task(self._run())
-        await future
+        return await future
 
     def close(self) -> None:
         """Stop appending; the batch in flight may still take effect."""
@@ -189,9 +189,9 @@
         self._latency += LATENCY_WEIGHT * (loop.time() - sent_at - self._latency)
         self._silent_since = None
         self._on_stored(records, offset)
-        for pending in batch:
+        for i, pending in enumerate(batch):
             if not pending.future.done():
-                pending.future.set_result(None)
+                pending.future.set_result(offset + i)
         return []
 
     def _append_timeout(self, attempts: int) -> float:
--- a/siskinroad/work/claim.py
+++ b/siskinroad/work/claim.py
@@ -24,6 +24,7 @@
     name_claims,
 )
 from siskinroad.work.progress_records import PartedProgress
+from siskinroad.work.queue_closings import QueueClosings
 from siskinroad.work.records import (
     CANCEL_SUFFIX,
     Accepted,
@@ -35,6 +36,8 @@
     Loans,
     OwnerRecord,
     Progress,
+    QueueClosed,
+    QueueClosing,
     Released,
     decode_stored,
     job_topic,
@@ -108,7 +111,9 @@
     next_offset : int
         Offset from which to continue reading the topic of accepted jobs.
     accepted : dict of str to bytes
-        Encoded record of each accepted job: most have ended, and need no more of it.
+        Encoded record of each stored job: most have ended, and need no more of it.
+    closings : QueueClosings
+        The closings of queues in the pool, which tell the jobs that are not accepted.
     """
 
     term: int = 0
@@ -128,6 +133,7 @@
     parted_progress: PartedProgress = field(default_factory=PartedProgress)
     hosts: HostSet | None = None
     loans: dict[str, Loans] = field(default_factory=dict)
+    closings: QueueClosings = field(default_factory=QueueClosings)
 
     @property
     def former_owners(self) -> tuple[FormerOwner, ...] | None:
@@ -169,8 +175,8 @@
             return
         stored = decode_stored(item.value)
         match stored:
-            case Accepted(job=job):
-                self.accepted.setdefault(job, item.value)
+            case Accepted():
+                self._add_job(stored, item.value)
             case Cancelled(job=job):
                 self.cancelled[job] = stored
             case OwnerRecord():
@@ -195,6 +201,19 @@
                 self.hosts = stored
             case Loans(account=account):
                 self.loans[account] = stored
+            case QueueClosing(queue=queue, version=version):
+                self.closings.note(queue, version)
+            case QueueClosed():
+                self.closings.complete_closing(stored)
+
+    def _add_job(self, accepted: Accepted, value: bytes) -> None:
+        """Add a job; of several records the newest assignment's counts."""
+        former = self.accepted.setdefault(accepted.job, value)
+        if former != value:
+            stored = decode_stored(former)
+            assert isinstance(stored, Accepted)
+            if accepted.assigned > stored.assigned:
+                self.accepted[accepted.job] = value
 
     def add_claims(self, claims: Iterable[FormerOwner]) -> None:
         """Add claims, unless they are known."""
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -15,9 +15,11 @@
 from siskinroad.work.account_peers import AccountPeers, PoolOwnerAddress
 from siskinroad.work.admission import LoadRefusal
 from siskinroad.work.advisor_channels import AdvisorChannels
+from siskinroad.work.append_check import AppendCheck
 from siskinroad.work.claim_manager import ClaimManager
 from siskinroad.work.claim_notices import ClaimNotices
 from siskinroad.work.claim_statements import ClaimStatements
+from siskinroad.work.closing_reader import ClosingReader
 from siskinroad.work.configuration_exchange import ConfigurationExchange
 from siskinroad.work.configuration_reader import ConfigurationReader
 from siskinroad.work.follower import Follower
@@ -252,6 +254,9 @@
         )
         self.job_writer.admit = self._admit
         self.job_writer.note_stored = self._note_stored
+        self.closing_reader = ClosingReader(self.store)
+        append_check = AppendCheck(self.owners, self.closing_reader)
+        self.job_writer.find_closing = append_check.find_closing
         decoder = platform_clients.decoder
         self.configuration_reader = ConfigurationReader(
             self.store, decoder, self._configure
@@ -387,6 +392,7 @@
         """Stop every loop immediately, without releasing the pools."""
         self.job_writer.close()
         await self.queue_assigner.close()
+        await self.closing_reader.close()
         await self.claim_manager.close()
         tasks = [*self._tasks, *self._background_tasks]
         for task in tasks:
--- a/siskinroad/work/inherited_jobs.py
+++ b/siskinroad/work/inherited_jobs.py
@@ -9,10 +9,11 @@
 from siskinroad.work.job import JobState
 from siskinroad.work.job_table import EARLY_CANCEL_MEMORY_S
 from siskinroad.work.pool_state import PoolState
+from siskinroad.work.queue_closings import QueueClosings
 from siskinroad.work.records import Accepted, Cancelled, Progress, decode_stored
 from siskinroad.work.unsettled_use import CLOSED_JOB_RUN_S
 
-__all__ = ["load_jobs", "log_unknown_queues"]
+__all__ = ["load_jobs", "log_unknown_queues", "note_late_job"]
 
 log = logging.getLogger("siskinroad.owner")
 
@@ -25,6 +26,9 @@
     for job_id, value in inherited.accepted.items():
         accepted = decode_stored(value)
         assert isinstance(accepted, Accepted)
+        if inherited.closings.is_excluded(accepted, progress_by_job):
+            note_late_job(inherited.closings, accepted, pool_state, now)
+            continue
         progress = progress_by_job.get(job_id)
         if progress is not None and _has_nothing_running(accepted, progress, wall):
             pool_state.add_closed(accepted, progress, now)
@@ -37,6 +41,25 @@
         _apply_cancel(pool_state, cancelled, now, wall)
 
 
+def note_late_job(
+    closings: QueueClosings, accepted: Accepted, pool_state: PoolState, now: float
+) -> None:
+    """Note and log a job that was stored after its queue was closed."""
+    closings.note_late_job(accepted, now)
+    log.warning(
+        "owner: job was stored after its queue was closed here; not accepted",
+        extra={
+            "request": accepted.job,
+            "queue": accepted.queue,
+            "pool": pool_state.pool,
+            "term": pool_state.term,
+            "assigned": accepted.assigned,
+            "closed": closings.noted.get(accepted.queue, 0),
+            "complete": closings.complete.get(accepted.queue, 0),
+        },
+    )
+
+
 def _has_nothing_running(accepted: Accepted, progress: Progress, wall: float) -> bool:
     """Return whether a job has ended and none of its tasks can still have a run."""
     if not progress.state:
--- a/siskinroad/work/job_forgetter.py
+++ b/siskinroad/work/job_forgetter.py
@@ -17,6 +17,7 @@
 from siskinroad.work.claim import InheritedState
 from siskinroad.work.job import JobState
 from siskinroad.work.progress import ProgressLog
+from siskinroad.work.queue_closings import QueueClosings
 from siskinroad.work.records import cancel_key, job_topic
 from siskinroad.work.store import Record
 from siskinroad.work.term import Term
@@ -39,12 +40,21 @@
     ----------
     retention_s : float
         Seconds for which callers may ask for the state of a job that has ended.
+    closings : QueueClosings
+        The closings of queues in the pool, with the jobs that came behind them.
     """
 
-    def __init__(self, term: Term, progress: ProgressLog, retention_s: float) -> None:
+    def __init__(
+        self,
+        term: Term,
+        progress: ProgressLog,
+        retention_s: float,
+        closings: QueueClosings,
+    ) -> None:
         self._term = term
         self._progress = progress
         self._retention_s = retention_s + FORGET_MARGIN_S
+        self._closings = closings
         self._old_cancels: list[str] = []
 
     def add_inherited(self, inherited: InheritedState) -> None:
@@ -85,11 +95,15 @@
             cancel_key(job.id) for job in jobs if job.outcome == JobState.CANCELLED
         ]
         keys += [cancel_key(job) for job in cancels if job not in pool_state.jobs]
+        late_jobs = self._list_old_late_jobs(now)
+        keys += [job for job in late_jobs if job not in pool_state.jobs]
         if keys:
             records = [Record(key, b"") for key in keys]
             store = self._term.dependencies.store
             await store.append(job_topic(self._term.pool), records)
         del self._old_cancels[: len(cancels)]
+        for late_job in late_jobs:
+            del self._closings.late_jobs[late_job]
         for job in jobs:
             pool_state.forget(job)
             self._progress.remove_records(job.list_progress_keys())
@@ -103,3 +117,12 @@
                     "retention_s": self._retention_s,
                 },
             )
+
+    def _list_old_late_jobs(self, now: float) -> list[str]:
+        """Return some jobs that came behind a closing, read as long ago as ends."""
+        old = [
+            job
+            for job, late in self._closings.late_jobs.items()
+            if now - late.read_at > self._retention_s
+        ]
+        return old[:MAX_FORGOTTEN]
--- a/siskinroad/work/job_service.py
+++ b/siskinroad/work/job_service.py
@@ -250,6 +250,8 @@
                     return JobReply(msg.id, "", owner.show(msg.subject) or "", 0)
                 case "recall":
                     return self._recall(msg, owner)
+                case "close":
+                    return await self._close(msg, owner, timeout)
                 case "cancel":
                     is_known = await owner.cancel(msg.subject, timeout)
                     return JobReply(msg.id, "", "cancelled" if is_known else "", 0)
@@ -263,6 +265,17 @@
             return JobReply(msg.id, "owner_unsure", "", 0)
         return JobReply(msg.id, "unknown_verb", "", 0)
 
+    async def _close(
+        self, msg: JobRequest, owner: PoolOwner, timeout: float
+    ) -> JobReply:
+        """Answer whether a job was accepted before its queue was closed here.
+
+        What is stored later, by whomever, does not count any more.
+        """
+        await owner.queue_closer.close(msg.queues, msg.version, timeout)
+        job = owner.pool_state.jobs.get(msg.subject)
+        return JobReply(msg.id, "", job.shown_state() if job is not None else "", 0)
+
     def _recall(self, msg: JobRequest, owner: PoolOwner) -> JobReply:
         """Answer whether a job was accepted, without fresh records.
 
@@ -271,6 +284,8 @@
         job = owner.pool_state.jobs.get(msg.subject)
         if job is not None:
             return JobReply(msg.id, "", job.shown_state(), 0)
+        if owner.closings.is_open_question(msg.subject):
+            return JobReply(msg.id, "stored_after_closing", "", 0)
         match self._job_writer.recall(msg.subject):
             case SubmitOutcome.STORED:
                 return JobReply(msg.id, "", JobState.QUEUED, 0)
--- a/siskinroad/work/job_submitter.py
+++ b/siskinroad/work/job_submitter.py
@@ -18,7 +18,7 @@
     refuse_for_now,
     refuse_key,
 )
-from siskinroad.work.job_writer import JobRefusedError, JobWriter
+from siskinroad.work.job_writer import JobRefusedError, JobWriter, QueueClosedError
 from siskinroad.work.key_check import Caller, KeyCheck
 from siskinroad.work.messages import SubmitOutcome
 from siskinroad.work.model import JobSpec, Queue
@@ -37,6 +37,8 @@
 # silent store is probed every quarter of a second, so recovery is noticed soon; a
 # smaller limit would also refuse work while the store is merely slow.
 STORE_SILENCE_LIMIT = 2.0
+# Attempts to store a job whose queue is closed meanwhile, as in a storm of versions.
+MAX_ATTEMPTS = 3
 # Seconds between two looks whether the store is back, for a submit that waits.
 STORE_WAIT_INTERVAL = 0.03
 
@@ -102,13 +104,41 @@
         caller: Caller,
     ) -> CallerReply:
         """Store a job and return the reply to its caller."""
+        at_least = 0
+        for _ in range(MAX_ATTEMPTS):
+            try:
+                return await self._submit(queue, job, spec, deadline, caller, at_least)
+            except QueueClosedError as exc:
+                at_least = exc.version
+                log.info(
+                    "job_service: job was stored in a closed queue; submitting it anew",
+                    extra={"request": job, "queue": queue.name, "error": str(exc)},
+                )
+        return CallerReply(ReplyKind.UNKNOWN, reason="queue_closed")
+
+    async def _submit(
+        self,
+        queue: Queue,
+        job: str,
+        spec: JobSpec,
+        deadline: float,
+        caller: Caller,
+        at_least: int,
+    ) -> CallerReply:
+        """Store a job by an assignment of its queue of a version, or a newer one.
+
+        Raises
+        ------
+        QueueClosedError
+            The queue was closed by a later version, maybe before the job was stored.
+        """
         if not self._queue_registry.is_read:
             refusal = refuse_for_now("queues_not_read", self._store_age_s())
             return await self._refuse_unless_accepted(queue, job, refusal, deadline)
-        assigned = await self._assign(queue, job, deadline)
+        assigned = await self._assign(queue, job, deadline, at_least)
         if isinstance(assigned, CallerReply):
             return assigned
-        former_reply = await self._look_up_in_former_pools(queue, job, deadline)
+        former_reply = await self._close_former_pools(queue, assigned, job, deadline)
         if former_reply is not None:
             return former_reply
         unfit_reason = self._describe_unfit_step(queue, spec)
@@ -130,6 +160,7 @@
             spec,
             self._data_centre,
             caller.account,
+            assigned,
         )
         record = record_of(accepted)
         if len(record.value) > MAX_RECORD_BYTES:
@@ -152,7 +183,7 @@
         return reply
 
     async def _assign(
-        self, queue: Queue, job: str, deadline: float
+        self, queue: Queue, job: str, deadline: float, at_least: int
     ) -> int | CallerReply:
         """Return by which version the queue is assigned to its pool, or a refusal.
 
@@ -160,14 +191,14 @@
         version sends the queue elsewhere before its pool had an owner.
         """
         try:
-            version = self._assigner.find(queue)
+            version = self._assigner.find(queue, at_least)
             if version is not None:
                 return version
             if not await self._wait_for_store(job, deadline):
                 refusal = self._refuse_unstored("store_silent", queue, job, deadline)
                 return await self._refuse_unless_accepted(queue, job, refusal, deadline)
             async with asyncio.timeout_at(leave_reply_margin(deadline)):
-                return await self._assigner.assign(queue)
+                return await self._assigner.assign(queue, at_least)
         except QueueSupersededError as exc:
             log.info(
                 "job_service: queue is sent to another pool by a newer version",
@@ -178,17 +209,19 @@
             refusal = self._refuse_unstored("store_unavailable", queue, job, deadline)
             return await self._refuse_unless_accepted(queue, job, refusal, deadline)
 
-    async def _look_up_in_former_pools(
-        self, queue: Queue, job: str, deadline: float
+    async def _close_former_pools(
+        self, queue: Queue, assigned: int, job: str, deadline: float
     ) -> CallerReply | None:
         """Reply to a submit whose job may be accepted in a former pool of its queue.
 
-        Returns None if no former pool holds the job: it is to be stored.
+        Returns None if no former pool holds the job, nor takes it any more: it is to be
+        stored. What a daemon has under way, or one of a former version will store
+        there, comes behind the closing.
         """
-        pools = self._queue_registry.former_pools(queue)
+        pools = self._queue_registry.former_queues(queue)
         if not pools:
             return None
-        replies = await self._owner_requests.request_all(pools, "recall", job, deadline)
+        replies = await self._owner_requests.close_all(pools, assigned, job, deadline)
         reply = choose_reply(replies)
         match reply.kind:
             case ReplyKind.NO_JOB:
--- a/siskinroad/work/job_writer.py
+++ b/siskinroad/work/job_writer.py
@@ -11,7 +11,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from siskinroad.errors import SiskinroadError
 from siskinroad.work.batcher import Batcher
@@ -27,7 +27,9 @@
 )
 from siskinroad.work.workmetrics import WorkMetrics
 
-__all__ = ["JobRefusedError", "JobWriter"]
+__all__ = ["JobRefusedError", "JobWriter", "QueueClosedError"]
+
+FindClosing = Callable[[str, Record, int | None], Awaitable[int]]
 
 # Seconds of the caller's time that are reserved for storing a job directly if the
 # job writer does not answer; the job writer has the rest, and all of a shorter time.
@@ -56,6 +58,21 @@
         self.retry_after_s = retry_after_s
 
 
+class QueueClosedError(SiskinroadError):
+    """A job may have been stored after its queue was closed in the pool.
+
+    Attributes
+    ----------
+    version : int
+        Version that closed the queue: a job is accepted by an assignment of this or a
+        later one.
+    """
+
+    def __init__(self, version: int) -> None:
+        super().__init__(f"queue was closed by version {version}", step="job_writer")
+        self.version = version
+
+
 class JobWriter:
     """The component that appends records to the pools' job topics.
 
@@ -78,6 +95,9 @@
     note_stored : callable
         Receives the pool and the records of each answered append, and the offset of the
         first one.
+    find_closing : callable
+        Returns the version that closed a job's queue before it was stored, or 0; see
+        `AppendCheck.find_closing`.
     """
 
     def __init__(
@@ -103,6 +123,7 @@
         self.note_stored: Callable[[str, list[Record], int], None] = (
             lambda pool, records, offset: None
         )
+        self.find_closing: FindClosing = _find_no_closing
 
     async def store(self, pool: str, record: Record, deadline: float) -> SubmitOutcome:
         """Store a record through the job writer, or directly if that does not answer.
@@ -115,6 +136,8 @@
         ------
         JobRefusedError
             The pool's owner has turned the job away; it is not stored.
+        QueueClosedError
+            The job's queue was closed in the pool, maybe before the job was stored.
         """
         outcome = await self._submit_to_job_writer(pool, record, deadline)
         if outcome is not None:
@@ -154,6 +177,10 @@
             return None
         if reply.refusal:
             raise JobRefusedError(reply.refusal, reply.retry_after_s)
+        if reply.closed_by:
+            raise QueueClosedError(reply.closed_by)
+        if reply.outcome is SubmitOutcome.STORED and not reply.is_checked:
+            return await self._check(pool, record, None)
         return reply.outcome
 
     def _admit_if_new(self, pool: str, record: Record) -> Record:
@@ -174,10 +201,20 @@
             return SubmitReply(
                 msg.id, SubmitOutcome.NOT_DONE, exc.reason, exc.retry_after_s
             )
-        return SubmitReply(msg.id, await self.append(msg.pool, record, deadline))
+        try:
+            outcome = await self.append(msg.pool, record, deadline)
+        except QueueClosedError as exc:
+            return SubmitReply(msg.id, SubmitOutcome.UNKNOWN, closed_by=exc.version)
+        return SubmitReply(msg.id, outcome, is_checked=True)
 
     async def append(self, pool: str, record: Record, deadline: float) -> SubmitOutcome:
-        """Append a record, batched with others that arrive meanwhile."""
+        """Append a record, batched with others that arrive meanwhile.
+
+        Raises
+        ------
+        QueueClosedError
+            The job's queue was closed in the pool, maybe before the job was stored.
+        """
         batcher = self._batchers.get(pool)
         if batcher is None:
             batcher = Batcher(
@@ -190,13 +227,34 @@
         former = self.recall(record.key)
         self._remember(record.key, former or SubmitOutcome.UNKNOWN)
         try:
-            await batcher.put(record, deadline)
+            offset = await batcher.put(record, deadline)
         except StoreUnavailableError as exc:
             if former is None:
                 self._outcomes.pop(record.key, None)
             return self._note_not_stored(SubmitOutcome.NOT_DONE, pool, record, exc)
         except StoreUnknownError as exc:
             return self._note_not_stored(SubmitOutcome.UNKNOWN, pool, record, exc)
+        return await self._check(pool, record, offset)
+
+    async def _check(
+        self, pool: str, record: Record, offset: int | None
+    ) -> SubmitOutcome:
+        """Return the outcome for a stored record, which may have come too late."""
+        try:
+            version = await self.find_closing(pool, record, offset)
+        except SiskinroadError as exc:
+            return self._note_not_stored(SubmitOutcome.UNKNOWN, pool, record, exc)
+        if version:
+            log.warning(
+                "job_writer: queue was closed, maybe before its job was stored",
+                extra={
+                    "request": record.key,
+                    "pool": pool,
+                    "offset": offset,
+                    "closed": version,
+                },
+            )
+            raise QueueClosedError(version)
         self._remember(record.key, SubmitOutcome.STORED)
         return SubmitOutcome.STORED
 
@@ -237,3 +295,7 @@
         """Fail the queued records; batches in flight may still take effect."""
         for batcher in self._batchers.values():
             batcher.close()
+
+
+async def _find_no_closing(pool: str, record: Record, offset: int | None) -> int:
+    return 0
--- a/siskinroad/work/messages.py
+++ b/siskinroad/work/messages.py
@@ -163,9 +163,10 @@
 
     ``verb`` is ``show`` for a job's state, ``recall`` for whether a job was accepted
     as far as the owner knows, ``cancel`` to cancel a job, or ``pending`` for the number
-    of a queue's accepted jobs that have not started. ``subject`` names the job or
-    queue. ``account`` is the client account for which the caller acts, empty if it acts
-    for none.
+    of a queue's accepted jobs that have not started. ``close`` is for whether a job was
+    accepted before ``queues`` were closed in the pool, for jobs of older assignments
+    than that of ``version``. ``subject`` names the job or queue. ``account`` is the
+    client account for which the caller acts, empty if it acts for none.
 
     With ``HAS_STOPPED``, a new owner asks whether the recipient has stopped acting
     under its claim of the term in ``subject``; the reply's state is ``STOPPED`` then.
@@ -176,6 +177,8 @@
     verb: str
     subject: str
     account: str = ""
+    queues: tuple[str, ...] = ()
+    version: int = 0
 
 
 class JobReply(msgspec.Struct, tag="job!", frozen=True, array_like=True):
@@ -224,12 +227,20 @@
         empty if it has not.
     retry_after_s : float
         Seconds after which the caller of a job that was turned away should return.
+    is_checked : bool
+        Whether a stored job has not come behind a closing of its queue. Senders of
+        earlier versions do not check it.
+    closed_by : int
+        Version that closed the job's queue, maybe before the job was stored; 0 if none
+        did. The outcome is unknown then.
     """
 
     id: int
     outcome: SubmitOutcome
     refusal: str = ""
     retry_after_s: float = 0.0
+    is_checked: bool = False
+    closed_by: int = 0
 
 
 class AdviceRequest(msgspec.Struct, tag="advice?", frozen=True, array_like=True):
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -26,7 +26,11 @@
 from siskinroad.work.former_runs import find_former_runs
 from siskinroad.work.host import LEASE_S, max_lease_s
 from siskinroad.work.host_commands import HostCommands
-from siskinroad.work.inherited_jobs import load_jobs, log_unknown_queues
+from siskinroad.work.inherited_jobs import (
+    load_jobs,
+    log_unknown_queues,
+    note_late_job,
+)
 from siskinroad.work.job_forgetter import JobForgetter
 from siskinroad.work.known_runs import list_known_runs
 from siskinroad.work.lease_extender import LeaseExtender
@@ -36,10 +40,12 @@
 from siskinroad.work.planning_pass import PlanningPass
 from siskinroad.work.planning_report import PlanningReport
 from siskinroad.work.progress import OwnershipLostError, ProgressLog
+from siskinroad.work.queue_closer import QueueCloser
 from siskinroad.work.records import (
     OWNER_KEY,
     Accepted,
     Cancelled,
+    QueueClosing,
     decode_stored,
     job_topic,
     record_of,
@@ -132,8 +138,12 @@
         self.run_monitor = RunMonitor(self.pool_state, dependencies.timing)
         self.host_commands = HostCommands(self.term)
         self.lease_renewer = LeaseRenewer(self.term, self.progress)
+        self.closings = inherited.closings
         self.job_forgetter = JobForgetter(
-            self.term, self.progress, dependencies.timing.status_retention_s
+            self.term,
+            self.progress,
+            dependencies.timing.status_retention_s,
+            self.closings,
         )
         self._rechecked_at = -1e9
         self._listed_hosts: dict[str, HostEntry] = {}
@@ -174,6 +184,9 @@
             wait=CLAIMS_READ_WAIT,
         )
         self.follower.next_offset = inherited.next_offset
+        self.queue_closer = QueueCloser(
+            self.term, self.closings, self.follower, self.progress
+        )
         # A later claim may have followed while the stored state was read.
         self.follower.confirmed_at = inherited.claimed_at
         self.pool_state.claims.unclaimed_at = inherited.claimed_at
@@ -442,29 +455,38 @@
             )
             return
         match stored:
-            case Accepted(job=job):
-                is_known = job in self.pool_state.jobs
-                self.pool_state.accept(
-                    stored, now, wall, is_new=item.offset + 1 > self.term.number
-                )
-                if not is_known:
-                    log.info(
-                        "owner: job accepted",
-                        extra={
-                            "request": job,
-                            "queue": stored.queue,
-                            "offset": item.offset,
-                            "age_s": round(wall - stored.at, 3),
-                        },
-                    )
-                if self.pool_state.take_early_cancel(job, now):
-                    self._execute_effects(self.pool_state.cancel(job, now, wall))
+            case Accepted():
+                self._accept(stored, item.offset, now, wall)
+            case QueueClosing(queue=queue, version=version):
+                self.closings.note(queue, version)
             case Cancelled(job=job):
                 if job not in self.pool_state.jobs:
                     self.pool_state.note_early_cancel(job, now)
                 self._execute_effects(self.pool_state.cancel(job, now, wall))
                 self.term.flush_requested.set()
 
+    def _accept(self, accepted: Accepted, offset: int, now: float, wall: float) -> None:
+        """Add a job that was read, unless it came behind a closing of its queue."""
+        job = accepted.job
+        is_known = job in self.pool_state.jobs
+        if not is_known and self.closings.find_closing(accepted):
+            note_late_job(self.closings, accepted, self.pool_state, now)
+            return
+        is_new = offset + 1 > self.term.number
+        self.pool_state.accept(accepted, now, wall, is_new=is_new)
+        if not is_known:
+            log.info(
+                "owner: job accepted",
+                extra={
+                    "request": job,
+                    "queue": accepted.queue,
+                    "offset": offset,
+                    "age_s": round(wall - accepted.at, 3),
+                },
+            )
+        if self.pool_state.take_early_cancel(job, now):
+            self._execute_effects(self.pool_state.cancel(job, now, wall))
+
     # Planning
 
     async def _run_planning(self) -> None:
--- a/siskinroad/work/owner_requests.py
+++ b/siskinroad/work/owner_requests.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 
 import msgspec
 
@@ -75,6 +75,36 @@
         self, pool: str, verb: str, subject: str, deadline: float, account: str = ""
     ) -> CallerReply:
         """Ask a pool's owner, twice if it does not answer."""
+        return await self._request(
+            JobRequest(0, pool, verb, subject, account), deadline
+        )
+
+    async def close_all(
+        self,
+        pools: Mapping[str, tuple[str, ...]],
+        version: int,
+        job: str,
+        deadline: float,
+    ) -> list[CallerReply]:
+        """Ask owners whether a job was accepted before queues were closed there.
+
+        Parameters
+        ----------
+        pools : dict of str to tuple of str
+            Names of the queues by pool.
+        version : int
+            They are closed for jobs of older assignments than that of this version.
+        """
+        calls = (
+            self._request(
+                JobRequest(0, pool, "close", job, queues=queues, version=version),
+                deadline,
+            )
+            for pool, queues in pools.items()
+        )
+        return list(await asyncio.gather(*calls))
+
+    async def _request(self, msg: JobRequest, deadline: float) -> CallerReply:
         loop = asyncio.get_running_loop()
         reason = "no_owner"
         owner_deadline = leave_reply_margin(deadline)
@@ -86,11 +116,10 @@
                 await asyncio.sleep(min(OWNER_RETRY_PAUSE, remaining_s / 2))
                 self._metrics.retries.labels("owner").inc()
             owner_reply = await self._request_once(
-                JobRequest(0, pool, verb, subject, account),
-                min(OWNER_REQUEST_TIMEOUT, remaining_s),
+                msg, min(OWNER_REQUEST_TIMEOUT, remaining_s)
             )
             if owner_reply is not None and not owner_reply.unknown_reason:
-                return _convert_owner_reply(verb, owner_reply)
+                return _convert_owner_reply(msg.verb, owner_reply)
             if owner_reply is not None:
                 reason = owner_reply.unknown_reason
         return refuse_for_now(reason)
--- a/siskinroad/work/progress.py
+++ b/siskinroad/work/progress.py
@@ -15,6 +15,7 @@
     FormerOwner,
     HostSet,
     Loans,
+    QueueClosed,
     progress_topic,
     record_of,
 )
@@ -49,6 +50,21 @@
     """Ownership was lost: another daemon has claimed the pool."""
 
 
+@dataclass(slots=True, frozen=True)
+class _UnstoredClosings:
+    """Closings that are to be stored once the progress of some jobs is.
+
+    Attributes
+    ----------
+    jobs : frozenset of str
+        Ids of these jobs.
+    """
+
+    closings: tuple[QueueClosed, ...]
+    jobs: frozenset[str]
+    stored: asyncio.Future[None]
+
+
 @dataclass(slots=True, frozen=True)
 class _Batch:
     """One append of progress, and the outcomes and ends that become durable with it."""
@@ -58,6 +74,7 @@
     hosts: HostSet
     ends_seen: tuple[tuple[str, int, int], ...]
     loans: tuple[Loans, ...] = ()
+    closings: tuple[_UnstoredClosings, ...] = ()
 
 
 class ProgressLog:
@@ -90,6 +107,7 @@
         self.on_loans_stored: Callable[[Loans], None] = lambda loans: None
         self._unstored_loans: dict[str, Loans] = {}
         self._obsolete_keys: list[str] = []
+        self._unstored_closings: list[_UnstoredClosings] = []
         self._storing_loans: dict[str, list[asyncio.Future[None]]] = {}
 
     @property
@@ -98,7 +116,7 @@
         pool_state = self.term.pool_state
         if self._batch is not None or pool_state.dirty or self._unstored_loans:
             return True
-        if self._obsolete_keys:
+        if self._obsolete_keys or self._unstored_closings:
             return True
         hosts = self._host_set()
         # A host that was removed and added again may be in the stored set already.
@@ -138,6 +156,14 @@
         """Store the loans of an account with the next batch."""
         self._unstored_loans[loans.account] = loans
 
+    async def store_closings(self, closings: Iterable[QueueClosed]) -> None:
+        """Store closings after the progress of all jobs that have changed by now."""
+        jobs = frozenset(self.term.pool_state.dirty)
+        fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._unstored_closings.append(_UnstoredClosings(tuple(closings), jobs, fut))
+        self.term.flush_requested.set()
+        await fut
+
     def remove_records(self, keys: Iterable[str]) -> None:
         """Delete records of jobs that are forgotten, with a later batch."""
         self._obsolete_keys += keys
@@ -211,7 +237,8 @@
             self._sequence += 1
         self._batch = None
         self._mark_stored(batch)
-        if self.term.pool_state.dirty or self._obsolete_keys:
+        has_more = self._obsolete_keys or self._unstored_closings
+        if self.term.pool_state.dirty or has_more:
             self.term.flush_requested.set()
 
     def _make_batch(self) -> _Batch:
@@ -231,7 +258,18 @@
                 (host.name, host.incarnation_ms, host.last_end_seen) for host in known
             )
         outcomes = tuple((job, job.outcome) for job in jobs)
-        return _Batch(tuple(records), outcomes, hosts, ends_seen, loans)
+        closings = self._take_closings()
+        records += [record_of(each) for some in closings for each in some.closings]
+        return _Batch(tuple(records), outcomes, hosts, ends_seen, loans, closings)
+
+    def _take_closings(self) -> tuple[_UnstoredClosings, ...]:
+        """Return the closings whose jobs are stored by this batch or a former one."""
+        dirty = self.term.pool_state.dirty
+        ready = [each for each in self._unstored_closings if not each.jobs & dirty]
+        self._unstored_closings = [
+            each for each in self._unstored_closings if each.jobs & dirty
+        ]
+        return tuple(ready)
 
     def _leave_out_hosts(self, hosts: HostSet) -> None:
         """Start nothing more on the hosts that a set which is to be stored leaves out.
@@ -296,6 +334,9 @@
                 for fut in self._storing_loans.pop(each.account, ()):
                     if not fut.done():
                         fut.set_result(None)
+        for closings in batch.closings:
+            if not closings.stored.done():
+                closings.stored.set_result(None)
         for job, outcome in batch.outcomes:
             self._mark_outcome_stored(job, outcome)
         for name, incarnation_ms, last_end_seen in batch.ends_seen:
--- a/siskinroad/work/queue_registry.py
+++ b/siskinroad/work/queue_registry.py
@@ -257,12 +257,16 @@
 
         A pool that no daemon would claim is left out: nobody could answer for it.
         """
-        pools = {
-            entry.queue.pool
-            for entry in self._list_related(queue)
-            if self._may_hold_jobs(entry)
-        }
-        return tuple(sorted(pools - {queue.pool}))
+        return tuple(self.former_queues(queue))
+
+    def former_queues(self, queue: Queue) -> dict[str, tuple[str, ...]]:
+        """Return by these pools the names that a queue has, or had, there."""
+        names: dict[str, set[str]] = {}
+        for entry in self._list_related(queue):
+            pool = entry.queue.pool
+            if pool != queue.pool and self._may_hold_jobs(entry):
+                names.setdefault(pool, {queue.name}).add(entry.queue.name)
+        return {pool: tuple(sorted(names[pool])) for pool in sorted(names)}
 
     def list_pools(self) -> set[str]:
         """Return the pools of the stored queues, also of queues that were removed."""
--- a/siskinroad/work/records.py
+++ b/siskinroad/work/records.py
@@ -18,6 +18,7 @@
 from siskinroad.work.store import Record
 
 __all__ = [
+    "CLOSINGS_START",
     "MEMBERS_TOPIC",
     "OWNER_KEY",
     "QUEUE_PREFIX",
@@ -31,11 +32,14 @@
     "Member",
     "OwnerRecord",
     "Progress",
+    "QueueClosed",
+    "QueueClosing",
     "Released",
     "Stored",
     "StoredQueue",
     "TaskProgress",
     "cancel_key",
+    "closing_key",
     "decode_stored",
     "encode_stored",
     "is_job_topic",
@@ -47,6 +51,11 @@
 ]
 
 MEMBERS_TOPIC = "members"
+# First part of the keys of closings. They sort behind the keys of jobs, so that one
+# read of the newest records from here on returns them alone.
+CLOSINGS_START = "~"
+CLOSING_PREFIX = CLOSINGS_START + "closing "
+CLOSED_PREFIX = CLOSINGS_START + "closed "
 JOB_TOPIC_PREFIX = "jobs."
 OWNER_KEY = "@owner"
 RELEASED_KEY = "@released"
@@ -69,7 +78,9 @@
 
     ``data_centre`` is that of the daemon that took the job from its caller; it is empty
     in records of earlier versions. ``account`` names the client account for which the
-    job runs; it is empty if the caller needed no key.
+    job runs; it is empty if the caller needed no key. ``assigned`` is the version by
+    which the queue was assigned to the pool; -1 in records of earlier versions of this
+    program.
     """
 
     job: str
@@ -79,6 +90,7 @@
     spec: JobSpec
     data_centre: str = ""
     account: str = ""
+    assigned: int = -1
 
 
 class Cancelled(msgspec.Struct, tag="cancel", frozen=True):
@@ -249,6 +261,23 @@
     version: int = 0
 
 
+class QueueClosing(msgspec.Struct, tag="closing", frozen=True):
+    """Mark in a pool's topic of jobs, behind which a queue takes no more of them.
+
+    It holds for jobs of older assignments than that of ``version``.
+    """
+
+    queue: str
+    version: int
+
+
+class QueueClosed(msgspec.Struct, tag="closed", frozen=True):
+    """Note of a pool's owner that a closing is complete (`queue_closings`)."""
+
+    queue: str
+    version: int
+
+
 class HostSet(msgspec.Struct, tag="hosts", frozen=True):
     """Hosts on which runs of this term, or of an earlier one, may exist (`used_hosts`).
 
@@ -295,6 +324,8 @@
     | HostSet
     | Loans
     | StoredQueue
+    | QueueClosing
+    | QueueClosed
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -393,6 +424,16 @@
     return QUEUE_PREFIX + digest.hexdigest()
 
 
+def closing_key(closing: QueueClosing) -> str:
+    """Return the key of a closing; each version has one, so that none is replaced."""
+    return f"{CLOSING_PREFIX}{_digest_name(closing.queue)} {closing.version}"
+
+
+def _digest_name(name: str) -> str:
+    digest = hashlib.blake2b(name.encode(), digest_size=QUEUE_DIGEST_SIZE)
+    return digest.hexdigest()
+
+
 def cancel_key(job: str) -> str:
     """Return the key of a job's cancellation."""
     return job + CANCEL_SUFFIX
@@ -424,4 +465,8 @@
             key = node
         case StoredQueue():
             key = queue_key(stored)
+        case QueueClosing():
+            key = closing_key(stored)
+        case QueueClosed(queue=queue):
+            key = CLOSED_PREFIX + _digest_name(queue)
     return Record(key, encode_stored(stored))
--- a/siskinroad/work/store.py
+++ b/siskinroad/work/store.py
@@ -223,13 +223,15 @@
         return None
 
 
-async def read_all_newest(store: Store, topic: str, timeout: float) -> NewestPage:
-    """Return the newest record of every key, with the ``end`` of the first page.
+async def read_all_newest(
+    store: Store, topic: str, timeout: float, after: str = ""
+) -> NewestPage:
+    """Return the newest record of every key after one, with ``end`` of the first page.
 
     The pages are read one after another and are not a snapshot: the caller must read
     the records from offset ``end`` on again.
     """
-    page = await store.newest(topic, timeout=timeout)
+    page = await store.newest(topic, after, timeout=timeout)
     items = list(page.items)
     end = page.end
     while page.more and page.items:
