--- a/siskinroad/work/job_service.py
+++ b/siskinroad/work/job_service.py
@@ -105,7 +105,7 @@
             list_capacities,
             metrics,
             wall,
-            configuration_reader.age_s,
+            configuration_reader,
             last_store_answer_at,
         )
 
--- a/siskinroad/work/job_submitter.py
+++ b/siskinroad/work/job_submitter.py
@@ -18,6 +18,7 @@
     refuse_for_now,
     refuse_key,
 )
+from siskinroad.work.configuration_reader import ConfigurationReader
 from siskinroad.work.job_writer import JobRefusedError, JobWriter, QueueClosedError
 from siskinroad.work.key_check import Caller, KeyCheck
 from siskinroad.work.messages import SubmitOutcome
@@ -39,6 +40,10 @@
 STORE_SILENCE_LIMIT = 2.0
 # Attempts to store a job whose queue is closed meanwhile, as in a storm of versions.
 MAX_ATTEMPTS = 3
+# Seconds for which a submit waits for a newer version that this daemon has not read,
+# and between two looks. A caller finds another daemon sooner than a late version comes.
+VERSION_WAIT_S = 0.5
+VERSION_WAIT_INTERVAL_S = 0.03
 # Seconds between two looks whether the store is back, for a submit that waits.
 STORE_WAIT_INTERVAL = 0.03
 
@@ -60,8 +65,8 @@
         Writer of the registry's records that a submit needs.
     list_capacities : callable
         Returns the largest capacity that each listed host of a pool has had.
-    configuration_age_s : callable
-        Returns the age of the configuration in force in seconds.
+    configuration_reader : ConfigurationReader
+        Source of the configuration in force.
     last_store_answer_at : callable
         Returns the loop time of the store's last answer, direct or relayed.
     """
@@ -77,7 +82,7 @@
         list_capacities: Callable[[str], list[Resources]],
         metrics: WorkMetrics,
         wall: Callable[[], float],
-        configuration_age_s: Callable[[], float],
+        configuration_reader: ConfigurationReader,
         last_store_answer_at: Callable[[], float],
     ) -> None:
         self._data_centre = data_centre
@@ -89,7 +94,7 @@
         self._list_capacities = list_capacities
         self._metrics = metrics
         self._wall = wall
-        self._configuration_age_s = configuration_age_s
+        self._configuration_reader = configuration_reader
         self._last_store_answer_at = last_store_answer_at
 
     def _store_age_s(self) -> float:
@@ -114,8 +119,45 @@
                     "job_service: job was stored in a closed queue; submitting it anew",
                     extra={"request": job, "queue": queue.name, "error": str(exc)},
                 )
+            except QueueSupersededError as exc:
+                newer = await self._await_newer_queue(queue, job, exc.version, deadline)
+                if newer is None:
+                    return CallerReply(ReplyKind.UNKNOWN, reason="queue_superseded")
+                queue = newer
         return CallerReply(ReplyKind.UNKNOWN, reason="queue_closed")
 
+    async def _await_newer_queue(
+        self, queue: Queue, job: str, version: int, deadline: float
+    ) -> Queue | None:
+        """Return the queue at the same address by a newer version of the configuration.
+
+        Returns None if that does not come soon, or has no such queue. The caller is not
+        told then that the job has not run: it may have been stored before.
+        """
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        wait_until = min(began + VERSION_WAIT_S, leave_reply_margin(deadline))
+        reader = self._configuration_reader
+        while reader.version < version and loop.time() < wait_until:
+            await asyncio.sleep(VERSION_WAIT_INTERVAL_S)
+        newer: Queue | None = None
+        if reader.configuration is not None and reader.version >= version:
+            path = queue.prefix + job
+            newer = reader.configuration.find_queue(queue.virtual_host, path)
+        log.info(
+            "job_service: submit needs a newer version of the configuration",
+            extra={
+                "request": job,
+                "queue": queue.name,
+                "pool": queue.pool,
+                "needed": version,
+                "version": reader.version,
+                "waited_s": round(loop.time() - began, 2),
+                "outcome": newer.pool if newer is not None else "none",
+            },
+        )
+        return newer
+
     async def _submit(
         self,
         queue: Queue,
@@ -131,6 +173,8 @@
         ------
         QueueClosedError
             The queue was closed by a later version, maybe before the job was stored.
+        QueueSupersededError
+            A newer version of the configuration is needed.
         """
         if not self._queue_registry.is_read:
             refusal = refuse_for_now("queues_not_read", self._store_age_s())
@@ -149,7 +193,7 @@
             refusal = self._refuse_unstored("store_silent", queue, job, deadline)
             return await self._refuse_unless_accepted(queue, job, refusal, deadline)
         key_outcome = self._key_check.recheck(queue, caller)
-        key_refusal = refuse_key(key_outcome, self._configuration_age_s())
+        key_refusal = refuse_key(key_outcome, self._configuration_reader.age_s())
         if key_refusal is not None:
             return key_refusal
         accepted = Accepted(
@@ -189,6 +233,11 @@
 
         Without a stored assignment, the job would be lost to all daemons once a later
         version sends the queue elsewhere before its pool had an owner.
+
+        Raises
+        ------
+        QueueSupersededError
+            A newer version of the configuration is needed.
         """
         try:
             version = self._assigner.find(queue, at_least)
@@ -199,12 +248,8 @@
                 return await self._refuse_unless_accepted(queue, job, refusal, deadline)
             async with asyncio.timeout_at(leave_reply_margin(deadline)):
                 return await self._assigner.assign(queue, at_least)
-        except QueueSupersededError as exc:
-            log.info(
-                "job_service: queue is sent to another pool by a newer version",
-                extra={"request": job, "queue": queue.name, "error": str(exc)},
-            )
-            return CallerReply(ReplyKind.UNKNOWN, reason="queue_superseded")
+        except QueueSupersededError:
+            raise
         except (SiskinroadError, TimeoutError):
             refusal = self._refuse_unstored("store_unavailable", queue, job, deadline)
             return await self._refuse_unless_accepted(queue, job, refusal, deadline)
