--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -507,7 +507,9 @@
             task.checkpoint = task_progress.checkpoint
             task.crashes.notes = task_progress.crashes
             self.has_started = True
-            if task_progress.done:
+            lasts = self.spec.steps[task_progress.step].long_running
+            # Earlier versions took a task that lasts for done by such an end.
+            if task_progress.done and not lasts:
                 task.move("done")
         return left_out
 
--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -25,7 +25,7 @@
 
 from siskinroad.work.effects import Effect
 from siskinroad.work.host import Host, Run
-from siskinroad.work.hosts import EndKind, HostReport, Rejection, RunStatus
+from siskinroad.work.hosts import HostReport, Rejection, RunStatus
 from siskinroad.work.run_end_table import RunEndTable
 from siskinroad.work.run_table import MAX_UNSTORED_RUNS, format_task_position
 
@@ -239,7 +239,7 @@
         """
         present = {(status.task, status.run) for status in report.running}
         for end in report.ended:
-            if end.number > host.last_end_seen and end.end_kind is not EndKind.DONE:
+            if end.number > host.last_end_seen and not self._completes_task(end):
                 return True
             present.add((end.task, end.run))
         return any(
--- a/siskinroad/work/run_end_table.py
+++ b/siskinroad/work/run_end_table.py
@@ -72,7 +72,7 @@
             self._log_late_end(host, end, task, now)
         if end.checkpoint and end.run >= task.run:
             step.note_checkpoint(task, end.checkpoint)
-        if end.end_kind is EndKind.DONE:
+        if self._completes_task(end):
             effects = self._stop_other_runs(step, task, end.run)
             task.run = max(task.run, end.run)
             return effects + self._complete_task(host, step, task, now, wall)
@@ -86,6 +86,15 @@
             host, step, task, end, is_newest, now, wall
         )
 
+    def _completes_task(self, end: RunEnd) -> bool:
+        """Return whether an end completes its task.
+
+        A task that lasts is started again however its run ends.
+        """
+        step = self.step(end.task)
+        lasts = step is not None and step.spec.long_running
+        return end.end_kind is EndKind.DONE and not lasts
+
     def _find_newest_run(self, task: Task) -> tuple[Host, Run] | None:
         """Return the newest run of a task and its host, unless the run is over."""
         host = self.hosts.get(task.host)
