--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -142,3 +142,35 @@
     messages = {line["message"] for line in lines}
     assert {"node: started", "node: stopping", "node: stopped"} <= messages
     assert all("daemon" in line and "time" in line for line in lines)
+
+
+async def signal_before_the_store_answers(tmp_path, number):
+    """Send SIGHUP, then SIGTERM, to a daemon that waits for its first store call."""
+    was_called = asyncio.Event()
+
+    async def stay_silent(reader, writer):
+        await reader.readline()
+        was_called.set()
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(stay_silent, loopback_ip(200), 0)
+    port = server.sockets[0].getsockname()[1]
+    process, *_ = await start_daemon(tmp_path, number, f"{loopback_ip(200)}:{port}")
+    try:
+        await was_called.wait()
+        process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.1)
+        process.send_signal(signal.SIGTERM)
+        return await process.wait()
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+        server.close()
+
+
+def test_a_daemon_that_starts_is_not_ended_by_a_change_of_its_settings(tmp_path):
+    # Guards against review/10: until a silent store had been waited for, SIGHUP had its
+    # default action and ended the process.
+    assert asyncio.run(signal_before_the_store_answers(tmp_path, 5)) == 0
