List the relaying peers after the direct call

Cause: the peers were listed before the direct call; one that ended meanwhile has no heartbeat any more, by which it is ordered.

Change: they are listed after the call.

Measured: two new tests of tests/work/test_relay.py raise the KeyError before, and pass after; the relay's and the outages' tests pass.

--- a/siskinroad/work/relay.py
+++ b/siskinroad/work/relay.py
@@ -202,20 +202,28 @@
         )
 
     async def _append(self, call: AppendCall, timeout: float) -> StoreAnswer:
-        relay_peers = self._relay_peers()
-        unknown_outcome: SiskinroadError | None = None
-        if not relay_peers or not self._direct_failed:
-            try:
-                return await self._call_direct(call, timeout)
-            except StoreUnavailableError:
-                if not relay_peers:
-                    raise
-            except StoreUnknownError as exc:
-                if not relay_peers or call.fence is None:
-                    raise
-                unknown_outcome = exc
-        elif call.fence is not None:
+        if not self._direct_failed or not self._relay_peers():
+            return await self._append_directly(call, timeout)
+        if call.fence is not None:
             self._probe_direct(call, timeout)
+        relay_peer = self._order_relay_peers(self._relay_peers())[0]
+        return await self._call_through_peer(call, timeout, relay_peer, None)
+
+    async def _append_directly(self, call: AppendCall, timeout: float) -> StoreAnswer:
+        """Append directly, or else through a peer if that is harmless."""
+        unknown_outcome: SiskinroadError | None = None
+        try:
+            return await self._call_direct(call, timeout)
+        except StoreUnavailableError:
+            # A peer that was there before the call may have ended meanwhile.
+            relay_peers = self._relay_peers()
+            if not relay_peers:
+                raise
+        except StoreUnknownError as exc:
+            relay_peers = self._relay_peers()
+            if not relay_peers or call.fence is None:
+                raise
+            unknown_outcome = exc
         relay_peer = self._order_relay_peers(relay_peers)[0]
         return await self._call_through_peer(call, timeout, relay_peer, unknown_outcome)
 
--- a/tests/work/test_relay.py
+++ b/tests/work/test_relay.py
@@ -10,7 +10,7 @@
 from siskinroad.work.messages import RelayReply
 from siskinroad.work.relay import RelayStore
 from siskinroad.work.relay_codec import ReadCall, execute_encoded
-from siskinroad.work.store import StoreUnavailableError, StoreUnknownError
+from siskinroad.work.store import Record, StoreUnavailableError, StoreUnknownError
 from siskinroad.work.store_memory import MemoryLogs, MemoryStore
 
 PROCESSORS = {"s1": 0.5, "s2": 0.6, "l1": 2.15, "s3": 0.5, "l2": 2.0}
@@ -75,3 +75,39 @@
 ):
     asked = read_through(dict.fromkeys(PROCESSORS, processor))
     assert set(asked) == set(PROCESSORS)
+
+
+class LeavingPeerStore(MemoryStore):
+    """A store that rejects appends, and in whose time a peer ends."""
+
+    def __init__(self, processors, leaving):
+        super().__init__(MemoryLogs())
+        self.processors = processors
+        self.leaving = leaving
+
+    async def append(self, topic, records, *, at=None, fence=None, timeout=1.0):
+        await asyncio.sleep(0.1)
+        del self.processors[self.leaving]
+        raise StoreUnavailableError("busy", step="store.append")
+
+
+@pytest.mark.parametrize("others", [(), ("l1",)])
+def test_an_append_is_relayed_through_no_peer_that_has_ended_meanwhile(others):
+    # Guards against a KeyError that ended the owner of a pool: the peer was listed
+    # before the direct call, and gone after it.
+    processors = {name: PROCESSORS[name] for name in ("s1", *others)}
+
+    async def scenario():
+        peers = Peers(silent=processors.copy())
+        store = RelayStore(
+            LeavingPeerStore(processors, "s1"),
+            peers,
+            lambda: list(processors),
+            processors.__getitem__,
+        )
+        expected = StoreUnknownError if others else StoreUnavailableError
+        with pytest.raises(expected):
+            await store.append("t", [Record("k", b"v")])
+        return tuple(peers.asked)
+
+    assert run_on_paused_clock(scenario()) == others
