Say of no job that it has not run before the queues are read

What callers could see: a daemon that had not read which queues were sent to which pool answered a submit with 503, though the job ran in a former pool.

Cause: it asked the owner of the present pool only.

Change: unless that owner has the job, the answer is 504. An assignment counts as read from its first record on: an update of the settings stores it again, and submits wrote another one until that was read.

--- a/siskinroad/work/job_submitter.py
+++ b/siskinroad/work/job_submitter.py
@@ -177,8 +177,7 @@
             A newer version of the configuration is needed.
         """
         if not self._queue_registry.is_read:
-            refusal = refuse_for_now("queues_not_read", self._store_age_s())
-            return await self._refuse_unless_accepted(queue, job, refusal, deadline)
+            return await self._reply_without_registry(queue, job, deadline)
         assigned = await self._assign(queue, job, deadline, at_least)
         if isinstance(assigned, CallerReply):
             return assigned
@@ -216,16 +215,30 @@
             )
         except JobRefusedError as exc:
             # Its owner, which refuses it, does not know of the job.
-            refusal = CallerReply(
+            return CallerReply(
                 ReplyKind.NOT_NOW, reason=exc.reason, retry_after=exc.retry_after_s
             )
-            return refusal
         reply = make_append_reply(outcome, self._store_age_s())
         if reply.kind is ReplyKind.NOT_NOW:
             refusal = self._refuse_unstored("store_unavailable", queue, job, deadline)
             return await self._refuse_unless_accepted(queue, job, refusal, deadline)
         return reply
 
+    async def _reply_without_registry(
+        self, queue: Queue, job: str, deadline: float
+    ) -> CallerReply:
+        """Reply to a submit before this daemon knows all pools that may hold the job.
+
+        That it has not run cannot be said: a former pool may have it.
+        """
+        refusal = refuse_for_now("queues_not_read", self._store_age_s())
+        reply = await self._refuse_unless_accepted(queue, job, refusal, deadline)
+        if reply.kind is not ReplyKind.NOT_NOW:
+            return reply
+        return CallerReply(
+            ReplyKind.UNKNOWN, reason=reply.reason, retry_after=reply.retry_after
+        )
+
     async def _assign(
         self, queue: Queue, job: str, deadline: float, at_least: int
     ) -> int | CallerReply:
--- a/siskinroad/work/queue_registry.py
+++ b/siskinroad/work/queue_registry.py
@@ -51,7 +51,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Superseded:
-    """A version of at least this number has assigned a queue to another pool."""
+    """A configuration of this version or a later one tells where a queue is sent now.
+
+    It has assigned the queue to another pool, or removed it.
+    """
 
     version: int
 
@@ -69,7 +72,7 @@
     ended_at : float or None
         Loop time at which the entry was first not in force; None while it is.
     offsets : dict of int to int
-        Offset of the newest record of each version that is stored.
+        Offset of the first known record of each version that is stored.
     """
 
     queue: StoredQueue
@@ -152,8 +155,8 @@
             if entry.ended_at is not None:
                 entry.queue = settings
             entry.is_stored = entry.queue == settings
-        former_offset = entry.offsets.get(queue.version, -1)
-        entry.offsets[queue.version] = max(former_offset, offset)
+        first_offset = entry.offsets.get(queue.version, offset)
+        entry.offsets[queue.version] = min(first_offset, offset)
         self._versions_by_key[queue_key(queue)] = (key, queue.version)
         self._note_changed()
 
--- a/tests/work/test_former_versions.py
+++ b/tests/work/test_former_versions.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from siskinroad.work.job_service import ReplyKind
-from tests.work.cell import FAST, job
+from tests.work.cell import FAST, MOVED, job
 from tests.work.test_daemon import JOB_ID, run_scenario
 from tests.work.test_late_jobs import (
     OTHER_ID,
@@ -116,3 +116,31 @@
         assert list_started(cell) == []
 
     run_scenario(scenario)
+
+
+def test_a_daemon_that_has_not_read_the_queues_does_not_say_that_a_job_has_not_run():
+    # The job runs in a former pool, of which the daemon does not know yet.
+    async def scenario(cell):
+        cell.open_store = LaggingStore
+        await start_cell(cell, TASK_S)
+        assert (await cell.submit("a", JOB_ID, job(), FAST)).kind is ReplyKind.OK
+        cell.configure(5)
+        await asyncio.sleep(0.5)
+        # Nobody remembers having stored the job.
+        for name in NAMES:
+            await cell.kill(name)
+        for name in NAMES:
+            cell.start(name)
+        late = NAMES[-1]
+        store_of(cell, late).reads_held.add("members")
+        await asyncio.sleep(4.0)
+        assert not cell.daemons[late].queue_registry.is_read
+        reply = await cell.submit(late, JOB_ID, job(), MOVED)
+        assert reply.kind is ReplyKind.UNKNOWN
+        store_of(cell, late).reads_held.clear()
+        await asyncio.sleep(1.0)
+        reply = await cell.submit(late, JOB_ID, job(), MOVED)
+        assert reply.reason == "accepted_in_former_pool"
+        assert list_started(cell) == [JOB_ID]
+
+    run_scenario(scenario)
--- a/tests/work/test_late_jobs.py
+++ b/tests/work/test_late_jobs.py
@@ -39,6 +39,11 @@
             await asyncio.sleep(0.05)
         return result
 
+    async def newest(self, topic, after="", *, timeout=1.0):
+        while topic in self.reads_held:
+            await asyncio.sleep(0.05)
+        return await super().newest(topic, after, timeout=timeout)
+
     async def append(self, topic, records, *, at=None, fence=None, timeout=1.0):
         if topic.startswith("jobs."):
             await asyncio.sleep(self.append_delay_s)
