--- a/siskinroad/work/queue_registry.py
+++ b/siskinroad/work/queue_registry.py
@@ -35,6 +35,10 @@
 FORGET_AFTER_S = 60.0
 
 
+# Name, virtual host, prefix and pool of a queue.
+_Identity = tuple[str, str, str, str]
+
+
 @dataclass(slots=True, frozen=True)
 class Assigned:
     """A queue is assigned to its pool by a record of this version, which was read."""
@@ -109,8 +113,8 @@
     def __init__(self) -> None:
         self.is_read = False
         self.version = 0
-        self._entries: dict[str, _Entry] = {}
-        self._versions_by_key: dict[str, tuple[str, int]] = {}
+        self._entries: dict[_Identity, _Entry] = {}
+        self._versions_by_key: dict[str, tuple[_Identity, int]] = {}
         self._is_indexed = True
         self._unstored_in_force: list[StoredQueue] | None = None
         self._configured_pools: frozenset[str] = frozenset()
@@ -123,18 +127,16 @@
         """Apply a configuration."""
         self.version = configuration.version
         self._configured_pools = frozenset(configuration.pools)
-        in_force = {}
-        for queue in configuration.queues:
+        in_force = {_identify(queue): queue for queue in configuration.queues}
+        for identity, queue in in_force.items():
             stored = make_stored_queue(queue)
-            in_force[queue_key(stored)] = stored
-        for key, stored in in_force.items():
-            entry = self._entries.setdefault(key, _Entry(stored))
+            entry = self._entries.setdefault(identity, _Entry(stored))
             if entry.queue != stored:
                 entry.queue = stored
                 entry.is_stored = False
             entry.ended_at = None
-        for key, entry in self._entries.items():
-            if key not in in_force and entry.ended_at is None:
+        for identity, entry in self._entries.items():
+            if identity not in in_force and entry.ended_at is None:
                 entry.ended_at = now
         self._note_changed()
 
@@ -149,15 +151,15 @@
             Offset of the record.
         """
         settings = _with_version(queue, 0)
-        key = queue_key(settings)
-        entry = self._entries.setdefault(key, _Entry(settings, ended_at=now))
+        identity = _identify(queue)
+        entry = self._entries.setdefault(identity, _Entry(settings, ended_at=now))
         if queue.version >= entry.newest_version:
             if entry.ended_at is not None:
                 entry.queue = settings
             entry.is_stored = entry.queue == settings
         first_offset = entry.offsets.get(queue.version, offset)
         entry.offsets[queue.version] = min(first_offset, offset)
-        self._versions_by_key[queue_key(queue)] = (key, queue.version)
+        self._versions_by_key[queue_key(queue)] = (identity, queue.version)
         self._note_changed()
 
     def remove(self, key: str) -> None:
@@ -165,17 +167,17 @@
 
         An entry without any is removed, unless it is in force.
         """
-        entry_key, version = self._versions_by_key.pop(key, (key, 0))
-        entry = self._entries.get(entry_key)
-        if entry is None:
+        if key not in self._versions_by_key:
             return
-        entry.offsets.pop(version, None)
+        identity, version = self._versions_by_key.pop(key)
+        entry = self._entries[identity]
+        del entry.offsets[version]
         self._note_changed()
         if entry.offsets:
             return
         entry.is_stored = False
         if entry.ended_at is not None:
-            del self._entries[entry_key]
+            del self._entries[identity]
 
     def keep_listed(self, keys: set[str]) -> None:
         """Remove the records of which the store has none of these keys."""
@@ -232,7 +234,7 @@
         at_least : int
             An older version is not relied on.
         """
-        own = self._entries.get(queue_key(make_stored_queue(queue)))
+        own = self._entries.get(_identify(queue))
         if own is None or own.ended_at is not None:
             return Superseded(self.version)
         return self._find_assignment(own, read_to, at_least)
@@ -350,6 +352,10 @@
         )
 
 
+def _identify(queue: Queue | StoredQueue) -> _Identity:
+    return queue.name, queue.virtual_host, queue.prefix, queue.pool
+
+
 def _with_version(queue: StoredQueue, version: int) -> StoredQueue:
     return msgspec.structs.replace(queue, version=version)
 
