Leave open whether a job has run whose moved queue cannot be assigned

What callers could see: 503 (never runs) for a submit to a moved queue whose assignment could not be stored, while an append of an earlier try was still under way to its pool; the job ran later. Found by seed 1085 of tests/work/test_moved_queue_search.py, which also drops the history of topics now.

Cause: the refusal asked the owners only, which know nothing of appends of others; no closing stands before these then.

Change: such a refusal is 504 if the queue has a former pool.

--- a/siskinroad/work/job_submitter.py
+++ b/siskinroad/work/job_submitter.py
@@ -233,11 +233,7 @@
         """
         refusal = refuse_for_now("queues_not_read", self._store_age_s())
         reply = await self._refuse_unless_accepted(queue, job, refusal, deadline)
-        if reply.kind is not ReplyKind.NOT_NOW:
-            return reply
-        return CallerReply(
-            ReplyKind.UNKNOWN, reason=reply.reason, retry_after=reply.retry_after
-        )
+        return _leave_open(reply)
 
     async def _assign(
         self, queue: Queue, job: str, deadline: float, at_least: int
@@ -257,15 +253,30 @@
             if version is not None:
                 return version
             if not await self._wait_for_store(job, deadline):
-                refusal = self._refuse_unstored("store_silent", queue, job, deadline)
-                return await self._refuse_unless_accepted(queue, job, refusal, deadline)
+                return await self._refuse_unassigned(
+                    "store_silent", queue, job, deadline
+                )
             async with asyncio.timeout_at(leave_reply_margin(deadline)):
                 return await self._assigner.assign(queue, at_least)
         except QueueSupersededError:
             raise
         except (SiskinroadError, TimeoutError):
-            refusal = self._refuse_unstored("store_unavailable", queue, job, deadline)
-            return await self._refuse_unless_accepted(queue, job, refusal, deadline)
+            return await self._refuse_unassigned(
+                "store_unavailable", queue, job, deadline
+            )
+
+    async def _refuse_unassigned(
+        self, reason: str, queue: Queue, job: str, deadline: float
+    ) -> CallerReply:
+        """Reply to a submit whose queue's assignment cannot be stored now.
+
+        The queue is not closed in a former pool then, where an append that is under way
+        may still bring the job.
+        """
+        refusal = self._refuse_unstored(reason, queue, job, deadline)
+        reply = await self._refuse_unless_accepted(queue, job, refusal, deadline)
+        has_moved = bool(self._queue_registry.former_pools(queue))
+        return _leave_open(reply) if has_moved else reply
 
     async def _close_former_pools(
         self, queue: Queue, assigned: int, job: str, deadline: float
@@ -368,6 +379,15 @@
         return CallerReply(ReplyKind.NOT_NOW, reason=reason, retry_after=retry_after)
 
 
+def _leave_open(reply: CallerReply) -> CallerReply:
+    """Return a reply that does not say that a job which was refused has not run."""
+    if reply.kind is not ReplyKind.NOT_NOW:
+        return reply
+    return CallerReply(
+        ReplyKind.UNKNOWN, reason=reply.reason, retry_after=reply.retry_after
+    )
+
+
 def make_append_reply(outcome: SubmitOutcome, store_age_s: float) -> CallerReply:
     """Return the reply to a caller whose record was appended with this outcome."""
     match outcome:
--- a/tests/work/cell.py
+++ b/tests/work/cell.py
@@ -75,7 +75,8 @@
 # Pools of the second configuration; the cell's first hosts are all in POOL. The third
 # one has a single queue, the fourth one all of them again. The fifth one sends a queue
 # to another pool, the sixth one gives it another name and another pool. The seventh and
-# the eighth one are as the second and the third one again. The ninth one lacks a queue.
+# the eighth one are as the second and the third one again. The ninth one lacks a queue,
+# and the tenth one is as the fifth one again.
 POOLS = ("archive", POOL, "bulk")
 MOVED = replace(FAST, pool="archive")
 RENAMED = replace(FAST, name="faster", pool="archive")
@@ -89,6 +90,7 @@
     7: Configuration(7, CONFIGURATION.queues, POOLS, 1 << 18),
     8: Configuration(8, (FAST,), (POOL,), 1 << 18),
     9: Configuration(9, (SLOW, ADVISED), POOLS, 1 << 18),
+    10: Configuration(10, (MOVED, SLOW, ADVISED), POOLS, 1 << 18),
 }
 
 
--- a/tests/work/test_late_jobs.py
+++ b/tests/work/test_late_jobs.py
@@ -4,6 +4,7 @@
 
 from siskinroad.work.job_service import ReplyKind
 from siskinroad.work.records import Accepted, QueueClosing, decode_stored, record_of
+from siskinroad.work.store import StoreUnavailableError
 from siskinroad.work.store_memory import MemoryStore
 from tests.work.cell import FAST, MOVED, POOL, job, step
 from tests.work.test_daemon import JOB_ID, run_scenario
@@ -24,12 +25,15 @@
         Topics of which no read is answered.
     append_delay_s : float
         Seconds before each append of jobs takes effect.
+    refused : set of str
+        Topics to which no append is done.
     """
 
     def __init__(self, logs, client=""):
         super().__init__(logs, client)
         self.reads_held = set()
         self.append_delay_s = 0.0
+        self.refused = set()
 
     async def read(self, topic, start, *, wait, timeout=1.0):
         while topic in self.reads_held:
@@ -45,6 +49,8 @@
         return await super().newest(topic, after, timeout=timeout)
 
     async def append(self, topic, records, *, at=None, fence=None, timeout=1.0):
+        if topic in self.refused:
+            raise StoreUnavailableError("refused", step="store.append")
         if topic.startswith("jobs."):
             await asyncio.sleep(self.append_delay_s)
         return await super().append(topic, records, at=at, fence=fence, timeout=timeout)
@@ -187,3 +193,23 @@
         assert reads == []
 
     run_scenario(scenario)
+
+
+def test_a_submit_whose_assignment_is_not_stored_is_not_said_to_have_not_run():
+    # An append that is under way may bring the job to the former pool: seed 1085 of the
+    # search for jobs that run though they were refused.
+    async def scenario(cell):
+        cell.open_store = LaggingStore
+        await start_cell(cell, 1.0)
+        for version in (5, 7):
+            cell.configure(version)
+            await asyncio.sleep(2.0)
+            await submit_until_accepted(cell, NAMES, f"{version:016x}", job())
+        for name in NAMES:
+            store_of(cell, name).refused.add("members")
+        cell.configure(10)
+        await asyncio.sleep(1.0)
+        reply = await cell.submit("a", JOB_ID, job(), find_queue(cell, "a"))
+        assert reply.kind is ReplyKind.UNKNOWN
+
+    run_scenario(scenario)
--- a/tests/work/test_moved_queue_search.py
+++ b/tests/work/test_moved_queue_search.py
@@ -1,8 +1,9 @@
 """Seeded search for jobs that run twice, or never, while their queue is moved.
 
 Each seed draws versions that move a queue, give it another name, remove it and take it
-back; daemons that lag behind the versions, append late and are killed;
-a store that carries out appends late; callers that submit each job several times.
+back; daemons that lag behind the versions, append late and are killed; a store that
+carries out appends late and drops its history; callers that submit each job several
+times.
 """
 
 import asyncio
@@ -70,7 +71,7 @@
         self.ends_at = loop.time() + BUSY_S
         callers = [asyncio.create_task(self._call(f"{i:016x}")) for i in range(JOBS)]
         troubles = [self._move(), self._lag(), self._kill(), self._lose_answers()]
-        await asyncio.gather(*troubles)
+        await asyncio.gather(*troubles, self._compact())
         self._configure(1)
         async with asyncio.timeout(ACCEPT_S):
             await asyncio.gather(*callers)
@@ -123,6 +124,13 @@
             faults.lost_replies = self.rng.choice((1, 1, 2))
         faults.lost_replies = 0
 
+    async def _compact(self):
+        """Drop the history of a topic; the newest record of each key is kept."""
+        while self._is_busy():
+            await asyncio.sleep(self.rng.uniform(0.5, 3.0))
+            topics = ["members", *(f"jobs.{pool}" for pool in BOTH_POOLS)]
+            self.cell.logs.trim(self.rng.choice(topics))
+
     async def _call(self, job_id):
         """Submit one job as a caller does, sometimes again after its acceptance."""
         await asyncio.sleep(self.rng.uniform(0.0, BUSY_S))
