Give a job of a moved queue a key of its own for each assignment

What callers could see: a job that was accepted in a pool without an owner never ran (LOST).

Cause: the topic keeps the newest record of a key. An append by an older assignment, which does not count, came late and replaced the accepted record before an owner had read it.

Change: records of a moved queue have the assignment's version in their key; a queue that never moved keeps the plain key. The owner deletes a forgotten job under all its keys.

--- a/siskinroad/work/claim.py
+++ b/siskinroad/work/claim.py
@@ -23,6 +23,7 @@
     list_unread,
     name_claims,
 )
+from siskinroad.work.job_keys import JobKeys
 from siskinroad.work.progress_records import PartedProgress
 from siskinroad.work.queue_closings import QueueClosings
 from siskinroad.work.records import (
@@ -40,6 +41,7 @@
     QueueClosing,
     Released,
     decode_stored,
+    job_of_key,
     job_topic,
     progress_topic,
     record_of,
@@ -114,6 +116,8 @@
         Encoded record of each stored job: most have ended, and need no more of it.
     closings : QueueClosings
         The closings of queues in the pool, which tell the jobs that are not accepted.
+    job_keys : JobKeys
+        The keys of jobs that were read.
     """
 
     term: int = 0
@@ -134,6 +138,8 @@
     hosts: HostSet | None = None
     loans: dict[str, Loans] = field(default_factory=dict)
     closings: QueueClosings = field(default_factory=QueueClosings)
+    job_keys: JobKeys = field(default_factory=JobKeys)
+    _accepted_keys: dict[str, str] = field(default_factory=dict)
 
     @property
     def former_owners(self) -> tuple[FormerOwner, ...] | None:
@@ -176,7 +182,7 @@
         stored = decode_stored(item.value)
         match stored:
             case Accepted():
-                self._add_job(stored, item.value)
+                self._add_job(stored, item)
             case Cancelled(job=job):
                 self.cancelled[job] = stored
             case OwnerRecord():
@@ -206,14 +212,18 @@
             case QueueClosed():
                 self.closings.complete_closing(stored)
 
-    def _add_job(self, accepted: Accepted, value: bytes) -> None:
+    def _add_job(self, accepted: Accepted, item: NewestRecord) -> None:
         """Add a job; of several records the newest assignment's counts."""
-        former = self.accepted.setdefault(accepted.job, value)
-        if former != value:
+        job = accepted.job
+        self.job_keys.note(item.key)
+        former = self.accepted.get(job)
+        if former is not None:
             stored = decode_stored(former)
             assert isinstance(stored, Accepted)
-            if accepted.assigned > stored.assigned:
-                self.accepted[accepted.job] = value
+            if accepted.assigned <= stored.assigned:
+                return
+        self.accepted[job] = item.value
+        self._accepted_keys[job] = item.key
 
     def add_claims(self, claims: Iterable[FormerOwner]) -> None:
         """Add claims, unless they are known."""
@@ -230,13 +240,17 @@
 
     def _remove(self, key: str) -> None:
         """Remove what the store has deleted since it was read."""
-        self.accepted.pop(key, None)
+        job = job_of_key(key)
+        if self._accepted_keys.get(job) == key:
+            del self.accepted[job]
+            del self._accepted_keys[job]
         self.cancelled.pop(key.removesuffix(CANCEL_SUFFIX), None)
         self.parted_progress.remove(key)
 
     def drop_jobs(self) -> None:
         """Drop the jobs, once the owner has taken them over."""
         self.accepted = {}
+        self._accepted_keys = {}
         self.cancelled = {}
         self.parted_progress = PartedProgress()
 
--- a/siskinroad/work/daemon.py
+++ b/siskinroad/work/daemon.py
@@ -570,7 +570,9 @@
             case LoadRefusal(reason=reason, retry_after_s=retry_after_s):
                 raise JobRefusedError(reason.value, retry_after_s)
             case Accepted() as admitted:
-                return record if admitted is accepted else record_of(admitted)
+                if admitted is accepted:
+                    return record
+                return Record(record.key, record_of(admitted).value)
 
     # Messages
 
--- a/siskinroad/work/job_forgetter.py
+++ b/siskinroad/work/job_forgetter.py
@@ -16,6 +16,7 @@
 from siskinroad.errors import SiskinroadError
 from siskinroad.work.claim import InheritedState
 from siskinroad.work.job import JobState
+from siskinroad.work.job_keys import JobKeys
 from siskinroad.work.progress import ProgressLog
 from siskinroad.work.queue_closings import QueueClosings
 from siskinroad.work.records import cancel_key, job_topic
@@ -42,6 +43,8 @@
         Seconds for which callers may ask for the state of a job that has ended.
     closings : QueueClosings
         The closings of queues in the pool, with the jobs that came behind them.
+    job_keys : JobKeys
+        The keys of the jobs in the store.
     """
 
     def __init__(
@@ -50,11 +53,13 @@
         progress: ProgressLog,
         retention_s: float,
         closings: QueueClosings,
+        job_keys: JobKeys,
     ) -> None:
         self._term = term
         self._progress = progress
         self._retention_s = retention_s + FORGET_MARGIN_S
         self._closings = closings
+        self._job_keys = job_keys
         self._old_cancels: list[str] = []
 
     def add_inherited(self, inherited: InheritedState) -> None:
@@ -90,13 +95,14 @@
         self._old_cancels += pool_state.take_old_early_cancels(now)
         cancels = self._old_cancels[:MAX_FORGOTTEN]
         jobs = pool_state.list_expired(now, self._retention_s)[:MAX_FORGOTTEN]
-        keys = [job.id for job in jobs]
+        keys = [key for job in jobs for key in self._job_keys.list_keys(job.id)]
         keys += [
             cancel_key(job.id) for job in jobs if job.outcome == JobState.CANCELLED
         ]
         keys += [cancel_key(job) for job in cancels if job not in pool_state.jobs]
         late_jobs = self._list_old_late_jobs(now)
-        keys += [job for job in late_jobs if job not in pool_state.jobs]
+        unaccepted = [job for job in late_jobs if job not in pool_state.jobs]
+        keys += [key for job in unaccepted for key in self._job_keys.list_keys(job)]
         if keys:
             records = [Record(key, b"") for key in keys]
             store = self._term.dependencies.store
@@ -104,7 +110,10 @@
         del self._old_cancels[: len(cancels)]
         for late_job in late_jobs:
             del self._closings.late_jobs[late_job]
+        for unaccepted_job in unaccepted:
+            self._job_keys.forget(unaccepted_job)
         for job in jobs:
+            self._job_keys.forget(job.id)
             pool_state.forget(job)
             self._progress.remove_records(job.list_progress_keys())
         if jobs:
--- a/siskinroad/work/job_submitter.py
+++ b/siskinroad/work/job_submitter.py
@@ -26,10 +26,10 @@
 from siskinroad.work.owner_requests import OwnerRequests, choose_reply
 from siskinroad.work.queue_assigner import QueueAssigner, QueueSupersededError
 from siskinroad.work.queue_registry import QueueRegistry
-from siskinroad.work.records import Accepted, record_of
+from siskinroad.work.records import Accepted, assigned_key, record_of
 from siskinroad.work.reply_margin import leave_reply_margin
 from siskinroad.work.retry_times import choose_retry_time, choose_store_wait
-from siskinroad.work.store import MAX_RECORD_BYTES
+from siskinroad.work.store import MAX_RECORD_BYTES, Record
 from siskinroad.work.workmetrics import WorkMetrics
 
 __all__ = ["JobSubmitter", "make_append_reply"]
@@ -205,7 +205,7 @@
             caller.account,
             assigned,
         )
-        record = record_of(accepted)
+        record = self._make_record(accepted, queue)
         if len(record.value) > MAX_RECORD_BYTES:
             refusal = CallerReply(ReplyKind.NEVER, reason="too_long_to_store")
             return await self._refuse_unless_accepted(queue, job, refusal, deadline)
@@ -224,6 +224,13 @@
             return await self._refuse_unless_accepted(queue, job, refusal, deadline)
         return reply
 
+    def _make_record(self, accepted: Accepted, queue: Queue) -> Record:
+        record = record_of(accepted)
+        if not self._queue_registry.former_pools(queue):
+            return record
+        key = assigned_key(accepted.job, accepted.assigned)
+        return Record(key, record.value)
+
     async def _reply_without_registry(
         self, queue: Queue, job: str, deadline: float
     ) -> CallerReply:
--- a/siskinroad/work/job_writer.py
+++ b/siskinroad/work/job_writer.py
@@ -17,7 +17,7 @@
 from siskinroad.work.batcher import Batcher
 from siskinroad.work.messages import SubmitOutcome, SubmitReply, SubmitRequest
 from siskinroad.work.peer_calls import PeerCalls
-from siskinroad.work.records import job_topic
+from siskinroad.work.records import job_of_key, job_topic
 from siskinroad.work.reply_margin import reply_margin
 from siskinroad.work.store import (
     Record,
@@ -185,7 +185,7 @@
 
     def _admit_if_new(self, pool: str, record: Record) -> Record:
         """Return what to store; one that may be stored already is never turned away."""
-        if self.recall(record.key) is not None:
+        if self.recall(job_of_key(record.key)) is not None:
             return record
         return self.admit(pool, record)
 
@@ -224,13 +224,14 @@
                 lambda records, offset: self.note_stored(pool, records, offset),
             )
             self._batchers[pool] = batcher
-        former = self.recall(record.key)
-        self._remember(record.key, former or SubmitOutcome.UNKNOWN)
+        job = job_of_key(record.key)
+        former = self.recall(job)
+        self._remember(job, former or SubmitOutcome.UNKNOWN)
         try:
             offset = await batcher.put(record, deadline)
         except StoreUnavailableError as exc:
             if former is None:
-                self._outcomes.pop(record.key, None)
+                self._outcomes.pop(job, None)
             return self._note_not_stored(SubmitOutcome.NOT_DONE, pool, record, exc)
         except StoreUnknownError as exc:
             return self._note_not_stored(SubmitOutcome.UNKNOWN, pool, record, exc)
@@ -255,15 +256,15 @@
                 },
             )
             raise QueueClosedError(version)
-        self._remember(record.key, SubmitOutcome.STORED)
+        self._remember(job_of_key(record.key), SubmitOutcome.STORED)
         return SubmitOutcome.STORED
 
-    def recall(self, key: str) -> SubmitOutcome | None:
-        """Return whether a record that this daemon sent is, or may be, in the store.
+    def recall(self, job: str) -> SubmitOutcome | None:
+        """Return whether a job that this daemon sent is, or may be, in the store.
 
-        Returns None for a record that it has not sent, or not lately.
+        Returns None for a job that it has not sent, or not lately.
         """
-        return self._outcomes.get(key)
+        return self._outcomes.get(job)
 
     def _remember(self, key: str, outcome: SubmitOutcome) -> None:
         self._outcomes.pop(key, None)
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -139,11 +139,13 @@
         self.host_commands = HostCommands(self.term)
         self.lease_renewer = LeaseRenewer(self.term, self.progress)
         self.closings = inherited.closings
+        self.job_keys = inherited.job_keys
         self.job_forgetter = JobForgetter(
             self.term,
             self.progress,
             dependencies.timing.status_retention_s,
             self.closings,
+            self.job_keys,
         )
         self._rechecked_at = -1e9
         self._listed_hosts: dict[str, HostEntry] = {}
@@ -456,6 +458,7 @@
             return
         match stored:
             case Accepted():
+                self.job_keys.note(item.key)
                 self._accept(stored, item.offset, now, wall)
             case QueueClosing(queue=queue, version=version):
                 self.closings.note(queue, version)
--- a/siskinroad/work/records.py
+++ b/siskinroad/work/records.py
@@ -38,11 +38,13 @@
     "Stored",
     "StoredQueue",
     "TaskProgress",
+    "assigned_key",
     "cancel_key",
     "closing_key",
     "decode_stored",
     "encode_stored",
     "is_job_topic",
+    "job_of_key",
     "job_topic",
     "progress_key",
     "progress_topic",
@@ -71,6 +73,7 @@
 MAX_TASKS = 20_000
 CANCEL_SUFFIX = "!"
 PART_SEPARATOR = "#"
+ASSIGNMENT_SEPARATOR = "@"
 
 
 class Accepted(msgspec.Struct, tag="job", frozen=True, omit_defaults=True):
@@ -424,6 +427,19 @@
     return QUEUE_PREFIX + digest.hexdigest()
 
 
+def assigned_key(job: str, version: int) -> str:
+    """Return the key of a job of a moved queue, stored by an assignment's version.
+
+    A late append by an older assignment, which may not count, replaces no newer one.
+    """
+    return f"{job}{ASSIGNMENT_SEPARATOR}{version}"
+
+
+def job_of_key(key: str) -> str:
+    """Return the job whose record has a key."""
+    return key.partition(ASSIGNMENT_SEPARATOR)[0]
+
+
 def closing_key(closing: QueueClosing) -> str:
     """Return the key of a closing; each version has one, so that none is replaced."""
     return f"{CLOSING_PREFIX}{_digest_name(closing.queue)} {closing.version}"
--- a/tests/work/test_late_jobs.py
+++ b/tests/work/test_late_jobs.py
@@ -4,7 +4,7 @@
 
 from siskinroad.work.job_service import ReplyKind
 from siskinroad.work.records import Accepted, QueueClosing, decode_stored, record_of
-from siskinroad.work.store import StoreUnavailableError
+from siskinroad.work.store import Record, StoreUnavailableError
 from siskinroad.work.store_memory import MemoryStore
 from tests.work.cell import FAST, MOVED, POOL, job, step
 from tests.work.test_daemon import JOB_ID, run_scenario
@@ -213,3 +213,45 @@
         assert reply.kind is ReplyKind.UNKNOWN
 
     run_scenario(scenario)
+
+
+def test_a_late_record_of_an_older_assignment_hides_no_accepted_job():
+    # Seed 1150 of the search: the newer record was replaced before the pool had an
+    # owner that read it, and the job never ran.
+    async def scenario(cell):
+        await start_cell(cell, 1.0)
+        for version in (5, 7):
+            cell.configure(version)
+            await asyncio.sleep(2.0)
+            await submit_until_accepted(cell, NAMES, f"{version:016x}", job())
+        cell.configure(10)
+        await asyncio.sleep(0.5)
+        await cell.kill(cell.owner(MOVED.pool), loses_power=True)
+        await submit_until_accepted(cell, list(cell.daemons), JOB_ID, job())
+        topic = "jobs." + MOVED.pool
+        stored = cell.logs.topic(topic).newest[f"{JOB_ID}@10"]
+        assert decode_stored(stored.value).assigned == 10
+        earlier = Accepted(JOB_ID, FAST.name, MOVED.pool, 0.0, job(), assigned=5)
+        for key in (JOB_ID, f"{JOB_ID}@5"):
+            late = Record(key, record_of(earlier).value)
+            cell.logs.append(topic, [late], None, None)
+        cell.logs.trim(topic)
+        await asyncio.sleep(8.0)
+        assert list_started(cell).count(JOB_ID) == 1
+
+    run_scenario(scenario)
+
+
+def test_a_job_of_a_moved_queue_is_forgotten_under_all_its_keys():
+    async def scenario(cell):
+        await start_cell(cell, 1.0)
+        cell.configure(5)
+        await asyncio.sleep(0.5)
+        await submit_until_accepted(cell, NAMES, JOB_ID, job())
+        newest = cell.logs.topic("jobs." + MOVED.pool).newest
+        assert f"{JOB_ID}@5" in newest
+        await asyncio.sleep(150.0)
+        assert not [key for key in newest if key.startswith(JOB_ID)]
+        assert await cell.state("a", JOB_ID, MOVED) == "no_job"
+
+    run_scenario(scenario)
