Take no read from before an append for a proof that a job is accepted

A daemon that stores a job for a pool without an owner reads the closings afterwards. A stale reply, from before its append, could miss one. The read tells where the topic ended; if that is not behind the job, the outcome is unknown (504).

Measured: the new test of tests/work/test_late_jobs.py gets ok before, unknown after.

--- a/siskinroad/work/append_check.py
+++ b/siskinroad/work/append_check.py
@@ -13,7 +13,7 @@
 from siskinroad.work.owner import PoolOwner
 from siskinroad.work.queue_closings import is_assigned_before
 from siskinroad.work.records import Accepted, decode_stored
-from siskinroad.work.store import Record
+from siskinroad.work.store import Record, StoreUnavailableError
 
 __all__ = ["AppendCheck"]
 
@@ -46,7 +46,7 @@
         Raises
         ------
         SiskinroadError
-            The store has not answered.
+            The store has not answered, or not by what it has now.
         """
         owner = self._owners.get(pool)
         has_read = (
@@ -63,8 +63,14 @@
             # The job may have been accepted before, and this be a repetition.
             is_known = accepted.job in owner.pool_state.jobs
             return 0 if is_known else owner.closings.find_closing(accepted)
-        versions = await self._closing_reader.read(pool)
-        version = versions.get(accepted.queue, 0)
+        closings = await self._closing_reader.read(pool)
+        if offset is not None and closings.end <= offset:
+            raise StoreUnavailableError(
+                f"stale reply: the topic ends at {closings.end}, "
+                f"the job has offset {offset}",
+                step="append_check",
+            )
+        version = closings.versions.get(accepted.queue, 0)
         return version if is_assigned_before(accepted, version) else 0
 
 
--- a/siskinroad/work/closing_reader.py
+++ b/siskinroad/work/closing_reader.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+from dataclasses import dataclass
 
 from siskinroad.errors import SiskinroadError
 from siskinroad.work.records import (
@@ -18,22 +19,38 @@
 )
 from siskinroad.work.store import Store, read_all_newest
 
-__all__ = ["ClosingReader"]
+__all__ = ["ClosingReader", "NewestClosings"]
 
 # Seconds for one read of a pool's closings.
 READ_TIMEOUT_S = 1.0
 
 
+@dataclass(slots=True, frozen=True)
+class NewestClosings:
+    """The closings in a pool's topic of jobs.
+
+    Attributes
+    ----------
+    versions : dict of str to int
+        Version of the newest closing of each queue.
+    end : int
+        Offset at which the topic ended as it was read.
+    """
+
+    versions: dict[str, int]
+    end: int
+
+
 class ClosingReader:
     """Reader of the newest closing of each queue in a pool's topic of jobs."""
 
     def __init__(self, store: Store) -> None:
         self._store = store
-        self._next: dict[str, asyncio.Task[dict[str, int]]] = {}
-        self._reading: dict[str, asyncio.Task[dict[str, int]]] = {}
+        self._next: dict[str, asyncio.Task[NewestClosings]] = {}
+        self._reading: dict[str, asyncio.Task[NewestClosings]] = {}
 
-    async def read(self, pool: str) -> dict[str, int]:
-        """Return the versions of the closings, by a read that is sent after this call.
+    async def read(self, pool: str) -> NewestClosings:
+        """Return the newest closings, by a read that is sent after this call.
 
         Raises
         ------
@@ -46,7 +63,7 @@
             self._next[pool] = task
         return await asyncio.shield(task)
 
-    async def _read_next(self, pool: str) -> dict[str, int]:
+    async def _read_next(self, pool: str) -> NewestClosings:
         """Read once the read that is under way has ended."""
         under_way = self._reading.get(pool)
         if under_way is not None:
@@ -58,7 +75,7 @@
         finally:
             del self._reading[pool]
 
-    async def _read(self, pool: str) -> dict[str, int]:
+    async def _read(self, pool: str) -> NewestClosings:
         page = await read_all_newest(
             self._store, job_topic(pool), READ_TIMEOUT_S, CLOSINGS_START
         )
@@ -69,7 +86,7 @@
                 if isinstance(closing, QueueClosing):
                     newest = max(closing.version, versions.get(closing.queue, 0))
                     versions[closing.queue] = newest
-        return versions
+        return NewestClosings(versions, page.end)
 
     async def close(self) -> None:
         """Abandon the reads."""
--- a/tests/work/test_late_jobs.py
+++ b/tests/work/test_late_jobs.py
@@ -1,6 +1,7 @@
 """Jobs that are stored in a pool after their queue was sent to another one."""
 
 import asyncio
+from dataclasses import replace
 
 from siskinroad.work.job_service import ReplyKind
 from siskinroad.work.records import Accepted, QueueClosing, decode_stored, record_of
@@ -255,3 +256,25 @@
         assert await cell.state("a", JOB_ID, MOVED) == "no_job"
 
     run_scenario(scenario)
+
+
+def test_a_read_from_before_the_append_does_not_show_that_a_job_is_accepted():
+    async def scenario(cell):
+        await start_cell(cell, 1.0)
+        late = next(name for name in NAMES if name != cell.owner())
+        daemon = cell.daemons[late]
+        newest = daemon.store.newest
+
+        async def read_stale(topic, after="", *, timeout=1.0):
+            page = await newest(topic, after, timeout=timeout)
+            return replace(page, items=(), end=0) if after else page
+
+        daemon.store.newest = read_stale
+        daemon.job_writer._find_job_writer = lambda pool: late
+        reply = await cell.submit(late, JOB_ID, job(), FAST)
+        assert reply.kind is ReplyKind.UNKNOWN
+        daemon.store.newest = newest
+        reply = await cell.submit(late, JOB_ID, job(), FAST)
+        assert reply.kind is ReplyKind.OK
+
+    run_scenario(scenario)
