Do not wait anew for jobs whose progress a closing has stored once

A closing waited until none of its jobs had unstored changes, at one and the same moment. Jobs that change again, beside more of them than one append takes, could delay it, and with it submits to the moved queue (504). Progress that is stored once is enough.

Found by reading.

--- a/siskinroad/work/progress.py
+++ b/siskinroad/work/progress.py
@@ -56,12 +56,12 @@
 
     Attributes
     ----------
-    jobs : frozenset of str
-        Ids of these jobs.
+    jobs : set of str
+        Ids of these jobs, less those that are in a batch since.
     """
 
     closings: tuple[QueueClosed, ...]
-    jobs: frozenset[str]
+    jobs: set[str]
     stored: asyncio.Future[None]
 
 
@@ -158,7 +158,7 @@
 
     async def store_closings(self, closings: Iterable[QueueClosed]) -> None:
         """Store closings after the progress of all jobs that have changed by now."""
-        jobs = frozenset(self.term.pool_state.dirty)
+        jobs = set(self.term.pool_state.dirty)
         fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._unstored_closings.append(_UnstoredClosings(tuple(closings), jobs, fut))
         self.term.flush_requested.set()
@@ -264,12 +264,14 @@
 
     def _take_closings(self) -> tuple[_UnstoredClosings, ...]:
         """Return the closings whose jobs are stored by this batch or a former one."""
-        dirty = self.term.pool_state.dirty
-        ready = [each for each in self._unstored_closings if not each.jobs & dirty]
+        for each in self._unstored_closings:
+            # A job that has changed again has progress in the store all the same.
+            each.jobs.intersection_update(self.term.pool_state.dirty)
+        ready = tuple(each for each in self._unstored_closings if not each.jobs)
         self._unstored_closings = [
-            each for each in self._unstored_closings if each.jobs & dirty
+            each for each in self._unstored_closings if each.jobs
         ]
-        return tuple(ready)
+        return ready
 
     def _leave_out_hosts(self, hosts: HostSet) -> None:
         """Start nothing more on the hosts that a set which is to be stored leaves out.
--- a/tests/work/test_late_jobs.py
+++ b/tests/work/test_late_jobs.py
@@ -4,7 +4,12 @@
 from dataclasses import replace
 
 from siskinroad.work.job_service import ReplyKind
-from siskinroad.work.records import Accepted, QueueClosing, decode_stored, record_of
+from siskinroad.work.records import (
+    Accepted,
+    QueueClosing,
+    decode_stored,
+    record_of,
+)
 from siskinroad.work.store import Record, StoreUnavailableError
 from siskinroad.work.store_memory import MemoryStore
 from tests.work.cell import FAST, MOVED, POOL, job, step
