--- a/tests/work/test_former_versions.py
+++ b/tests/work/test_former_versions.py
@@ -15,6 +15,9 @@
 )
 from tests.work.test_queue_assigner import NAMES, list_started, start_cell
 
+# Seconds within which all tasks have to run again, as the users ask.
+TAKEOVER_S = 7.0
+
 
 def test_a_daemon_of_a_former_version_starts_no_second_run():
     # Guards against review/7: a frozen daemon stored a job by the former version after
@@ -144,3 +147,16 @@
         assert list_started(cell) == [JOB_ID]
 
     run_scenario(scenario)
+
+
+def test_a_pool_of_a_new_version_gets_an_owner_though_one_daemon_lacks_the_version():
+    # The others wait for the daemon, as it would be the best claimant.
+    async def scenario(cell):
+        await start_cell(cell, TASK_S)
+        hold_configuration(cell, "a")
+        cell.configure(5)
+        await submit_until_accepted(cell, ["b", "c"], JOB_ID, job())
+        await asyncio.sleep(TAKEOVER_S)
+        assert cell.owner(MOVED.pool) is not None
+
+    run_scenario(scenario)
