--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -742,8 +742,9 @@
         self.note("configuration acknowledged", version=config["version"])
 
     async def add_executor(self, name: str, number: int, service: str, **more):
-        """Start an executor."""
+        """Start an executor; ``port`` is that of a former one at the address."""
         executor = Executor(self, name, self.ip(number), service, **more)
+        executor.port = more.get("port", 0)
         self.executors[name] = executor
         await executor.start()
         return executor
