--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -12,6 +12,7 @@
 import json
 import os
 import signal
+import socket
 import struct
 import sys
 import time
@@ -66,7 +67,7 @@
 ip = "{ip}"
 zone = "{zone}"
 region = "{region}"
-port_range = [{peers}, {last_peer}]
+port_range = [{peers}, {peers}]
 seeds = []
 first_start = {first}
 fault_counted = false
@@ -661,6 +662,13 @@
     process: asyncio.subprocess.Process | None = None
 
 
+def find_free_port(ip: str) -> int:
+    """Return a port that is free at an address now."""
+    with socket.socket() as sock:
+        sock.bind((ip, 0))
+        return sock.getsockname()[1]
+
+
 class World:
     """The stand-ins and the daemons of one run, with its record."""
 
@@ -754,16 +762,16 @@
         ip = self.ip(number)
         name = f"edge-{number}"
         path = self.scratch / f"{name}.toml"
+        peers, front, ready, control = (find_free_port(ip) for _ in range(4))
         text = SETTINGS.format(
             name=name,
             ip=ip,
             zone=more.get("zone", "z1"),
             region=more.get("region", "reg1"),
-            peers=7380,
-            last_peer=7395,
-            front=8149,
-            ready=8141,
-            control=8144,
+            peers=peers,
+            front=front,
+            ready=ready,
+            control=control,
             first="true",
             advisor=more.get("advisor", f"{self.ip(250)}:1"),
             store=more.get("store", self.store.server.address),
@@ -771,7 +779,12 @@
         )
         path.write_text(text)
         daemon = Daemon(
-            name, ip, f"{ip}:8149", f"{ip}:8141", path, self.scratch / f"{name}.log"
+            name,
+            ip,
+            f"{ip}:{front}",
+            f"{ip}:{ready}",
+            path,
+            self.scratch / f"{name}.log",
         )
         self.daemons.append(daemon)
         await self.run_daemon(daemon)
