--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -405,6 +405,11 @@
     return None
 
 
+async def _stay_silent(req: Request) -> None:
+    """Answer nothing, as a machine without power."""
+    await asyncio.sleep(3600)
+
+
 def _decode_records(data: bytes) -> list[tuple[str, bytes]]:
     records, at = [], 0
     while at < len(data):
@@ -530,6 +535,13 @@
         self.runs = {}
         self.world.note("executor crashed", executor=self.name, lost=lost)
 
+    def go_dark(self) -> None:
+        """Fall silent: no answer, also to calls that are held, and no heartbeat."""
+        self.disturb = self.after = _stay_silent
+        if self._beat is not None:
+            self._beat.cancel()
+        self.world.note("executor dark", executor=self.name)
+
     def tick(self) -> None:
         """End the runs whose time or lease is over."""
         now, clock = time.monotonic(), self.clock_ms()
