--- a/siskinroad/work/account_exchange.py
+++ b/siskinroad/work/account_exchange.py
@@ -104,9 +104,7 @@
         first = use.first_needs.get(account)
         if first is None or (not first.accepted_at and occupied != Resources()):
             return AccountNeeds(occupied, wanted, use.total)
-        return AccountNeeds(
-            occupied, wanted, use.total, first.need, first.accepted_at
-        )
+        return AccountNeeds(occupied, wanted, use.total, first.need, first.accepted_at)
 
     # As a borrower
 
--- a/siskinroad/work/account_parts.py
+++ b/siskinroad/work/account_parts.py
@@ -286,9 +286,7 @@
     ) -> Amounts:
         return add(self._own(division, now), _sum_usable_loans(division, limit, now))
 
-    def _reserved(
-        self, division: _Division, limit: Resources, now: float
-    ) -> Amounts:
+    def _reserved(self, division: _Division, limit: Resources, now: float) -> Amounts:
         """Return what is usable, and what is not started on only for a while."""
         reserved = self._own(division, now)
         for lender in division.counted:
@@ -382,6 +380,7 @@
     ) -> LoanAsk:
         """Count on no more than what is in use, while another pool goes first."""
         in_use = self._excess(account, lender, needs.occupied, now)
+        in_use = subtract_to_nothing(in_use, self._find_left_by_first(account, now))
         counted = division.counted.get(lender, NO_AMOUNTS)
         division.counted[lender] = smaller(counted, in_use)
         self._known_parts.pop(account, None)
@@ -432,8 +431,6 @@
         for other in division.counted if division else ():
             if other != lender:
                 has = add(has, _find_free_loan(division, other, limit))
-        if division is not None and division.defers_to_other(lender, now):
-            has = add(has, _find_left_by_first(division, limit))
         return lack(limit, held, has)
 
     def _must_confirm(self, account: str, pool: str) -> bool:
@@ -521,10 +518,9 @@
             needs = AccountNeeds(needs.occupied, needs.occupied, needs.total)
             may_lend = False
         wants = self._return_loan(division, borrower, ask, needs, now)
-        in_use = self._excess(account, borrower, needs.occupied, now)
         keeps = larger(
             division.counted.get(borrower, NO_AMOUNTS),
-            _without_loan(division, borrower, ask, in_use),
+            self._find_in_use(division, borrower, ask, needs, now),
         )
         useless = find_useless(needs.total)
         if may_lend:
@@ -568,14 +564,44 @@
         if needs.first is not None and not self._goes_first(ask, lender, needs):
             # The first task of a job gathers parts; the lender has its turn after it.
             return subtract_to_nothing(ask.wants, counted)
-        in_use = self._excess(ask.account, lender, needs.occupied, now)
-        in_use = _without_loan(division, lender, ask, in_use)
+        in_use = self._find_in_use(division, lender, ask, needs, now)
         left = subtract_to_nothing(counted, ask.wants)
         kept = larger(left, smaller(in_use, counted))
         division.counted[lender] = kept
         division.recalled[lender] = (now + RECALL_S, subtract(kept, left))
         return subtract_to_nothing(ask.wants, counted)
 
+    def _find_in_use(
+        self,
+        division: _Division,
+        lender: str,
+        ask: LoanAsk,
+        needs: AccountNeeds,
+        now: float,
+    ) -> Amounts:
+        """Return what is in use of a pool's loan, but not of the loan to that pool.
+
+        The answer says what is in use here of the loan to that pool, so that both need
+        not lend each other the same. An owner of an earlier version does not understand
+        that.
+        """
+        in_use = self._excess(ask.account, lender, needs.occupied, now)
+        if ask.accepted_at < 0.0:
+            return in_use
+        covered = division.lent.get(lender, NO_AMOUNTS)
+        if division.defers_to_other(lender, now):
+            covered = add(covered, self._find_left_by_first(ask.account, now))
+        return subtract_to_nothing(in_use, covered)
+
+    def _find_left_by_first(self, account: str, now: float) -> Amounts:
+        """Return what the pool that goes first leaves of its loan to the runs here."""
+        division = self._divisions.get(account)
+        limit = self.limits.by_name.get(account)
+        if division is None or limit is None or now >= division.defers_until:
+            return NO_AMOUNTS
+        lent = division.lent.get(division.goes_first[1], NO_AMOUNTS)
+        return smaller(lent, round_down(limit, division.leaves))
+
     def _find_spare(
         self,
         division: _Division,
@@ -698,25 +724,6 @@
     return subtract_to_nothing(counted, lack(limit, beyond, NO_AMOUNTS))
 
 
-def _find_left_by_first(division: _Division, limit: Resources) -> Amounts:
-    """Return what the pool that goes first leaves of its loan to the runs here."""
-    lent = division.lent.get(division.goes_first[1], NO_AMOUNTS)
-    return smaller(lent, round_down(limit, division.leaves))
-
-
-def _without_loan(
-    division: _Division, pool: str, ask: LoanAsk, in_use: Amounts
-) -> Amounts:
-    """Return what is in use of a pool's loan, but not of the loan to that pool.
-
-    The answer says what is in use here of the loan to that pool, so that both need not
-    lend each other the same. An owner of an earlier version does not understand that.
-    """
-    if ask.accepted_at < 0.0:
-        return in_use
-    return subtract_to_nothing(in_use, division.lent.get(pool, NO_AMOUNTS))
-
-
 def _note_use(division: _Division, lender: str, answer: LoanAnswer) -> None:
     """Note what the runs in a lender's pool hold, and how much beyond its part."""
     if answer.uses is not None and answer.beyond is not None:
--- a/siskinroad/work/account_turns.py
+++ b/siskinroad/work/account_turns.py
@@ -193,7 +193,9 @@
     if not untried:
         tried.clear()
     return min(
-        untried or held_back, key=lambda step: (step.accepted_at, step.key), default=None
+        untried or held_back,
+        key=lambda step: (step.accepted_at, step.key),
+        default=None,
     )
 
 
--- a/tests/work/test_account_parts.py
+++ b/tests/work/test_account_parts.py
@@ -8,8 +8,8 @@
 from tests.work.account_world import World
 
 LIMIT = Resources(20, 0, 8, 0)
-# The same in thousandths of processors, and needs of which the largest are nearly all of
-# it, or exceed it.
+# The same in thousandths of processors, and needs of which the largest are nearly all
+# of it, or exceed it.
 FINE_LIMIT = Resources(20_000, 0, 8, 0)
 SIZES = (1000, 2000, 5000, 12_000, 19_000, 25_000)
 
