Take only begun tasks for begun after a takeover

Callers saw: ten accepted jobs waited for a busy host.

Cause: a takeover raises the run number of each task that it settles, and the closing of the moved queue stored a note for each task with a number. The next owner took each note for a start.

Change: a task of which no start was ordered has no note, as its number is safe by the terms alone. A note says in a field behind the others whether a host has begun a run, so that a start that was ordered and never begun leaves its job pending. A note without the field counts as begun, as before; earlier versions skip the field.

--- a/siskinroad/work/job.py
+++ b/siskinroad/work/job.py
@@ -112,7 +112,13 @@
     state : str
         State of the ``task`` chart.
     run : int
-        Highest run number used so far; 0 before the first run.
+        Highest run number that must not be used again; 0 if all may be.
+    was_ordered : bool
+        Whether a start of it was ordered, as far as this owner or the store knows. Only
+        then does its run number have to be stored: the numbers of later owners are
+        above those that a takeover skips.
+    has_begun : bool
+        Whether a host has begun a run of it.
     host : str
         Host of the newest run.
     failures : set of int
@@ -136,6 +142,8 @@
     tally: TaskTally = field(default_factory=TaskTally)
     state: str = _TASK_CHART.initial
     run: int = 0
+    was_ordered: bool = False
+    has_begun: bool = False
     host: str = ""
     failures: set[int] = field(default_factory=set)
     checkpoint: str = ""
@@ -188,6 +196,7 @@
             tuple(sorted(self.failures)),
             self.checkpoint,
             self.crashes.notes,
+            self.has_begun or self.state == "done",
         )
 
 
@@ -350,7 +359,7 @@
     is_excess : bool or None
         The job came beyond the rate owed to its account; None until it is judged.
     has_started : bool
-        Whether any task has started.
+        Whether a host has begun a run of any task.
     """
 
     id: str
@@ -458,7 +467,7 @@
             task.make_task_progress()
             for step in self.steps.values()
             for task in step.tasks
-            if (task.run or task.state == "done") and not self.outcome
+            if (task.was_ordered or task.state == "done") and not self.outcome
         )
         done = () if self.outcome else self.done_occurrences.as_tuple()
         return Progress(self.id, self.outcome, self.outcome_at, task_progresses, done)
@@ -506,7 +515,9 @@
             task.failures = set(task_progress.failed_runs)
             task.checkpoint = task_progress.checkpoint
             task.crashes.notes = task_progress.crashes
-            self.has_started = True
+            task.was_ordered = True
+            if task_progress.has_begun:
+                task.has_begun = self.has_started = True
             lasts = self.spec.steps[task_progress.step].long_running
             # Earlier versions took a task that lasts for done by such an end.
             if task_progress.done and not lasts:
--- a/siskinroad/work/planner.py
+++ b/siskinroad/work/planner.py
@@ -362,6 +362,7 @@
             )
         run = step.make_run(task, run_number, host.token, planning_pass.now)
         task.run = run_number
+        task.was_ordered = True
         task.host = host.name
         task.move("order")
         host.reserved.pop(step.key, None)
--- a/siskinroad/work/pool_state.py
+++ b/siskinroad/work/pool_state.py
@@ -350,13 +350,13 @@
         )
         if step is not None:
             step.runs_by_host[host.name] = step.runs_by_host.get(host.name, 0) + 1
+        self._mark_begun(host, run, now)
         if not is_wanted or step is None or task is None:
             run.is_unwanted = True
             return run, self.stop(host, run, "not wanted")
         task.run = status.run
         task.host = host.name
         task.move("adopt")
-        step.job.has_started = True
         if step.spec.gang and step.waiting_count:
             # Another member has no run, and the gang starts only as a whole.
             return run, self.stop(host, run, "gang lost a member")
--- a/siskinroad/work/records.py
+++ b/siskinroad/work/records.py
@@ -205,12 +205,13 @@
 
 
 class TaskProgress(msgspec.Struct, frozen=True, array_like=True):
-    """Durable state of a task that has been started.
+    """Durable state of a task of which a start was ordered.
 
     ``failed_runs`` lists the runs that failed through the task's own fault. With their
     numbers stored, an end that a host reports again to another owner is not counted
     twice, in whatever order the ends arrive. ``crashes`` are the crashes of hosts under
-    the task; records of earlier versions have none.
+    the task; records of earlier versions have none. ``has_begun`` is whether a host has
+    begun a run of it; earlier versions took each note for that.
     """
 
     occurrence: int
@@ -221,6 +222,7 @@
     failed_runs: tuple[int, ...]
     checkpoint: str
     crashes: tuple[CrashNote, ...] = ()
+    has_begun: bool = True
 
 
 class Progress(msgspec.Struct, tag="progress", frozen=True, omit_defaults=True):
--- a/siskinroad/work/run_end_table.py
+++ b/siskinroad/work/run_end_table.py
@@ -55,6 +55,10 @@
         task = step.job.task(end.task) if step else None
         if step is None or task is None:
             return []
+        task.was_ordered = True
+        if end.end_kind is not EndKind.STOPPED:
+            # A stop may come before the run has begun.
+            self._note_begun(end.task)
         log.info(
             "pool_state: run ended",
             extra={
@@ -149,7 +153,6 @@
             if each.state != "done":
                 each.run = max(each.run, task.run)
                 each.move("done")
-        job.has_started = True
         self.dirty.add(job.id)
         self.health.observe(host.name, job.id, True, now, len(self.hosts))
         self.failing_hosts.record_success(host.name, job.queue, now)
--- a/siskinroad/work/run_table.py
+++ b/siskinroad/work/run_table.py
@@ -626,9 +626,15 @@
     def _mark_begun(self, host: Host, run: Run, now: float) -> None:
         if not run.begun_at:
             run.begun_at = now
-        job = self.jobs.get(run.key[0].job)
+        self._note_begun(run.key[0])
+
+    def _note_begun(self, key: TaskId) -> None:
+        """Note that a host has begun a run of a task, which may be unknown here."""
+        job, task = self.jobs.get(key.job), self.task(key)
         if job is not None:
             job.has_started = True
+        if task is not None:
+            task.was_ordered = task.has_begun = True
 
     def _remove_run(self, host: Host, run: Run) -> None:
         host.remove_run(run)
