Guard: two pools that want the same rest of a limit

Cause: each owner lent only what it did not want itself, and the way out, that one goes first, was open only while nothing ran in its pool.

--- a/tests/work/test_account_turns.py
+++ b/tests/work/test_account_turns.py
@@ -185,6 +185,24 @@
     run(scenario, (POOL, ARCHIVE))
 
 
+def test_tasks_of_half_the_limit_start_though_both_pools_want_what_they_have():
+    """Each owner lent only what it did not want itself, so both waited (review/11)."""
+
+    async def scenario(cell):
+        cell.submit("large-1", 4000, POOL)
+        cell.submit("large-2", 4000, ARCHIVE)
+        await cell.follow(lambda: cell.count("large"), OWED_S)
+        ran = set()
+
+        def have_both_run():
+            ran.update(n for n, _ in cell.find_runs() if n.startswith("large"))
+            return len(ran) == 2
+
+        await cell.follow(have_both_run, DURATIONS["large"] + TURN_END_S)
+
+    run(scenario, (POOL, ARCHIVE))
+
+
 @pytest.mark.parametrize("delay", [0.0, 0.1, 0.3, 0.6, 1.0])
 @pytest.mark.parametrize("pools", [[ARCHIVE], [POOL], [POOL, ARCHIVE]])
 def test_owners_die_while_a_large_task_gathers_the_limit_or_runs(delay, pools):
