Take no unanswered start for proof that a task crashes hosts

Cause: the loss of a host counted as a crash under each run that the owner had listed there, also under one whose start had no answer; being on trial, it showed the task as the cause.

Change: the note of a crash says whether the host had begun the run. Only such crashes count towards the two hosts after which a shown cause is given up; all count towards the largest number, 4.

--- a/siskinroad/work/crash_record.py
+++ b/siskinroad/work/crash_record.py
@@ -6,6 +6,9 @@
 other run has begun recently, and where none is started for a while. If that host
 crashes too, the trial has shown the cause; a task that survives it is no longer under
 suspicion.
+
+A start that was not answered may never have begun: its host may have been gone before.
+Such a crash counts only for the number after which a task is given up in any case.
 """
 
 from __future__ import annotations
@@ -33,7 +36,7 @@
 # hosts that have crashed are back by then, and show that they have.
 HOLD_S = 2.0
 # Crashed hosts, by different names, from which a task may be given up. The platform
-# allows that after two crashes.
+# allows that after two crashes under runs that have begun.
 MIN_HOSTS = 2
 # The same if the hosts have one name, as where the task may run on that host only.
 MIN_CRASHES_OF_ONE_HOST = 3
@@ -43,10 +46,15 @@
 
 
 class CrashNote(msgspec.Struct, frozen=True, array_like=True):
-    """Crash of a host under a run of a task; ``is_young`` if the run had just begun."""
+    """Crash of a host under a run of a task.
+
+    ``is_young`` if the run had just begun; ``has_begun`` if the host had said that it
+    has. Notes of earlier versions do not tell, and count as if it had.
+    """
 
     host: str
     is_young: bool
+    has_begun: bool = True
 
 
 @dataclass(slots=True, eq=False)
@@ -82,9 +90,14 @@
         """Names of the hosts that crashed."""
         return {note.host for note in self.notes}
 
-    def add(self, host: str, *, is_young: bool) -> None:
+    @property
+    def certain_hosts(self) -> list[str]:
+        """Names of the hosts that crashed under runs that had begun for certain."""
+        return [note.host for note in self.notes if note.has_begun]
+
+    def add(self, host: str, *, is_young: bool, has_begun: bool) -> None:
         """Add a crash."""
-        self.notes = (*self.notes, CrashNote(host, is_young))
+        self.notes = (*self.notes, CrashNote(host, is_young, has_begun))
         self.is_suspected = False
         self.held_until = -1e9
 
@@ -102,7 +115,9 @@
         if age_s >= SURVIVAL_S:
             self.notes = ()
         elif age_s >= TRIAL_S:
-            self.notes = tuple(CrashNote(note.host, False) for note in former)
+            self.notes = tuple(
+                CrashNote(note.host, False, note.has_begun) for note in former
+            )
         return self.notes != former
 
     def is_cause(self, *, is_shown: bool) -> bool:
@@ -117,9 +132,8 @@
             return True
         if not is_shown:
             return False
-        return (
-            len(self.hosts) >= MIN_HOSTS or len(self.notes) >= MIN_CRASHES_OF_ONE_HOST
-        )
+        hosts = self.certain_hosts
+        return len(set(hosts)) >= MIN_HOSTS or len(hosts) >= MIN_CRASHES_OF_ONE_HOST
 
 
 def is_quiet(host: Host, now: float) -> bool:
--- a/siskinroad/work/crash_tracker.py
+++ b/siskinroad/work/crash_tracker.py
@@ -240,7 +240,11 @@
         is_on_trial = lost.is_on_trial and _is_youngest(lost, loss.runs)
         is_cause_shown = is_on_trial or lost.run is main_suspect
         for each in step.tasks if step.spec.gang else [task]:
-            each.crashes.add(loss.host, is_young=lost.age_s <= TRIAL_S)
+            each.crashes.add(
+                loss.host,
+                is_young=lost.age_s <= TRIAL_S,
+                has_begun=lost.run.begun_at > 0.0,
+            )
         self._mark_changed(step.job.id)
         if task.crashes.is_cause(is_shown=is_alone and is_cause_shown):
             self.causes.append((step, task))
@@ -252,6 +256,7 @@
                 "run": lost.run.key[1],
                 "host": loss.host,
                 "age_s": round(lost.age_s, 2),
+                "has_begun": lost.run.begun_at > 0.0,
                 "crashes": len(task.crashes.notes),
                 "is_on_trial": is_on_trial,
                 "is_cause_shown": is_cause_shown,
--- a/tests/work/test_crash_record.py
+++ b/tests/work/test_crash_record.py
@@ -22,7 +22,7 @@
 def make_record(*hosts, is_young=True):
     record = CrashRecord()
     for host in hosts:
-        record.add(host, is_young=is_young)
+        record.add(host, is_young=is_young, has_begun=True)
     return record
 
 
@@ -50,6 +50,21 @@
     assert make_record(*hosts).is_cause(is_shown=is_shown) is is_cause
 
 
+@pytest.mark.parametrize(
+    ("certain", "unanswered", "is_cause"),
+    [("a", "b", False), ("a", "bc", False), ("ab", "c", True), ("a", "bcd", True)],
+)
+def test_starts_without_an_answer_count_only_for_the_largest_number(
+    certain, unanswered, is_cause
+):
+    # Guards against review/12: a task was given up after one crash and one start that a
+    # silent host never began.
+    record = make_record(*certain)
+    for host in unanswered:
+        record.add(host, is_young=True, has_begun=False)
+    assert record.is_cause(is_shown=True) is is_cause
+
+
 def test_a_run_that_goes_on_clears_its_task():
     record = make_record("a", "b")
     assert not record.note_survival(TRIAL_S / 2) and record.needs_trial
--- a/tests/work/test_crash_tracker.py
+++ b/tests/work/test_crash_tracker.py
@@ -26,11 +26,12 @@
             self.hosts, lambda task: self.step, self.changed.append
         )
 
-    def start(self, host, index, at, *, is_on_trial=False):
+    def start(self, host, index, at, *, is_on_trial=False, is_answered=True):
         task = self.step.tasks[index]
         task.run += 1
         run = Run((task.id, task.run), self.step.need, 1, at, self.step.key)
-        run.begun_at = at
+        run.begun_at = at if is_answered else 0.0
+        run.commanded_at = at
         self.hosts[host].add_run(run)
         if is_on_trial:
             self.hosts[host].begin_trial(run, TRIAL_S, at)
@@ -62,6 +63,29 @@
     assert pool.causes() == [0]
 
 
+def test_a_start_that_a_silent_host_never_answered_shows_nothing():
+    # Guards against review/12: one real crash, then a start on trial without an answer.
+    pool = Pool()
+    pool.start("i-0", 0, 10.0)
+    pool.crash("i-0", 10.2)
+    pool.start("i-1", 0, 14.0, is_on_trial=True, is_answered=False)
+    pool.crash("i-1", 14.1)
+    assert pool.causes() == []
+    pool.start("i-2", 0, 20.0, is_on_trial=True)
+    pool.crash("i-2", 20.2)
+    assert pool.causes() == [0]
+
+
+def test_a_task_that_crashes_hosts_before_they_answer_is_given_up():
+    pool = Pool(hosts=5)
+    for i in range(4):
+        assert pool.causes() == []
+        at = 10.0 * (i + 1)
+        pool.start(f"i-{i}", 0, at, is_on_trial=i > 0, is_answered=False)
+        pool.crash(f"i-{i}", at + 0.1)
+    assert pool.causes() == [0]
+
+
 def test_a_run_that_was_on_trial_long_ago_explains_no_crash():
     # Two hosts are lost at once; one has a run that was on trial once.
     pool = Pool()
