Count jobs that a read of newest records shows behind a closing

Cause: an owner whose read was held while the store dropped history read the newest record of each key. A late repetition of an accepted job stands behind the closing of its queue there, and the record before it is gone. The owner took the job for late and never ran it.

Change: in such a read only closings that were read before it, or that are complete, make an unknown job late, as a claim has it.

Measured: the new test of test_late_jobs.py fails on the code before, with no start of the job.

--- a/siskinroad/work/append_check.py
+++ b/siskinroad/work/append_check.py
@@ -62,7 +62,8 @@
         if owner is not None and has_read:
             # The job may have been accepted before, and this be a repetition.
             is_known = accepted.job in owner.pool_state.jobs
-            return 0 if is_known else owner.closings.find_closing(accepted)
+            noted = owner.closings.noted
+            return 0 if is_known else owner.closings.find_closing(accepted, noted)
         closings = await self._closing_reader.read(pool)
         if offset is not None and closings.end <= offset:
             raise StoreUnavailableError(
--- a/siskinroad/work/owner.py
+++ b/siskinroad/work/owner.py
@@ -423,9 +423,14 @@
         self._check_claims(items)
         now = asyncio.get_running_loop().time()
         wall = self.dependencies.wall()
+        closed = self.closings.noted
+        if is_snapshot:
+            # A late repetition may have replaced a record that was before a closing.
+            # Only what is unknown behind a closing that was read before is late.
+            closed = dict(closed)
         for item in items:
             if item.value:
-                self._apply_record(item, now, wall)
+                self._apply_record(item, closed, now, wall)
         self.term.plan_requested.set()
 
     def _check_claims(self, items: tuple[NewestRecord, ...]) -> None:
@@ -442,7 +447,9 @@
                     step="owner",
                 )
 
-    def _apply_record(self, item: NewestRecord, now: float, wall: float) -> None:
+    def _apply_record(
+        self, item: NewestRecord, closed: dict[str, int], now: float, wall: float
+    ) -> None:
         try:
             stored = decode_stored(item.value)
         except SiskinroadError as exc:
@@ -459,7 +466,7 @@
         match stored:
             case Accepted():
                 self.job_keys.note(item.key)
-                self._accept(stored, item.offset, now, wall)
+                self._accept(stored, item.offset, closed, now, wall)
             case QueueClosing(queue=queue, version=version):
                 self.closings.note(queue, version)
             case Cancelled(job=job):
@@ -468,11 +475,18 @@
                 self._execute_effects(self.pool_state.cancel(job, now, wall))
                 self.term.flush_requested.set()
 
-    def _accept(self, accepted: Accepted, offset: int, now: float, wall: float) -> None:
+    def _accept(
+        self,
+        accepted: Accepted,
+        offset: int,
+        closed: dict[str, int],
+        now: float,
+        wall: float,
+    ) -> None:
         """Add a job that was read, unless it came behind a closing of its queue."""
         job = accepted.job
         is_known = job in self.pool_state.jobs
-        if not is_known and self.closings.find_closing(accepted):
+        if not is_known and self.closings.find_closing(accepted, closed):
             note_late_job(self.closings, accepted, self.pool_state, now)
             return
         is_new = offset + 1 > self.term.number
--- a/siskinroad/work/queue_closings.py
+++ b/siskinroad/work/queue_closings.py
@@ -87,15 +87,19 @@
         """Return the queues whose closing is not in the topic of jobs yet."""
         return [each for each in queues if self.noted.get(each, 0) < version]
 
-    def find_closing(self, accepted: Accepted) -> int:
+    def find_closing(self, accepted: Accepted, noted: dict[str, int]) -> int:
         """Return the version that closed a job's queue before its record, or 0.
 
-        Only for a record that is read after all before it.
+        Parameters
+        ----------
+        noted : dict of str to int
+            Newest version of each closing that was read, with all records before it,
+            before the job's record was.
         """
         if self.is_empty:
             return 0
         queue = accepted.queue
-        version = max(self.noted.get(queue, 0), self.complete.get(queue, 0))
+        version = max(noted.get(queue, 0), self.complete.get(queue, 0))
         return version if is_assigned_before(accepted, version) else 0
 
     def is_excluded(self, accepted: Accepted, known: Container[str]) -> bool:
--- a/tests/work/test_late_jobs.py
+++ b/tests/work/test_late_jobs.py
@@ -3,11 +3,14 @@
 import asyncio
 from dataclasses import replace
 
+import pytest
+
 from siskinroad.work.job_service import ReplyKind
 from siskinroad.work.records import (
     Accepted,
     QueueClosing,
     decode_stored,
+    job_topic,
     record_of,
 )
 from siskinroad.work.store import Record, StoreUnavailableError
@@ -149,6 +152,40 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("is_trimmed", [False, True])
+def test_a_held_read_beside_dropped_history_hides_no_accepted_job(is_trimmed):
+    # The owner reads only the newest records then: the closing, and behind it the late
+    # repetition of a job that was accepted before it.
+    async def scenario(cell):
+        cell.open_store = LaggingStore
+        await start_cell(cell, TASK_S)
+        store = store_of(cell, cell.owner(POOL))
+        topic = job_topic(POOL)
+        store.reads_held.add(topic)
+        await asyncio.sleep(1.0)
+        at = asyncio.get_running_loop().time()
+        first = Accepted(JOB_ID, FAST.name, POOL, at, job(), assigned=1)
+        cell.logs.append(topic, [record_of(first)], None, None)
+        closing = QueueClosing(FAST.name, 5)
+        cell.logs.append(topic, [record_of(closing)], None, None)
+        cell.logs.append(topic, [record_of(first)], None, None)
+        late = Accepted(OTHER_ID, FAST.name, POOL, at, job(), assigned=1)
+        if is_trimmed:
+            cell.logs.trim(topic)
+        store.reads_held.clear()
+        await asyncio.sleep(3.0)
+        assert list_started(cell).count(JOB_ID) == 1
+        # What is read behind that closing from now on is late.
+        cell.logs.append(topic, [record_of(late)], None, None)
+        await asyncio.sleep(3.0)
+        assert OTHER_ID not in list_started(cell)
+        cell.logs.append(topic, [record_of(late)], None, None)
+        await asyncio.sleep(1.0)
+        assert list_started(cell).count(JOB_ID) == 1
+
+    run_scenario(scenario)
+
+
 def test_jobs_of_a_queue_that_comes_back_are_accepted_behind_its_closing():
     async def scenario(cell):
         await start_cell(cell, 1.0)
--- a/tests/work/test_moved_queue_records.py
+++ b/tests/work/test_moved_queue_records.py
@@ -95,13 +95,13 @@
 
 def test_a_job_counts_by_its_assignment_and_the_closings_before_it():
     closings = QueueClosings()
-    assert closings.find_closing(make_accepted(0)) == 0
+    assert closings.find_closing(make_accepted(0), closings.noted) == 0
     closings.note(QUEUE, 5)
     closings.note(QUEUE, 4)
-    assert closings.find_closing(make_accepted(4)) == 5
-    assert closings.find_closing(make_accepted(5)) == 0
+    assert closings.find_closing(make_accepted(4), closings.noted) == 5
+    assert closings.find_closing(make_accepted(5), closings.noted) == 0
     # Earlier versions of the program name no assignment.
-    assert closings.find_closing(make_accepted(-1)) == 0
+    assert closings.find_closing(make_accepted(-1), closings.noted) == 0
 
 
 def test_only_a_complete_closing_excludes_what_a_new_owner_reads():
--- a/tests/work/test_moved_queue_search.py
+++ b/tests/work/test_moved_queue_search.py
@@ -59,9 +59,10 @@
 class Search:
     """The troubles and the callers of one seed."""
 
-    def __init__(self, cell, seed):
+    def __init__(self, cell, seed, *, holds_reads):
         self.cell = cell
         self.rng = random.Random(seed)
+        self.holds_reads = holds_reads
         self.version = 1
         self.accepted = set()
         self.rejected = set()
@@ -71,6 +72,8 @@
         self.ends_at = loop.time() + BUSY_S
         callers = [asyncio.create_task(self._call(f"{i:016x}")) for i in range(JOBS)]
         troubles = [self._move(), self._lag(), self._kill(), self._lose_answers()]
+        if self.holds_reads:
+            troubles.append(self._hold_reads())
         await asyncio.gather(*troubles, self._compact())
         self._configure(1)
         async with asyncio.timeout(ACCEPT_S):
@@ -108,6 +111,19 @@
             if self.cell.daemons.get(name) is daemon:
                 release()
 
+    async def _hold_reads(self):
+        """Hold a daemon's reads of the jobs, so that history is dropped meanwhile."""
+        while self._is_busy():
+            await asyncio.sleep(self.rng.uniform(0.2, 1.5))
+            name = self.rng.choice(NAMES)
+            if name not in self.cell.daemons:
+                continue
+            store = store_of(self.cell, name)
+            topics = {f"jobs.{pool}" for pool in BOTH_POOLS}
+            store.reads_held |= topics
+            await asyncio.sleep(self.rng.uniform(0.5, 3.0))
+            store.reads_held -= topics
+
     async def _kill(self):
         while self._is_busy():
             await asyncio.sleep(self.rng.uniform(1.0, 5.0))
@@ -169,13 +185,14 @@
         return twice, lost, refused & set(started)
 
 
+@pytest.mark.parametrize("holds_reads", [False, True])
 @pytest.mark.parametrize("seed", SEEDS)
-def test_each_accepted_job_runs_once_whatever_moves_its_queue(seed):
+def test_each_accepted_job_runs_once_whatever_moves_its_queue(seed, holds_reads):
     async def scenario(cell):
         cell.open_store = LaggingStore
         cell.decoder = DrawnDecoder()
         await start_cell(cell, host_seconds=0.5)
-        search = Search(cell, seed)
+        search = Search(cell, seed, holds_reads=holds_reads)
         await search.run()
         assert search.find_faults() == (set(), set(), set())
         assert len(search.accepted | search.rejected) == JOBS
