End a large step's turn soon if the limit allows it to start

Cause: a step that its limit allowed to start during its turn, and that no host had room for, kept the smaller steps of its account from starting for the length of the turn, up to 64 s.

Change: after 2 s the turn ends, as it does below half of the limit.

--- a/siskinroad/work/account_turns.py
+++ b/siskinroad/work/account_turns.py
@@ -25,8 +25,9 @@
 # Length in seconds of the first turn, and of the longest one.
 TURN_S = 4.0
 LONGEST_TURN_S = 64.0
-# Seconds after which a turn ends in which the account uses under half of its limit: the
-# limit is not what the step waits for. The pause after it, in seconds.
+# Seconds after which a turn ends in which the account uses under half of its limit, or
+# the limit allows the step to start: it waits for something else. The pause after such
+# a turn, in seconds.
 LOW_TURN_S = 2.0
 LOW_PAUSE_S = 1.0
 
@@ -71,7 +72,8 @@
     seen_at : float
         Loop time at which that step was chosen.
     began_at, low_since : float or None
-        Loop time since which its turn lasts, and since which use is low in it.
+        Loop time since which its turn lasts, and since which use is low in it or the
+        limit allows the step to start.
     length_s : float
         Length of the turn if use stays high.
     paused_until : float
@@ -134,7 +136,7 @@
                 return None
             turn.began_at = now
             _log_turn("begins", account, turn.step, turn, now)
-        if not is_low:
+        if not is_low and turn.step.is_held_back:
             turn.low_since = None
         elif turn.low_since is None:
             turn.low_since = now
--- a/tests/work/test_account_turns.py
+++ b/tests/work/test_account_turns.py
@@ -309,6 +309,17 @@
     assert turns.choose("a", steps, 3.0, is_low=True) is not None
 
 
+def test_a_turn_ends_soon_if_the_step_may_start_and_does_not():
+    """It waits for a host: smaller steps of its account must not wait with it."""
+    turns = LargeStepTurns()
+    assert turns.choose("a", [large("one", 1.0)], 0.0, is_low=False) is None
+    assert turns.choose("a", [large("one", 1.0)], 1.0, is_low=False) is not None
+    allowed = [large("one", 1.0, is_held_back=False)]
+    assert turns.choose("a", allowed, 1.5, is_low=False) is not None
+    assert turns.choose("a", allowed, 3.5, is_low=False) is None
+    assert turns.choose("a", allowed, 9.0, is_low=False) is None
+
+
 def test_a_turn_ends_with_the_first_start():
     turns = LargeStepTurns()
     assert turns.choose("a", [large("one", 1.0, 3)], 0.0, is_low=True) is not None
